Add the workspace, shared types and links

The packages of the design frame exist as a workspace with one set of lints. quay_types holds keys, units, the closed list of error kinds with its table and the messages between processes; quay_link opens streams over QUIC with mutual TLS and a role in each certificate.

--- /dev/null
+++ b/crates/quay_config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder replaced below.
--- /dev/null
+++ b/crates/quay_link/src/keys.rs
@@ -0,0 +1,169 @@
+//! Key files, and keys made on the spot for development.
+
+use {
+    crate::{Identity, LinkError, LinkRole},
+    rcgen::{
+        BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer,
+        KeyPair, KeyUsagePurpose,
+    },
+    rustls::pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject as _},
+    std::{
+        fmt, fs, io,
+        path::{Path, PathBuf},
+    },
+};
+
+/// Where a process finds its keys.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct KeyFiles {
+    /// PEM file of the trusted root.
+    pub root: PathBuf,
+    /// PEM file of the own certificate and its issuers.
+    pub cert: PathBuf,
+    /// PEM file of the private key.
+    pub key: PathBuf,
+}
+
+impl KeyFiles {
+    /// The files that `sapphirequay keys init` writes for `role`.
+    #[must_use]
+    pub fn in_folder(dir: &Path, role: LinkRole) -> Self {
+        Self {
+            root: dir.join("root.pem"),
+            cert: dir.join(format!("{role}.pem")),
+            key: dir.join(format!("{role}.key.pem")),
+        }
+    }
+
+    /// Reads the files.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Keys`] names the file that is missing or malformed.
+    pub fn load(&self) -> Result<Identity, LinkError> {
+        let root =
+            CertificateDer::from_pem_file(&self.root).map_err(|err| unusable(&self.root, &err))?;
+        let chain = CertificateDer::pem_file_iter(&self.cert)
+            .and_then(Iterator::collect::<Result<Vec<_>, _>>)
+            .map_err(|err| unusable(&self.cert, &err))?;
+        if chain.is_empty() {
+            return Err(unusable(&self.cert, &"no certificate in the file"));
+        }
+        let key =
+            PrivateKeyDer::from_pem_file(&self.key).map_err(|err| unusable(&self.key, &err))?;
+        Ok(Identity { root, chain, key })
+    }
+}
+
+/// Says which file can't be used.
+fn unusable(path: &Path, why: &dyn fmt::Display) -> LinkError {
+    LinkError::Keys(format!("{}: {why}", path.display()).into())
+}
+
+/// A root and its issuer key, made on the spot.
+pub struct DevelopmentKeys {
+    /// The root in PEM.
+    root_pem: String,
+    /// Signs certificates of the roles.
+    issuer: Issuer<'static, KeyPair>,
+}
+
+impl fmt::Debug for DevelopmentKeys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("DevelopmentKeys").finish_non_exhaustive()
+    }
+}
+
+impl DevelopmentKeys {
+    /// Makes a new root.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Keys`] if the system has no random numbers.
+    pub fn generate() -> Result<Self, LinkError> {
+        let mut params = CertificateParams::new(Vec::new()).map_err(|err| failed(&err))?;
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        params.key_usages = vec![
+            KeyUsagePurpose::KeyCertSign,
+            KeyUsagePurpose::DigitalSignature,
+        ];
+        params
+            .distinguished_name
+            .push(DnType::CommonName, "sapphirequay development root");
+        let key = KeyPair::generate().map_err(|err| failed(&err))?;
+        let root = params.self_signed(&key).map_err(|err| failed(&err))?;
+        Ok(Self {
+            root_pem: root.pem(),
+            issuer: Issuer::new(params, key),
+        })
+    }
+
+    /// Makes a certificate for `role` and returns it with its key, both in PEM.
+    fn issue(&self, role: LinkRole) -> Result<(String, String), LinkError> {
+        let mut params =
+            CertificateParams::new(vec![role.dns_name()]).map_err(|err| failed(&err))?;
+        params
+            .distinguished_name
+            .push(DnType::CommonName, role.name());
+        params.extended_key_usages = vec![
+            ExtendedKeyUsagePurpose::ServerAuth,
+            ExtendedKeyUsagePurpose::ClientAuth,
+        ];
+        let key = KeyPair::generate().map_err(|err| failed(&err))?;
+        let cert = params
+            .signed_by(&key, &self.issuer)
+            .map_err(|err| failed(&err))?;
+        Ok((cert.pem(), key.serialize_pem()))
+    }
+
+    /// Makes an identity for `role` without writing a file.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Keys`] if a key can't be made.
+    pub fn identity(&self, role: LinkRole) -> Result<Identity, LinkError> {
+        let (cert, key) = self.issue(role)?;
+        Ok(Identity {
+            root: CertificateDer::from_pem_slice(self.root_pem.as_bytes())
+                .map_err(|err| failed(&err))?,
+            chain: vec![
+                CertificateDer::from_pem_slice(cert.as_bytes()).map_err(|err| failed(&err))?,
+            ],
+            key: PrivateKeyDer::from_pem_slice(key.as_bytes()).map_err(|err| failed(&err))?,
+        })
+    }
+
+    /// Writes the root and a certificate and key for each role into `dir`.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Io`] if the folder can't be written or holds keys already:
+    /// nothing is overwritten.
+    pub fn write(&self, dir: &Path) -> Result<(), LinkError> {
+        fs::create_dir_all(dir)?;
+        write_new(&dir.join("root.pem"), &self.root_pem)?;
+        for role in LinkRole::ALL {
+            let files = KeyFiles::in_folder(dir, role);
+            let (cert, key) = self.issue(role)?;
+            write_new(&files.cert, &cert)?;
+            write_new(&files.key, &key)?;
+        }
+        Ok(())
+    }
+}
+
+/// Writes a file that must not exist yet, readable by its owner only.
+fn write_new(path: &Path, text: &str) -> io::Result<()> {
+    use std::{io::Write as _, os::unix::fs::OpenOptionsExt as _};
+    let mut file = fs::OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(0o600)
+        .open(path)?;
+    file.write_all(text.as_bytes())
+}
+
+/// Wraps an error of the key library.
+fn failed(err: &dyn fmt::Display) -> LinkError {
+    LinkError::Keys(err.to_string().into())
+}
--- /dev/null
+++ b/crates/quay_link/src/lib.rs
@@ -0,0 +1,44 @@
+//! Links between sapphirequay processes: QUIC with mutual TLS, one stream a
+//! request, and frames encoded by `postcard`.
+//!
+//! The network runs on one thread of its own; every other thread talks to it
+//! through blocking [`LinkStream`]s, so that callers of this crate need no
+//! asynchronous code.
+//!
+//! ```
+//! use quay_link::{DevelopmentKeys, LinkRole, LinkSettings, Links};
+//!
+//! let keys = DevelopmentKeys::generate().expect("keys");
+//! let settings = LinkSettings {
+//!     listen: Some("127.0.0.1:0".parse().expect("address")),
+//!     ..LinkSettings::new(keys.identity(LinkRole::Ledger).expect("identity"))
+//! };
+//! let server = Links::start(settings, |incoming| {
+//!     std::thread::spawn(move || {
+//!         let text: String = incoming.first.decode().expect("frame");
+//!         incoming.stream.send(&text.len()).expect("reply");
+//!     });
+//! })
+//! .expect("server");
+//!
+//! let client = Links::connect_only(keys.identity(LinkRole::Entry).expect("identity")).expect("client");
+//! let addr = server.local_addr().expect("address");
+//! let mut stream = client.open(addr, LinkRole::Ledger, &"hello").expect("stream");
+//! assert_eq!(stream.recv::<usize>().expect("reply"), 5);
+//! ```
+
+mod error;
+mod frame;
+mod identity;
+mod keys;
+mod links;
+mod stream;
+
+pub use {
+    error::LinkError,
+    frame::{Frame, MAX_FRAME_BYTES},
+    identity::{Identity, LinkRole},
+    keys::{DevelopmentKeys, KeyFiles},
+    links::{Incoming, LinkSettings, Links},
+    stream::LinkStream,
+};
--- /dev/null
+++ b/crates/quay_types/src/error.rs
@@ -0,0 +1,167 @@
+//! The closed list of error kinds and the table from kind to answer.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{fmt, time::Duration},
+};
+
+/// A result whose error is [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Declares [`ErrorKind`] and its table in one place, so that no kind can be
+/// added without its answer.
+macro_rules! error_kinds {
+    ($( $(#[$doc:meta])* $kind:ident => $name:literal, $status:literal, $not_run:literal, $retry:expr; )*) => {
+        /// Every way in which a request can fail.
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        pub enum ErrorKind { $( $(#[$doc])* $kind, )* }
+
+        impl ErrorKind {
+            /// Every kind, in the order of the table.
+            pub const ALL: &[Self] = &[ $( Self::$kind, )* ];
+
+            /// The name that callers see in `error.kind`.
+            #[must_use]
+            pub const fn name(self) -> &'static str {
+                match self { $( Self::$kind => $name, )* }
+            }
+
+            /// HTTP status of the answer.
+            #[must_use]
+            pub const fn status(self) -> u16 {
+                match self { $( Self::$kind => $status, )* }
+            }
+
+            /// Whether the kind promises that the request never ran.
+            #[must_use]
+            pub const fn not_run(self) -> bool {
+                match self { $( Self::$kind => $not_run, )* }
+            }
+
+            /// Default of `Retry-After` in seconds; `None` if a resend can't help.
+            #[must_use]
+            pub const fn retry_after_s(self) -> Option<u32> {
+                match self { $( Self::$kind => $retry, )* }
+            }
+        }
+    };
+}
+
+error_kinds! {
+    /// The request is malformed.
+    BadRequest => "bad_request", 400, true, None;
+    /// The key is missing or unknown.
+    Unauthorized => "unauthorized", 401, true, None;
+    /// The program belongs to another account, or the key's role may not do this.
+    Forbidden => "forbidden", 403, true, None;
+    /// No such path, program or service.
+    NotFound => "not_found", 404, true, None;
+    /// No configured model has this name.
+    UnknownModel => "unknown_model", 404, true, None;
+    /// The method does not fit the path.
+    MethodNotAllowed => "method_not_allowed", 405, true, None;
+    /// The caller sent its request too slowly.
+    RequestTimeout => "request_timeout", 408, true, Some(1);
+    /// The body is larger than the limit.
+    TooLarge => "too_large", 413, true, None;
+    /// The idempotency key or call number was used before for other content.
+    Conflict => "conflict", 409, true, None;
+    /// The call before this one did not end within the bound.
+    PredecessorOpen => "predecessor_open", 409, true, Some(1);
+    /// The program has ended.
+    ProgramEnded => "program_ended", 410, true, None;
+    /// The program's budget does not cover the call.
+    BudgetExceeded => "budget_exceeded", 402, true, None;
+    /// The program reached its limit of turns, time, depth or sub-agents.
+    ProgramLimit => "program_limit", 403, true, None;
+    /// The account is over its rate or its share of concurrent calls.
+    AccountLimit => "account_limit", 429, true, Some(1);
+    /// The content is quarantined because upstreams crashed while running it.
+    Quarantined => "quarantined", 422, true, Some(600);
+    /// Every fitting upstream is full.
+    Overloaded => "overloaded", 503, true, Some(2);
+    /// No fitting upstream is announced.
+    NoUpstream => "no_upstream", 503, true, Some(2);
+    /// This process is leaving; another one can take the request.
+    Draining => "draining", 503, true, Some(0);
+    /// The ledger group has no quorum, and the call had no permit yet.
+    LedgerUnavailable => "ledger_unavailable", 503, true, Some(2);
+    /// This entry's configuration is too old to act on.
+    ConfigStale => "config_stale", 503, true, Some(1);
+    /// The upstream refused the permit before the request ran.
+    PermitRefused => "permit_refused", 503, true, Some(0);
+    /// The deadline passed before the request was handed to an upstream.
+    DeadlineNotRun => "deadline_not_run", 504, true, None;
+    /// The caller or its program cancelled the call.
+    Cancelled => "cancelled", 499, false, None;
+    /// The upstream answered with an error of its own.
+    UpstreamError => "upstream_error", 502, false, None;
+    /// Idempotent attempts were used up.
+    UpstreamLost => "upstream_lost", 502, false, Some(1);
+    /// The deadline passed while the request ran.
+    DeadlineExceeded => "deadline_exceeded", 504, false, None;
+    /// The request may or may not have run; it is never run again.
+    OutcomeUnknown => "outcome_unknown", 502, false, None;
+    /// A fault of this system.
+    Internal => "internal", 500, false, None;
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// An error on its way to a caller.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Error {
+    /// Row of the table that decides status, `not_run` and `Retry-After`.
+    pub kind: ErrorKind,
+    /// What went wrong, for a person.
+    pub message: Box<str>,
+    /// Overrides the kind's default when something better is known.
+    pub retry_after: Option<Duration>,
+}
+
+impl Error {
+    /// An error of `kind` with the kind's own `Retry-After`.
+    #[must_use]
+    pub fn new(kind: ErrorKind, message: impl Into<Box<str>>) -> Self {
+        Self {
+            kind,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Sets when a resend is worthwhile.
+    #[must_use]
+    pub fn with_retry_after(self, span: Duration) -> Self {
+        Self {
+            retry_after: Some(span),
+            ..self
+        }
+    }
+
+    /// Seconds for the `Retry-After` header, rounded up.
+    #[must_use]
+    pub fn retry_after_s(&self) -> Option<u32> {
+        match self.retry_after {
+            Some(span) => {
+                let whole = span.as_secs() + u64::from(span.subsec_nanos() > 0);
+                Some(u32::try_from(whole).unwrap_or(u32::MAX))
+            }
+            None => self.kind.retry_after_s(),
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.kind, self.message)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/quay_types/src/lib.rs
@@ -0,0 +1,42 @@
+//! Keys, units, error kinds and messages that every sapphirequay package shares.
+//!
+//! Nothing here does I/O, reads a clock or draws a random number.
+//!
+//! ```
+//! use quay_types::{ErrorKind, ProgramId};
+//!
+//! let program = ProgramId::root(7);
+//! assert_eq!(program.to_string().parse(), Ok(program));
+//! assert_eq!(ErrorKind::Draining.status(), 503);
+//! assert!(ErrorKind::Draining.not_run());
+//! ```
+
+mod call;
+mod digest;
+mod directory;
+mod error;
+mod ids;
+mod ledger;
+mod permit;
+mod time;
+
+pub use {
+    call::{CallEvent, CallRequest, CallTarget, FinishReason, SidecarRequest},
+    digest::{ContentDigest, block_hashes},
+    directory::{
+        Announcement, DirectoryEntry, DirectoryReply, DirectoryRequest, Load, UpstreamKind,
+        UpstreamState,
+    },
+    error::{Error, ErrorKind, Result},
+    ids::{
+        AccountId, Attempt, CallNumber, ConfigIndex, Epoch, FenceNumber, GroupId, Incarnation,
+        LogIndex, ModelId, NodeId, ParseProgramIdError, ProgramId, RequestKey, ServiceId, Tokens,
+        UpstreamId,
+    },
+    ledger::{
+        Begin, BeginReply, CallRecord, LedgerReply, LedgerRequest, NewProgram, ProgramLimits,
+        ProgramStatus, Settle,
+    },
+    permit::{Outcome, Permit, PermitFate, PermitId},
+    time::Time,
+};
