--- a/crates/quay_config/src/lib.rs
+++ b/crates/quay_config/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder replaced below.
+//! Configuration document with owned sections, versions and an audit trail.
--- a/crates/quay_ledger/src/lib.rs
+++ b/crates/quay_ledger/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder replaced below.
+//! Programs, budgets, permits and outcomes as a replicated state machine.
--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -413,13 +413,15 @@
 async fn write_frames(mut send: SendStream, mut frames: mpsc::Receiver<Vec<u8>>) {
     loop {
         tokio::select! {
-            frame = frames.recv() => match frame {
-                Some(frame) => if send.write_all(&frame).await.is_err() { return },
-                None => {
+            frame = frames.recv() => {
+                let Some(frame) = frame else {
                     let _ = send.finish();
                     return;
+                };
+                if send.write_all(&frame).await.is_err() {
+                    return;
                 }
-            },
+            }
             // The peer has dropped its end: further frames are of no use.
             _ = send.stopped() => return,
         }
--- a/crates/quay_log/src/lib.rs
+++ b/crates/quay_log/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder replaced below.
+//! Segmented durable log with checksums and snapshots.
--- a/crates/quay_members/src/lib.rs
+++ b/crates/quay_members/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder replaced below.
+//! Directory of upstreams kept by announcements under leases.
--- a/crates/quay_policy/benches/decisions.rs
+++ b/crates/quay_policy/benches/decisions.rs
@@ -1,1 +1,3 @@
+//! Times of single decisions.
+
 fn main() {}
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder replaced below.
+//! Routing, admission, retention, retry and quarantine decisions.
--- a/crates/quay_quorum/src/lib.rs
+++ b/crates/quay_quorum/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder replaced below.
+//! Replicated log as a state machine without I/O.
--- a/crates/quay_standin/src/lib.rs
+++ b/crates/quay_standin/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder replaced below.
+//! Small stand-ins of the systems that sapphirequay meets: a model engine.
+//!
+//! They serve real HTTP on loopback, so that the daemon is met through the same
+//! protocol as in production.
+//!
+//! ```
+//! use quay_standin::{Engine, EngineSettings};
+//!
+//! let engine = Engine::start("127.0.0.1:0".parse().expect("address"), EngineSettings::default()).expect("engine");
+//! assert_ne!(engine.addr().port(), 0);
+//! ```
+
+mod engine;
+
+pub use engine::{Engine, EngineSettings};
--- a/crates/sapphirequay/src/main.rs
+++ b/crates/sapphirequay/src/main.rs
@@ -1,1 +1,82 @@
-fn main() {}
+//! The command `sapphirequay` for operators, callers and experiments.
+
+mod demo;
+mod keys;
+
+use {
+    gumdrop::Options,
+    std::{error::Error, path::PathBuf, process::ExitCode},
+};
+
+/// Arguments of the command.
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+/// What to do.
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run every role and stand-ins in one process and call it")]
+    Demo(DemoArgs),
+    #[options(help = "make keys for development")]
+    Keys(KeysArgs),
+}
+
+/// Arguments of `demo`.
+#[derive(Debug, Options)]
+struct DemoArgs {
+    #[options(help = "print this help")]
+    help: bool,
+}
+
+/// Arguments of `keys`.
+#[derive(Debug, Options)]
+struct KeysArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<KeysCommand>,
+}
+
+/// What to do with keys.
+#[derive(Debug, Options)]
+enum KeysCommand {
+    #[options(help = "write a root and one certificate a role into a folder")]
+    Init(KeysInitArgs),
+}
+
+/// Arguments of `keys init`.
+#[derive(Debug, Options)]
+struct KeysInitArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "folder to write")]
+    dir: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    match run(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("sapphirequay: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs the command that was asked for.
+fn run(args: Args) -> Result<(), Box<dyn Error>> {
+    match args.command {
+        Some(Command::Demo(_)) => demo::run(),
+        Some(Command::Keys(KeysArgs {
+            command: Some(KeysCommand::Init(init)),
+            ..
+        })) => keys::init(&init.dir),
+        Some(Command::Keys(_)) | None => Err("a command is needed; see --help".into()),
+    }
+}
--- /dev/null
+++ b/crates/sapphirequayd/src/connection/mod.rs
@@ -0,0 +1,10 @@
+//! What lives for one connection: callers' HTTP and the upstream's.
+
+mod answer;
+mod edge;
+mod engine;
+
+pub use {
+    edge::{Edge, EntryContext},
+    engine::{EngineClient, EngineEvent},
+};
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -1,1 +1,28 @@
-//! Placeholder replaced below.
+//! The sapphirequay daemon as a library: every role that one process can play.
+//!
+//! [`Settings`] say which roles run; [`Daemon::start`] starts them. Modules are
+//! laid out by how long their values live: `request` for one call, `connection`
+//! for one peer, `version` for one configuration, `process` for one run.
+//!
+//! ```
+//! use sapphirequayd::Settings;
+//!
+//! let settings: Settings = Settings::parse("[process]\nname = \"entry-1\"\n").expect("settings");
+//! assert_eq!(&*settings.process.name, "entry-1");
+//! ```
+
+mod connection;
+mod process;
+mod request;
+mod settings;
+mod version;
+mod wire;
+
+pub use {
+    process::{Daemon, StartError},
+    settings::{
+        AccountSettings, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
+        Settings, SettingsError, SidecarSettings,
+    },
+    wire::LinkRequest,
+};
--- /dev/null
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -0,0 +1,264 @@
+//! Starts the roles that the settings name.
+
+use {
+    crate::{
+        connection::{Edge, EngineClient, EntryContext},
+        process::{
+            Clock, Gate, Mailbox, Router, announcer,
+            directory::{Directory, DirectoryMsg},
+            spawn,
+        },
+        request::{Attempts, CallContext, serve_attempt},
+        settings::{EntrySettings, Settings, SidecarSettings},
+        version::Rules,
+        wire::LinkRequest,
+    },
+    quay_link::{Identity, Incoming, LinkError, LinkRole, LinkSettings, Links},
+    quay_types::{
+        Announcement, CallEvent, DirectoryRequest, Incarnation, Load, ModelId, ServiceId,
+        SidecarRequest, UpstreamKind, UpstreamState,
+    },
+    std::{
+        fmt, io,
+        net::{SocketAddr, TcpListener},
+        sync::{Arc, OnceLock},
+        thread,
+    },
+};
+
+/// Why a process could not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address is taken or a thread can't be had.
+    Io(Box<str>, io::Error),
+    /// Links can't be set up.
+    Link(LinkError),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(what, err) => write!(f, "{what}: {err}"),
+            Self::Link(err) => write!(f, "{err}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+impl From<LinkError> for StartError {
+    fn from(err: LinkError) -> Self {
+        Self::Link(err)
+    }
+}
+
+/// Names what failed with an [`io::Error`].
+fn starting(what: &str) -> impl FnOnce(io::Error) -> StartError {
+    let what = what.into();
+    move |err| StartError::Io(what, err)
+}
+
+/// A running process.
+#[derive(Debug)]
+pub struct Daemon {
+    edge: Option<Edge>,
+    links: Links,
+}
+
+/// The roles that streams from peers are for.
+#[derive(Default)]
+struct Roles {
+    sidecar: Option<Attempts>,
+    directory: Option<Mailbox<DirectoryMsg>>,
+}
+
+impl Daemon {
+    /// Starts every role of `settings` under `identity`.
+    ///
+    /// # Errors
+    ///
+    /// Says which address or key can't be used.
+    pub fn start(settings: &Settings, identity: Identity) -> Result<Self, StartError> {
+        let clock = Clock::start();
+        let roles = Arc::new(OnceLock::<Roles>::new());
+        let link_settings = LinkSettings {
+            listen: Some(settings.link.listen),
+            ..LinkSettings::new(identity)
+        };
+        let accepting = Arc::clone(&roles);
+        let links = Links::start(link_settings, move |incoming| {
+            // Peers that come before the roles are up find the stream closed.
+            if accepting.get().is_some() {
+                dispatch(Arc::clone(&accepting), incoming);
+            }
+        })?;
+        let mut started = Roles::default();
+        if settings.ledger.is_some() {
+            started.directory = Some(
+                spawn("directory", clock, Directory::default()).map_err(starting("directory"))?,
+            );
+        }
+        if let Some(sidecar) = &settings.sidecar {
+            started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock)?);
+        }
+        let _ = roles.set(started);
+        let edge = match &settings.entry {
+            Some(entry) => Some(start_entry(settings, entry, &links, clock)?),
+            None => None,
+        };
+        Ok(Self { edge, links })
+    }
+
+    /// Address that callers reach, if the entry role runs.
+    #[must_use]
+    pub fn callers_addr(&self) -> Option<SocketAddr> {
+        self.edge.as_ref().map(Edge::local_addr)
+    }
+
+    /// Address that links are accepted on.
+    #[must_use]
+    pub const fn link_addr(&self) -> Option<SocketAddr> {
+        self.links.local_addr()
+    }
+}
+
+/// Starts the entry role.
+fn start_entry(
+    settings: &Settings,
+    entry: &EntrySettings,
+    links: &Links,
+    clock: Clock,
+) -> Result<Edge, StartError> {
+    let router = spawn("router", clock, Router::default()).map_err(starting("router"))?;
+    let (reader_links, reader_router, ledgers) =
+        (links.clone(), router.clone(), settings.link.ledgers.clone());
+    thread::Builder::new()
+        .name("directory-reader".into())
+        .spawn(move || announcer::read_directory(&reader_links, &ledgers, &reader_router))
+        .map_err(starting("directory reader"))?;
+    let listener = TcpListener::bind(entry.listen)
+        .map_err(starting(&format!("[entry] listen {}", entry.listen)))?;
+    let calls = CallContext {
+        links: links.clone(),
+        router,
+    };
+    let cx = EntryContext {
+        calls,
+        rules: Arc::new(Rules::new(&settings.accounts)),
+    };
+    Edge::start(listener, cx).map_err(starting("edge"))
+}
+
+/// Starts the sidecar role.
+fn start_sidecar(
+    settings: &Settings,
+    sidecar: &SidecarSettings,
+    links: &Links,
+    clock: Clock,
+) -> Result<Attempts, StartError> {
+    let gate = spawn("gate", clock, Gate::new(sidecar.concurrency)).map_err(starting("gate"))?;
+    let incarnation = Incarnation(Clock::wall_ms());
+    let announcement = Announcement {
+        name: sidecar.upstream.clone(),
+        incarnation,
+        sequence: 0,
+        addr: links.local_addr().unwrap_or(settings.link.listen),
+        data_centre: settings.process.data_centre.clone(),
+        kind: upstream_kind(sidecar),
+        state: UpstreamState::Serving,
+        load: Load::default(),
+    };
+    let (announcer_links, announcer_gate, ledgers) =
+        (links.clone(), gate.clone(), settings.link.ledgers.clone());
+    thread::Builder::new()
+        .name("announcer".into())
+        .spawn(move || {
+            announcer::announce(&announcer_links, &ledgers, &announcer_gate, announcement);
+        })
+        .map_err(starting("announcer"))?;
+    Ok(Attempts {
+        incarnation,
+        gate,
+        engine: EngineClient::new(sidecar.addr),
+    })
+}
+
+/// What the settings say that the upstream serves.
+fn upstream_kind(sidecar: &SidecarSettings) -> UpstreamKind {
+    match &sidecar.service {
+        Some(service) => UpstreamKind::Service {
+            service: ServiceId::of(service),
+        },
+        None => UpstreamKind::Engine {
+            models: sidecar
+                .models
+                .iter()
+                .map(|name| ModelId::of(name))
+                .collect(),
+        },
+    }
+}
+
+// ---------------------------------------------------------------------------
+// Streams from peers
+
+/// Hands a stream to the role that it is for.
+fn dispatch(roles: Arc<OnceLock<Roles>>, incoming: Incoming) {
+    let spawned = thread::Builder::new().name("stream".into()).spawn(move || {
+        let Some(roles) = roles.get() else { return };
+        match incoming.first.decode::<LinkRequest>() {
+            Ok(req) => serve_stream(roles, req, &incoming),
+            Err(err) => log::warn!("event=bad_request peer={} cause={err:?}", incoming.addr),
+        }
+    });
+    if let Err(err) = spawned {
+        log::error!("event=stream_dropped cause={err:?}");
+    }
+}
+
+/// Serves a stream if the peer's role may ask for it.
+fn serve_stream(roles: &Roles, req: LinkRequest, incoming: &Incoming) {
+    if !allowed(&req, &incoming.roles) {
+        log::warn!(
+            "event=role_refused peer={} roles={:?}",
+            incoming.addr,
+            incoming.roles
+        );
+        return;
+    }
+    match req {
+        LinkRequest::Sidecar(SidecarRequest::Call(call)) => {
+            if let Some(attempts) = &roles.sidecar {
+                serve_attempt(attempts, &incoming.stream, &call);
+            }
+        }
+        LinkRequest::Directory(req) => {
+            let answer = roles
+                .directory
+                .as_ref()
+                .and_then(|directory| directory.ask(|reply| DirectoryMsg { req, reply }));
+            if let Some(answer) = answer {
+                let _ = incoming.stream.send(&answer);
+            }
+        }
+        LinkRequest::Sidecar(SidecarRequest::Inquire(..)) => {
+            let _ = incoming
+                .stream
+                .send(&CallEvent::Fate(quay_types::PermitFate::Unknown));
+        }
+        LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) | LinkRequest::Ledger(_) => {}
+    }
+}
+
+/// Whether a peer with `roles` may send `req`.
+fn allowed(req: &LinkRequest, roles: &[LinkRole]) -> bool {
+    let needed: &[LinkRole] = match req {
+        LinkRequest::Sidecar(_) => &[LinkRole::Entry],
+        LinkRequest::Directory(DirectoryRequest::Announce(_)) => &[LinkRole::Sidecar],
+        LinkRequest::Directory(DirectoryRequest::Changes(_)) => {
+            &[LinkRole::Entry, LinkRole::Operator]
+        }
+        LinkRequest::Ledger(_) => &[LinkRole::Entry, LinkRole::Sidecar],
+    };
+    needed.iter().any(|role| roles.contains(role))
+}
--- /dev/null
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -0,0 +1,17 @@
+//! What lives as long as the process: actors, roles and their threads.
+
+mod actor;
+mod announcer;
+mod clock;
+mod daemon;
+mod directory;
+mod gate;
+mod router;
+
+pub use {
+    actor::{Machine, Mailbox, spawn},
+    clock::Clock,
+    daemon::{Daemon, StartError},
+    gate::{Gate, GateMsg},
+    router::{Pick, Router, RouterMsg},
+};
--- /dev/null
+++ b/crates/sapphirequayd/src/request/completion.rs
@@ -0,0 +1,109 @@
+//! Parses a chat completion.
+
+use {
+    quay_types::{Error, ErrorKind, ModelId, Result, Tokens, block_hashes},
+    serde::{Deserialize, Serialize},
+};
+
+/// Limit of the answer's length where the caller names none.
+const DEFAULT_MAX_TOKENS: u64 = 1_024;
+
+/// Bytes of text that count as one token in estimates.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// One message of a conversation. Fields that only the model reads are kept as they came.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// Who speaks.
+    pub role: Box<str>,
+    /// Text, or structured content.
+    #[serde(default)]
+    pub content: serde_json::Value,
+    /// Everything else.
+    #[serde(flatten)]
+    pub other: serde_json::Map<String, serde_json::Value>,
+}
+
+/// The body of `POST /v1/chat/completions`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Completion {
+    /// Name of the model.
+    pub model: Box<str>,
+    /// The conversation.
+    pub messages: Vec<Message>,
+    /// Whether the caller wants server-sent events.
+    #[serde(default)]
+    pub stream: bool,
+    /// Most tokens to generate.
+    #[serde(default, alias = "max_completion_tokens")]
+    pub max_tokens: Option<u64>,
+    /// Everything that only the model reads.
+    #[serde(flatten)]
+    pub other: serde_json::Map<String, serde_json::Value>,
+}
+
+impl Completion {
+    /// Parses a body.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadRequest`] says what is wrong with it.
+    pub fn parse(body: &[u8]) -> Result<Self> {
+        let parsed: Self = serde_json::from_slice(body)
+            .map_err(|err| Error::new(ErrorKind::BadRequest, format!("body: {err}")))?;
+        if parsed.messages.is_empty() {
+            return Err(Error::new(
+                ErrorKind::BadRequest,
+                "messages: at least one is needed",
+            ));
+        }
+        if parsed.max_tokens == Some(0) {
+            return Err(Error::new(
+                ErrorKind::BadRequest,
+                "max_tokens: must be positive",
+            ));
+        }
+        Ok(parsed)
+    }
+
+    /// Key of the model.
+    #[must_use]
+    pub fn model_id(&self) -> ModelId {
+        ModelId::of(&self.model)
+    }
+
+    /// The prompt as bytes, for estimates and prefix hashes.
+    #[must_use]
+    pub fn prompt_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(&self.messages).unwrap_or_default()
+    }
+
+    /// Chained hashes of the prompt's blocks.
+    #[must_use]
+    pub fn blocks(&self) -> Box<[u64]> {
+        block_hashes(&self.prompt_bytes())
+    }
+
+    /// Estimate of the prompt's length.
+    #[must_use]
+    pub fn prompt_tokens(&self) -> Tokens {
+        Tokens((self.prompt_bytes().len() as u64).div_ceil(BYTES_PER_TOKEN))
+    }
+
+    /// Most tokens that the answer may have.
+    #[must_use]
+    pub fn max_output(&self) -> Tokens {
+        Tokens(self.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS))
+    }
+
+    /// The body for the upstream: always streamed, always bounded.
+    #[must_use]
+    pub fn upstream_body(&self) -> Box<[u8]> {
+        let body = Self {
+            stream: true,
+            max_tokens: Some(self.max_output().0),
+            ..self.clone()
+        };
+        serde_json::to_vec(&body).unwrap_or_default().into()
+    }
+}
