--- /dev/null
+++ b/crates/quay_experiment/src/lib.rs
@@ -0,0 +1,1 @@
+//! Seeded experiments over the decision logic: policy, faults, capacity.
--- a/crates/sapphirequayd/src/connection/edge.rs
+++ b/crates/sapphirequayd/src/connection/edge.rs
@@ -4,7 +4,7 @@
     crate::{
         connection::answer::{EventAnswer, WholeAnswer, write_error, write_json},
         request::{CallContext, Completion, run_call},
-        version::Rules,
+        version::Current,
     },
     quay_types::{
         AccountId, CallRequest, CallTarget, Error, ErrorKind, Incarnation, ProgramId, Result,
@@ -15,7 +15,6 @@
     std::{
         io::{self, Read as _},
         net::{SocketAddr, TcpListener},
-        sync::Arc,
         thread,
     },
     tiny_http::{Method, Request, Server},
@@ -36,7 +35,7 @@
     /// What calls share.
     pub calls: CallContext,
     /// Rules in force.
-    pub rules: Arc<Rules>,
+    pub rules: Current,
 }
 
 /// The listener for callers.
@@ -104,7 +103,7 @@
 /// Checks the key and reads the body.
 fn admit(cx: &EntryContext, req: &mut Request) -> Result<(AccountId, Vec<u8>)> {
     let key = header(req, "Authorization").and_then(|value| value.strip_prefix("Bearer "));
-    let account = key.and_then(|key| cx.rules.account(key));
+    let account = key.and_then(|key| cx.rules.get().account(key));
     let account = account.ok_or_else(|| {
         Error::new(
             ErrorKind::Unauthorized,
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -19,7 +19,7 @@
 mod wire;
 
 pub use {
-    process::{Daemon, StartError},
+    process::{Clock, Daemon, Group, GroupError, GroupMsg, Machine, Mailbox, StartError, spawn},
     settings::{
         AccountSettings, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
         Settings, SettingsError, SidecarSettings,
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -10,7 +10,7 @@
         },
         request::{Attempts, CallContext, serve_attempt},
         settings::{EntrySettings, Settings, SidecarSettings},
-        version::Rules,
+        version::{Current, Rules},
         wire::LinkRequest,
     },
     quay_link::{Identity, Incoming, LinkError, LinkRole, LinkSettings, Links},
@@ -144,7 +144,7 @@
     };
     let cx = EntryContext {
         calls,
-        rules: Arc::new(Rules::new(&settings.accounts)),
+        rules: Current::new(Rules::new(&settings.accounts)),
     };
     Edge::start(listener, cx).map_err(starting("edge"))
 }
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod directory;
 mod gate;
+mod group;
 mod router;
 
 pub use {
@@ -13,5 +14,6 @@
     clock::Clock,
     daemon::{Daemon, StartError},
     gate::{Gate, GateMsg},
+    group::{Group, GroupError, GroupMsg},
     router::{Pick, Router, RouterMsg},
 };
--- /dev/null
+++ b/crates/sapphirequayd/src/version/current.rs
@@ -0,0 +1,24 @@
+//! The version in force, shared by every thread of the process.
+
+use {
+    crate::version::Rules,
+    std::sync::{Arc, PoisonError, RwLock},
+};
+
+/// Holds the rules in force; a request keeps the ones that it began with.
+#[derive(Debug, Clone, Default)]
+pub struct Current(Arc<RwLock<Arc<Rules>>>);
+
+impl Current {
+    /// Starts with `rules` in force.
+    #[must_use]
+    pub fn new(rules: Rules) -> Self {
+        Self(Arc::new(RwLock::new(Arc::new(rules))))
+    }
+
+    /// The rules in force now.
+    #[must_use]
+    pub fn get(&self) -> Arc<Rules> {
+        Arc::clone(&self.0.read().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- a/crates/sapphirequayd/src/version/mod.rs
+++ b/crates/sapphirequayd/src/version/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for one version of the configuration.
 
+mod current;
 mod rules;
 
-pub use rules::Rules;
+pub use {current::Current, rules::Rules};
