Add the ledger of programs as a state machine

Cause: order, budgets, recorded outcomes and at most once need one place that serialises a program's calls.

quay_ledger::Ledger decides Create, Begin, Settle and End by key, issues one permit an attempt, keeps a lost attempt's tokens set aside until it is heard of, carves grants for sub-agents in one command, and forgets ended programs after their retention. Histories are chunks behind the History trait. A settlement now carries the whole permit, so that a resent one can be told that another outcome stands.

--- /dev/null
+++ b/crates/quay_ledger/src/calls.rs
@@ -0,0 +1,335 @@
+//! Calls: permits, order, replay, settlement.
+
+use {
+    crate::{
+        CallChunk, History, Ledger, OpenCall, Reply, ledger::Position, program::fingerprint, refuse,
+    },
+    quay_types::{
+        Attempt, Begin, BeginReply, CallNumber, ErrorKind, Incarnation, NewProgram, Outcome,
+        Permit, PermitId, ProgramId, RequestKey, Result, Settle, Tokens, UpstreamId,
+    },
+};
+
+/// What the ledger finds under the key of a [`Begin`].
+enum Found {
+    /// No call has this key.
+    Nothing,
+    /// A call that has ended.
+    Closed(Outcome),
+    /// The open call.
+    Open,
+}
+
+impl<H: History> Ledger<H> {
+    /// Answers a request to run a call.
+    pub(crate) fn begin(&mut self, at: Position, begin: Begin) -> BeginReply {
+        self.try_begin(at, begin)
+            .unwrap_or_else(BeginReply::Refused)
+    }
+
+    /// As [`Ledger::begin`]; an error changes nothing that matters to a call.
+    fn try_begin(&mut self, at: Position, begin: Begin) -> Result<BeginReply> {
+        if begin.number == Some(CallNumber(0)) {
+            return Err(refuse(ErrorKind::BadRequest, "calls are numbered from 1"));
+        }
+        let id = begin.program;
+        if let (Some(limits), None) = (begin.implicit, self.state.programs.get(&id)) {
+            self.may_run(&begin)?;
+            if limits.turns == 0 || begin.reserve > limits.budget {
+                return Err(refuse(
+                    ErrorKind::BudgetExceeded,
+                    "the call needs more than a program of its own may have",
+                ));
+            }
+            self.create_root(&NewProgram {
+                account: begin.account,
+                key: begin.key,
+                program: id,
+                sub_agent: false,
+                limits,
+            })?;
+            self.state.programs[&id].implicit = true;
+        }
+        self.owned(id, begin.account)?;
+        match self.find(&begin)? {
+            Found::Closed(outcome) => Ok(BeginReply::Replay(outcome)),
+            Found::Open => self.next_attempt(at, &begin),
+            Found::Nothing => self.next_call(at, begin),
+        }
+    }
+
+    /// Finds the call of a key; other content under the same key conflicts.
+    fn find(&self, begin: &Begin) -> Result<Found> {
+        let program = &self.state.programs[&begin.program];
+        if program.implicit && program.key != begin.key {
+            return Err(conflict("the program has one call, and this is another"));
+        }
+        if let Some(open) = program.open.as_ref().filter(|open| open.key == begin.key) {
+            same_call(begin, program.last(), open.digest == begin.digest)?;
+            return Ok(Found::Open);
+        }
+        for number in program.candidates(begin.key) {
+            let chunk = self.history.read(begin.program, number);
+            let Some(chunk) = chunk.filter(|chunk| chunk.key == begin.key) else {
+                continue;
+            };
+            same_call(begin, number, chunk.digest == begin.digest)?;
+            // The open call was dealt with above, so this one has ended.
+            if let Some(outcome) = chunk.outcome {
+                return Ok(Found::Closed(outcome));
+            }
+        }
+        Ok(Found::Nothing)
+    }
+
+    /// Takes the program's next call, in order.
+    fn next_call(&mut self, at: Position, begin: Begin) -> Result<BeginReply> {
+        let program = &self.state.programs[&begin.program];
+        let next = CallNumber(program.last().0 + 1);
+        if begin.number.is_some_and(|number| number < next) {
+            return Err(conflict("the call number was used before with another key"));
+        }
+        if program.ended_ms.is_some() {
+            return Err(refuse(ErrorKind::ProgramEnded, "the program has ended"));
+        }
+        if program.last().0 >= program.limits.turns {
+            return Err(refuse(
+                ErrorKind::ProgramLimit,
+                "the program has no turn left",
+            ));
+        }
+        if program.open.is_some() || begin.number.is_some_and(|number| number > next) {
+            return Ok(BeginReply::Wait(self.state.limits.wait_ms));
+        }
+        self.may_run(&begin)?;
+        self.afford(&begin)?;
+        let program = &mut self.state.programs[&begin.program];
+        program.calls.push(fingerprint(begin.key));
+        program.open = Some(Box::new(OpenCall {
+            key: begin.key,
+            digest: begin.digest,
+            idempotent: begin.idempotent,
+            attempts: 0,
+            live: None,
+        }));
+        let reply = self.issue(at, &begin);
+        let chunk = CallChunk {
+            key: begin.key,
+            digest: begin.digest,
+            prompt: begin.prompt,
+            outcome: None,
+        };
+        self.history.begin(begin.program, chunk);
+        Ok(reply)
+    }
+
+    /// Joins the running attempt of the open call, or issues the next permit.
+    fn next_attempt(&mut self, at: Position, begin: &Begin) -> Result<BeginReply> {
+        let program = &self.state.programs[&begin.program];
+        if let Some(live) = program.open.as_ref().and_then(|open| open.live) {
+            return Ok(BeginReply::Running(live));
+        }
+        if program.ended_ms.is_some() {
+            return Err(refuse(ErrorKind::ProgramEnded, "the program has ended"));
+        }
+        if !program.has_room_for_lost() {
+            return Err(refuse(
+                ErrorKind::ProgramLimit,
+                "too many attempts were lost",
+            ));
+        }
+        self.may_run(begin)?;
+        self.afford(begin)?;
+        Ok(self.issue(at, begin))
+    }
+
+    /// Whether the asking entry may be given any permit.
+    fn may_run(&self, begin: &Begin) -> Result<()> {
+        if begin.config < self.state.config_floor {
+            return Err(refuse(
+                ErrorKind::ConfigStale,
+                "the entry's configuration is too old",
+            ));
+        }
+        if begin.upstream == (UpstreamId::default(), Incarnation::default()) {
+            return Err(refuse(ErrorKind::NoUpstream, "no upstream serves this now"));
+        }
+        Ok(())
+    }
+
+    /// Sets the call's tokens aside.
+    fn afford(&mut self, begin: &Begin) -> Result<()> {
+        let budget = &mut self.state.programs[&begin.program].budget;
+        if budget.reserve(begin.reserve) {
+            return Ok(());
+        }
+        Err(refuse(
+            ErrorKind::BudgetExceeded,
+            format!(
+                "the call may need {} tokens, the program has {} left",
+                begin.reserve.0,
+                budget.free()
+            ),
+        ))
+    }
+
+    /// Issues a permit for the open call, whose tokens are set aside.
+    fn issue(&mut self, at: Position, begin: &Begin) -> BeginReply {
+        let program = &mut self.state.programs[&begin.program];
+        let (number, attained) = (program.last(), program.budget.used());
+        let Some(open) = program.open.as_mut() else {
+            unreachable!("permits are issued for open calls only");
+        };
+        let permit = Permit {
+            id: PermitId {
+                group: self.state.group,
+                index: at.index,
+            },
+            key: begin.key,
+            attempt: Attempt(open.attempts),
+            upstream: begin.upstream.0,
+            incarnation: begin.upstream.1,
+            epoch: at.epoch,
+            reserved: begin.reserve,
+        };
+        open.attempts += 1;
+        open.live = Some(permit);
+        self.check(begin.program);
+        BeginReply::Go {
+            permit,
+            number,
+            attained,
+        }
+    }
+
+    // -----------------------------------------------------------------------
+    // Settling
+
+    /// Closes an attempt, once; a resend changes nothing.
+    pub(crate) fn settle(&mut self, settle: Settle) -> Reply {
+        let id = settle.program;
+        let Some(program) = self.state.programs.get(&id) else {
+            return Reply::Done;
+        };
+        let live = program.open.as_ref().and_then(|open| open.live);
+        let reply = if live.is_some_and(|live| live.id == settle.permit.id) {
+            self.settle_live(id, settle.outcome);
+            Reply::Done
+        } else {
+            self.settle_late(settle)
+        };
+        self.return_grant(id);
+        self.check(id);
+        reply
+    }
+
+    /// Closes the attempt in use.
+    fn settle_live(&mut self, id: ProgramId, outcome: Outcome) {
+        let program = &mut self.state.programs[&id];
+        let Some(open) = program.open.as_mut() else {
+            return;
+        };
+        let idempotent = open.idempotent;
+        match (charged(&outcome), open.live) {
+            (Some(used), Some(permit)) => {
+                open.live = None;
+                program.budget.charge(permit.reserved, used);
+            }
+            // The upstream may still run it, so its tokens stay set aside.
+            _ => program.lose_live(),
+        }
+        let closes = match outcome {
+            Outcome::NotRun => false,
+            Outcome::Unknown => !idempotent,
+            Outcome::Completed { .. } | Outcome::Failed { .. } => true,
+        };
+        if closes {
+            self.close(id, outcome);
+        }
+    }
+
+    /// Closes the open call. An attempt that still runs is of no more use, and
+    /// its tokens stay set aside until it is heard of.
+    fn close(&mut self, id: ProgramId, outcome: Outcome) {
+        self.history.end(id, outcome);
+        let program = &mut self.state.programs[&id];
+        program.lose_live();
+        program.open = None;
+        if program.implicit {
+            self.end(id);
+        }
+    }
+
+    /// Takes news of an attempt that is not in use any more.
+    ///
+    /// Its tokens are settled. The first whole answer of any attempt closes the
+    /// call; once closed, the recorded outcome stands.
+    fn settle_late(&mut self, settle: Settle) -> Reply {
+        let Some((number, recorded)) = self.recorded(settle.program, settle.permit.key) else {
+            return Reply::Done;
+        };
+        let was_lost = self.settle_lost(settle.program, settle.permit.id, &settle.outcome);
+        match (recorded, &settle.outcome) {
+            (Some(stands), outcome) if stands == *outcome => Reply::Done,
+            (Some(stands), _) => Reply::Superseded(stands),
+            (None, Outcome::NotRun | Outcome::Unknown) => Reply::Done,
+            (None, _) if was_lost => {
+                self.close(settle.program, settle.outcome);
+                Reply::Done
+            }
+            (None, _) => Reply::Refused(refuse(
+                ErrorKind::Internal,
+                format!("call {number}: the permit was given back before"),
+            )),
+        }
+    }
+
+    /// The call of a key and its outcome.
+    fn recorded(&self, id: ProgramId, key: RequestKey) -> Option<(CallNumber, Option<Outcome>)> {
+        let mut numbers = self.state.programs[&id].candidates(key);
+        numbers.find_map(|number| {
+            let chunk = self.history.read(id, number)?;
+            (chunk.key == key).then_some((number, chunk.outcome))
+        })
+    }
+
+    /// Settles the tokens of a lost attempt; `false` if it was not lost.
+    fn settle_lost(&mut self, id: ProgramId, permit: PermitId, outcome: &Outcome) -> bool {
+        let program = &mut self.state.programs[&id];
+        let slot = program.lost.iter().position(|lost| lost.permit == permit);
+        let Some(slot) = slot else { return false };
+        if let Some(used) = charged(outcome) {
+            let lost = program.lost.remove(slot);
+            program.budget.charge(lost.reserved, used);
+        }
+        true
+    }
+}
+
+/// Tokens to charge for an outcome; `None` if nobody knows.
+fn charged(outcome: &Outcome) -> Option<Tokens> {
+    match outcome {
+        Outcome::Completed { prompt, output, .. } => {
+            Some(Tokens(prompt.0.saturating_add(output.0)))
+        }
+        Outcome::Failed { used, .. } => Some(*used),
+        Outcome::NotRun => Some(Tokens(0)),
+        Outcome::Unknown => None,
+    }
+}
+
+/// Refuses other content or another number under a known key.
+fn same_call(begin: &Begin, number: CallNumber, same_digest: bool) -> Result<()> {
+    if !same_digest {
+        return Err(conflict("the key was used before for other content"));
+    }
+    if begin.number.is_some_and(|asked| asked != number) {
+        return Err(conflict("the key was used before for another call number"));
+    }
+    Ok(())
+}
+
+/// A conflict with what is recorded.
+fn conflict(text: &str) -> quay_types::Error {
+    refuse(ErrorKind::Conflict, text)
+}
--- a/crates/quay_ledger/src/lib.rs
+++ b/crates/quay_ledger/src/lib.rs
@@ -1,1 +1,50 @@
 //! Programs, budgets, permits and outcomes as a replicated state machine.
+//!
+//! [`Ledger`] decides what may run: the calls of a program in order, each under
+//! a permit for one attempt, within the program's budget and limits; and it
+//! records how each ended, so that a resend gets the recorded answer.
+//!
+//! ```
+//! use quay_ledger::{Command, Ledger, LedgerLimits, MemoryHistory, Op, Reply};
+//! use quay_quorum::StateMachine as _;
+//! use quay_types::{AccountId, Epoch, GroupId, LogIndex, NewProgram, ProgramId, ProgramLimits, RequestKey};
+//!
+//! let mut ledger: Ledger<MemoryHistory> = Ledger::new(GroupId(1), LedgerLimits::default());
+//! let account = AccountId::of("shop");
+//! let new = NewProgram {
+//!     account,
+//!     key: RequestKey::of(account, "first order"),
+//!     program: ProgramId::root(7),
+//!     sub_agent: false,
+//!     limits: ProgramLimits::default(),
+//! };
+//! let command = Command { at_ms: 0, op: Op::Create(new) };
+//! let reply = ledger.apply(LogIndex(1), Epoch(1), command.clone());
+//! assert_eq!(reply, Reply::Created(ProgramId::root(7)));
+//! // A resend finds the same program.
+//! assert_eq!(ledger.apply(LogIndex(2), Epoch(1), command), reply);
+//! ```
+
+mod budget;
+mod calls;
+mod command;
+mod history;
+mod ledger;
+mod program;
+mod settings;
+
+pub use {
+    budget::Budget,
+    command::{Answer, Command, Op, Query, Reply},
+    history::{CallChunk, History, MemoryHistory},
+    ledger::{Ledger, LedgerSnapshot},
+    program::{LostAttempt, OpenCall, Program},
+    settings::LedgerLimits,
+};
+
+use quay_types::{Error, ErrorKind};
+
+/// A refusal that changes nothing.
+fn refuse(kind: ErrorKind, message: impl Into<Box<str>>) -> Error {
+    Error::new(kind, message)
+}
--- a/crates/quay_types/src/ledger.rs
+++ b/crates/quay_types/src/ledger.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         AccountId, CallNumber, ConfigIndex, ContentDigest, Error, Incarnation, Outcome, Permit,
-        PermitId, ProgramId, RequestKey, Tokens, UpstreamId,
+        ProgramId, RequestKey, Tokens, UpstreamId,
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -106,7 +106,7 @@
     /// Program of the call.
     pub program: ProgramId,
     /// Permit of the attempt.
-    pub permit: PermitId,
+    pub permit: Permit,
     /// How the attempt ended.
     pub outcome: Outcome,
 }
@@ -167,6 +167,8 @@
     Begin(BeginReply),
     /// The settlement or end is durable.
     Done,
+    /// The call was closed before with this outcome, which stands.
+    Superseded(Outcome),
     /// Answer to `Show`.
     Program(Box<ProgramStatus>),
     /// Answer to `Ended`: those that have.
