--- a/crates/quay_types/tests/types.rs
+++ b/crates/quay_types/tests/types.rs
@@ -66,14 +66,16 @@
     #[test]
     fn a_resumed_answer_has_no_gap_and_no_repeat(
         answer in "\\PC{0,80}",
-        resumes in prop::collection::vec((any::<prop::sample::Index>(), 1usize..12), 1..12),
+        resumes in prop::collection::vec((any::<prop::sample::Index>(), 1usize..12, 1usize..6), 1..12),
     ) {
         let starts: Vec<usize> = answer.char_indices().map(|(at, _)| at).chain([answer.len()]).collect();
         let mut cursor = AnswerCursor::default();
         let mut got = String::new();
-        // Each resume starts somewhere and sends a few parts; the last one sends all.
-        for (start, parts) in resumes.iter().map(|(start, parts)| (start.index(starts.len()), *parts)).chain([(0, 99)]) {
-            for pair in starts[start..].windows(2).take(parts) {
+        let resumes = resumes.iter().map(|(start, parts, size)| (start.index(starts.len()), *parts, *size));
+        // Each resume starts somewhere and cuts the answer in its own way; the last one sends all.
+        for (start, parts, size) in resumes.chain([(0, 99, 1)]) {
+            let cuts: Vec<usize> = starts[start..].iter().copied().step_by(size).collect();
+            for pair in cuts.windows(2).take(parts) {
                 match cursor.accept(pair[0] as u64, &answer[pair[0]..pair[1]]) {
                     Ok(new) => got.push_str(new),
                     Err(gap) => prop_assert!(gap.offset > got.len() as u64),
