--- a/crates/sapphirequay/src/main.rs
+++ b/crates/sapphirequay/src/main.rs
@@ -1,6 +1,7 @@
 //! The command `sapphirequay` for operators, callers and experiments.
 
 mod demo;
+mod experiment;
 mod keys;
 
 use {
@@ -22,6 +23,8 @@
 enum Command {
     #[options(help = "run every role and stand-ins in one process and call it")]
     Demo(DemoArgs),
+    #[options(help = "run a seeded experiment over the decision logic")]
+    Experiment(experiment::ExperimentArgs),
     #[options(help = "make keys for development")]
     Keys(KeysArgs),
 }
@@ -73,6 +76,7 @@
 fn run(args: Args) -> Result<(), Box<dyn Error>> {
     match args.command {
         Some(Command::Demo(_)) => demo::run(),
+        Some(Command::Experiment(args)) => experiment::run(args),
         Some(Command::Keys(KeysArgs {
             command: Some(KeysCommand::Init(init)),
             ..
