Let a program go on after a call that was given up

Cause: a call that ended for its caller without a whole answer, refused everywhere or lost, stayed open in the ledger, so every later call of its program waited in vain.

GiveUp marks such a call: it may still be sent again, and the next call with another key withdraws it if it never ran, or closes it as unknown. A program of one call that never ran is forgotten at once. An answer under a permit that was given back is refused. The error kind ledger_unreachable tells that an earlier send of the same key may have run, which ledger_unavailable must not leave out.

Conclusion: order no longer depends on callers sending again what failed.

--- a/crates/quay_ledger/src/calls.rs
+++ b/crates/quay_ledger/src/calls.rs
@@ -85,24 +85,31 @@
     /// Takes the program's next call, in order.
     fn next_call(&mut self, at: Position, begin: Begin) -> Result<BeginReply> {
         let program = &self.state.programs[&begin.program];
-        let next = CallNumber(program.last().0 + 1);
+        let given_up = program.open.as_ref().is_some_and(|open| open.given_up);
+        let withdrawn = given_up && !program.open_may_have_run();
+        let made = program.last().0 - u32::from(withdrawn);
+        let next = CallNumber(made + 1);
         if begin.number.is_some_and(|number| number < next) {
             return Err(conflict("the call number was used before with another key"));
         }
         if program.ended_ms.is_some() {
             return Err(refuse(ErrorKind::ProgramEnded, "the program has ended"));
         }
-        if program.last().0 >= program.limits.turns {
+        if made >= program.limits.turns {
             return Err(refuse(
                 ErrorKind::ProgramLimit,
                 "the program has no turn left",
             ));
         }
-        if program.open.is_some() || begin.number.is_some_and(|number| number > next) {
+        let predecessor_open = program.open.is_some() && !given_up;
+        if predecessor_open || begin.number.is_some_and(|number| number > next) {
             return Ok(BeginReply::Wait(self.state.limits.wait_ms));
         }
         self.may_run(&begin)?;
         self.afford(&begin)?;
+        if given_up {
+            self.abandon(begin.program);
+        }
         let program = &mut self.state.programs[&begin.program];
         program.calls.push(fingerprint(begin.key));
         program.open = Some(Box::new(OpenCall {
@@ -111,6 +118,7 @@
             idempotent: begin.idempotent,
             attempts: 0,
             live: None,
+            given_up: false,
         }));
         let reply = self.issue(at, &begin);
         let chunk = CallChunk {
@@ -194,6 +202,7 @@
         };
         open.attempts += 1;
         open.live = Some(permit);
+        open.given_up = false;
         self.check(begin.program);
         BeginReply::Go {
             permit,
@@ -209,7 +218,7 @@
     pub(crate) fn settle(&mut self, settle: Settle) -> Reply {
         let id = settle.program;
         let Some(program) = self.state.programs.get(&id) else {
-            return Reply::Done;
+            return unrecorded(&settle.outcome);
         };
         let live = program.open.as_ref().and_then(|open| open.live);
         let reply = if live.is_some_and(|live| live.id == settle.permit.id) {
@@ -248,6 +257,37 @@
         }
     }
 
+    /// Marks the open call as given up, if it has this key and no attempt runs.
+    pub(crate) fn give_up(&mut self, id: ProgramId, key: RequestKey) {
+        let Some(program) = self.state.programs.get_mut(&id) else {
+            return;
+        };
+        let Some(open) = program.open.as_mut() else {
+            return;
+        };
+        if open.key != key || open.live.is_some() {
+            return;
+        }
+        open.given_up = true;
+        // A program of one call that never ran leaves nothing to remember.
+        if program.implicit && !program.open_may_have_run() {
+            self.forget(id);
+        }
+    }
+
+    /// Clears the way for the call after one that was given up: one that never
+    /// ran is withdrawn, any other is closed.
+    fn abandon(&mut self, id: ProgramId) {
+        let program = &mut self.state.programs[&id];
+        if program.open_may_have_run() {
+            self.close(id, Outcome::Unknown);
+            return;
+        }
+        program.open = None;
+        program.calls.pop();
+        self.history.withdraw(id);
+    }
+
     /// Closes the open call. An attempt that still runs is of no more use, and
     /// its tokens stay set aside until it is heard of.
     fn close(&mut self, id: ProgramId, outcome: Outcome) {
@@ -265,8 +305,8 @@
     /// Its tokens are settled. The first whole answer of any attempt closes the
     /// call; once closed, the recorded outcome stands.
     fn settle_late(&mut self, settle: Settle) -> Reply {
-        let Some((number, recorded)) = self.recorded(settle.program, settle.permit.key) else {
-            return Reply::Done;
+        let Some(recorded) = self.recorded(settle.program, settle.permit.key) else {
+            return unrecorded(&settle.outcome);
         };
         let was_lost = self.settle_lost(settle.program, settle.permit.id, &settle.outcome);
         match (recorded, &settle.outcome) {
@@ -277,19 +317,16 @@
                 self.close(settle.program, settle.outcome);
                 Reply::Done
             }
-            (None, _) => Reply::Refused(refuse(
-                ErrorKind::Internal,
-                format!("call {number}: the permit was given back before"),
-            )),
+            (None, _) => unrecorded(&settle.outcome),
         }
     }
 
-    /// The call of a key and its outcome.
-    fn recorded(&self, id: ProgramId, key: RequestKey) -> Option<(CallNumber, Option<Outcome>)> {
+    /// The outcome of a key's call, if there is such a call; `None` inside while it is open.
+    fn recorded(&self, id: ProgramId, key: RequestKey) -> Option<Option<Outcome>> {
         let mut numbers = self.state.programs[&id].candidates(key);
         numbers.find_map(|number| {
             let chunk = self.history.read(id, number)?;
-            (chunk.key == key).then_some((number, chunk.outcome))
+            (chunk.key == key).then_some(chunk.outcome)
         })
     }
 
@@ -306,6 +343,18 @@
     }
 }
 
+/// Answers for an attempt whose call is not there any more, or whose permit was
+/// given back: an answer of it is never told to a caller.
+fn unrecorded(outcome: &Outcome) -> Reply {
+    match outcome {
+        Outcome::NotRun | Outcome::Unknown => Reply::Done,
+        Outcome::Completed { .. } | Outcome::Failed { .. } => Reply::Refused(refuse(
+            ErrorKind::Internal,
+            "the permit was given back, or its program was forgotten",
+        )),
+    }
+}
+
 /// Tokens to charge for an outcome; `None` if nobody knows.
 fn charged(outcome: &Outcome) -> Option<Tokens> {
     match outcome {
--- a/crates/quay_ledger/src/command.rs
+++ b/crates/quay_ledger/src/command.rs
@@ -3,7 +3,7 @@
 use {
     quay_types::{
         AccountId, Begin, BeginReply, ConfigIndex, Error, NewProgram, Outcome, ProgramId,
-        ProgramStatus, Settle,
+        ProgramStatus, RequestKey, Settle,
     },
     serde::{Deserialize, Serialize},
 };
@@ -27,6 +27,9 @@
     Begin(Begin),
     /// Close an attempt.
     Settle(Settle),
+    /// The caller was told that the call of this key ended without a whole
+    /// answer; later calls need not wait for it.
+    GiveUp(ProgramId, RequestKey),
     /// End a program and its sub-agents.
     End(ProgramId, AccountId),
     /// Refuse permits to entries whose configuration is older than this.
--- a/crates/quay_ledger/src/history.rs
+++ b/crates/quay_ledger/src/history.rs
@@ -33,6 +33,9 @@
     /// Records the outcome of a program's last call.
     fn end(&mut self, program: ProgramId, outcome: Outcome);
 
+    /// Removes the chunk of a program's last call, which never ran.
+    fn withdraw(&mut self, program: ProgramId);
+
     /// Reads the chunk of a call.
     fn read(&self, program: ProgramId, number: CallNumber) -> Option<CallChunk>;
 
@@ -84,6 +87,14 @@
         }
     }
 
+    fn withdraw(&mut self, program: ProgramId) {
+        let last = self.0.get_mut(&program).and_then(Vec::pop);
+        assert!(
+            last.is_some_and(|chunk| chunk.outcome.is_none()),
+            "{program}: only an open call is withdrawn"
+        );
+    }
+
     fn read(&self, program: ProgramId, number: CallNumber) -> Option<CallChunk> {
         let slot = usize::try_from(number.0).ok()?.checked_sub(1)?;
         self.0.get(&program)?.get(slot).cloned()
--- a/crates/quay_ledger/src/ledger.rs
+++ b/crates/quay_ledger/src/ledger.rs
@@ -319,19 +319,18 @@
         }
         let retention_ms = u64::from(self.state.limits.retention_s) * 1_000;
         for _ in 0..EXPIRE_BATCH {
-            let Some((ended_ms, id)) = first_due(
+            let Some((_, id)) = first_due(
                 &self.state.ended,
                 self.state.now_ms.saturating_sub(retention_ms),
             ) else {
                 break;
             };
-            self.state.ended.remove(&(ended_ms, id));
             self.forget(id);
         }
     }
 
     /// Forgets a whole tree.
-    fn forget(&mut self, root: ProgramId) {
+    pub(crate) fn forget(&mut self, root: ProgramId) {
         let tree: Vec<_> = self.tree(root).collect();
         for id in tree {
             self.history.forget(id);
@@ -339,6 +338,9 @@
                 continue;
             };
             self.state.expiries.remove(&(program.expires_ms, id));
+            if let Some(ended_ms) = program.ended_ms {
+                self.state.ended.remove(&(ended_ms, id));
+            }
             if let Some(count) = self.state.accounts.get_mut(&program.account)
                 && id.is_root()
             {
@@ -407,6 +409,10 @@
             },
             Op::Begin(begin) => Reply::Begin(self.begin(Position { index, epoch }, begin)),
             Op::Settle(settle) => self.settle(settle),
+            Op::GiveUp(id, key) => {
+                self.give_up(id, key);
+                Reply::Done
+            }
             Op::End(id, account) => match self.owned(id, account).map(drop) {
                 Ok(()) => {
                     self.end(id);
--- a/crates/quay_ledger/src/program.rs
+++ b/crates/quay_ledger/src/program.rs
@@ -25,6 +25,9 @@
     pub attempts: u32,
     /// The permit in use; `None` if the last one was refused or lost.
     pub live: Option<Permit>,
+    /// Whether its caller was told that it ended without a whole answer. It
+    /// may be sent again, and no later call waits for it.
+    pub given_up: bool,
 }
 
 /// An attempt of which nobody knows whether its upstream has stopped.
@@ -138,6 +141,13 @@
         });
     }
 
+    /// Whether an attempt of the open call may have run.
+    #[must_use]
+    pub fn open_may_have_run(&self) -> bool {
+        let live = self.open.as_ref().is_some_and(|open| open.live.is_some());
+        live || self.lost.iter().any(|lost| lost.number == self.last())
+    }
+
     /// Whether another attempt may be lost without going over the bound.
     #[must_use]
     pub fn has_room_for_lost(&self) -> bool {
--- a/crates/quay_types/src/error.rs
+++ b/crates/quay_types/src/error.rs
@@ -88,6 +88,8 @@
     Draining => "draining", 503, true, Some(0);
     /// The ledger group has no quorum, and the call had no permit yet.
     LedgerUnavailable => "ledger_unavailable", 503, true, Some(2);
+    /// The ledger does not answer, and an earlier send of this key may have run.
+    LedgerUnreachable => "ledger_unreachable", 503, false, Some(2);
     /// This entry's configuration is too old to act on.
     ConfigStale => "config_stale", 503, true, Some(1);
     /// The upstream refused the permit before the request ran.
--- a/crates/quay_types/src/ledger.rs
+++ b/crates/quay_types/src/ledger.rs
@@ -150,6 +150,9 @@
     Begin(Begin),
     /// Close an attempt.
     Settle(Settle),
+    /// The caller was told that the call of this key ended without a whole
+    /// answer; later calls need not wait for it.
+    GiveUp(ProgramId, RequestKey),
     /// End a program.
     End(ProgramId, AccountId),
     /// Tell a program's state and history, confirmed by a quorum.
@@ -173,6 +176,8 @@
     Program(Box<ProgramStatus>),
     /// Answer to `Ended`: those that have.
     Ended(Box<[ProgramId]>),
+    /// The request was proposed and may yet be carried out; send it again.
+    Unknown,
     /// Another replica leads the group; its address, if known.
     Redirect(Option<SocketAddr>),
     /// The request was not carried out.
