Run every call under a permit and record its outcome before its end

Cause: an entry handed calls to sidecars with nothing that kept their order, their budget or their outcome, so a resend ran again.

The daemon's ledger role serves the state machine behind process::group. An entry asks for leave, offers the attempt, settles it, and only then ends the answer; it waits for earlier calls, replays recorded answers, asks the sidecar named in a permit what became of an attempt whose entry or link is gone, and joins one that still runs. A sidecar uses each permit once and marks one that it was asked about before it saw it as refused. Text of two attempts is joined only where it agrees; else the caller gets a restart event. Programs and plain services have their paths at the callers' edge.

Conclusion: the group is still a single copy in memory; nothing here depends on that.

--- a/crates/quay_ledger/src/calls.rs
+++ b/crates/quay_ledger/src/calls.rs
@@ -305,11 +305,11 @@
     /// Its tokens are settled. The first whole answer of any attempt closes the
     /// call; once closed, the recorded outcome stands.
     fn settle_late(&mut self, settle: Settle) -> Reply {
-        let Some(recorded) = self.recorded(settle.program, settle.permit.key) else {
+        let Some(chunk) = self.recorded(settle.program, settle.permit.key) else {
             return unrecorded(&settle.outcome);
         };
         let was_lost = self.settle_lost(settle.program, settle.permit.id, &settle.outcome);
-        match (recorded, &settle.outcome) {
+        match (chunk.outcome, &settle.outcome) {
             (Some(stands), outcome) if stands == *outcome => Reply::Done,
             (Some(stands), _) => Reply::Superseded(stands),
             (None, Outcome::NotRun | Outcome::Unknown) => Reply::Done,
@@ -321,12 +321,12 @@
         }
     }
 
-    /// The outcome of a key's call, if there is such a call; `None` inside while it is open.
-    fn recorded(&self, id: ProgramId, key: RequestKey) -> Option<Option<Outcome>> {
+    /// The chunk of a key's call.
+    fn recorded(&self, id: ProgramId, key: RequestKey) -> Option<CallChunk> {
         let mut numbers = self.state.programs[&id].candidates(key);
         numbers.find_map(|number| {
             let chunk = self.history.read(id, number)?;
-            (chunk.key == key).then_some(chunk.outcome)
+            (chunk.key == key).then_some(chunk)
         })
     }
 
--- a/crates/sapphirequayd/src/connection/answer.rs
+++ b/crates/sapphirequayd/src/connection/answer.rs
@@ -128,10 +128,18 @@
         self.completion(&json!({"content": text}), None, &Value::Null)
     }
 
+    fn restart(&mut self) -> io::Result<()> {
+        self.chunk("event: restart\ndata: {}\n\n")
+    }
+
     fn heartbeat(&mut self) -> io::Result<()> {
         self.chunk(": heartbeat\n\n")
     }
 
+    fn body(&mut self, _: u16, _: &[u8]) -> io::Result<()> {
+        Err(io::Error::other("a model does not answer with a body"))
+    }
+
     fn end(&mut self, finish: FinishReason, prompt: Tokens, output: Tokens) -> io::Result<()> {
         self.completion(
             &json!({}),
@@ -174,10 +182,19 @@
         Ok(())
     }
 
+    fn restart(&mut self) -> io::Result<()> {
+        self.text.clear();
+        Ok(())
+    }
+
     fn heartbeat(&mut self) -> io::Result<()> {
         Ok(())
     }
 
+    fn body(&mut self, _: u16, _: &[u8]) -> io::Result<()> {
+        Err(io::Error::other("a model does not answer with a body"))
+    }
+
     fn end(&mut self, finish: FinishReason, prompt: Tokens, output: Tokens) -> io::Result<()> {
         let body = json!({
             "id": self.id, "object": "chat.completion", "model": self.model,
@@ -191,6 +208,52 @@
     }
 }
 
+/// Passes on the answer of a plain service.
+pub struct BodyAnswer<W> {
+    out: W,
+}
+
+impl<W: Write> BodyAnswer<W> {
+    /// An answer to one request.
+    pub const fn new(out: W) -> Self {
+        Self { out }
+    }
+
+    /// Reports an error.
+    pub fn fail(&mut self, err: &Error) -> io::Result<()> {
+        write_error(&mut self.out, err)
+    }
+}
+
+impl<W: Write> Answer for BodyAnswer<W> {
+    fn delta(&mut self, _: &str) -> io::Result<()> {
+        Err(io::Error::other("a service does not stream"))
+    }
+
+    fn restart(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn heartbeat(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn end(&mut self, _: FinishReason, _: Tokens, _: Tokens) -> io::Result<()> {
+        Err(io::Error::other("a service does not stream"))
+    }
+
+    fn body(&mut self, status: u16, body: &[u8]) -> io::Result<()> {
+        write!(
+            self.out,
+            "HTTP/1.1 {status} {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
+            reason(status),
+            body.len()
+        )?;
+        self.out.write_all(body)?;
+        self.out.flush()
+    }
+}
+
 /// The token counts of an answer.
 fn usage(prompt: Tokens, output: Tokens) -> Value {
     json!({"prompt_tokens": prompt.0, "completion_tokens": output.0, "total_tokens": prompt.0 + output.0})
--- a/crates/sapphirequayd/src/connection/edge.rs
+++ b/crates/sapphirequayd/src/connection/edge.rs
@@ -2,15 +2,14 @@
 
 use {
     crate::{
-        connection::answer::{EventAnswer, WholeAnswer, write_error, write_json},
+        connection::{
+            answer::{BodyAnswer, EventAnswer, WholeAnswer, write_error, write_json},
+            programs::{self, CallContent, CallHeaders, PROGRAMS, serve_programs},
+        },
         request::{CallContext, Completion, run_call},
         version::Current,
     },
-    quay_types::{
-        AccountId, CallRequest, CallTarget, Error, ErrorKind, Incarnation, ProgramId, Result,
-        Tokens,
-    },
-    rand::Rng as _,
+    quay_types::{AccountId, CallTarget, ConfigIndex, Error, ErrorKind, Result},
     serde_json::json,
     std::{
         io::{self, Read as _},
@@ -26,8 +25,8 @@
 /// Stack of the thread that serves one request.
 const REQUEST_STACK_BYTES: usize = 256 << 10;
 
-/// Deadline of a call where the caller names none.
-const DEFAULT_DEADLINE_MS: u64 = 600_000;
+/// Start of the path of a plain service.
+const SERVICES: &str = "/v1/services/";
 
 /// What requests on one entry share.
 #[derive(Debug, Clone)]
@@ -90,6 +89,19 @@
             Ok((account, body)) => complete(cx, account, &body, req),
             Err(err) => write_error(&mut req.into_writer(), &err),
         },
+        (Method::Post, path) if path.starts_with(SERVICES) => match admit(cx, &mut req) {
+            Ok((account, body)) => call_service(cx, account, &path[SERVICES.len()..], &body, req),
+            Err(err) => write_error(&mut req.into_writer(), &err),
+        },
+        (_, path) if path.starts_with(PROGRAMS) => {
+            let served = admit(cx, &mut req)
+                .and_then(|(account, body)| serve_programs(cx, account, &req, path, &body));
+            let mut out = req.into_writer();
+            match served {
+                Ok((status, body)) => write_json(&mut out, status, "", &body),
+                Err(err) => write_error(&mut out, &err),
+            }
+        }
         _ => {
             let err = Error::new(ErrorKind::NotFound, format!("no such path: {path}"));
             write_error(&mut req.into_writer(), &err)
@@ -135,39 +147,48 @@
 
 /// Serves a chat completion.
 fn complete(cx: &EntryContext, account: AccountId, body: &[u8], req: Request) -> io::Result<()> {
+    let parsed = CallHeaders::of(&req).and_then(|headers| Ok((headers, Completion::parse(body)?)));
     let mut out = req.into_writer();
-    let completion = match Completion::parse(body) {
-        Ok(completion) => completion,
+    let (headers, completion) = match parsed {
+        Ok(parsed) => parsed,
         Err(err) => return write_error(&mut out, &err),
     };
-    let program = ProgramId::root(rand::rng().next_u64());
-    let call = call_of(&completion, account, program);
-    let id = program.to_string();
+    let content = CallContent {
+        target: CallTarget::Model(completion.model_id()),
+        sent: body,
+        body: completion.upstream_body(),
+        history: completion.new_part().into(),
+        prompt: completion.prompt_tokens(),
+        max_output: completion.max_output(),
+        blocks: completion.blocks(),
+    };
+    let order = programs::order(account, &headers, content, ConfigIndex::default());
+    let id = order.request.program.to_string();
     if completion.stream {
         let mut answer = EventAnswer::new(out, id, completion.model);
-        run_call(&cx.calls, &call, &mut answer).or_else(|err| answer.fail(&err))
+        run_call(&cx.calls, &order, &mut answer).or_else(|err| answer.fail(&err))
     } else {
         let mut answer = WholeAnswer::new(out, id, completion.model);
-        run_call(&cx.calls, &call, &mut answer).or_else(|err| answer.fail(&err))
+        run_call(&cx.calls, &order, &mut answer).or_else(|err| answer.fail(&err))
     }
 }
 
-/// The call that a completion asks for.
-fn call_of(completion: &Completion, account: AccountId, program: ProgramId) -> CallRequest {
-    CallRequest {
-        permit: None,
-        incarnation: Incarnation::default(),
-        program,
-        account,
-        target: CallTarget::Model(completion.model_id()),
-        body: completion.upstream_body(),
-        idempotent: true,
-        deadline_ms: DEFAULT_DEADLINE_MS,
-        prompt: completion.prompt_tokens(),
-        max_output: completion.max_output(),
-        attained: Tokens(0),
-        depth: 0,
-        blocks: completion.blocks(),
-        resume_at: 0,
-    }
+/// Serves a request to a plain service.
+fn call_service(
+    cx: &EntryContext,
+    account: AccountId,
+    name: &str,
+    body: &[u8],
+    req: Request,
+) -> io::Result<()> {
+    let headers = CallHeaders::of(&req);
+    let mut out = req.into_writer();
+    let headers = match headers {
+        Ok(headers) => headers,
+        Err(err) => return write_error(&mut out, &err),
+    };
+    let content = CallContent::service(name, body);
+    let order = programs::order(account, &headers, content, ConfigIndex::default());
+    let mut answer = BodyAnswer::new(out);
+    run_call(&cx.calls, &order, &mut answer).or_else(|err| answer.fail(&err))
 }
--- a/crates/sapphirequayd/src/connection/mod.rs
+++ b/crates/sapphirequayd/src/connection/mod.rs
@@ -3,8 +3,11 @@
 mod answer;
 mod edge;
 mod engine;
+mod programs;
+mod service;
 
 pub use {
     edge::{Edge, EntryContext},
     engine::{EngineClient, EngineEvent},
+    service::ServiceClient,
 };
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -2,21 +2,22 @@
 
 use {
     crate::{
-        connection::{Edge, EngineClient, EntryContext},
+        connection::{Edge, EngineClient, EntryContext, ServiceClient},
         process::{
-            Clock, Gate, Mailbox, Router, announcer,
+            Clock, Gate, Group, LedgerClient, LedgerService, Mailbox, PermitMsg, Router, announcer,
             directory::{Directory, DirectoryMsg},
             spawn,
         },
-        request::{Attempts, CallContext, serve_attempt},
+        request::{Attempts, CallContext, PermitBook, answer_inquiry, serve_attempt},
         settings::{EntrySettings, Settings, SidecarSettings},
         version::{Current, Rules},
         wire::LinkRequest,
     },
+    quay_ledger::{Ledger, LedgerLimits},
     quay_link::{Identity, Incoming, LinkError, LinkRole, LinkSettings, Links},
     quay_types::{
-        Announcement, CallEvent, DirectoryRequest, Incarnation, Load, ModelId, ServiceId,
-        SidecarRequest, UpstreamKind, UpstreamState,
+        Announcement, DirectoryRequest, GroupId, Incarnation, Load, ModelId, ServiceId,
+        SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
     },
     std::{
         fmt, io,
@@ -26,6 +27,9 @@
     },
 };
 
+/// Group that the first program group is; the one before is the control group.
+const FIRST_PROGRAM_GROUP: GroupId = GroupId(1);
+
 /// Why a process could not start.
 #[derive(Debug)]
 pub enum StartError {
@@ -70,6 +74,7 @@
 struct Roles {
     sidecar: Option<Attempts>,
     directory: Option<Mailbox<DirectoryMsg>>,
+    ledger: Option<LedgerService>,
 }
 
 impl Daemon {
@@ -97,6 +102,7 @@
             started.directory = Some(
                 spawn("directory", clock, Directory::default()).map_err(starting("directory"))?,
             );
+            started.ledger = Some(start_ledger(clock)?);
         }
         if let Some(sidecar) = &settings.sidecar {
             started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock)?);
@@ -141,6 +147,7 @@
     let calls = CallContext {
         links: links.clone(),
         router,
+        ledger: LedgerClient::new(links.clone(), settings.link.ledgers.as_slice()),
     };
     let cx = EntryContext {
         calls,
@@ -149,6 +156,13 @@
     Edge::start(listener, cx).map_err(starting("edge"))
 }
 
+/// Starts the ledger role.
+fn start_ledger(clock: Clock) -> Result<LedgerService, StartError> {
+    let ledger = Ledger::new(FIRST_PROGRAM_GROUP, LedgerLimits::default());
+    let group = spawn("programs", clock, Group::new(ledger)).map_err(starting("programs"))?;
+    LedgerService::start([group]).map_err(starting("ledger"))
+}
+
 /// Starts the sidecar role.
 fn start_sidecar(
     settings: &Settings,
@@ -158,6 +172,8 @@
 ) -> Result<Attempts, StartError> {
     let gate = spawn("gate", clock, Gate::new(sidecar.concurrency)).map_err(starting("gate"))?;
     let incarnation = Incarnation(Clock::wall_ms());
+    let book = PermitBook::new(UpstreamId::of(&sidecar.upstream), incarnation);
+    let permits: Mailbox<PermitMsg> = spawn("permits", clock, book).map_err(starting("permits"))?;
     let announcement = Announcement {
         name: sidecar.upstream.clone(),
         incarnation,
@@ -179,7 +195,9 @@
     Ok(Attempts {
         incarnation,
         gate,
+        permits,
         engine: EngineClient::new(sidecar.addr),
+        service: ServiceClient::new(sidecar.addr),
     })
 }
 
@@ -241,12 +259,17 @@
                 let _ = incoming.stream.send(&answer);
             }
         }
-        LinkRequest::Sidecar(SidecarRequest::Inquire(..)) => {
-            let _ = incoming
-                .stream
-                .send(&CallEvent::Fate(quay_types::PermitFate::Unknown));
+        LinkRequest::Sidecar(SidecarRequest::Inquire(id, incarnation)) => {
+            if let Some(attempts) = &roles.sidecar {
+                answer_inquiry(attempts, &incoming.stream, id, incarnation);
+            }
+        }
+        LinkRequest::Ledger(req) => {
+            if let Some(ledger) = &roles.ledger {
+                let _ = incoming.stream.send(&ledger.serve(req));
+            }
         }
-        LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) | LinkRequest::Ledger(_) => {}
+        LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) => {}
     }
 }
 
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -7,6 +7,9 @@
 mod directory;
 mod gate;
 mod group;
+mod ledger;
+mod ledger_client;
+mod permits;
 mod router;
 
 pub use {
@@ -15,5 +18,8 @@
     daemon::{Daemon, StartError},
     gate::{Gate, GateMsg},
     group::{Group, GroupError, GroupMsg},
+    ledger::LedgerService,
+    ledger_client::{LedgerClient, LedgerFault},
+    permits::PermitMsg,
     router::{Pick, Router, RouterMsg},
 };
--- /dev/null
+++ b/crates/sapphirequayd/src/process/permits.rs
@@ -0,0 +1,47 @@
+//! The actor that holds a sidecar's permits.
+
+use {
+    crate::{process::Machine, request::PermitBook},
+    quay_types::{CallEvent, Incarnation, Permit, PermitFate, PermitId, Time},
+    std::{sync::mpsc::SyncSender, time::Duration},
+};
+
+/// What the holder of permits is told.
+pub enum PermitMsg {
+    /// An attempt shows its permit; an error is the event to answer with.
+    Admit(Option<Permit>, SyncSender<Result<PermitId, CallEvent>>),
+    /// An admitted attempt was turned away before it ran.
+    Refuse(PermitId),
+    /// An admitted attempt has ended.
+    End(PermitId, Option<CallEvent>),
+    /// Somebody asks what became of a permit.
+    Inquire {
+        /// The permit.
+        id: PermitId,
+        /// Run of the sidecar that it was for.
+        incarnation: Incarnation,
+        /// Takes the answer.
+        reply: SyncSender<(PermitFate, Option<CallEvent>)>,
+    },
+}
+
+impl Machine for PermitBook {
+    type Msg = PermitMsg;
+
+    const TICK: Duration = Duration::from_secs(1);
+
+    fn handle(&mut self, _: Time, msg: PermitMsg) {
+        match msg {
+            PermitMsg::Admit(permit, reply) => drop(reply.send(self.admit(permit.as_ref()))),
+            PermitMsg::Refuse(id) => self.refuse(id),
+            PermitMsg::End(id, answer) => self.end(id, answer),
+            PermitMsg::Inquire {
+                id,
+                incarnation,
+                reply,
+            } => drop(reply.send(self.inquire(id, incarnation))),
+        }
+    }
+
+    fn tick(&mut self, _: Time) {}
+}
--- a/crates/sapphirequayd/src/process/router.rs
+++ b/crates/sapphirequayd/src/process/router.rs
@@ -34,6 +34,8 @@
         /// Takes the choice; `None` if no upstream fits.
         reply: SyncSender<Option<Pick>>,
     },
+    /// Asks where the sidecar of an upstream is.
+    Find(UpstreamId, SyncSender<Option<Pick>>),
     /// An attempt has ended.
     Done(UpstreamId),
 }
@@ -44,6 +46,17 @@
     open: u32,
 }
 
+impl Line {
+    /// Where an attempt on this upstream goes.
+    const fn pick(&self, upstream: UpstreamId) -> Pick {
+        Pick {
+            upstream,
+            incarnation: self.entry.announcement.incarnation,
+            addr: self.entry.announcement.addr,
+        }
+    }
+}
+
 /// Routing state of an entry.
 #[derive(Default)]
 pub struct Router {
@@ -90,12 +103,7 @@
             load.queued + load.running + line.open
         })?;
         line.open += 1;
-        let announcement = &line.entry.announcement;
-        Some(Pick {
-            upstream: *id,
-            incarnation: announcement.incarnation,
-            addr: announcement.addr,
-        })
+        Some(line.pick(*id))
     }
 }
 
@@ -123,6 +131,10 @@
                 tried,
                 reply,
             } => drop(reply.send(self.pick(target, &tried))),
+            RouterMsg::Find(id, reply) => {
+                let pick = self.lines.get(&id).map(|line| line.pick(id));
+                let _ = reply.send(pick);
+            }
             RouterMsg::Done(id) => {
                 if let Some(line) = self.lines.get_mut(&id) {
                     line.open = line.open.saturating_sub(1);
--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -1,21 +1,45 @@
-//! Life of one call on an entry: choose an upstream, hand the call over, pass
-//! the answer on, try elsewhere if it was truly not run.
+//! Life of one call on an entry: leave of the ledger, attempts on upstreams,
+//! settlement, and only then the end of the answer.
 
 use {
     crate::{
-        process::{Mailbox, Pick, RouterMsg},
-        wire::LinkRequest,
+        process::{LedgerClient, LedgerFault, Mailbox, Pick, RouterMsg},
+        request::{AttemptEnd, CallOrder, Delivery, RecordedAnswer, inquire::inquire, run_attempt},
     },
-    quay_link::{LinkError, LinkRole, LinkStream, Links},
+    quay_link::Links,
     quay_types::{
-        CallEvent, CallRequest, CallTarget, Error, ErrorKind, FinishReason, Result, SidecarRequest,
-        Tokens, UpstreamId,
+        BeginReply, CallTarget, Error, ErrorKind, FinishReason, LedgerReply, LedgerRequest,
+        Outcome, Permit, PermitFate, Result, Settle, Tokens, UpstreamId,
+    },
+    std::{
+        io, thread,
+        time::{Duration, Instant},
     },
 };
 
-/// Upstreams that one call is offered to at most.
+/// Attempts of one call at most.
 const MAX_ATTEMPTS: usize = 3;
 
+/// Longest wait for the ledger to answer whether a call may run.
+const BEGIN_PATIENCE: Duration = Duration::from_secs(4);
+
+/// Longest wait for the ledger to record how an attempt ended.
+const SETTLE_PATIENCE: Duration = Duration::from_secs(15);
+
+/// Longest wait for an earlier call of the program.
+const ORDER_PATIENCE: Duration = Duration::from_secs(10);
+
+/// First pause before the ledger is asked again about an attempt of another
+/// entry; doubles up to [`MAX_JOIN_PAUSE`].
+const JOIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause before the ledger is asked again.
+const MAX_JOIN_PAUSE: Duration = Duration::from_millis(500);
+
+/// An attempt that has ended and that nobody settles for so long is settled by
+/// whoever asks about it.
+const SETTLE_GRACE: Duration = Duration::from_secs(2);
+
 /// Where the answer goes, in the form that the caller asked for.
 pub trait Answer {
     /// Passes part of the answer on.
@@ -23,21 +47,35 @@
     /// # Errors
     ///
     /// Fails if the caller has gone away.
-    fn delta(&mut self, text: &str) -> std::io::Result<()>;
+    fn delta(&mut self, text: &str) -> io::Result<()>;
+
+    /// Tells the caller that the answer begins again from nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has gone away.
+    fn restart(&mut self) -> io::Result<()>;
 
     /// Keeps the caller's connection alive.
     ///
     /// # Errors
     ///
     /// Fails if the caller has gone away.
-    fn heartbeat(&mut self) -> std::io::Result<()>;
+    fn heartbeat(&mut self) -> io::Result<()>;
 
     /// Marks the end of a whole answer.
     ///
     /// # Errors
     ///
     /// Fails if the caller has gone away.
-    fn end(&mut self, finish: FinishReason, prompt: Tokens, output: Tokens) -> std::io::Result<()>;
+    fn end(&mut self, finish: FinishReason, prompt: Tokens, output: Tokens) -> io::Result<()>;
+
+    /// Passes on the whole answer of a plain service.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has gone away.
+    fn body(&mut self, status: u16, body: &[u8]) -> io::Result<()>;
 }
 
 /// What calls on one entry share.
@@ -47,30 +85,47 @@
     pub links: Links,
     /// Chooses upstreams.
     pub router: Mailbox<RouterMsg>,
+    /// Decides what may run and records how it ended.
+    pub ledger: LedgerClient,
 }
 
 impl CallContext {
     /// Asks the router for an upstream that was not tried yet.
-    fn pick(&self, target: CallTarget, tried: &[UpstreamId]) -> Result<Pick> {
-        self.router
-            .ask(|reply| RouterMsg::Pick {
-                target,
-                tried: tried.into(),
-                reply,
-            })
-            .flatten()
-            .ok_or_else(|| Error::new(ErrorKind::NoUpstream, "no upstream serves this now"))
+    fn pick(&self, target: CallTarget, tried: &[UpstreamId]) -> Option<Pick> {
+        let asked = self.router.ask(|reply| RouterMsg::Pick {
+            target,
+            tried: tried.into(),
+            reply,
+        });
+        asked.flatten()
+    }
+
+    /// Finds the sidecar of an upstream, if it is announced.
+    fn find(&self, upstream: UpstreamId) -> Option<Pick> {
+        let asked = self.router.ask(|reply| RouterMsg::Find(upstream, reply));
+        asked.flatten()
     }
 }
 
-/// How an attempt ended.
-enum AttemptEnd {
-    /// The caller has the whole answer.
-    Whole,
-    /// Nothing ran; another upstream may be tried.
-    NotRun(Error),
-    /// It ran, or may have.
-    Failed(Error),
+/// A call on its way through an entry.
+struct Running<'a, A> {
+    cx: &'a CallContext,
+    order: &'a CallOrder,
+    delivery: Delivery<'a, A>,
+    /// Upstreams that refused, failed or lost the call.
+    tried: Vec<UpstreamId>,
+    /// Attempts that may have run without a whole answer.
+    lost: usize,
+    /// Why the last attempt was refused.
+    refusal: Option<Error>,
+    /// Whether an attempt that another entry began may still run.
+    joined: bool,
+    /// Since when the program's earlier call is waited for.
+    waiting_since: Option<Instant>,
+    /// Since when the attempt of another entry is known to have ended.
+    ended_since: Option<Instant>,
+    /// Pause before the ledger is asked again.
+    join_pause: Duration,
 }
 
 /// Runs a call and passes its answer on.
@@ -78,73 +133,353 @@
 /// # Errors
 ///
 /// The error that the caller is told, if no answer was whole.
-pub fn run_call(cx: &CallContext, call: &CallRequest, answer: &mut impl Answer) -> Result<()> {
-    let mut tried = Vec::new();
-    loop {
-        let pick = cx.pick(call.target, &tried)?;
-        let end = attempt(cx, &pick, call, answer);
-        cx.router.send(RouterMsg::Done(pick.upstream));
-        match end {
-            AttemptEnd::Whole => return Ok(()),
-            AttemptEnd::Failed(err) => return Err(err),
-            AttemptEnd::NotRun(err) if tried.len() + 1 >= MAX_ATTEMPTS => return Err(err),
-            AttemptEnd::NotRun(_) => tried.push(pick.upstream),
-        }
+pub fn run_call(cx: &CallContext, order: &CallOrder, answer: &mut impl Answer) -> Result<()> {
+    let mut running = Running {
+        cx,
+        order,
+        delivery: Delivery::new(answer),
+        tried: Vec::new(),
+        lost: 0,
+        refusal: None,
+        joined: false,
+        waiting_since: None,
+        ended_since: None,
+        join_pause: JOIN_PAUSE,
+    };
+    let ended = running.run();
+    if let Err(err) = &ended {
+        log::info!(
+            "event=call_failed program={} key={} kind={} lost={} cause={:?}",
+            order.request.program,
+            order.key,
+            err.kind,
+            running.lost,
+            err.message
+        );
     }
+    ended
 }
 
-/// Hands a call to one sidecar and passes its events on.
-fn attempt(
-    cx: &CallContext,
-    pick: &Pick,
-    call: &CallRequest,
-    answer: &mut impl Answer,
-) -> AttemptEnd {
-    let call = CallRequest {
-        incarnation: pick.incarnation,
-        ..call.clone()
-    };
-    let req = LinkRequest::Sidecar(SidecarRequest::Call(call));
-    match cx.links.open(pick.addr, LinkRole::Sidecar, &req) {
-        Ok(mut stream) => pass_events(&mut stream, answer),
-        // Without a connection nothing was sent, so nothing ran.
-        Err(LinkError::Connect(text)) => {
-            AttemptEnd::NotRun(Error::new(ErrorKind::NoUpstream, text))
+impl<A: Answer> Running<'_, A> {
+    /// Takes steps until the call has ended.
+    fn run(&mut self) -> Result<()> {
+        loop {
+            if self.step()? {
+                return Ok(());
+            }
+            if self.order.left().is_zero() {
+                return Err(self.overdue());
+            }
         }
-        Err(err) => AttemptEnd::Failed(lost(&err)),
     }
-}
 
-/// Passes the events of an attempt on until it ends.
-fn pass_events(stream: &mut LinkStream, answer: &mut impl Answer) -> AttemptEnd {
-    loop {
-        let event = match stream.recv::<CallEvent>() {
-            Ok(event) => event,
-            Err(err) => return AttemptEnd::Failed(lost(&err)),
+    /// Asks the ledger and does what it says; `true` once the call has ended.
+    fn step(&mut self) -> Result<bool> {
+        let pick = self.cx.pick(self.order.request.target, &self.tried);
+        let reply = self.begin(pick.as_ref());
+        let went = match (reply, &pick) {
+            (
+                Ok(BeginReply::Go {
+                    permit, attained, ..
+                }),
+                Some(pick),
+            ) => self.attempt(pick, permit, attained),
+            (Ok(reply), _) => self.heed(reply),
+            (Err(fault), _) => Err(self.without_ledger(fault)),
         };
-        let passed = match event {
-            CallEvent::Delta { text, .. } => answer.delta(&text),
-            CallEvent::End {
-                finish,
+        if let Some(pick) = pick {
+            self.cx.router.send(RouterMsg::Done(pick.upstream));
+        }
+        went
+    }
+
+    /// Asks the ledger whether the call may run on the chosen upstream.
+    fn begin(&self, pick: Option<&Pick>) -> std::result::Result<BeginReply, LedgerFault> {
+        let upstream = pick.map(|pick| (pick.upstream, pick.incarnation));
+        let begin = self.order.begin(upstream.unwrap_or_default());
+        let req = LedgerRequest::Begin(begin);
+        let patience = BEGIN_PATIENCE.min(self.order.left());
+        match self
+            .cx
+            .ledger
+            .ask(self.order.request.program, &req, patience)?
+        {
+            LedgerReply::Begin(reply) => Ok(reply),
+            LedgerReply::Refused(err) => Ok(BeginReply::Refused(err)),
+            _ => Err(LedgerFault::Unknown),
+        }
+    }
+
+    /// Acts on an answer of the ledger that is no leave to run.
+    fn heed(&mut self, reply: BeginReply) -> Result<bool> {
+        match reply {
+            BeginReply::Wait(ms) => self.wait_for_predecessor(Duration::from_millis(ms.into())),
+            BeginReply::Replay(outcome) => self.replay(outcome).map(|()| true),
+            BeginReply::Running(permit) => self.join(permit),
+            BeginReply::Refused(err) => {
+                // That no other upstream is left says less than why one refused.
+                let refusal = self.refusal.take();
+                let refusal = refusal.filter(|_| err.kind == ErrorKind::NoUpstream);
+                Err(self.give_up(refusal.unwrap_or(err)))
+            }
+            BeginReply::Go { permit, .. } => {
+                // Leave was given for no upstream: nothing can run under it.
+                self.settle(permit, Outcome::NotRun)?;
+                Ok(false)
+            }
+        }
+    }
+
+    /// Waits until the program's earlier call has ended, within a bound.
+    fn wait_for_predecessor(&mut self, pause: Duration) -> Result<bool> {
+        let since = *self.waiting_since.get_or_insert_with(Instant::now);
+        if since.elapsed() >= ORDER_PATIENCE {
+            return Err(Error::new(
+                ErrorKind::PredecessorOpen,
+                "the program's earlier call has not ended",
+            ));
+        }
+        let pause = pause.max(since.elapsed() / 4).min(MAX_JOIN_PAUSE);
+        thread::sleep(pause.min(self.order.left()));
+        self.delivery.heartbeat();
+        Ok(false)
+    }
+
+    // -----------------------------------------------------------------------
+    // Attempts
+
+    /// Runs one attempt under its permit and settles it.
+    fn attempt(&mut self, pick: &Pick, permit: Permit, attained: Tokens) -> Result<bool> {
+        let mut request = self.order.request.clone();
+        request.permit = Some(permit);
+        request.incarnation = pick.incarnation;
+        request.attained = attained;
+        request.deadline_ms = u64::try_from(self.order.left().as_millis()).unwrap_or(u64::MAX);
+        self.delivery.next_attempt();
+        let end = run_attempt(
+            &self.cx.links,
+            pick.addr,
+            request,
+            self.order.deadline,
+            &mut self.delivery,
+        );
+        self.tried.push(pick.upstream);
+        self.conclude(permit, end)
+    }
+
+    /// Settles an attempt by how it ended.
+    fn conclude(&mut self, permit: Permit, end: AttemptEnd) -> Result<bool> {
+        match end {
+            AttemptEnd::Whole {
+                answer,
                 prompt,
                 output,
-                ..
-            } => match answer.end(finish, prompt, output) {
-                Ok(()) => return AttemptEnd::Whole,
-                Err(err) => Err(err),
-            },
-            CallEvent::Refused(err) => return AttemptEnd::NotRun(err),
-            CallEvent::Failed(err) => return AttemptEnd::Failed(err),
-            CallEvent::Heartbeat => answer.heartbeat(),
-            CallEvent::Started | CallEvent::Body { .. } | CallEvent::Fate(_) => Ok(()),
+            } => {
+                let outcome = answer.outcome(prompt, output);
+                if let Some(stands) = self.settle(permit, outcome)? {
+                    return self.replay(stands).map(|()| true);
+                }
+                self.delivery.finish(&answer, prompt, output);
+                Ok(true)
+            }
+            AttemptEnd::NotRun(err) => {
+                self.settle(permit, Outcome::NotRun)?;
+                if self.tried.len() >= MAX_ATTEMPTS {
+                    return Err(self.give_up(err));
+                }
+                self.refusal = Some(err);
+                Ok(false)
+            }
+            AttemptEnd::Failed { err, used } => {
+                let outcome = Outcome::Failed {
+                    kind: err.kind,
+                    message: err.message.clone(),
+                    used: used.unwrap_or(permit.reserved),
+                };
+                match self.settle(permit, outcome)? {
+                    Some(stands) => self.replay(stands).map(|()| true),
+                    None => Err(err),
+                }
+            }
+            AttemptEnd::Lost(err) => self.lost(permit, err),
+        }
+    }
+
+    /// Deals with an attempt of which the end was not heard.
+    fn lost(&mut self, permit: Permit, err: Error) -> Result<bool> {
+        log::warn!(
+            "event=attempt_lost program={} permit={}/{} cause={:?}",
+            self.order.request.program,
+            permit.id.group.0,
+            permit.id.index,
+            err.message
+        );
+        if let Some(known) = self.ask_sidecar(permit) {
+            match known {
+                (PermitFate::Refused, _) => return self.conclude(permit, AttemptEnd::NotRun(err)),
+                (PermitFate::Ended, Some(end)) => return self.conclude(permit, end),
+                _ => {}
+            }
+        }
+        self.lost += 1;
+        if let Some(stands) = self.settle(permit, Outcome::Unknown)? {
+            return self.replay(stands).map(|()| true);
+        }
+        if !self.order.request.idempotent {
+            return Err(unknown_outcome());
+        }
+        if self.tried.len() >= MAX_ATTEMPTS {
+            return Err(self.give_up(err));
+        }
+        Ok(false)
+    }
+
+    /// Asks the sidecar named in a permit what became of it.
+    fn ask_sidecar(&self, permit: Permit) -> Option<(PermitFate, Option<AttemptEnd>)> {
+        let pick = self.cx.find(permit.upstream)?;
+        if pick.incarnation != permit.incarnation {
+            return Some((PermitFate::Unknown, None));
+        }
+        inquire(&self.cx.links, pick.addr, permit)
+    }
+
+    /// Joins an attempt that another entry began, or that an entry began which
+    /// has died: waits for its outcome, or finds out that nobody will bring it.
+    fn join(&mut self, permit: Permit) -> Result<bool> {
+        let known = self.ask_sidecar(permit);
+        self.joined = true;
+        match known {
+            Some((PermitFate::Refused, _)) => {
+                self.joined = false;
+                self.settle(permit, Outcome::NotRun)?;
+                return Ok(false);
+            }
+            Some((PermitFate::Running, _)) => self.ended_since = None,
+            // Its entry may still be about to settle it.
+            known => {
+                let since = *self.ended_since.get_or_insert_with(Instant::now);
+                if since.elapsed() >= SETTLE_GRACE {
+                    self.ended_since = None;
+                    return self.settle_for_another(permit, known);
+                }
+            }
+        }
+        thread::sleep(self.join_pause.min(self.order.left()));
+        self.join_pause = (self.join_pause * 2).min(MAX_JOIN_PAUSE);
+        self.delivery.heartbeat();
+        Ok(false)
+    }
+
+    /// Settles an attempt whose entry does not.
+    fn settle_for_another(
+        &mut self,
+        permit: Permit,
+        known: Option<(PermitFate, Option<AttemptEnd>)>,
+    ) -> Result<bool> {
+        if let Some((PermitFate::Ended, Some(end))) = known {
+            return self.conclude(permit, end);
+        }
+        self.lost += 1;
+        self.joined = false;
+        self.settle(permit, Outcome::Unknown)?;
+        // The ledger answers with the recorded outcome, or with the next permit.
+        Ok(false)
+    }
+
+    // -----------------------------------------------------------------------
+    // Endings
+
+    /// The error for a deadline that passed between two steps.
+    fn overdue(&self) -> Error {
+        if self.joined {
+            return Error::new(
+                ErrorKind::DeadlineExceeded,
+                "the deadline passed while another entry ran the call",
+            );
+        }
+        self.give_up(Error::new(
+            ErrorKind::DeadlineNotRun,
+            "the deadline passed before an upstream took the call",
+        ))
+    }
+
+    /// Makes an outcome durable; another outcome that stands is returned.
+    fn settle(&self, permit: Permit, outcome: Outcome) -> Result<Option<Outcome>> {
+        let may_have_run = outcome != Outcome::NotRun;
+        let settle = Settle {
+            program: self.order.request.program,
+            permit,
+            outcome,
         };
-        if let Err(err) = passed {
-            return AttemptEnd::Failed(Error::new(ErrorKind::Cancelled, format!("caller: {err}")));
+        let req = LedgerRequest::Settle(settle);
+        let asked = self
+            .cx
+            .ledger
+            .ask(self.order.request.program, &req, SETTLE_PATIENCE);
+        match asked {
+            Ok(LedgerReply::Done) => Ok(None),
+            Ok(LedgerReply::Superseded(outcome)) => Ok(Some(outcome)),
+            _ if may_have_run => Err(unknown_outcome()),
+            _ => Err(self.without_ledger(LedgerFault::Unknown)),
+        }
+    }
+
+    /// Tells the caller what was recorded.
+    fn replay(&mut self, outcome: Outcome) -> Result<()> {
+        match outcome {
+            Outcome::Completed {
+                prompt,
+                output,
+                answer,
+            } => {
+                let answer = RecordedAnswer::decode(&answer).ok_or_else(|| {
+                    Error::new(ErrorKind::Internal, "the recorded answer does not decode")
+                })?;
+                self.delivery.replay(&answer);
+                self.delivery.finish(&answer, prompt, output);
+                Ok(())
+            }
+            Outcome::Failed { kind, message, .. } => Err(Error::new(kind, message)),
+            Outcome::NotRun | Outcome::Unknown => Err(unknown_outcome()),
+        }
+    }
+
+    /// The error where the ledger does not answer.
+    fn without_ledger(&self, fault: LedgerFault) -> Error {
+        if self.lost > 0 || self.order.key_named {
+            fault.unreachable()
+        } else {
+            fault.not_run()
+        }
+    }
+
+    /// Tells the ledger that the caller gets `err`, so that later calls of the
+    /// program need not wait; the error as the caller may be told it.
+    fn give_up(&self, err: Error) -> Error {
+        if !self.tried.is_empty() || self.lost > 0 {
+            let (program, key) = (self.order.request.program, self.order.key);
+            let req = LedgerRequest::GiveUp(program, key);
+            if self.cx.ledger.ask(program, &req, BEGIN_PATIENCE).is_err() {
+                log::warn!("event=give_up_unheard program={program} key={key}");
+            }
+        }
+        if self.lost > 0 && err.kind.not_run() {
+            return Error::new(
+                ErrorKind::UpstreamLost,
+                format!("an attempt was lost, then: {err}"),
+            );
+        }
+        if self.lost > 0 {
+            return Error::new(ErrorKind::UpstreamLost, err.message);
         }
+        err
     }
 }
 
-/// The error for a link that broke while the call may have run.
-fn lost(err: &LinkError) -> Error {
-    Error::new(ErrorKind::OutcomeUnknown, format!("sidecar: {err}"))
+/// The error for a call that may have run and is never run again.
+fn unknown_outcome() -> Error {
+    Error::new(
+        ErrorKind::OutcomeUnknown,
+        "the call may have run, and its answer was lost",
+    )
 }
--- a/crates/sapphirequayd/src/request/completion.rs
+++ b/crates/sapphirequayd/src/request/completion.rs
@@ -8,6 +8,9 @@
 /// Limit of the answer's length where the caller names none.
 const DEFAULT_MAX_TOKENS: u64 = 1_024;
 
+/// Role of the model in a conversation.
+const ASSISTANT: &str = "assistant";
+
 /// Bytes of text that count as one token in estimates.
 const BYTES_PER_TOKEN: u64 = 4;
 
@@ -78,6 +81,15 @@
         serde_json::to_vec(&self.messages).unwrap_or_default()
     }
 
+    /// The messages after the model's last answer, which no earlier call had.
+    #[must_use]
+    pub fn new_part(&self) -> Vec<u8> {
+        let mut known = self.messages.iter();
+        let answered = known.rposition(|message| &*message.role == ASSISTANT);
+        let new = &self.messages[answered.map_or(0, |at| at + 1)..];
+        serde_json::to_vec(new).unwrap_or_default()
+    }
+
     /// Chained hashes of the prompt's blocks.
     #[must_use]
     pub fn blocks(&self) -> Box<[u64]> {
--- /dev/null
+++ b/crates/sapphirequayd/src/request/inquire.rs
@@ -0,0 +1,33 @@
+//! Asks a sidecar what became of a permit.
+
+use {
+    crate::{
+        request::{AttemptEnd, offer::end_of},
+        wire::LinkRequest,
+    },
+    quay_link::{LinkRole, Links},
+    quay_types::{CallEvent, Permit, PermitFate, SidecarRequest},
+    std::net::SocketAddr,
+};
+
+/// Asks the sidecar at `addr`; a permit that it never saw is refused from now
+/// on. The end of the attempt comes with the answer if the sidecar kept it.
+///
+/// `None` if the sidecar does not answer.
+pub fn inquire(
+    links: &Links,
+    addr: SocketAddr,
+    permit: Permit,
+) -> Option<(PermitFate, Option<AttemptEnd>)> {
+    let req = SidecarRequest::Inquire(permit.id, permit.incarnation);
+    let opened = links.open(addr, LinkRole::Sidecar, &LinkRequest::Sidecar(req));
+    let mut stream = opened.ok()?;
+    let CallEvent::Fate(fate) = stream.recv().ok()? else {
+        return None;
+    };
+    if fate != PermitFate::Ended {
+        return Some((fate, None));
+    }
+    let kept = stream.recv::<CallEvent>().ok();
+    Some((fate, kept.map(|event| end_of(event, ""))))
+}
--- a/crates/sapphirequayd/src/request/mod.rs
+++ b/crates/sapphirequayd/src/request/mod.rs
@@ -3,9 +3,22 @@
 mod attempt;
 mod call;
 mod completion;
+mod delivery;
+mod inquire;
+mod offer;
+mod order;
+mod permit_book;
+mod recorded;
+mod splice;
 
 pub use {
-    attempt::{Attempts, serve_attempt},
+    attempt::{Attempts, answer_inquiry, serve_attempt},
     call::{Answer, CallContext, run_call},
     completion::Completion,
+    delivery::Delivery,
+    offer::{AttemptEnd, run_attempt},
+    order::CallOrder,
+    permit_book::PermitBook,
+    recorded::RecordedAnswer,
+    splice::{Splice, Spliced},
 };
