Replicate a log by a state machine without I/O

Rules are asserted in the code.

The first version of the check missed reads answered without a quorum: the leader's own clock hid it. Hosts now stand still for a while, clock included.

--- a/crates/quay_quorum/src/lib.rs
+++ b/crates/quay_quorum/src/lib.rs
@@ -1,5 +1,46 @@
 //! Replicated log as a state machine without I/O.
+//!
+//! A [`Replica`] takes an [`Input`] and the time and returns [`Action`]s: what
+//! to save, what to send, what to apply. It never reads a clock, a disk or a
+//! socket, so that the same inputs give the same actions in a daemon and in
+//! [`check`], which drives replicas through seeded faults.
+//!
+//! ```
+//! use quay_quorum::{Action, Input, Member, Membership, Replica, Settings};
+//! use quay_types::{NodeId, Time};
+//!
+//! let only = Membership::of_voters([Member::new(NodeId(1), "127.0.0.1:1".parse().expect("address"), "dc-1")]);
+//! let mut replica = Replica::bootstrap(NodeId(1), only, Settings::default(), 7, Time::ZERO);
+//! // The election timeout passes; the only voter elects itself once its vote is saved.
+//! let now = Time::from_millis(5_000);
+//! replica.step(now, Input::Tick);
+//! let saved: Vec<_> = replica.flush(now).into_iter().filter_map(|action| match action {
+//!     Action::Persist(persist) => Some(persist.ticket),
+//!     _ => None,
+//! }).collect();
+//! replica.step(now, Input::Persisted(saved[0]));
+//! assert!(replica.status().leads);
+//! ```
 
+mod action;
+pub mod check;
+mod entry;
 mod machine;
+mod membership;
+mod memory_log;
+mod message;
+mod placement;
+mod progress;
+mod replica;
+mod settings;
 
-pub use machine::StateMachine;
+pub use {
+    action::{Action, Input, Persist, Refusal, Ticket},
+    entry::{Entry, HardState, Payload, Position, SnapshotMark},
+    machine::StateMachine,
+    membership::{Change, Member, Membership},
+    message::{AppendOutcome, Message},
+    placement::{Advice, placement},
+    replica::{Replica, Restart, Status},
+    settings::{Mutation, Settings},
+};
--- /dev/null
+++ b/crates/quay_quorum/src/replica/follower.rs
@@ -0,0 +1,108 @@
+//! Entries, heartbeats and snapshots from the leader.
+
+use {
+    super::Replica,
+    crate::{Action, AppendOutcome, Entry, Message, Position, SnapshotMark, memory_log::MemoryLog},
+    quay_types::{LogIndex, NodeId},
+};
+
+impl Replica {
+    /// Takes entries.
+    pub(super) fn on_append(
+        &mut self,
+        from: NodeId,
+        prev: Position,
+        entries: Vec<Entry>,
+        commit: LogIndex,
+    ) {
+        let outcome = if let Some(hint) = self.meet(prev) {
+            AppendOutcome::Rejected {
+                prev: prev.index,
+                hint,
+            }
+        } else {
+            let matched = LogIndex(prev.index.0 + entries.len() as u64);
+            self.take_entries(entries);
+            self.commit_to(commit.min(matched));
+            AppendOutcome::Matched(matched)
+        };
+        let term = self.hard.term;
+        self.send_when_saved(from, Message::AppendReply { term, outcome });
+    }
+
+    /// Checks that this log holds `prev`; otherwise tells up to where the logs
+    /// may be equal.
+    fn meet(&self, prev: Position) -> Option<LogIndex> {
+        // Committed entries are equal in all logs.
+        if prev.index <= self.commit {
+            return None;
+        }
+        match self.log.term(prev.index) {
+            Some(term) if term == prev.term => None,
+            Some(_) => {
+                let first = self.log.first_of_term(prev.index);
+                Some(LogIndex(first.0 - 1).max(self.commit))
+            }
+            None => Some(self.log.last().index),
+        }
+    }
+
+    /// Adds the entries that are new, in place of those that differ.
+    fn take_entries(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            let index = entry.index();
+            if index <= self.log.base().index {
+                continue;
+            }
+            match self.log.term(index) {
+                Some(term) if term == entry.position.term => continue,
+                Some(_) => self.truncate(index),
+                None => {}
+            }
+            self.log.push(entry);
+        }
+    }
+
+    /// Answers a heartbeat.
+    pub(super) fn on_heartbeat(&mut self, from: NodeId, commit: LogIndex, round: u64) {
+        self.commit_to(commit);
+        let term = self.hard.term;
+        self.send(from, Message::HeartbeatReply { term, round });
+    }
+
+    /// Takes a snapshot, if it tells anything new.
+    pub(super) fn on_snapshot(&mut self, from: NodeId, mark: SnapshotMark, data: Box<[u8]>) {
+        let index = mark.position.index;
+        if index > self.commit {
+            self.restore(mark, data);
+        }
+        let term = self.hard.term;
+        let outcome = AppendOutcome::Matched(index);
+        self.send_when_saved(from, Message::AppendReply { term, outcome });
+    }
+
+    /// Replaces log and state by a snapshot.
+    fn restore(&mut self, mark: SnapshotMark, data: Box<[u8]>) {
+        let index = mark.position.index;
+        // Entries after an equal one may count towards a quorum: they stay.
+        let keep = self.log.term(index) == Some(mark.position.term);
+        // A save of earlier entries is handed out before the snapshot.
+        self.flush_saves();
+        if keep {
+            self.log.compact(index);
+        } else {
+            self.truncate(LogIndex(self.commit.0 + 1));
+            self.log = MemoryLog::new(mark.clone(), []);
+            self.handed = index;
+        }
+        self.commit = index;
+        self.applied = index;
+        let ticket = self.take_ticket(self.handed);
+        self.out.push(Action::Restore {
+            ticket,
+            mark,
+            data,
+            keep,
+        });
+    }
+}
--- /dev/null
+++ b/crates/quay_quorum/src/settings.rs
@@ -0,0 +1,62 @@
+//! Times and limits of a replica.
+
+use std::time::Duration;
+
+/// A decision that is wrong on purpose, so that a test can show that the
+/// checks see it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Mutation {
+    /// Every decision is right.
+    #[default]
+    None,
+    /// Answers before entries and votes are saved.
+    AnswerBeforeSave,
+    /// Answers reads without asking a quorum.
+    ReadAlone,
+    /// Grants votes to candidates with less complete logs.
+    VoteForAnyone,
+}
+
+/// Times and limits of a replica.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Interval between two heartbeats of a leader.
+    pub heartbeat: Duration,
+    /// Least time without a leader after which a replica asks for votes; the
+    /// actual time is drawn between this and twice this. A leader that hears no
+    /// quorum for so long steps down.
+    pub election: Duration,
+    /// A leader that has heard no quorum for so long refuses new work.
+    pub suspect: Duration,
+    /// Time after which unanswered entries are sent again.
+    pub resend: Duration,
+    /// Time after which an unanswered snapshot is sent again.
+    pub snapshot_resend: Duration,
+    /// Bytes of entries in one message.
+    pub batch_bytes: usize,
+    /// Messages with entries that may be unanswered by one peer.
+    pub window: u32,
+    /// Entries that stay in memory behind a snapshot, for peers that lag a little.
+    pub keep_entries: u64,
+    /// Entries that a learner may lack when it is promoted.
+    pub promote_lag: u64,
+    /// A wrong decision, for tests of the checks only.
+    pub mutation: Mutation,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(100),
+            election: Duration::from_millis(500),
+            suspect: Duration::from_millis(350),
+            resend: Duration::from_millis(300),
+            snapshot_resend: Duration::from_secs(10),
+            batch_bytes: 256 << 10,
+            window: 8,
+            keep_entries: 4_096,
+            promote_lag: 64,
+            mutation: Mutation::None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/quay_quorum/tests/replica.rs
@@ -0,0 +1,240 @@
+//! Single decisions of a replica.
+
+use {
+    quay_quorum::{
+        Action, Advice, Change, Input, Member, Membership, Message, Position, Refusal, Replica,
+        Settings, placement,
+    },
+    quay_types::{Epoch, LogIndex, NodeId, Time},
+    std::time::Duration,
+};
+
+fn member(node: u64, data_centre: &str) -> Member {
+    let addr = "127.0.0.1:1".parse().expect("address");
+    Member::new(NodeId(node), addr, data_centre)
+}
+
+fn three() -> Membership {
+    Membership::of_voters([member(1, "a"), member(2, "b"), member(3, "c")])
+}
+
+/// Gives an input and carries out every save at once.
+fn step(replica: &mut Replica, now: Time, input: Input) -> Vec<Action> {
+    let mut actions = replica.step(now, input);
+    actions.extend(replica.flush(now));
+    let tickets: Vec<_> = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Persist(persist) => Some(persist.ticket),
+            _ => None,
+        })
+        .collect();
+    for ticket in tickets {
+        actions.extend(step(replica, now, Input::Persisted(ticket)));
+    }
+    actions
+}
+
+fn message(from: u64, message: Message) -> Input {
+    Input::Message {
+        from: NodeId(from),
+        message,
+    }
+}
+
+/// Replica 1 of three as the leader of term 1.
+fn leader() -> (Replica, Time) {
+    let mut replica = Replica::bootstrap(NodeId(1), three(), Settings::default(), 1, Time::ZERO);
+    let now = replica.deadline();
+    step(&mut replica, now, Input::Tick);
+    let (term, granted) = (Epoch(1), true);
+    step(
+        &mut replica,
+        now,
+        message(2, Message::PreVoteReply { term, granted }),
+    );
+    step(
+        &mut replica,
+        now,
+        message(2, Message::VoteReply { term, granted }),
+    );
+    assert!(replica.leads());
+    (replica, now)
+}
+
+fn refusals(actions: &[Action]) -> Vec<Refusal> {
+    let refused = |action: &Action| match action {
+        Action::Refused { refusal, .. } => Some(*refusal),
+        _ => None,
+    };
+    actions.iter().filter_map(refused).collect()
+}
+
+#[test]
+fn a_leader_cut_off_refuses_work_and_then_steps_down() {
+    let (mut replica, now) = leader();
+    let cfg = Settings::default();
+    let command = || Input::Propose {
+        tag: 1,
+        command: [1].into(),
+    };
+    assert!(refusals(&step(&mut replica, now, command())).is_empty());
+    let later = now + cfg.suspect;
+    assert_eq!(
+        refusals(&step(&mut replica, later, command())),
+        [Refusal::NoQuorum]
+    );
+    let read = Input::Read { tag: 2 };
+    assert_eq!(
+        refusals(&step(&mut replica, later, read)),
+        [Refusal::NoQuorum]
+    );
+    let actions = step(&mut replica, now + cfg.election, Input::Tick);
+    assert!(actions.contains(&Action::SteppedDown), "{actions:?}");
+}
+
+#[test]
+fn nothing_is_answered_before_it_is_saved() {
+    let mut replica = Replica::bootstrap(NodeId(2), three(), Settings::default(), 1, Time::ZERO);
+    let vote = Message::Vote {
+        term: Epoch(1),
+        last: Position::default(),
+    };
+    let mut actions = replica.step(Time::ZERO, message(1, vote));
+    actions.extend(replica.flush(Time::ZERO));
+    let [Action::Persist(persist)] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    let answer = replica.step(Time::ZERO, Input::Persisted(persist.ticket));
+    let (term, granted) = (Epoch(1), true);
+    let expected = Action::Send {
+        to: NodeId(1),
+        message: Message::VoteReply { term, granted },
+    };
+    assert_eq!(answer, [expected]);
+}
+
+#[test]
+fn a_vote_is_given_once_a_term() {
+    let mut replica = Replica::bootstrap(NodeId(2), three(), Settings::default(), 1, Time::ZERO);
+    let ask = |from| {
+        let last = Position::default();
+        message(
+            from,
+            Message::Vote {
+                term: Epoch(1),
+                last,
+            },
+        )
+    };
+    let granted = |actions: &[Action]| {
+        actions.iter().any(|action| {
+            matches!(
+                action,
+                Action::Send {
+                    message: Message::VoteReply { granted: true, .. },
+                    ..
+                }
+            )
+        })
+    };
+    assert!(granted(&step(&mut replica, Time::ZERO, ask(1))));
+    assert!(!granted(&step(&mut replica, Time::ZERO, ask(3))));
+    assert!(
+        granted(&step(&mut replica, Time::ZERO, ask(1))),
+        "a resend gets the same answer"
+    );
+}
+
+#[test]
+fn a_follower_of_a_live_leader_ignores_candidates() {
+    let mut replica = Replica::bootstrap(NodeId(2), three(), Settings::default(), 1, Time::ZERO);
+    let (term, commit, round) = (Epoch(1), LogIndex(0), 1);
+    step(
+        &mut replica,
+        Time::ZERO,
+        message(
+            1,
+            Message::Heartbeat {
+                term,
+                commit,
+                round,
+            },
+        ),
+    );
+    let last = Position {
+        term: Epoch(5),
+        index: LogIndex(9),
+    };
+    let soon = Time::ZERO + Duration::from_millis(100);
+    step(
+        &mut replica,
+        soon,
+        message(
+            3,
+            Message::Vote {
+                term: Epoch(6),
+                last,
+            },
+        ),
+    );
+    assert_eq!(replica.term(), Epoch(1));
+}
+
+#[test]
+fn members_change_one_at_a_time() {
+    let (mut replica, now) = leader();
+    let add = |node| Input::Change {
+        tag: 1,
+        change: Change::AddLearner(member(node, "a")),
+    };
+    assert_eq!(
+        refusals(&step(&mut replica, now, add(4))),
+        [Refusal::NotReady]
+    );
+    let matched = |index| {
+        let outcome = quay_quorum::AppendOutcome::Matched(LogIndex(index));
+        message(
+            2,
+            Message::AppendReply {
+                term: Epoch(1),
+                outcome,
+            },
+        )
+    };
+    step(&mut replica, now, matched(1));
+    assert_eq!(refusals(&step(&mut replica, now, add(4))), []);
+    assert_eq!(
+        refusals(&step(&mut replica, now, add(5))),
+        [Refusal::ChangeOpen]
+    );
+    step(&mut replica, now, matched(2));
+    let promote = Input::Change {
+        tag: 1,
+        change: Change::Promote(NodeId(9)),
+    };
+    assert_eq!(
+        refusals(&step(&mut replica, now, promote)),
+        [Refusal::LearnerBehind]
+    );
+    assert_eq!(
+        refusals(&step(&mut replica, now, add(4))),
+        [Refusal::BadChange]
+    );
+}
+
+#[test]
+fn placement_names_what_a_lost_data_centre_takes_along() {
+    assert_eq!(placement(&three()), []);
+    let two_in_one = Membership::of_voters([member(1, "a"), member(2, "a"), member(3, "b")]);
+    let data_centre = "a".into();
+    assert_eq!(
+        placement(&two_in_one),
+        [Advice::Concentrated {
+            data_centre,
+            voters: 2
+        }]
+    );
+    let four = Membership::of_voters([1, 2, 3, 4].map(|node| member(node, &format!("{node}"))));
+    assert_eq!(placement(&four), [Advice::Even(4)]);
+}
