--- a/crates/quay_standin/src/lib.rs
+++ b/crates/quay_standin/src/lib.rs
@@ -11,5 +11,6 @@
 //! ```
 
 mod engine;
+pub mod model;
 
 pub use engine::{Engine, EngineSettings};
