Add the policy's decision machines

Cause: the daemon and the experiments need the same decisions: routing by expected time over a bounded cache book, a priority queue with ageing and a learned limit, KV retention, retry budgets, account slices, suspects and placement. Each is plain state with property tests; the static place in the queue bounds how long a call can be passed by others.

--- /dev/null
+++ b/crates/quay_policy/src/placement.rs
@@ -0,0 +1,157 @@
+//! Which upstream serves which models.
+
+use {
+    indexmap::IndexMap,
+    quay_types::{FenceNumber, ModelId, Time, UpstreamId},
+    std::time::Duration,
+};
+
+/// Knobs of placement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlacementSettings {
+    /// Share of the upstreams that may be moving at a time, in thousandths; at least one may.
+    pub moving_permille: u32,
+    /// Bytes of one model's weights.
+    pub model_bytes: u64,
+    /// Rate of the weight store, in bytes a second.
+    pub store_rate: u64,
+    /// After so long a move is taken for failed.
+    pub move_for: Duration,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        Self {
+            moving_permille: 100,
+            model_bytes: 16 << 30,
+            store_rate: 1 << 30,
+            move_for: Duration::from_mins(5),
+        }
+    }
+}
+
+/// What is known of one upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlacementView {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Model that it serves.
+    pub model: ModelId,
+    /// Calls queued and running there.
+    pub calls: u32,
+}
+
+/// An order to an upstream: serve another model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Move {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Rises with each order.
+    pub fence: FenceNumber,
+    /// Model to load.
+    pub load: ModelId,
+    /// Model to unload.
+    pub unload: ModelId,
+}
+
+/// The placement loop.
+#[derive(Debug)]
+pub struct Placement {
+    cfg: PlacementSettings,
+    /// Rises with each order; a restarted loop starts above the last one.
+    fence: FenceNumber,
+    moving: IndexMap<UpstreamId, (ModelId, Time)>,
+    store_free: Time,
+}
+
+impl Placement {
+    /// A loop whose orders carry fence numbers above `fence`.
+    #[must_use]
+    pub fn new(cfg: PlacementSettings, fence: FenceNumber) -> Self {
+        Self {
+            cfg,
+            fence,
+            moving: IndexMap::new(),
+            store_free: Time::ZERO,
+        }
+    }
+
+    /// Notes that a move has ended, well or not.
+    pub fn moved(&mut self, upstream: UpstreamId) {
+        self.moving.swap_remove(&upstream);
+    }
+
+    /// Decides the next moves for the calls that each model gets.
+    ///
+    /// A model with calls keeps at least one upstream, and the last upstream of
+    /// a model with calls is never taken from it.
+    pub fn plan(
+        &mut self,
+        now: Time,
+        views: &[PlacementView],
+        demand: &IndexMap<ModelId, u64>,
+    ) -> Vec<Move> {
+        let cfg = self.cfg;
+        self.moving
+            .retain(|_, (_, since)| now.since(*since) < cfg.move_for);
+        let most = views.len() * cfg.moving_permille as usize / 1_000;
+        let mut moves = Vec::new();
+        while self.moving.len() < most.max(1) && self.store_free <= now {
+            let Some(next) = self.next_move(views, demand) else {
+                break;
+            };
+            self.moving.insert(next.upstream, (next.load, now));
+            let millis = cfg.model_bytes.saturating_mul(1_000) / cfg.store_rate.max(1);
+            self.store_free = now + Duration::from_millis(millis);
+            self.fence.0 += 1;
+            moves.push(Move {
+                fence: self.fence,
+                ..next
+            });
+        }
+        moves
+    }
+
+    /// The move from the model with most upstreams to spare to the one that lacks most.
+    fn next_move(&self, views: &[PlacementView], demand: &IndexMap<ModelId, u64>) -> Option<Move> {
+        let wanted = shares(demand, views.len());
+        let have = |model: ModelId| {
+            let serving = views.iter().filter(|view| self.model_of(view) == model);
+            serving.count()
+        };
+        let lacking = wanted
+            .iter()
+            .filter(|(model, count)| have(**model) < **count);
+        let load = *lacking
+            .max_by_key(|(model, count)| **count - have(**model))?
+            .0;
+        let spare = |view: &&PlacementView| {
+            let wanted = wanted.get(&view.model).copied().unwrap_or(0);
+            !self.moving.contains_key(&view.upstream) && have(view.model) > wanted
+        };
+        let from = views.iter().filter(spare).min_by_key(|view| view.calls)?;
+        Some(Move {
+            upstream: from.upstream,
+            fence: self.fence,
+            load,
+            unload: from.model,
+        })
+    }
+
+    /// The model that an upstream serves, or will once its move has ended.
+    fn model_of(&self, view: &PlacementView) -> ModelId {
+        let moving = self.moving.get(&view.upstream);
+        moving.map_or(view.model, |(model, _)| *model)
+    }
+}
+
+/// Upstreams for each model in proportion to its calls, at least one for each.
+fn shares(demand: &IndexMap<ModelId, u64>, upstreams: usize) -> IndexMap<ModelId, usize> {
+    let used: Vec<_> = demand.iter().filter(|(_, calls)| **calls > 0).collect();
+    let total: u64 = used.iter().map(|(_, calls)| **calls).sum();
+    let left = upstreams.saturating_sub(used.len()) as u64;
+    let share = |calls: u64| 1 + usize::try_from(left * calls / total.max(1)).unwrap_or(0);
+    used.into_iter()
+        .map(|(model, calls)| (*model, share(*calls)))
+        .collect()
+}
--- /dev/null
+++ b/crates/quay_policy/src/policy.rs
@@ -0,0 +1,31 @@
+//! A scheduling policy as one type.
+
+use crate::{AdmitSettings, Limit, RetentionSettings, RouteSettings, Score};
+
+/// Settings of every part of a policy.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PolicySettings {
+    /// Choice of upstream.
+    pub route: RouteSettings,
+    /// Queue before each upstream.
+    pub admit: AdmitSettings,
+    /// KV memory of programs that pause or have ended.
+    pub retain: RetentionSettings,
+}
+
+/// A scheduling policy: the parts that vary, and their settings.
+pub trait Policy {
+    /// Rates upstreams for a call.
+    type Score: Score;
+    /// How many calls an upstream is given at a time.
+    type Limit: Limit;
+
+    /// Name in reports.
+    const NAME: &'static str;
+
+    /// Settings of the parts.
+    #[must_use]
+    fn settings() -> PolicySettings {
+        PolicySettings::default()
+    }
+}
--- /dev/null
+++ b/crates/quay_policy/src/route/router.rs
@@ -0,0 +1,294 @@
+//! Routing state of one entry.
+
+use {
+    super::{cache_book::MAX_SLOTS, load::LoadEstimate},
+    crate::{CacheBook, RouteSettings, Score, Slot, UpstreamView},
+    indexmap::IndexMap,
+    quay_types::{
+        Announcement, CallTarget, Incarnation, ProgramId, Time, Tokens, UpstreamId, UpstreamKind,
+        UpstreamState,
+    },
+    std::{marker::PhantomData, net::SocketAddr},
+};
+
+/// Tokens in a block of a prompt.
+const BLOCK_TOKENS: u64 = 64;
+
+/// A call that needs an upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteRequest<'a> {
+    /// What is to be run.
+    pub target: CallTarget,
+    /// Program of the call.
+    pub program: ProgramId,
+    /// Tokens that the program was given so far; 0 for its first call.
+    pub attained: Tokens,
+    /// Length of the prompt.
+    pub prompt: Tokens,
+    /// Chained hashes of the prompt's blocks.
+    pub blocks: &'a [u64],
+    /// Upstreams that refused or lost the call already.
+    pub tried: &'a [UpstreamId],
+}
+
+/// An upstream chosen for a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Run of its sidecar.
+    pub incarnation: Incarnation,
+    /// Address of its sidecar.
+    pub addr: SocketAddr,
+    /// Leading blocks of the prompt that the book believes it to hold.
+    pub held: u32,
+}
+
+/// One known upstream.
+#[derive(Debug)]
+struct Upstream {
+    announcement: Announcement,
+    load: LoadEstimate,
+    heard: Time,
+    slot: Slot,
+    far: bool,
+}
+
+/// Routing state of one entry, for upstreams rated by `S`.
+#[derive(Debug)]
+pub struct Router<S> {
+    cfg: RouteSettings,
+    data_centre: Box<str>,
+    upstreams: IndexMap<UpstreamId, Upstream>,
+    /// Slots of upstreams that have gone, ready for others.
+    free_slots: Vec<Slot>,
+    used_slots: u16,
+    book: CacheBook,
+    /// Blocks held by each slot for the call at hand.
+    depths: Vec<u32>,
+    /// Costs of the upstreams that fit the call at hand.
+    costs: Vec<(u64, usize)>,
+    score: PhantomData<S>,
+}
+
+impl<S: Score> Router<S> {
+    /// A router in a data centre that knows no upstreams yet.
+    #[must_use]
+    pub fn new(cfg: RouteSettings, data_centre: impl Into<Box<str>>) -> Self {
+        Self {
+            data_centre: data_centre.into(),
+            upstreams: IndexMap::new(),
+            free_slots: Vec::new(),
+            used_slots: 0,
+            book: CacheBook::new(cfg.book_blocks),
+            depths: Vec::new(),
+            costs: Vec::new(),
+            score: PhantomData,
+            cfg,
+        }
+    }
+
+    /// The cache book, and the place of an upstream in it.
+    pub fn book(&mut self, id: UpstreamId) -> Option<(&mut CacheBook, Slot)> {
+        let slot = self.upstreams.get(&id)?.slot;
+        Some((&mut self.book, slot))
+    }
+
+    /// Upstreams that are known.
+    pub fn known(&self) -> impl Iterator<Item = UpstreamId> {
+        self.upstreams.keys().copied()
+    }
+
+    // -----------------------------------------------------------------------
+    // What is learned
+
+    /// Takes an announcement that was made at `made`; an older one is ignored.
+    pub fn announced(&mut self, made: Time, announcement: &Announcement) {
+        let id = announcement.upstream();
+        let far = announcement.data_centre != self.data_centre;
+        let age = std::time::Duration::from_millis(announcement.load.age_ms.into());
+        if let Some(known) = self.upstreams.get_mut(&id) {
+            let order = |of: &Announcement| (of.incarnation, of.sequence);
+            if order(announcement) < order(&known.announcement) {
+                return;
+            }
+            if known.announcement.incarnation != announcement.incarnation {
+                known.load = LoadEstimate::default();
+                self.book.forget(known.slot);
+            }
+            known.load.report(made - age, announcement.load);
+            known.announcement = announcement.clone();
+            known.heard = made;
+            known.far = far;
+            return;
+        }
+        // More upstreams than slots: the rest stay unknown to this entry.
+        let Some(slot) = self.take_slot() else { return };
+        let mut load = LoadEstimate::default();
+        load.report(made - age, announcement.load);
+        let upstream = Upstream {
+            announcement: announcement.clone(),
+            load,
+            heard: made,
+            slot,
+            far,
+        };
+        self.upstreams.insert(id, upstream);
+    }
+
+    /// Forgets an upstream.
+    pub fn gone(&mut self, id: UpstreamId) {
+        if let Some(upstream) = self.upstreams.shift_remove(&id) {
+            self.book.forget(upstream.slot);
+            self.free_slots.push(upstream.slot);
+        }
+    }
+
+    /// Forgets every upstream that is not listed.
+    pub fn keep_only(&mut self, listed: &[UpstreamId]) {
+        let gone: Vec<_> = self.known().filter(|id| !listed.contains(id)).collect();
+        for id in gone {
+            self.gone(id);
+        }
+    }
+
+    /// Notes that a call sent to an upstream has ended there.
+    pub fn ended(&mut self, now: Time, id: UpstreamId) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.load.ended(now);
+        }
+    }
+
+    /// Notes how many leading blocks an upstream found, against those expected.
+    pub fn found(&mut self, id: UpstreamId, blocks: &[u64], held: u32, expected: u32) {
+        if held >= expected {
+            return;
+        }
+        if let Some((book, slot)) = self.book(id) {
+            book.missed(slot, blocks, held as usize, expected as usize);
+        }
+    }
+
+    fn take_slot(&mut self) -> Option<Slot> {
+        if let Some(slot) = self.free_slots.pop() {
+            return Some(slot);
+        }
+        let slot = Slot(self.used_slots);
+        (usize::from(slot.0) < MAX_SLOTS).then(|| {
+            self.used_slots += 1;
+            slot
+        })
+    }
+
+    // -----------------------------------------------------------------------
+    // What is decided
+
+    /// Chooses an upstream for a call and notes the call as sent to it.
+    ///
+    /// `draw` is a random number; it spreads calls over upstreams that are
+    /// equally good, so that entries with the same reports do not all choose
+    /// the same one.
+    pub fn pick(&mut self, now: Time, req: &RouteRequest<'_>, draw: u64) -> Option<Choice> {
+        let slots = usize::from(self.used_slots);
+        if S::PREFIX && self.cfg.prefix_weight > 0 {
+            self.book.lookup(req.blocks, &mut self.depths, slots);
+        } else {
+            self.depths.clear();
+            self.depths.resize(slots, 0);
+        }
+        self.rate(now, req, false);
+        if self.costs.is_empty() {
+            self.rate(now, req, true);
+        }
+        let best = self.costs.iter().map(|(cost, _)| *cost).min()?;
+        let spread = u64::try_from(self.cfg.spread.as_micros()).unwrap_or(u64::MAX);
+        let good = |(cost, _): &&(u64, usize)| *cost <= best.saturating_add(spread);
+        let count = self.costs.iter().filter(good).count() as u64;
+        let nth = usize::try_from(draw % count.max(1)).unwrap_or_default();
+        let at = self.costs.iter().filter(good).nth(nth)?.1;
+        self.send(now, req, at)
+    }
+
+    /// Rates every upstream that fits; the silent ones only as a last resort.
+    fn rate(&mut self, now: Time, req: &RouteRequest<'_>, last_resort: bool) {
+        self.costs.clear();
+        let home = self.home(req);
+        for (at, (id, upstream)) in self.upstreams.iter().enumerate() {
+            if !fits(&upstream.announcement, req.target) || req.tried.contains(id) {
+                continue;
+            }
+            let silent = now.since(upstream.heard) > self.cfg.silent_after;
+            if silent != last_resort {
+                continue;
+            }
+            let depth = self.depths[usize::from(upstream.slot.0)];
+            let trusted = if home == Some(*id) {
+                req.blocks.len() as u64 * self.cfg.home_weight / 1_000
+            } else {
+                0
+            };
+            let held = u64::from(depth).max(trusted) * BLOCK_TOKENS;
+            let view = UpstreamView {
+                load: upstream.load.load(self.cfg.correct_load),
+                stale: upstream
+                    .load
+                    .age(now)
+                    .is_none_or(|age| age > self.cfg.stale_after),
+                far: upstream.far,
+                missing: req.prompt.0.saturating_sub(held),
+            };
+            self.costs.push((S::cost(&self.cfg, &view), at));
+        }
+    }
+
+    /// The upstream that every entry agrees on for a program under way, by
+    /// rendezvous hashing: entries share no state, and a program's calls come
+    /// through any of them.
+    fn home(&self, req: &RouteRequest<'_>) -> Option<UpstreamId> {
+        if !S::PREFIX || self.cfg.home_weight == 0 || req.blocks.is_empty() {
+            return None;
+        }
+        let fitting = self
+            .upstreams
+            .iter()
+            .filter(|(_, upstream)| fits(&upstream.announcement, req.target));
+        let rank = |id: UpstreamId| mix(id.0 ^ mix(req.program.root));
+        fitting.map(|(id, _)| *id).max_by_key(|id| rank(*id))
+    }
+
+    /// Notes the call as sent to the upstream at `at`.
+    fn send(&mut self, now: Time, req: &RouteRequest<'_>, at: usize) -> Option<Choice> {
+        let (id, upstream) = self.upstreams.get_index_mut(at)?;
+        let held = self.depths[usize::from(upstream.slot.0)];
+        let missing = req.prompt.0.saturating_sub(u64::from(held) * BLOCK_TOKENS);
+        upstream.load.sent(now, missing);
+        let choice = Choice {
+            upstream: *id,
+            incarnation: upstream.announcement.incarnation,
+            addr: upstream.announcement.addr,
+            held,
+        };
+        if S::PREFIX {
+            self.book.sent(upstream.slot, req.blocks);
+        }
+        Some(choice)
+    }
+}
+
+/// Whether an upstream serves `target` and takes new work.
+fn fits(announcement: &Announcement, target: CallTarget) -> bool {
+    let serves = match (&announcement.kind, target) {
+        (UpstreamKind::Engine { models }, CallTarget::Model(model)) => models.contains(&model),
+        (UpstreamKind::Service { service }, CallTarget::Service(wanted)) => *service == wanted,
+        _ => false,
+    };
+    serves && announcement.state == UpstreamState::Serving
+}
+
+/// The finaliser of splitmix64.
+fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/quay_policy/src/route/settings.rs
@@ -0,0 +1,65 @@
+//! Knobs of routing.
+
+use std::time::Duration;
+
+/// Knobs of routing. A weight of zero turns its part off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteSettings {
+    /// Time to prefill a prompt token, in microseconds.
+    pub prefill_us: u64,
+    /// Weight of a prompt token that has to be prefilled, in thousandths.
+    pub prefix_weight: u64,
+    /// Thousandths by which each running call raises that weight, since a
+    /// prefill holds all of them up.
+    pub prefix_per_running: u64,
+    /// Time that a running call adds to each step, in microseconds.
+    pub per_running_us: u64,
+    /// Answer length that is expected of a call, in tokens.
+    pub answer_tokens: u64,
+    /// Time between tokens that is assumed where none is known, in microseconds.
+    pub token_gap_us: u64,
+    /// Whether load is corrected by what was sent and ended since its report.
+    pub correct_load: bool,
+    /// Upstreams whose cost is at most this much above the best are equally good.
+    pub spread: Duration,
+    /// Trust in the home of a program whose blocks the book does not know, in
+    /// thousandths of a prefix that is known.
+    pub home_weight: u64,
+    /// Cost of another data centre.
+    pub far: Duration,
+    /// Age at which a load report is taken with care.
+    pub stale_after: Duration,
+    /// Age at which an upstream is used only if there is no other.
+    pub silent_after: Duration,
+    /// Cost of a stale or unknown load report.
+    pub stale_cost: Duration,
+    /// Fill of KV memory, in thousandths, from which on a call is expected to wait.
+    pub kv_full_permille: u16,
+    /// Cost of full KV memory.
+    pub kv_full_cost: Duration,
+    /// Blocks that the cache book remembers.
+    pub book_blocks: usize,
+}
+
+impl Default for RouteSettings {
+    fn default() -> Self {
+        Self {
+            prefill_us: 50,
+            prefix_weight: 1_000,
+            prefix_per_running: 100,
+            per_running_us: 300,
+            answer_tokens: 120,
+            token_gap_us: 20_000,
+            correct_load: true,
+            spread: Duration::from_millis(20),
+            home_weight: 500,
+            far: Duration::from_millis(3),
+            stale_after: Duration::from_secs(3),
+            silent_after: Duration::from_secs(6),
+            stale_cost: Duration::from_secs(1),
+            kv_full_permille: 900,
+            kv_full_cost: Duration::from_secs(2),
+            book_blocks: 65_536,
+        }
+    }
+}
--- /dev/null
+++ b/crates/quay_policy/tests/admission.rs
@@ -0,0 +1,279 @@
+//! Tests of the queue before an upstream.
+
+use {
+    proptest::prelude::*,
+    quay_policy::{
+        Admission, AdmitSettings, FixedLimit, LearnedLimit, Observation, Ticket, TicketId, Verdict,
+    },
+    quay_types::{AccountId, ErrorKind, Time, Tokens},
+    std::time::Duration,
+};
+
+fn ticket(id: u64, attained: u64) -> Ticket {
+    Ticket {
+        id: TicketId(id),
+        attained: Tokens(attained),
+        deadline: Time::from_millis(1_000_000),
+        ..Ticket::default()
+    }
+}
+
+/// A queue that lets one call through at a time and sheds nothing.
+fn one_by_one() -> Admission<FixedLimit> {
+    Admission::new(AdmitSettings {
+        max_limit: 1,
+        shed_new_after: Duration::ZERO,
+        ..AdmitSettings::default()
+    })
+}
+
+fn admitted(verdicts: &[Verdict]) -> Vec<u64> {
+    let id = |verdict: &Verdict| match verdict {
+        Verdict::Admit(id) => Some(id.0),
+        Verdict::Refuse(..) => None,
+    };
+    verdicts.iter().filter_map(id).collect()
+}
+
+/// Order in which waiting calls start, each ending as the next one starts.
+fn order(queue: &mut Admission<FixedLimit>) -> Vec<u64> {
+    let mut started = Vec::new();
+    let mut now = Time::ZERO;
+    while let [id] = admitted(&queue.poll(now))[..] {
+        started.push(id);
+        now = now + Duration::from_millis(1);
+        queue.leave(now, TicketId(id));
+    }
+    started
+}
+
+#[test]
+fn the_program_that_was_given_least_goes_first() {
+    let mut queue = one_by_one();
+    for (id, attained) in [(1, 50_000), (2, 20_000), (3, 0), (4, 20_000)] {
+        queue.enter(Time::ZERO, ticket(id, attained));
+    }
+    assert_eq!(order(&mut queue), [3, 2, 4, 1]);
+}
+
+#[test]
+fn a_sub_agent_goes_before_its_peers() {
+    let mut queue = one_by_one();
+    queue.enter(Time::ZERO, ticket(1, 0));
+    queue.enter(
+        Time::ZERO + Duration::from_millis(1),
+        Ticket {
+            depth: 1,
+            ..ticket(2, 0)
+        },
+    );
+    assert_eq!(
+        order(&mut queue),
+        [1, 2],
+        "time zero leaves no room for a lead"
+    );
+    let later = Time::from_millis(60_000);
+    queue.enter(later, ticket(3, 0));
+    queue.enter(
+        later + Duration::from_millis(1),
+        Ticket {
+            depth: 1,
+            ..ticket(4, 0)
+        },
+    );
+    assert_eq!(order(&mut queue), [4, 3]);
+}
+
+#[test]
+fn a_flood_of_one_account_stands_behind_another() {
+    let mut queue = one_by_one();
+    let of = |id, account| Ticket {
+        account: AccountId(account),
+        ..ticket(id, 0)
+    };
+    let mut now = Time::ZERO;
+    for id in 0..4 {
+        queue.enter(now, of(id, 1));
+        queue.poll(now);
+        now = now + Duration::from_secs(2);
+        queue.leave(now, TicketId(id));
+    }
+    queue.enter(now, of(10, 1));
+    queue.enter(now, of(11, 1));
+    queue.enter(now + Duration::from_millis(500), of(12, 2));
+    assert_eq!(admitted(&queue.poll(now))[..], [12]);
+}
+
+#[test]
+fn new_programs_are_shed_before_those_under_way() {
+    let mut queue = Admission::<FixedLimit>::new(AdmitSettings {
+        max_limit: 1,
+        ..AdmitSettings::default()
+    });
+    queue.enter(Time::ZERO, ticket(1, 0));
+    queue.poll(Time::ZERO);
+    queue.enter(Time::ZERO, ticket(2, 500));
+    queue.enter(Time::ZERO, ticket(3, 0));
+    queue.enter(Time::ZERO, ticket(4, 500));
+    let verdicts = queue.poll(Time::ZERO);
+    let [Verdict::Refuse(id, err)] = &verdicts[..] else {
+        panic!("{verdicts:?}");
+    };
+    assert_eq!((*id, err.kind), (TicketId(3), ErrorKind::Overloaded));
+    assert!(err.kind.not_run());
+    assert_eq!(err.retry_after_s(), Some(3));
+    assert_eq!(queue.queued(), 2);
+}
+
+#[test]
+fn a_call_that_cannot_make_its_deadline_is_told_at_once() {
+    let mut queue = one_by_one();
+    let soon = Ticket {
+        deadline: Time::from_millis(500),
+        ..ticket(2, 500)
+    };
+    queue.enter(Time::ZERO, ticket(1, 0));
+    queue.poll(Time::ZERO);
+    queue.enter(Time::ZERO, soon);
+    assert_eq!(queue.poll(Time::from_millis(499)), []);
+    let verdicts = queue.poll(Time::from_millis(500));
+    assert!(
+        matches!(&verdicts[..], [Verdict::Refuse(TicketId(2), err)] if err.kind == ErrorKind::DeadlineNotRun)
+    );
+}
+
+#[test]
+fn a_full_queue_refuses_the_last_new_program() {
+    let mut queue = Admission::<FixedLimit>::new(AdmitSettings {
+        max_limit: 1,
+        max_queued: 2,
+        shed_new_after: Duration::ZERO,
+        ..AdmitSettings::default()
+    });
+    for id in 0..4 {
+        queue.enter(Time::ZERO, ticket(id, 0));
+    }
+    let refused = |verdicts: &[Verdict]| {
+        let id = |verdict: &Verdict| match verdict {
+            Verdict::Refuse(id, _) => Some(id.0),
+            Verdict::Admit(_) => None,
+        };
+        verdicts.iter().filter_map(id).collect::<Vec<_>>()
+    };
+    assert_eq!(refused(&queue.poll(Time::ZERO)), [2, 3]);
+    queue.enter(Time::ZERO, ticket(8, 10));
+    queue.enter(Time::ZERO, ticket(9, 10));
+    assert_eq!(refused(&queue.poll(Time::ZERO)), [1]);
+}
+
+#[test]
+fn a_call_that_must_be_alone_is() {
+    let mut queue = Admission::<LearnedLimit>::new(AdmitSettings::default());
+    let alone = Ticket {
+        alone: true,
+        ..ticket(2, 0)
+    };
+    queue.enter(Time::ZERO, ticket(1, 0));
+    assert_eq!(admitted(&queue.poll(Time::ZERO)), [1]);
+    queue.enter(Time::ZERO, alone);
+    queue.enter(Time::ZERO, ticket(3, 0));
+    assert_eq!(admitted(&queue.poll(Time::ZERO)), [0; 0]);
+    queue.leave(Time::ZERO, TicketId(1));
+    assert_eq!(admitted(&queue.poll(Time::ZERO)), [2]);
+    queue.leave(Time::ZERO, TicketId(2));
+    assert_eq!(admitted(&queue.poll(Time::ZERO)), [3]);
+}
+
+#[test]
+fn a_leaving_upstream_refuses_what_waits_and_lets_the_rest_finish() {
+    let mut queue = one_by_one();
+    queue.enter(Time::ZERO, ticket(1, 0));
+    queue.poll(Time::ZERO);
+    queue.enter(Time::ZERO, ticket(2, 0));
+    queue.drain();
+    queue.enter(Time::ZERO, ticket(3, 0));
+    let verdicts = queue.poll(Time::ZERO);
+    let draining = |verdict: &Verdict| matches!(verdict, Verdict::Refuse(_, err) if err.kind == ErrorKind::Draining);
+    assert_eq!(verdicts.len(), 2);
+    assert!(verdicts.iter().all(draining));
+    assert_eq!(queue.running(), 1);
+}
+
+#[test]
+fn the_limit_falls_when_tokens_slow_down_and_rises_when_calls_wait() {
+    let mut queue = Admission::<LearnedLimit>::new(AdmitSettings {
+        shed_new_after: Duration::ZERO,
+        ..AdmitSettings::default()
+    });
+    for id in 0..200 {
+        queue.enter(Time::ZERO, ticket(id, 0));
+    }
+    queue.poll(Time::ZERO);
+    let before = queue.limit();
+    let seen = |gap| Observation {
+        token_gap: Duration::from_millis(gap),
+        kv_permille: 500,
+    };
+    queue.observe(Time::from_millis(300), seen(20));
+    assert_eq!(queue.limit(), before + 1);
+    queue.observe(Time::from_millis(600), seen(60));
+    assert!(queue.limit() < before);
+    queue.observe(Time::from_millis(601), seen(60));
+    assert!(
+        queue.limit() >= before - before / 8,
+        "one change an interval"
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Every call gets one verdict, never more run than may, and a call is
+    /// passed only by calls that came within the stated bound after it.
+    #[test]
+    fn verdicts_are_single_and_waits_are_bounded(
+        steps in prop::collection::vec((0_u64..5_000, 0_u64..200_000, 0_u8..3, 0_u64..3, 0_u8..4), 1..80),
+    ) {
+        let cfg = AdmitSettings { start_limit: 4, max_limit: 4, ..AdmitSettings::default() };
+        let bound = cfg.attained_max * 2 + cfg.sub_agent_lead * 2;
+        let mut queue = Admission::<LearnedLimit>::new(cfg);
+        let mut now = Time::from_millis(1_000_000);
+        let (mut entered, mut running) = (indexmap::IndexMap::new(), Vec::new());
+        let mut verdicts = 0;
+        for ((pause, attained, depth, account, action), id) in steps.iter().zip(0_u64..) {
+            now = now + Duration::from_millis(*pause);
+            if *action == 0 && !running.is_empty() {
+                queue.leave(now, running.remove(0));
+            }
+            let ticket = Ticket {
+                id: TicketId(id),
+                account: AccountId(*account),
+                attained: Tokens(*attained),
+                depth: *depth,
+                deadline: now + Duration::from_mins(1),
+                ..Ticket::default()
+            };
+            entered.insert(ticket.id, now);
+            queue.enter(now, ticket);
+            for verdict in queue.poll(now) {
+                verdicts += 1;
+                let (Verdict::Admit(id) | Verdict::Refuse(id, _)) = verdict;
+                let at = entered.shift_remove(&id).expect("one verdict a call");
+                if let Verdict::Admit(id) = verdict {
+                    running.push(id);
+                    let passed = entered.values().filter(|other| **other + bound < at).count();
+                    prop_assert_eq!(passed, 0);
+                }
+            }
+            prop_assert!(queue.running() <= 4);
+            prop_assert_eq!(queue.running(), running.len());
+            prop_assert_eq!(queue.queued(), entered.len());
+        }
+        let end = now + Duration::from_mins(2);
+        for id in running {
+            queue.leave(end, id);
+        }
+        verdicts += queue.poll(end).len();
+        prop_assert_eq!(verdicts, steps.len());
+    }
+}
--- /dev/null
+++ b/crates/quay_policy/tests/guards.rs
@@ -0,0 +1,149 @@
+//! Tests of retry budgets, account slices, retention and placement.
+
+use {
+    proptest::prelude::*,
+    quay_policy::{
+        Placement, PlacementSettings, PlacementView, Retention, RetentionAction, RetentionSettings,
+        RetryBudgets, RetrySettings, SliceGrantor, SliceSettings,
+    },
+    quay_types::{AccountId, FenceNumber, ModelId, ProgramId, Time, UpstreamId},
+    std::time::Duration,
+};
+
+#[test]
+fn an_outage_is_not_multiplied() {
+    let mut budgets = RetryBudgets::new(RetrySettings::default());
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budgets.first(AccountId(1), 1);
+        for _ in 0..3 {
+            retries += u32::from(budgets.retry(AccountId(1), 1));
+        }
+    }
+    assert!((100..=110).contains(&retries), "{retries}");
+    assert!(
+        !budgets.retry(AccountId(2), 1),
+        "the group's budget is used up"
+    );
+    assert!(budgets.retry(AccountId(2), 2));
+}
+
+#[test]
+fn slices_move_to_where_the_calls_are() {
+    let mut grantor = SliceGrantor::new(SliceSettings::default());
+    let account = AccountId(1);
+    assert_eq!(grantor.ask(Time::ZERO, account, 1, 90, 100).amount, 90);
+    assert_eq!(grantor.ask(Time::ZERO, account, 2, 50, 100).amount, 10);
+    let later = Time::ZERO + Duration::from_secs(1);
+    assert_eq!(grantor.ask(later, account, 1, 90, 100).amount, 50);
+    assert_eq!(grantor.ask(later, account, 2, 50, 100).amount, 50);
+    let end = later + Duration::from_secs(5);
+    grantor.tick(end);
+    assert_eq!(grantor.ask(end, account, 3, 100, 100).amount, 100);
+}
+
+#[test]
+fn kv_of_a_paused_program_is_exported_put_back_and_released() {
+    let mut retention = Retention::new(RetentionSettings::default());
+    let program = ProgramId::root(1);
+    assert_eq!(retention.started(Time::ZERO, program), []);
+    let paused = retention.paused(Time::from_millis(100), program);
+    assert_eq!(paused, Some(RetentionAction::Export(program)));
+    let again = retention.started(Time::from_millis(2_000), program);
+    assert_eq!(again, [RetentionAction::Import(program)]);
+    assert_eq!(
+        retention.ended(program),
+        Some(RetentionAction::Release(program))
+    );
+    assert_eq!(retention.ended(program), None);
+}
+
+#[test]
+fn an_end_that_was_never_heard_is_found_by_the_sweep() {
+    let mut retention = Retention::new(RetentionSettings::default());
+    let program = ProgramId::root(1);
+    retention.started(Time::ZERO, program);
+    retention.paused(Time::from_millis(100), program);
+    assert_eq!(retention.tick(Time::from_millis(5_000)), []);
+    let asked = retention.tick(Time::from_millis(20_000));
+    assert_eq!(asked, [RetentionAction::AskEnded([program].into())]);
+    let dropped = retention.tick(Time::from_millis(1_000_000));
+    assert_eq!(
+        dropped,
+        [RetentionAction::Release(program)],
+        "even with no answer"
+    );
+    assert!(retention.is_empty());
+}
+
+/// Upstreams 0..count, all with model 1.
+fn views(count: u64) -> Vec<PlacementView> {
+    let view = |number| PlacementView {
+        upstream: UpstreamId(number),
+        model: ModelId(1),
+        calls: 0,
+    };
+    (0..count).map(view).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Slices that have not ended never add up to more than the limit.
+    #[test]
+    fn slices_stay_within_the_limit(
+        asks in prop::collection::vec((0_u64..6, 0_u32..80, 0_u64..1_500), 1..80),
+    ) {
+        let mut grantor = SliceGrantor::new(SliceSettings::default());
+        let mut held = indexmap::IndexMap::new();
+        let mut now = Time::ZERO;
+        for (holder, wanted, pause) in asks {
+            now = now + Duration::from_millis(pause);
+            let grant = grantor.ask(now, AccountId(1), holder, wanted, 100);
+            held.insert(holder, grant);
+            held.retain(|_, grant| grant.until > now);
+            let sum: u32 = held.values().map(|grant| grant.amount).sum();
+            prop_assert!(sum <= 100);
+        }
+    }
+
+    /// Moves keep their share, the store's rate and rising fences, and end in a
+    /// placement that keeps every model with calls warm.
+    #[test]
+    fn placement_moves_a_few_at_a_time(
+        calls in prop::collection::vec(0_u64..100, 1..6),
+        moving_permille in 0_u32..400,
+    ) {
+        let mut views = views(20);
+        let demand: indexmap::IndexMap<_, _> =
+            calls.iter().zip(1..).map(|(calls, model)| (ModelId(model), *calls)).collect();
+        let most = (20 * moving_permille as usize / 1_000).max(1);
+        let cfg = PlacementSettings { moving_permille, ..PlacementSettings::default() };
+        let mut placement = Placement::new(cfg, FenceNumber(5));
+        let (mut now, mut fence, mut under_way) = (Time::ZERO, FenceNumber(5), Vec::new());
+        for _ in 0..100 {
+            let moves = placement.plan(now, &views, &demand);
+            prop_assert!(moves.len() <= 1, "the store sends one model in 16 s");
+            for order in moves {
+                prop_assert!(order.fence > fence);
+                fence = order.fence;
+                under_way.push(order);
+            }
+            prop_assert!(under_way.len() <= most);
+            now = now + Duration::from_secs(16);
+            if under_way.len() == most {
+                let order = under_way.remove(0);
+                let at = usize::try_from(order.upstream.0).expect("small");
+                views[at].model = order.load;
+                placement.moved(order.upstream);
+            }
+        }
+        for order in under_way {
+            views[usize::try_from(order.upstream.0).expect("small")].model = order.load;
+        }
+        for (model, calls) in demand {
+            let serving = views.iter().filter(|view| view.model == model).count();
+            prop_assert!(calls == 0 || serving > 0, "{} has no upstream", model);
+        }
+    }
+}
