Kill processes in the midst of calls that may not run twice

Cause: the promise of at most once needs to hold where only real processes show it.

Tests kill the entry, the sidecar and the ledger as kill -9 does while a stand-in service, which counts what it runs, is at work, and send again by the other entry. The run of 32 orders over four kills found a call told upstream_lost, not_run false, although its sidecar had just marked the permit as refused; it is told permit_refused now.

--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -316,7 +316,11 @@
         );
         if let Some(known) = self.ask_sidecar(permit) {
             match known {
-                (PermitFate::Refused, _) => return self.conclude(permit, AttemptEnd::NotRun(err)),
+                (PermitFate::Refused, _) => {
+                    let text = format!("the call never reached its upstream: {}", err.message);
+                    let err = Error::new(ErrorKind::PermitRefused, text);
+                    return self.conclude(permit, AttemptEnd::NotRun(err));
+                }
                 (PermitFate::Ended, Some(end)) => return self.conclude(permit, end),
                 _ => {}
             }
--- /dev/null
+++ b/crates/sapphirequayd/tests/common/mod.rs
@@ -0,0 +1,206 @@
+//! Daemons, a service that counts what it runs, and a caller.
+#![allow(dead_code, unused_imports)] // Each test file uses a part of it.
+
+mod counting_service;
+mod processes;
+
+pub use {
+    counting_service::CountingService,
+    processes::{Processes, Role},
+};
+
+use {
+    quay_link::{DevelopmentKeys, LinkRole},
+    quay_standin::{Engine, EngineSettings},
+    sapphirequayd::{
+        AccountSettings, Daemon, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
+        Settings, SidecarSettings,
+    },
+    serde_json::Value,
+    std::{
+        net::SocketAddr,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Longest wait for something that is sure to happen.
+pub const LIMIT: Duration = Duration::from_secs(30);
+
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Waits until `done` says so.
+pub fn wait_until(what: &str, mut done: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !done() {
+        assert!(started.elapsed() < LIMIT, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A request of a caller.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub account: &'a str,
+    pub headers: &'a [(&'a str, &'a str)],
+    pub body: &'a str,
+}
+
+impl Default for Ask<'_> {
+    fn default() -> Self {
+        Self {
+            method: "POST",
+            path: "/v1/chat/completions",
+            account: "key-a",
+            headers: &[],
+            body: r#"{"model":"m","messages":[{"role":"user","content":"hi"}]}"#,
+        }
+    }
+}
+
+impl Ask<'_> {
+    /// Sends the request once; `None` if the entry has gone.
+    pub fn try_send(&self, entry: SocketAddr) -> Option<(u16, String)> {
+        let mut req = ureq::request(self.method, &format!("http://{entry}{}", self.path))
+            .set("authorization", &format!("Bearer {}", self.account));
+        for (name, value) in self.headers {
+            req = req.set(name, value);
+        }
+        match req.send_string(self.body) {
+            Ok(response) | Err(ureq::Error::Status(_, response)) => {
+                Some((response.status(), response.into_string().ok()?))
+            }
+            Err(ureq::Error::Transport(_)) => None,
+        }
+    }
+
+    pub fn send(&self, entry: SocketAddr) -> (u16, String) {
+        self.try_send(entry).expect("answer")
+    }
+
+    /// Sends the request until the entry knows an upstream for it.
+    pub fn send_when_known(&self, entry: SocketAddr) -> (u16, String) {
+        let mut answer = None;
+        wait_until("an upstream is known", || {
+            let got = self.send(entry);
+            let known = !got.1.contains("no_upstream");
+            answer = Some(got);
+            known
+        });
+        answer.expect("answer")
+    }
+}
+
+/// The kind of an error answer.
+pub fn kind(text: &str) -> String {
+    let json: Value = serde_json::from_str(text).unwrap_or_default();
+    json["error"]["kind"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned()
+}
+
+/// A field of a JSON answer.
+pub fn field(text: &str, name: &str) -> Value {
+    let json: Value = serde_json::from_str(text).expect("json");
+    json[name].clone()
+}
+
+pub fn settings(name: &str, ledgers: &[SocketAddr]) -> Settings {
+    Settings {
+        process: ProcessSettings {
+            name: name.into(),
+            data_centre: "dc-1".into(),
+        },
+        link: LinkTableSettings {
+            ledgers: ledgers.into(),
+            ..LinkTableSettings::default()
+        },
+        ..Settings::default()
+    }
+}
+
+/// One ledger, two entries, an engine and a service, each a daemon of its own.
+pub struct Cluster {
+    pub entries: [SocketAddr; 2],
+    pub service: CountingService,
+    _engine: Engine,
+    _daemons: Vec<Daemon>,
+}
+
+impl Cluster {
+    pub fn start(service_delay: Duration) -> Self {
+        let keys = DevelopmentKeys::generate().expect("keys");
+        let identity = |role| keys.identity(role).expect("identity");
+        let engine = Engine::start(any_port(), EngineSettings::default()).expect("engine");
+        let service = CountingService::start(service_delay);
+        let ledger = Settings {
+            ledger: Some(LedgerSettings::default()),
+            ..settings("ledger-1", &[])
+        };
+        let ledger = Daemon::start(&ledger, identity(LinkRole::Ledger)).expect("ledger");
+        let ledgers = [ledger.link_addr().expect("address")];
+        let sidecar = |name: &str, sidecar| {
+            let settings = Settings {
+                sidecar: Some(sidecar),
+                ..settings(name, &ledgers)
+            };
+            Daemon::start(&settings, identity(LinkRole::Sidecar)).expect("sidecar")
+        };
+        let engine_sidecar = SidecarSettings {
+            upstream: "engine-1".into(),
+            addr: engine.addr(),
+            models: vec!["m".into()],
+            service: None,
+            concurrency: 8,
+        };
+        let service_sidecar = SidecarSettings {
+            upstream: "orders-1".into(),
+            addr: service.addr(),
+            models: Vec::new(),
+            service: Some("orders".into()),
+            ..engine_sidecar.clone()
+        };
+        let account = |name: &str| AccountSettings {
+            name: name.into(),
+            key: format!("key-{name}").into(),
+        };
+        let entry = |name: &str| {
+            let settings = Settings {
+                entry: Some(EntrySettings::default()),
+                accounts: vec![account("a"), account("b")],
+                ..settings(name, &ledgers)
+            };
+            Daemon::start(&settings, identity(LinkRole::Entry)).expect("entry")
+        };
+        let daemons = vec![
+            entry("entry-1"),
+            entry("entry-2"),
+            sidecar("sidecar-1", engine_sidecar),
+            sidecar("sidecar-2", service_sidecar),
+            ledger,
+        ];
+        let entries = [0, 1].map(|slot: usize| daemons[slot].callers_addr().expect("address"));
+        let cluster = Self {
+            entries,
+            service,
+            _engine: engine,
+            _daemons: daemons,
+        };
+        for entry in cluster.entries {
+            let warm = Ask::default().send_when_known(entry);
+            assert_eq!(warm.0, 200, "{}", warm.1);
+            let warm = Ask {
+                path: "/v1/services/orders",
+                body: "warm",
+                ..Ask::default()
+            };
+            assert_eq!(warm.send_when_known(entry).0, 200);
+        }
+        cluster
+    }
+}
--- /dev/null
+++ b/crates/sapphirequayd/tests/kill.rs
@@ -0,0 +1,184 @@
+//! Processes killed in the midst of calls that may not run twice.
+//!
+//! The service counts what it runs: never twice, and never at all where the
+//! caller was told that nothing ran.
+
+mod common;
+
+use {
+    common::{Ask, CountingService, Processes, Role, kind, wait_until},
+    std::{
+        net::SocketAddr,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Headers of a call that may not run twice.
+fn once(key: &str) -> [(&str, &str); 2] {
+    [
+        ("Idempotency-Key", key),
+        ("Sapphirequay-Idempotent", "false"),
+    ]
+}
+
+fn order<'a>(headers: &'a [(&'a str, &'a str)], body: &'a str) -> Ask<'a> {
+    Ask {
+        path: "/v1/services/orders",
+        headers,
+        body,
+        ..Ask::default()
+    }
+}
+
+/// Starts every process and waits until both entries can reach the service.
+fn start(service: &CountingService) -> Processes {
+    let processes = Processes::start(service.addr());
+    for entry in processes.entries {
+        wait_until("an entry answers", || {
+            order(&[], "warm")
+                .try_send(entry)
+                .is_some_and(|got| got.0 == 200)
+        });
+    }
+    processes
+}
+
+/// Sends an order by a thread of its own and waits until the service runs it.
+fn send_until_it_runs(
+    service: &CountingService,
+    entry: SocketAddr,
+    key: &'static str,
+) -> thread::JoinHandle<Option<(u16, String)>> {
+    let sent = thread::spawn(move || order(&once(key), key).try_send(entry));
+    wait_until("the service runs the order", || service.runs(key) == 1);
+    sent
+}
+
+#[test]
+fn an_order_outlives_its_entry() {
+    let service = CountingService::start(Duration::from_millis(1_500));
+    let mut processes = start(&service);
+    let [one, two] = processes.entries;
+    let sent = send_until_it_runs(&service, one, "order-1");
+    processes.kill(Role::Entry(0));
+    assert_eq!(sent.join().expect("thread"), None, "the entry has gone");
+    // The sidecar kept the answer, and the next entry to hear of the key asks it.
+    let answer = order(&once("order-1"), "order-1").send(two);
+    assert_eq!(answer, (200, "order-1 run 1".to_owned()));
+    processes.run(Role::Entry(0));
+    wait_until("the entry is back", || {
+        let again = order(&once("order-1"), "order-1").try_send(one);
+        again.is_some_and(|again| again == answer)
+    });
+    assert_eq!(service.runs("order-1"), 1);
+}
+
+#[test]
+fn a_killed_sidecar_leaves_an_unknown_outcome() {
+    let service = CountingService::start(Duration::from_millis(800));
+    let mut processes = start(&service);
+    let [one, two] = processes.entries;
+    let sent = send_until_it_runs(&service, one, "order-2");
+    processes.kill(Role::Sidecar);
+    let (_, text) = sent.join().expect("thread").expect("answer");
+    assert_eq!(kind(&text), "outcome_unknown", "{text}");
+    processes.run(Role::Sidecar);
+    wait_until("the new sidecar serves", || {
+        order(&[], "fresh").send(two).0 == 200
+    });
+    for entry in processes.entries {
+        let (_, text) = order(&once("order-2"), "order-2").send(entry);
+        assert_eq!(kind(&text), "outcome_unknown", "{text}");
+    }
+    assert_eq!(service.runs("order-2"), 1);
+}
+
+#[test]
+fn without_a_ledger_nothing_runs() {
+    let service = CountingService::start(Duration::from_millis(300));
+    let mut processes = start(&service);
+    let [one, two] = processes.entries;
+    let sent = send_until_it_runs(&service, one, "order-3");
+    processes.kill(Role::Ledger);
+    let began = Instant::now();
+    let (status, text) = order(&[("Sapphirequay-Idempotent", "false")], "order-4").send(two);
+    assert_eq!(
+        (status, &*kind(&text)),
+        (503, "ledger_unavailable"),
+        "{text}"
+    );
+    assert!(text.contains(r#""not_run":true"#), "{text}");
+    assert_eq!(service.runs("order-4"), 0);
+    // An earlier send of this key may have run, so nobody says that it did not.
+    let (_, text) = order(&once("order-3"), "order-3").send(two);
+    assert_eq!(kind(&text), "ledger_unreachable", "{text}");
+    let (_, text) = sent.join().expect("thread").expect("answer");
+    assert_eq!(kind(&text), "outcome_unknown", "{text}");
+    assert_eq!(service.runs("order-3"), 1);
+    assert!(began.elapsed() < common::LIMIT, "no answer was held back");
+}
+
+#[test]
+fn kills_at_any_moment_never_run_an_order_twice() {
+    const ORDERS: usize = 32;
+    let service = CountingService::start(Duration::from_millis(150));
+    let mut processes = start(&service);
+    let entries = processes.entries;
+    let callers: Vec<_> = (0..ORDERS)
+        .map(|number| {
+            let service = service.clone();
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(100 * number as u64));
+                place(&service, entries, number)
+            })
+        })
+        .collect();
+    for role in [Role::Entry(0), Role::Sidecar, Role::Entry(1), Role::Sidecar] {
+        thread::sleep(Duration::from_millis(620));
+        processes.kill(role);
+        processes.run(role);
+    }
+    let mut whole = 0;
+    for (number, caller) in callers.into_iter().enumerate() {
+        let (status, text) = caller.join().expect("caller");
+        let body = format!("order {number}");
+        let runs = service.runs(&body);
+        assert!(runs <= 1, "{body} ran {runs} times");
+        if status == 200 {
+            assert_eq!((runs, &*text), (1, &*format!("{body} run 1")));
+            whole += 1;
+        } else {
+            assert_eq!(kind(&text), "outcome_unknown", "{text}");
+        }
+    }
+    assert!(
+        whole > ORDERS / 2,
+        "{whole} of {ORDERS} orders were answered"
+    );
+}
+
+/// Places an order as a careful caller does: again with the same key while the
+/// entry dies or says that a resend is worthwhile.
+fn place(service: &CountingService, entries: [SocketAddr; 2], number: usize) -> (u16, String) {
+    let body = format!("order {number}");
+    let headers = once(&body);
+    let mut sends = number;
+    let mut answer = None;
+    wait_until("a last answer", || {
+        sends += 1;
+        let Some((status, text)) = order(&headers, &body).try_send(entries[sends % 2]) else {
+            return false;
+        };
+        if text.contains(r#""not_run":true"#) {
+            assert_eq!(
+                service.runs(&body),
+                0,
+                "{body} ran, but its caller was told {text}"
+            );
+        }
+        answer = Some((status, text));
+        status != 503
+    });
+    answer.expect("answer")
+}
--- /dev/null
+++ b/crates/sapphirequayd/tests/programs.rs
@@ -0,0 +1,240 @@
+//! Programs over real sockets: order, replay, grants, limits, owners.
+
+mod common;
+
+use {
+    common::{Ask, Cluster, field, kind},
+    std::{net::SocketAddr, thread, time::Duration},
+};
+
+const TURN: &str = r#"{"model":"m","max_tokens":4,"messages":[{"role":"user","content":"hi"}]}"#;
+
+/// Creates a program and returns its id.
+fn create(entry: SocketAddr, key: &str, body: &str) -> String {
+    let (status, text) = Ask {
+        path: "/v1/programs",
+        headers: &[("Idempotency-Key", key)],
+        body,
+        ..Ask::default()
+    }
+    .send(entry);
+    assert_eq!(status, 201, "{text}");
+    field(&text, "id").as_str().expect("id").to_owned()
+}
+
+fn show(entry: SocketAddr, id: &str) -> String {
+    let path = format!("/v1/programs/{id}");
+    let (status, text) = Ask {
+        method: "GET",
+        path: &path,
+        ..Ask::default()
+    }
+    .send(entry);
+    assert_eq!(status, 200, "{text}");
+    text
+}
+
+/// Makes call `number` of a program.
+fn turn(entry: SocketAddr, program: &str, number: &str) -> (u16, String) {
+    let key = format!("{program}-{number}");
+    Ask {
+        headers: &[
+            ("Sapphirequay-Program", program),
+            ("Sapphirequay-Call", number),
+            ("Idempotency-Key", &key),
+        ],
+        body: TURN,
+        ..Ask::default()
+    }
+    .send(entry)
+}
+
+#[test]
+fn a_program_pauses_for_a_tool_and_grants_a_sub_agent() {
+    let cluster = Cluster::start(Duration::ZERO);
+    let [one, two] = cluster.entries;
+    let root = create(one, "k", r#"{"budget_tokens":1000}"#);
+    assert_eq!(create(two, "k", r#"{"budget_tokens":1000}"#), root);
+
+    let (status, first) = turn(one, &root, "1");
+    assert_eq!(status, 200, "{first}");
+    let tool = Ask {
+        path: "/v1/services/orders",
+        headers: &[
+            ("Sapphirequay-Program", &root),
+            ("Sapphirequay-Idempotent", "false"),
+            ("Idempotency-Key", "order"),
+        ],
+        body: "12 crates",
+        ..Ask::default()
+    };
+    let (status, ordered) = tool.send(two);
+    assert_eq!((status, &*ordered), (200, "12 crates run 1"));
+    // The next turn comes by the other entry.
+    assert_eq!(turn(two, &root, "3").0, 200);
+
+    let grant = format!(r#"{{"parent":"{root}","budget_tokens":600}}"#);
+    let child = create(two, "grant", &grant);
+    assert_eq!(child, format!("{root}.1"));
+    assert_eq!(turn(one, &child, "1").0, 200);
+    let too_much = format!(r#"{{"parent":"{root}","budget_tokens":900}}"#);
+    let refused = Ask {
+        path: "/v1/programs",
+        body: &too_much,
+        ..Ask::default()
+    }
+    .send(one);
+    assert_eq!((refused.0, &*kind(&refused.1)), (402, "budget_exceeded"));
+
+    // A resend at either entry gets the recorded answers.
+    assert_eq!(turn(two, &root, "1"), (200, first));
+    assert_eq!(tool.send(one), (200, ordered));
+    assert_eq!(cluster.service.runs("12 crates"), 1);
+
+    let status = show(two, &root);
+    assert_eq!(
+        field(&status, "calls").as_array().map(Vec::len),
+        Some(3),
+        "{status}"
+    );
+    assert_eq!(field(&status, "reserved_tokens"), 600);
+    let delete = Ask {
+        method: "DELETE",
+        path: &format!("/v1/programs/{root}"),
+        ..Ask::default()
+    };
+    assert_eq!(delete.send(one).0, 200);
+    assert_eq!(field(&show(two, &child), "ended"), true);
+    assert_eq!(field(&show(two, &root), "reserved_tokens"), 0);
+    let late = turn(one, &root, "4");
+    assert_eq!((late.0, &*kind(&late.1)), (410, "program_ended"));
+}
+
+#[test]
+fn calls_run_in_the_order_of_their_numbers() {
+    let cluster = Cluster::start(Duration::ZERO);
+    let [one, two] = cluster.entries;
+    let program = create(one, "ordered", "");
+    let early = {
+        let program = program.clone();
+        thread::spawn(move || turn(two, &program, "2"))
+    };
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(
+        field(&show(one, &program), "calls")
+            .as_array()
+            .map(Vec::len),
+        Some(0)
+    );
+    assert_eq!(turn(one, &program, "1").0, 200);
+    let (status, text) = early.join().expect("thread");
+    assert_eq!(status, 200, "{text}");
+    let calls = field(&show(one, &program), "calls");
+    assert_eq!(
+        (&calls[0]["number"], &calls[1]["number"]),
+        (&1.into(), &2.into())
+    );
+}
+
+#[test]
+fn resends_that_come_together_run_once() {
+    let cluster = Cluster::start(Duration::from_millis(700));
+    let sends: Vec<_> = (0..6)
+        .map(|slot| {
+            let entry = cluster.entries[slot % 2];
+            thread::spawn(move || {
+                Ask {
+                    path: "/v1/services/orders",
+                    headers: &[
+                        ("Idempotency-Key", "same"),
+                        ("Sapphirequay-Idempotent", "false"),
+                    ],
+                    body: "one truck",
+                    ..Ask::default()
+                }
+                .send(entry)
+            })
+        })
+        .collect();
+    for sent in sends {
+        let answer = sent.join().expect("thread");
+        assert_eq!(answer, (200, "one truck run 1".to_owned()));
+    }
+    let other = Ask {
+        path: "/v1/services/orders",
+        headers: &[
+            ("Idempotency-Key", "same"),
+            ("Sapphirequay-Idempotent", "false"),
+        ],
+        body: "two trucks",
+        ..Ask::default()
+    };
+    assert_eq!(kind(&other.send(cluster.entries[0]).1), "conflict");
+    assert_eq!(cluster.service.runs("two trucks"), 0);
+}
+
+#[test]
+fn refusals_change_nothing() {
+    let cluster = Cluster::start(Duration::ZERO);
+    let [one, two] = cluster.entries;
+    let program = create(one, "small", r#"{"budget_tokens":10}"#);
+    let before = show(one, &program);
+    let path = format!("/v1/programs/{program}");
+    let call = |headers: &[(&str, &str)], account: &str| {
+        let (_, text) = Ask {
+            headers,
+            account,
+            ..Ask::default()
+        }
+        .send(two);
+        assert!(text.contains(r#""not_run":true"#), "{text}");
+        kind(&text)
+    };
+    let of_program = ("Sapphirequay-Program", &*program);
+    assert_eq!(call(&[of_program], "key-a"), "budget_exceeded");
+    assert_eq!(call(&[of_program], "key-b"), "forbidden");
+    assert_eq!(
+        call(&[of_program, ("Sapphirequay-Call", "0")], "key-a"),
+        "bad_request"
+    );
+    assert_eq!(
+        call(&[of_program, ("Sapphirequay-Call", "-1")], "key-a"),
+        "bad_request"
+    );
+    assert_eq!(
+        call(&[("Sapphirequay-Program", "p-1")], "key-a"),
+        "not_found"
+    );
+    assert_eq!(
+        call(&[("Sapphirequay-Program", "x")], "key-a"),
+        "bad_request"
+    );
+    assert_eq!(
+        call(&[("Sapphirequay-Idempotent", "maybe")], "key-a"),
+        "bad_request"
+    );
+    for method in ["GET", "DELETE"] {
+        let strange = Ask {
+            method,
+            path: &path,
+            account: "key-b",
+            ..Ask::default()
+        };
+        assert_eq!(kind(&strange.send(two).1), "forbidden");
+    }
+    let wrong = Ask {
+        path: "/v1/programs",
+        body: r#"{"budget_tokens":-5}"#,
+        ..Ask::default()
+    };
+    assert_eq!(kind(&wrong.send(two).1), "bad_request");
+    let grab = format!(r#"{{"parent":"{program}","budget_tokens":1}}"#);
+    let grab = Ask {
+        path: "/v1/programs",
+        account: "key-b",
+        body: &grab,
+        ..Ask::default()
+    };
+    assert_eq!(kind(&grab.send(two).1), "forbidden");
+    assert_eq!(show(one, &program), before);
+}
