--- a/crates/quay_policy/tests/routing.rs
+++ b/crates/quay_policy/tests/routing.rs
@@ -82,8 +82,15 @@
     let first = router
         .pick(Time::ZERO, &request(1, &blocks), 3)
         .expect("choice");
+    // The first call has ended: its prefill no longer stands before the next one.
+    for number in 0..10 {
+        router.announced(
+            Time::from_millis(5),
+            &announcement(number, 2, Load::default()),
+        );
+    }
     let again = router
-        .pick(Time::ZERO, &request(1, &blocks), 8)
+        .pick(Time::from_millis(5), &request(1, &blocks), 8)
         .expect("choice");
     assert_eq!(first.upstream, again.upstream);
     assert!(again.held > 180, "{}", again.held);
