--- /dev/null
+++ b/crates/quay_log/src/inspect.rs
@@ -0,0 +1,98 @@
+//! Tells what the files of a folder hold, without changing them.
+
+use {
+    crate::{
+        Folder, LogError, Record,
+        segment::{self, End},
+        snapshot,
+    },
+    quay_types::LogIndex,
+    std::fmt,
+};
+
+/// What one file holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FileReport {
+    /// The file.
+    pub name: Box<str>,
+    /// Its size.
+    pub bytes: u64,
+    /// Frames that were read.
+    pub frames: u64,
+    /// Entries in them, replaced ones included.
+    pub entries: u64,
+    /// Least and greatest index of the entries, or the index of a snapshot.
+    pub range: Option<(LogIndex, LogIndex)>,
+    /// What is wrong, and where.
+    pub fault: Option<(u64, Box<str>)>,
+}
+
+impl fmt::Display for FileReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} bytes={} frames={} entries={}",
+            self.name, self.bytes, self.frames, self.entries
+        )?;
+        if let Some((first, last)) = self.range {
+            write!(f, " first={first} last={last}")?;
+        }
+        match &self.fault {
+            Some((offset, what)) => write!(f, " fault_offset={offset} fault={what:?}"),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Tells what every file of a log's folder holds.
+///
+/// # Errors
+///
+/// If a file can't be read; damage is part of the report.
+pub fn inspect(folder: &impl Folder) -> Result<Vec<FileReport>, LogError> {
+    let names = folder.list().map_err(LogError::io("folder"))?;
+    let snapshots = snapshot::list(folder)?;
+    let mut reports = Vec::new();
+    for name in names {
+        let bytes = folder.read(&name).map_err(LogError::io(&name))?;
+        let mut report = FileReport {
+            bytes: bytes.len() as u64,
+            frames: 0,
+            entries: 0,
+            range: None,
+            fault: None,
+            name,
+        };
+        if let Some(number) = segment::number(&report.name) {
+            inspect_segment(&mut report, &bytes, number);
+        } else if snapshots.contains(&report.name) {
+            match snapshot::read(folder, &report.name) {
+                Ok(held) => report.range = Some((held.index, held.index)),
+                Err(err) => report.fault = Some((0, err.to_string().into())),
+            }
+        }
+        reports.push(report);
+    }
+    Ok(reports)
+}
+
+/// Fills in what a segment holds.
+fn inspect_segment(report: &mut FileReport, bytes: &[u8], number: u64) {
+    let (batches, end) = match segment::read(bytes, number) {
+        Ok(read) => read,
+        Err(fault) => {
+            report.fault = Some((fault.offset as u64, fault.what));
+            return;
+        }
+    };
+    report.frames = batches.len() as u64;
+    let records = batches.iter().flat_map(|batch| &batch.records);
+    for index in records.filter_map(Record::index) {
+        report.entries += 1;
+        let (first, last) = report.range.unwrap_or((index, index));
+        report.range = Some((first.min(index), last.max(index)));
+    }
+    if let End::Torn(offset) = end {
+        report.fault = Some((offset as u64, "torn tail".into()));
+    }
+}
--- /dev/null
+++ b/crates/quay_log/tests/files/main.rs
@@ -0,0 +1,5 @@
+//! The log over files that fail, lose bytes and get damaged.
+
+mod crash;
+mod damage;
+mod memory_folder;
