--- a/crates/quay_types/src/ledger.rs
+++ b/crates/quay_types/src/ledger.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         AccountId, CallNumber, ConfigIndex, ContentDigest, Error, Incarnation, Outcome, Permit,
-        PermitId, ProgramId, RequestKey, Tokens, UpstreamId,
+        ProgramId, RequestKey, Tokens, UpstreamId,
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -106,7 +106,7 @@
     /// Program of the call.
     pub program: ProgramId,
     /// Permit of the attempt.
-    pub permit: PermitId,
+    pub permit: Permit,
     /// How the attempt ended.
     pub outcome: Outcome,
 }
@@ -150,6 +150,9 @@
     Begin(Begin),
     /// Close an attempt.
     Settle(Settle),
+    /// The caller was told that the call of this key ended without a whole
+    /// answer; later calls need not wait for it.
+    GiveUp(ProgramId, RequestKey),
     /// End a program.
     End(ProgramId, AccountId),
     /// Tell a program's state and history, confirmed by a quorum.
@@ -167,10 +170,14 @@
     Begin(BeginReply),
     /// The settlement or end is durable.
     Done,
+    /// The call was closed before with this outcome, which stands.
+    Superseded(Outcome),
     /// Answer to `Show`.
     Program(Box<ProgramStatus>),
     /// Answer to `Ended`: those that have.
     Ended(Box<[ProgramId]>),
+    /// The request was proposed and may yet be carried out; send it again.
+    Unknown,
     /// Another replica leads the group; its address, if known.
     Redirect(Option<SocketAddr>),
     /// The request was not carried out.
