--- a/crates/quay_ledger/src/lib.rs
+++ b/crates/quay_ledger/src/lib.rs
@@ -30,6 +30,7 @@
 mod command;
 mod history;
 mod ledger;
+mod permit_book;
 mod program;
 mod settings;
 
@@ -38,6 +39,7 @@
     command::{Answer, Command, Op, Query, Reply},
     history::{CallChunk, History, MemoryHistory},
     ledger::{Ledger, LedgerSnapshot},
+    permit_book::PermitBook,
     program::{LostAttempt, OpenCall, Program},
     settings::LedgerLimits,
 };
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use {
     process::{Clock, Daemon, Group, GroupError, GroupMsg, Machine, Mailbox, StartError, spawn},
-    request::{PermitBook, Splice, Spliced},
+    request::{Splice, Spliced},
     settings::{
         AccountSettings, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
         Settings, SettingsError, SidecarSettings,
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -8,11 +8,12 @@
             directory::{Directory, DirectoryMsg},
             spawn,
         },
-        request::{Attempts, CallContext, PermitBook, answer_inquiry, serve_attempt},
+        request::{Attempts, CallContext, answer_inquiry, serve_attempt},
         settings::{EntrySettings, Settings, SidecarSettings},
         version::{Current, Rules},
         wire::LinkRequest,
     },
+    quay_ledger::PermitBook,
     quay_ledger::{Ledger, LedgerLimits},
     quay_link::{Identity, Incoming, LinkError, LinkRole, LinkSettings, Links},
     quay_types::{
--- a/crates/sapphirequayd/src/process/permits.rs
+++ b/crates/sapphirequayd/src/process/permits.rs
@@ -1,7 +1,8 @@
 //! The actor that holds a sidecar's permits.
 
 use {
-    crate::{process::Machine, request::PermitBook},
+    crate::process::Machine,
+    quay_ledger::PermitBook,
     quay_types::{CallEvent, Incarnation, Permit, PermitFate, PermitId, Time},
     std::{sync::mpsc::SyncSender, time::Duration},
 };
--- a/crates/sapphirequayd/src/request/mod.rs
+++ b/crates/sapphirequayd/src/request/mod.rs
@@ -7,7 +7,6 @@
 mod inquire;
 mod offer;
 mod order;
-mod permit_book;
 mod recorded;
 mod splice;
 
@@ -18,7 +17,6 @@
     delivery::Delivery,
     offer::{AttemptEnd, run_attempt},
     order::CallOrder,
-    permit_book::PermitBook,
     recorded::RecordedAnswer,
     splice::{Splice, Spliced},
 };
