Keep the directory of upstreams by leases, and tell readers what changed

There is no list of upstreams. Lines are kept under leases with incarnation and sequence; more than one missed heartbeat, answers that do not arrive, or the complaints of two readers make a line suspect before its lease ends. Readers get changes since their versions; a load is rounded to a few bytes and sent only when it differs. Answers are bounded, so a rack that starts at once does not flood anyone; a host that has just restarted does not take upstreams away.

The property test found that one version for announcements and loads loses a line whose load changed between two parts of a long answer; they now have a version each.

--- /dev/null
+++ b/crates/quay_members/tests/directory.rs
@@ -0,0 +1,330 @@
+//! Tests of the directory and of its readers.
+
+use {
+    indexmap::IndexSet,
+    proptest::prelude::*,
+    quay_members::{
+        Changes, ChangesRequest, Complaint, Directory, Heartbeat, HostContact, MembersReply,
+        MembersRequest, MembersSettings, Suspicion, View,
+    },
+    quay_types::{
+        Announcement, Incarnation, Load, ModelId, Time, UpstreamId, UpstreamKind, UpstreamState,
+    },
+    std::net::SocketAddr,
+};
+
+/// Most bytes a second that a daemon may spend on control.
+const CONTROL_BYTES: usize = 21_000;
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn directory() -> Directory {
+    Directory::new(at(0), 1, MembersSettings::default())
+}
+
+fn announcement(n: u32, incarnation: u64, sequence: u64) -> Announcement {
+    Announcement {
+        name: format!("agent-llm-{n:03}").into(),
+        incarnation: Incarnation(incarnation),
+        sequence,
+        addr: SocketAddr::from(([10, 0, 0, 1], 7000)),
+        data_centre: "it-north-2".into(),
+        kind: UpstreamKind::Engine {
+            models: Box::new([ModelId::of("agent-llm"), ModelId::of("agent-small")]),
+        },
+        state: UpstreamState::Serving,
+        load: Load {
+            queued: n % 7,
+            running: 20 + n % 13,
+            backlog: 9_000 + u64::from(n) * 300,
+            kv_permille: 800,
+            token_gap_us: 30_000,
+            age_ms: 90,
+        },
+    }
+}
+
+fn beat(n: u32, sequence: u64, acked: u64) -> Heartbeat {
+    let announcement = announcement(n, 1, sequence);
+    Heartbeat {
+        upstream: announcement.upstream(),
+        incarnation: Incarnation(1),
+        sequence,
+        acked,
+        state: UpstreamState::Serving,
+        load: announcement.load,
+    }
+}
+
+fn suspicion(directory: &Directory, millis: u64) -> Option<Suspicion> {
+    directory.members(at(millis))[0].suspicion
+}
+
+/// Reads until nothing is missing.
+fn read(directory: &mut Directory, view: &mut View, now: Time) -> usize {
+    let mut reads = 0;
+    loop {
+        let changes = directory.changes(now, &view.ask(1));
+        assert!(view.learn(now, changes));
+        reads += 1;
+        if !view.more() {
+            return reads;
+        }
+    }
+}
+
+#[test]
+fn more_than_one_missed_heartbeat_is_suspect_and_a_lapsed_lease_is_gone() {
+    let mut directory = directory();
+    directory.announce(at(0), announcement(1, 1, 1));
+    directory.tick(at(1_400));
+    assert_eq!(suspicion(&directory, 1_400), None);
+    directory.tick(at(1_800));
+    assert_eq!(suspicion(&directory, 1_800), Some(Suspicion::Silent));
+    assert_eq!(
+        directory.members(at(1_800))[0].state,
+        UpstreamState::Failing
+    );
+    directory.heartbeat(at(1_900), &beat(1, 2, 1));
+    assert_eq!(suspicion(&directory, 1_900), None);
+    directory.tick(at(6_899));
+    assert_eq!(directory.len(), 1);
+    directory.tick(at(6_900));
+    assert_eq!(directory.len(), 0);
+}
+
+#[test]
+fn a_link_that_is_dead_one_way_is_suspect() {
+    let mut directory = directory();
+    directory.announce(at(0), announcement(1, 1, 1));
+    for n in 2..=4 {
+        assert_eq!(suspicion(&directory, 0), None);
+        directory.heartbeat(at(n * 500), &beat(1, n, 0));
+    }
+    assert_eq!(suspicion(&directory, 2_000), Some(Suspicion::OneWay));
+    directory.heartbeat(at(2_500), &beat(1, 5, 4));
+    assert_eq!(suspicion(&directory, 2_500), None);
+}
+
+#[test]
+fn an_upstream_that_answers_heartbeats_only_is_failing() {
+    let mut directory = directory();
+    directory.announce(at(0), announcement(1, 1, 1));
+    let complaint = |reader, incarnation| ChangesRequest {
+        reader,
+        run: 1,
+        announced: 0,
+        version: 0,
+        complaints: Box::new([Complaint {
+            upstream: UpstreamId::of("agent-llm-001"),
+            incarnation: Incarnation(incarnation),
+        }]),
+    };
+    // One reader alone may have a fault of its own.
+    directory.changes(at(100), &complaint(1, 1));
+    directory.changes(at(200), &complaint(1, 1));
+    directory.changes(at(300), &complaint(2, 9));
+    assert_eq!(suspicion(&directory, 300), None);
+    let changes = directory.changes(at(400), &complaint(2, 1));
+    assert_eq!(changes.full[0].load.state, UpstreamState::Failing);
+    for n in 2..25 {
+        directory.heartbeat(at(n * 500), &beat(1, n, n - 1));
+    }
+    assert_eq!(suspicion(&directory, 12_000), None);
+}
+
+#[test]
+fn word_of_the_past_does_not_bring_an_upstream_back() {
+    let mut directory = directory();
+    directory.announce(at(0), announcement(1, 2, 7));
+    let late = directory.announce(at(1), announcement(1, 1, 99));
+    assert_eq!(late, MembersReply::Superseded);
+    assert_eq!(
+        directory.announce(at(2), announcement(1, 2, 6)),
+        MembersReply::Heard(7)
+    );
+    directory.tick(at(5_000));
+    assert!(directory.is_empty());
+    directory.announce(at(5_001), announcement(1, 2, 7));
+    directory.announce(at(5_002), announcement(1, 1, 8));
+    assert!(directory.is_empty());
+    directory.announce(at(5_003), announcement(1, 3, 1));
+    assert_eq!(directory.len(), 1);
+}
+
+#[test]
+fn a_drain_mark_outlives_the_sidecar() {
+    let mut directory = directory();
+    directory.set_drained(at(0), [UpstreamId::of("agent-llm-001")].into());
+    for incarnation in 1..3 {
+        directory.announce(at(incarnation), announcement(1, incarnation, 1));
+        assert_eq!(directory.members(at(1))[0].state, UpstreamState::Draining);
+    }
+    directory.set_drained(at(3), IndexSet::new());
+    assert_eq!(directory.members(at(3))[0].state, UpstreamState::Serving);
+}
+
+#[test]
+fn a_restarted_host_does_not_take_upstreams_away() {
+    let mut view = View::default();
+    let mut old = directory();
+    for n in 0..10 {
+        old.announce(at(0), announcement(n, 1, 1));
+    }
+    read(&mut old, &mut view, at(2_000));
+    assert!(view.complete());
+    let mut new = Directory::new(at(3_000), 2, MembersSettings::default());
+    new.announce(at(3_100), announcement(3, 1, 5));
+    read(&mut new, &mut view, at(3_200));
+    assert_eq!(view.entries(at(3_200)).len(), 10);
+    // Those that have not come after a few heartbeats are gone.
+    new.heartbeat(at(5_000), &beat(3, 6, 5));
+    read(&mut new, &mut view, at(5_000));
+    assert_eq!(view.entries(at(5_000)).len(), 1);
+}
+
+#[test]
+fn a_host_that_lost_its_memory_is_told_everything_again() {
+    let mut contact = HostContact::default();
+    let mut host = directory();
+    for sequence in 1..4 {
+        let reply = host.handle(at(sequence), contact.tell(&announcement(1, 1, sequence)));
+        contact.heard(Some(&reply));
+    }
+    assert!(matches!(
+        contact.tell(&announcement(1, 1, 4)),
+        MembersRequest::Heartbeat(_)
+    ));
+    let mut host = directory();
+    for sequence in 4..6 {
+        let reply = host.handle(at(sequence), contact.tell(&announcement(1, 1, sequence)));
+        contact.heard(Some(&reply));
+    }
+    assert_eq!(host.len(), 1);
+}
+
+#[test]
+fn six_hundred_workers_fit_into_a_readers_share() {
+    let mut directory = directory();
+    let mut view = View::default();
+    for n in 0..600 {
+        directory.announce(at(0), announcement(n, 1, 1));
+    }
+    // All at once, as after a rack came back: each answer is bounded.
+    let settings = MembersSettings::default();
+    loop {
+        let changes = directory.changes(at(10), &view.ask(1));
+        let bytes = postcard::to_stdvec(&changes).expect("bytes").len();
+        // Four such answers a second are read at most.
+        assert!(bytes * 4 < CONTROL_BYTES, "{bytes} bytes");
+        assert!(changes.full.len() <= settings.full_lines);
+        view.learn(at(10), changes);
+        if !view.more() {
+            break;
+        }
+    }
+    assert_eq!(view.entries(at(10)).len(), 600);
+    for n in 0..600 {
+        let mut beat = beat(n, 2, 1);
+        beat.load.backlog += 5_000;
+        beat.load.running += 1;
+        directory.heartbeat(at(1_000), &beat);
+    }
+    let changes = directory.changes(at(1_000), &view.ask(1));
+    assert_eq!(changes.loads.len(), 600);
+    let bytes = postcard::to_stdvec(&changes).expect("bytes").len();
+    assert!(bytes * 2 < CONTROL_BYTES, "{bytes} bytes for all loads");
+    // A load that did not change is not sent again.
+    for n in 0..600 {
+        let mut beat = beat(n, 3, 2);
+        beat.load.backlog += 5_000;
+        beat.load.running += 1;
+        directory.heartbeat(at(2_000), &beat);
+    }
+    assert!(view.learn(at(1_000), changes));
+    let changes = directory.changes(at(2_000), &view.ask(1));
+    assert!(changes.loads.is_empty() && changes.full.is_empty());
+}
+
+/// What happens to a directory.
+#[derive(Debug, Clone)]
+enum Event {
+    Announce(u32, u64, u64),
+    Heartbeat(u32, u64, u64),
+    Wait(u64),
+    Read(bool),
+    Drain(u32),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        (0u32..8, 1u64..4, 1u64..20).prop_map(|(n, run, seq)| Event::Announce(n, run, seq)),
+        (0u32..8, 1u64..20, 0u64..20).prop_map(|(n, seq, acked)| Event::Heartbeat(n, seq, acked)),
+        (1u64..3_000).prop_map(Event::Wait),
+        any::<bool>().prop_map(Event::Read),
+        (0u32..8).prop_map(Event::Drain),
+    ]
+}
+
+proptest! {
+    /// Whatever happens, a reader that reads to the end holds exactly the
+    /// host's lines, and runs of a sidecar never go back.
+    #[test]
+    fn readers_end_up_with_the_hosts_lines(events in prop::collection::vec(event(), 1..60)) {
+        let settings = MembersSettings { full_lines: 3, lines: 4, ..MembersSettings::default() };
+        let mut directory = Directory::new(at(0), 1, settings);
+        let mut view = View::default();
+        let mut now = 10_000;
+        for event in events {
+            let before = directory.members(at(now));
+            match event {
+                Event::Announce(n, run, seq) => drop(directory.announce(at(now), announcement(n, run, seq))),
+                Event::Heartbeat(n, seq, acked) => drop(directory.heartbeat(at(now), &beat(n, seq, acked))),
+                Event::Wait(millis) => {
+                    now += millis;
+                    directory.tick(at(now));
+                }
+                // One read may be cut short, or its answer lost.
+                Event::Read(arrives) => {
+                    let changes = directory.changes(at(now), &view.ask(1));
+                    if arrives {
+                        prop_assert!(view.learn(at(now), changes));
+                    }
+                }
+                Event::Drain(n) => directory.set_drained(at(now), [announcement(n, 1, 1).upstream()].into()),
+            }
+            for old in before {
+                let after = directory.members(at(now));
+                let line = after.iter().find(|line| line.announcement.name == old.announcement.name);
+                prop_assert!(line.is_none_or(|line| line.announcement.incarnation >= old.announcement.incarnation));
+            }
+        }
+        read(&mut directory, &mut view, at(now));
+        let mut held: Vec<_> = view.entries(at(now)).iter().map(|entry| {
+            let announcement = &entry.announcement;
+            (announcement.name.clone(), announcement.incarnation, announcement.state, announcement.load.queued)
+        }).collect();
+        let mut kept: Vec<_> = directory.members(at(now)).iter().map(|line| {
+            let announcement = &line.announcement;
+            (announcement.name.clone(), announcement.incarnation, line.state, announcement.load.queued)
+        }).collect();
+        held.sort_by(|a, b| a.0.cmp(&b.0));
+        kept.sort_by(|a, b| a.0.cmp(&b.0));
+        prop_assert_eq!(held, kept);
+    }
+
+    #[test]
+    fn bytes_from_outside_do_not_panic(bytes: Vec<u8>) {
+        if let Ok(req) = postcard::from_bytes::<MembersRequest>(&bytes) {
+            directory().handle(at(1), req);
+        }
+        if let Ok(changes) = postcard::from_bytes::<Changes>(&bytes) {
+            View::default().learn(at(1), changes);
+        }
+        if let Ok(reply) = postcard::from_bytes::<MembersReply>(&bytes) {
+            HostContact::default().heard(Some(&reply));
+        }
+    }
+}
