--- a/crates/sapphirequayd/tests/programs.rs
+++ b/crates/sapphirequayd/tests/programs.rs
@@ -182,8 +182,8 @@
     let path = format!("/v1/programs/{program}");
     let call = |headers: &[(&str, &str)], account: &str| {
         let (_, text) = Ask {
-            headers,
             account,
+            headers,
             ..Ask::default()
         }
         .send(two);
