--- a/crates/sapphirequayd/tests/permits.rs
+++ b/crates/sapphirequayd/tests/permits.rs
@@ -2,11 +2,12 @@
 
 use {
     proptest::prelude::*,
+    quay_ledger::PermitBook,
     quay_types::{
         Attempt, CallEvent, Epoch, GroupId, Incarnation, LogIndex, Permit, PermitFate, PermitId,
         RequestKey, Tokens, UpstreamId,
     },
-    sapphirequayd::{PermitBook, Splice, Spliced},
+    sapphirequayd::{Splice, Spliced},
 };
 
 const UPSTREAM: UpstreamId = UpstreamId(1);
