--- a/crates/quay_standin/src/lib.rs
+++ b/crates/quay_standin/src/lib.rs
@@ -12,4 +12,4 @@
 
 mod engine;
 
-pub use engine::{Engine, EngineSettings};
+pub use engine::{Engine, EngineCounts, EngineSettings};
--- a/crates/sapphirequay/src/demo.rs
+++ b/crates/sapphirequay/src/demo.rs
@@ -36,6 +36,7 @@
         process: ProcessSettings {
             name: name.into(),
             data_centre: "demo-1".into(),
+            ..ProcessSettings::default()
         },
         link: LinkTableSettings {
             ledgers: ledgers.into(),
--- a/crates/sapphirequayd/src/connection/answer.rs
+++ b/crates/sapphirequayd/src/connection/answer.rs
@@ -1,8 +1,8 @@
 //! Writes answers to callers: server-sent events or one JSON body.
 
 use {
-    crate::request::Answer,
-    quay_types::{Error, FinishReason, Tokens},
+    crate::request::{Answer, Usage},
+    quay_types::{Error, FinishReason},
     serde_json::{Value, json},
     std::io::{self, Write},
 };
@@ -10,45 +10,88 @@
 /// Reason phrase of a status; callers' libraries read the number only.
 const fn reason(status: u16) -> &'static str {
     match status {
-        200 => "OK",
+        200..=299 => "OK",
         400..=499 => "Refused",
         _ => "Failed",
     }
 }
 
-/// Writes a whole response.
-pub fn write_json(
+/// What every answer to one request shares.
+#[derive(Debug, Clone)]
+pub struct AnswerHead {
+    /// Number of the request in this process, for logs.
+    pub number: u64,
+    /// Id of the completion.
+    pub id: Box<str>,
+    /// Model that the caller named.
+    pub model: Box<str>,
+    /// Seconds since the Unix epoch.
+    pub created: u64,
+    /// Whether the last event of a stream tells the tokens used.
+    pub usage_event: bool,
+}
+
+/// Writes a whole response. The connection can be used again
+/// unless a header says otherwise.
+pub fn write_body(
     out: &mut impl Write,
     status: u16,
+    number: u64,
     headers: &str,
-    body: &Value,
+    body: &[u8],
 ) -> io::Result<()> {
-    let body = body.to_string();
     write!(
         out,
-        "HTTP/1.1 {status} {}\r\ncontent-type: application/json\r\n",
-        reason(status)
-    )?;
-    write!(
-        out,
-        "content-length: {}\r\n{headers}connection: close\r\n\r\n{body}",
+        "HTTP/1.1 {status} {}\r\nsapphirequay-request: {number}\r\n{headers}content-length: {}\r\n\r\n",
+        reason(status),
         body.len()
     )?;
+    out.write_all(body)?;
     out.flush()
 }
 
+/// Writes a whole response in JSON.
+pub fn write_json(
+    out: &mut impl Write,
+    status: u16,
+    number: u64,
+    headers: &str,
+    body: &Value,
+) -> io::Result<()> {
+    let headers = format!("content-type: application/json\r\n{headers}");
+    write_body(out, status, number, &headers, body.to_string().as_bytes())
+}
+
 /// Writes an error as a whole response.
-pub fn write_error(out: &mut impl Write, err: &Error) -> io::Result<()> {
+pub fn write_error(out: &mut impl Write, number: u64, err: &Error) -> io::Result<()> {
+    write_error_with(out, number, err, "")
+}
+
+/// Writes an error as the last response of its connection.
+pub fn write_last_error(out: &mut impl Write, number: u64, err: &Error) -> io::Result<()> {
+    write_error_with(out, number, err, "connection: close\r\n")
+}
+
+/// Writes an error with further `headers`.
+fn write_error_with(
+    out: &mut impl Write,
+    number: u64,
+    err: &Error,
+    headers: &str,
+) -> io::Result<()> {
     let headers = match err.retry_after_s() {
-        Some(seconds) => format!("retry-after: {seconds}\r\n"),
-        None => String::new(),
+        Some(seconds) => format!("retry-after: {seconds}\r\n{headers}"),
+        None => headers.to_owned(),
     };
-    write_json(out, err.kind.status(), &headers, &error_json(err))
+    write_json(out, err.kind.status(), number, &headers, &error_json(err))
 }
 
 /// The JSON form of an error.
 pub fn error_json(err: &Error) -> Value {
-    json!({"error": {"kind": err.kind.name(), "message": err.message, "not_run": err.kind.not_run()}})
+    json!({"error": {
+        "kind": err.kind.name(), "type": err.kind.name(), "code": err.kind.name(),
+        "message": err.message, "not_run": err.kind.not_run(),
+    }})
 }
 
 /// Name of a finish reason.
@@ -59,35 +102,55 @@
     }
 }
 
+/// The token counts of an answer.
+fn usage_json(usage: Usage) -> Value {
+    json!({
+        "prompt_tokens": usage.prompt.0,
+        "completion_tokens": usage.output.0,
+        "total_tokens": usage.prompt.0 + usage.output.0,
+        "prompt_tokens_details": {"cached_tokens": usage.cached.0},
+    })
+}
+
+// ----------------------------------------------------------------------------
+// Events
+
 /// Answers with server-sent events over a chunked body.
 pub struct EventAnswer<W> {
     out: W,
-    id: Box<str>,
-    model: Box<str>,
+    head: AnswerHead,
+    /// Whether the response's head is written: from then on errors are events.
     started: bool,
+    /// Bytes of the answer so far.
+    bytes: u64,
+    /// Checksum of the answer so far.
+    checksum: crc32fast::Hasher,
 }
 
 impl<W: Write> EventAnswer<W> {
-    /// An answer to the request `id`.
-    pub fn new(out: W, id: impl Into<Box<str>>, model: impl Into<Box<str>>) -> Self {
+    /// An answer to one request.
+    pub fn new(out: W, head: AnswerHead) -> Self {
         Self {
             out,
-            id: id.into(),
-            model: model.into(),
+            head,
             started: false,
+            bytes: 0,
+            checksum: crc32fast::Hasher::new(),
         }
     }
 
     /// Writes the head before the first event.
     fn start(&mut self) -> io::Result<()> {
-        if !self.started {
-            self.started = true;
-            self.out.write_all(
-                b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncache-control: no-cache\r\n\
-                transfer-encoding: chunked\r\nconnection: close\r\n\r\n",
-            )?;
+        if self.started {
+            return Ok(());
         }
-        Ok(())
+        self.started = true;
+        write!(
+            self.out,
+            "HTTP/1.1 200 OK\r\nsapphirequay-request: {}\r\ncontent-type: text/event-stream\r\n\
+            cache-control: no-cache\r\ntransfer-encoding: chunked\r\n\r\n",
+            self.head.number
+        )
     }
 
     /// Writes one chunk and flushes it: the caller waits for each event.
@@ -97,20 +160,31 @@
         self.out.flush()
     }
 
-    /// Writes one completion chunk.
-    fn completion(&mut self, delta: &Value, finish: Option<&str>, usage: &Value) -> io::Result<()> {
-        let event = json!({
-            "id": self.id, "object": "chat.completion.chunk", "model": self.model,
-            "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
-            "usage": usage,
+    /// Writes one completion chunk with `extra` fields beside the common ones.
+    fn completion(&mut self, choices: &Value, extra: &[(&str, Value)]) -> io::Result<()> {
+        let mut event = json!({
+            "id": self.head.id, "object": "chat.completion.chunk",
+            "created": self.head.created, "model": self.head.model, "choices": choices,
         });
+        for (name, value) in extra {
+            event[*name] = value.clone();
+        }
         self.chunk(&format!("data: {event}\n\n"))
     }
 
+    /// Says who speaks, once, before the text, as callers' libraries expect.
+    fn role(&mut self) -> io::Result<()> {
+        if self.started {
+            return Ok(());
+        }
+        let delta = json!({"role": "assistant", "content": ""});
+        self.completion(&json!([choice(&delta, None)]), &[])
+    }
+
     /// Reports an error: as a status if nothing was written, else as an event.
     pub fn fail(&mut self, err: &Error) -> io::Result<()> {
         if !self.started {
-            return write_error(&mut self.out, err);
+            return write_error(&mut self.out, self.head.number, err);
         }
         self.chunk(&format!("event: error\ndata: {}\n\n", error_json(err)))?;
         self.finish()
@@ -123,48 +197,69 @@
     }
 }
 
+/// The only choice of an event.
+fn choice(delta: &Value, finish: Option<&str>) -> Value {
+    json!({"index": 0, "delta": delta, "finish_reason": finish})
+}
+
 impl<W: Write> Answer for EventAnswer<W> {
     fn delta(&mut self, text: &str) -> io::Result<()> {
-        self.completion(&json!({"content": text}), None, &Value::Null)
+        self.role()?;
+        let offset = json!({"offset": self.bytes});
+        self.bytes += text.len() as u64;
+        self.checksum.update(text.as_bytes());
+        let choices = json!([choice(&json!({"content": text}), None)]);
+        self.completion(&choices, &[("sapphirequay", offset)])
     }
 
     fn heartbeat(&mut self) -> io::Result<()> {
+        self.role()?;
         self.chunk(": heartbeat\n\n")
     }
 
-    fn end(&mut self, finish: FinishReason, prompt: Tokens, output: Tokens) -> io::Result<()> {
-        self.completion(
-            &json!({}),
-            Some(finish_name(finish)),
-            &usage(prompt, output),
-        )?;
+    fn end(&mut self, finish: FinishReason, usage: Usage) -> io::Result<()> {
+        self.role()?;
+        let mark = json!({
+            "bytes": self.bytes, "tokens": usage.output.0,
+            "crc32": format!("{:08x}", self.checksum.clone().finalize()),
+        });
+        let choices = json!([choice(&json!({}), Some(finish_name(finish)))]);
+        self.completion(&choices, &[("sapphirequay", mark)])?;
+        if self.head.usage_event {
+            self.completion(&json!([]), &[("usage", usage_json(usage))])?;
+        }
         self.chunk("data: [DONE]\n\n")?;
         self.finish()
     }
+
+    fn body(&mut self, status: u16, body: &[u8]) -> io::Result<()> {
+        write_body(&mut self.out, status, self.head.number, "", body)
+    }
 }
 
+// ----------------------------------------------------------------------------
+// One body
+
 /// Collects the answer and writes it whole.
 pub struct WholeAnswer<W> {
     out: W,
-    id: Box<str>,
-    model: Box<str>,
+    head: AnswerHead,
     text: String,
 }
 
 impl<W: Write> WholeAnswer<W> {
-    /// An answer to the request `id`.
-    pub fn new(out: W, id: impl Into<Box<str>>, model: impl Into<Box<str>>) -> Self {
+    /// An answer to one request.
+    pub fn new(out: W, head: AnswerHead) -> Self {
         Self {
             out,
-            id: id.into(),
-            model: model.into(),
+            head,
             text: String::new(),
         }
     }
 
     /// Reports an error.
     pub fn fail(&mut self, err: &Error) -> io::Result<()> {
-        write_error(&mut self.out, err)
+        write_error(&mut self.out, self.head.number, err)
     }
 }
 
@@ -178,20 +273,24 @@
         Ok(())
     }
 
-    fn end(&mut self, finish: FinishReason, prompt: Tokens, output: Tokens) -> io::Result<()> {
+    fn end(&mut self, finish: FinishReason, usage: Usage) -> io::Result<()> {
         let body = json!({
-            "id": self.id, "object": "chat.completion", "model": self.model,
+            "id": self.head.id, "object": "chat.completion",
+            "created": self.head.created, "model": self.head.model,
             "choices": [{
                 "index": 0, "finish_reason": finish_name(finish),
                 "message": {"role": "assistant", "content": self.text},
             }],
-            "usage": usage(prompt, output),
+            "usage": usage_json(usage),
+            "sapphirequay": {
+                "bytes": self.text.len(), "tokens": usage.output.0,
+                "crc32": format!("{:08x}", crc32fast::hash(self.text.as_bytes())),
+            },
         });
-        write_json(&mut self.out, 200, "", &body)
+        write_json(&mut self.out, 200, self.head.number, "", &body)
     }
-}
 
-/// The token counts of an answer.
-fn usage(prompt: Tokens, output: Tokens) -> Value {
-    json!({"prompt_tokens": prompt.0, "completion_tokens": output.0, "total_tokens": prompt.0 + output.0})
+    fn body(&mut self, status: u16, body: &[u8]) -> io::Result<()> {
+        write_body(&mut self.out, status, self.head.number, "", body)
+    }
 }
--- a/crates/sapphirequayd/src/connection/edge.rs
+++ b/crates/sapphirequayd/src/connection/edge.rs
@@ -2,8 +2,15 @@
 
 use {
     crate::{
-        connection::answer::{EventAnswer, WholeAnswer, write_error, write_json},
+        connection::{
+            answer::{AnswerHead, EventAnswer, WholeAnswer, write_body, write_json},
+            body::{read_body, refuse},
+            listener,
+            route::Route,
+        },
+        process::{Clock, Lifecycle, telemetry},
         request::{CallContext, Completion, run_call},
+        settings::EntrySettings,
         version::Current,
     },
     quay_types::{
@@ -13,22 +20,28 @@
     rand::Rng as _,
     serde_json::json,
     std::{
-        io::{self, Read as _},
-        net::{SocketAddr, TcpListener},
+        io,
+        net::SocketAddr,
+        ops::ControlFlow,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         thread,
+        time::Instant,
     },
-    tiny_http::{Method, Request, Server},
+    tiny_http::Request,
 };
 
-/// Largest body that a caller may send.
-const MAX_BODY_BYTES: u64 = 16 << 20;
-
 /// Stack of the thread that serves one request.
 const REQUEST_STACK_BYTES: usize = 256 << 10;
 
 /// Deadline of a call where the caller names none.
 const DEFAULT_DEADLINE_MS: u64 = 600_000;
 
+/// Receive timeouts that a whole body may take.
+const BODY_TIMEOUTS: u32 = 3;
+
 /// What requests on one entry share.
 #[derive(Debug, Clone)]
 pub struct EntryContext {
@@ -36,6 +49,10 @@
     pub calls: CallContext,
     /// Rules in force.
     pub rules: Current,
+    /// Whether new requests are taken.
+    pub lifecycle: Lifecycle,
+    /// Limits of the callers' interface.
+    pub settings: EntrySettings,
 }
 
 /// The listener for callers.
@@ -45,17 +62,25 @@
 }
 
 impl Edge {
-    /// Starts to serve callers on `listener`.
+    /// Starts to serve callers on the address of the settings.
     ///
     /// # Errors
     ///
-    /// Fails if the listener is unusable.
-    pub fn start(listener: TcpListener, cx: EntryContext) -> io::Result<Self> {
+    /// Fails if the address is taken.
+    pub fn start(cx: EntryContext) -> io::Result<Self> {
+        let listener = listener::bind(&cx.settings)?;
         let local = listener.local_addr()?;
-        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let read_timeout = cx.settings.read_timeout();
         thread::Builder::new()
-            .name("edge".into())
-            .spawn(move || accept(&server, &cx))?;
+            .name("edge-wake".into())
+            .spawn(move || listener::keep_awake(local, read_timeout))?;
+        let numbers = Arc::new(AtomicU64::new(1));
+        thread::Builder::new().name("edge".into()).spawn(move || {
+            listener::serve_forever(&listener, read_timeout, move |req| {
+                accept(&cx, &numbers, req);
+                ControlFlow::Continue(())
+            });
+        })?;
         Ok(Self { local })
     }
 
@@ -65,41 +90,116 @@
     }
 }
 
-/// Gives each request a thread of its own.
-fn accept(server: &Server, cx: &EntryContext) {
-    while let Ok(req) = server.recv() {
-        let cx = cx.clone();
-        let spawned = thread::Builder::new()
-            .name("request".into())
-            .stack_size(REQUEST_STACK_BYTES)
-            .spawn(move || serve(&cx, req));
-        if let Err(err) = spawned {
-            log::error!("event=request_dropped cause={err:?}");
-        }
+/// Gives a request a number and a thread.
+fn accept(cx: &EntryContext, numbers: &AtomicU64, req: Request) {
+    let number = numbers.fetch_add(1, Ordering::Relaxed);
+    let cx = cx.clone();
+    let spawned = thread::Builder::new()
+        .name("request".into())
+        .stack_size(REQUEST_STACK_BYTES)
+        .spawn(move || serve(&cx, number, req));
+    if let Err(err) = spawned {
+        log::error!("event=request_dropped req={number} cause={err:?}");
     }
 }
 
-/// Serves one request.
-fn serve(cx: &EntryContext, mut req: Request) {
-    let path: Box<str> = req.url().split('?').next().unwrap_or_default().into();
-    let served = match (req.method(), &*path) {
-        (Method::Get, "/healthz") => {
-            write_json(&mut req.into_writer(), 200, "", &json!({"status": "ok"}))
-        }
-        (Method::Post, "/v1/chat/completions") => match admit(cx, &mut req) {
-            Ok((account, body)) => complete(cx, account, &body, req),
-            Err(err) => write_error(&mut req.into_writer(), &err),
-        },
-        _ => {
-            let err = Error::new(ErrorKind::NotFound, format!("no such path: {path}"));
-            write_error(&mut req.into_writer(), &err)
+/// How a request was answered.
+type Served = io::Result<Result<()>>;
+
+/// Serves one request and reports how it went.
+fn serve(cx: &EntryContext, number: u64, req: Request) {
+    let started = Instant::now();
+    let route = Route::of(req.method().as_str(), req.url());
+    let name = route.as_ref().map_or("none", |route| route.name());
+    let served = match route {
+        Ok(route) => serve_route(cx, number, route, req),
+        Err(err) => refuse(req, number, &err).map(|()| Err(err)),
+    };
+    report(number, name, started, &served);
+}
+
+/// Logs and counts a served request.
+fn report(number: u64, route: &'static str, started: Instant, served: &Served) {
+    let outcome = match served {
+        Ok(Ok(())) => "ok",
+        Ok(Err(err)) => err.kind.name(),
+        Err(_) => "caller_gone",
+    };
+    let elapsed = started.elapsed();
+    metrics::counter!("sapphirequay_requests_total", "route" => route, "outcome" => outcome)
+        .increment(1);
+    metrics::histogram!("sapphirequay_request_seconds", "route" => route)
+        .record(elapsed.as_secs_f64());
+    let ms = elapsed.as_millis();
+    match served {
+        Ok(Ok(())) => log::info!("event=request req={number} route={route} outcome=ok ms={ms}"),
+        Ok(Err(err)) => log::info!(
+            "event=request req={number} route={route} outcome={outcome} ms={ms} cause={:?}",
+            err.message
+        ),
+        Err(err) => log::info!(
+            "event=request req={number} route={route} outcome={outcome} ms={ms} cause={err:?}"
+        ),
+    }
+}
+
+/// Serves a request whose path is known.
+fn serve_route(cx: &EntryContext, number: u64, route: Route, req: Request) -> Served {
+    match route {
+        Route::Health => health(cx, number, req).map(Ok),
+        Route::Metrics => {
+            let headers = "content-type: text/plain; version=0.0.4\r\n";
+            let text = telemetry::render();
+            write_body(
+                &mut req.into_writer(),
+                200,
+                number,
+                headers,
+                text.as_bytes(),
+            )
+            .map(Ok)
         }
+        Route::Completion => serve_call(cx, number, req),
+    }
+}
+
+/// Says whether the process takes new requests.
+fn health(cx: &EntryContext, number: u64, req: Request) -> io::Result<()> {
+    let (status, word) = if cx.lifecycle.draining() {
+        (503, "draining")
+    } else {
+        (200, "ok")
+    };
+    let body = json!({"status": word, "in_progress": cx.lifecycle.in_progress()});
+    write_json(&mut req.into_writer(), status, number, "", &body)
+}
+
+/// Serves a request that runs a call, if the process takes it.
+fn serve_call(cx: &EntryContext, number: u64, mut req: Request) -> Served {
+    let Some(_progress) = cx.lifecycle.begin() else {
+        let err = Error::new(ErrorKind::Draining, "this entry is leaving; ask another");
+        return refuse(req, number, &err).map(|()| Err(err));
     };
-    if let Err(err) = served {
-        log::info!("event=caller_gone path={path} cause={err:?}");
+    let admitted = room(cx).and_then(|()| admit(cx, &mut req));
+    match admitted {
+        Ok((account, body)) => complete(cx, number, account, &body, req),
+        Err(err) => refuse(req, number, &err).map(|()| Err(err)),
     }
 }
 
+/// Whether one more request may be in progress.
+fn room(cx: &EntryContext) -> Result<()> {
+    let open = cx.lifecycle.in_progress();
+    metrics::gauge!("sapphirequay_requests_in_progress").set(f64::from(open));
+    if open > cx.settings.max_requests {
+        return Err(Error::new(
+            ErrorKind::Overloaded,
+            format!("{open} requests are in progress here"),
+        ));
+    }
+    Ok(())
+}
+
 /// Checks the key and reads the body.
 fn admit(cx: &EntryContext, req: &mut Request) -> Result<(AccountId, Vec<u8>)> {
     let key = header(req, "Authorization").and_then(|value| value.strip_prefix("Bearer "));
@@ -110,18 +210,8 @@
             "the bearer key is missing or unknown",
         )
     })?;
-    let mut body = Vec::new();
-    let read = req
-        .as_reader()
-        .take(MAX_BODY_BYTES + 1)
-        .read_to_end(&mut body);
-    read.map_err(|err| Error::new(ErrorKind::BadRequest, format!("body: {err}")))?;
-    if body.len() as u64 > MAX_BODY_BYTES {
-        return Err(Error::new(
-            ErrorKind::TooLarge,
-            format!("the body is over {MAX_BODY_BYTES} bytes"),
-        ));
-    }
+    let patience = cx.settings.read_timeout() * BODY_TIMEOUTS;
+    let body = read_body(req, cx.settings.max_body_bytes, patience)?;
     Ok((account, body))
 }
 
@@ -134,21 +224,35 @@
 }
 
 /// Serves a chat completion.
-fn complete(cx: &EntryContext, account: AccountId, body: &[u8], req: Request) -> io::Result<()> {
-    let mut out = req.into_writer();
+fn complete(
+    cx: &EntryContext,
+    number: u64,
+    account: AccountId,
+    body: &[u8],
+    req: Request,
+) -> Served {
     let completion = match Completion::parse(body) {
         Ok(completion) => completion,
-        Err(err) => return write_error(&mut out, &err),
+        Err(err) => return refuse(req, number, &err).map(|()| Err(err)),
     };
+    let out = req.into_writer();
     let program = ProgramId::root(rand::rng().next_u64());
     let call = call_of(&completion, account, program);
-    let id = program.to_string();
+    let head = AnswerHead {
+        number,
+        id: format!("chatcmpl-{program}").into(),
+        created: Clock::wall_ms() / 1_000,
+        usage_event: completion.wants_usage(),
+        model: completion.model,
+    };
     if completion.stream {
-        let mut answer = EventAnswer::new(out, id, completion.model);
-        run_call(&cx.calls, &call, &mut answer).or_else(|err| answer.fail(&err))
+        let mut answer = EventAnswer::new(out, head);
+        let ran = run_call(&cx.calls, &call, &mut answer);
+        ran.map_or_else(|err| answer.fail(&err).map(|()| Err(err)), |()| Ok(Ok(())))
     } else {
-        let mut answer = WholeAnswer::new(out, id, completion.model);
-        run_call(&cx.calls, &call, &mut answer).or_else(|err| answer.fail(&err))
+        let mut answer = WholeAnswer::new(out, head);
+        let ran = run_call(&cx.calls, &call, &mut answer);
+        ran.map_or_else(|err| answer.fail(&err).map(|()| Err(err)), |()| Ok(Ok(())))
     }
 }
 
--- a/crates/sapphirequayd/src/connection/engine.rs
+++ b/crates/sapphirequayd/src/connection/engine.rs
@@ -1,10 +1,17 @@
 //! Client of a model engine's HTTP interface.
+//!
+//! The request carries a stream id of the sidecar's choice in
+//! `Sapphirequay-Stream`. Events carry the number of tokens so far as their
+//! `id:`. `GET /v1/streams/ID` with `Last-Event-ID` goes on after that token on
+//! a fresh connection; `DELETE /v1/streams/ID` cancels.
 
 use {
-    quay_types::{Error, ErrorKind, FinishReason, Result, Tokens},
+    crate::request::{Input, Usage},
+    quay_types::{Error, ErrorKind, FinishReason, Tokens},
     serde::Deserialize,
     std::{
-        io::{BufRead as _, BufReader, Read},
+        fmt,
+        io::{self, BufRead as _, BufReader, Read},
         net::SocketAddr,
         time::Duration,
     },
@@ -13,38 +20,41 @@
 /// Limit of setting up a connection to the upstream on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// An upstream that sends nothing for so long is taken for silent.
-const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// A connection on which nothing arrives for so long is left for a fresh one.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Prefix of a line that carries an event.
-const DATA: &str = "data: ";
+/// Longest time that a cancellation takes.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Bytes of an error's text that are passed on.
+const MAX_ERROR_BYTES: u64 = 500;
+
+/// Statuses from here on speak against the upstream, those below against the request.
+const FIRST_FAULT_STATUS: u16 = 500;
 
 /// Event after which nothing follows.
 const DONE: &str = "[DONE]";
 
+/// Identity of one answer at the upstream, across connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamId {
+    /// Run of the sidecar.
+    pub incarnation: u64,
+    /// Number of the attempt in that run.
+    pub attempt: u64,
+}
+
+impl fmt::Display for StreamId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}-{:x}", self.incarnation, self.attempt)
+    }
+}
+
 /// Calls one engine.
 #[derive(Debug, Clone)]
 pub struct EngineClient {
     agent: ureq::Agent,
-    url: Box<str>,
-}
-
-/// What an engine says while it answers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum EngineEvent {
-    /// Part of the answer.
-    Delta(Box<str>),
-    /// The answer is whole.
-    End {
-        /// Why it ended.
-        finish: FinishReason,
-        /// Prompt tokens.
-        prompt: Tokens,
-        /// Prompt tokens found in the prefix cache.
-        cached: Tokens,
-        /// Tokens generated.
-        output: Tokens,
-    },
+    base: Box<str>,
 }
 
 /// One chunk of a streamed completion.
@@ -52,7 +62,7 @@
 struct Chunk {
     #[serde(default)]
     choices: Vec<Choice>,
-    usage: Option<Usage>,
+    usage: Option<Counts>,
 }
 
 /// The only choice of a chunk.
@@ -71,7 +81,7 @@
 
 /// Tokens that the engine counted.
 #[derive(Debug, Deserialize)]
-struct Usage {
+struct Counts {
     prompt_tokens: u64,
     completion_tokens: u64,
     #[serde(default)]
@@ -94,85 +104,196 @@
         let agent = ureq::AgentBuilder::new()
             .timeout_connect(CONNECT_TIMEOUT)
             .timeout_read(READ_TIMEOUT)
+            .timeout_write(READ_TIMEOUT)
             .max_idle_connections(0)
+            .redirects(0)
             .build();
         Self {
             agent,
-            url: format!("http://{addr}/v1/chat/completions").into(),
+            base: format!("http://{addr}").into(),
         }
     }
 
-    /// Starts a completion and returns its events.
+    /// Starts a completion.
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::UpstreamError`] if the engine answers with an error,
-    /// [`ErrorKind::OutcomeUnknown`] if it does not answer.
-    pub fn complete(
-        &self,
-        body: &[u8],
-    ) -> Result<impl Iterator<Item = Result<EngineEvent>> + use<>> {
+    /// What the connection said instead of a stream.
+    pub fn start(&self, id: StreamId, body: &[u8]) -> Result<EngineStream, Input> {
         let sent = self
             .agent
-            .post(&self.url)
+            .post(&format!("{}/v1/chat/completions", self.base))
             .set("content-type", "application/json")
+            .set("sapphirequay-stream", &id.to_string())
             .send_bytes(body);
-        let response = sent.map_err(|err| match err {
-            ureq::Error::Status(status, _) => Error::new(
+        EngineStream::open(sent, 0)
+    }
+
+    /// Goes on with a completion after `tokens` tokens.
+    ///
+    /// # Errors
+    ///
+    /// What the connection said instead of a stream.
+    pub fn resume(&self, id: StreamId, tokens: u64) -> Result<EngineStream, Input> {
+        let sent = self
+            .agent
+            .get(&format!("{}/v1/streams/{id}", self.base))
+            .set("last-event-id", &tokens.to_string())
+            .call();
+        match sent {
+            Err(ureq::Error::Status(404, _)) => Err(Input::Unknown),
+            sent => EngineStream::open(sent, tokens),
+        }
+    }
+
+    /// Tells the engine to stop; reports whether it has heard.
+    #[must_use]
+    pub fn cancel(&self, id: StreamId) -> bool {
+        let sent = self
+            .agent
+            .delete(&format!("{}/v1/streams/{id}", self.base))
+            .timeout(CANCEL_TIMEOUT)
+            .call();
+        !matches!(sent, Err(ureq::Error::Transport(_)))
+    }
+}
+
+/// What a failed exchange says of the upstream.
+fn said(err: ureq::Error) -> Input {
+    match err {
+        ureq::Error::Status(status, response) => {
+            let mut text = String::new();
+            let body = response.into_reader().take(MAX_ERROR_BYTES);
+            let _ = BufReader::new(body).read_to_string(&mut text);
+            let error = Error::new(
                 ErrorKind::UpstreamError,
-                format!("the upstream answered {status}"),
-            ),
-            ureq::Error::Transport(err) => {
-                Error::new(ErrorKind::OutcomeUnknown, format!("upstream: {err}"))
+                format!("the upstream answered {status}: {text}"),
+            );
+            Input::Rejected {
+                error,
+                fault: status >= FIRST_FAULT_STATUS,
             }
-        })?;
-        Ok(events(response.into_reader()))
+        }
+        ureq::Error::Transport(err) => match err.kind() {
+            ureq::ErrorKind::ConnectionFailed | ureq::ErrorKind::Dns => Input::Unreachable,
+            _ if timed_out(&err) => Input::Silent,
+            _ => Input::Broken,
+        },
     }
 }
 
-/// Reads events until the end mark or an error.
-fn events(body: impl Read) -> impl Iterator<Item = Result<EngineEvent>> {
-    let mut finish = FinishReason::Stop;
-    BufReader::new(body)
-        .lines()
-        .filter_map(move |line| match line {
-            Ok(line) => line
-                .strip_prefix(DATA)
-                .and_then(|data| event(data, &mut finish)),
-            Err(err) => Some(Err(Error::new(
-                ErrorKind::OutcomeUnknown,
-                format!("upstream: {err}"),
-            ))),
-        })
+/// Whether a read timed out, wherever in the chain of causes it is.
+fn timed_out(err: &ureq::Transport) -> bool {
+    let mut cause = std::error::Error::source(err);
+    while let Some(err) = cause {
+        if let Some(err) = err.downcast_ref::<io::Error>() {
+            return is_timeout(err);
+        }
+        cause = err.source();
+    }
+    false
 }
 
-/// Decodes one event; `None` for those that say nothing.
-fn event(data: &str, finish: &mut FinishReason) -> Option<Result<EngineEvent>> {
-    if data == DONE {
-        return None;
+/// Whether a read took too long.
+fn is_timeout(err: &io::Error) -> bool {
+    matches!(
+        err.kind(),
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock
+    )
+}
+
+// ----------------------------------------------------------------------------
+// Events
+
+/// One connection on which an answer comes.
+pub struct EngineStream {
+    lines: BufReader<Box<dyn Read + Send + Sync>>,
+    /// Tokens up to the last event.
+    position: u64,
+    /// Number that the next event carries.
+    event_id: Option<u64>,
+    finish: FinishReason,
+}
+
+impl EngineStream {
+    /// The stream of an answered request.
+    fn open(sent: Result<ureq::Response, ureq::Error>, position: u64) -> Result<Self, Input> {
+        let response = sent.map_err(said)?;
+        Ok(Self {
+            lines: BufReader::new(response.into_reader()),
+            position,
+            event_id: None,
+            finish: FinishReason::Stop,
+        })
     }
-    let chunk: Chunk = match serde_json::from_str(data) {
-        Ok(chunk) => chunk,
-        Err(err) => {
-            return Some(Err(Error::new(
-                ErrorKind::UpstreamError,
-                format!("upstream event: {err}"),
-            )));
+
+    /// The next thing that the engine says.
+    pub fn next(&mut self) -> Input {
+        let mut line = String::new();
+        loop {
+            line.clear();
+            match self.lines.read_line(&mut line) {
+                Ok(0) => return Input::Broken,
+                Ok(_) => {}
+                Err(err) if is_timeout(&err) => return Input::Silent,
+                Err(_) => return Input::Broken,
+            }
+            if let Some(input) = self.line(line.trim_end()) {
+                return input;
+            }
+        }
+    }
+
+    /// Takes one line; `None` for those that say nothing by themselves.
+    fn line(&mut self, line: &str) -> Option<Input> {
+        if let Some(id) = line.strip_prefix("id: ") {
+            self.event_id = id.parse().ok();
+            return None;
         }
-    };
-    if let Some(choice) = chunk.choices.into_iter().next() {
-        if choice.finish_reason.as_deref() == Some("length") {
-            *finish = FinishReason::Length;
+        let data = line.strip_prefix("data: ")?;
+        if data == DONE {
+            return None;
         }
-        if let Some(text) = choice.delta.content.filter(|text| !text.is_empty()) {
-            return Some(Ok(EngineEvent::Delta(text)));
+        match serde_json::from_str(data) {
+            Ok(chunk) => self.chunk(chunk),
+            Err(err) => Some(Input::Rejected {
+                error: Error::new(ErrorKind::UpstreamError, format!("upstream event: {err}")),
+                fault: true,
+            }),
+        }
+    }
+
+    /// Takes one chunk; `None` if it carries neither text nor counts.
+    fn chunk(&mut self, chunk: Chunk) -> Option<Input> {
+        if let Some(choice) = chunk.choices.into_iter().next() {
+            if choice.finish_reason.as_deref() == Some("length") {
+                self.finish = FinishReason::Length;
+            }
+            if let Some(text) = choice.delta.content.filter(|text| !text.is_empty()) {
+                return Some(self.text(text));
+            }
+        }
+        let usage = chunk.usage?;
+        Some(Input::End {
+            position: self.event_id.take(),
+            finish: self.finish,
+            usage: Usage {
+                prompt: Tokens(usage.prompt_tokens),
+                cached: Tokens(usage.prompt_tokens_details.cached_tokens),
+                output: Tokens(usage.completion_tokens),
+            },
+        })
+    }
+
+    /// Numbers a text; one without a number is one token.
+    fn text(&mut self, text: Box<str>) -> Input {
+        let position = self.event_id.take().unwrap_or(self.position + 1);
+        let tokens = position.saturating_sub(self.position).max(1);
+        self.position = position;
+        Input::Text {
+            position,
+            tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+            text,
         }
     }
-    let usage = chunk.usage?;
-    Some(Ok(EngineEvent::End {
-        finish: *finish,
-        prompt: Tokens(usage.prompt_tokens),
-        cached: Tokens(usage.prompt_tokens_details.cached_tokens),
-        output: Tokens(usage.completion_tokens),
-    }))
 }
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -19,7 +19,11 @@
 mod wire;
 
 pub use {
-    process::{Clock, Daemon, Group, GroupError, GroupMsg, Machine, Mailbox, StartError, spawn},
+    process::{
+        Clock, Daemon, Group, GroupError, GroupMsg, Health, HealthSettings, Lifecycle, Machine,
+        Mailbox, Progress, StartError, spawn,
+    },
+    request::{Input, Step, Transcript, TranscriptSettings, Usage},
     settings::{
         AccountSettings, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
         Settings, SettingsError, SidecarSettings,
--- a/crates/sapphirequayd/src/process/announcer.rs
+++ b/crates/sapphirequayd/src/process/announcer.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        process::{GateMsg, Mailbox, RouterMsg},
+        process::{GateMsg, Lifecycle, Mailbox, RouterMsg, SharedHealth},
         wire::LinkRequest,
     },
     quay_link::{LinkError, LinkRole, Links},
-    quay_types::{Announcement, DirectoryReply, DirectoryRequest},
+    quay_types::{Announcement, DirectoryReply, DirectoryRequest, UpstreamState},
     std::{net::SocketAddr, thread, time::Duration},
 };
 
@@ -27,11 +27,32 @@
         .recv()
 }
 
+/// What decides beside the gate whether the upstream takes new work.
+#[derive(Debug)]
+pub struct Standing {
+    /// Whether this process is leaving.
+    pub lifecycle: Lifecycle,
+    /// Health of the upstream.
+    pub health: SharedHealth,
+}
+
+impl Standing {
+    /// The state to announce, given what the gate says.
+    fn state(&self, gate: UpstreamState) -> UpstreamState {
+        if self.lifecycle.draining() {
+            UpstreamState::Draining
+        } else {
+            self.health.state(gate)
+        }
+    }
+}
+
 /// Announces an upstream to every ledger host until the process ends.
 pub fn announce(
     links: &Links,
     ledgers: &[SocketAddr],
     gate: &Mailbox<GateMsg>,
+    standing: &Standing,
     mut announcement: Announcement,
 ) {
     loop {
@@ -40,7 +61,7 @@
         };
         announcement.sequence += 1;
         announcement.load = load;
-        announcement.state = state;
+        announcement.state = standing.state(state);
         for addr in ledgers {
             if let Err(err) = ask(
                 links,
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -4,9 +4,10 @@
     crate::{
         connection::{Edge, EngineClient, EntryContext},
         process::{
-            Clock, Gate, Mailbox, Router, announcer,
+            Clock, Gate, Lifecycle, Mailbox, Router, SharedHealth,
+            announcer::{self, Standing},
             directory::{Directory, DirectoryMsg},
-            spawn,
+            spawn, telemetry,
         },
         request::{Attempts, CallContext, serve_attempt},
         settings::{EntrySettings, Settings, SidecarSettings},
@@ -20,7 +21,7 @@
     },
     std::{
         fmt, io,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         sync::{Arc, OnceLock},
         thread,
     },
@@ -63,6 +64,7 @@
 pub struct Daemon {
     edge: Option<Edge>,
     links: Links,
+    lifecycle: Lifecycle,
 }
 
 /// The roles that streams from peers are for.
@@ -79,7 +81,9 @@
     ///
     /// Says which address or key can't be used.
     pub fn start(settings: &Settings, identity: Identity) -> Result<Self, StartError> {
+        telemetry::start();
         let clock = Clock::start();
+        let lifecycle = Lifecycle::default();
         let roles = Arc::new(OnceLock::<Roles>::new());
         let link_settings = LinkSettings {
             listen: Some(settings.link.listen),
@@ -99,14 +103,18 @@
             );
         }
         if let Some(sidecar) = &settings.sidecar {
-            started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock)?);
+            started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock, &lifecycle)?);
         }
         let _ = roles.set(started);
         let edge = match &settings.entry {
-            Some(entry) => Some(start_entry(settings, entry, &links, clock)?),
+            Some(entry) => Some(start_entry(settings, entry, &links, clock, &lifecycle)?),
             None => None,
         };
-        Ok(Self { edge, links })
+        Ok(Self {
+            edge,
+            links,
+            lifecycle,
+        })
     }
 
     /// Address that callers reach, if the entry role runs.
@@ -115,6 +123,12 @@
         self.edge.as_ref().map(Edge::local_addr)
     }
 
+    /// Whether the process takes new requests, and how many are in progress.
+    #[must_use]
+    pub const fn lifecycle(&self) -> &Lifecycle {
+        &self.lifecycle
+    }
+
     /// Address that links are accepted on.
     #[must_use]
     pub const fn link_addr(&self) -> Option<SocketAddr> {
@@ -128,6 +142,7 @@
     entry: &EntrySettings,
     links: &Links,
     clock: Clock,
+    lifecycle: &Lifecycle,
 ) -> Result<Edge, StartError> {
     let router = spawn("router", clock, Router::default()).map_err(starting("router"))?;
     let (reader_links, reader_router, ledgers) =
@@ -136,8 +151,6 @@
         .name("directory-reader".into())
         .spawn(move || announcer::read_directory(&reader_links, &ledgers, &reader_router))
         .map_err(starting("directory reader"))?;
-    let listener = TcpListener::bind(entry.listen)
-        .map_err(starting(&format!("[entry] listen {}", entry.listen)))?;
     let calls = CallContext {
         links: links.clone(),
         router,
@@ -145,8 +158,10 @@
     let cx = EntryContext {
         calls,
         rules: Current::new(Rules::new(&settings.accounts)),
+        lifecycle: lifecycle.clone(),
+        settings: entry.clone(),
     };
-    Edge::start(listener, cx).map_err(starting("edge"))
+    Edge::start(cx).map_err(starting(&format!("[entry] listen {}", entry.listen)))
 }
 
 /// Starts the sidecar role.
@@ -155,6 +170,7 @@
     sidecar: &SidecarSettings,
     links: &Links,
     clock: Clock,
+    lifecycle: &Lifecycle,
 ) -> Result<Attempts, StartError> {
     let gate = spawn("gate", clock, Gate::new(sidecar.concurrency)).map_err(starting("gate"))?;
     let incarnation = Incarnation(Clock::wall_ms());
@@ -170,16 +186,34 @@
     };
     let (announcer_links, announcer_gate, ledgers) =
         (links.clone(), gate.clone(), settings.link.ledgers.clone());
+    let health = SharedHealth::new(clock);
+    health
+        .probe(format!("http://{}/healthz", sidecar.addr).into())
+        .map_err(starting("prober"))?;
+    let standing = Standing {
+        lifecycle: lifecycle.clone(),
+        health: health.clone(),
+    };
     thread::Builder::new()
         .name("announcer".into())
         .spawn(move || {
-            announcer::announce(&announcer_links, &ledgers, &announcer_gate, announcement);
+            announcer::announce(
+                &announcer_links,
+                &ledgers,
+                &announcer_gate,
+                &standing,
+                announcement,
+            );
         })
         .map_err(starting("announcer"))?;
     Ok(Attempts {
         incarnation,
         gate,
         engine: EngineClient::new(sidecar.addr),
+        lifecycle: lifecycle.clone(),
+        health,
+        clock,
+        numbers: Arc::default(),
     })
 }
 
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -7,7 +7,11 @@
 mod directory;
 mod gate;
 mod group;
+mod health;
+mod lifecycle;
+mod prober;
 mod router;
+pub mod telemetry;
 
 pub use {
     actor::{Machine, Mailbox, spawn},
@@ -15,5 +19,8 @@
     daemon::{Daemon, StartError},
     gate::{Gate, GateMsg},
     group::{Group, GroupError, GroupMsg},
+    health::{Health, HealthSettings},
+    lifecycle::{Lifecycle, Progress},
+    prober::SharedHealth,
     router::{Pick, Router, RouterMsg},
 };
--- /dev/null
+++ b/crates/sapphirequayd/src/process/prober.rs
@@ -0,0 +1,94 @@
+//! Shares an upstream's health between attempts, the announcer and the prober.
+
+use {
+    crate::process::{Clock, Health, HealthSettings},
+    quay_types::UpstreamState,
+    std::{
+        io,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        thread,
+        time::Duration,
+    },
+};
+
+/// Interval at which the prober looks whether a probe is due.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Longest time that a probe takes.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Health of the upstream; clones share it.
+#[derive(Debug, Clone)]
+pub struct SharedHealth {
+    health: Arc<Mutex<Health>>,
+    clock: Clock,
+}
+
+impl SharedHealth {
+    /// Health of an upstream of which nothing is known.
+    #[must_use]
+    pub fn new(clock: Clock) -> Self {
+        let health = Health::new(HealthSettings::default());
+        Self {
+            health: Arc::new(Mutex::new(health)),
+            clock,
+        }
+    }
+
+    /// Locks the machine.
+    fn lock(&self) -> MutexGuard<'_, Health> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the outcome of a request.
+    pub fn outcome(&self, good: bool) {
+        self.lock().outcome(self.clock.now(), good);
+    }
+
+    /// The state to announce, given what the gate says.
+    #[must_use]
+    pub fn state(&self, gate: UpstreamState) -> UpstreamState {
+        match gate {
+            UpstreamState::Serving => self.lock().state(),
+            other => other,
+        }
+    }
+
+    /// Starts the thread that probes the upstream while it is failing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system gives no thread.
+    pub fn probe(&self, url: Box<str>) -> io::Result<()> {
+        let health = self.clone();
+        thread::Builder::new()
+            .name("prober".into())
+            .spawn(move || {
+                loop {
+                    thread::sleep(LOOK_EVERY);
+                    let due = health.lock().probe_due(health.clock.now());
+                    if due {
+                        let good = probe(&url);
+                        log::info!("event=probe url={url} good={good}");
+                        health.lock().probed(health.clock.now(), good);
+                    }
+                }
+            })?;
+        Ok(())
+    }
+}
+
+/// Whether the upstream answers at all; an error status is an answer.
+fn probe(url: &str) -> bool {
+    let sent = ureq::AgentBuilder::new()
+        .timeout(PROBE_TIMEOUT)
+        .max_idle_connections(0)
+        .build()
+        .get(url)
+        .call();
+    match sent {
+        Ok(_) => true,
+        Err(ureq::Error::Status(status, _)) => status < 500,
+        Err(ureq::Error::Transport(_)) => false,
+    }
+}
--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -37,7 +37,25 @@
     /// # Errors
     ///
     /// Fails if the caller has gone away.
-    fn end(&mut self, finish: FinishReason, prompt: Tokens, output: Tokens) -> std::io::Result<()>;
+    fn end(&mut self, finish: FinishReason, usage: Usage) -> std::io::Result<()>;
+
+    /// Passes the whole answer of a plain service on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has gone away.
+    fn body(&mut self, status: u16, body: &[u8]) -> std::io::Result<()>;
+}
+
+/// Tokens that the upstream counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Prompt tokens.
+    pub prompt: Tokens,
+    /// Prompt tokens found in the prefix cache.
+    pub cached: Tokens,
+    /// Tokens generated.
+    pub output: Tokens,
 }
 
 /// What calls on one entry share.
@@ -127,16 +145,27 @@
             CallEvent::End {
                 finish,
                 prompt,
+                cached,
                 output,
-                ..
-            } => match answer.end(finish, prompt, output) {
+            } => {
+                let usage = Usage {
+                    prompt,
+                    cached,
+                    output,
+                };
+                match answer.end(finish, usage) {
+                    Ok(()) => return AttemptEnd::Whole,
+                    Err(err) => Err(err),
+                }
+            }
+            CallEvent::Body { status, body } => match answer.body(status, &body) {
                 Ok(()) => return AttemptEnd::Whole,
                 Err(err) => Err(err),
             },
             CallEvent::Refused(err) => return AttemptEnd::NotRun(err),
             CallEvent::Failed(err) => return AttemptEnd::Failed(err),
             CallEvent::Heartbeat => answer.heartbeat(),
-            CallEvent::Started | CallEvent::Body { .. } | CallEvent::Fate(_) => Ok(()),
+            CallEvent::Started | CallEvent::Fate(_) => Ok(()),
         };
         if let Err(err) = passed {
             return AttemptEnd::Failed(Error::new(ErrorKind::Cancelled, format!("caller: {err}")));
--- a/crates/sapphirequayd/src/request/completion.rs
+++ b/crates/sapphirequayd/src/request/completion.rs
@@ -96,14 +96,24 @@
         Tokens(self.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS))
     }
 
-    /// The body for the upstream: always streamed, always bounded.
+    /// Whether a streamed answer tells its tokens in an event of its own.
+    #[must_use]
+    pub fn wants_usage(&self) -> bool {
+        let options = self.other.get("stream_options");
+        options.and_then(|options| options["include_usage"].as_bool()) == Some(true)
+    }
+
+    /// The body for the upstream: always streamed, always bounded, always with
+    /// the tokens used.
     #[must_use]
     pub fn upstream_body(&self) -> Box<[u8]> {
-        let body = Self {
+        let mut body = Self {
             stream: true,
             max_tokens: Some(self.max_output().0),
             ..self.clone()
         };
+        let options = serde_json::json!({"include_usage": true});
+        body.other.insert("stream_options".into(), options);
         serde_json::to_vec(&body).unwrap_or_default().into()
     }
 }
--- a/crates/sapphirequayd/src/request/mod.rs
+++ b/crates/sapphirequayd/src/request/mod.rs
@@ -3,9 +3,11 @@
 mod attempt;
 mod call;
 mod completion;
+mod transcript;
 
 pub use {
     attempt::{Attempts, serve_attempt},
-    call::{Answer, CallContext, run_call},
+    call::{Answer, CallContext, Usage, run_call},
     completion::Completion,
+    transcript::{Input, Step, Transcript, TranscriptSettings},
 };
--- a/crates/sapphirequayd/src/settings/process.rs
+++ b/crates/sapphirequayd/src/settings/process.rs
@@ -1,14 +1,33 @@
 //! Name and place of the process.
 
-use serde::Deserialize;
+use {serde::Deserialize, std::time::Duration};
 
 /// Name and place of the process.
-#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct ProcessSettings {
     /// Name in logs and audit records.
     pub name: Box<str>,
     /// Data centre that the host is in.
-    #[serde(default)]
     pub data_centre: Box<str>,
+    /// Longest wait for requests in progress at shutdown, in seconds.
+    pub grace_s: u64,
+}
+
+impl Default for ProcessSettings {
+    fn default() -> Self {
+        Self {
+            name: Box::default(),
+            data_centre: Box::default(),
+            grace_s: 60,
+        }
+    }
+}
+
+impl ProcessSettings {
+    /// [`Self::grace_s`] as a duration.
+    #[must_use]
+    pub const fn grace(&self) -> Duration {
+        Duration::from_secs(self.grace_s)
+    }
 }
--- /dev/null
+++ b/crates/sapphirequayd/tests/common/mod.rs
@@ -0,0 +1,188 @@
+//! Daemons of every role in one process, for tests over real sockets.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use {
+    quay_link::{DevelopmentKeys, LinkRole},
+    quay_standin::{Engine, EngineSettings},
+    sapphirequayd::{
+        AccountSettings, Daemon, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
+        Settings, SidecarSettings,
+    },
+    std::{
+        io::{Read as _, Write as _},
+        net::{SocketAddr, TcpStream},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Longest wait for anything that has to come to pass.
+pub const LIMIT: Duration = Duration::from_secs(30);
+
+/// Bearer key of the only account.
+pub const KEY: &str = "k";
+
+/// An address whose port the system picks.
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Settings of one process without a role.
+pub fn settings(name: &str, ledgers: &[SocketAddr]) -> Settings {
+    Settings {
+        process: ProcessSettings {
+            name: name.into(),
+            data_centre: "dc-1".into(),
+            ..ProcessSettings::default()
+        },
+        link: LinkTableSettings {
+            ledgers: ledgers.into(),
+            ..LinkTableSettings::default()
+        },
+        ..Settings::default()
+    }
+}
+
+/// Every role, each as a daemon of its own, before one upstream.
+pub struct Running {
+    pub entry: Daemon,
+    pub ledger: Daemon,
+    pub sidecar: Daemon,
+}
+
+impl Running {
+    /// Starts the roles before the upstream that `sidecar` names.
+    pub fn start(sidecar: SidecarSettings, entry: EntrySettings) -> Self {
+        let keys = DevelopmentKeys::generate().expect("keys");
+        let identity = |role| keys.identity(role).expect("identity");
+        let ledger = Settings {
+            ledger: Some(LedgerSettings::default()),
+            ..settings("ledger-1", &[])
+        };
+        let ledger = Daemon::start(&ledger, identity(LinkRole::Ledger)).expect("ledger");
+        let ledgers = [ledger.link_addr().expect("address")];
+        let sidecar = Settings {
+            sidecar: Some(sidecar),
+            ..settings("sidecar-1", &ledgers)
+        };
+        let sidecar = Daemon::start(&sidecar, identity(LinkRole::Sidecar)).expect("sidecar");
+        let entry = Settings {
+            entry: Some(entry),
+            accounts: vec![AccountSettings {
+                name: "a".into(),
+                key: KEY.into(),
+            }],
+            ..settings("entry-1", &ledgers)
+        };
+        let entry = Daemon::start(&entry, identity(LinkRole::Entry)).expect("entry");
+        Self {
+            entry,
+            ledger,
+            sidecar,
+        }
+    }
+
+    /// Address for callers.
+    pub fn addr(&self) -> SocketAddr {
+        self.entry.callers_addr().expect("address")
+    }
+}
+
+/// A sidecar's settings before the engine at `addr`, which serves model `m`.
+pub fn before_engine(addr: SocketAddr) -> SidecarSettings {
+    SidecarSettings {
+        upstream: "engine-1".into(),
+        addr,
+        models: vec!["m".into()],
+        service: None,
+        concurrency: 64,
+    }
+}
+
+/// A stand-in engine on a port of its own.
+pub fn engine(settings: EngineSettings) -> Engine {
+    Engine::start(any_port(), settings).expect("engine")
+}
+
+/// A request for a completion.
+pub fn completion(stream: bool) -> String {
+    format!(r#"{{"model":"m","stream":{stream},"messages":[{{"role":"user","content":"hi"}}]}}"#)
+}
+
+/// Posts `body` until an upstream is known; the answer's status and text.
+pub fn post(addr: SocketAddr, key: &str, body: &str) -> (u16, String) {
+    let started = Instant::now();
+    loop {
+        let (status, text) = post_once(addr, key, body);
+        if !text.contains("no_upstream") || started.elapsed() > LIMIT {
+            return (status, text);
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Posts `body`; the answer's status and text.
+pub fn post_once(addr: SocketAddr, key: &str, body: &str) -> (u16, String) {
+    let response = ureq::post(&format!("http://{addr}/v1/chat/completions"))
+        .set("authorization", &format!("Bearer {key}"))
+        .send_string(body);
+    read(response)
+}
+
+/// Gets `path`; the answer's status and text.
+pub fn get(addr: SocketAddr, path: &str) -> (u16, String) {
+    read(ureq::get(&format!("http://{addr}{path}")).call())
+}
+
+/// Status and text of an answer.
+fn read(response: Result<ureq::Response, ureq::Error>) -> (u16, String) {
+    let (status, response) = match response {
+        Ok(response) => (response.status(), response),
+        Err(ureq::Error::Status(status, response)) => (status, response),
+        Err(err) => panic!("{err}"),
+    };
+    (status, response.into_string().expect("text"))
+}
+
+/// The texts of a streamed answer's deltas, joined.
+pub fn streamed_text(events: &str) -> String {
+    events
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok())
+        .filter_map(|event| {
+            event["choices"][0]["delta"]["content"]
+                .as_str()
+                .map(str::to_owned)
+        })
+        .collect()
+}
+
+/// Waits until `done` says so.
+pub fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !done() {
+        assert!(started.elapsed() < LIMIT, "{what} did not come to pass");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A raw connection on which waits are bounded.
+pub fn connect(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).expect("connection");
+    stream.set_read_timeout(Some(LIMIT)).expect("timeout");
+    stream
+}
+
+/// Sends `bytes` and reads until the peer closes; an error counts as closed.
+pub fn exchange(stream: &mut TcpStream, bytes: &[u8]) -> String {
+    let _ = stream.write_all(bytes);
+    let mut text = Vec::new();
+    let mut piece = [0; 4096];
+    let started = Instant::now();
+    while let Ok(read @ 1..) = stream.read(&mut piece) {
+        text.extend_from_slice(&piece[..read]);
+    }
+    assert!(started.elapsed() < LIMIT, "the peer did not close");
+    String::from_utf8_lossy(&text).into_owned()
+}
--- /dev/null
+++ b/crates/sapphirequayd/tests/upstreams.rs
@@ -0,0 +1,183 @@
+//! Engines that fall silent, die, answer too much or are no longer wanted.
+
+mod common;
+
+use {
+    common::{
+        KEY, Running, before_engine, completion, engine, post, post_once, streamed_text, wait_for,
+    },
+    quay_standin::{Engine, EngineSettings},
+    quay_types::{Time, UpstreamState},
+    sapphirequayd::{EntrySettings, Health, HealthSettings},
+    std::{
+        io::{Read as _, Write as _},
+        net::{Shutdown, SocketAddr},
+        thread,
+        time::Duration,
+    },
+};
+
+fn start(settings: EngineSettings) -> (Running, Engine) {
+    let engine = engine(settings);
+    let running = Running::start(before_engine(engine.addr()), EntrySettings::default());
+    (running, engine)
+}
+
+/// An engine whose answers last a few seconds.
+fn slow() -> EngineSettings {
+    EngineSettings {
+        token_gap: Duration::from_millis(20),
+        answer_tokens: 100,
+        ..EngineSettings::default()
+    }
+}
+
+/// Posts a streamed completion on a thread.
+fn post_aside(addr: SocketAddr) -> thread::JoinHandle<(u16, String)> {
+    thread::spawn(move || post(addr, KEY, &completion(true)))
+}
+
+fn whole(tokens: u64) -> String {
+    let words: Vec<_> = (0..tokens).map(|number| format!("word{number} ")).collect();
+    words.concat()
+}
+
+#[test]
+fn a_silent_connection_is_resumed_without_gap_or_repeat() {
+    let (running, engine) = start(slow());
+    let caller = post_aside(running.addr());
+    wait_for("the answer begins", || engine.counts().running == 1);
+    thread::sleep(Duration::from_millis(300));
+    engine.silence();
+    let (status, text) = caller.join().expect("caller");
+    assert_eq!(status, 200);
+    assert_eq!(streamed_text(&text), whole(100));
+    assert!(text.contains(": heartbeat"), "{text}");
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    assert_eq!(engine.counts().started, 1);
+    assert!(engine.counts().resumed >= 1);
+}
+
+#[test]
+fn a_dying_engine_ends_its_answers_and_is_announced_as_failing() {
+    let (running, engine) = start(slow());
+    let callers: Vec<_> = (0..4).map(|_| post_aside(running.addr())).collect();
+    wait_for("the answers begin", || engine.counts().running == 4);
+    engine.crash();
+    for caller in callers {
+        let (status, text) = caller.join().expect("caller");
+        assert!(text.contains("upstream_lost"), "status {status}: {text}");
+    }
+    wait_for("the upstream is out", || {
+        let (status, text) = post_once(running.addr(), KEY, &completion(true));
+        status == 503 && text.contains("no_upstream")
+    });
+    assert!(
+        post_once(running.addr(), KEY, &completion(true))
+            .1
+            .contains(r#""not_run":true"#)
+    );
+}
+
+#[test]
+fn an_engine_that_does_not_listen_is_a_true_not_run() {
+    let engine = engine(EngineSettings::default());
+    let addr = engine.addr();
+    drop(engine);
+    // The port is free once the listener is closed.
+    wait_for("the listener closes", || {
+        std::net::TcpStream::connect(addr).is_err()
+    });
+    let running = Running::start(before_engine(addr), EntrySettings::default());
+    wait_for("the sidecar is known", || {
+        let (status, text) = post_once(running.addr(), KEY, &completion(true));
+        assert_eq!(status, 503, "{text}");
+        assert!(text.contains(r#""not_run":true"#), "{text}");
+        let (_, metrics) = common::get(running.addr(), "/metrics");
+        metrics.contains(r#"sapphirequay_attempts_total{outcome="no_upstream"}"#)
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_stops_the_engine() {
+    let endless = EngineSettings {
+        answer_tokens: 100_000,
+        ..slow()
+    };
+    let (running, engine) = start(endless);
+    let short = completion(false).replace("false", "false,\"max_tokens\":1");
+    assert_eq!(post(running.addr(), KEY, &short).0, 200);
+    let body = completion(true).replace("true", "true,\"max_tokens\":100000");
+    let mut stream = common::connect(running.addr());
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nauthorization: Bearer {KEY}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).expect("head");
+    stream.write_all(body.as_bytes()).expect("body");
+    let mut piece = [0; 256];
+    assert!(stream.read(&mut piece).expect("answer") > 0);
+    stream.shutdown(Shutdown::Both).expect("shutdown");
+    wait_for("the engine is told", || engine.counts().cancelled == 1);
+}
+
+#[test]
+fn a_poison_prompt_kills_the_engine_and_is_told_as_lost() {
+    let settings = EngineSettings {
+        poison: Some("hi".into()),
+        ..slow()
+    };
+    let (running, _engine) = start(settings);
+    let (_, text) = post(running.addr(), KEY, &completion(true));
+    assert!(text.contains("upstream_lost"), "{text}");
+    assert!(text.contains(r#""not_run":false"#), "{text}");
+}
+
+#[test]
+fn a_few_failures_take_an_upstream_out_and_good_probes_bring_it_back() {
+    let mut health = Health::new(HealthSettings::default());
+    let at = Time::from_millis;
+    for second in 0..3 {
+        assert_eq!(health.state(), UpstreamState::Serving);
+        health.outcome(at(second * 100), false);
+    }
+    assert_eq!(health.state(), UpstreamState::Failing);
+    assert!(!health.probe_due(at(300)));
+    assert!(health.probe_due(at(1_300)));
+    assert!(!health.probe_due(at(1_301)), "one probe at a time");
+    health.probed(at(1_310), true);
+    assert_eq!(health.state(), UpstreamState::Failing);
+    health.probed(at(2_310), true);
+    assert_eq!(health.state(), UpstreamState::Serving);
+}
+
+#[test]
+fn failures_among_many_successes_are_forgiven() {
+    let mut health = Health::new(HealthSettings::default());
+    for number in 0..100 {
+        health.outcome(Time::from_millis(number * 10), number % 5 != 0);
+    }
+    assert_eq!(health.state(), UpstreamState::Serving);
+}
+
+#[test]
+fn an_upstream_that_fails_again_stays_out_longer() {
+    let mut health = Health::new(HealthSettings::default());
+    let mut now = Time::ZERO;
+    let mut holds = Vec::new();
+    for _ in 0..4 {
+        for _ in 0..3 {
+            health.outcome(now, false);
+        }
+        let since = now;
+        while health.state() == UpstreamState::Failing {
+            now = now + Duration::from_millis(100);
+            if health.probe_due(now) {
+                health.probed(now, true);
+            }
+        }
+        holds.push(now.since(since));
+    }
+    assert!(holds.is_sorted(), "{holds:?}");
+    assert!(holds[3] > holds[0] * 2, "{holds:?}");
+}
--- a/crates/sapphirequayd/tests/whole_path.rs
+++ b/crates/sapphirequayd/tests/whole_path.rs
@@ -1,147 +1,74 @@
 //! A call over real sockets: caller, entry, sidecar, engine and back.
 
+mod common;
+
 use {
-    quay_link::{DevelopmentKeys, LinkRole},
+    common::{KEY, Running, before_engine, completion, engine, post, streamed_text},
     quay_standin::{Engine, EngineSettings},
-    sapphirequayd::{
-        AccountSettings, Daemon, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
-        Settings, SidecarSettings,
-    },
-    std::{
-        net::SocketAddr,
-        thread,
-        time::{Duration, Instant},
-    },
+    sapphirequayd::EntrySettings,
+    serde_json::Value,
 };
 
-/// Longest wait for the first upstream to be known.
-const START_LIMIT: Duration = Duration::from_secs(20);
-
-fn any_port() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
-fn settings(name: &str, ledgers: &[SocketAddr]) -> Settings {
-    Settings {
-        process: ProcessSettings {
-            name: name.into(),
-            data_centre: "dc-1".into(),
-        },
-        link: LinkTableSettings {
-            ledgers: ledgers.into(),
-            ..LinkTableSettings::default()
-        },
-        ..Settings::default()
-    }
-}
-
-/// Every role, each as a daemon of its own.
-struct Running {
-    entry: Daemon,
-    _ledger: Daemon,
-    _sidecar: Daemon,
-    _engine: Engine,
+fn start() -> (Running, Engine) {
+    let engine = engine(EngineSettings::default());
+    let running = Running::start(before_engine(engine.addr()), EntrySettings::default());
+    (running, engine)
 }
 
-fn start() -> Running {
-    let keys = DevelopmentKeys::generate().expect("keys");
-    let identity = |role| keys.identity(role).expect("identity");
-    let engine = Engine::start(any_port(), EngineSettings::default()).expect("engine");
-    let ledger = Settings {
-        ledger: Some(LedgerSettings::default()),
-        ..settings("ledger-1", &[])
-    };
-    let ledger = Daemon::start(&ledger, identity(LinkRole::Ledger)).expect("ledger");
-    let ledgers = [ledger.link_addr().expect("address")];
-    let sidecar = SidecarSettings {
-        upstream: "engine-1".into(),
-        addr: engine.addr(),
-        models: vec!["m".into()],
-        service: None,
-        concurrency: 4,
-    };
-    let sidecar = Settings {
-        sidecar: Some(sidecar),
-        ..settings("sidecar-1", &ledgers)
-    };
-    let sidecar = Daemon::start(&sidecar, identity(LinkRole::Sidecar)).expect("sidecar");
-    let entry = Settings {
-        entry: Some(EntrySettings::default()),
-        accounts: vec![AccountSettings {
-            name: "a".into(),
-            key: "k".into(),
-        }],
-        ..settings("entry-1", &ledgers)
-    };
-    let entry = Daemon::start(&entry, identity(LinkRole::Entry)).expect("entry");
-    Running {
-        entry,
-        _ledger: ledger,
-        _sidecar: sidecar,
-        _engine: engine,
-    }
-}
-
-/// Posts a body until an upstream is known; the status and text of the answer.
-fn post(addr: SocketAddr, key: &str, body: &str) -> (u16, String) {
-    let started = Instant::now();
-    loop {
-        let req = ureq::post(&format!("http://{addr}/v1/chat/completions"));
-        let (status, response) = match req
-            .set("authorization", &format!("Bearer {key}"))
-            .send_string(body)
-        {
-            Ok(response) => (200, response),
-            Err(ureq::Error::Status(status, response)) => (status, response),
-            Err(err) => panic!("{err}"),
-        };
-        let text = response.into_string().expect("text");
-        if !text.contains("no_upstream") || started.elapsed() > START_LIMIT {
-            return (status, text);
-        }
-        thread::sleep(Duration::from_millis(50));
-    }
+/// The events of a streamed answer.
+fn events(text: &str) -> Vec<Value> {
+    text.lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter(|data| *data != "[DONE]")
+        .map(|data| serde_json::from_str(data).expect("event"))
+        .collect()
 }
 
 #[test]
-fn a_call_is_answered_whole() {
-    let running = start();
-    let addr = running.entry.callers_addr().expect("address");
-    let body = |stream| {
-        format!(
-            r#"{{"model":"m","stream":{stream},"messages":[{{"role":"user","content":"hi"}}]}}"#
-        )
-    };
-
-    let (status, text) = post(addr, "k", &body(false));
+fn a_whole_answer_has_the_common_shape() {
+    let (running, _engine) = start();
+    let (status, text) = post(running.addr(), KEY, &completion(false));
     assert_eq!(status, 200, "{text}");
-    assert!(text.contains("word0 word1 "), "{text}");
-    assert!(text.contains(r#""completion_tokens":16"#), "{text}");
+    let body: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(body["object"], "chat.completion");
+    assert_eq!(body["choices"][0]["message"]["role"], "assistant");
+    let content = body["choices"][0]["message"]["content"].as_str();
+    assert!(
+        content.expect("content").starts_with("word0 word1 "),
+        "{text}"
+    );
+    assert_eq!(body["usage"]["completion_tokens"], 16);
+    let total = body["usage"]["total_tokens"].as_u64().expect("total");
+    let prompt = body["usage"]["prompt_tokens"].as_u64().expect("prompt");
+    assert_eq!(total, prompt + 16);
+}
 
-    let (status, text) = post(addr, "k", &body(true));
+#[test]
+fn a_streamed_answer_has_the_common_shape_and_a_checked_end() {
+    let (running, _engine) = start();
+    let (status, text) = post(running.addr(), KEY, &completion(true));
     assert_eq!(status, 200);
-    assert_eq!(text.matches(r#""content":"word"#).count(), 16, "{text}");
     assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    let events = events(&text);
+    assert_eq!(events[0]["choices"][0]["delta"]["role"], "assistant");
+    assert_eq!(events.len(), 18, "role, 16 deltas, end: {text}");
+    let last = events.last().expect("end");
+    assert_eq!(last["choices"][0]["finish_reason"], "stop");
+    let answer = streamed_text(&text);
+    assert_eq!(last["sapphirequay"]["bytes"], answer.len());
+    let checksum = format!("{:08x}", crc32fast::hash(answer.as_bytes()));
+    assert_eq!(last["sapphirequay"]["crc32"], checksum.as_str());
+    assert!(!text.contains(r#""usage""#), "usage was not asked for");
 }
 
 #[test]
-fn bad_input_gets_a_clear_error() {
-    let running = start();
-    let addr = running.entry.callers_addr().expect("address");
-    let cases = [
-        ("k", "{", 400, "bad_request"),
-        ("k", r#"{"model":"m","messages":[]}"#, 400, "bad_request"),
-        (
-            "wrong",
-            r#"{"model":"m","messages":[]}"#,
-            401,
-            "unauthorized",
-        ),
-    ];
-    for (key, body, status, kind) in cases {
-        let (got, text) = post(addr, key, body);
-        assert_eq!(got, status, "{text}");
-        assert!(text.contains(kind), "{text}");
-        assert!(text.contains(r#""not_run":true"#), "{text}");
-    }
+fn a_stream_tells_its_usage_if_asked() {
+    let (running, _engine) = start();
+    let body = r#"{"model":"m","stream":true,"stream_options":{"include_usage":true},
+        "messages":[{"role":"user","content":"hi"}]}"#;
+    let (_, text) = post(running.addr(), KEY, body);
+    let events = events(&text);
+    let last = events.last().expect("usage");
+    assert_eq!(last["choices"], serde_json::json!([]));
+    assert_eq!(last["usage"]["completion_tokens"], 16);
 }
