--- a/crates/sapphirequayd/src/connection/answer.rs
+++ b/crates/sapphirequayd/src/connection/answer.rs
@@ -212,6 +212,12 @@
         self.completion(&choices, &[("sapphirequay", offset)])
     }
 
+    fn restart(&mut self) -> io::Result<()> {
+        self.bytes = 0;
+        self.checksum = crc32fast::Hasher::new();
+        self.chunk("event: restart\ndata: {}\n\n")
+    }
+
     fn heartbeat(&mut self) -> io::Result<()> {
         self.role()?;
         self.chunk(": heartbeat\n\n")
@@ -232,8 +238,8 @@
         self.finish()
     }
 
-    fn body(&mut self, status: u16, body: &[u8]) -> io::Result<()> {
-        write_body(&mut self.out, status, self.head.number, "", body)
+    fn body(&mut self, _: u16, _: &[u8]) -> io::Result<()> {
+        Err(io::Error::other("a model does not answer with a body"))
     }
 }
 
@@ -269,6 +275,11 @@
         Ok(())
     }
 
+    fn restart(&mut self) -> io::Result<()> {
+        self.text.clear();
+        Ok(())
+    }
+
     fn heartbeat(&mut self) -> io::Result<()> {
         Ok(())
     }
@@ -290,7 +301,51 @@
         write_json(&mut self.out, 200, self.head.number, "", &body)
     }
 
+    fn body(&mut self, _: u16, _: &[u8]) -> io::Result<()> {
+        Err(io::Error::other("a model does not answer with a body"))
+    }
+}
+
+// ----------------------------------------------------------------------------
+// Plain services
+
+/// Passes on the answer of a plain service.
+pub struct BodyAnswer<W> {
+    out: W,
+    number: u64,
+}
+
+impl<W: Write> BodyAnswer<W> {
+    /// An answer to the request of this number.
+    pub const fn new(out: W, number: u64) -> Self {
+        Self { out, number }
+    }
+
+    /// Reports an error.
+    pub fn fail(&mut self, err: &Error) -> io::Result<()> {
+        write_error(&mut self.out, self.number, err)
+    }
+}
+
+impl<W: Write> Answer for BodyAnswer<W> {
+    fn delta(&mut self, _: &str) -> io::Result<()> {
+        Err(io::Error::other("a service does not stream"))
+    }
+
+    fn restart(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn heartbeat(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn end(&mut self, _: FinishReason, _: Usage) -> io::Result<()> {
+        Err(io::Error::other("a service does not stream"))
+    }
+
     fn body(&mut self, status: u16, body: &[u8]) -> io::Result<()> {
-        write_body(&mut self.out, status, self.head.number, "", body)
+        let headers = "content-type: application/json\r\n";
+        write_body(&mut self.out, status, self.number, headers, body)
     }
 }
--- a/crates/sapphirequayd/src/connection/edge.rs
+++ b/crates/sapphirequayd/src/connection/edge.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         connection::{
-            answer::{AnswerHead, EventAnswer, WholeAnswer, write_body, write_json},
+            answer::{AnswerHead, BodyAnswer, EventAnswer, WholeAnswer, write_body, write_json},
             body::{read_body, refuse},
             listener,
+            programs::{self, CallContent, CallHeaders, serve_programs},
             route::Route,
         },
         process::{Clock, Lifecycle, telemetry},
@@ -13,11 +14,7 @@
         settings::EntrySettings,
         version::Current,
     },
-    quay_types::{
-        AccountId, CallRequest, CallTarget, Error, ErrorKind, Incarnation, ProgramId, Result,
-        Tokens,
-    },
-    rand::Rng as _,
+    quay_types::{AccountId, CallTarget, ConfigIndex, Error, ErrorKind, Result},
     serde_json::json,
     std::{
         io,
@@ -36,9 +33,6 @@
 /// Stack of the thread that serves one request.
 const REQUEST_STACK_BYTES: usize = 256 << 10;
 
-/// Deadline of a call where the caller names none.
-const DEFAULT_DEADLINE_MS: u64 = 600_000;
-
 /// Receive timeouts that a whole body may take.
 const BODY_TIMEOUTS: u32 = 3;
 
@@ -159,7 +153,9 @@
             )
             .map(Ok)
         }
-        Route::Completion => serve_call(cx, number, req),
+        Route::Completion => serve_call(cx, number, req, complete),
+        Route::Service => serve_call(cx, number, req, call_service),
+        Route::Programs => serve_call(cx, number, req, call_programs),
     }
 }
 
@@ -175,14 +171,19 @@
 }
 
 /// Serves a request that runs a call, if the process takes it.
-fn serve_call(cx: &EntryContext, number: u64, mut req: Request) -> Served {
+fn serve_call(
+    cx: &EntryContext,
+    number: u64,
+    mut req: Request,
+    serve: impl FnOnce(&EntryContext, u64, AccountId, &[u8], Request) -> Served,
+) -> Served {
     let Some(_progress) = cx.lifecycle.begin() else {
         let err = Error::new(ErrorKind::Draining, "this entry is leaving; ask another");
         return refuse(req, number, &err).map(|()| Err(err));
     };
     let admitted = room(cx).and_then(|()| admit(cx, &mut req));
     match admitted {
-        Ok((account, body)) => complete(cx, number, account, &body, req),
+        Ok((account, body)) => serve(cx, number, account, &body, req),
         Err(err) => refuse(req, number, &err).map(|()| Err(err)),
     }
 }
@@ -231,47 +232,76 @@
     body: &[u8],
     req: Request,
 ) -> Served {
-    let completion = match Completion::parse(body) {
-        Ok(completion) => completion,
+    let parsed = CallHeaders::of(&req).and_then(|headers| Ok((headers, Completion::parse(body)?)));
+    let (headers, completion) = match parsed {
+        Ok(parsed) => parsed,
         Err(err) => return refuse(req, number, &err).map(|()| Err(err)),
     };
     let out = req.into_writer();
-    let program = ProgramId::root(rand::rng().next_u64());
-    let call = call_of(&completion, account, program);
+    let content = CallContent {
+        target: CallTarget::Model(completion.model_id()),
+        sent: body,
+        body: completion.upstream_body(),
+        history: completion.new_part().into(),
+        prompt: completion.prompt_tokens(),
+        max_output: completion.max_output(),
+        blocks: completion.blocks(),
+    };
+    let order = programs::order(account, &headers, content, ConfigIndex::default());
     let head = AnswerHead {
         number,
-        id: format!("chatcmpl-{program}").into(),
+        id: format!("chatcmpl-{}", order.request.program).into(),
         created: Clock::wall_ms() / 1_000,
         usage_event: completion.wants_usage(),
         model: completion.model,
     };
+    log::info!(
+        "event=call req={number} program={} key={}",
+        order.request.program,
+        order.key
+    );
     if completion.stream {
         let mut answer = EventAnswer::new(out, head);
-        let ran = run_call(&cx.calls, &call, &mut answer);
+        let ran = run_call(&cx.calls, &order, &mut answer);
         ran.map_or_else(|err| answer.fail(&err).map(|()| Err(err)), |()| Ok(Ok(())))
     } else {
         let mut answer = WholeAnswer::new(out, head);
-        let ran = run_call(&cx.calls, &call, &mut answer);
+        let ran = run_call(&cx.calls, &order, &mut answer);
         ran.map_or_else(|err| answer.fail(&err).map(|()| Err(err)), |()| Ok(Ok(())))
     }
 }
 
-/// The call that a completion asks for.
-fn call_of(completion: &Completion, account: AccountId, program: ProgramId) -> CallRequest {
-    CallRequest {
-        permit: None,
-        incarnation: Incarnation::default(),
-        program,
-        account,
-        target: CallTarget::Model(completion.model_id()),
-        body: completion.upstream_body(),
-        idempotent: true,
-        deadline_ms: DEFAULT_DEADLINE_MS,
-        prompt: completion.prompt_tokens(),
-        max_output: completion.max_output(),
-        attained: Tokens(0),
-        depth: 0,
-        blocks: completion.blocks(),
-        resume_at: 0,
+/// Serves a request to a plain service.
+fn call_service(
+    cx: &EntryContext,
+    number: u64,
+    account: AccountId,
+    body: &[u8],
+    req: Request,
+) -> Served {
+    let headers = match CallHeaders::of(&req) {
+        Ok(headers) => headers,
+        Err(err) => return refuse(req, number, &err).map(|()| Err(err)),
+    };
+    let name: Box<str> = Route::service(req.url()).into();
+    let content = CallContent::service(&name, body);
+    let order = programs::order(account, &headers, content, ConfigIndex::default());
+    let mut answer = BodyAnswer::new(req.into_writer(), number);
+    let ran = run_call(&cx.calls, &order, &mut answer);
+    ran.map_or_else(|err| answer.fail(&err).map(|()| Err(err)), |()| Ok(Ok(())))
+}
+
+/// Serves a request about programs.
+fn call_programs(
+    cx: &EntryContext,
+    number: u64,
+    account: AccountId,
+    body: &[u8],
+    req: Request,
+) -> Served {
+    let path: Box<str> = Route::path(req.url()).into();
+    match serve_programs(cx, account, &req, &path, body) {
+        Ok((status, body)) => write_json(&mut req.into_writer(), status, number, "", &body).map(Ok),
+        Err(err) => refuse(req, number, &err).map(|()| Err(err)),
     }
 }
--- a/crates/sapphirequayd/src/connection/mod.rs
+++ b/crates/sapphirequayd/src/connection/mod.rs
@@ -5,9 +5,12 @@
 mod edge;
 mod engine;
 mod listener;
+mod programs;
 mod route;
+mod service;
 
 pub use {
     edge::{Edge, EntryContext},
     engine::{EngineClient, EngineStream, StreamId},
+    service::ServiceClient,
 };
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -8,7 +8,10 @@
 mod gate;
 mod group;
 mod health;
+mod ledger;
+mod ledger_client;
 mod lifecycle;
+mod permits;
 mod prober;
 mod router;
 pub mod telemetry;
@@ -20,7 +23,10 @@
     gate::{Gate, GateMsg},
     group::{Group, GroupError, GroupMsg},
     health::{Health, HealthSettings},
+    ledger::LedgerService,
+    ledger_client::{LedgerClient, LedgerFault},
     lifecycle::{Lifecycle, Progress},
+    permits::PermitMsg,
     prober::SharedHealth,
     router::{Pick, Router, RouterMsg},
 };
--- a/crates/sapphirequayd/src/request/attempt.rs
+++ b/crates/sapphirequayd/src/request/attempt.rs
@@ -2,18 +2,22 @@
 
 use {
     crate::{
-        connection::{EngineClient, EngineStream, StreamId},
-        process::{Clock, GateMsg, Lifecycle, Mailbox, SharedHealth},
+        connection::{EngineClient, EngineStream, ServiceClient, StreamId},
+        process::{Clock, GateMsg, Lifecycle, Mailbox, PermitMsg, SharedHealth},
         request::{Input, Step, Transcript, TranscriptSettings, Usage},
     },
     quay_link::LinkStream,
-    quay_types::{CallEvent, CallRequest, Error, ErrorKind, FinishReason, Incarnation, Result},
+    quay_types::{
+        CallEvent, CallRequest, CallTarget, Error, ErrorKind, FinishReason, Incarnation, PermitId,
+        Result,
+    },
     std::{
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
             mpsc::{self, RecvTimeoutError},
         },
+        thread,
         time::{Duration, Instant},
     },
 };
@@ -21,6 +25,10 @@
 /// Interval of heartbeats while an attempt waits in the queue.
 const HEARTBEAT: Duration = Duration::from_secs(1);
 
+/// Time beyond the deadline after which a sidecar ends an attempt by itself:
+/// its entry, which knows more, should do so first.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
+
 /// What attempts on one sidecar share.
 #[derive(Debug, Clone)]
 pub struct Attempts {
@@ -28,8 +36,12 @@
     pub incarnation: Incarnation,
     /// Queue before the upstream.
     pub gate: Mailbox<GateMsg>,
-    /// The upstream.
+    /// Permits that this run was shown.
+    pub permits: Mailbox<PermitMsg>,
+    /// The upstream, if it is a model engine.
     pub engine: EngineClient,
+    /// The upstream, if it is a plain service.
+    pub service: ServiceClient,
     /// Whether requests are taken.
     pub lifecycle: Lifecycle,
     /// Health of the upstream.
@@ -44,27 +56,68 @@
 pub fn serve_attempt(cx: &Attempts, stream: &LinkStream, call: &CallRequest) {
     let Some(_progress) = cx.lifecycle.begin() else {
         let err = Error::new(ErrorKind::Draining, "the sidecar is leaving");
-        let _ = stream.send(&CallEvent::Refused(err));
-        return;
+        return drop(stream.send(&CallEvent::Refused(err)));
+    };
+    let permit = match use_permit(cx, call) {
+        Ok(permit) => permit,
+        Err(event) => return drop(stream.send(&event)),
     };
     let queued = Instant::now();
     let last = match admit(cx, stream, call) {
         Ok(()) => {
             metrics::histogram!("sapphirequay_queue_seconds").record(queued.elapsed());
-            let mut run = Run::new(cx, stream, call);
-            let last = run.run();
+            let last = match call.target {
+                CallTarget::Model(_) => run_model(cx, stream, call),
+                CallTarget::Service(_) => run_service(cx, stream, call),
+            };
             cx.gate.send(GateMsg::Leave);
-            if let Some(good) = run.verdict(&last) {
-                cx.health.outcome(good);
-            }
             last
         }
         Err(err) => CallEvent::Refused(err),
     };
     report(&last);
+    // Whoever asks hears of the end no later than the entry does.
+    cx.permits.send(match &last {
+        CallEvent::Refused(_) => PermitMsg::Refuse(permit),
+        CallEvent::Body { .. } => PermitMsg::End(permit, Some(last.clone())),
+        _ => PermitMsg::End(permit, None),
+    });
     let _ = stream.send(&last);
 }
 
+/// Runs an admitted call of a model and tells the upstream's health of it.
+fn run_model(cx: &Attempts, stream: &LinkStream, call: &CallRequest) -> CallEvent {
+    let mut run = Run::new(cx, stream, call);
+    let last = run.run();
+    if let Some(good) = run.verdict(&last) {
+        cx.health.outcome(good);
+    }
+    last
+}
+
+/// Uses the call's permit, or says why it can't be used.
+fn use_permit(cx: &Attempts, call: &CallRequest) -> std::result::Result<PermitId, CallEvent> {
+    let asked = cx.permits.ask(|reply| PermitMsg::Admit(call.permit, reply));
+    asked.unwrap_or_else(|| {
+        let err = Error::new(ErrorKind::Draining, "the sidecar stops");
+        Err(CallEvent::Refused(err))
+    })
+}
+
+/// Tells an entry what became of a permit, and the kept answer if there is one.
+pub fn answer_inquiry(cx: &Attempts, stream: &LinkStream, id: PermitId, incarnation: Incarnation) {
+    let known = cx.permits.ask(|reply| PermitMsg::Inquire {
+        id,
+        incarnation,
+        reply,
+    });
+    let Some((fate, answer)) = known else { return };
+    let _ = stream.send(&CallEvent::Fate(fate));
+    if let Some(answer) = answer {
+        let _ = stream.send(&answer);
+    }
+}
+
 /// Counts and logs the end of an attempt.
 fn report(last: &CallEvent) {
     let outcome = match last {
@@ -111,8 +164,39 @@
     }
 }
 
+/// Calls a plain service. It goes on when the entry has gone: its answer is
+/// kept for whoever asks.
+fn run_service(cx: &Attempts, stream: &LinkStream, call: &CallRequest) -> CallEvent {
+    let _ = stream.send(&CallEvent::Started);
+    let (tx, rx) = mpsc::sync_channel(1);
+    let (service, body) = (cx.service.clone(), call.body.clone());
+    let timeout = Duration::from_millis(call.deadline_ms);
+    let spawned = thread::Builder::new()
+        .name("service".into())
+        .spawn(move || tx.send(service.call(&body, timeout)));
+    if let Err(err) = spawned {
+        return CallEvent::Refused(Error::new(ErrorKind::Overloaded, format!("thread: {err}")));
+    }
+    loop {
+        match rx.recv_timeout(HEARTBEAT) {
+            Ok(last) => {
+                cx.health.outcome(!matches!(
+                    last,
+                    CallEvent::Refused(_) | CallEvent::Failed(_)
+                ));
+                return last;
+            }
+            Err(RecvTimeoutError::Timeout) => drop(stream.send(&CallEvent::Heartbeat)),
+            Err(RecvTimeoutError::Disconnected) => {
+                let err = Error::new(ErrorKind::OutcomeUnknown, "the call of the service broke");
+                return CallEvent::Failed(err);
+            }
+        }
+    }
+}
+
 // ----------------------------------------------------------------------------
-// An admitted attempt
+// An admitted call of a model
 
 /// An admitted attempt.
 struct Run<'a> {
@@ -130,7 +214,7 @@
             idempotent: call.idempotent,
             max_output: call.max_output,
             prompt: call.prompt,
-            deadline: now + Duration::from_millis(call.deadline_ms),
+            deadline: now + Duration::from_millis(call.deadline_ms) + DEADLINE_MARGIN,
             ..TranscriptSettings::default()
         };
         Self {
