--- a/crates/sapphirequayd/src/request/offer.rs
+++ b/crates/sapphirequayd/src/request/offer.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        request::{Answer, Delivery, RecordedAnswer},
+        request::{Answer, Delivery, RecordedAnswer, Usage},
         wire::LinkRequest,
     },
     quay_link::{LinkError, LinkRole, LinkStream, Links},
@@ -17,10 +17,8 @@
     Whole {
         /// The answer.
         answer: RecordedAnswer,
-        /// Prompt tokens that the upstream counted.
-        prompt: Tokens,
-        /// Tokens generated.
-        output: Tokens,
+        /// Tokens that the upstream counted.
+        usage: Usage,
     },
     /// Nothing ran, and nothing will under this permit.
     NotRun(Error),
@@ -102,20 +100,22 @@
         CallEvent::End {
             finish,
             prompt,
+            cached,
             output,
-            ..
         } => AttemptEnd::Whole {
             answer: RecordedAnswer::Text {
                 finish,
                 text: text.into(),
             },
-            prompt,
-            output,
+            usage: Usage {
+                prompt,
+                cached,
+                output,
+            },
         },
         CallEvent::Body { status, body } => AttemptEnd::Whole {
             answer: RecordedAnswer::Body { status, body },
-            prompt: Tokens(0),
-            output: Tokens(0),
+            usage: Usage::default(),
         },
         CallEvent::Refused(err) => AttemptEnd::NotRun(err),
         CallEvent::Failed(err) if err.kind == ErrorKind::UpstreamError => AttemptEnd::Failed {
--- a/crates/sapphirequayd/tests/common/mod.rs
+++ b/crates/sapphirequayd/tests/common/mod.rs
@@ -1,10 +1,12 @@
-//! Daemons, a service that counts what it runs, and a caller.
-#![allow(dead_code, unused_imports)] // Each test file uses a part of it.
+//! Daemons of every role in one process, for tests over real sockets.
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 
+mod cluster;
 mod counting_service;
 mod processes;
 
 pub use {
+    cluster::{Ask, Cluster, field, kind},
     counting_service::CountingService,
     processes::{Processes, Role},
 };
@@ -16,105 +18,32 @@
         AccountSettings, Daemon, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
         Settings, SidecarSettings,
     },
-    serde_json::Value,
     std::{
-        net::SocketAddr,
+        io::{Read as _, Write as _},
+        net::{SocketAddr, TcpStream},
         thread,
         time::{Duration, Instant},
     },
 };
 
-/// Longest wait for something that is sure to happen.
+/// Longest wait for anything that has to come to pass.
 pub const LIMIT: Duration = Duration::from_secs(30);
 
+/// Bearer key of the only account.
+pub const KEY: &str = "k";
+
+/// An address whose port the system picks.
 pub fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// Waits until `done` says so.
-pub fn wait_until(what: &str, mut done: impl FnMut() -> bool) {
-    let started = Instant::now();
-    while !done() {
-        assert!(started.elapsed() < LIMIT, "waited in vain: {what}");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
-/// A request of a caller.
-#[derive(Debug, Clone, Copy)]
-pub struct Ask<'a> {
-    pub method: &'a str,
-    pub path: &'a str,
-    pub account: &'a str,
-    pub headers: &'a [(&'a str, &'a str)],
-    pub body: &'a str,
-}
-
-impl Default for Ask<'_> {
-    fn default() -> Self {
-        Self {
-            method: "POST",
-            path: "/v1/chat/completions",
-            account: "key-a",
-            headers: &[],
-            body: r#"{"model":"m","messages":[{"role":"user","content":"hi"}]}"#,
-        }
-    }
-}
-
-impl Ask<'_> {
-    /// Sends the request once; `None` if the entry has gone.
-    pub fn try_send(&self, entry: SocketAddr) -> Option<(u16, String)> {
-        let mut req = ureq::request(self.method, &format!("http://{entry}{}", self.path))
-            .set("authorization", &format!("Bearer {}", self.account));
-        for (name, value) in self.headers {
-            req = req.set(name, value);
-        }
-        match req.send_string(self.body) {
-            Ok(response) | Err(ureq::Error::Status(_, response)) => {
-                Some((response.status(), response.into_string().ok()?))
-            }
-            Err(ureq::Error::Transport(_)) => None,
-        }
-    }
-
-    pub fn send(&self, entry: SocketAddr) -> (u16, String) {
-        self.try_send(entry).expect("answer")
-    }
-
-    /// Sends the request until the entry knows an upstream for it.
-    pub fn send_when_known(&self, entry: SocketAddr) -> (u16, String) {
-        let mut answer = None;
-        wait_until("an upstream is known", || {
-            let got = self.send(entry);
-            let known = !got.1.contains("no_upstream");
-            answer = Some(got);
-            known
-        });
-        answer.expect("answer")
-    }
-}
-
-/// The kind of an error answer.
-pub fn kind(text: &str) -> String {
-    let json: Value = serde_json::from_str(text).unwrap_or_default();
-    json["error"]["kind"]
-        .as_str()
-        .unwrap_or_default()
-        .to_owned()
-}
-
-/// A field of a JSON answer.
-pub fn field(text: &str, name: &str) -> Value {
-    let json: Value = serde_json::from_str(text).expect("json");
-    json[name].clone()
-}
-
+/// Settings of one process without a role.
 pub fn settings(name: &str, ledgers: &[SocketAddr]) -> Settings {
     Settings {
         process: ProcessSettings {
             name: name.into(),
             data_centre: "dc-1".into(),
+            ..ProcessSettings::default()
         },
         link: LinkTableSettings {
             ledgers: ledgers.into(),
@@ -124,83 +53,146 @@
     }
 }
 
-/// One ledger, two entries, an engine and a service, each a daemon of its own.
-pub struct Cluster {
-    pub entries: [SocketAddr; 2],
-    pub service: CountingService,
-    _engine: Engine,
-    _daemons: Vec<Daemon>,
+/// Every role, each as a daemon of its own, before one upstream.
+pub struct Running {
+    pub entry: Daemon,
+    pub ledger: Daemon,
+    pub sidecar: Daemon,
 }
 
-impl Cluster {
-    pub fn start(service_delay: Duration) -> Self {
+impl Running {
+    /// Starts the roles before the upstream that `sidecar` names.
+    pub fn start(sidecar: SidecarSettings, entry: EntrySettings) -> Self {
         let keys = DevelopmentKeys::generate().expect("keys");
         let identity = |role| keys.identity(role).expect("identity");
-        let engine = Engine::start(any_port(), EngineSettings::default()).expect("engine");
-        let service = CountingService::start(service_delay);
         let ledger = Settings {
             ledger: Some(LedgerSettings::default()),
             ..settings("ledger-1", &[])
         };
         let ledger = Daemon::start(&ledger, identity(LinkRole::Ledger)).expect("ledger");
         let ledgers = [ledger.link_addr().expect("address")];
-        let sidecar = |name: &str, sidecar| {
-            let settings = Settings {
-                sidecar: Some(sidecar),
-                ..settings(name, &ledgers)
-            };
-            Daemon::start(&settings, identity(LinkRole::Sidecar)).expect("sidecar")
-        };
-        let engine_sidecar = SidecarSettings {
-            upstream: "engine-1".into(),
-            addr: engine.addr(),
-            models: vec!["m".into()],
-            service: None,
-            concurrency: 8,
-        };
-        let service_sidecar = SidecarSettings {
-            upstream: "orders-1".into(),
-            addr: service.addr(),
-            models: Vec::new(),
-            service: Some("orders".into()),
-            ..engine_sidecar.clone()
-        };
-        let account = |name: &str| AccountSettings {
-            name: name.into(),
-            key: format!("key-{name}").into(),
+        let sidecar = Settings {
+            sidecar: Some(sidecar),
+            ..settings("sidecar-1", &ledgers)
         };
-        let entry = |name: &str| {
-            let settings = Settings {
-                entry: Some(EntrySettings::default()),
-                accounts: vec![account("a"), account("b")],
-                ..settings(name, &ledgers)
-            };
-            Daemon::start(&settings, identity(LinkRole::Entry)).expect("entry")
+        let sidecar = Daemon::start(&sidecar, identity(LinkRole::Sidecar)).expect("sidecar");
+        let entry = Settings {
+            entry: Some(entry),
+            accounts: vec![AccountSettings {
+                name: "a".into(),
+                key: KEY.into(),
+            }],
+            ..settings("entry-1", &ledgers)
         };
-        let daemons = vec![
-            entry("entry-1"),
-            entry("entry-2"),
-            sidecar("sidecar-1", engine_sidecar),
-            sidecar("sidecar-2", service_sidecar),
+        let entry = Daemon::start(&entry, identity(LinkRole::Entry)).expect("entry");
+        Self {
+            entry,
             ledger,
-        ];
-        let entries = [0, 1].map(|slot: usize| daemons[slot].callers_addr().expect("address"));
-        let cluster = Self {
-            entries,
-            service,
-            _engine: engine,
-            _daemons: daemons,
-        };
-        for entry in cluster.entries {
-            let warm = Ask::default().send_when_known(entry);
-            assert_eq!(warm.0, 200, "{}", warm.1);
-            let warm = Ask {
-                path: "/v1/services/orders",
-                body: "warm",
-                ..Ask::default()
-            };
-            assert_eq!(warm.send_when_known(entry).0, 200);
+            sidecar,
         }
-        cluster
     }
+
+    /// Address for callers.
+    pub fn addr(&self) -> SocketAddr {
+        self.entry.callers_addr().expect("address")
+    }
+}
+
+/// A sidecar's settings before the engine at `addr`, which serves model `m`.
+pub fn before_engine(addr: SocketAddr) -> SidecarSettings {
+    SidecarSettings {
+        upstream: "engine-1".into(),
+        addr,
+        models: vec!["m".into()],
+        service: None,
+        concurrency: 64,
+    }
+}
+
+/// A stand-in engine on a port of its own.
+pub fn engine(settings: EngineSettings) -> Engine {
+    Engine::start(any_port(), settings).expect("engine")
+}
+
+/// A request for a completion.
+pub fn completion(stream: bool) -> String {
+    format!(r#"{{"model":"m","stream":{stream},"messages":[{{"role":"user","content":"hi"}}]}}"#)
+}
+
+/// Posts `body` until an upstream is known; the answer's status and text.
+pub fn post(addr: SocketAddr, key: &str, body: &str) -> (u16, String) {
+    let started = Instant::now();
+    loop {
+        let (status, text) = post_once(addr, key, body);
+        if !text.contains(r#""kind":"no_upstream""#) || started.elapsed() > LIMIT {
+            return (status, text);
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Posts `body`; the answer's status and text.
+pub fn post_once(addr: SocketAddr, key: &str, body: &str) -> (u16, String) {
+    let response = ureq::post(&format!("http://{addr}/v1/chat/completions"))
+        .set("authorization", &format!("Bearer {key}"))
+        .send_string(body);
+    read(response)
+}
+
+/// Gets `path`; the answer's status and text.
+pub fn get(addr: SocketAddr, path: &str) -> (u16, String) {
+    read(ureq::get(&format!("http://{addr}{path}")).call())
+}
+
+/// Status and text of an answer.
+fn read(response: Result<ureq::Response, ureq::Error>) -> (u16, String) {
+    let (status, response) = match response {
+        Ok(response) => (response.status(), response),
+        Err(ureq::Error::Status(status, response)) => (status, response),
+        Err(err) => panic!("{err}"),
+    };
+    (status, response.into_string().expect("text"))
+}
+
+/// The texts of a streamed answer's deltas, joined.
+pub fn streamed_text(events: &str) -> String {
+    events
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok())
+        .filter_map(|event| {
+            event["choices"][0]["delta"]["content"]
+                .as_str()
+                .map(str::to_owned)
+        })
+        .collect()
+}
+
+/// Waits until `done` says so.
+pub fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !done() {
+        assert!(started.elapsed() < LIMIT, "{what} did not come to pass");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A raw connection on which waits are bounded.
+pub fn connect(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).expect("connection");
+    stream.set_read_timeout(Some(LIMIT)).expect("timeout");
+    stream
+}
+
+/// Sends `bytes` and reads until the peer closes; an error counts as closed.
+pub fn exchange(stream: &mut TcpStream, bytes: &[u8]) -> String {
+    let _ = stream.write_all(bytes);
+    let mut text = Vec::new();
+    let mut piece = [0; 4096];
+    let started = Instant::now();
+    while let Ok(read @ 1..) = stream.read(&mut piece) {
+        text.extend_from_slice(&piece[..read]);
+    }
+    assert!(started.elapsed() < LIMIT, "the peer did not close");
+    String::from_utf8_lossy(&text).into_owned()
 }
--- a/crates/sapphirequayd/tests/kill.rs
+++ b/crates/sapphirequayd/tests/kill.rs
@@ -6,7 +6,7 @@
 mod common;
 
 use {
-    common::{Ask, CountingService, Processes, Role, kind, wait_until},
+    common::{Ask, CountingService, Processes, Role, kind, wait_for},
     std::{
         net::SocketAddr,
         thread,
@@ -35,7 +35,7 @@
 fn start(service: &CountingService) -> Processes {
     let processes = Processes::start(service.addr());
     for entry in processes.entries {
-        wait_until("an entry answers", || {
+        wait_for("an entry answers", || {
             order(&[], "warm")
                 .try_send(entry)
                 .is_some_and(|got| got.0 == 200)
@@ -51,7 +51,7 @@
     key: &'static str,
 ) -> thread::JoinHandle<Option<(u16, String)>> {
     let sent = thread::spawn(move || order(&once(key), key).try_send(entry));
-    wait_until("the service runs the order", || service.runs(key) == 1);
+    wait_for("the service runs the order", || service.runs(key) == 1);
     sent
 }
 
@@ -67,7 +67,7 @@
     let answer = order(&once("order-1"), "order-1").send(two);
     assert_eq!(answer, (200, "order-1 run 1".to_owned()));
     processes.run(Role::Entry(0));
-    wait_until("the entry is back", || {
+    wait_for("the entry is back", || {
         let again = order(&once("order-1"), "order-1").try_send(one);
         again.is_some_and(|again| again == answer)
     });
@@ -84,7 +84,7 @@
     let (_, text) = sent.join().expect("thread").expect("answer");
     assert_eq!(kind(&text), "outcome_unknown", "{text}");
     processes.run(Role::Sidecar);
-    wait_until("the new sidecar serves", || {
+    wait_for("the new sidecar serves", || {
         order(&[], "fresh").send(two).0 == 200
     });
     for entry in processes.entries {
@@ -165,7 +165,7 @@
     let headers = once(&body);
     let mut sends = number;
     let mut answer = None;
-    wait_until("a last answer", || {
+    wait_for("a last answer", || {
         sends += 1;
         let Some((status, text)) = order(&headers, &body).try_send(entries[sends % 2]) else {
             return false;
