--- /dev/null
+++ b/crates/quay_ledger/examples/program_memory.rs
@@ -0,0 +1,134 @@
+//! Measures the memory of a program outside its chunks, and the time of a
+//! command. Each size takes a process of its own, since freed memory stays
+//! with the process.
+//!
+//! `cargo run --release -p quay_ledger --example program_memory -- 160000 62`
+
+use {
+    quay_ledger::{CallChunk, Command, History, Ledger, LedgerLimits, Op, Reply},
+    quay_quorum::StateMachine as _,
+    quay_types::{
+        AccountId, Begin, BeginReply, CallNumber, ConfigIndex, ContentDigest, Epoch, GroupId,
+        Incarnation, LogIndex, NewProgram, Outcome, ProgramId, ProgramLimits, RequestKey, Settle,
+        Tokens, UpstreamId,
+    },
+    std::{env, fs, time::Instant},
+};
+
+/// Bytes of a memory page on the machines that this runs on.
+const PAGE_BYTES: u64 = 4_096;
+
+/// A store of chunks that keeps none.
+#[derive(Debug, Default)]
+struct NoHistory;
+
+impl History for NoHistory {
+    type Snapshot = ();
+
+    fn begin(&mut self, _: ProgramId, _: CallChunk) {}
+
+    fn end(&mut self, _: ProgramId, _: Outcome) {}
+
+    fn withdraw(&mut self, _: ProgramId) {}
+
+    fn read(&self, _: ProgramId, _: CallNumber) -> Option<CallChunk> {
+        None
+    }
+
+    fn forget(&mut self, _: ProgramId) {}
+
+    fn snapshot(&self) {}
+
+    fn restore(&mut self, (): ()) {}
+}
+
+/// Resident memory of this process in bytes.
+fn resident() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1);
+    pages
+        .and_then(|pages| pages.parse::<u64>().ok())
+        .unwrap_or_default()
+        * PAGE_BYTES
+}
+
+/// A ledger and its log position.
+struct Run {
+    ledger: Ledger<NoHistory>,
+    index: u64,
+}
+
+impl Run {
+    fn apply(&mut self, op: Op) -> Reply {
+        self.index += 1;
+        let command = Command { at_ms: 1, op };
+        self.ledger.apply(LogIndex(self.index), Epoch(1), command)
+    }
+
+    /// Creates a program and makes its calls.
+    fn program(&mut self, number: u64, calls: u64) {
+        let account = AccountId(number % 3_600);
+        let program = ProgramId::root(number);
+        let key = |call: u64| RequestKey::of(account, &format!("{number}-{call}"));
+        let new = NewProgram {
+            account,
+            key: key(0),
+            program,
+            sub_agent: false,
+            limits: ProgramLimits::default(),
+        };
+        self.apply(Op::Create(new));
+        for call in 1..=calls {
+            let begin = Begin {
+                program,
+                account,
+                implicit: None,
+                number: None,
+                key: key(call),
+                digest: ContentDigest::default(),
+                reserve: Tokens(100),
+                idempotent: true,
+                upstream: (UpstreamId(1), Incarnation(1)),
+                config: ConfigIndex(0),
+                prompt: Box::default(),
+            };
+            let Reply::Begin(BeginReply::Go { permit, .. }) = self.apply(Op::Begin(begin)) else {
+                return;
+            };
+            let outcome = Outcome::Completed {
+                prompt: Tokens(50),
+                output: Tokens(50),
+                answer: Box::default(),
+            };
+            self.apply(Op::Settle(Settle {
+                program,
+                permit,
+                outcome,
+            }));
+        }
+    }
+}
+
+/// The argument at `position`, or `default`.
+fn argument(position: usize, default: u64) -> u64 {
+    let text = env::args().nth(position);
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn main() {
+    let (programs, calls) = (argument(1, 160_000), argument(2, 62));
+    let before = resident();
+    let mut run = Run {
+        ledger: Ledger::new(GroupId(1), LedgerLimits::default()),
+        index: 0,
+    };
+    let started = Instant::now();
+    for number in 0..programs {
+        run.program(number, calls);
+    }
+    let nanos = started.elapsed().as_nanos() / u128::from(run.index);
+    let bytes = resident().saturating_sub(before) / programs;
+    println!(
+        "programs={programs} calls={calls} resident_bytes_a_program={bytes} ns_a_command={nanos}"
+    );
+}
--- a/crates/sapphirequayd/src/connection/programs.rs
+++ b/crates/sapphirequayd/src/connection/programs.rs
@@ -187,7 +187,8 @@
             prompt: content.prompt,
             max_output: content.max_output,
             attained: Tokens(0),
-            depth: 0,
+            // A sub-agent's parent waits for it, however deep it is.
+            depth: u8::from(!program.is_root()),
             blocks: content.blocks,
             resume_at: 0,
         },
