--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -23,7 +23,7 @@
         Clock, Daemon, Group, GroupError, GroupMsg, Health, HealthSettings, Lifecycle, Machine,
         Mailbox, Progress, StartError, spawn,
     },
-    request::{Input, PermitBook, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
+    request::{Input, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
     settings::{
         AccountSettings, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
         Settings, SettingsError, SidecarSettings,
--- a/crates/sapphirequayd/src/request/mod.rs
+++ b/crates/sapphirequayd/src/request/mod.rs
@@ -7,7 +7,6 @@
 mod inquire;
 mod offer;
 mod order;
-mod permit_book;
 mod recorded;
 mod splice;
 mod transcript;
@@ -19,7 +18,6 @@
     delivery::Delivery,
     offer::{AttemptEnd, run_attempt},
     order::CallOrder,
-    permit_book::PermitBook,
     recorded::RecordedAnswer,
     splice::{Splice, Spliced},
     transcript::{Input, Step, Transcript, TranscriptSettings},
