--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -25,8 +25,8 @@
     },
     request::{Input, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
     settings::{
-        AccountSettings, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
-        Settings, SettingsError, SidecarSettings,
+        AccountSettings, DEFAULT_SETTINGS, EntrySettings, LedgerSettings, LinkTableSettings,
+        LogLevel, LogSettings, Problem, ProcessSettings, Settings, SettingsError, SidecarSettings,
     },
     wire::LinkRequest,
 };
--- a/crates/sapphirequayd/src/main.rs
+++ b/crates/sapphirequayd/src/main.rs
@@ -1,15 +1,22 @@
 //! The daemon `sapphirequayd`.
 
+mod logging;
+mod shutdown;
+
 use {
     gumdrop::Options,
-    quay_link::{KeyFiles, LinkRole},
-    sapphirequayd::{Daemon, Settings},
-    std::{path::PathBuf, process::ExitCode, thread},
+    quay_link::KeyFiles,
+    sapphirequayd::{DEFAULT_SETTINGS, Daemon, Settings},
+    shutdown::Ending,
+    std::{path::PathBuf, process::ExitCode},
 };
 
 /// Exit code for settings that can't be used.
 const BAD_SETTINGS: u8 = 2;
 
+/// Exit code for a shutdown that cut requests off.
+const CUT: u8 = 3;
+
 /// Runs the roles that a settings file names.
 #[derive(Debug, Options)]
 struct Args {
@@ -17,35 +24,65 @@
     #[options(help = "print this help")]
     help: bool,
     /// Settings file.
-    #[options(help = "settings file", meta = "FILE")]
+    #[options(no_short, help = "settings file", meta = "FILE")]
     config: Option<PathBuf>,
+    /// Only checks the settings.
+    #[options(no_short, help = "check the settings and end")]
+    check_config: bool,
+    /// Prints settings to start from.
+    #[options(no_short, help = "print every setting with its default and end")]
+    print_default_config: bool,
 }
 
 fn main() -> ExitCode {
     let args = Args::parse_args_default_or_exit();
-    match start(&args) {
-        // The process runs until a signal ends it.
-        Ok(_daemon) => loop {
-            thread::park();
-        },
-        Err(text) => {
-            eprintln!("sapphirequayd: {text}");
-            ExitCode::from(BAD_SETTINGS)
-        }
+    if args.print_default_config {
+        print!("{DEFAULT_SETTINGS}");
+        return ExitCode::SUCCESS;
+    }
+    let settings = match read(&args) {
+        Ok(settings) => settings,
+        Err(text) => return fail(&text, BAD_SETTINGS),
+    };
+    if args.check_config {
+        println!("the settings can be used");
+        return ExitCode::SUCCESS;
+    }
+    match run(&settings) {
+        Ok(Ending::Whole) => ExitCode::SUCCESS,
+        Ok(Ending::Cut(requests)) => fail(&format!("{requests} requests were cut off"), CUT),
+        Err(text) => fail(&text, BAD_SETTINGS),
     }
 }
 
-/// Reads the settings and starts the process.
-fn start(args: &Args) -> Result<Daemon, String> {
+/// Says why the process ends.
+fn fail(text: &str, code: u8) -> ExitCode {
+    for line in text.lines() {
+        eprintln!("sapphirequayd: {line}");
+    }
+    ExitCode::from(code)
+}
+
+/// Reads and checks the settings.
+fn read(args: &Args) -> Result<Settings, String> {
     let path = args.config.as_ref().ok_or("--config FILE is needed")?;
-    let settings = Settings::load(path).map_err(|err| format!("{}: {err}", path.display()))?;
-    let role = match (&settings.entry, &settings.sidecar, &settings.ledger) {
-        (Some(_), ..) => LinkRole::Entry,
-        (None, Some(_), _) => LinkRole::Sidecar,
-        _ => LinkRole::Ledger,
+    Settings::load(path).map_err(|err| err.to_string())
+}
+
+/// Runs the process until a signal ends it.
+fn run(settings: &Settings) -> Result<Ending, String> {
+    logging::start(&settings.log).map_err(|err| err.to_string())?;
+    let identity = KeyFiles::in_folder(&settings.link.keys, settings.link_role()).load();
+    let identity = identity.map_err(|err| err.to_string())?;
+    let daemon = Daemon::start(settings, identity).map_err(|err| err.to_string())?;
+    let addr = |addr: Option<std::net::SocketAddr>| {
+        addr.map_or_else(|| "none".to_owned(), |addr| addr.to_string())
     };
-    let identity = KeyFiles::in_folder(&settings.link.keys, role)
-        .load()
-        .map_err(|err| err.to_string())?;
-    Daemon::start(&settings, identity).map_err(|err| err.to_string())
+    log::info!(
+        "event=started name={} callers={} link={}",
+        settings.process.name,
+        addr(daemon.callers_addr()),
+        addr(daemon.link_addr())
+    );
+    shutdown::wait(&daemon, settings.process.grace()).map_err(|err| err.to_string())
 }
--- a/crates/sapphirequayd/src/process/announcer.rs
+++ b/crates/sapphirequayd/src/process/announcer.rs
@@ -11,7 +11,7 @@
 };
 
 /// Interval between two announcements of a sidecar.
-const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
+pub const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
 
 /// Interval between two reads of the directory by an entry.
 const READ_EVERY: Duration = Duration::from_millis(250);
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -71,6 +71,8 @@
     edge: Option<Edge>,
     links: Links,
     lifecycle: Lifecycle,
+    /// Whether the process announces an upstream.
+    announces: bool,
 }
 
 /// The roles that streams from peers are for.
@@ -122,6 +124,7 @@
             edge,
             links,
             lifecycle,
+            announces: settings.sidecar.is_some(),
         })
     }
 
@@ -131,6 +134,13 @@
         self.edge.as_ref().map(Edge::local_addr)
     }
 
+    /// Waits until entries can have heard that this process leaves.
+    pub fn linger(&self) {
+        if self.announces {
+            thread::sleep(announcer::ANNOUNCE_EVERY * 2);
+        }
+    }
+
     /// Whether the process takes new requests, and how many are in progress.
     #[must_use]
     pub const fn lifecycle(&self) -> &Lifecycle {
--- /dev/null
+++ b/crates/sapphirequayd/src/settings/check.rs
@@ -0,0 +1,145 @@
+//! Checks settings as a whole, beyond the form of each key.
+
+use {
+    crate::settings::{Problem, Settings, SidecarSettings},
+    quay_link::{KeyFiles, LinkRole},
+    std::net::SocketAddr,
+};
+
+impl Settings {
+    /// Everything that is wrong with well-formed settings.
+    #[must_use]
+    pub fn check(&self) -> Vec<Problem> {
+        let mut problems = Vec::new();
+        self.check_process(&mut problems);
+        self.check_ports(&mut problems);
+        self.check_keys(&mut problems);
+        self.check_accounts(&mut problems);
+        self.check_entry(&mut problems);
+        if let Some(sidecar) = &self.sidecar {
+            check_sidecar(sidecar, &mut problems);
+        }
+        problems
+    }
+
+    /// The role whose certificate the process shows.
+    #[must_use]
+    pub const fn link_role(&self) -> LinkRole {
+        match (&self.entry, &self.sidecar) {
+            (Some(_), _) => LinkRole::Entry,
+            (None, Some(_)) => LinkRole::Sidecar,
+            (None, None) => LinkRole::Ledger,
+        }
+    }
+
+    /// Name, roles and who keeps the directory.
+    fn check_process(&self, problems: &mut Vec<Problem>) {
+        if self.process.name.is_empty() {
+            problems.push(Problem::new("process", "name", "it is empty"));
+        }
+        if self.entry.is_none() && self.sidecar.is_none() && self.ledger.is_none() {
+            let message = "no role: one of the tables [entry], [sidecar] and [ledger] is needed";
+            problems.push(Problem::new("", "", message));
+        }
+        let reads_ledger = self.entry.is_some() || self.sidecar.is_some();
+        if reads_ledger && self.link.ledgers.is_empty() {
+            let message = "entries and sidecars need at least one address";
+            problems.push(Problem::new("link", "ledgers", message));
+        }
+    }
+
+    /// Every address that this process listens on, with its table and key.
+    fn listens(&self) -> Vec<(&'static str, &'static str, SocketAddr)> {
+        let mut listens = vec![("link", "listen", self.link.listen)];
+        if let Some(entry) = &self.entry {
+            listens.push(("entry", "listen", entry.listen));
+        }
+        listens
+    }
+
+    /// No two listeners share a port, and none is the upstream's.
+    fn check_ports(&self, problems: &mut Vec<Problem>) {
+        let listens = self.listens();
+        for (place, (section, key, addr)) in listens.iter().enumerate() {
+            let earlier = listens[..place].iter();
+            let mut clash = earlier.filter(|(_, _, other)| overlaps(*addr, *other));
+            if let Some((other, other_key, _)) = clash.next() {
+                let message = format!("{addr} is also the address of [{other}] {other_key}");
+                problems.push(Problem::new(section, key, message));
+            }
+            let upstream = self.sidecar.as_ref().map(|sidecar| sidecar.addr);
+            if upstream.is_some_and(|upstream| overlaps(*addr, upstream)) {
+                let message = format!("{addr} is also the upstream's address");
+                problems.push(Problem::new(section, key, message));
+            }
+        }
+    }
+
+    /// The key files can be read and fit each other's form.
+    fn check_keys(&self, problems: &mut Vec<Problem>) {
+        let files = KeyFiles::in_folder(&self.link.keys, self.link_role());
+        if let Err(err) = files.load() {
+            problems.push(Problem::new("link", "keys", err.to_string()));
+        }
+    }
+
+    /// Accounts have names and keys of their own.
+    fn check_accounts(&self, problems: &mut Vec<Problem>) {
+        for (place, account) in self.accounts.iter().enumerate() {
+            let earlier = &self.accounts[..place];
+            if account.name.is_empty() || account.key.is_empty() {
+                let message = "name and key must not be empty";
+                problems.push(Problem::new("accounts", "", message));
+            }
+            if earlier.iter().any(|other| other.key == account.key) {
+                let message = format!("the key of {:?} is another account's too", account.name);
+                problems.push(Problem::new("accounts", "key", message));
+            }
+        }
+    }
+
+    /// The limits of the callers' interface leave room for work.
+    fn check_entry(&self, problems: &mut Vec<Problem>) {
+        let Some(entry) = &self.entry else { return };
+        let limits = [
+            ("max_requests", u64::from(entry.max_requests)),
+            ("max_body_bytes", entry.max_body_bytes),
+            ("read_timeout_ms", entry.read_timeout_ms),
+            ("send_timeout_ms", entry.send_timeout_ms),
+        ];
+        for (key, _) in limits.into_iter().filter(|(_, limit)| *limit == 0) {
+            problems.push(Problem::new("entry", key, "it must be positive"));
+        }
+    }
+}
+
+/// The upstream is one thing and can be called.
+fn check_sidecar(sidecar: &SidecarSettings, problems: &mut Vec<Problem>) {
+    if sidecar.upstream.is_empty() {
+        problems.push(Problem::new("sidecar", "upstream", "it is empty"));
+    }
+    if sidecar.concurrency == 0 {
+        let message = "it must be positive";
+        problems.push(Problem::new("sidecar", "concurrency", message));
+    }
+    if sidecar.addr.port() == 0 {
+        problems.push(Problem::new("sidecar", "addr", "the port is 0"));
+    }
+    match (&sidecar.service, sidecar.models.is_empty()) {
+        (Some(_), false) => {
+            let message = "an upstream has models or is a service, not both";
+            problems.push(Problem::new("sidecar", "service", message));
+        }
+        (None, true) => {
+            let message = "an upstream without models needs the name of its service";
+            problems.push(Problem::new("sidecar", "models", message));
+        }
+        _ => {}
+    }
+}
+
+/// Whether two listeners would be on one port. Port 0 is the system's choice.
+fn overlaps(a: SocketAddr, b: SocketAddr) -> bool {
+    let same_host = a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified();
+    a.port() == b.port() && a.port() != 0 && same_host
+}
--- /dev/null
+++ b/crates/sapphirequayd/src/settings/log.rs
@@ -0,0 +1,36 @@
+//! Where log lines go.
+
+use {serde::Deserialize, std::path::PathBuf};
+
+/// Where log lines go.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Least severe level that is written.
+    pub level: LogLevel,
+    /// File to append to; the console if there is none.
+    pub file: Option<PathBuf>,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: LogLevel::Info,
+            file: None,
+        }
+    }
+}
+
+/// Severity of a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Something is lost or does not work.
+    Error,
+    /// Something failed and is dealt with.
+    Warn,
+    /// One line for each request and change.
+    Info,
+    /// Details for developers.
+    Debug,
+}
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -1,15 +1,19 @@
 //! Settings of one process, read from TOML.
 
 mod account;
+mod check;
 mod entry;
 mod ledger;
 mod link;
+mod log;
+mod problem;
 mod process;
 mod sidecar;
 
 pub use {
     account::AccountSettings, entry::EntrySettings, ledger::LedgerSettings,
-    link::LinkTableSettings, process::ProcessSettings, sidecar::SidecarSettings,
+    link::LinkTableSettings, log::LogLevel, log::LogSettings, problem::Problem,
+    process::ProcessSettings, sidecar::SidecarSettings,
 };
 
 use {
@@ -26,6 +30,9 @@
 pub struct Settings {
     /// The process itself.
     pub process: ProcessSettings,
+    /// Where log lines go.
+    #[serde(default)]
+    pub log: LogSettings,
     /// Links to other processes.
     #[serde(default)]
     pub link: LinkTableSettings,
@@ -45,38 +52,55 @@
 pub enum SettingsError {
     /// The file can't be read.
     Io(PathBuf, io::Error),
-    /// The text is malformed; the message names line and key.
-    Toml(Box<toml::de::Error>),
+    /// The file's content can't be used.
+    Unusable(PathBuf, Vec<Problem>),
 }
 
 impl fmt::Display for SettingsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Io(path, err) => write!(f, "{}: {err}", path.display()),
-            Self::Toml(err) => write!(f, "{err}"),
+            Self::Unusable(path, problems) => {
+                for (place, problem) in problems.iter().enumerate() {
+                    let separator = if place == 0 { "" } else { "\n" };
+                    write!(f, "{separator}{}: {problem}", path.display())?;
+                }
+                Ok(())
+            }
         }
     }
 }
 
 impl std::error::Error for SettingsError {}
 
+/// Settings with every key and its default, for people.
+pub const DEFAULT_SETTINGS: &str = include_str!("default.toml");
+
 impl Settings {
     /// Reads settings from text.
     ///
     /// # Errors
     ///
-    /// [`SettingsError::Toml`] names the line and key.
-    pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        toml::from_str(text).map_err(|err| SettingsError::Toml(Box::new(err)))
+    /// The first [`Problem`] names table and key.
+    pub fn parse(text: &str) -> Result<Self, Problem> {
+        toml::from_str(text).map_err(|err| Problem::of_toml(text, &err))
     }
 
-    /// Reads settings from a file.
+    /// Reads settings from a file and checks them as a whole.
     ///
     /// # Errors
     ///
-    /// As [`Settings::parse`], and [`SettingsError::Io`] if the file can't be read.
+    /// [`SettingsError::Unusable`] names every problem, [`SettingsError::Io`]
+    /// says why the file can't be read.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let text = fs::read_to_string(path).map_err(|err| SettingsError::Io(path.into(), err))?;
-        Self::parse(&text)
+        let unusable = |problems| SettingsError::Unusable(path.into(), problems);
+        let settings = Self::parse(&text).map_err(|problem| unusable(vec![problem]))?;
+        let problems = settings.check();
+        if problems.is_empty() {
+            Ok(settings)
+        } else {
+            Err(unusable(problems))
+        }
     }
 }
--- /dev/null
+++ b/crates/sapphirequayd/tests/processes.rs
@@ -0,0 +1,199 @@
+//! Processes that end on a signal, each started from its settings file.
+
+mod common;
+
+use {
+    common::{KEY, completion, engine, post, streamed_text, wait_for},
+    quay_link::DevelopmentKeys,
+    quay_standin::{Engine, EngineSettings},
+    std::{
+        fs,
+        net::{SocketAddr, TcpListener, UdpSocket},
+        path::Path,
+        process::{Child, Command, ExitStatus},
+        thread,
+        time::Duration,
+    },
+    tempfile::TempDir,
+};
+
+/// A process that is killed if a test fails.
+struct Process(Child);
+
+impl Process {
+    /// Starts the daemon with a settings file that is written first.
+    fn start(dir: &Path, name: &str, settings: &str) -> Self {
+        let file = dir.join(format!("{name}.toml"));
+        let log = dir.join(format!("{name}.log"));
+        let head =
+            format!("[process]\nname = {name:?}\ngrace_s = 20\n[log]\nfile = {log:?}\n{settings}");
+        fs::write(&file, head).expect("settings");
+        let child = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"))
+            .arg("--config")
+            .arg(&file)
+            .spawn();
+        Self(child.expect("process"))
+    }
+
+    /// Sends SIGTERM.
+    fn terminate(&self) {
+        let sent = Command::new("/bin/kill")
+            .arg(self.0.id().to_string())
+            .status();
+        assert!(sent.expect("kill").success());
+    }
+
+    /// Waits for the end.
+    fn end(&mut self) -> ExitStatus {
+        let mut status = None;
+        wait_for("the process ends", || {
+            status = self.0.try_wait().expect("wait");
+            status.is_some()
+        });
+        status.expect("status")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A port that was free a moment ago.
+fn tcp_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("port");
+    listener.local_addr().expect("address")
+}
+
+/// A UDP port that was free a moment ago.
+fn udp_port() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("port");
+    socket.local_addr().expect("address")
+}
+
+/// Every role as a process before one engine.
+struct Processes {
+    dir: TempDir,
+    entry: Process,
+    sidecar: Process,
+    _ledger: Process,
+    callers: SocketAddr,
+    engine: Engine,
+}
+
+/// An engine whose answers last about two seconds.
+fn slow() -> EngineSettings {
+    EngineSettings {
+        token_gap: Duration::from_millis(20),
+        answer_tokens: 100,
+        ..EngineSettings::default()
+    }
+}
+
+fn start() -> Processes {
+    let dir = tempfile::tempdir().expect("folder");
+    let keys = dir.path().join("keys");
+    let made = DevelopmentKeys::generate().expect("keys");
+    made.write(&keys).expect("key files");
+    let engine = engine(slow());
+    let (ledger, sidecar, callers) = (udp_port(), udp_port(), tcp_port());
+    let link = |listen: SocketAddr| {
+        format!("[link]\nlisten = \"{listen}\"\nkeys = {keys:?}\nledgers = [\"{ledger}\"]\n")
+    };
+    let data = dir.path().join("data");
+    fs::create_dir_all(&data).expect("data folder");
+    let ledger_role = format!("{}[ledger]\n", link(ledger));
+    let sidecar_role = format!(
+        "{}[sidecar]\nupstream = \"engine-1\"\naddr = \"{}\"\nmodels = [\"m\"]\n",
+        link(sidecar),
+        engine.addr()
+    );
+    let entry_role = format!(
+        "{}[entry]\nlisten = \"{callers}\"\n[[accounts]]\nname = \"a\"\nkey = \"{KEY}\"\n",
+        link(udp_port())
+    );
+    let processes = Processes {
+        _ledger: Process::start(dir.path(), "ledger-1", &ledger_role),
+        sidecar: Process::start(dir.path(), "sidecar-1", &sidecar_role),
+        entry: Process::start(dir.path(), "entry-1", &entry_role),
+        callers,
+        engine,
+        dir,
+    };
+    wait_for("the entry listens", || {
+        std::net::TcpStream::connect(callers).is_ok()
+    });
+    let short = completion(false).replace("false", "false,\"max_tokens\":1");
+    assert_eq!(post(callers, KEY, &short).0, 200);
+    processes
+}
+
+impl Processes {
+    /// A streamed call that is in progress when this returns.
+    fn begin_call(&self) -> thread::JoinHandle<(u16, String)> {
+        let addr = self.callers;
+        let caller = thread::spawn(move || post(addr, KEY, &completion(true)));
+        wait_for("the call runs", || self.engine.counts().running == 1);
+        caller
+    }
+
+    fn log(&self, name: &str) -> String {
+        fs::read_to_string(self.dir.path().join(format!("{name}.log"))).expect("log")
+    }
+}
+
+/// Whether the text is the engine's whole answer.
+fn is_whole(text: &str) -> bool {
+    let words: Vec<_> = (0..100).map(|number| format!("word{number} ")).collect();
+    streamed_text(text) == words.concat() && text.ends_with("data: [DONE]\n\n")
+}
+
+#[test]
+fn an_entry_finishes_its_calls_before_it_ends() {
+    let mut processes = start();
+    let caller = processes.begin_call();
+    processes.entry.terminate();
+    wait_for("new calls are refused", || {
+        let (status, text) = common::post_once(processes.callers, KEY, &completion(true));
+        status == 503 && text.contains(r#""kind":"draining""#)
+    });
+    let (status, text) = caller.join().expect("caller");
+    assert_eq!(status, 200);
+    assert!(is_whole(&text), "{text}");
+    assert_eq!(processes.entry.end().code(), Some(0));
+    let log = processes.log("entry-1");
+    assert!(log.contains("event=shutdown_began in_progress=1"), "{log}");
+    assert!(log.contains("event=shutdown_ended"), "{log}");
+}
+
+#[test]
+fn a_sidecar_finishes_its_attempts_and_refuses_new_ones() {
+    let mut processes = start();
+    let caller = processes.begin_call();
+    processes.sidecar.terminate();
+    wait_for("new calls are not run", || {
+        let (status, text) = common::post_once(processes.callers, KEY, &completion(true));
+        assert!(text.contains(r#""not_run":true"#), "{text}");
+        status == 503
+    });
+    let (status, text) = caller.join().expect("caller");
+    assert_eq!(status, 200);
+    assert!(is_whole(&text), "{text}");
+    assert_eq!(processes.sidecar.end().code(), Some(0));
+}
+
+#[test]
+fn a_second_signal_ends_the_process_and_says_what_was_cut() {
+    let mut processes = start();
+    let _caller = processes.begin_call();
+    processes.entry.terminate();
+    wait_for("the shutdown begins", || {
+        processes.log("entry-1").contains("event=shutdown_began")
+    });
+    processes.entry.terminate();
+    assert_eq!(processes.entry.end().code(), Some(3));
+    let log = processes.log("entry-1");
+    assert!(log.contains("event=shutdown_cut in_progress=1"), "{log}");
+}
