--- /dev/null
+++ b/crates/quay_experiment/src/faults/calls/sidecar.rs
@@ -0,0 +1,67 @@
+//! A sidecar and its upstream.
+
+use {
+    quay_ledger::PermitBook,
+    quay_types::{Incarnation, Permit, PermitFate, Time, UpstreamId},
+};
+
+/// An attempt on the upstream.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Attempt {
+    /// Its permit.
+    pub permit: Permit,
+    /// Call that it is for, as a slot of the world's calls.
+    pub call: usize,
+    /// Entry that waits for the answer.
+    pub entry: u64,
+    /// When the upstream is done.
+    pub ends: Time,
+}
+
+/// A sidecar with the real permit book and a fake upstream.
+pub(super) struct Sidecar {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Run of the sidecar.
+    pub incarnation: Incarnation,
+    /// Permits of this run.
+    pub book: PermitBook,
+    /// Attempts that run.
+    pub running: Vec<Attempt>,
+    /// Messages wait until then.
+    pub frozen_until: Time,
+}
+
+impl Sidecar {
+    /// The first run of sidecar `slot`.
+    pub fn new(slot: u64) -> Self {
+        let upstream = UpstreamId(slot + 1);
+        let incarnation = Incarnation(1);
+        Self {
+            upstream,
+            incarnation,
+            book: PermitBook::new(upstream, incarnation),
+            running: Vec::new(),
+            frozen_until: Time::ZERO,
+        }
+    }
+
+    /// Starts the next run; what it knew of permits is gone, what the upstream
+    /// ran is cut off.
+    pub fn restart(&mut self) {
+        self.incarnation.0 += 1;
+        self.book = PermitBook::new(self.upstream, self.incarnation);
+        self.running.clear();
+    }
+
+    /// Forgets its permits but keeps its identity: wrong on purpose.
+    pub fn forget(&mut self) {
+        self.book = PermitBook::new(self.upstream, self.incarnation);
+        self.running.clear();
+    }
+
+    /// What became of a permit.
+    pub fn fate(&mut self, permit: &Permit) -> PermitFate {
+        self.book.inquire(permit.id, permit.incarnation).0
+    }
+}
--- a/crates/quay_experiment/src/faults/trial.rs
+++ b/crates/quay_experiment/src/faults/trial.rs
@@ -48,13 +48,10 @@
     }
 }
 
-/// The smallest set of state machines that carries a promise, under attack.
+/// The smallest set of state machines that carries some promises, under attack.
 pub trait Trial: Sized {
-    /// The promise.
-    const PROMISE: Promise;
-
-    /// A new world.
-    fn new(decisions: Decisions) -> Self;
+    /// A new world in which `promise` is put to the test.
+    fn new(promise: Promise, decisions: Decisions, rng: &mut ChaCha8Rng) -> Self;
 
     /// Takes one random step: ordinary work or a fault.
     fn step(&mut self, rng: &mut ChaCha8Rng, score: &mut Score);
@@ -65,14 +62,19 @@
 
 /// Runs a trial for `steps` steps; the same seed gives the same report.
 #[must_use]
-pub fn run_trial<T: Trial>(seed: u64, steps: u64, decisions: Decisions) -> PromiseReport {
+pub fn run_trial<T: Trial>(
+    promise: Promise,
+    seed: u64,
+    steps: u64,
+    decisions: Decisions,
+) -> PromiseReport {
     let mut score = Score::default();
     let mut taken = 0;
     while taken < steps {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         // Worlds differ by stream, so that their draws never overlap.
         rng.set_stream(taken);
-        let mut world = T::new(decisions);
+        let mut world = T::new(promise, decisions, &mut rng);
         let run = STEPS_PER_WORLD.min(steps - taken);
         for _ in 0..run {
             world.step(&mut rng, &mut score);
@@ -87,7 +89,7 @@
         first,
     } = score;
     PromiseReport {
-        promise: T::PROMISE,
+        promise,
         steps,
         faults,
         tested,
--- /dev/null
+++ b/crates/sapphirequay/src/experiment/faults.rs
@@ -0,0 +1,55 @@
+//! `sapphirequay experiment faults`.
+
+use {
+    gumdrop::Options,
+    quay_experiment::faults::{Promise, run_faults},
+    std::error::Error,
+};
+
+/// Arguments of `experiment faults`.
+#[derive(Debug, Options)]
+pub struct FaultsArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "seed of every random choice", default = "1")]
+    seed: u64,
+    #[options(help = "steps for each promise", default = "100000")]
+    steps: u64,
+    #[options(help = "only this promise", meta = "NAME")]
+    promise: Option<String>,
+    #[options(help = "print JSON instead of a table")]
+    json: bool,
+}
+
+/// Runs the trials and prints their report; fails if a promise broke.
+pub fn run(args: &FaultsArgs) -> Result<(), Box<dyn Error>> {
+    let report = run_faults(&promises(args)?, args.seed, args.steps);
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{report}");
+    }
+    if report.held() {
+        Ok(())
+    } else {
+        Err("a promise broke".into())
+    }
+}
+
+/// The promises that were asked for.
+fn promises(args: &FaultsArgs) -> Result<Vec<Promise>, Box<dyn Error>> {
+    let Some(name) = &args.promise else {
+        return Ok(Promise::ALL.to_vec());
+    };
+    let known = Promise::ALL
+        .into_iter()
+        .find(|promise| promise.name() == name);
+    let promise = known.ok_or_else(|| {
+        let names: Vec<_> = Promise::ALL.iter().map(|promise| promise.name()).collect();
+        format!(
+            "there is no promise {name:?}; the promises are {}",
+            names.join(", ")
+        )
+    })?;
+    Ok(vec![promise])
+}
