Name holders in certificates and take new keys without a restart

An operator's certificate now carries their name, which is the author of a change; roles alone could not tell owners apart. Links take a new identity while streams in progress go on under the old one, and a root file may hold two roots while one replaces the other. The daemon's health of an upstream lives with its prober, so the second machine for it is gone from quay_members.

--- a/crates/quay_link/src/identity.rs
+++ b/crates/quay_link/src/identity.rs
@@ -9,6 +9,12 @@
 /// Suffix of the DNS names that carry a role.
 const ROLE_SUFFIX: &str = ".sapphirequay";
 
+/// Suffix of the DNS name that carries the holder's own name.
+const HOLDER_SUFFIX: &str = ".holder.sapphirequay";
+
+/// Longest name of a holder, as long as a DNS label.
+const MAX_HOLDER_BYTES: usize = 63;
+
 /// What a certificate allows its holder to act as.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum LinkRole {
@@ -58,8 +64,9 @@
 
 /// Certificate, private key and trusted root of one process.
 pub struct Identity {
-    /// Root that peers' certificates must descend from.
-    pub(crate) root: CertificateDer<'static>,
+    /// Roots of which peers' certificates must descend from one: two while
+    /// a new root takes the place of an old one.
+    pub(crate) roots: Vec<CertificateDer<'static>>,
     /// Own certificate, then its issuers.
     pub(crate) chain: Vec<CertificateDer<'static>>,
     /// Private key of the first certificate.
@@ -71,7 +78,7 @@
     #[must_use]
     pub fn duplicate(&self) -> Self {
         Self {
-            root: self.root.clone(),
+            roots: self.roots.clone(),
             chain: self.chain.clone(),
             key: self.key.clone_key(),
         }
@@ -87,12 +94,39 @@
     }
 }
 
-/// Roles in a certificate that TLS has verified already.
-pub(crate) fn roles_of(cert: &CertificateDer<'_>) -> Result<Vec<LinkRole>, LinkError> {
+/// The DNS name by which a certificate carries its holder's name.
+///
+/// # Errors
+///
+/// [`LinkError::Keys`] unless the name is lower-case letters, digits and dashes.
+pub(crate) fn holder_dns_name(name: &str) -> Result<String, LinkError> {
+    let plain = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    if name.is_empty() || name.len() > MAX_HOLDER_BYTES || !name.chars().all(plain) {
+        let text = format!("name {name:?}: use a-z, 0-9 and -, at most {MAX_HOLDER_BYTES} bytes");
+        return Err(LinkError::Keys(text.into()));
+    }
+    Ok(format!("{name}{HOLDER_SUFFIX}"))
+}
+
+/// What a certificate says of its holder.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Holder {
+    /// What the holder may act as.
+    pub roles: Vec<LinkRole>,
+    /// The holder's own name, if the certificate carries one.
+    pub name: Option<Box<str>>,
+}
+
+/// Reads a certificate that TLS has verified already.
+pub(crate) fn holder_of(cert: &CertificateDer<'_>) -> Result<Holder, LinkError> {
     let cert = webpki::EndEntityCert::try_from(cert)
         .map_err(|err| LinkError::Keys(format!("peer certificate: {err}").into()))?;
-    Ok(cert
-        .valid_dns_names()
-        .filter_map(LinkRole::from_dns_name)
-        .collect())
+    let mut holder = Holder::default();
+    for dns in cert.valid_dns_names() {
+        match dns.strip_suffix(HOLDER_SUFFIX) {
+            Some(name) => holder.name = Some(name.into()),
+            None => holder.roles.extend(LinkRole::from_dns_name(dns)),
+        }
+    }
+    Ok(holder)
 }
--- a/crates/quay_link/src/keys.rs
+++ b/crates/quay_link/src/keys.rs
@@ -1,7 +1,7 @@
 //! Key files, and keys made on the spot for development.
 
 use {
-    crate::{Identity, LinkError, LinkRole},
+    crate::{Identity, LinkError, LinkRole, identity::holder_dns_name},
     rcgen::{
         BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer,
         KeyPair, KeyUsagePurpose,
@@ -41,20 +41,35 @@
     ///
     /// [`LinkError::Keys`] names the file that is missing or malformed.
     pub fn load(&self) -> Result<Identity, LinkError> {
-        let root =
-            CertificateDer::from_pem_file(&self.root).map_err(|err| unusable(&self.root, &err))?;
-        let chain = CertificateDer::pem_file_iter(&self.cert)
-            .and_then(Iterator::collect::<Result<Vec<_>, _>>)
-            .map_err(|err| unusable(&self.cert, &err))?;
-        if chain.is_empty() {
-            return Err(unusable(&self.cert, &"no certificate in the file"));
-        }
+        let roots = certificates(&self.root)?;
+        let chain = certificates(&self.cert)?;
         let key =
             PrivateKeyDer::from_pem_file(&self.key).map_err(|err| unusable(&self.key, &err))?;
-        Ok(Identity { root, chain, key })
+        Ok(Identity { roots, chain, key })
+    }
+
+    /// The files that `sapphirequay keys init` writes for an operator.
+    #[must_use]
+    pub fn of_operator(dir: &Path, name: &str) -> Self {
+        Self {
+            root: dir.join("root.pem"),
+            cert: dir.join(format!("operator-{name}.pem")),
+            key: dir.join(format!("operator-{name}.key.pem")),
+        }
     }
 }
 
+/// Every certificate in a file, which must hold one at least.
+fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, LinkError> {
+    let certs = CertificateDer::pem_file_iter(path)
+        .and_then(Iterator::collect::<Result<Vec<_>, _>>)
+        .map_err(|err| unusable(path, &err))?;
+    if certs.is_empty() {
+        return Err(unusable(path, &"no certificate in the file"));
+    }
+    Ok(certs)
+}
+
 /// Says which file can't be used.
 fn unusable(path: &Path, why: &dyn fmt::Display) -> LinkError {
     LinkError::Keys(format!("{}: {why}", path.display()).into())
@@ -98,13 +113,12 @@
         })
     }
 
-    /// Makes a certificate for `role` and returns it with its key, both in PEM.
-    fn issue(&self, role: LinkRole) -> Result<(String, String), LinkError> {
-        let mut params =
-            CertificateParams::new(vec![role.dns_name()]).map_err(|err| failed(&err))?;
-        params
-            .distinguished_name
-            .push(DnType::CommonName, role.name());
+    /// Makes a certificate for a role and the name of its holder, and returns
+    /// it with its key, both in PEM.
+    fn issue(&self, role: LinkRole, holder: &str) -> Result<(String, String), LinkError> {
+        let names = vec![role.dns_name(), holder_dns_name(holder)?];
+        let mut params = CertificateParams::new(names).map_err(|err| failed(&err))?;
+        params.distinguished_name.push(DnType::CommonName, holder);
         params.extended_key_usages = vec![
             ExtendedKeyUsagePurpose::ServerAuth,
             ExtendedKeyUsagePurpose::ClientAuth,
@@ -122,10 +136,21 @@
     ///
     /// [`LinkError::Keys`] if a key can't be made.
     pub fn identity(&self, role: LinkRole) -> Result<Identity, LinkError> {
-        let (cert, key) = self.issue(role)?;
+        self.named_identity(role, role.name())
+    }
+
+    /// Makes an identity for `role` whose certificate carries a name.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Keys`] if a key can't be made or the name is unusable.
+    pub fn named_identity(&self, role: LinkRole, holder: &str) -> Result<Identity, LinkError> {
+        let (cert, key) = self.issue(role, holder)?;
         Ok(Identity {
-            root: CertificateDer::from_pem_slice(self.root_pem.as_bytes())
-                .map_err(|err| failed(&err))?,
+            roots: vec![
+                CertificateDer::from_pem_slice(self.root_pem.as_bytes())
+                    .map_err(|err| failed(&err))?,
+            ],
             chain: vec![
                 CertificateDer::from_pem_slice(cert.as_bytes()).map_err(|err| failed(&err))?,
             ],
@@ -133,23 +158,32 @@
         })
     }
 
-    /// Writes the root and a certificate and key for each role into `dir`.
+    /// Writes the root, and a certificate and key for each role and for each
+    /// operator that is named, into `dir`.
     ///
     /// # Errors
     ///
     /// [`LinkError::Io`] if the folder can't be written or holds keys already:
-    /// nothing is overwritten.
-    pub fn write(&self, dir: &Path) -> Result<(), LinkError> {
+    /// nothing is overwritten. [`LinkError::Keys`] if a name is unusable.
+    pub fn write(&self, dir: &Path, operators: &[impl AsRef<str>]) -> Result<(), LinkError> {
         fs::create_dir_all(dir)?;
         write_new(&dir.join("root.pem"), &self.root_pem)?;
         for role in LinkRole::ALL {
-            let files = KeyFiles::in_folder(dir, role);
-            let (cert, key) = self.issue(role)?;
-            write_new(&files.cert, &cert)?;
-            write_new(&files.key, &key)?;
+            self.write_pair(&KeyFiles::in_folder(dir, role), role, role.name())?;
+        }
+        for name in operators.iter().map(AsRef::as_ref) {
+            self.write_pair(&KeyFiles::of_operator(dir, name), LinkRole::Operator, name)?;
         }
         Ok(())
     }
+
+    /// Writes a certificate and its key.
+    fn write_pair(&self, files: &KeyFiles, role: LinkRole, holder: &str) -> Result<(), LinkError> {
+        let (cert, key) = self.issue(role, holder)?;
+        write_new(&files.cert, &cert)?;
+        write_new(&files.key, &key)?;
+        Ok(())
+    }
 }
 
 /// Writes a file that must not exist yet, readable by its owner only.
--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        Frame, Identity, LinkError, LinkRole, LinkStream, frame, identity::roles_of,
+        Frame, Identity, LinkError, LinkRole, LinkStream, frame,
+        identity::{Holder, holder_of},
         stream::WINDOW_FRAMES,
     },
     quinn::{
@@ -62,6 +63,8 @@
 pub struct Incoming {
     /// Roles in the peer's certificate.
     pub roles: Vec<LinkRole>,
+    /// Name of the holder in the peer's certificate, if it carries one.
+    pub holder: Option<Box<str>>,
     /// Address of the peer.
     pub addr: SocketAddr,
     /// First frame of the stream.
@@ -78,10 +81,18 @@
     done: std_mpsc::SyncSender<Result<LinkStream, LinkError>>,
 }
 
+/// What the link thread is asked.
+enum Ask {
+    /// Open a stream.
+    Open(Open),
+    /// Use other keys from now on.
+    Reload(Identity, std_mpsc::SyncSender<Result<(), LinkError>>),
+}
+
 /// Handle to the link thread; clones share it.
 #[derive(Debug, Clone)]
 pub struct Links {
-    opens: mpsc::UnboundedSender<Open>,
+    asks: mpsc::UnboundedSender<Ask>,
     local: Option<SocketAddr>,
 }
 
@@ -97,13 +108,13 @@
         settings: LinkSettings,
         accept: impl Fn(Incoming) + Send + Sync + 'static,
     ) -> Result<Self, LinkError> {
-        let (opens, queue) = mpsc::unbounded_channel();
+        let (asks, queue) = mpsc::unbounded_channel();
         let (ready_tx, ready_rx) = std_mpsc::sync_channel(1);
         thread::Builder::new()
             .name("link".into())
-            .spawn(move || run(&settings, accept, queue, &ready_tx))?;
+            .spawn(move || run(settings, accept, queue, &ready_tx))?;
         let local = ready_rx.recv().map_err(|_| LinkError::Stopped)??;
-        Ok(Self { opens, local })
+        Ok(Self { asks, local })
     }
 
     /// Starts a link thread that accepts nothing.
@@ -135,23 +146,39 @@
     ) -> Result<LinkStream, LinkError> {
         let first = frame::encode(first)?;
         let (done, opened) = std_mpsc::sync_channel(1);
-        self.opens
-            .send(Open {
-                addr,
-                role,
-                first,
-                done,
-            })
+        let open = Open {
+            addr,
+            role,
+            first,
+            done,
+        };
+        self.asks
+            .send(Ask::Open(open))
             .map_err(|_| LinkError::Stopped)?;
         opened.recv().map_err(|_| LinkError::Stopped)?
     }
+
+    /// Uses other keys for every connection that is made from now on.
+    ///
+    /// Streams in progress go on under the keys that they began with.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Keys`] if the identity is unusable; the old one stays.
+    pub fn reload(&self, identity: Identity) -> Result<(), LinkError> {
+        let (done, reloaded) = std_mpsc::sync_channel(1);
+        self.asks
+            .send(Ask::Reload(identity, done))
+            .map_err(|_| LinkError::Stopped)?;
+        reloaded.recv().map_err(|_| LinkError::Stopped)?
+    }
 }
 
 /// Runs the link thread until every handle is dropped.
 fn run(
-    settings: &LinkSettings,
+    settings: LinkSettings,
     accept: impl Fn(Incoming) + Send + Sync + 'static,
-    queue: mpsc::UnboundedReceiver<Open>,
+    queue: mpsc::UnboundedReceiver<Ask>,
     ready: &std_mpsc::SyncSender<Result<Option<SocketAddr>, LinkError>>,
 ) {
     let runtime = match tokio::runtime::Builder::new_current_thread()
@@ -165,7 +192,7 @@
         }
     };
     runtime.block_on(async {
-        let endpoint = match bind(settings) {
+        let endpoint = match bind(&settings) {
             Ok(endpoint) => endpoint,
             Err(err) => {
                 let _ = ready.send(Err(err));
@@ -181,7 +208,7 @@
                 settings.silence,
             ));
         }
-        open_streams(&endpoint, queue, settings.silence).await;
+        serve_asks(endpoint.clone(), settings, queue).await;
         endpoint.close(VarInt::from_u32(0), b"stopped");
     });
 }
@@ -215,9 +242,9 @@
 /// The trusted root as a store.
 fn roots(identity: &Identity) -> Result<Arc<RootCertStore>, LinkError> {
     let mut roots = RootCertStore::empty();
-    roots
-        .add(identity.root.clone())
-        .map_err(|err| keys_error(&err))?;
+    for root in &identity.roots {
+        roots.add(root.clone()).map_err(|err| keys_error(&err))?;
+    }
     Ok(Arc::new(roots))
 }
 
@@ -267,45 +294,79 @@
 // ---------------------------------------------------------------------------
 // Streams that are opened here
 
-/// Serves requests to open streams; keeps one connection a peer and role.
-async fn open_streams(
-    endpoint: &Endpoint,
-    mut queue: mpsc::UnboundedReceiver<Open>,
-    silence: Duration,
+/// One connection a peer and role.
+type Connections = Arc<tokio::sync::Mutex<HashMap<(SocketAddr, LinkRole), Connection>>>;
+
+/// Opens streams and takes new keys until every handle is dropped.
+async fn serve_asks(
+    mut endpoint: Endpoint,
+    mut settings: LinkSettings,
+    mut queue: mpsc::UnboundedReceiver<Ask>,
 ) {
-    let connections = Arc::new(tokio::sync::Mutex::new(HashMap::<
-        (SocketAddr, LinkRole),
-        Connection,
-    >::new()));
-    while let Some(open) = queue.recv().await {
-        let endpoint = endpoint.clone();
-        let connections = Arc::clone(&connections);
-        tokio::spawn(async move {
-            let known = connections
-                .lock()
-                .await
-                .get(&(open.addr, open.role))
-                .cloned();
-            let live = known.filter(|conn| conn.close_reason().is_none());
-            let connection = match live {
-                Some(connection) => Ok(connection),
-                None => connect(&endpoint, open.addr, open.role).await,
-            };
-            let stream = match connection {
-                Ok(connection) => {
-                    connections
-                        .lock()
-                        .await
-                        .insert((open.addr, open.role), connection.clone());
-                    open_stream(&connection, open.first, silence).await
-                }
-                Err(err) => Err(err),
-            };
-            let _ = open.done.send(stream);
-        });
+    let mut connections = Connections::default();
+    while let Some(ask) = queue.recv().await {
+        match ask {
+            Ask::Open(open) => {
+                let connections = Arc::clone(&connections);
+                tokio::spawn(serve_open(
+                    endpoint.clone(),
+                    connections,
+                    open,
+                    settings.silence,
+                ));
+            }
+            Ask::Reload(identity, done) => {
+                let reloaded = reload(&mut endpoint, &mut settings, identity);
+                // Connections under the old keys end with their last stream.
+                connections = Connections::default();
+                let _ = done.send(reloaded);
+            }
+        }
+    }
+}
+
+/// Puts new keys into force.
+fn reload(
+    endpoint: &mut Endpoint,
+    settings: &mut LinkSettings,
+    identity: Identity,
+) -> Result<(), LinkError> {
+    let old = std::mem::replace(&mut settings.identity, identity);
+    let configs = client_config(settings).and_then(|client| Ok((client, server_config(settings)?)));
+    match configs {
+        Ok((client, server)) => {
+            endpoint.set_default_client_config(client);
+            if settings.listen.is_some() {
+                endpoint.set_server_config(Some(server));
+            }
+            Ok(())
+        }
+        Err(err) => {
+            settings.identity = old;
+            Err(err)
+        }
     }
 }
 
+/// Opens one stream, on the connection to the peer if it still lives.
+async fn serve_open(endpoint: Endpoint, connections: Connections, open: Open, silence: Duration) {
+    let key = (open.addr, open.role);
+    let known = connections.lock().await.get(&key).cloned();
+    let live = known.filter(|conn| conn.close_reason().is_none());
+    let connection = match live {
+        Some(connection) => Ok(connection),
+        None => connect(&endpoint, open.addr, open.role).await,
+    };
+    let stream = match connection {
+        Ok(connection) => {
+            connections.lock().await.insert(key, connection.clone());
+            open_stream(&connection, open.first, silence).await
+        }
+        Err(err) => Err(err),
+    };
+    let _ = open.done.send(stream);
+}
+
 /// Makes a new connection and checks the peer's role by its DNS name.
 async fn connect(
     endpoint: &Endpoint,
@@ -359,12 +420,12 @@
     }
 }
 
-/// Roles in the certificate that the peer has shown.
-fn peer_roles(connection: &Connection) -> Vec<LinkRole> {
+/// What the certificate that the peer has shown says of it.
+fn peer_holder(connection: &Connection) -> Holder {
     connection
         .peer_identity()
         .and_then(|identity| identity.downcast::<Vec<CertificateDer<'static>>>().ok())
-        .and_then(|chain| chain.first().and_then(|cert| roles_of(cert).ok()))
+        .and_then(|chain| chain.first().and_then(|cert| holder_of(cert).ok()))
         .unwrap_or_default()
 }
 
@@ -374,15 +435,16 @@
     accept: Arc<impl Fn(Incoming) + Send + Sync + 'static>,
     silence: Duration,
 ) {
-    let roles = peer_roles(&connection);
+    let holder = peer_holder(&connection);
     let addr = connection.remote_address();
     while let Ok((send, mut recv)) = connection.accept_bi().await {
         let accept = Arc::clone(&accept);
-        let roles = roles.clone();
+        let holder = holder.clone();
         tokio::spawn(async move {
             match tokio::time::timeout(silence, read_frame(&mut recv)).await {
                 Ok(Ok(first)) => accept(Incoming {
-                    roles,
+                    roles: holder.roles,
+                    holder: holder.name,
                     addr,
                     first,
                     stream: couple(send, recv, silence),
--- a/crates/quay_members/src/lib.rs
+++ b/crates/quay_members/src/lib.rs
@@ -17,7 +17,6 @@
 
 mod announcer;
 mod directory;
-mod health;
 mod line;
 mod message;
 mod pacer;
@@ -27,7 +26,6 @@
 pub use {
     announcer::HostContact,
     directory::{Directory, MemberLine},
-    health::{Health, HealthSettings},
     line::Suspicion,
     message::{
         Changes, ChangesRequest, Complaint, FullLine, Heartbeat, LoadLine, MembersReply,
--- a/crates/sapphirequay/src/keys.rs
+++ b/crates/sapphirequay/src/keys.rs
@@ -5,9 +5,9 @@
     std::{error::Error, path::Path},
 };
 
-/// Writes a new root and one certificate a role into `dir`.
-pub fn init(dir: &Path) -> Result<(), Box<dyn Error>> {
-    DevelopmentKeys::generate()?.write(dir)?;
+/// Writes a new root, one certificate a role and one an operator into `dir`.
+pub fn init(dir: &Path, operators: &[String]) -> Result<(), Box<dyn Error>> {
+    DevelopmentKeys::generate()?.write(dir, operators)?;
     println!("keys written to {}", dir.display());
     Ok(())
 }
--- a/crates/sapphirequay/src/main.rs
+++ b/crates/sapphirequay/src/main.rs
@@ -59,6 +59,12 @@
     help: bool,
     #[options(free, required, help = "folder to write")]
     dir: PathBuf,
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "operator to make keys for; may be given again"
+    )]
+    operator: Vec<String>,
 }
 
 fn main() -> ExitCode {
@@ -80,7 +86,7 @@
         Some(Command::Keys(KeysArgs {
             command: Some(KeysCommand::Init(init)),
             ..
-        })) => keys::init(&init.dir),
+        })) => keys::init(&init.dir, &init.operator),
         Some(Command::Keys(_)) | None => Err("a command is needed; see --help".into()),
     }
 }
