Let daemons follow the control group, and announce to each host apart

Accounts came from each entry's settings. Now every daemon follows the replicated document: an entry finds accounts by the digest of their key, compared in constant time, refuses quarantined content and programs over the account's limits, and says why it waits when no document is in force. A sidecar whose upstream is marked to leave refuses what waits and what comes; the ledger refuses work under an index older than a change and its grace.

Sidecars announced to the ledger hosts one after the other, so one dead host held up the others by its connection timeout; each host has a thread now. Readers get what changed instead of the whole directory four times a second.

--- a/crates/quay_link/src/keys.rs
+++ b/crates/quay_link/src/keys.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{Identity, LinkError, LinkRole, identity::holder_dns_name},
+    quay_types::ContentDigest,
     rcgen::{
         BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer,
         KeyPair, KeyUsagePurpose,
@@ -35,6 +36,14 @@
         }
     }
 
+    /// Digest of the files' contents, by which a change is seen.
+    #[must_use]
+    pub fn digest(&self) -> ContentDigest {
+        let files = [&self.root, &self.cert, &self.key];
+        let bytes = files.map(|path| fs::read(path).unwrap_or_default());
+        ContentDigest::of(&bytes.each_ref().map(Vec::as_slice))
+    }
+
     /// Reads the files.
     ///
     /// # Errors
--- a/crates/sapphirequay/src/demo.rs
+++ b/crates/sapphirequay/src/demo.rs
@@ -1,11 +1,12 @@
 //! `sapphirequay demo`: every role and the stand-ins in one process.
 
 use {
+    quay_config::KeyDigest,
     quay_link::{DevelopmentKeys, LinkRole},
     quay_standin::{Engine, EngineSettings},
     sapphirequayd::{
-        AccountSettings, Daemon, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
-        Settings, SidecarSettings,
+        Daemon, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings, Settings,
+        SidecarSettings,
     },
     std::{
         error::Error,
@@ -45,12 +46,25 @@
     }
 }
 
+/// The first configuration document.
+fn document() -> String {
+    format!(
+        "[platform.owners]\nplatform = [\"operator\"]\ndemo = [\"operator\"]\n\
+        [platform.models.{MODEL}]\n\
+        [demo.accounts.demo]\nkey_sha256 = \"{}\"\n",
+        KeyDigest::of(KEY)
+    )
+}
+
 /// Runs the demo.
 pub fn run() -> Result<(), Box<dyn Error>> {
     let keys = DevelopmentKeys::generate()?;
     let engine = Engine::start(any_port(), EngineSettings::default())?;
     let ledger = Settings {
-        ledger: Some(LedgerSettings::default()),
+        ledger: Some(LedgerSettings {
+            document_text: Some(document().into()),
+            ..LedgerSettings::default()
+        }),
         ..settings("ledger-1", &[])
     };
     let ledger = Daemon::start(&ledger, keys.identity(LinkRole::Ledger)?)?;
@@ -69,10 +83,6 @@
     let _sidecar = Daemon::start(&sidecar, keys.identity(LinkRole::Sidecar)?)?;
     let entry = Settings {
         entry: Some(EntrySettings::default()),
-        accounts: vec![AccountSettings {
-            name: "demo".into(),
-            key: KEY.into(),
-        }],
         ..settings("entry-1", &ledgers)
     };
     let entry = Daemon::start(&entry, keys.identity(LinkRole::Entry)?)?;
--- a/crates/sapphirequayd/src/connection/edge.rs
+++ b/crates/sapphirequayd/src/connection/edge.rs
@@ -6,10 +6,11 @@
             answer::{BodyAnswer, EventAnswer, WholeAnswer, write_error, write_json},
             programs::{self, CallContent, CallHeaders, PROGRAMS, serve_programs},
         },
+        process::Clock,
         request::{CallContext, Completion, run_call},
         version::Current,
     },
-    quay_types::{AccountId, CallTarget, ConfigIndex, Error, ErrorKind, Result},
+    quay_types::{AccountId, CallTarget, Error, ErrorKind, Result, ServiceId},
     serde_json::json,
     std::{
         io::{self, Read as _},
@@ -115,13 +116,7 @@
 /// Checks the key and reads the body.
 fn admit(cx: &EntryContext, req: &mut Request) -> Result<(AccountId, Vec<u8>)> {
     let key = header(req, "Authorization").and_then(|value| value.strip_prefix("Bearer "));
-    let account = key.and_then(|key| cx.rules.get().account(key));
-    let account = account.ok_or_else(|| {
-        Error::new(
-            ErrorKind::Unauthorized,
-            "the bearer key is missing or unknown",
-        )
-    })?;
+    let account = cx.rules.get().account(key.unwrap_or_default())?;
     let mut body = Vec::new();
     let read = req
         .as_reader()
@@ -162,7 +157,11 @@
         max_output: completion.max_output(),
         blocks: completion.blocks(),
     };
-    let order = programs::order(account, &headers, content, ConfigIndex::default());
+    let rules = cx.rules.get();
+    let order = programs::order(account, &headers, content, rules.index());
+    if let Err(err) = rules.runs(order.digest, Clock::wall_ms()) {
+        return write_error(&mut out, &err);
+    }
     let id = order.request.program.to_string();
     if completion.stream {
         let mut answer = EventAnswer::new(out, id, completion.model);
@@ -183,12 +182,19 @@
 ) -> io::Result<()> {
     let headers = CallHeaders::of(&req);
     let mut out = req.into_writer();
+    let rules = cx.rules.get();
     let headers = match headers {
-        Ok(headers) => headers,
+        Ok(headers) => CallHeaders {
+            idempotent: headers.idempotent && rules.repeatable(ServiceId::of(name)),
+            ..headers
+        },
         Err(err) => return write_error(&mut out, &err),
     };
     let content = CallContent::service(name, body);
-    let order = programs::order(account, &headers, content, ConfigIndex::default());
+    let order = programs::order(account, &headers, content, rules.index());
+    if let Err(err) = rules.runs(order.digest, Clock::wall_ms()) {
+        return write_error(&mut out, &err);
+    }
     let mut answer = BodyAnswer::new(out);
     run_call(&cx.calls, &order, &mut answer).or_else(|err| answer.fail(&err))
 }
--- a/crates/sapphirequayd/src/connection/programs.rs
+++ b/crates/sapphirequayd/src/connection/programs.rs
@@ -294,7 +294,7 @@
         key,
         program: parent.unwrap_or_else(|| program_of(key)),
         sub_agent: parent.is_some(),
-        limits: limits(&body)?,
+        limits: limits(&body, &cx.rules.get().limits(account))?,
     };
     let program = new.program;
     match ask(cx, program, &LedgerRequest::Create(new), key_named)? {
@@ -303,16 +303,24 @@
     }
 }
 
-/// The limits that a body asks for.
-fn limits(body: &CreateBody) -> Result<ProgramLimits> {
-    let default = ProgramLimits::default();
+/// The limits that a body asks for; the account's where it asks for none.
+fn limits(body: &CreateBody, account: &ProgramLimits) -> Result<ProgramLimits> {
     let limits = ProgramLimits {
-        budget: body.budget_tokens.map_or(default.budget, Tokens),
-        turns: body.turns.unwrap_or(default.turns),
-        lifetime_s: body.lifetime_s.unwrap_or(default.lifetime_s),
-        sub_agents: body.sub_agents.unwrap_or(default.sub_agents),
-        depth: body.depth.unwrap_or(default.depth),
+        budget: body.budget_tokens.map_or(account.budget, Tokens),
+        turns: body.turns.unwrap_or(account.turns),
+        lifetime_s: body.lifetime_s.unwrap_or(account.lifetime_s),
+        sub_agents: body.sub_agents.unwrap_or(account.sub_agents),
+        depth: body.depth.unwrap_or(account.depth),
     };
+    let within = limits.budget <= account.budget
+        && limits.turns <= account.turns
+        && limits.lifetime_s <= account.lifetime_s
+        && limits.sub_agents <= account.sub_agents
+        && limits.depth <= account.depth;
+    if !within {
+        let message = format!("the account allows at most {account:?}");
+        return Err(Error::new(ErrorKind::ProgramLimit, message));
+    }
     if limits.budget.0 == 0 || limits.turns == 0 || limits.lifetime_s == 0 {
         return Err(Error::new(
             ErrorKind::BadRequest,
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -19,11 +19,15 @@
 mod wire;
 
 pub use {
-    process::{Clock, Daemon, Group, GroupError, GroupMsg, Machine, Mailbox, StartError, spawn},
+    process::{
+        Clock, ControlClient, ControlFault, ControlReply, ControlRequest, ControlStatus, Daemon,
+        DaemonRow, Group, GroupError, GroupMsg, Machine, Mailbox, MemberRow, OperatorOrder,
+        StartError, spawn,
+    },
     request::{Splice, Spliced},
     settings::{
-        AccountSettings, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
-        Settings, SettingsError, SidecarSettings,
+        EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings, Settings, SettingsError,
+        SidecarSettings,
     },
     wire::LinkRequest,
 };
--- a/crates/sapphirequayd/src/main.rs
+++ b/crates/sapphirequayd/src/main.rs
@@ -44,8 +44,9 @@
         (None, Some(_), _) => LinkRole::Sidecar,
         _ => LinkRole::Ledger,
     };
-    let identity = KeyFiles::in_folder(&settings.link.keys, role)
-        .load()
-        .map_err(|err| err.to_string())?;
-    Daemon::start(&settings, identity).map_err(|err| err.to_string())
+    let files = KeyFiles::in_folder(&settings.link.keys, role);
+    let identity = files.load().map_err(|err| err.to_string())?;
+    let daemon = Daemon::start(&settings, identity).map_err(|err| err.to_string())?;
+    daemon.watch_keys(files).map_err(|err| err.to_string())?;
+    Ok(daemon)
 }
--- a/crates/sapphirequayd/src/process/announcer.rs
+++ b/crates/sapphirequayd/src/process/announcer.rs
@@ -2,74 +2,140 @@
 
 use {
     crate::{
-        process::{GateMsg, Mailbox, RouterMsg},
+        process::{Clock, GateMsg, Mailbox, RouterMsg},
         wire::LinkRequest,
     },
     quay_link::{LinkError, LinkRole, Links},
-    quay_types::{Announcement, DirectoryReply, DirectoryRequest},
-    std::{net::SocketAddr, thread, time::Duration},
+    quay_members::{HostContact, MembersReply, MembersRequest, MembersSettings, Pacer, View},
+    quay_types::{Announcement, ContentDigest, DirectoryReply},
+    rand::RngExt as _,
+    std::{io, net::SocketAddr, thread, time::Duration},
 };
 
-/// Interval between two announcements of a sidecar.
-const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
-
 /// Interval between two reads of the directory by an entry.
-const READ_EVERY: Duration = Duration::from_millis(250);
+const READ_EVERY: Duration = Duration::from_secs(1);
+
+/// Interval between two reads while answers are cut short, or before the first
+/// answer.
+const CATCH_UP_EVERY: Duration = Duration::from_millis(250);
 
-/// Sends one request to the keeper of the directory.
-fn ask(
-    links: &Links,
-    addr: SocketAddr,
-    req: DirectoryRequest,
-) -> Result<DirectoryReply, LinkError> {
+/// Sends one request to a host that keeps the directory.
+fn ask(links: &Links, addr: SocketAddr, req: MembersRequest) -> Result<MembersReply, LinkError> {
     links
-        .open(addr, LinkRole::Ledger, &LinkRequest::Directory(req))?
+        .open(addr, LinkRole::Ledger, &LinkRequest::Members(req))?
         .recv()
 }
 
-/// Announces an upstream to every ledger host until the process ends.
-pub fn announce(
-    links: &Links,
-    ledgers: &[SocketAddr],
-    gate: &Mailbox<GateMsg>,
-    mut announcement: Announcement,
-) {
-    loop {
-        let Some((load, state)) = gate.ask(GateMsg::Load) else {
-            return;
-        };
-        announcement.sequence += 1;
-        announcement.load = load;
-        announcement.state = state;
-        for addr in ledgers {
-            if let Err(err) = ask(
-                links,
-                *addr,
-                DirectoryRequest::Announce(announcement.clone()),
-            ) {
-                log::warn!("event=announce_failed ledger={addr} cause={err:?}");
+/// Announces one upstream to every ledger host.
+#[derive(Debug, Clone)]
+pub struct Announcer {
+    /// Links to the hosts.
+    pub links: Links,
+    /// Tells load and state.
+    pub gate: Mailbox<GateMsg>,
+    /// What stays the same over one run of the sidecar.
+    pub announcement: Announcement,
+}
+
+impl Announcer {
+    /// Starts a thread for each host, so that one that does not answer holds
+    /// up no other.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system gives no thread.
+    pub fn start(&self, hosts: &[SocketAddr]) -> io::Result<()> {
+        for host in hosts.iter().copied() {
+            let announcer = self.clone();
+            thread::Builder::new()
+                .name("announcer".into())
+                .spawn(move || announcer.run(host))?;
+        }
+        Ok(())
+    }
+
+    /// Announces to one host until the process ends.
+    fn run(mut self, host: SocketAddr) {
+        let mut contact = HostContact::default();
+        let mut pacer = Pacer::new(MembersSettings::default().heartbeat);
+        loop {
+            thread::sleep(pacer.wait(rand::rng().random()));
+            let Some((load, state)) = self.gate.ask(GateMsg::Load) else {
+                return;
+            };
+            self.announcement.sequence += 1;
+            self.announcement.load = load;
+            self.announcement.state = state;
+            let reply = ask(&self.links, host, contact.tell(&self.announcement));
+            if let Err(err) = &reply {
+                log::warn!("event=announce_failed ledger={host} cause={err:?}");
             }
+            pacer.ended(reply.is_ok());
+            contact.heard(reply.as_ref().ok());
         }
-        thread::sleep(ANNOUNCE_EVERY);
     }
 }
 
-/// Feeds the directory to the router until the process ends.
-pub fn read_directory(links: &Links, ledgers: &[SocketAddr], router: &Mailbox<RouterMsg>) {
-    let mut version = 0;
-    loop {
-        for addr in ledgers {
-            match ask(links, *addr, DirectoryRequest::Changes(version)) {
-                Ok(reply) => {
-                    if let DirectoryReply::Changes { version: read, .. } = &reply {
-                        version = *read;
-                    }
-                    router.send(RouterMsg::Directory(reply));
-                    break;
-                }
-                Err(err) => log::warn!("event=directory_read_failed ledger={addr} cause={err:?}"),
+/// Reads the directory for the router of an entry.
+#[derive(Debug)]
+pub struct Reader {
+    /// Name of the entry.
+    pub name: Box<str>,
+    /// Links to the hosts.
+    pub links: Links,
+    /// Takes what is read.
+    pub router: Mailbox<RouterMsg>,
+    /// Time of the process.
+    pub clock: Clock,
+}
+
+impl Reader {
+    /// Reads until the process ends.
+    pub fn run(&self, hosts: &[SocketAddr]) {
+        let id = ContentDigest::of(&[b"reader", self.name.as_bytes()]).to_u64();
+        // Entries spread over the hosts, and turn to the next when one fails.
+        let mut turn = usize::try_from(id).unwrap_or_default();
+        let mut view = View::default();
+        let mut steady = Pacer::new(READ_EVERY);
+        let mut catch_up = Pacer::new(CATCH_UP_EVERY);
+        while !hosts.is_empty() {
+            let host = hosts[turn % hosts.len()];
+            let learnt = self.read(host, id, &mut view);
+            if !learnt {
+                turn = turn.wrapping_add(1);
             }
+            let pacer = if learnt && view.complete() && !view.more() {
+                &mut steady
+            } else {
+                &mut catch_up
+            };
+            thread::sleep(pacer.wait(rand::rng().random()));
+        }
+    }
+
+    /// Reads once; `false` if the host gave no fitting answer.
+    fn read(&self, host: SocketAddr, id: u64, view: &mut View) -> bool {
+        let reply = ask(&self.links, host, MembersRequest::Changes(view.ask(id)));
+        let changes = match reply {
+            Ok(MembersReply::Changes(changes)) => changes,
+            Ok(_) => return false,
+            Err(err) => {
+                log::warn!("event=directory_read_failed ledger={host} cause={err:?}");
+                return false;
+            }
+        };
+        let now = self.clock.now();
+        let learnt = view.learn(now, changes);
+        if learnt {
+            let entries = view.entries(now);
+            self.router
+                .send(RouterMsg::Directory(DirectoryReply::Changes {
+                    version: 0,
+                    whole: true,
+                    entries,
+                    gone: Box::default(),
+                }));
         }
-        thread::sleep(READ_EVERY);
+        learnt
     }
 }
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -4,21 +4,26 @@
     crate::{
         connection::{Edge, EngineClient, EntryContext, ServiceClient},
         process::{
-            Clock, Gate, Group, LedgerClient, LedgerService, Mailbox, PermitMsg, Router, announcer,
-            directory::{Directory, DirectoryMsg},
+            Clock, ControlRequest, ControlService, Gate, Group, LedgerClient, LedgerService,
+            Mailbox, PermitMsg, Router,
+            announcer::{Announcer, Reader},
+            control_role::{follow_marks, start_control, subscribe, watch_keys},
+            directory::DirectoryMsg,
             spawn,
         },
         request::{Attempts, CallContext, answer_inquiry, serve_attempt},
         settings::{EntrySettings, Settings, SidecarSettings},
-        version::{Current, Rules},
+        version::Current,
         wire::LinkRequest,
     },
+    quay_config::ConfigError,
     quay_ledger::PermitBook,
     quay_ledger::{Ledger, LedgerLimits},
-    quay_link::{Identity, Incoming, LinkError, LinkRole, LinkSettings, Links},
+    quay_link::{Identity, Incoming, KeyFiles, LinkError, LinkRole, LinkSettings, Links},
+    quay_members::MembersRequest,
     quay_types::{
-        Announcement, DirectoryRequest, GroupId, Incarnation, Load, ModelId, ServiceId,
-        SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
+        Announcement, BeginReply, GroupId, Incarnation, LedgerReply, LedgerRequest, Load, ModelId,
+        ServiceId, SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
     },
     std::{
         fmt, io,
@@ -38,6 +43,8 @@
     Io(Box<str>, io::Error),
     /// Links can't be set up.
     Link(LinkError),
+    /// The first configuration document has a fault.
+    Document(ConfigError),
 }
 
 impl fmt::Display for StartError {
@@ -45,6 +52,7 @@
         match self {
             Self::Io(what, err) => write!(f, "{what}: {err}"),
             Self::Link(err) => write!(f, "{err}"),
+            Self::Document(err) => write!(f, "[ledger] document: {err}"),
         }
     }
 }
@@ -58,7 +66,7 @@
 }
 
 /// Names what failed with an [`io::Error`].
-fn starting(what: &str) -> impl FnOnce(io::Error) -> StartError {
+pub fn starting(what: &str) -> impl FnOnce(io::Error) -> StartError {
     let what = what.into();
     move |err| StartError::Io(what, err)
 }
@@ -72,10 +80,11 @@
 
 /// The roles that streams from peers are for.
 #[derive(Default)]
-struct Roles {
-    sidecar: Option<Attempts>,
-    directory: Option<Mailbox<DirectoryMsg>>,
-    ledger: Option<LedgerService>,
+pub struct Roles {
+    pub sidecar: Option<Attempts>,
+    pub directory: Option<Mailbox<DirectoryMsg>>,
+    pub ledger: Option<LedgerService>,
+    pub control: Option<ControlService>,
 }
 
 impl Daemon {
@@ -99,18 +108,21 @@
             }
         })?;
         let mut started = Roles::default();
-        if settings.ledger.is_some() {
-            started.directory = Some(
-                spawn("directory", clock, Directory::default()).map_err(starting("directory"))?,
-            );
+        if let Some(ledger) = &settings.ledger {
+            let (directory, control) = start_control(ledger, clock)?;
+            started.directory = Some(directory);
+            started.control = Some(control);
             started.ledger = Some(start_ledger(clock)?);
         }
         if let Some(sidecar) = &settings.sidecar {
             started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock)?);
         }
+        let current = Current::default();
+        let changed = follow_marks(settings, &started);
         let _ = roles.set(started);
+        subscribe(settings, &links, &current, changed)?;
         let edge = match &settings.entry {
-            Some(entry) => Some(start_entry(settings, entry, &links, clock)?),
+            Some(entry) => Some(start_entry(settings, entry, &links, clock, current)?),
             None => None,
         };
         Ok(Self { edge, links })
@@ -122,6 +134,19 @@
         self.edge.as_ref().map(Edge::local_addr)
     }
 
+    /// Takes new keys into use when the files change, until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system gives no thread.
+    pub fn watch_keys(&self, files: KeyFiles) -> io::Result<()> {
+        let links = self.links.clone();
+        thread::Builder::new()
+            .name("key-watch".into())
+            .spawn(move || watch_keys(&links, &files))?;
+        Ok(())
+    }
+
     /// Address that links are accepted on.
     #[must_use]
     pub const fn link_addr(&self) -> Option<SocketAddr> {
@@ -135,13 +160,19 @@
     entry: &EntrySettings,
     links: &Links,
     clock: Clock,
+    rules: Current,
 ) -> Result<Edge, StartError> {
     let router = spawn("router", clock, Router::default()).map_err(starting("router"))?;
-    let (reader_links, reader_router, ledgers) =
-        (links.clone(), router.clone(), settings.link.ledgers.clone());
+    let reader = Reader {
+        name: settings.process.name.clone(),
+        links: links.clone(),
+        router: router.clone(),
+        clock,
+    };
+    let ledgers = settings.link.ledgers.clone();
     thread::Builder::new()
         .name("directory-reader".into())
-        .spawn(move || announcer::read_directory(&reader_links, &ledgers, &reader_router))
+        .spawn(move || reader.run(&ledgers))
         .map_err(starting("directory reader"))?;
     let listener = TcpListener::bind(entry.listen)
         .map_err(starting(&format!("[entry] listen {}", entry.listen)))?;
@@ -150,10 +181,7 @@
         router,
         ledger: LedgerClient::new(links.clone(), settings.link.ledgers.as_slice()),
     };
-    let cx = EntryContext {
-        calls,
-        rules: Current::new(Rules::new(&settings.accounts)),
-    };
+    let cx = EntryContext { calls, rules };
     Edge::start(listener, cx).map_err(starting("edge"))
 }
 
@@ -185,13 +213,13 @@
         state: UpstreamState::Serving,
         load: Load::default(),
     };
-    let (announcer_links, announcer_gate, ledgers) =
-        (links.clone(), gate.clone(), settings.link.ledgers.clone());
-    thread::Builder::new()
-        .name("announcer".into())
-        .spawn(move || {
-            announcer::announce(&announcer_links, &ledgers, &announcer_gate, announcement);
-        })
+    let announcer = Announcer {
+        links: links.clone(),
+        gate: gate.clone(),
+        announcement,
+    };
+    announcer
+        .start(&settings.link.ledgers)
         .map_err(starting("announcer"))?;
     Ok(Attempts {
         incarnation,
@@ -251,15 +279,19 @@
                 serve_attempt(attempts, &incoming.stream, &call);
             }
         }
-        LinkRequest::Directory(req) => {
-            let answer = roles
-                .directory
-                .as_ref()
-                .and_then(|directory| directory.ask(|reply| DirectoryMsg { req, reply }));
+        LinkRequest::Members(req) => {
+            let directory = roles.directory.as_ref();
+            let answer = directory
+                .and_then(|directory| directory.ask(|reply| DirectoryMsg::Request { req, reply }));
             if let Some(answer) = answer {
                 let _ = incoming.stream.send(&answer);
             }
         }
+        LinkRequest::Control(req) => {
+            if let Some(control) = &roles.control {
+                let _ = incoming.stream.send(&control.serve(req, incoming));
+            }
+        }
         LinkRequest::Sidecar(SidecarRequest::Inquire(id, incarnation)) => {
             if let Some(attempts) = &roles.sidecar {
                 answer_inquiry(attempts, &incoming.stream, id, incarnation);
@@ -267,21 +299,39 @@
         }
         LinkRequest::Ledger(req) => {
             if let Some(ledger) = &roles.ledger {
-                let _ = incoming.stream.send(&ledger.serve(req));
+                let reply = stale(roles, &req).unwrap_or_else(|| ledger.serve(req));
+                let _ = incoming.stream.send(&reply);
             }
         }
         LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) => {}
     }
 }
 
+/// The refusal of a call that was begun under rules that are no longer in force.
+fn stale(roles: &Roles, req: &LedgerRequest) -> Option<LedgerReply> {
+    let LedgerRequest::Begin(begin) = req else {
+        return None;
+    };
+    let err = roles.control.as_ref()?.check(begin.config).err()?;
+    Some(LedgerReply::Begin(BeginReply::Refused(err)))
+}
+
 /// Whether a peer with `roles` may send `req`.
 fn allowed(req: &LinkRequest, roles: &[LinkRole]) -> bool {
     let needed: &[LinkRole] = match req {
-        LinkRequest::Sidecar(_) => &[LinkRole::Entry],
-        LinkRequest::Directory(DirectoryRequest::Announce(_)) => &[LinkRole::Sidecar],
-        LinkRequest::Directory(DirectoryRequest::Changes(_)) => {
-            &[LinkRole::Entry, LinkRole::Operator]
+        LinkRequest::Sidecar(_) | LinkRequest::Members(MembersRequest::Changes(_)) => {
+            &[LinkRole::Entry]
+        }
+        LinkRequest::Members(MembersRequest::Announce(_) | MembersRequest::Heartbeat(_)) => {
+            &[LinkRole::Sidecar]
+        }
+        LinkRequest::Control(ControlRequest::Poll { .. }) => {
+            &[LinkRole::Entry, LinkRole::Sidecar, LinkRole::Ledger]
+        }
+        LinkRequest::Control(ControlRequest::Quarantine { .. }) => {
+            &[LinkRole::Entry, LinkRole::Ledger]
         }
+        LinkRequest::Control(_) => &[LinkRole::Operator],
         LinkRequest::Ledger(_) => &[LinkRole::Entry, LinkRole::Sidecar],
     };
     needed.iter().any(|role| roles.contains(role))
--- a/crates/sapphirequayd/src/process/directory.rs
+++ b/crates/sapphirequayd/src/process/directory.rs
@@ -2,77 +2,43 @@
 
 use {
     crate::process::Machine,
-    indexmap::IndexMap,
-    quay_types::{
-        Announcement, DirectoryEntry, DirectoryReply, DirectoryRequest, Time, UpstreamId,
-    },
+    indexmap::IndexSet,
+    quay_members::{Directory, MemberLine, MembersReply, MembersRequest},
+    quay_types::{Time, UpstreamId},
     std::{sync::mpsc::SyncSender, time::Duration},
 };
 
-/// An upstream that has not announced itself for so long is gone.
-const LEASE: Duration = Duration::from_secs(2);
-
-/// A request and where its answer goes.
-pub struct DirectoryMsg {
-    /// The request.
-    pub req: DirectoryRequest,
-    /// Takes the answer.
-    pub reply: SyncSender<DirectoryReply>,
-}
-
-/// One known upstream.
-struct Line {
-    announcement: Announcement,
-    heard: Time,
-}
-
-/// The directory.
-#[derive(Default)]
-pub struct Directory {
-    lines: IndexMap<UpstreamId, Line>,
-    version: u64,
+/// What the directory is told.
+pub enum DirectoryMsg {
+    /// A request of a sidecar or a reader.
+    Request {
+        /// The request.
+        req: MembersRequest,
+        /// Takes the answer.
+        reply: SyncSender<MembersReply>,
+    },
+    /// The upstreams that are marked to leave.
+    Drained(IndexSet<UpstreamId>),
+    /// Asks for every line.
+    Members(SyncSender<Vec<MemberLine>>),
 }
 
 impl Machine for Directory {
     type Msg = DirectoryMsg;
 
-    const TICK: Duration = Duration::from_millis(250);
+    const TICK: Duration = Duration::from_millis(100);
 
     fn handle(&mut self, now: Time, msg: DirectoryMsg) {
-        let answer = match msg.req {
-            DirectoryRequest::Announce(announcement) => {
-                self.version += 1;
-                self.lines.insert(
-                    announcement.upstream(),
-                    Line {
-                        announcement,
-                        heard: now,
-                    },
-                );
-                DirectoryReply::Accepted
+        match msg {
+            DirectoryMsg::Request { req, reply } => {
+                let _ = reply.send(Self::handle(self, now, req));
             }
-            DirectoryRequest::Changes(_) => self.whole(now),
-        };
-        let _ = msg.reply.send(answer);
+            DirectoryMsg::Drained(drained) => self.set_drained(now, drained),
+            DirectoryMsg::Members(reply) => drop(reply.send(self.members(now))),
+        }
     }
 
     fn tick(&mut self, now: Time) {
-        self.lines.retain(|_, line| now.since(line.heard) < LEASE);
-    }
-}
-
-impl Directory {
-    /// Every line, with its age.
-    fn whole(&self, now: Time) -> DirectoryReply {
-        let entries = self.lines.values().map(|line| DirectoryEntry {
-            announcement: line.announcement.clone(),
-            age_ms: u32::try_from(now.since(line.heard).as_millis()).unwrap_or(u32::MAX),
-        });
-        DirectoryReply::Changes {
-            version: self.version,
-            whole: true,
-            entries: entries.collect(),
-            gone: Box::default(),
-        }
+        Self::tick(self, now);
     }
 }
--- a/crates/sapphirequayd/src/process/gate.rs
+++ b/crates/sapphirequayd/src/process/gate.rs
@@ -15,6 +15,8 @@
     Enter(SyncSender<Result<(), Error>>),
     /// An admitted call has ended.
     Leave,
+    /// An operator's mark to leave was set, or taken away.
+    Drain(bool),
     /// Asks for the load to announce.
     Load(SyncSender<(Load, UpstreamState)>),
 }
@@ -68,6 +70,20 @@
         }
     }
 
+    /// Takes no new work, or takes it again. What waits has not run, and is
+    /// refused; what runs goes on.
+    fn drain(&mut self, drained: bool) {
+        if !drained {
+            self.state = UpstreamState::Serving;
+            return;
+        }
+        self.state = UpstreamState::Draining;
+        for waiter in std::mem::take(&mut self.queue) {
+            let err = Error::new(ErrorKind::Draining, "the upstream is leaving");
+            let _ = waiter.send(Err(err));
+        }
+    }
+
     /// The load as it is announced.
     fn load(&self) -> Load {
         Load {
@@ -87,6 +103,7 @@
         match msg {
             GateMsg::Enter(waiter) => self.enter(waiter),
             GateMsg::Leave => self.running = self.running.saturating_sub(1),
+            GateMsg::Drain(drained) => self.drain(drained),
             GateMsg::Load(reply) => drop(reply.send((self.load(), self.state))),
         }
         self.admit();
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -3,6 +3,10 @@
 mod actor;
 mod announcer;
 mod clock;
+mod control;
+mod control_client;
+mod control_message;
+mod control_role;
 mod daemon;
 mod directory;
 mod gate;
@@ -11,10 +15,16 @@
 mod ledger_client;
 mod permits;
 mod router;
+mod subscription;
 
 pub use {
     actor::{Machine, Mailbox, spawn},
     clock::Clock,
+    control::ControlService,
+    control_client::{ControlClient, ControlFault},
+    control_message::{
+        ControlReply, ControlRequest, ControlStatus, DaemonRow, MemberRow, OperatorOrder,
+    },
     daemon::{Daemon, StartError},
     gate::{Gate, GateMsg},
     group::{Group, GroupError, GroupMsg},
@@ -22,4 +32,5 @@
     ledger_client::{LedgerClient, LedgerFault},
     permits::PermitMsg,
     router::{Pick, Router, RouterMsg},
+    subscription::Subscription,
 };
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -1,6 +1,5 @@
 //! Settings of one process, read from TOML.
 
-mod account;
 mod entry;
 mod ledger;
 mod link;
@@ -8,8 +7,8 @@
 mod sidecar;
 
 pub use {
-    account::AccountSettings, entry::EntrySettings, ledger::LedgerSettings,
-    link::LinkTableSettings, process::ProcessSettings, sidecar::SidecarSettings,
+    entry::EntrySettings, ledger::LedgerSettings, link::LinkTableSettings,
+    process::ProcessSettings, sidecar::SidecarSettings,
 };
 
 use {
@@ -35,9 +34,6 @@
     pub sidecar: Option<SidecarSettings>,
     /// The ledger role.
     pub ledger: Option<LedgerSettings>,
-    /// Accounts that may call, until a configuration document is in force.
-    #[serde(default)]
-    pub accounts: Vec<AccountSettings>,
 }
 
 /// Why settings can't be used.
--- a/crates/sapphirequayd/src/version/current.rs
+++ b/crates/sapphirequayd/src/version/current.rs
@@ -10,10 +10,9 @@
 pub struct Current(Arc<RwLock<Arc<Rules>>>);
 
 impl Current {
-    /// Starts with `rules` in force.
-    #[must_use]
-    pub fn new(rules: Rules) -> Self {
-        Self(Arc::new(RwLock::new(Arc::new(rules))))
+    /// Puts other rules into force for requests that begin from now on.
+    pub fn set(&self, rules: Arc<Rules>) {
+        *self.0.write().unwrap_or_else(PoisonError::into_inner) = rules;
     }
 
     /// The rules in force now.
--- a/crates/sapphirequayd/src/version/rules.rs
+++ b/crates/sapphirequayd/src/version/rules.rs
@@ -1,28 +1,116 @@
-//! The rules in force: who may call.
+//! The rules in force: who may call, and what must not run.
 
-use {crate::settings::AccountSettings, indexmap::IndexMap, quay_types::AccountId};
+use {
+    quay_config::{Config, Image, Subscriber},
+    quay_types::{
+        AccountId, ConfigIndex, ContentDigest, Error, ErrorKind, ProgramLimits, Result, ServiceId,
+        UpstreamId,
+    },
+    std::{sync::Arc, time::Duration},
+};
 
-/// Rules that one version of the configuration sets.
+/// Path of a service's requests: callers name the service only.
+const ANY_PATH: &str = "/";
+
+/// Rules that one index of the configuration sets.
 #[derive(Debug, Default)]
 pub struct Rules {
-    /// Accounts by their bearer keys.
-    accounts: IndexMap<Box<str>, AccountId>,
+    /// The checked document; `None` before the first.
+    config: Option<Arc<Config>>,
+    /// Sections and marks.
+    image: Image,
+    /// Why nothing newer is in force; empty while all is well.
+    waits: Box<str>,
 }
 
 impl Rules {
-    /// Rules that know the given accounts.
+    /// The rules that a subscriber holds.
+    #[must_use]
+    pub fn of(subscriber: &Subscriber) -> Self {
+        Self {
+            config: subscriber.config().cloned(),
+            image: subscriber.image().clone(),
+            waits: subscriber.waits().into(),
+        }
+    }
+
+    /// Index that these rules are of; 0 before the first document.
+    #[must_use]
+    pub const fn index(&self) -> ConfigIndex {
+        self.image.index
+    }
+
+    /// The checked document; `None` before the first.
     #[must_use]
-    pub fn new(accounts: &[AccountSettings]) -> Self {
-        let accounts = accounts
-            .iter()
-            .map(|account| (account.key.clone(), AccountId::of(&account.name)))
-            .collect();
-        Self { accounts }
+    pub fn config(&self) -> Option<&Config> {
+        self.config.as_deref()
     }
 
     /// The account of a bearer key.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Unauthorized`] if no account has the key;
+    /// [`ErrorKind::ConfigStale`] before the first document, with the reason.
+    pub fn account(&self, key: &str) -> Result<AccountId> {
+        let Some(config) = &self.config else {
+            let message = format!("no configuration is in force here yet: {}", self.waits);
+            return Err(Error::new(ErrorKind::ConfigStale, message));
+        };
+        config.account_of(key).ok_or_else(|| {
+            Error::new(
+                ErrorKind::Unauthorized,
+                "the bearer key is missing or unknown",
+            )
+        })
+    }
+
+    /// Most that a program of an account may ask for.
     #[must_use]
-    pub fn account(&self, key: &str) -> Option<AccountId> {
-        self.accounts.get(key).copied()
+    pub fn limits(&self, account: AccountId) -> ProgramLimits {
+        let config = self.config.as_ref();
+        let account = config.and_then(|config| config.accounts.get(&account));
+        account.map_or_else(ProgramLimits::default, |account| account.limits)
+    }
+
+    /// Whether an operator has marked an upstream to leave.
+    #[must_use]
+    pub fn drained(&self, upstream: &str) -> bool {
+        self.image.drained.contains_key(upstream)
+    }
+
+    /// Upstreams that are marked to leave.
+    pub fn all_drained(&self) -> impl Iterator<Item = UpstreamId> {
+        self.image.drained.keys().map(|name| UpstreamId::of(name))
+    }
+
+    /// Whether requests to a service may be repeated, for all that the
+    /// document says of it.
+    #[must_use]
+    pub fn repeatable(&self, service: ServiceId) -> bool {
+        let config = self.config.as_ref();
+        let service = config.and_then(|config| config.services.get(&service));
+        service.is_none_or(|service| service.repeatable(ANY_PATH))
+    }
+
+    /// Whether content may run at a time in milliseconds since the epoch.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Quarantined`] until its mark lapses or is cleared.
+    pub fn runs(&self, digest: ContentDigest, now_ms: u64) -> Result<()> {
+        let until_ms = self
+            .image
+            .quarantined
+            .get(&digest)
+            .map(|mark| mark.until_ms);
+        match until_ms {
+            Some(until_ms) if until_ms > now_ms => {
+                let message = format!("upstreams crashed while they ran content {digest}");
+                let left = Duration::from_millis(until_ms - now_ms);
+                Err(Error::new(ErrorKind::Quarantined, message).with_retry_after(left))
+            }
+            _ => Ok(()),
+        }
     }
 }
--- a/crates/sapphirequayd/src/wire.rs
+++ b/crates/sapphirequayd/src/wire.rs
@@ -1,7 +1,9 @@
 //! First message of every stream between two processes.
 
 use {
-    quay_types::{DirectoryRequest, LedgerRequest, SidecarRequest},
+    crate::process::ControlRequest,
+    quay_members::MembersRequest,
+    quay_types::{LedgerRequest, SidecarRequest},
     serde::{Deserialize, Serialize},
 };
 
@@ -11,7 +13,9 @@
     /// For a sidecar.
     Sidecar(SidecarRequest),
     /// For the keeper of the directory.
-    Directory(DirectoryRequest),
+    Members(MembersRequest),
     /// For the ledger.
     Ledger(LedgerRequest),
+    /// For the control group.
+    Control(ControlRequest),
 }
