--- a/crates/sapphirequayd/src/main.rs
+++ b/crates/sapphirequayd/src/main.rs
@@ -72,9 +72,10 @@
 /// Runs the process until a signal ends it.
 fn run(settings: &Settings) -> Result<Ending, String> {
     logging::start(&settings.log).map_err(|err| err.to_string())?;
-    let identity = KeyFiles::in_folder(&settings.link.keys, settings.link_role()).load();
-    let identity = identity.map_err(|err| err.to_string())?;
+    let files = KeyFiles::in_folder(&settings.link.keys, settings.link_role());
+    let identity = files.load().map_err(|err| err.to_string())?;
     let daemon = Daemon::start(settings, identity).map_err(|err| err.to_string())?;
+    daemon.watch_keys(files).map_err(|err| err.to_string())?;
     let addr = |addr: Option<std::net::SocketAddr>| {
         addr.map_or_else(|| "none".to_owned(), |addr| addr.to_string())
     };
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -4,23 +4,27 @@
     crate::{
         connection::{Edge, EngineClient, EntryContext, ServiceClient},
         process::{
-            Clock, Gate, Group, LedgerClient, LedgerService, Lifecycle, Mailbox, PermitMsg, Router,
-            SharedHealth,
-            announcer::{self, Standing},
-            directory::{Directory, DirectoryMsg},
+            Clock, ControlRequest, ControlService, Gate, Group, LedgerClient, LedgerService,
+            Lifecycle, Mailbox, PermitMsg, Router, SharedHealth,
+            announcer::{Announcer, Reader, Standing},
+            control_role::{follow_marks, start_control, subscribe, watch_keys},
+            directory::DirectoryMsg,
             spawn, telemetry,
         },
         request::{Attempts, CallContext, answer_inquiry, serve_attempt},
         settings::{EntrySettings, Settings, SidecarSettings},
-        version::{Current, Rules},
+        version::Current,
         wire::LinkRequest,
     },
+    quay_config::ConfigError,
     quay_ledger::PermitBook,
     quay_ledger::{Ledger, LedgerLimits},
-    quay_link::{Identity, Incoming, LinkError, LinkRole, LinkSettings, Links},
+    quay_link::{Identity, Incoming, KeyFiles, LinkError, LinkRole, LinkSettings, Links},
+    quay_members::MembersRequest,
+    quay_members::MembersSettings,
     quay_types::{
-        Announcement, DirectoryRequest, GroupId, Incarnation, Load, ModelId, ServiceId,
-        SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
+        Announcement, BeginReply, GroupId, Incarnation, LedgerReply, LedgerRequest, Load, ModelId,
+        ServiceId, SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
     },
     std::{
         fmt, io,
@@ -40,6 +44,8 @@
     Io(Box<str>, io::Error),
     /// Links can't be set up.
     Link(LinkError),
+    /// The first configuration document has a fault.
+    Document(ConfigError),
 }
 
 impl fmt::Display for StartError {
@@ -47,6 +53,7 @@
         match self {
             Self::Io(what, err) => write!(f, "{what}: {err}"),
             Self::Link(err) => write!(f, "{err}"),
+            Self::Document(err) => write!(f, "[ledger] document: {err}"),
         }
     }
 }
@@ -60,7 +67,7 @@
 }
 
 /// Names what failed with an [`io::Error`].
-fn starting(what: &str) -> impl FnOnce(io::Error) -> StartError {
+pub fn starting(what: &str) -> impl FnOnce(io::Error) -> StartError {
     let what = what.into();
     move |err| StartError::Io(what, err)
 }
@@ -77,10 +84,11 @@
 
 /// The roles that streams from peers are for.
 #[derive(Default)]
-struct Roles {
-    sidecar: Option<Attempts>,
-    directory: Option<Mailbox<DirectoryMsg>>,
-    ledger: Option<LedgerService>,
+pub struct Roles {
+    pub sidecar: Option<Attempts>,
+    pub directory: Option<Mailbox<DirectoryMsg>>,
+    pub ledger: Option<LedgerService>,
+    pub control: Option<ControlService>,
 }
 
 impl Daemon {
@@ -106,18 +114,23 @@
             }
         })?;
         let mut started = Roles::default();
-        if settings.ledger.is_some() {
-            started.directory = Some(
-                spawn("directory", clock, Directory::default()).map_err(starting("directory"))?,
-            );
+        if let Some(ledger) = &settings.ledger {
+            let (directory, control) = start_control(ledger, clock)?;
+            started.directory = Some(directory);
+            started.control = Some(control);
             started.ledger = Some(start_ledger(clock)?);
         }
         if let Some(sidecar) = &settings.sidecar {
             started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock, &lifecycle)?);
         }
+        let current = Current::default();
+        let changed = follow_marks(settings, &started);
         let _ = roles.set(started);
+        subscribe(settings, &links, &current, changed)?;
         let edge = match &settings.entry {
-            Some(entry) => Some(start_entry(settings, entry, &links, clock, &lifecycle)?),
+            Some(entry) => Some(start_entry(
+                settings, entry, &links, clock, current, &lifecycle,
+            )?),
             None => None,
         };
         Ok(Self {
@@ -137,7 +150,7 @@
     /// Waits until entries can have heard that this process leaves.
     pub fn linger(&self) {
         if self.announces {
-            thread::sleep(announcer::ANNOUNCE_EVERY * 2);
+            thread::sleep(MembersSettings::default().heartbeat * 2);
         }
     }
 
@@ -147,6 +160,19 @@
         &self.lifecycle
     }
 
+    /// Takes new keys into use when the files change, until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system gives no thread.
+    pub fn watch_keys(&self, files: KeyFiles) -> io::Result<()> {
+        let links = self.links.clone();
+        thread::Builder::new()
+            .name("key-watch".into())
+            .spawn(move || watch_keys(&links, &files))?;
+        Ok(())
+    }
+
     /// Address that links are accepted on.
     #[must_use]
     pub const fn link_addr(&self) -> Option<SocketAddr> {
@@ -160,14 +186,20 @@
     entry: &EntrySettings,
     links: &Links,
     clock: Clock,
+    rules: Current,
     lifecycle: &Lifecycle,
 ) -> Result<Edge, StartError> {
     let router = spawn("router", clock, Router::default()).map_err(starting("router"))?;
-    let (reader_links, reader_router, ledgers) =
-        (links.clone(), router.clone(), settings.link.ledgers.clone());
+    let reader = Reader {
+        name: settings.process.name.clone(),
+        links: links.clone(),
+        router: router.clone(),
+        clock,
+    };
+    let ledgers = settings.link.ledgers.clone();
     thread::Builder::new()
         .name("directory-reader".into())
-        .spawn(move || announcer::read_directory(&reader_links, &ledgers, &reader_router))
+        .spawn(move || reader.run(&ledgers))
         .map_err(starting("directory reader"))?;
     let calls = CallContext {
         links: links.clone(),
@@ -176,7 +208,7 @@
     };
     let cx = EntryContext {
         calls,
-        rules: Current::new(Rules::new(&settings.accounts)),
+        rules,
         lifecycle: lifecycle.clone(),
         settings: entry.clone(),
     };
@@ -212,8 +244,6 @@
         state: UpstreamState::Serving,
         load: Load::default(),
     };
-    let (announcer_links, announcer_gate, ledgers) =
-        (links.clone(), gate.clone(), settings.link.ledgers.clone());
     let health = SharedHealth::new(clock);
     health
         .probe(format!("http://{}/healthz", sidecar.addr).into())
@@ -222,17 +252,14 @@
         lifecycle: lifecycle.clone(),
         health: health.clone(),
     };
-    thread::Builder::new()
-        .name("announcer".into())
-        .spawn(move || {
-            announcer::announce(
-                &announcer_links,
-                &ledgers,
-                &announcer_gate,
-                &standing,
-                announcement,
-            );
-        })
+    let announcer = Announcer {
+        links: links.clone(),
+        gate: gate.clone(),
+        standing,
+        announcement,
+    };
+    announcer
+        .start(&settings.link.ledgers)
         .map_err(starting("announcer"))?;
     Ok(Attempts {
         incarnation,
@@ -296,15 +323,19 @@
                 serve_attempt(attempts, &incoming.stream, &call);
             }
         }
-        LinkRequest::Directory(req) => {
-            let answer = roles
-                .directory
-                .as_ref()
-                .and_then(|directory| directory.ask(|reply| DirectoryMsg { req, reply }));
+        LinkRequest::Members(req) => {
+            let directory = roles.directory.as_ref();
+            let answer = directory
+                .and_then(|directory| directory.ask(|reply| DirectoryMsg::Request { req, reply }));
             if let Some(answer) = answer {
                 let _ = incoming.stream.send(&answer);
             }
         }
+        LinkRequest::Control(req) => {
+            if let Some(control) = &roles.control {
+                let _ = incoming.stream.send(&control.serve(req, incoming));
+            }
+        }
         LinkRequest::Sidecar(SidecarRequest::Inquire(id, incarnation)) => {
             if let Some(attempts) = &roles.sidecar {
                 answer_inquiry(attempts, &incoming.stream, id, incarnation);
@@ -312,21 +343,39 @@
         }
         LinkRequest::Ledger(req) => {
             if let Some(ledger) = &roles.ledger {
-                let _ = incoming.stream.send(&ledger.serve(req));
+                let reply = stale(roles, &req).unwrap_or_else(|| ledger.serve(req));
+                let _ = incoming.stream.send(&reply);
             }
         }
         LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) => {}
     }
 }
 
+/// The refusal of a call that was begun under rules that are no longer in force.
+fn stale(roles: &Roles, req: &LedgerRequest) -> Option<LedgerReply> {
+    let LedgerRequest::Begin(begin) = req else {
+        return None;
+    };
+    let err = roles.control.as_ref()?.check(begin.config).err()?;
+    Some(LedgerReply::Begin(BeginReply::Refused(err)))
+}
+
 /// Whether a peer with `roles` may send `req`.
 fn allowed(req: &LinkRequest, roles: &[LinkRole]) -> bool {
     let needed: &[LinkRole] = match req {
-        LinkRequest::Sidecar(_) => &[LinkRole::Entry],
-        LinkRequest::Directory(DirectoryRequest::Announce(_)) => &[LinkRole::Sidecar],
-        LinkRequest::Directory(DirectoryRequest::Changes(_)) => {
-            &[LinkRole::Entry, LinkRole::Operator]
+        LinkRequest::Sidecar(_) | LinkRequest::Members(MembersRequest::Changes(_)) => {
+            &[LinkRole::Entry]
+        }
+        LinkRequest::Members(MembersRequest::Announce(_) | MembersRequest::Heartbeat(_)) => {
+            &[LinkRole::Sidecar]
+        }
+        LinkRequest::Control(ControlRequest::Poll { .. }) => {
+            &[LinkRole::Entry, LinkRole::Sidecar, LinkRole::Ledger]
+        }
+        LinkRequest::Control(ControlRequest::Quarantine { .. }) => {
+            &[LinkRole::Entry, LinkRole::Ledger]
         }
+        LinkRequest::Control(_) => &[LinkRole::Operator],
         LinkRequest::Ledger(_) => &[LinkRole::Entry, LinkRole::Sidecar],
     };
     needed.iter().any(|role| roles.contains(role))
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -3,6 +3,10 @@
 mod actor;
 mod announcer;
 mod clock;
+mod control;
+mod control_client;
+mod control_message;
+mod control_role;
 mod daemon;
 mod directory;
 mod gate;
@@ -14,11 +18,17 @@
 mod permits;
 mod prober;
 mod router;
+mod subscription;
 pub mod telemetry;
 
 pub use {
     actor::{Machine, Mailbox, spawn},
     clock::Clock,
+    control::ControlService,
+    control_client::{ControlClient, ControlFault},
+    control_message::{
+        ControlReply, ControlRequest, ControlStatus, DaemonRow, MemberRow, OperatorOrder,
+    },
     daemon::{Daemon, StartError},
     gate::{Gate, GateMsg},
     group::{Group, GroupError, GroupMsg},
@@ -29,4 +39,5 @@
     permits::PermitMsg,
     prober::SharedHealth,
     router::{Pick, Router, RouterMsg},
+    subscription::Subscription,
 };
--- a/crates/sapphirequayd/src/settings/check.rs
+++ b/crates/sapphirequayd/src/settings/check.rs
@@ -14,7 +14,7 @@
         self.check_process(&mut problems);
         self.check_ports(&mut problems);
         self.check_keys(&mut problems);
-        self.check_accounts(&mut problems);
+        self.check_ledger(&mut problems);
         self.check_entry(&mut problems);
         if let Some(sidecar) = &self.sidecar {
             check_sidecar(sidecar, &mut problems);
@@ -83,18 +83,11 @@
         }
     }
 
-    /// Accounts have names and keys of their own.
-    fn check_accounts(&self, problems: &mut Vec<Problem>) {
-        for (place, account) in self.accounts.iter().enumerate() {
-            let earlier = &self.accounts[..place];
-            if account.name.is_empty() || account.key.is_empty() {
-                let message = "name and key must not be empty";
-                problems.push(Problem::new("accounts", "", message));
-            }
-            if earlier.iter().any(|other| other.key == account.key) {
-                let message = format!("the key of {:?} is another account's too", account.name);
-                problems.push(Problem::new("accounts", "key", message));
-            }
+    /// The first configuration document can be read.
+    fn check_ledger(&self, problems: &mut Vec<Problem>) {
+        let Some(ledger) = &self.ledger else { return };
+        if let Err(err) = ledger.first_document() {
+            problems.push(Problem::new("ledger", "document", err.to_string()));
         }
     }
 
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -1,6 +1,5 @@
 //! Settings of one process, read from TOML.
 
-mod account;
 mod check;
 mod entry;
 mod ledger;
@@ -11,9 +10,8 @@
 mod sidecar;
 
 pub use {
-    account::AccountSettings, entry::EntrySettings, ledger::LedgerSettings,
-    link::LinkTableSettings, log::LogLevel, log::LogSettings, problem::Problem,
-    process::ProcessSettings, sidecar::SidecarSettings,
+    entry::EntrySettings, ledger::LedgerSettings, link::LinkTableSettings, log::LogLevel,
+    log::LogSettings, problem::Problem, process::ProcessSettings, sidecar::SidecarSettings,
 };
 
 use {
@@ -42,9 +40,6 @@
     pub sidecar: Option<SidecarSettings>,
     /// The ledger role.
     pub ledger: Option<LedgerSettings>,
-    /// Accounts that may call, until a configuration document is in force.
-    #[serde(default)]
-    pub accounts: Vec<AccountSettings>,
 }
 
 /// Why settings can't be used.
