--- a/crates/quay_experiment/src/faults/calls/world.rs
+++ b/crates/quay_experiment/src/faults/calls/world.rs
@@ -245,7 +245,7 @@
     }
 
     /// Tells the caller the end of a request.
-    fn tell(&mut self, id: u64, told: Told, score: &mut Score) {
+    fn tell(&mut self, id: u64, told: &Told, score: &mut Score) {
         let Some(request) = self.requests.shift_remove(&id) else {
             return;
         };
@@ -253,7 +253,7 @@
         call.requests -= 1;
         let before = std::mem::replace(&mut call.told, told.clone());
         let call = &self.calls[request.call];
-        match (&told, &before) {
+        match (told, &before) {
             (Told::NotRun, _) => {
                 // Another request of the same call may have run it.
                 let held = call.ran.is_empty() || call.requests > 0 || before != Told::Nothing;
@@ -300,7 +300,7 @@
         match request.waits.clone() {
             Waits::Turn if overdue => self.ask_to_begin(id, rng),
             // The key is the caller's: an earlier request may have run it.
-            Waits::Begin if overdue => self.tell(id, Told::MayHaveRun, score),
+            Waits::Begin if overdue => self.tell(id, &Told::MayHaveRun, score),
             Waits::Attempt(permit) if overdue => self.inquire(id, permit, rng),
             Waits::Inquiry(permit) if overdue => self.settle_as(id, permit, Outcome::Unknown, rng),
             Waits::Settle(permit, outcome) if overdue => self.settle_as(id, permit, outcome, rng),
@@ -337,7 +337,7 @@
             config: ConfigIndex(1),
             prompt: call_slot.to_le_bytes().into(),
         };
-        self.post(Message::Begin(id, begin), rng);
+        self.post(&Message::Begin(id, begin), rng);
         self.wait(id, Waits::Begin, PATIENCE);
     }
 
@@ -357,9 +357,9 @@
                 self.wait(id, Waits::Turn, Duration::from_millis(u64::from(ms) * 4));
             }
             BeginReply::Replay(Outcome::Completed { answer, .. }) => {
-                self.tell(id, Told::Whole(answer), score);
+                self.tell(id, &Told::Whole(answer), score);
             }
-            BeginReply::Replay(_) => self.tell(id, Told::MayHaveRun, score),
+            BeginReply::Replay(_) => self.tell(id, &Told::MayHaveRun, score),
             BeginReply::Running(permit) => self.inquire(id, permit, rng),
             BeginReply::Refused(err) => self.refused(id, &err, lost, score),
         }
@@ -367,7 +367,7 @@
 
     /// Hands a permit to its sidecar.
     fn deliver(&mut self, id: u64, permit: Permit, rng: &mut ChaCha8Rng) {
-        self.post(Message::Deliver(id, permit), rng);
+        self.post(&Message::Deliver(id, permit), rng);
         self.wait(id, Waits::Attempt(permit), PATIENCE);
     }
 
@@ -403,7 +403,7 @@
             let program = self.calls[call].program;
             self.apply(Op::GiveUp(program, key_of(call)));
         }
-        self.tell(id, told, score);
+        self.tell(id, &told, score);
     }
 
     /// Asks a sidecar about a permit.
@@ -413,7 +413,7 @@
             .iter()
             .any(|it| it.upstream == permit.upstream && it.incarnation == permit.incarnation);
         if known {
-            self.post(Message::Inquire(id, permit), rng);
+            self.post(&Message::Inquire(id, permit), rng);
             self.wait(id, Waits::Inquiry(permit), PATIENCE);
         } else {
             // The run that held the permit is gone, and its permits with it.
@@ -446,7 +446,7 @@
             permit,
             outcome: outcome.clone(),
         };
-        self.post(Message::Settle(id, settle), rng);
+        self.post(&Message::Settle(id, settle), rng);
         self.wait(id, Waits::Settle(permit, outcome), PATIENCE);
     }
 
@@ -461,18 +461,16 @@
         let idempotent = self.calls[request.call].idempotent;
         let wrong = self.wrong(Promise::WholeAnswer);
         match (outcome, reply) {
-            (Outcome::Completed { answer, .. }, Reply::Done) => {
-                self.tell(id, Told::Whole(answer), score);
-            }
             (Outcome::Completed { answer, .. }, Reply::Superseded(_)) if wrong => {
-                self.tell(id, Told::Whole(answer), score);
+                self.tell(id, &Told::Whole(answer), score);
             }
-            (_, Reply::Superseded(Outcome::Completed { answer, .. })) => {
-                self.tell(id, Told::Whole(answer), score);
+            (Outcome::Completed { answer, .. }, Reply::Done)
+            | (_, Reply::Superseded(Outcome::Completed { answer, .. })) => {
+                self.tell(id, &Told::Whole(answer), score);
             }
             (Outcome::NotRun, Reply::Done) => self.try_again(id, 1, 0, rng, score),
             (Outcome::Unknown, Reply::Done) if idempotent => self.try_again(id, 0, 1, rng, score),
-            _ => self.tell(id, Told::MayHaveRun, score),
+            _ => self.tell(id, &Told::MayHaveRun, score),
         }
     }
 
@@ -516,13 +514,13 @@
                 quay_types::CallEvent::Refused(_) => Outcome::NotRun,
                 _ => Outcome::Unknown,
             };
-            self.post(Message::Ended(id, outcome), rng);
+            self.post(&Message::Ended(id, outcome), rng);
             return;
         }
         if chance(rng, 100) {
             // The queue is full, say.
             self.sidecars[slot].book.refuse(permit.id);
-            self.post(Message::Ended(id, Outcome::NotRun), rng);
+            self.post(&Message::Ended(id, Outcome::NotRun), rng);
             return;
         }
         let Some(call) = call_of(permit.key) else {
@@ -597,7 +595,7 @@
             output: Tokens(tokens.min(attempt.permit.reserved.0)),
             answer: answer_of(attempt.permit.id.index),
         };
-        self.post(Message::Ended(attempt.entry, outcome), rng);
+        self.post(&Message::Ended(attempt.entry, outcome), rng);
     }
 
     /// An entry hears how its attempt ended.
@@ -614,7 +612,7 @@
     // Messages
 
     /// Sends a message, which may get lost or come late.
-    fn post(&mut self, message: Message, rng: &mut ChaCha8Rng) {
+    fn post(&mut self, message: &Message, rng: &mut ChaCha8Rng) {
         if chance(rng, 20) {
             return;
         }
@@ -666,12 +664,12 @@
         match message {
             Message::Begin(id, begin) => {
                 if let Reply::Begin(reply) = self.apply(Op::Begin(begin)) {
-                    self.post(Message::Begun(id, reply), rng);
+                    self.post(&Message::Begun(id, reply), rng);
                 }
             }
             Message::Settle(id, settle) => {
                 let reply = self.apply(Op::Settle(settle));
-                self.post(Message::Settled(id, reply), rng);
+                self.post(&Message::Settled(id, reply), rng);
             }
             Message::Deliver(id, permit) => self.admit(id, permit, rng, score),
             Message::Inquire(id, permit) => self.answer_inquiry(id, &permit, rng),
@@ -697,7 +695,7 @@
         } else {
             sidecar.fate(permit)
         };
-        self.post(Message::Fate(id, fate), rng);
+        self.post(&Message::Fate(id, fate), rng);
     }
 
     /// Commits a command.
