Bind a fake entry's answers to the question they belong to

Cause: the fake took an answer of an earlier attempt for the current one, which streams rule out in the daemon.

--- a/crates/quay_experiment/src/faults/calls/entry.rs
+++ b/crates/quay_experiment/src/faults/calls/entry.rs
@@ -24,6 +24,8 @@
     pub call: usize,
     /// What it waits for.
     pub waits: Waits,
+    /// Counts the questions that it has asked.
+    pub question: u32,
     /// When it stops waiting.
     pub patience: Time,
     /// It does nothing until then.
@@ -40,6 +42,7 @@
         Self {
             call,
             waits: Waits::Turn,
+            question: 0,
             patience: now,
             frozen_until: Time::ZERO,
             refused: 0,
--- a/crates/quay_experiment/src/faults/calls/sidecar.rs
+++ b/crates/quay_experiment/src/faults/calls/sidecar.rs
@@ -1,6 +1,7 @@
 //! A sidecar and its upstream.
 
 use {
+    crate::faults::calls::world::Stream,
     quay_ledger::PermitBook,
     quay_types::{Incarnation, Permit, PermitFate, Time, UpstreamId},
 };
@@ -12,8 +13,8 @@
     pub permit: Permit,
     /// Call that it is for, as a slot of the world's calls.
     pub call: usize,
-    /// Entry that waits for the answer.
-    pub entry: u64,
+    /// Where its entry listens.
+    pub stream: Stream,
     /// When the upstream is done.
     pub ends: Time,
 }
--- a/crates/quay_experiment/src/faults/calls/world.rs
+++ b/crates/quay_experiment/src/faults/calls/world.rs
@@ -43,25 +43,35 @@
 /// Longest time that something stands still, in milliseconds.
 const LONGEST_FREEZE_MS: u64 = 20_000;
 
+/// The stream that a message belongs to: answers to an earlier question of the
+/// same request are not heard any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Stream {
+    /// The request.
+    pub request: u64,
+    /// Counts the request's questions.
+    pub question: u32,
+}
+
 /// A message under way.
 #[derive(Debug, Clone)]
 enum Message {
     /// To the ledger.
-    Begin(u64, Begin),
+    Begin(Stream, Begin),
     /// To the ledger.
-    Settle(u64, Settle),
+    Settle(Stream, Settle),
     /// To the sidecar in the permit.
-    Deliver(u64, Permit),
+    Deliver(Stream, Permit),
     /// To the sidecar in the permit.
-    Inquire(u64, Permit),
+    Inquire(Stream, Permit),
     /// To an entry: what the ledger says.
-    Begun(u64, BeginReply),
+    Begun(Stream, BeginReply),
     /// To an entry: what the ledger has recorded.
-    Settled(u64, Reply),
+    Settled(Stream, Reply),
     /// To an entry: how its attempt ended.
-    Ended(u64, Outcome),
+    Ended(Stream, Outcome),
     /// To an entry: what a sidecar says of a permit.
-    Fate(u64, PermitFate),
+    Fate(Stream, PermitFate),
 }
 
 /// Callers, entries, a ledger and sidecars.
@@ -317,6 +327,23 @@
         }
     }
 
+    /// Opens a stream for a question of a request.
+    fn ask(&mut self, id: u64, waits: Waits) -> Stream {
+        self.wait(id, waits, PATIENCE);
+        let request = &mut self.requests[&id];
+        request.question += 1;
+        Stream {
+            request: id,
+            question: request.question,
+        }
+    }
+
+    /// The request that a message is for, if it still listens on that stream.
+    fn listens(&self, stream: Stream) -> Option<&Request> {
+        let request = self.requests.get(&stream.request)?;
+        (request.question == stream.question).then_some(request)
+    }
+
     /// Asks the ledger for leave to run.
     fn ask_to_begin(&mut self, id: u64, rng: &mut ChaCha8Rng) {
         let slot = usize::try_from(draw(rng, SIDECARS)).unwrap_or_default();
@@ -337,18 +364,22 @@
             config: ConfigIndex(1),
             prompt: call_slot.to_le_bytes().into(),
         };
-        self.post(&Message::Begin(id, begin), rng);
-        self.wait(id, Waits::Begin, PATIENCE);
+        let stream = self.ask(id, Waits::Begin);
+        self.post(&Message::Begin(stream, begin), rng);
     }
 
     /// Acts on the ledger's answer to `begin`.
-    fn begun(&mut self, id: u64, reply: BeginReply, rng: &mut ChaCha8Rng, score: &mut Score) {
-        let Some(request) = self.requests.get(&id) else {
+    fn begun(
+        &mut self,
+        stream: Stream,
+        reply: BeginReply,
+        rng: &mut ChaCha8Rng,
+        score: &mut Score,
+    ) {
+        let id = stream.request;
+        let Some(request) = self.listens(stream) else {
             return;
         };
-        if !matches!(request.waits, Waits::Begin) {
-            return;
-        }
         let lost = request.lost;
         match reply {
             BeginReply::Go { permit, .. } => self.deliver(id, permit, rng),
@@ -367,8 +398,8 @@
 
     /// Hands a permit to its sidecar.
     fn deliver(&mut self, id: u64, permit: Permit, rng: &mut ChaCha8Rng) {
-        self.post(&Message::Deliver(id, permit), rng);
-        self.wait(id, Waits::Attempt(permit), PATIENCE);
+        let stream = self.ask(id, Waits::Attempt(permit));
+        self.post(&Message::Deliver(stream, permit), rng);
     }
 
     /// Runs without leave: wrong on purpose.
@@ -413,8 +444,8 @@
             .iter()
             .any(|it| it.upstream == permit.upstream && it.incarnation == permit.incarnation);
         if known {
-            self.post(&Message::Inquire(id, permit), rng);
-            self.wait(id, Waits::Inquiry(permit), PATIENCE);
+            let stream = self.ask(id, Waits::Inquiry(permit));
+            self.post(&Message::Inquire(stream, permit), rng);
         } else {
             // The run that held the permit is gone, and its permits with it.
             self.settle_as(id, permit, Outcome::Unknown, rng);
@@ -422,8 +453,9 @@
     }
 
     /// Acts on what a sidecar says of a permit.
-    fn fate(&mut self, id: u64, fate: PermitFate, rng: &mut ChaCha8Rng) {
-        let Some(request) = self.requests.get(&id) else {
+    fn fate(&mut self, stream: Stream, fate: PermitFate, rng: &mut ChaCha8Rng) {
+        let id = stream.request;
+        let Some(request) = self.listens(stream) else {
             return;
         };
         let Waits::Inquiry(permit) = request.waits else {
@@ -446,13 +478,14 @@
             permit,
             outcome: outcome.clone(),
         };
-        self.post(&Message::Settle(id, settle), rng);
-        self.wait(id, Waits::Settle(permit, outcome), PATIENCE);
+        let stream = self.ask(id, Waits::Settle(permit, outcome));
+        self.post(&Message::Settle(stream, settle), rng);
     }
 
     /// Acts on what the ledger has recorded.
-    fn settled(&mut self, id: u64, reply: Reply, rng: &mut ChaCha8Rng, score: &mut Score) {
-        let Some(request) = self.requests.get(&id) else {
+    fn settled(&mut self, stream: Stream, reply: Reply, rng: &mut ChaCha8Rng, score: &mut Score) {
+        let id = stream.request;
+        let Some(request) = self.listens(stream) else {
             return;
         };
         let Waits::Settle(_, outcome) = request.waits.clone() else {
@@ -501,7 +534,7 @@
     // Sidecars and upstreams
 
     /// A permit arrives at its sidecar.
-    fn admit(&mut self, id: u64, permit: Permit, rng: &mut ChaCha8Rng, score: &mut Score) {
+    fn admit(&mut self, stream: Stream, permit: Permit, rng: &mut ChaCha8Rng, score: &mut Score) {
         let Some(slot) = self
             .sidecars
             .iter()
@@ -514,13 +547,13 @@
                 quay_types::CallEvent::Refused(_) => Outcome::NotRun,
                 _ => Outcome::Unknown,
             };
-            self.post(&Message::Ended(id, outcome), rng);
+            self.post(&Message::Ended(stream, outcome), rng);
             return;
         }
         if chance(rng, 100) {
             // The queue is full, say.
             self.sidecars[slot].book.refuse(permit.id);
-            self.post(&Message::Ended(id, Outcome::NotRun), rng);
+            self.post(&Message::Ended(stream, Outcome::NotRun), rng);
             return;
         }
         let Some(call) = call_of(permit.key) else {
@@ -531,7 +564,7 @@
         self.sidecars[slot].running.push(Attempt {
             permit,
             call,
-            entry: id,
+            stream,
             ends,
         });
     }
@@ -595,12 +628,13 @@
             output: Tokens(tokens.min(attempt.permit.reserved.0)),
             answer: answer_of(attempt.permit.id.index),
         };
-        self.post(&Message::Ended(attempt.entry, outcome), rng);
+        self.post(&Message::Ended(attempt.stream, outcome), rng);
     }
 
     /// An entry hears how its attempt ended.
-    fn ended(&mut self, id: u64, outcome: Outcome, rng: &mut ChaCha8Rng) {
-        let Some(request) = self.requests.get(&id) else {
+    fn ended(&mut self, stream: Stream, outcome: Outcome, rng: &mut ChaCha8Rng) {
+        let id = stream.request;
+        let Some(request) = self.listens(stream) else {
             return;
         };
         if let Waits::Attempt(permit) = request.waits {
@@ -651,10 +685,10 @@
                     .find(|it| it.upstream == permit.upstream);
                 sidecar.map(|it| it.frozen_until)
             }
-            Message::Begun(id, _)
-            | Message::Settled(id, _)
-            | Message::Ended(id, _)
-            | Message::Fate(id, _) => self.requests.get(id).map(|it| it.frozen_until),
+            Message::Begun(stream, _)
+            | Message::Settled(stream, _)
+            | Message::Ended(stream, _)
+            | Message::Fate(stream, _) => self.listens(*stream).map(|it| it.frozen_until),
         };
         until.filter(|until| *until > self.now)
     }
@@ -662,26 +696,26 @@
     /// Takes one message.
     fn receive(&mut self, message: Message, rng: &mut ChaCha8Rng, score: &mut Score) {
         match message {
-            Message::Begin(id, begin) => {
+            Message::Begin(stream, begin) => {
                 if let Reply::Begin(reply) = self.apply(Op::Begin(begin)) {
-                    self.post(&Message::Begun(id, reply), rng);
+                    self.post(&Message::Begun(stream, reply), rng);
                 }
             }
-            Message::Settle(id, settle) => {
+            Message::Settle(stream, settle) => {
                 let reply = self.apply(Op::Settle(settle));
-                self.post(&Message::Settled(id, reply), rng);
+                self.post(&Message::Settled(stream, reply), rng);
             }
-            Message::Deliver(id, permit) => self.admit(id, permit, rng, score),
-            Message::Inquire(id, permit) => self.answer_inquiry(id, &permit, rng),
-            Message::Begun(id, reply) => self.begun(id, reply, rng, score),
-            Message::Settled(id, reply) => self.settled(id, reply, rng, score),
-            Message::Ended(id, outcome) => self.ended(id, outcome, rng),
-            Message::Fate(id, fate) => self.fate(id, fate, rng),
+            Message::Deliver(stream, permit) => self.admit(stream, permit, rng, score),
+            Message::Inquire(stream, permit) => self.answer_inquiry(stream, &permit, rng),
+            Message::Begun(stream, reply) => self.begun(stream, reply, rng, score),
+            Message::Settled(stream, reply) => self.settled(stream, reply, rng, score),
+            Message::Ended(stream, outcome) => self.ended(stream, outcome, rng),
+            Message::Fate(stream, fate) => self.fate(stream, fate, rng),
         }
     }
 
     /// A sidecar says what became of a permit.
-    fn answer_inquiry(&mut self, id: u64, permit: &Permit, rng: &mut ChaCha8Rng) {
+    fn answer_inquiry(&mut self, stream: Stream, permit: &Permit, rng: &mut ChaCha8Rng) {
         let wrong = self.wrong(Promise::NotRun);
         let Some(sidecar) = self
             .sidecars
@@ -695,7 +729,7 @@
         } else {
             sidecar.fate(permit)
         };
-        self.post(&Message::Fate(id, fate), rng);
+        self.post(&Message::Fate(stream, fate), rng);
     }
 
     /// Commits a command.
