Compare policies over the engine model

Cause: a policy is worth what it shortens. Ten engines, three entries that share late reports only, workloads of both deployments' shapes, faults, and one type for each policy less one part.

--- /dev/null
+++ b/crates/quay_experiment/src/policy/mod.rs
@@ -0,0 +1,24 @@
+//! Compares scheduling policies over the engine model.
+//!
+//! Not a model of any platform: ten engines, three entries that share nothing
+//! but late reports, and programs of the shape that the two deployments have.
+
+mod calls;
+mod faults;
+mod plot;
+mod policies;
+mod program;
+mod report;
+mod scenario;
+mod stats;
+mod upstream;
+mod workload;
+mod world;
+
+pub use {
+    plot::plot,
+    policies::{NAMES, run_one},
+    report::{Report, Row, report},
+    scenario::{Deployment, Scenario},
+    stats::Stats,
+};
--- a/crates/quay_policy/src/policy.rs
+++ b/crates/quay_policy/src/policy.rs
@@ -1,9 +1,9 @@
 //! A scheduling policy as one type.
 
-use crate::{AdmitSettings, Limit, RetentionSettings, RouteSettings, Score};
+use crate::{AdmitSettings, Limit, RetentionSettings, RetrySettings, RouteSettings, Score};
 
 /// Settings of every part of a policy.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PolicySettings {
     /// Choice of upstream.
     pub route: RouteSettings,
@@ -11,6 +11,22 @@
     pub admit: AdmitSettings,
     /// KV memory of programs that pause or have ended.
     pub retain: RetentionSettings,
+    /// Retries after a lost upstream.
+    pub retry: RetrySettings,
+    /// Whether requests that crash upstreams become suspects.
+    pub quarantine: bool,
+}
+
+impl Default for PolicySettings {
+    fn default() -> Self {
+        Self {
+            route: RouteSettings::default(),
+            admit: AdmitSettings::default(),
+            retain: RetentionSettings::default(),
+            retry: RetrySettings::default(),
+            quarantine: true,
+        }
+    }
 }
 
 /// A scheduling policy: the parts that vary, and their settings.
--- a/crates/quay_policy/src/route/router.rs
+++ b/crates/quay_policy/src/route/router.rs
@@ -245,7 +245,7 @@
     /// rendezvous hashing: entries share no state, and a program's calls come
     /// through any of them.
     fn home(&self, req: &RouteRequest<'_>) -> Option<UpstreamId> {
-        if !S::PREFIX || self.cfg.home_weight == 0 || req.blocks.is_empty() {
+        if !S::PREFIX || self.cfg.home_weight == 0 || req.attained.0 == 0 {
             return None;
         }
         let fitting = self
--- a/crates/quay_policy/src/route/score.rs
+++ b/crates/quay_policy/src/route/score.rs
@@ -39,18 +39,23 @@
     }
 }
 
-/// The longest prefix held, and of these the fewest calls.
+/// The longest prefix held unless its holder is crowded, and of these the fewest calls.
 #[derive(Debug)]
 pub struct LongestPrefix;
 
 /// Greater than any count of calls.
 const CALLS_LIMIT: u64 = 1 << 20;
 
+/// Calls from which on an upstream is crowded.
+const CROWDED: u64 = 40;
+
 impl Score for LongestPrefix {
     const PREFIX: bool = true;
 
     fn cost(cfg: &RouteSettings, view: &UpstreamView) -> u64 {
-        view.missing * CALLS_LIMIT + LeastLoad::cost(cfg, view)
+        let calls = LeastLoad::cost(cfg, view);
+        let crowded = u64::from(calls > CROWDED) << 60;
+        crowded + view.missing * CALLS_LIMIT + calls
     }
 }
 
--- a/crates/quay_standin/src/model/engine.rs
+++ b/crates/quay_standin/src/model/engine.rs
@@ -9,6 +9,9 @@
     std::{collections::VecDeque, time::Duration},
 };
 
+/// Weight of the newest step in the mean, as a divisor.
+const STEP_MEAN: u32 = 16;
+
 /// Parts in one of the slowdown factor.
 const PER_CENT: u32 = 100;
 
@@ -41,7 +44,8 @@
     running: Vec<Running>,
     /// End of the step under way.
     step_end: Option<Time>,
-    last_step: Duration,
+    /// Mean duration of recent steps.
+    mean_step: Duration,
     /// Time of imports that the next step has to bear.
     import_debt: Duration,
     slowdown_per_cent: u32,
@@ -60,7 +64,7 @@
             waiting: VecDeque::new(),
             running: Vec::new(),
             step_end: None,
-            last_step: Duration::ZERO,
+            mean_step: Duration::ZERO,
             import_debt: Duration::ZERO,
             slowdown_per_cent: PER_CENT,
             down: false,
@@ -241,7 +245,7 @@
             running: count(self.running.len()),
             waiting: count(self.waiting.len()),
             kv_permille: self.cache.used_permille(),
-            token_gap_us: u32::try_from(self.last_step.as_micros()).unwrap_or(u32::MAX),
+            token_gap_us: u32::try_from(self.mean_step.as_micros()).unwrap_or(u32::MAX),
         };
         self.reports.sample(now, || report);
     }
@@ -259,7 +263,7 @@
             return;
         }
         let span = self.plan();
-        self.last_step = span;
+        self.mean_step = (self.mean_step * (STEP_MEAN - 1) + span) / STEP_MEAN;
         self.step_end = Some(now + span);
     }
 
--- a/crates/quay_standin/src/model/load.rs
+++ b/crates/quay_standin/src/model/load.rs
@@ -17,7 +17,7 @@
     pub waiting: u32,
     /// KV memory that running jobs use, in thousandths.
     pub kv_permille: u16,
-    /// Duration of the latest step in microseconds.
+    /// Mean duration of recent steps in microseconds.
     pub token_gap_us: u32,
 }
 
