--- a/crates/quay_policy/src/route/settings.rs
+++ b/crates/quay_policy/src/route/settings.rs
@@ -46,7 +46,7 @@
         Self {
             prefill_us: 50,
             prefix_weight: 1_000,
-            prefix_per_running: 3_000,
+            prefix_per_running: 10_000,
             per_running_us: 300,
             answer_tokens: 120,
             token_gap_us: 20_000,
