--- a/crates/sapphirequayd/src/connection/edge.rs
+++ b/crates/sapphirequayd/src/connection/edge.rs
@@ -14,7 +14,7 @@
         settings::EntrySettings,
         version::Current,
     },
-    quay_types::{AccountId, CallTarget, ConfigIndex, Error, ErrorKind, Result},
+    quay_types::{AccountId, CallTarget, Error, ErrorKind, Result, ServiceId},
     serde_json::json,
     std::{
         io,
@@ -204,13 +204,7 @@
 /// Checks the key and reads the body.
 fn admit(cx: &EntryContext, req: &mut Request) -> Result<(AccountId, Vec<u8>)> {
     let key = header(req, "Authorization").and_then(|value| value.strip_prefix("Bearer "));
-    let account = key.and_then(|key| cx.rules.get().account(key));
-    let account = account.ok_or_else(|| {
-        Error::new(
-            ErrorKind::Unauthorized,
-            "the bearer key is missing or unknown",
-        )
-    })?;
+    let account = cx.rules.get().account(key.unwrap_or_default())?;
     let patience = cx.settings.read_timeout() * BODY_TIMEOUTS;
     let body = read_body(req, cx.settings.max_body_bytes, patience)?;
     Ok((account, body))
@@ -237,7 +231,6 @@
         Ok(parsed) => parsed,
         Err(err) => return refuse(req, number, &err).map(|()| Err(err)),
     };
-    let out = req.into_writer();
     let content = CallContent {
         target: CallTarget::Model(completion.model_id()),
         sent: body,
@@ -247,7 +240,12 @@
         max_output: completion.max_output(),
         blocks: completion.blocks(),
     };
-    let order = programs::order(account, &headers, content, ConfigIndex::default());
+    let rules = cx.rules.get();
+    let order = programs::order(account, &headers, content, rules.index());
+    if let Err(err) = rules.runs(order.digest, Clock::wall_ms()) {
+        return refuse(req, number, &err).map(|()| Err(err));
+    }
+    let out = req.into_writer();
     let head = AnswerHead {
         number,
         id: format!("chatcmpl-{}", order.request.program).into(),
@@ -279,13 +277,20 @@
     body: &[u8],
     req: Request,
 ) -> Served {
+    let rules = cx.rules.get();
+    let name: Box<str> = Route::service(req.url()).into();
     let headers = match CallHeaders::of(&req) {
-        Ok(headers) => headers,
+        Ok(headers) => CallHeaders {
+            idempotent: headers.idempotent && rules.repeatable(ServiceId::of(&name)),
+            ..headers
+        },
         Err(err) => return refuse(req, number, &err).map(|()| Err(err)),
     };
-    let name: Box<str> = Route::service(req.url()).into();
     let content = CallContent::service(&name, body);
-    let order = programs::order(account, &headers, content, ConfigIndex::default());
+    let order = programs::order(account, &headers, content, rules.index());
+    if let Err(err) = rules.runs(order.digest, Clock::wall_ms()) {
+        return refuse(req, number, &err).map(|()| Err(err));
+    }
     let mut answer = BodyAnswer::new(req.into_writer(), number);
     let ran = run_call(&cx.calls, &order, &mut answer);
     ran.map_or_else(|err| answer.fail(&err).map(|()| Err(err)), |()| Ok(Ok(())))
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -20,13 +20,14 @@
 
 pub use {
     process::{
-        Clock, Daemon, Group, GroupError, GroupMsg, Health, HealthSettings, Lifecycle, Machine,
-        Mailbox, Progress, StartError, spawn,
+        Clock, ControlClient, ControlFault, ControlReply, ControlRequest, ControlStatus, Daemon,
+        DaemonRow, Group, GroupError, GroupMsg, Health, HealthSettings, Lifecycle, Machine,
+        Mailbox, MemberRow, OperatorOrder, Progress, StartError, spawn,
     },
     request::{Input, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
     settings::{
-        AccountSettings, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
-        Settings, SettingsError, SidecarSettings,
+        DEFAULT_SETTINGS, EntrySettings, LedgerSettings, LinkTableSettings, LogLevel, LogSettings,
+        Problem, ProcessSettings, Settings, SettingsError, SidecarSettings,
     },
     wire::LinkRequest,
 };
