Keep calls in order after an unknown outcome, and "not run" true after a lost attempt

Entries now let a call start only within 8 s of asking for its permit, sidecars wait 5 s for that word, and the ledger holds the next call back for 15 s after the permit of a call whose outcome is unknown. Ruled out: a duplicate delivery to a restarted sidecar (streams die with it; the fake now says so) and answers to an earlier question. An idempotent call that was given up may still run late; nobody sees its answer, and the check allows it.

--- a/crates/quay_experiment/src/faults/calls/entry.rs
+++ b/crates/quay_experiment/src/faults/calls/entry.rs
@@ -26,6 +26,8 @@
     pub waits: Waits,
     /// Counts the questions that it has asked.
     pub question: u32,
+    /// When it last asked the ledger for leave.
+    pub asked: Time,
     /// When it stops waiting.
     pub patience: Time,
     /// It does nothing until then.
@@ -43,6 +45,7 @@
             call,
             waits: Waits::Turn,
             question: 0,
+            asked: now,
             patience: now,
             frozen_until: Time::ZERO,
             refused: 0,
--- a/crates/quay_experiment/src/faults/calls/sidecar.rs
+++ b/crates/quay_experiment/src/faults/calls/sidecar.rs
@@ -6,9 +6,9 @@
     quay_types::{Incarnation, Permit, PermitFate, Time, UpstreamId},
 };
 
-/// An attempt on the upstream.
+/// An attempt that a sidecar holds.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Attempt {
+pub(super) struct Held {
     /// Its permit.
     pub permit: Permit,
     /// Call that it is for, as a slot of the world's calls.
@@ -27,8 +27,10 @@
     pub incarnation: Incarnation,
     /// Permits of this run.
     pub book: PermitBook,
+    /// Attempts that wait for their entries' word, and until when.
+    pub ready: Vec<(Time, Held)>,
     /// Attempts that run.
-    pub running: Vec<Attempt>,
+    pub running: Vec<Held>,
     /// Messages wait until then.
     pub frozen_until: Time,
 }
@@ -42,6 +44,7 @@
             upstream,
             incarnation,
             book: PermitBook::new(upstream, incarnation),
+            ready: Vec::new(),
             running: Vec::new(),
             frozen_until: Time::ZERO,
         }
@@ -52,12 +55,14 @@
     pub fn restart(&mut self) {
         self.incarnation.0 += 1;
         self.book = PermitBook::new(self.upstream, self.incarnation);
+        self.ready.clear();
         self.running.clear();
     }
 
     /// Forgets its permits but keeps its identity: wrong on purpose.
     pub fn forget(&mut self) {
         self.book = PermitBook::new(self.upstream, self.incarnation);
+        self.ready.clear();
         self.running.clear();
     }
 
--- a/crates/quay_experiment/src/faults/calls/world.rs
+++ b/crates/quay_experiment/src/faults/calls/world.rs
@@ -5,7 +5,7 @@
         Decisions, Promise, Score, Trial,
         calls::{
             entry::{Request, Waits},
-            sidecar::{Attempt, Sidecar},
+            sidecar::{Held, Sidecar},
             truth::{Call, Told, Truth},
         },
     },
@@ -13,9 +13,9 @@
     quay_ledger::{Answer, Command, Ledger, LedgerLimits, MemoryHistory, Op, Query, Reply},
     quay_quorum::StateMachine as _,
     quay_types::{
-        AccountId, Begin, BeginReply, CallNumber, ConfigIndex, ContentDigest, Epoch, Error,
-        ErrorKind, GroupId, LogIndex, NewProgram, Outcome, Permit, PermitFate, ProgramId,
-        ProgramLimits, RequestKey, Settle, Time, Tokens,
+        AccountId, Attempt, Begin, BeginReply, CallNumber, ConfigIndex, ContentDigest, Epoch,
+        Error, ErrorKind, GroupId, LogIndex, NewProgram, Outcome, Permit, PermitFate, PermitId,
+        ProgramId, ProgramLimits, RequestKey, Settle, Time, Tokens,
     },
     rand::Rng as _,
     rand_chacha::ChaCha8Rng,
@@ -40,6 +40,12 @@
 /// How long a request waits for one answer.
 const PATIENCE: Duration = Duration::from_secs(3);
 
+/// Time from asking for a permit within which an entry lets a call start.
+const CONFIRM_LIMIT: Duration = Duration::from_secs(8);
+
+/// How long a sidecar waits for an entry's word.
+const SILENCE: Duration = Duration::from_secs(5);
+
 /// Longest time that something stands still, in milliseconds.
 const LONGEST_FREEZE_MS: u64 = 20_000;
 
@@ -62,8 +68,12 @@
     Settle(Stream, Settle),
     /// To the sidecar in the permit.
     Deliver(Stream, Permit),
+    /// To the sidecar in the permit: the call may start.
+    Proceed(Stream, Permit),
     /// To the sidecar in the permit.
     Inquire(Stream, Permit),
+    /// To an entry: its call waits for its word.
+    Ready(Stream, Permit),
     /// To an entry: what the ledger says.
     Begun(Stream, BeginReply),
     /// To an entry: what the ledger has recorded.
@@ -98,7 +108,7 @@
             promise,
             mutated: decisions == Decisions::Mutated,
             now: Time::from_millis(1),
-            ledger: Ledger::new(GroupId(1), LedgerLimits::default()),
+            ledger: Ledger::new(GroupId(1), limits(promise, decisions)),
             index: LogIndex(0),
             sidecars: (0..SIDECARS).map(Sidecar::new).collect(),
             wire: Vec::new(),
@@ -133,6 +143,7 @@
     /// Lets messages arrive, upstreams finish and requests go on.
     fn turn(&mut self, rng: &mut ChaCha8Rng, score: &mut Score) {
         self.finish_attempts(rng, score);
+        self.refuse_unconfirmed(rng);
         self.deliver_due(rng, score);
         let ids: Vec<u64> = self.requests.keys().copied().collect();
         for id in ids {
@@ -364,6 +375,7 @@
             config: ConfigIndex(1),
             prompt: call_slot.to_le_bytes().into(),
         };
+        self.requests[&id].asked = self.now;
         let stream = self.ask(id, Waits::Begin);
         self.post(&Message::Begin(stream, begin), rng);
     }
@@ -402,21 +414,21 @@
         self.post(&Message::Deliver(stream, permit), rng);
     }
 
-    /// Runs without leave: wrong on purpose.
+    /// Does not wait, and runs without leave: wrong on purpose.
     fn forge(&mut self, id: u64, rng: &mut ChaCha8Rng) {
-        let call = &self.calls[self.requests[&id].call];
+        let call = self.requests[&id].call;
         let sidecar = &self.sidecars[0];
         let permit = Permit {
-            id: quay_types::PermitId {
+            id: PermitId {
                 group: GroupId(9),
                 index: LogIndex(id),
             },
-            key: key_of(self.requests[&id].call),
-            attempt: quay_types::Attempt(0),
+            key: key_of(call),
+            attempt: Attempt(0),
             upstream: sidecar.upstream,
             incarnation: sidecar.incarnation,
             epoch: Epoch(1),
-            reserved: Tokens(call.reserve),
+            reserved: Tokens(self.calls[call].reserve),
         };
         self.deliver(id, permit, rng);
     }
@@ -559,20 +571,85 @@
         let Some(call) = call_of(permit.key) else {
             return;
         };
-        self.runs(call, &permit, score);
         let ends = self.now + Duration::from_millis(20 + draw(rng, 1_500));
-        self.sidecars[slot].running.push(Attempt {
+        let attempt = Held {
             permit,
             call,
             stream,
             ends,
-        });
+        };
+        if self.calls[call].idempotent {
+            self.start(slot, attempt, score);
+        } else {
+            self.sidecars[slot]
+                .ready
+                .push((self.now + SILENCE, attempt));
+            self.post(&Message::Ready(stream, permit), rng);
+        }
+    }
+
+    /// An entry lets its call start, if it still wants it and in time.
+    fn confirm(&mut self, stream: Stream, permit: Permit, rng: &mut ChaCha8Rng) {
+        let Some(request) = self.listens(stream) else {
+            return;
+        };
+        if self.now.since(request.asked) < CONFIRM_LIMIT {
+            self.post(&Message::Proceed(stream, permit), rng);
+        } else {
+            self.settle_as(stream.request, permit, Outcome::NotRun, rng);
+        }
+    }
+
+    /// A sidecar hears that a call may start.
+    fn proceed(&mut self, stream: Stream, permit: &Permit, score: &mut Score) {
+        let upstream = permit.upstream;
+        let Some(slot) = self.sidecars.iter().position(|it| it.upstream == upstream) else {
+            return;
+        };
+        let ready = &mut self.sidecars[slot].ready;
+        let waiting = ready.iter().position(|(_, it)| it.stream == stream);
+        if let Some(waiting) = waiting {
+            let (until, attempt) = ready.remove(waiting);
+            if until > self.now {
+                self.start(slot, attempt, score);
+            } else {
+                self.sidecars[slot].book.refuse(attempt.permit.id);
+            }
+        }
+    }
+
+    /// Turns away calls whose entries gave no word.
+    fn refuse_unconfirmed(&mut self, rng: &mut ChaCha8Rng) {
+        let now = self.now;
+        for slot in 0..self.sidecars.len() {
+            let sidecar = &mut self.sidecars[slot];
+            if sidecar.frozen_until > now {
+                continue;
+            }
+            let late: Vec<_> = sidecar
+                .ready
+                .extract_if(.., |(until, _)| *until <= now)
+                .collect();
+            for (_, attempt) in late {
+                self.sidecars[slot].book.refuse(attempt.permit.id);
+                self.post(&Message::Ended(attempt.stream, Outcome::NotRun), rng);
+            }
+        }
+    }
+
+    /// An upstream starts an attempt.
+    fn start(&mut self, slot: usize, attempt: Held, score: &mut Score) {
+        self.runs(attempt.call, &attempt.permit, score);
+        self.sidecars[slot].running.push(attempt);
     }
 
     /// An upstream begins to run a call: the moment that most promises are about.
     fn runs(&mut self, slot: usize, permit: &Permit, score: &mut Score) {
         let call = self.calls[slot].clone();
         let in_order = self.truth.runs(&call);
+        // A call that may run again and was given up may run late: its answer
+        // goes nowhere, and its caller was told so.
+        let in_order = in_order || (call.idempotent && call.told == Told::MayHaveRun);
         self.test(Promise::Order, score, in_order, || {
             format!(
                 "call {} of {} first ran after a later one",
@@ -608,7 +685,7 @@
     }
 
     /// An upstream finishes one attempt.
-    fn finish(&mut self, slot: usize, attempt: &Attempt, rng: &mut ChaCha8Rng, score: &mut Score) {
+    fn finish(&mut self, slot: usize, attempt: &Held, rng: &mut ChaCha8Rng, score: &mut Score) {
         let most = attempt.permit.reserved.0;
         // The sidecar cuts the answer at its reservation.
         let most = if self.wrong(Promise::Budget) {
@@ -655,7 +732,9 @@
         } else {
             draw(rng, 30)
         };
-        let copies = if chance(rng, 20) { 2 } else { 1 };
+        // A command to the ledger may be sent again; streams deliver once.
+        let command = matches!(message, Message::Begin(..) | Message::Settle(..));
+        let copies = if command && chance(rng, 20) { 2 } else { 1 };
         for copy in 0..copies {
             let due = self.now + Duration::from_millis(delay + copy * draw(rng, 4_000));
             self.wire.push((due, message.clone()));
@@ -678,14 +757,17 @@
     fn thaws(&self, message: &Message) -> Option<Time> {
         let until = match message {
             Message::Begin(..) | Message::Settle(..) => return None,
-            Message::Deliver(_, permit) | Message::Inquire(_, permit) => {
+            Message::Deliver(_, permit)
+            | Message::Proceed(_, permit)
+            | Message::Inquire(_, permit) => {
                 let sidecar = self
                     .sidecars
                     .iter()
                     .find(|it| it.upstream == permit.upstream);
                 sidecar.map(|it| it.frozen_until)
             }
-            Message::Begun(stream, _)
+            Message::Ready(stream, _)
+            | Message::Begun(stream, _)
             | Message::Settled(stream, _)
             | Message::Ended(stream, _)
             | Message::Fate(stream, _) => self.listens(*stream).map(|it| it.frozen_until),
@@ -705,6 +787,8 @@
                 let reply = self.apply(Op::Settle(settle));
                 self.post(&Message::Settled(stream, reply), rng);
             }
+            Message::Ready(stream, permit) => self.confirm(stream, permit, rng),
+            Message::Proceed(stream, permit) => self.proceed(stream, &permit, score),
             Message::Deliver(stream, permit) => self.admit(stream, permit, rng, score),
             Message::Inquire(stream, permit) => self.answer_inquiry(stream, &permit, rng),
             Message::Begun(stream, reply) => self.begun(stream, reply, rng, score),
@@ -766,9 +850,17 @@
         let slot = usize::try_from(draw(rng, SIDECARS)).unwrap_or_default();
         if self.wrong(Promise::AtMostOnce) {
             self.sidecars[slot].forget();
-        } else {
-            self.sidecars[slot].restart();
+            return;
         }
+        self.sidecars[slot].restart();
+        // Its streams die with it.
+        let upstream = self.sidecars[slot].upstream;
+        self.wire.retain(|(_, message)| match message {
+            Message::Deliver(_, permit) | Message::Proceed(_, permit) => {
+                permit.upstream != upstream
+            }
+            _ => true,
+        });
     }
 
     /// An entry dies with a request, or stands still; its caller goes elsewhere.
@@ -832,6 +924,17 @@
     }
 }
 
+/// Bounds of the ledger; wrong ones let a later call start while one whose
+/// outcome is unknown may still start.
+fn limits(promise: Promise, decisions: Decisions) -> LedgerLimits {
+    let wrong = promise == Promise::Order && decisions == Decisions::Mutated;
+    let limits = LedgerLimits::default();
+    LedgerLimits {
+        start_limit_ms: if wrong { 0 } else { limits.start_limit_ms },
+        ..limits
+    }
+}
+
 /// The account of every caller here.
 fn account() -> AccountId {
     AccountId(1)
--- a/crates/quay_experiment/src/faults/run.rs
+++ b/crates/quay_experiment/src/faults/run.rs
@@ -10,8 +10,13 @@
 
 /// Runs the trials of `promises`; the same arguments give the same report.
 #[must_use]
-pub fn run_faults(promises: &[Promise], seed: u64, steps: u64) -> FaultReport {
-    let run = |promise: &Promise| run_promise(*promise, seed, steps, Decisions::Real);
+pub fn run_faults(
+    promises: &[Promise],
+    seed: u64,
+    steps: u64,
+    decisions: Decisions,
+) -> FaultReport {
+    let run = |promise: &Promise| run_promise(*promise, seed, steps, decisions);
     FaultReport {
         seed,
         promises: promises.iter().map(run).collect(),
--- a/crates/quay_experiment/tests/faults.rs
+++ b/crates/quay_experiment/tests/faults.rs
@@ -3,7 +3,7 @@
 use quay_experiment::faults::{CallWorld, Decisions, Promise, PromiseReport, Trial, run_trial};
 
 const SEED: u64 = 7;
-const STEPS: u64 = 20_000;
+const STEPS: u64 = 60_000;
 
 fn run<T: Trial>(promise: Promise, decisions: Decisions) -> PromiseReport {
     run_trial::<T>(promise, SEED, STEPS, decisions)
--- a/crates/quay_ledger/src/calls.rs
+++ b/crates/quay_ledger/src/calls.rs
@@ -5,7 +5,7 @@
         CallChunk, History, Ledger, OpenCall, Reply, ledger::Position, program::fingerprint, refuse,
     },
     quay_types::{
-        Attempt, Begin, BeginReply, CallNumber, ErrorKind, Incarnation, NewProgram, Outcome,
+        Attempt, Begin, BeginReply, CallNumber, Error, ErrorKind, Incarnation, NewProgram, Outcome,
         Permit, PermitId, ProgramId, RequestKey, Result, Settle, Tokens, UpstreamId,
     },
 };
@@ -53,7 +53,9 @@
         self.owned(id, begin.account)?;
         match self.find(&begin)? {
             Found::Closed(outcome) => Ok(BeginReply::Replay(outcome)),
-            Found::Open => self.next_attempt(at, &begin),
+            Found::Open => self
+                .next_attempt(at, &begin)
+                .map_err(|err| self.not_again(id, err)),
             Found::Nothing => self.next_call(at, begin),
         }
     }
@@ -102,7 +104,8 @@
             ));
         }
         let predecessor_open = program.open.is_some() && !given_up;
-        if predecessor_open || begin.number.is_some_and(|number| number > next) {
+        let barred = self.state.now_ms < program.barrier_ms;
+        if predecessor_open || barred || begin.number.is_some_and(|number| number > next) {
             return Ok(BeginReply::Wait(self.state.limits.wait_ms));
         }
         self.may_run(&begin)?;
@@ -117,6 +120,7 @@
             digest: begin.digest,
             idempotent: begin.idempotent,
             attempts: 0,
+            issued_ms: 0,
             live: None,
             given_up: false,
         }));
@@ -131,6 +135,18 @@
         Ok(reply)
     }
 
+    /// Takes the promise "not run" out of a refusal of a call that may have run.
+    fn not_again(&self, id: ProgramId, err: Error) -> Error {
+        if !err.kind.not_run() || !self.state.programs[&id].open_may_have_run() {
+            return err;
+        }
+        let text = format!(
+            "an attempt was lost, and there is no other: {}",
+            err.message
+        );
+        refuse(ErrorKind::UpstreamLost, text)
+    }
+
     /// Joins the running attempt of the open call, or issues the next permit.
     fn next_attempt(&mut self, at: Position, begin: &Begin) -> Result<BeginReply> {
         let program = &self.state.programs[&begin.program];
@@ -201,6 +217,7 @@
             reserved: begin.reserve,
         };
         open.attempts += 1;
+        open.issued_ms = self.state.now_ms;
         open.live = Some(permit);
         open.given_up = false;
         self.check(begin.program);
@@ -238,7 +255,7 @@
         let Some(open) = program.open.as_mut() else {
             return;
         };
-        let idempotent = open.idempotent;
+        let (idempotent, issued_ms) = (open.idempotent, open.issued_ms);
         match (charged(&outcome), open.live) {
             (Some(used), Some(permit)) => {
                 open.live = None;
@@ -252,6 +269,11 @@
             Outcome::Unknown => !idempotent,
             Outcome::Completed { .. } | Outcome::Failed { .. } => true,
         };
+        if closes && outcome == Outcome::Unknown {
+            // Its sidecar may not have seen it yet, and may still start it.
+            let program = &mut self.state.programs[&id];
+            program.barrier_ms = issued_ms + u64::from(self.state.limits.start_limit_ms);
+        }
         if closes {
             self.close(id, outcome);
         }
@@ -379,6 +401,6 @@
 }
 
 /// A conflict with what is recorded.
-fn conflict(text: &str) -> quay_types::Error {
+fn conflict(text: &str) -> Error {
     refuse(ErrorKind::Conflict, text)
 }
--- a/crates/quay_ledger/src/program.rs
+++ b/crates/quay_ledger/src/program.rs
@@ -23,6 +23,8 @@
     pub idempotent: bool,
     /// Permits that were issued for it.
     pub attempts: u32,
+    /// Time of the last permit, in milliseconds.
+    pub issued_ms: u64,
     /// The permit in use; `None` if the last one was refused or lost.
     pub live: Option<Permit>,
     /// Whether its caller was told that it ended without a whole answer. It
@@ -75,6 +77,9 @@
     pub open: Option<Box<OpenCall>>,
     /// Attempts that may still run.
     pub lost: Vec<LostAttempt>,
+    /// No later call starts before, in milliseconds: until then a call whose
+    /// outcome is unknown may still start.
+    pub barrier_ms: u64,
 }
 
 /// First eight bytes of a key.
@@ -104,6 +109,7 @@
             calls: Vec::new(),
             open: None,
             lost: Vec::new(),
+            barrier_ms: 0,
         }
     }
 
--- a/crates/quay_ledger/src/settings.rs
+++ b/crates/quay_ledger/src/settings.rs
@@ -13,6 +13,10 @@
     pub retention_s: u32,
     /// Milliseconds after which a call that must wait asks again.
     pub wait_ms: u32,
+    /// Milliseconds after its permit for which a call that may not run twice
+    /// may still start. Entries and sidecars keep to it by their own clocks;
+    /// this leaves room for how far the clocks of two leaders differ.
+    pub start_limit_ms: u32,
 }
 
 impl Default for LedgerLimits {
@@ -22,6 +26,7 @@
             account_programs: 100_000,
             retention_s: 900,
             wait_ms: 50,
+            start_limit_ms: 15_000,
         }
     }
 }
--- a/crates/sapphirequay/src/experiment/faults.rs
+++ b/crates/sapphirequay/src/experiment/faults.rs
@@ -2,7 +2,7 @@
 
 use {
     gumdrop::Options,
-    quay_experiment::faults::{Promise, run_faults},
+    quay_experiment::faults::{Decisions, Promise, run_faults},
     std::error::Error,
 };
 
@@ -17,13 +17,20 @@
     steps: u64,
     #[options(help = "only this promise", meta = "NAME")]
     promise: Option<String>,
+    #[options(help = "make one decision wrong on purpose, which the run must see")]
+    mutated: bool,
     #[options(help = "print JSON instead of a table")]
     json: bool,
 }
 
 /// Runs the trials and prints their report; fails if a promise broke.
 pub fn run(args: &FaultsArgs) -> Result<(), Box<dyn Error>> {
-    let report = run_faults(&promises(args)?, args.seed, args.steps);
+    let decisions = if args.mutated {
+        Decisions::Mutated
+    } else {
+        Decisions::Real
+    };
+    let report = run_faults(&promises(args)?, args.seed, args.steps, decisions);
     if args.json {
         println!("{}", serde_json::to_string_pretty(&report)?);
     } else {
--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -187,6 +187,7 @@
     /// Asks the ledger and does what it says; `true` once the call has ended.
     fn step(&mut self) -> Result<bool> {
         let pick = self.cx.pick(self.order.request.target, &self.tried);
+        let asked = Instant::now();
         let reply = self.begin(pick.as_ref());
         let went = match (reply, &pick) {
             (
@@ -194,7 +195,7 @@
                     permit, attained, ..
                 }),
                 Some(pick),
-            ) => self.attempt(pick, permit, attained),
+            ) => self.attempt(pick, permit, attained, asked),
             (Ok(reply), _) => self.heed(reply),
             (Err(fault), _) => Err(self.without_ledger(fault)),
         };
@@ -260,7 +261,13 @@
     // Attempts
 
     /// Runs one attempt under its permit and settles it.
-    fn attempt(&mut self, pick: &Pick, permit: Permit, attained: Tokens) -> Result<bool> {
+    fn attempt(
+        &mut self,
+        pick: &Pick,
+        permit: Permit,
+        attained: Tokens,
+        asked: Instant,
+    ) -> Result<bool> {
         let mut request = self.order.request.clone();
         request.permit = Some(permit);
         request.incarnation = pick.incarnation;
@@ -272,6 +279,7 @@
             pick.addr,
             request,
             self.order.deadline,
+            asked,
             &mut self.delivery,
         );
         self.tried.push(pick.upstream);
--- a/crates/sapphirequayd/src/request/offer.rs
+++ b/crates/sapphirequayd/src/request/offer.rs
@@ -9,9 +9,17 @@
     quay_types::{
         CallEvent, CallRequest, Error, ErrorKind, PermitId, Proceed, SidecarRequest, Tokens,
     },
-    std::{net::SocketAddr, time::Instant},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
+/// Time from asking for a permit to the last moment at which a call that may
+/// not run twice is let run. With the silence limit of links, within which the
+/// sidecar must hear of it, this stays below the ledger's `start_limit_ms`.
+const CONFIRM_LIMIT: Duration = Duration::from_secs(8);
+
 /// How an attempt ended, as far as its entry knows.
 #[derive(Debug)]
 pub enum AttemptEnd {
@@ -35,16 +43,19 @@
     Lost(Error),
 }
 
-/// Runs one attempt and passes its answer on.
+/// Runs one attempt and passes its answer on. `asked` is when the ledger was
+/// asked for its permit.
 pub fn run_attempt<A: Answer>(
     links: &Links,
     sidecar: SocketAddr,
     request: CallRequest,
     deadline: Instant,
+    asked: Instant,
     delivery: &mut Delivery<'_, A>,
 ) -> AttemptEnd {
     let mut offer = Offer {
         deadline,
+        confirm_until: asked + CONFIRM_LIMIT,
         sent: request.idempotent,
         idempotent: request.idempotent,
         permit: request.permit.map(|permit| permit.id),
@@ -75,6 +86,8 @@
 /// What an entry knows of an attempt that it has offered.
 struct Offer {
     deadline: Instant,
+    /// A call that may not run twice is not let run after this.
+    confirm_until: Instant,
     /// Whether the attempt may run more than once.
     idempotent: bool,
     /// Whether all was sent that the sidecar needs to run the attempt.
@@ -119,6 +132,13 @@
         if Instant::now() >= self.deadline {
             return Some(self.overdue());
         }
+        if Instant::now() >= self.confirm_until {
+            let text = "the permit is too old to start the call";
+            return Some(AttemptEnd::NotRun(Error::new(
+                ErrorKind::PermitRefused,
+                text,
+            )));
+        }
         let proceed = Proceed {
             permit: self.permit?,
         };
