Replicate the daemon's groups over links and files

Without a data folder a group lives in memory as before. A folder that is new and does not start a group draws its identity, so that a lost disk can't come back as its old self. The ledger role uses it for its program groups.

--- a/crates/quay_log/src/lib.rs
+++ b/crates/quay_log/src/lib.rs
@@ -38,6 +38,6 @@
     log::{Log, LogSettings, Recovered, TornTail},
     record::{Hard, LogEntry, Record},
     replay::{Replay, ReplayError},
-    snapshot::{Snapshot, save_snapshot},
+    snapshot::{Snapshot, read_newest_snapshot, save_snapshot},
     whole::{read_whole, save_whole},
 };
--- a/crates/quay_log/src/snapshot.rs
+++ b/crates/quay_log/src/snapshot.rs
@@ -81,6 +81,15 @@
     for half in names.iter().filter(|name| name.ends_with(NEW)) {
         folder.remove(half).map_err(LogError::io(half))?;
     }
+    read_newest_snapshot(folder)
+}
+
+/// Reads the newest snapshot.
+///
+/// # Errors
+///
+/// [`LogError::Damage`] if it is not as it was written.
+pub fn read_newest_snapshot(folder: &impl Folder) -> Result<Option<Snapshot>, LogError> {
     match list(folder)?.last() {
         Some(newest) => read(folder, newest).map(Some),
         None => Ok(None),
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -19,11 +19,15 @@
 mod wire;
 
 pub use {
-    process::{Clock, Daemon, Group, GroupError, GroupMsg, Machine, Mailbox, StartError, spawn},
+    process::{
+        ChangeError, Clock, Daemon, Group, GroupError, GroupEvent, GroupHost, GroupLimits,
+        GroupMsg, GroupStartError, Machine, Mailbox, PeerFrame, QuorumReply, QuorumRequest,
+        StartError, spawn,
+    },
     request::{PermitBook, Splice, Spliced},
     settings::{
-        AccountSettings, EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings,
-        Settings, SettingsError, SidecarSettings,
+        AccountSettings, EntrySettings, LedgerSettings, LinkTableSettings, PeerSettings,
+        ProcessSettings, Settings, SettingsError, SidecarSettings,
     },
     wire::LinkRequest,
 };
--- a/crates/sapphirequayd/src/process/actor.rs
+++ b/crates/sapphirequayd/src/process/actor.rs
@@ -26,6 +26,9 @@
 
     /// Does what is due.
     fn tick(&mut self, now: Time);
+
+    /// Finishes a burst of messages, or a tick.
+    fn settle(&mut self, _now: Time) {}
 }
 
 /// Sends messages to a machine; clones reach the same machine.
@@ -76,8 +79,13 @@
         self.machine.handle(self.clock.now(), msg);
     }
 
+    fn settle(&mut self, _: CX![]) {
+        self.machine.settle(self.clock.now());
+    }
+
     fn tick(&mut self, cx: CX![]) {
         self.machine.tick(self.clock.now());
+        self.machine.settle(self.clock.now());
         after!(A::TICK, [cx], tick());
     }
 }
@@ -109,6 +117,7 @@
                 while let Ok(msg) = inbox.try_recv() {
                     call!([shell], handle(msg));
                 }
+                call!([shell], settle());
             }
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -4,7 +4,8 @@
     crate::{
         connection::{Edge, EngineClient, EntryContext, ServiceClient},
         process::{
-            Clock, Gate, Group, LedgerClient, LedgerService, Mailbox, PermitMsg, Router, announcer,
+            Clock, Gate, GroupHost, GroupStartError, LedgerClient, LedgerService, Mailbox,
+            PermitMsg, QuorumRequest, Router, announcer,
             directory::{Directory, DirectoryMsg},
             spawn,
         },
@@ -37,6 +38,8 @@
     Io(Box<str>, io::Error),
     /// Links can't be set up.
     Link(LinkError),
+    /// The replicas of the ledger can't be started.
+    Group(GroupStartError),
 }
 
 impl fmt::Display for StartError {
@@ -44,6 +47,7 @@
         match self {
             Self::Io(what, err) => write!(f, "{what}: {err}"),
             Self::Link(err) => write!(f, "{err}"),
+            Self::Group(err) => write!(f, "{err}"),
         }
     }
 }
@@ -56,6 +60,12 @@
     }
 }
 
+impl From<GroupStartError> for StartError {
+    fn from(err: GroupStartError) -> Self {
+        Self::Group(err)
+    }
+}
+
 /// Names what failed with an [`io::Error`].
 fn starting(what: &str) -> impl FnOnce(io::Error) -> StartError {
     let what = what.into();
@@ -75,6 +85,7 @@
     sidecar: Option<Attempts>,
     directory: Option<Mailbox<DirectoryMsg>>,
     ledger: Option<LedgerService>,
+    groups: Option<GroupHost>,
 }
 
 impl Daemon {
@@ -98,11 +109,13 @@
             }
         })?;
         let mut started = Roles::default();
-        if settings.ledger.is_some() {
+        if let Some(ledger) = &settings.ledger {
             started.directory = Some(
                 spawn("directory", clock, Directory::default()).map_err(starting("directory"))?,
             );
-            started.ledger = Some(start_ledger(clock)?);
+            let groups = GroupHost::new(ledger, links.clone(), clock)?;
+            started.ledger = Some(start_ledger(&groups, ledger.groups)?);
+            started.groups = Some(groups);
         }
         if let Some(sidecar) = &settings.sidecar {
             started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock)?);
@@ -157,10 +170,13 @@
 }
 
 /// Starts the ledger role.
-fn start_ledger(clock: Clock) -> Result<LedgerService, StartError> {
-    let ledger = Ledger::new(FIRST_PROGRAM_GROUP, LedgerLimits::default());
-    let group = spawn("programs", clock, Group::new(ledger)).map_err(starting("programs"))?;
-    LedgerService::start([group]).map_err(starting("ledger"))
+fn start_ledger(groups: &GroupHost, count: u16) -> Result<LedgerService, StartError> {
+    let first = FIRST_PROGRAM_GROUP.0;
+    let programs: Result<Vec<_>, _> = (first..first.saturating_add(count))
+        .map(GroupId)
+        .map(|group| groups.start(group, Ledger::new(group, LedgerLimits::default())))
+        .collect();
+    LedgerService::start(programs?).map_err(starting("ledger"))
 }
 
 /// Starts the sidecar role.
@@ -225,7 +241,7 @@
     let spawned = thread::Builder::new().name("stream".into()).spawn(move || {
         let Some(roles) = roles.get() else { return };
         match incoming.first.decode::<LinkRequest>() {
-            Ok(req) => serve_stream(roles, req, &incoming),
+            Ok(req) => serve_stream(roles, req, incoming),
             Err(err) => log::warn!("event=bad_request peer={} cause={err:?}", incoming.addr),
         }
     });
@@ -235,7 +251,7 @@
 }
 
 /// Serves a stream if the peer's role may ask for it.
-fn serve_stream(roles: &Roles, req: LinkRequest, incoming: &Incoming) {
+fn serve_stream(roles: &Roles, req: LinkRequest, incoming: Incoming) {
     if !allowed(&req, &incoming.roles) {
         log::warn!(
             "event=role_refused peer={} roles={:?}",
@@ -269,6 +285,11 @@
                 let _ = incoming.stream.send(&ledger.serve(req));
             }
         }
+        LinkRequest::Quorum(req) => {
+            if let Some(groups) = &roles.groups {
+                groups.serve(req, incoming);
+            }
+        }
         LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) => {}
     }
 }
@@ -282,6 +303,8 @@
             &[LinkRole::Entry, LinkRole::Operator]
         }
         LinkRequest::Ledger(_) => &[LinkRole::Entry, LinkRole::Sidecar],
+        LinkRequest::Quorum(QuorumRequest::Peer { .. }) => &[LinkRole::Ledger],
+        LinkRequest::Quorum(_) => &[LinkRole::Operator],
     };
     needed.iter().any(|role| roles.contains(role))
 }
--- /dev/null
+++ b/crates/sapphirequayd/src/process/group/in_memory.rs
@@ -0,0 +1,49 @@
+//! A group of one copy in memory, for demos and tests.
+
+use {
+    super::{ChangeError, GroupMsg},
+    crate::process::Machine,
+    quay_quorum::StateMachine,
+    quay_types::{Epoch, LogIndex, Time},
+    std::time::Duration,
+};
+
+/// A group of one copy in memory: every command commits at once and is lost
+/// with the process.
+pub struct Group<M> {
+    machine: M,
+    index: LogIndex,
+}
+
+impl<M: StateMachine> Group<M> {
+    /// A group that starts with `machine`.
+    pub const fn new(machine: M) -> Self {
+        Self {
+            machine,
+            index: LogIndex(0),
+        }
+    }
+}
+
+impl<M: StateMachine> Machine for Group<M> {
+    type Msg = GroupMsg<M>;
+
+    const TICK: Duration = Duration::from_millis(20);
+
+    fn handle(&mut self, _: Time, msg: GroupMsg<M>) {
+        match msg {
+            GroupMsg::Propose { command, reply } => {
+                self.index.0 += 1;
+                let _ = reply.send(Ok(self.machine.apply(self.index, Epoch(1), command)));
+            }
+            GroupMsg::Read { query, reply } => drop(reply.send(Ok(self.machine.query(&query)))),
+            GroupMsg::Change { reply, .. } => {
+                let _ = reply.send(Err(ChangeError::Refused("the group is in memory".into())));
+            }
+            GroupMsg::Status(reply) => drop(reply.send(None)),
+            GroupMsg::Stop | GroupMsg::Inner(_) => {}
+        }
+    }
+
+    fn tick(&mut self, _: Time) {}
+}
--- /dev/null
+++ b/crates/sapphirequayd/src/process/group/start_error.rs
@@ -0,0 +1,29 @@
+//! Ways in which the replicas of a host can fail to start.
+
+use {
+    quay_log::LogError,
+    std::{fmt, io, path::PathBuf},
+};
+
+/// Why replicas could not start.
+#[derive(Debug)]
+pub enum GroupStartError {
+    /// The settings don't fit each other or the data folder.
+    Settings(Box<str>),
+    /// A folder or a thread can't be had.
+    Io(PathBuf, io::Error),
+    /// The log of a folder can't be used.
+    Log(PathBuf, LogError),
+}
+
+impl fmt::Display for GroupStartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Settings(text) => write!(f, "[ledger] {text}"),
+            Self::Io(path, err) => write!(f, "{}: {err}", path.display()),
+            Self::Log(path, err) => write!(f, "{}: {err}", path.display()),
+        }
+    }
+}
+
+impl std::error::Error for GroupStartError {}
--- /dev/null
+++ b/crates/sapphirequayd/src/process/group/storage.rs
@@ -0,0 +1,149 @@
+//! What a replica keeps in its folder.
+
+use {
+    quay_log::{
+        DiskFolder, Folder as _, Log, LogEntry, LogError, LogSettings, Recovered, Snapshot,
+        read_newest_snapshot, read_whole, save_snapshot, save_whole,
+    },
+    quay_quorum::{Entry, HardState, Membership, Position, Restart, SnapshotMark},
+    quay_types::NodeId,
+};
+
+/// File that holds the identity of a host.
+const IDENTITY: &str = "identity";
+
+/// Reads the identity of a data folder; `None` if it is new.
+pub fn read_identity(folder: &DiskFolder) -> Result<Option<NodeId>, LogError> {
+    let names = folder.list().map_err(|err| LogError::Io {
+        file: "folder".into(),
+        err,
+    })?;
+    if !names.iter().any(|name| &**name == IDENTITY) {
+        return Ok(None);
+    }
+    let (node, _) = read_whole(folder, IDENTITY)?;
+    Ok(Some(NodeId(node)))
+}
+
+/// Writes the identity of a new data folder.
+pub fn write_identity(folder: &DiskFolder, node: NodeId) -> Result<(), LogError> {
+    save_whole(folder, IDENTITY, node.0, &[])
+}
+
+/// The stored form of a snapshot.
+pub fn snapshot_of(mark: &SnapshotMark, data: Box<[u8]>) -> Result<Snapshot, LogError> {
+    let head = postcard::to_stdvec(&mark.members).map_err(LogError::Encode)?;
+    Ok(Snapshot {
+        index: mark.position.index,
+        term: mark.position.term,
+        head: head.into(),
+        data,
+    })
+}
+
+/// What a stored snapshot stands for.
+fn mark_of(snapshot: &Snapshot) -> Result<SnapshotMark, LogError> {
+    let members: Membership = postcard::from_bytes(&snapshot.head).map_err(LogError::Encode)?;
+    let position = Position {
+        term: snapshot.term,
+        index: snapshot.index,
+    };
+    Ok(SnapshotMark { position, members })
+}
+
+/// A snapshot that was read.
+#[derive(Debug)]
+pub struct Stored {
+    /// What it stands for.
+    pub mark: SnapshotMark,
+    /// The encoded state.
+    pub data: Box<[u8]>,
+}
+
+/// Reads the newest snapshot of a folder.
+pub fn latest_snapshot(folder: &DiskFolder) -> Result<Option<Stored>, LogError> {
+    match read_newest_snapshot(folder)? {
+        Some(snapshot) => Ok(Some(Stored {
+            mark: mark_of(&snapshot)?,
+            data: snapshot.data,
+        })),
+        None => Ok(None),
+    }
+}
+
+/// What a new group starts with.
+#[derive(Debug)]
+pub struct First {
+    /// Its members.
+    pub members: Membership,
+    /// The encoded state in which nothing has happened.
+    pub state: Box<[u8]>,
+}
+
+/// A replica's log as it was opened.
+#[derive(Debug)]
+pub struct Opened {
+    /// The log.
+    pub log: Log<DiskFolder>,
+    /// What the replica starts from.
+    pub restart: Restart,
+    /// Encoded state of the snapshot, if there is one.
+    pub state: Option<Box<[u8]>>,
+}
+
+/// Opens the log of a replica; a new one starts with `first`, or with no
+/// members if it is to be made a learner.
+pub fn open(folder: &DiskFolder, first: Option<First>) -> Result<Opened, LogError> {
+    let (log, mut recovered) = Log::open(folder.clone(), LogSettings::default())?;
+    if let Some(cut) = &recovered.cut {
+        log::warn!(
+            "event=torn_tail_cut file={} offset={} bytes={}",
+            cut.file,
+            cut.offset,
+            cut.bytes
+        );
+    }
+    let new = recovered.snapshot.is_none() && recovered.entries.is_empty();
+    if let (true, Some(first)) = (new, first) {
+        let mark = SnapshotMark {
+            position: Position::default(),
+            members: first.members,
+        };
+        let snapshot = snapshot_of(&mark, first.state)?;
+        save_snapshot(folder, &snapshot)?;
+        recovered.snapshot = Some(snapshot);
+    }
+    let mark = match &recovered.snapshot {
+        Some(snapshot) => mark_of(snapshot)?,
+        None => SnapshotMark::default(),
+    };
+    Ok(Opened {
+        log,
+        restart: restart_of(&recovered, mark)?,
+        state: recovered.snapshot.map(|snapshot| snapshot.data),
+    })
+}
+
+/// What a replica starts from.
+fn restart_of(recovered: &Recovered, mark: SnapshotMark) -> Result<Restart, LogError> {
+    let entries: Result<Vec<Entry>, LogError> = recovered.entries.iter().map(entry_of).collect();
+    Ok(Restart {
+        hard: HardState {
+            term: recovered.hard.term,
+            vote: recovered.hard.vote,
+        },
+        mark,
+        entries: entries?,
+    })
+}
+
+/// The entry of a stored one.
+fn entry_of(stored: &LogEntry) -> Result<Entry, LogError> {
+    Ok(Entry {
+        position: Position {
+            term: stored.term,
+            index: stored.index,
+        },
+        payload: postcard::from_bytes(&stored.body).map_err(LogError::Encode)?,
+    })
+}
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -17,7 +17,10 @@
     clock::Clock,
     daemon::{Daemon, StartError},
     gate::{Gate, GateMsg},
-    group::{Group, GroupError, GroupMsg},
+    group::{
+        ChangeError, Group, GroupError, GroupEvent, GroupHost, GroupLimits, GroupMsg,
+        GroupStartError, PeerFrame, QuorumReply, QuorumRequest,
+    },
     ledger::LedgerService,
     ledger_client::{LedgerClient, LedgerFault},
     permits::PermitMsg,
--- a/crates/sapphirequayd/src/settings/ledger.rs
+++ b/crates/sapphirequayd/src/settings/ledger.rs
@@ -1,8 +1,82 @@
 //! The ledger role.
 
-use serde::Deserialize;
+use {
+    serde::Deserialize,
+    std::{collections::BTreeSet, net::SocketAddr, path::PathBuf},
+};
 
 /// The ledger role.
-#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LedgerSettings {
+    /// Folder of all that must survive; without one it lives in memory.
+    pub data: Option<PathBuf>,
+    /// Groups that programs are spread over, beside the control group.
+    pub groups: u16,
+    /// Identity of this host in a group that it starts; 0 leaves it to the data
+    /// folder.
+    pub node: u64,
+    /// Whether a new data folder starts a group of `peers`. To be taken out
+    /// after the first start: a host that lost its disk must not come back as
+    /// its old self.
+    pub bootstrap: bool,
+    /// First members of the groups, this host included; the same on each.
+    pub peers: Vec<PeerSettings>,
+}
+
+impl Default for LedgerSettings {
+    fn default() -> Self {
+        Self {
+            data: None,
+            groups: 1,
+            node: 0,
+            bootstrap: false,
+            peers: Vec::new(),
+        }
+    }
+}
+
+/// A member of the groups that are started.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct LedgerSettings {}
+pub struct PeerSettings {
+    /// Its identity, from 1.
+    pub node: u64,
+    /// UDP address of its links.
+    pub addr: SocketAddr,
+    /// Data centre of its host.
+    #[serde(default)]
+    pub data_centre: Box<str>,
+}
+
+impl LedgerSettings {
+    /// Checks that the settings fit each other.
+    ///
+    /// # Errors
+    ///
+    /// Names the key and what is wrong with it.
+    pub fn check(&self) -> Result<(), Box<str>> {
+        if self.groups == 0 {
+            return Err("groups = 0: at least one group is needed".into());
+        }
+        let mut nodes = BTreeSet::new();
+        for peer in &self.peers {
+            if peer.node == 0 {
+                return Err("peers: node = 0 is no identity".into());
+            }
+            if !nodes.insert(peer.node) {
+                return Err(format!("peers: node = {} is there twice", peer.node).into());
+            }
+        }
+        if !self.bootstrap {
+            return Ok(());
+        }
+        if self.data.is_none() {
+            return Err("bootstrap = true needs a data folder".into());
+        }
+        if !nodes.contains(&self.node) {
+            return Err(format!("node = {} is not among the peers", self.node).into());
+        }
+        Ok(())
+    }
+}
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -8,8 +8,12 @@
 mod sidecar;
 
 pub use {
-    account::AccountSettings, entry::EntrySettings, ledger::LedgerSettings,
-    link::LinkTableSettings, process::ProcessSettings, sidecar::SidecarSettings,
+    account::AccountSettings,
+    entry::EntrySettings,
+    ledger::{LedgerSettings, PeerSettings},
+    link::LinkTableSettings,
+    process::ProcessSettings,
+    sidecar::SidecarSettings,
 };
 
 use {
--- a/crates/sapphirequayd/src/wire.rs
+++ b/crates/sapphirequayd/src/wire.rs
@@ -1,6 +1,7 @@
 //! First message of every stream between two processes.
 
 use {
+    crate::process::QuorumRequest,
     quay_types::{DirectoryRequest, LedgerRequest, SidecarRequest},
     serde::{Deserialize, Serialize},
 };
@@ -14,4 +15,6 @@
     Directory(DirectoryRequest),
     /// For the ledger.
     Ledger(LedgerRequest),
+    /// For the replica of a group.
+    Quorum(QuorumRequest),
 }
