--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -24,7 +24,7 @@
         GroupMsg, GroupStartError, Machine, Mailbox, PeerFrame, QuorumReply, QuorumRequest,
         StartError, spawn,
     },
-    request::{PermitBook, Splice, Spliced},
+    request::{Splice, Spliced},
     settings::{
         AccountSettings, EntrySettings, LedgerSettings, LinkTableSettings, PeerSettings,
         ProcessSettings, Settings, SettingsError, SidecarSettings,
