Measure commits, elections and recovery with real files and sockets

'sapphirequay experiment commits' runs three replicas on loopback, in one process, with a folder each, against a sync for each commit as the baseline.

--- a/crates/quay_link/src/stream.rs
+++ b/crates/quay_link/src/stream.rs
@@ -26,10 +26,22 @@
     /// [`LinkError::TooLarge`] before anything is sent; [`LinkError::Broken`]
     /// if the stream has ended.
     pub fn send(&self, value: &impl Serialize) -> Result<(), LinkError> {
+        self.send_counted(value).map(drop)
+    }
+
+    /// Sends one value as [`LinkStream::send`] does and tells the bytes of its
+    /// frame.
+    ///
+    /// # Errors
+    ///
+    /// As [`LinkStream::send`].
+    pub fn send_counted(&self, value: &impl Serialize) -> Result<usize, LinkError> {
         let buf = frame::encode(value)?;
+        let bytes = buf.len();
         self.tx
             .blocking_send(buf)
-            .map_err(|_| LinkError::Broken("stream ended".into()))
+            .map_err(|_| LinkError::Broken("stream ended".into()))?;
+        Ok(bytes)
     }
 
     /// Receives one value.
--- /dev/null
+++ b/crates/quay_quorum/examples/long_run.rs
@@ -0,0 +1,26 @@
+//! A long seeded run of replicas under faults: `long_run SEED STEPS REPLICAS`.
+
+use {
+    quay_quorum::check::{World, WorldSettings},
+    std::{env, process::ExitCode},
+};
+
+fn main() -> ExitCode {
+    let mut numbers = env::args().skip(1).map(|arg| arg.parse::<u64>().ok());
+    let mut next = |default| numbers.next().flatten().unwrap_or(default);
+    let (seed, steps, replicas) = (next(1), next(1_000_000), next(3));
+    let cfg = WorldSettings {
+        replicas,
+        ..WorldSettings::default()
+    };
+    match World::new(cfg, seed).run(steps) {
+        Ok(report) => {
+            println!("seed={seed} replicas={replicas} {report:?}");
+            ExitCode::SUCCESS
+        }
+        Err(broken) => {
+            println!("seed={seed} replicas={replicas} broken: {broken}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/sapphirequay/src/experiment/commits/measure.rs
@@ -0,0 +1,243 @@
+//! Single measurements.
+
+use {
+    super::{
+        cluster::{Cluster, folder_bytes, set},
+        records::SetRecord,
+    },
+    hdrhistogram::Histogram,
+    quay_log::{DiskFolder, Folder as _, LogFile as _},
+    sapphirequayd::{GroupLimits, GroupMsg},
+    serde_json::{Value, json},
+    std::{
+        error::Error,
+        fs,
+        path::Path,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Syncs that the disk is measured with.
+const SYNCS: u32 = 500;
+
+/// Threads that fill a log.
+const FILLERS: u64 = 64;
+
+/// A load to measure.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Groups that programs are spread over.
+    pub groups: u16,
+    /// Programs that commit one record after another.
+    pub programs: usize,
+    /// Whether each commit has a sync of its own: the baseline.
+    pub sync_each: bool,
+    /// Time to measure.
+    pub span: Duration,
+    /// Bytes of a record.
+    pub record_bytes: usize,
+}
+
+/// Microseconds of a span.
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// A histogram of microseconds.
+fn histogram() -> Result<Histogram<u64>, Box<dyn Error>> {
+    Ok(Histogram::new(3)?)
+}
+
+/// Milliseconds at a quantile of a histogram of microseconds.
+#[allow(clippy::cast_precision_loss)] // Times are far below 2^52 microseconds.
+fn quantile_ms(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1_000.0
+}
+
+/// A count for each unit of another.
+#[allow(clippy::cast_precision_loss)] // Counts are far below 2^52.
+fn ratio(count: u64, of: u64) -> f64 {
+    (count as f64 / of.max(1) as f64 * 10.0).round() / 10.0
+}
+
+/// Measures a write of one record and its sync.
+pub fn measure_syncs(dir: &Path, record_bytes: usize) -> Result<Value, Box<dyn Error>> {
+    let folder = DiskFolder::create(dir)?;
+    let mut file = folder.create("sync-test")?;
+    let record = vec![1; record_bytes];
+    let mut times = histogram()?;
+    for _ in 0..SYNCS {
+        let started = Instant::now();
+        file.write(&record)?;
+        file.sync()?;
+        times.record(micros(started.elapsed()))?;
+    }
+    folder.remove("sync-test")?;
+    Ok(json!({
+        "syncs": SYNCS,
+        "p50_ms": quantile_ms(&times, 0.5),
+        "p99_ms": quantile_ms(&times, 0.99),
+    }))
+}
+
+/// Limits of the groups that are measured.
+fn limits(sync_each: bool) -> GroupLimits {
+    GroupLimits {
+        sync_each,
+        ..GroupLimits::default()
+    }
+}
+
+/// Measures commits of concurrent programs.
+pub fn measure_load(dir: &Path, load: Load) -> Result<Value, Box<dyn Error>> {
+    let dir = dir.join("load");
+    let cluster = Arc::new(Cluster::start(
+        &dir,
+        3,
+        load.groups,
+        limits(load.sync_each),
+    )?);
+    for group in 0..usize::from(load.groups) {
+        set(cluster.group(group), 0, &record(0, load.record_bytes))?;
+    }
+    let (disk, wire) = (folder_bytes(&dir)?, cluster.sent_bytes());
+    let stop = Arc::new(AtomicBool::new(false));
+    let threads: Vec<_> = (0..load.programs)
+        .map(|program| {
+            let (cluster, stop) = (Arc::clone(&cluster), Arc::clone(&stop));
+            thread::spawn(move || commit_until(&cluster, program, load.record_bytes, &stop))
+        })
+        .collect();
+    let started = Instant::now();
+    thread::sleep(load.span);
+    stop.store(true, Ordering::Relaxed);
+    let mut times = histogram()?;
+    for thread in threads {
+        let of_thread = thread.join().map_err(|_| "a program's thread died")??;
+        times.add(&of_thread)?;
+    }
+    let span = started.elapsed();
+    let commits = times.len();
+    let disk = folder_bytes(&dir)?.saturating_sub(disk);
+    let wire = cluster.sent_bytes() - wire;
+    cluster.stop();
+    fs::remove_dir_all(&dir)?;
+    Ok(json!({
+        "groups": load.groups,
+        "programs": load.programs,
+        "sync": if load.sync_each { "each" } else { "batched" },
+        "commits_s": ratio(commits * 1_000_000, micros(span)),
+        "p50_ms": quantile_ms(&times, 0.5),
+        "p99_ms": quantile_ms(&times, 0.99),
+        "disk_bytes_a_commit_and_host": ratio(disk, 3 * commits),
+        "wire_bytes_a_commit": ratio(wire, commits),
+    }))
+}
+
+/// A record of a program.
+fn record(program: u64, bytes: usize) -> SetRecord {
+    SetRecord {
+        program,
+        record: vec![7; bytes].into(),
+    }
+}
+
+/// Commits one record after another; the times that it took.
+fn commit_until(
+    cluster: &Cluster,
+    program: usize,
+    bytes: usize,
+    stop: &AtomicBool,
+) -> Result<Histogram<u64>, String> {
+    let mut times = Histogram::new(3).map_err(|err| err.to_string())?;
+    let command = record(program as u64, bytes);
+    let replicas = cluster.group(program);
+    let mut leader = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let started = Instant::now();
+        leader = set(replicas, leader, &command)?;
+        times
+            .record(micros(started.elapsed()))
+            .map_err(|err| err.to_string())?;
+    }
+    Ok(times)
+}
+
+/// Measures the time from the loss of a leader to the next commit.
+pub fn measure_elections(
+    dir: &Path,
+    count: u32,
+    record_bytes: usize,
+) -> Result<Value, Box<dyn Error>> {
+    let mut times = histogram()?;
+    for _ in 0..count {
+        let dir = dir.join("election");
+        let cluster = Cluster::start(&dir, 3, 1, limits(false))?;
+        let replicas = cluster.group(0);
+        let leader = set(replicas, 0, &record(0, record_bytes))?;
+        replicas[leader].send(GroupMsg::Stop);
+        let started = Instant::now();
+        set(replicas, (leader + 1) % 3, &record(1, record_bytes))?;
+        times.record(micros(started.elapsed()))?;
+        cluster.stop();
+        fs::remove_dir_all(&dir)?;
+    }
+    Ok(json!({
+        "count": count,
+        "p50_ms": quantile_ms(&times, 0.5),
+        "max_ms": quantile_ms(&times, 1.0),
+    }))
+}
+
+/// Measures the time from the start of a host to its first answer, against the
+/// number of programs in its log.
+pub fn measure_recovery(
+    dir: &Path,
+    programs: u64,
+    record_bytes: usize,
+) -> Result<Value, Box<dyn Error>> {
+    let dir = dir.join("recovery");
+    // No snapshot: the whole log is read and applied.
+    let limits = GroupLimits {
+        snapshot_bytes: usize::MAX,
+        snapshot_entries: u64::MAX,
+        ..GroupLimits::default()
+    };
+    let cluster = Arc::new(Cluster::start(&dir, 1, 1, limits)?);
+    let threads: Vec<_> = (0..FILLERS)
+        .map(|filler| {
+            let cluster = Arc::clone(&cluster);
+            thread::spawn(move || {
+                let own = (0..programs).filter(|program| program % FILLERS == filler);
+                for program in own {
+                    set(cluster.group(0), 0, &record(program, record_bytes))?;
+                }
+                Ok::<(), String>(())
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread.join().map_err(|_| "a filler died")??;
+    }
+    cluster.stop();
+    drop(cluster);
+    let bytes = folder_bytes(&dir)?;
+    let started = Instant::now();
+    let cluster = Cluster::start(&dir, 1, 1, limits)?;
+    let opened = started.elapsed();
+    set(cluster.group(0), 0, &record(0, record_bytes))?;
+    let served = started.elapsed();
+    cluster.stop();
+    fs::remove_dir_all(&dir)?;
+    Ok(json!({
+        "programs": programs,
+        "log_bytes": bytes,
+        "opened_ms": micros(opened) / 1_000,
+        "served_ms": micros(served) / 1_000,
+    }))
+}
--- a/crates/sapphirequay/src/experiment/mod.rs
+++ b/crates/sapphirequay/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! `sapphirequay experiment`: seeded experiments over the decision logic.
 
+mod commits;
 mod policy;
 
 use {gumdrop::Options, std::error::Error};
@@ -16,6 +17,8 @@
 /// Which experiment to run; one module each.
 #[derive(Debug, Options)]
 enum ExperimentCommand {
+    #[options(help = "measure commits of three replicas on loopback with real syncs")]
+    Commits(commits::CommitsArgs),
     #[options(help = "compare scheduling policies over a small engine model")]
     Policy(policy::PolicyArgs),
 }
@@ -23,6 +26,7 @@
 /// Runs the experiment that was asked for.
 pub fn run(args: ExperimentArgs) -> Result<(), Box<dyn Error>> {
     match args.command {
+        Some(ExperimentCommand::Commits(args)) => commits::run(&args),
         Some(ExperimentCommand::Policy(args)) => policy::run(&args),
         None => Err("an experiment is needed; see --help".into()),
     }
--- a/crates/sapphirequayd/src/process/group/disk.rs
+++ b/crates/sapphirequayd/src/process/group/disk.rs
@@ -29,9 +29,13 @@
 pub fn run(
     log: &mut Log<DiskFolder>,
     jobs: &Receiver<DiskJob>,
+    sync_each: bool,
     synced: impl Fn(Ticket),
 ) -> Result<(), LogError> {
-    let mut batch = Batch::default();
+    let mut batch = Batch {
+        sync_each,
+        ..Batch::default()
+    };
     while let Ok(job) = jobs.recv() {
         batch.take(log, job, &synced)?;
         while let Ok(job) = jobs.try_recv() {
@@ -47,6 +51,8 @@
 struct Batch {
     records: Vec<Record>,
     ticket: Option<Ticket>,
+    /// Whether each record is a frame of its own.
+    sync_each: bool,
 }
 
 impl Batch {
@@ -109,8 +115,14 @@
         let Some(ticket) = self.ticket.take() else {
             return Ok(());
         };
-        log.append(&self.records)?;
-        self.records.clear();
+        if self.sync_each {
+            for record in self.records.drain(..) {
+                log.append(&[record])?;
+            }
+        } else {
+            log.append(&self.records)?;
+            self.records.clear();
+        }
         synced(ticket);
         Ok(())
     }
--- a/crates/sapphirequayd/src/process/group/host.rs
+++ b/crates/sapphirequayd/src/process/group/host.rs
@@ -27,7 +27,11 @@
         fmt, io,
         net::SocketAddr,
         path::{Path, PathBuf},
-        sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+            mpsc,
+        },
         thread,
     },
 };
@@ -53,6 +57,7 @@
     /// Identity; `None` without a data folder.
     node: Option<NodeId>,
     inlets: Arc<Mutex<IndexMap<GroupId, Inlet>>>,
+    sent: Arc<AtomicU64>,
 }
 
 impl fmt::Debug for GroupHost {
@@ -88,6 +93,7 @@
             quorum: QuorumSettings::default(),
             node,
             inlets: Arc::default(),
+            sent: Arc::default(),
         })
     }
 
@@ -104,6 +110,12 @@
         self.node
     }
 
+    /// Bytes of frames that this host has sent to other replicas.
+    #[must_use]
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
     /// What comes over links, by group.
     fn inlets(&self) -> MutexGuard<'_, IndexMap<GroupId, Inlet>> {
         self.inlets.lock().unwrap_or_else(PoisonError::into_inner)
@@ -147,7 +159,13 @@
         }
         let (seed, now) = (rand::rng().next_u64(), self.clock.now());
         let replica = Replica::restart(node, opened.restart, self.quorum, seed, now);
-        let peers = Peers::new(self.links.clone(), group, node, self.own_addr(node));
+        let peers = Peers::new(
+            self.links.clone(),
+            group,
+            node,
+            self.own_addr(node),
+            Arc::clone(&self.sent),
+        );
         let (disk, disk_jobs) = mpsc::channel();
         let (snapshots, snapshot_jobs) = mpsc::channel();
         let outside = Outside {
@@ -157,7 +175,14 @@
         };
         let actor = ReplicatedGroup::new(group, machine, replica, outside, self.limits);
         let mailbox = spawn(&group.to_string(), self.clock, actor).map_err(io_error)?;
-        spawn_log(group, opened.log, disk_jobs, mailbox.clone()).map_err(io_error)?;
+        spawn_log(
+            group,
+            opened.log,
+            disk_jobs,
+            self.limits.sync_each,
+            mailbox.clone(),
+        )
+        .map_err(io_error)?;
         let saver = Snapshots {
             folder,
             peers,
@@ -243,12 +268,13 @@
     group: GroupId,
     mut log: Log<DiskFolder>,
     jobs: mpsc::Receiver<DiskJob>,
+    sync_each: bool,
     mailbox: Mailbox<GroupMsg<M>>,
 ) -> io::Result<()> {
     let run = move || {
         let tell = |event| mailbox.send(GroupMsg::Inner(event));
         let synced = |ticket| tell(GroupEvent::Persisted(ticket));
-        if let Err(err) = disk::run(&mut log, &jobs, synced) {
+        if let Err(err) = disk::run(&mut log, &jobs, sync_each, synced) {
             tell(GroupEvent::DiskFailed(err.to_string().into()));
         }
     };
--- a/crates/sapphirequayd/src/process/group/peers.rs
+++ b/crates/sapphirequayd/src/process/group/peers.rs
@@ -13,6 +13,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
             mpsc::{Receiver, SyncSender, sync_channel},
         },
         thread,
@@ -52,6 +53,8 @@
     /// Address that this replica accepts links on.
     own: SocketAddr,
     shared: Arc<Mutex<Shared>>,
+    /// Bytes of frames that were sent.
+    sent: Arc<AtomicU64>,
 }
 
 /// What the sending threads share.
@@ -63,13 +66,20 @@
 
 impl Peers {
     /// Peers of a replica.
-    pub fn new(links: Links, group: GroupId, node: NodeId, own: SocketAddr) -> Self {
+    pub fn new(
+        links: Links,
+        group: GroupId,
+        node: NodeId,
+        own: SocketAddr,
+        sent: Arc<AtomicU64>,
+    ) -> Self {
         Self {
             links,
             group,
             node,
             own,
             shared: Arc::default(),
+            sent,
         }
     }
 
@@ -127,11 +137,12 @@
                 stream = self.connect(to);
             }
             match &stream {
-                Some(open) => {
-                    if send_message(open, message).is_err() {
-                        stream = None;
+                Some(open) => match send_message(open, message) {
+                    Ok(bytes) => {
+                        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
                     }
-                }
+                    Err(_) => stream = None,
+                },
                 None => thread::sleep(RECONNECT_AFTER),
             }
         }
@@ -160,21 +171,22 @@
     }
 }
 
-/// Sends one message, in parts if it is large.
-fn send_message(stream: &LinkStream, message: Message) -> Result<(), LinkError> {
+/// Sends one message, in parts if it is large; tells the bytes.
+fn send_message(stream: &LinkStream, message: Message) -> Result<usize, LinkError> {
     let Message::Snapshot { .. } = &message else {
-        return stream.send(&PeerFrame::Whole(message));
+        return stream.send_counted(&PeerFrame::Whole(message));
     };
     let bytes = postcard::to_stdvec(&message).map_err(LinkError::Decode)?;
+    let mut sent = 0;
     let mut parts = bytes.chunks(PART_BYTES).peekable();
     while let Some(part) = parts.next() {
         let frame = match parts.peek() {
             Some(_) => PeerFrame::Part(part.into()),
             None => PeerFrame::LastPart(part.into()),
         };
-        stream.send(&frame)?;
+        sent += stream.send_counted(&frame)?;
     }
-    Ok(())
+    Ok(sent)
 }
 
 /// Receives messages from a peer until the stream ends.
--- a/crates/sapphirequayd/src/process/group/replicated.rs
+++ b/crates/sapphirequayd/src/process/group/replicated.rs
@@ -30,6 +30,8 @@
     pub snapshot_bytes: usize,
     /// Commands after which a snapshot is saved.
     pub snapshot_entries: u64,
+    /// Whether each entry gets a sync of its own: the baseline of measurements.
+    pub sync_each: bool,
     /// Whether the process ends when the replica can't go on.
     pub exit_on_fault: bool,
 }
@@ -39,6 +41,7 @@
         Self {
             snapshot_bytes: 64 << 20,
             snapshot_entries: 200_000,
+            sync_each: false,
             exit_on_fault: true,
         }
     }
