--- a/crates/sapphirequay/src/experiment/commits/cluster.rs
+++ b/crates/sapphirequay/src/experiment/commits/cluster.rs
@@ -93,6 +93,7 @@
                 node: peer.node,
                 bootstrap: true,
                 peers: peers.clone(),
+                ..LedgerSettings::default()
             };
             let serving: Arc<OnceLock<GroupHost>> = Arc::default();
             let links = start_links(&keys, peer.addr, Arc::clone(&serving))?;
--- a/crates/sapphirequay/src/experiment/mod.rs
+++ b/crates/sapphirequay/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! `sapphirequay experiment`: seeded experiments over the decision logic.
 
 mod commits;
+mod faults;
 mod policy;
 
 use {gumdrop::Options, std::error::Error};
@@ -19,6 +20,8 @@
 enum ExperimentCommand {
     #[options(help = "measure commits of three replicas on loopback with real syncs")]
     Commits(commits::CommitsArgs),
+    #[options(help = "attack the promises with seeded faults")]
+    Faults(faults::FaultsArgs),
     #[options(help = "compare scheduling policies over a small engine model")]
     Policy(policy::PolicyArgs),
 }
@@ -27,6 +30,7 @@
 pub fn run(args: ExperimentArgs) -> Result<(), Box<dyn Error>> {
     match args.command {
         Some(ExperimentCommand::Commits(args)) => commits::run(&args),
+        Some(ExperimentCommand::Faults(args)) => faults::run(&args),
         Some(ExperimentCommand::Policy(args)) => policy::run(&args),
         None => Err("an experiment is needed; see --help".into()),
     }
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -20,14 +20,15 @@
 
 pub use {
     process::{
-        ChangeError, Clock, Daemon, Group, GroupError, GroupEvent, GroupHost, GroupLimits,
-        GroupMsg, GroupStartError, Machine, Mailbox, PeerFrame, QuorumReply, QuorumRequest,
-        StartError, spawn,
+        ChangeError, Clock, ControlClient, ControlFault, ControlReply, ControlRequest,
+        ControlStatus, Daemon, DaemonRow, Group, GroupError, GroupEvent, GroupHost, GroupLimits,
+        GroupMsg, GroupStartError, Machine, Mailbox, MemberRow, OperatorOrder, PeerFrame,
+        QuorumReply, QuorumRequest, StartError, spawn,
     },
     request::{Splice, Spliced},
     settings::{
-        AccountSettings, EntrySettings, LedgerSettings, LinkTableSettings, PeerSettings,
-        ProcessSettings, Settings, SettingsError, SidecarSettings,
+        EntrySettings, LedgerSettings, LinkTableSettings, PeerSettings, ProcessSettings, Settings,
+        SettingsError, SidecarSettings,
     },
     wire::LinkRequest,
 };
--- a/crates/sapphirequayd/src/settings/ledger.rs
+++ b/crates/sapphirequayd/src/settings/ledger.rs
@@ -2,7 +2,7 @@
 
 use {
     serde::Deserialize,
-    std::{collections::BTreeSet, net::SocketAddr, path::PathBuf},
+    std::{collections::BTreeSet, fs, io, net::SocketAddr, path::PathBuf},
 };
 
 /// The ledger role.
@@ -22,6 +22,12 @@
     pub bootstrap: bool,
     /// First members of the groups, this host included; the same on each.
     pub peers: Vec<PeerSettings>,
+    /// File of the first configuration document, for a new control group. A
+    /// group that has a document takes no notice of it.
+    pub document: Option<PathBuf>,
+    /// Text of the first document, where another program runs the daemon.
+    #[serde(skip)]
+    pub document_text: Option<Box<str>>,
 }
 
 impl Default for LedgerSettings {
@@ -32,6 +38,8 @@
             node: 0,
             bootstrap: false,
             peers: Vec::new(),
+            document: None,
+            document_text: None,
         }
     }
 }
@@ -79,4 +87,17 @@
         }
         Ok(())
     }
+
+    /// The text of the first document, if the settings name one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be read.
+    pub fn first_document(&self) -> io::Result<Option<Box<str>>> {
+        match (&self.document_text, &self.document) {
+            (Some(text), _) => Ok(Some(text.clone())),
+            (None, Some(path)) => Ok(Some(fs::read_to_string(path)?.into())),
+            (None, None) => Ok(None),
+        }
+    }
 }
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -1,6 +1,5 @@
 //! Settings of one process, read from TOML.
 
-mod account;
 mod entry;
 mod ledger;
 mod link;
@@ -8,7 +7,6 @@
 mod sidecar;
 
 pub use {
-    account::AccountSettings,
     entry::EntrySettings,
     ledger::{LedgerSettings, PeerSettings},
     link::LinkTableSettings,
@@ -39,9 +37,6 @@
     pub sidecar: Option<SidecarSettings>,
     /// The ledger role.
     pub ledger: Option<LedgerSettings>,
-    /// Accounts that may call, until a configuration document is in force.
-    #[serde(default)]
-    pub accounts: Vec<AccountSettings>,
 }
 
 /// Why settings can't be used.
--- a/crates/sapphirequayd/src/wire.rs
+++ b/crates/sapphirequayd/src/wire.rs
@@ -1,8 +1,9 @@
 //! First message of every stream between two processes.
 
 use {
-    crate::process::QuorumRequest,
-    quay_types::{DirectoryRequest, LedgerRequest, SidecarRequest},
+    crate::process::{ControlRequest, QuorumRequest},
+    quay_members::MembersRequest,
+    quay_types::{LedgerRequest, SidecarRequest},
     serde::{Deserialize, Serialize},
 };
 
@@ -12,9 +13,11 @@
     /// For a sidecar.
     Sidecar(SidecarRequest),
     /// For the keeper of the directory.
-    Directory(DirectoryRequest),
+    Members(MembersRequest),
     /// For the ledger.
     Ledger(LedgerRequest),
+    /// For the control group.
+    Control(ControlRequest),
     /// For the replica of a group.
     Quorum(QuorumRequest),
 }
