--- a/crates/sapphirequayd/src/process/control_role.rs
+++ b/crates/sapphirequayd/src/process/control_role.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         process::{
-            Clock, ControlClient, ControlService, GateMsg, Group, Mailbox, StartError,
+            Clock, ControlClient, ControlService, GateMsg, GroupHost, Mailbox, StartError,
             Subscription,
             daemon::{Roles, starting},
             directory::DirectoryMsg,
@@ -15,9 +15,13 @@
     quay_config::{ConfigStore, Document, check},
     quay_link::{KeyFiles, Links},
     quay_members::{Directory, MembersSettings},
+    quay_types::GroupId,
     std::{thread, time::Duration},
 };
 
+/// The group of configuration, audit trail and quarantine.
+const CONTROL_GROUP: GroupId = GroupId(0);
+
 /// Interval at which key files are looked at.
 const KEYS_EVERY: Duration = Duration::from_secs(5);
 
@@ -27,6 +31,7 @@
 /// Starts the directory and this host's part in the control group.
 pub fn start_control(
     settings: &LedgerSettings,
+    groups: &GroupHost,
     clock: Clock,
 ) -> Result<(Mailbox<DirectoryMsg>, ControlService), StartError> {
     let first = settings
@@ -40,8 +45,7 @@
     let run = Clock::wall_ms();
     let directory = Directory::new(clock.now(), run, MembersSettings::default());
     let directory = spawn("directory", clock, directory).map_err(starting("directory"))?;
-    let group = Group::new(ConfigStore::default());
-    let group = spawn("control", clock, group).map_err(starting("control group"))?;
+    let group = groups.start(CONTROL_GROUP, ConfigStore::default())?;
     let control = ControlService::new(group, directory.clone(), clock, FIRST_GRACE);
     if let Some(text) = first {
         control.found(text).map_err(starting("control group"))?;
