--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -4,8 +4,8 @@
     crate::{
         connection::{Edge, EngineClient, EntryContext, ServiceClient},
         process::{
-            Clock, ControlRequest, ControlService, Gate, Group, LedgerClient, LedgerService,
-            Lifecycle, Mailbox, PermitMsg, Router, SharedHealth,
+            Clock, ControlRequest, ControlService, Gate, GroupHost, GroupStartError, LedgerClient,
+            LedgerService, Lifecycle, Mailbox, PermitMsg, QuorumRequest, Router, SharedHealth,
             announcer::{Announcer, Reader, Standing},
             control_role::{follow_marks, start_control, subscribe, watch_keys},
             directory::DirectoryMsg,
@@ -44,6 +44,8 @@
     Io(Box<str>, io::Error),
     /// Links can't be set up.
     Link(LinkError),
+    /// The replicas of the ledger can't be started.
+    Group(GroupStartError),
     /// The first configuration document has a fault.
     Document(ConfigError),
 }
@@ -53,6 +55,7 @@
         match self {
             Self::Io(what, err) => write!(f, "{what}: {err}"),
             Self::Link(err) => write!(f, "{err}"),
+            Self::Group(err) => write!(f, "{err}"),
             Self::Document(err) => write!(f, "[ledger] document: {err}"),
         }
     }
@@ -66,6 +69,12 @@
     }
 }
 
+impl From<GroupStartError> for StartError {
+    fn from(err: GroupStartError) -> Self {
+        Self::Group(err)
+    }
+}
+
 /// Names what failed with an [`io::Error`].
 pub fn starting(what: &str) -> impl FnOnce(io::Error) -> StartError {
     let what = what.into();
@@ -89,6 +98,7 @@
     pub directory: Option<Mailbox<DirectoryMsg>>,
     pub ledger: Option<LedgerService>,
     pub control: Option<ControlService>,
+    pub groups: Option<GroupHost>,
 }
 
 impl Daemon {
@@ -115,10 +125,12 @@
         })?;
         let mut started = Roles::default();
         if let Some(ledger) = &settings.ledger {
-            let (directory, control) = start_control(ledger, clock)?;
+            let groups = GroupHost::new(ledger, links.clone(), clock)?;
+            let (directory, control) = start_control(ledger, &groups, clock)?;
             started.directory = Some(directory);
             started.control = Some(control);
-            started.ledger = Some(start_ledger(clock)?);
+            started.ledger = Some(start_ledger(&groups, ledger.groups)?);
+            started.groups = Some(groups);
         }
         if let Some(sidecar) = &settings.sidecar {
             started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock, &lifecycle)?);
@@ -216,10 +228,13 @@
 }
 
 /// Starts the ledger role.
-fn start_ledger(clock: Clock) -> Result<LedgerService, StartError> {
-    let ledger = Ledger::new(FIRST_PROGRAM_GROUP, LedgerLimits::default());
-    let group = spawn("programs", clock, Group::new(ledger)).map_err(starting("programs"))?;
-    LedgerService::start([group]).map_err(starting("ledger"))
+fn start_ledger(groups: &GroupHost, count: u16) -> Result<LedgerService, StartError> {
+    let first = FIRST_PROGRAM_GROUP.0;
+    let programs: Result<Vec<_>, _> = (first..first.saturating_add(count))
+        .map(GroupId)
+        .map(|group| groups.start(group, Ledger::new(group, LedgerLimits::default())))
+        .collect();
+    LedgerService::start(programs?).map_err(starting("ledger"))
 }
 
 /// Starts the sidecar role.
@@ -294,11 +309,11 @@
 // Streams from peers
 
 /// Hands a stream to the role that it is for.
-fn dispatch(roles: Arc<OnceLock<Roles>>, mut incoming: Incoming) {
+fn dispatch(roles: Arc<OnceLock<Roles>>, incoming: Incoming) {
     let spawned = thread::Builder::new().name("stream".into()).spawn(move || {
         let Some(roles) = roles.get() else { return };
         match incoming.first.decode::<LinkRequest>() {
-            Ok(req) => serve_stream(roles, req, &mut incoming),
+            Ok(req) => serve_stream(roles, req, incoming),
             Err(err) => log::warn!("event=bad_request peer={} cause={err:?}", incoming.addr),
         }
     });
@@ -308,7 +323,7 @@
 }
 
 /// Serves a stream if the peer's role may ask for it.
-fn serve_stream(roles: &Roles, req: LinkRequest, incoming: &mut Incoming) {
+fn serve_stream(roles: &Roles, req: LinkRequest, mut incoming: Incoming) {
     if !allowed(&req, &incoming.roles) {
         log::warn!(
             "event=role_refused peer={} roles={:?}",
@@ -333,7 +348,7 @@
         }
         LinkRequest::Control(req) => {
             if let Some(control) = &roles.control {
-                let _ = incoming.stream.send(&control.serve(req, incoming));
+                let _ = incoming.stream.send(&control.serve(req, &incoming));
             }
         }
         LinkRequest::Sidecar(SidecarRequest::Inquire(id, incarnation)) => {
@@ -347,6 +362,11 @@
                 let _ = incoming.stream.send(&reply);
             }
         }
+        LinkRequest::Quorum(req) => {
+            if let Some(groups) = &roles.groups {
+                groups.serve(req, incoming);
+            }
+        }
         LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) => {}
     }
 }
@@ -375,7 +395,8 @@
         LinkRequest::Control(ControlRequest::Quarantine { .. }) => {
             &[LinkRole::Entry, LinkRole::Ledger]
         }
-        LinkRequest::Control(_) => &[LinkRole::Operator],
+        LinkRequest::Quorum(QuorumRequest::Peer { .. }) => &[LinkRole::Ledger],
+        LinkRequest::Control(_) | LinkRequest::Quorum(_) => &[LinkRole::Operator],
         LinkRequest::Ledger(_) => &[LinkRole::Entry, LinkRole::Sidecar],
     };
     needed.iter().any(|role| roles.contains(role))
--- a/crates/sapphirequayd/src/wire.rs
+++ b/crates/sapphirequayd/src/wire.rs
@@ -1,7 +1,7 @@
 //! First message of every stream between two processes.
 
 use {
-    crate::process::ControlRequest,
+    crate::process::{ControlRequest, QuorumRequest},
     quay_members::MembersRequest,
     quay_types::{LedgerRequest, SidecarRequest},
     serde::{Deserialize, Serialize},
@@ -18,4 +18,6 @@
     Ledger(LedgerRequest),
     /// For the control group.
     Control(ControlRequest),
+    /// For the replica of a group.
+    Quorum(QuorumRequest),
 }
