Charge accounts at admission and shed those over their share first

Cause: a flooding account filled the queue, and new programs of all accounts were refused alike. A call is charged when it is admitted, so that a burst counts at once, and the new programs of accounts within their share may wait four times as long.

--- a/crates/quay_experiment/src/policy/report.rs
+++ b/crates/quay_experiment/src/policy/report.rs
@@ -118,15 +118,21 @@
 
 /// Head of each table.
 const HEAD: &str = "\
-| policy | mean s | P50 s | P95 s | P99 s | first token P95 ms | gap P95 ms | again ktok | idle kblk s | wasted engine s | goodput /s | finished | refusals | longest wait s | lost to poison |
-|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|";
+| policy | mean s | P50 s | P95 s | P99 s | others' P95 s | first token P95 ms | gap P95 ms | again ktok | idle kblk s | wasted engine s | goodput /s | finished | refusals | longest wait s | lost to poison |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|";
 
 impl fmt::Display for Row {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let stats = &self.stats;
         let latency = &stats.latency_ms;
         write!(f, "| {} ", self.policy)?;
-        for value in [latency.mean, latency.p50, latency.p95, latency.p99] {
+        for value in [
+            latency.mean,
+            latency.p50,
+            latency.p95,
+            latency.p99,
+            stats.quiet_latency_ms.p95,
+        ] {
             write!(f, "| {:.2} ", value / 1e3)?;
         }
         write!(
--- a/crates/quay_policy/src/admit/admission.rs
+++ b/crates/quay_policy/src/admit/admission.rs
@@ -13,6 +13,9 @@
 /// Accounts whose use is remembered.
 const MAX_ACCOUNTS: usize = 4_096;
 
+/// Times as long that a new program may wait whose account is within its share.
+const WITHIN_SHARE: u32 = 4;
+
 /// Weight of the newest call in the mean time that calls run, as a divisor.
 const SERVICE_MEAN: u32 = 16;
 
@@ -43,7 +46,7 @@
     new: BTreeSet<Place>,
     /// Waiting calls by deadline.
     deadlines: BTreeMap<(Time, u64), TicketId>,
-    running: IndexMap<TicketId, (Time, AccountId)>,
+    running: IndexMap<TicketId, Time>,
     /// Time up to which each account has used its share.
     accounts: IndexMap<AccountId, Time>,
     service: Duration,
@@ -126,12 +129,11 @@
 
     /// Notes that an admitted call has ended.
     pub fn leave(&mut self, now: Time, id: TicketId) {
-        let Some((started, account)) = self.running.swap_remove(&id) else {
+        let Some(started) = self.running.swap_remove(&id) else {
             return;
         };
         let span = now.since(started);
         self.service = (self.service * (SERVICE_MEAN - 1) + span) / SERVICE_MEAN;
-        self.charge(now, account, span);
     }
 
     /// Learns from what was seen of the upstream.
@@ -167,7 +169,8 @@
         while let Some(ticket) = self.next() {
             self.take(ticket.id);
             self.alone = ticket.alone;
-            self.running.insert(ticket.id, (now, ticket.account));
+            self.charge(now, ticket.account);
+            self.running.insert(ticket.id, now);
             self.verdicts.push(Verdict::Admit(ticket.id));
         }
         std::mem::take(&mut self.verdicts)
@@ -206,11 +209,21 @@
         let wait = self.expected_wait();
         let sheds = !self.cfg.shed_new_after.is_zero();
         let hopeless = now + wait > ticket.deadline;
-        let crowded = ticket.is_new() && wait > self.cfg.shed_new_after;
+        let patience = if self.is_over_share(now, ticket.account) {
+            self.cfg.shed_new_after
+        } else {
+            self.cfg.shed_new_after * WITHIN_SHARE
+        };
+        let crowded = ticket.is_new() && wait > patience;
         let full = self.queue.len() >= self.cfg.max_queued && !self.can_displace(ticket);
         ((sheds && (hopeless || crowded)) || full).then(|| overloaded(wait))
     }
 
+    /// Whether an account has used its share up to now.
+    fn is_over_share(&self, now: Time, account: AccountId) -> bool {
+        self.accounts.get(&account).is_some_and(|until| *until > now)
+    }
+
     /// Whether a call of a program under way may take the place of a new program.
     fn can_displace(&self, ticket: &Ticket) -> bool {
         !ticket.is_new() && !self.new.is_empty()
@@ -266,13 +279,13 @@
         from.min(now + self.cfg.attained_max) + behind - lead
     }
 
-    /// Charges an account for upstream time, shared by the calls beside it.
-    fn charge(&mut self, now: Time, account: AccountId, span: Duration) {
+    /// Charges an account for the upstream time of a call, shared by the calls beside it.
+    fn charge(&mut self, now: Time, account: AccountId) {
         if self.cfg.account_share_permille == 0 {
             return;
         }
         let places = self.limit().max(1);
-        let cost = span * 1_000 / self.cfg.account_share_permille / places;
+        let cost = self.service * 1_000 / self.cfg.account_share_permille / places;
         if self.accounts.len() >= MAX_ACCOUNTS {
             self.accounts.retain(|_, until| *until > now);
         }
--- a/crates/quay_policy/src/admit/settings.rs
+++ b/crates/quay_policy/src/admit/settings.rs
@@ -49,7 +49,7 @@
             attained_per_1k: Duration::from_millis(100),
             attained_max: Duration::from_secs(10),
             sub_agent_lead: Duration::from_secs(1),
-            account_share_permille: 500,
+            account_share_permille: 100,
             shed_new_after: Duration::from_secs(2),
             service: Duration::from_secs(3),
         }
