Lend the limits of accounts to entries in slices

Cause: a flood filled every batch, however its calls were ordered. An account has a limit of calls in progress, lent to entries in slices; over it nothing new begins, and programs under way go on. A test found that a shrinking slice forgot calls in progress; a slice is now never smaller than these.

--- a/crates/quay_experiment/src/policy/calls.rs
+++ b/crates/quay_experiment/src/policy/calls.rs
@@ -39,6 +39,8 @@
     pub program: usize,
     pub made: Time,
     pub entry: usize,
+    /// Entry that counts the call for its account.
+    pub counted_at: Option<usize>,
     /// Upstream of the attempt under way.
     pub upstream: Option<usize>,
     pub running: bool,
@@ -83,6 +85,7 @@
             program,
             made: self.now,
             entry: 0,
+            counted_at: None,
             upstream: None,
             running: false,
             alone: false,
@@ -184,6 +187,7 @@
     }
 
     fn cancel(&mut self, call: usize) {
+        self.uncount_call(call);
         let Some(at) = self.calls[call].upstream.take() else {
             return;
         };
@@ -205,10 +209,15 @@
         }
         let entries = self.entries.len() as u64;
         let draw = self.draw();
-        let (now, spec) = (self.now, &self.specs[self.calls[call].program]);
-        let state = &self.states[self.calls[call].program];
+        let now = self.now;
         let open = &mut self.calls[call];
         open.entry = usize::try_from(draw % entries).unwrap_or_default();
+        if !self.count_call(call) {
+            return self.come_back(call, COME_BACK);
+        }
+        let spec = &self.specs[self.calls[call].program];
+        let state = &self.states[self.calls[call].program];
+        let open = &mut self.calls[call];
         let req = RouteRequest {
             target: CallTarget::Model(MODEL),
             program: spec.id,
@@ -240,6 +249,35 @@
         }
     }
 
+    /// Counts a call for its account at its entry; false if the account has too many.
+    fn count_call(&mut self, call: usize) -> bool {
+        let open = &self.calls[call];
+        if self.cfg.account_calls == 0 || open.counted_at.is_some() {
+            return true;
+        }
+        let (account, entry) = (self.specs[open.program].account, open.entry);
+        let state = &self.states[open.program];
+        let under_way = state.attained > 0 || self.specs[open.program].depth > 0;
+        let holder = &mut self.slices[entry];
+        if holder.needs_slice(self.now, account) {
+            let (id, wanted) = (entry as u64, holder.wanted(account));
+            let limit = self.cfg.account_calls;
+            let grant = self.grantor.ask(self.now, account, id, wanted, limit);
+            holder.granted(account, grant);
+        }
+        let may = holder.enter(self.now, account, under_way);
+        self.calls[call].counted_at = may.then_some(entry);
+        may
+    }
+
+    /// Notes that a call has ended for its account.
+    fn uncount_call(&mut self, call: usize) {
+        if let Some(entry) = self.calls[call].counted_at.take() {
+            let account = self.specs[self.calls[call].program].account;
+            self.slices[entry].leave(account);
+        }
+    }
+
     /// Asks for leave if the request is a suspect.
     fn leave_to_run(&mut self, call: usize, upstream: UpstreamId) -> Leave {
         let digest = self.calls[call].digest;
@@ -272,6 +310,7 @@
     /// The caller is refused and comes back after a while.
     fn come_back(&mut self, call: usize, span: Duration) {
         self.counters.refusals += 1;
+        self.uncount_call(call);
         self.calls[call].offers = 0;
         self.calls[call].tried.clear();
         self.after(span, Event::Send(call));
@@ -401,6 +440,7 @@
         };
         self.left(call, at);
         self.trial_ended(call, true);
+        self.uncount_call(call);
         let program = self.calls[call].program;
         let id = self.specs[program].id;
         self.upstreams[at].gate.leave(self.now, ticket_id(call));
--- a/crates/quay_experiment/src/policy/policies.rs
+++ b/crates/quay_experiment/src/policy/policies.rs
@@ -86,6 +86,11 @@
         account_share_permille: 0,
         ..AdmitSettings::default()
     });
+    /// Accounts may have any number of calls in progress.
+    NoSlices => "less account slices", ExpectedTime, LearnedLimit, PolicySettings {
+        account_calls: 0,
+        ..PolicySettings::default()
+    };
     /// Nothing is refused while the queue has room.
     NoShedding => "less shedding", ExpectedTime, LearnedLimit, admit(AdmitSettings {
         shed_new_after: Duration::ZERO,
@@ -138,6 +143,7 @@
             ..RetentionSettings::default()
         },
         retry: unlimited_retries(),
+        account_calls: 0,
         quarantine: false,
     }
 }
--- a/crates/quay_experiment/src/policy/world.rs
+++ b/crates/quay_experiment/src/policy/world.rs
@@ -12,8 +12,8 @@
     },
     indexmap::IndexSet,
     quay_policy::{
-        FeedState, Policy, PolicySettings, RetentionAction, RetryBudgets, Router, SuspectSettings,
-        Suspects,
+        FeedState, Policy, PolicySettings, RetentionAction, RetryBudgets, Router, SliceGrantor,
+        SliceHolder, SliceSettings, SuspectSettings, Suspects,
     },
     quay_standin::model::{CacheChange, JobEvent},
     quay_types::{Announcement, ProgramId, Time, UpstreamId},
@@ -72,6 +72,9 @@
     pub upstreams: Vec<Upstream<P::Limit>>,
     pub suspects: Suspects,
     pub budgets: RetryBudgets,
+    pub grantor: SliceGrantor,
+    /// What each entry holds of the accounts' limits.
+    pub slices: Vec<SliceHolder>,
     pub counters: Counters,
     /// Blocks that were in some cache once.
     pub seen: IndexSet<u64>,
@@ -118,6 +121,10 @@
             upstreams: upstreams.collect(),
             suspects: Suspects::new(SuspectSettings::default()),
             budgets: RetryBudgets::new(cfg.retry),
+            grantor: SliceGrantor::new(SliceSettings::default()),
+            slices: (0..scenario.entries)
+                .map(|_| SliceHolder::default())
+                .collect(),
             counters: Counters::new(),
             seen: IndexSet::new(),
             reports: Vec::new(),
--- a/crates/quay_policy/src/admit/admission.rs
+++ b/crates/quay_policy/src/admit/admission.rs
@@ -221,7 +221,9 @@
 
     /// Whether an account has used its share up to now.
     fn is_over_share(&self, now: Time, account: AccountId) -> bool {
-        self.accounts.get(&account).is_some_and(|until| *until > now)
+        self.accounts
+            .get(&account)
+            .is_some_and(|until| *until > now)
     }
 
     /// Whether a call of a program under way may take the place of a new program.
--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -6,6 +6,6 @@
 
 pub use {
     retry::{RetryBudgets, RetrySettings},
-    slices::{Grant, SliceGrantor, SliceSettings},
+    slices::{Grant, SliceGrantor, SliceHolder, SliceSettings},
     suspects::{Leave, SuspectCommand, SuspectReply, SuspectSettings, Suspects},
 };
--- a/crates/quay_policy/src/guard/slices.rs
+++ b/crates/quay_policy/src/guard/slices.rs
@@ -59,14 +59,15 @@
 
     /// Lends `holder` up to `wanted` of an account's `limit`; replaces its slice.
     ///
-    /// A holder has to keep to the smaller of its old and new slice until the
-    /// old one ends, which the grantor counts in the meantime.
+    /// A slice is never smaller than the `open` calls that the holder has in
+    /// progress under the old one. While it has any it has to ask again before
+    /// the slice ends.
     pub fn ask(
         &mut self,
         now: Time,
         account: AccountId,
         holder: u64,
-        wanted: u32,
+        (open, wanted): (u32, u32),
         limit: u32,
     ) -> Grant {
         let slices = self.slices.entry(account).or_default();
@@ -84,7 +85,7 @@
             limit
         };
         let grant = Grant {
-            amount: wanted.min(most).min(limit.saturating_sub(lent)),
+            amount: wanted.min(most).min(limit.saturating_sub(lent)).max(open),
             until: now + self.cfg.lease,
         };
         slices.insert(holder, Slice { wanted, grant });
@@ -99,3 +100,65 @@
         });
     }
 }
+
+/// One account at a holder.
+#[derive(Debug, Default)]
+struct Used {
+    open: u32,
+    grant: Option<Grant>,
+}
+
+/// Calls in progress of each account at one entry, kept within its slices.
+#[derive(Debug, Default)]
+pub struct SliceHolder {
+    accounts: IndexMap<AccountId, Used>,
+}
+
+impl SliceHolder {
+    /// Calls in progress, and calls that the account could use now: as many
+    /// again, so that a slice can grow.
+    #[must_use]
+    pub fn wanted(&self, account: AccountId) -> (u32, u32) {
+        let open = self.accounts.get(&account).map_or(0, |used| used.open);
+        (open, open * 2 + 1)
+    }
+
+    /// Whether a new slice should be asked for: there is none, or it is used up.
+    #[must_use]
+    pub fn needs_slice(&self, now: Time, account: AccountId) -> bool {
+        let used = self.accounts.get(&account);
+        used.is_none_or(|used| used.open >= used.amount(now))
+    }
+
+    /// Takes a slice.
+    pub fn granted(&mut self, account: AccountId, grant: Grant) {
+        self.accounts.entry(account).or_default().grant = Some(grant);
+    }
+
+    /// Begins a call. A call of a program under way always may: to refuse it
+    /// would waste what the program was given.
+    pub fn enter(&mut self, now: Time, account: AccountId, under_way: bool) -> bool {
+        let used = self.accounts.entry(account).or_default();
+        let may = under_way || used.open < used.amount(now);
+        used.open += u32::from(may);
+        may
+    }
+
+    /// Ends a call; an account without calls is forgotten.
+    pub fn leave(&mut self, account: AccountId) {
+        if let Some(used) = self.accounts.get_mut(&account) {
+            used.open = used.open.saturating_sub(1);
+            if used.open == 0 {
+                self.accounts.swap_remove(&account);
+            }
+        }
+    }
+}
+
+impl Used {
+    /// Calls that the slice allows now.
+    fn amount(&self, now: Time) -> u32 {
+        let valid = self.grant.filter(|grant| grant.until > now);
+        valid.map_or(0, |grant| grant.amount)
+    }
+}
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -29,8 +29,8 @@
         Verdict,
     },
     guard::{
-        Grant, Leave, RetryBudgets, RetrySettings, SliceGrantor, SliceSettings, SuspectCommand,
-        SuspectReply, SuspectSettings, Suspects,
+        Grant, Leave, RetryBudgets, RetrySettings, SliceGrantor, SliceHolder, SliceSettings,
+        SuspectCommand, SuspectReply, SuspectSettings, Suspects,
     },
     placement::{Move, Placement, PlacementSettings, PlacementView},
     policy::{Policy, PolicySettings},
--- a/crates/quay_policy/src/policy.rs
+++ b/crates/quay_policy/src/policy.rs
@@ -13,6 +13,9 @@
     pub retain: RetentionSettings,
     /// Retries after a lost upstream.
     pub retry: RetrySettings,
+    /// Calls that an account may have in progress at all entries together;
+    /// zero is no limit.
+    pub account_calls: u32,
     /// Whether requests that crash upstreams become suspects.
     pub quarantine: bool,
 }
@@ -24,6 +27,7 @@
             admit: AdmitSettings::default(),
             retain: RetentionSettings::default(),
             retry: RetrySettings::default(),
+            account_calls: 24,
             quarantine: true,
         }
     }
--- a/crates/quay_policy/tests/guards.rs
+++ b/crates/quay_policy/tests/guards.rs
@@ -3,8 +3,8 @@
 use {
     proptest::prelude::*,
     quay_policy::{
-        Placement, PlacementSettings, PlacementView, Retention, RetentionAction, RetentionSettings,
-        RetryBudgets, RetrySettings, SliceGrantor, SliceSettings,
+        Grant, Placement, PlacementSettings, PlacementView, Retention, RetentionAction,
+        RetentionSettings, RetryBudgets, RetrySettings, SliceGrantor, SliceHolder, SliceSettings,
     },
     quay_types::{AccountId, FenceNumber, ModelId, ProgramId, Time, UpstreamId},
     std::time::Duration,
@@ -32,14 +32,14 @@
 fn slices_move_to_where_the_calls_are() {
     let mut grantor = SliceGrantor::new(SliceSettings::default());
     let account = AccountId(1);
-    assert_eq!(grantor.ask(Time::ZERO, account, 1, 90, 100).amount, 90);
-    assert_eq!(grantor.ask(Time::ZERO, account, 2, 50, 100).amount, 10);
+    assert_eq!(grantor.ask(Time::ZERO, account, 1, (0, 90), 100).amount, 90);
+    assert_eq!(grantor.ask(Time::ZERO, account, 2, (0, 50), 100).amount, 10);
     let later = Time::ZERO + Duration::from_secs(1);
-    assert_eq!(grantor.ask(later, account, 1, 90, 100).amount, 50);
-    assert_eq!(grantor.ask(later, account, 2, 50, 100).amount, 50);
+    assert_eq!(grantor.ask(later, account, 1, (0, 90), 100).amount, 50);
+    assert_eq!(grantor.ask(later, account, 2, (0, 50), 100).amount, 50);
     let end = later + Duration::from_secs(5);
     grantor.tick(end);
-    assert_eq!(grantor.ask(end, account, 3, 100, 100).amount, 100);
+    assert_eq!(grantor.ask(end, account, 3, (0, 100), 100).amount, 100);
 }
 
 #[test]
@@ -99,9 +99,11 @@
         let mut now = Time::ZERO;
         for (holder, wanted, pause) in asks {
             now = now + Duration::from_millis(pause);
-            let grant = grantor.ask(now, AccountId(1), holder, wanted, 100);
+            held.retain(|_, grant: &mut Grant| grant.until > now);
+            let open = held.get(&holder).map_or(0, |grant| grant.amount / 2);
+            let grant = grantor.ask(now, AccountId(1), holder, (open, wanted), 100);
+            prop_assert!(grant.amount >= open);
             held.insert(holder, grant);
-            held.retain(|_, grant| grant.until > now);
             let sum: u32 = held.values().map(|grant| grant.amount).sum();
             prop_assert!(sum <= 100);
         }
@@ -147,3 +149,30 @@
         }
     }
 }
+
+#[test]
+fn an_account_over_its_slices_begins_nothing_new() {
+    let mut grantor = SliceGrantor::new(SliceSettings::default());
+    let mut holders = [SliceHolder::default(), SliceHolder::default()];
+    let account = AccountId(1);
+    let enter = |holders: &mut [SliceHolder; 2], grantor: &mut SliceGrantor, at: usize| {
+        let holder = &mut holders[at];
+        if holder.needs_slice(Time::ZERO, account) {
+            let wanted = holder.wanted(account);
+            let grant = grantor.ask(Time::ZERO, account, at as u64, wanted, 10);
+            holder.granted(account, grant);
+        }
+        holder.enter(Time::ZERO, account, false)
+    };
+    let started = (0..50).filter(|call| enter(&mut holders, &mut grantor, call % 2));
+    assert_eq!(started.count(), 10);
+    assert!(
+        holders[0].enter(Time::ZERO, account, true),
+        "a program under way goes on"
+    );
+    let late = Time::ZERO + Duration::from_hours(1);
+    assert!(
+        !holders[1].enter(late, account, false),
+        "a slice that has ended allows nothing"
+    );
+}
