--- a/crates/quay_experiment/src/lib.rs
+++ b/crates/quay_experiment/src/lib.rs
@@ -1,14 +1,17 @@
-//! Seeded experiments over the decision logic: policy, faults, capacity.
+//! Seeded experiments over the decision logic: policies beside baselines,
+//! faults against the promises, and measured slopes for capacity planning.
 //!
-//! An experiment runs the same decision machines as the daemon over small
-//! models, so the same seed prints the same bytes.
+//! Everything here is driven by a seed, so the same seed prints the same bytes;
+//! only measured times differ between runs.
 //!
 //! ```
-//! use quay_experiment::policy::{Deployment, Scenario, run_one};
+//! use quay_experiment::capacity::LineFit;
 //!
-//! let scenario = Scenario { seconds: 5, ..Scenario::new(Deployment::Ordinalia, 500, false) };
-//! let stats = run_one("the policy", &scenario, 1).expect("a known policy");
-//! assert!(stats.finished > 0);
+//! let fit = LineFit::of(&[(1.0, 3.0), (2.0, 5.0), (3.0, 7.0), (4.0, 9.0)]).expect("four sizes");
+//! assert!((fit.slope - 2.0).abs() < 1e-9);
+//! assert!((fit.intercept - 1.0).abs() < 1e-9);
 //! ```
 
+pub mod capacity;
+pub mod faults;
 pub mod policy;
--- a/crates/quay_types/src/lib.rs
+++ b/crates/quay_types/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert!(ErrorKind::Draining.not_run());
 //! ```
 
+mod answer_cursor;
 mod call;
 mod digest;
 mod directory;
@@ -21,7 +22,8 @@
 mod time;
 
 pub use {
-    call::{CallEvent, CallRequest, CallTarget, FinishReason, SidecarRequest},
+    answer_cursor::{AnswerCursor, Gap},
+    call::{CallEvent, CallRequest, CallTarget, FinishReason, Proceed, SidecarRequest},
     digest::{ContentDigest, block_hashes},
     directory::{
         Announcement, DirectoryEntry, DirectoryReply, DirectoryRequest, Load, UpstreamKind,
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -2,30 +2,41 @@
 
 use {
     crate::{
-        connection::{Edge, EngineClient, EntryContext},
+        connection::{Edge, EngineClient, EntryContext, ServiceClient},
         process::{
-            Clock, Gate, Mailbox, Router, announcer,
-            directory::{Directory, DirectoryMsg},
-            spawn,
+            Clock, ControlRequest, ControlService, Gate, Group, LedgerClient, LedgerService,
+            Lifecycle, Mailbox, PermitMsg, Router, SharedHealth,
+            announcer::{Announcer, Reader, Standing},
+            control_role::{follow_marks, start_control, subscribe, watch_keys},
+            directory::DirectoryMsg,
+            spawn, telemetry,
         },
-        request::{Attempts, CallContext, serve_attempt},
+        request::{Attempts, CallContext, answer_inquiry, serve_attempt},
         settings::{EntrySettings, Settings, SidecarSettings},
-        version::{Current, Rules},
+        version::Current,
         wire::LinkRequest,
     },
-    quay_link::{Identity, Incoming, LinkError, LinkRole, LinkSettings, Links},
+    quay_config::ConfigError,
+    quay_ledger::PermitBook,
+    quay_ledger::{Ledger, LedgerLimits},
+    quay_link::{Identity, Incoming, KeyFiles, LinkError, LinkRole, LinkSettings, Links},
+    quay_members::MembersRequest,
+    quay_members::MembersSettings,
     quay_types::{
-        Announcement, CallEvent, DirectoryRequest, Incarnation, Load, ModelId, ServiceId,
-        SidecarRequest, UpstreamKind, UpstreamState,
+        Announcement, BeginReply, GroupId, Incarnation, LedgerReply, LedgerRequest, Load, ModelId,
+        ServiceId, SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
     },
     std::{
         fmt, io,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         sync::{Arc, OnceLock},
         thread,
     },
 };
 
+/// Group that the first program group is; the one before is the control group.
+const FIRST_PROGRAM_GROUP: GroupId = GroupId(1);
+
 /// Why a process could not start.
 #[derive(Debug)]
 pub enum StartError {
@@ -33,6 +44,8 @@
     Io(Box<str>, io::Error),
     /// Links can't be set up.
     Link(LinkError),
+    /// The first configuration document has a fault.
+    Document(ConfigError),
 }
 
 impl fmt::Display for StartError {
@@ -40,6 +53,7 @@
         match self {
             Self::Io(what, err) => write!(f, "{what}: {err}"),
             Self::Link(err) => write!(f, "{err}"),
+            Self::Document(err) => write!(f, "[ledger] document: {err}"),
         }
     }
 }
@@ -53,7 +67,7 @@
 }
 
 /// Names what failed with an [`io::Error`].
-fn starting(what: &str) -> impl FnOnce(io::Error) -> StartError {
+pub fn starting(what: &str) -> impl FnOnce(io::Error) -> StartError {
     let what = what.into();
     move |err| StartError::Io(what, err)
 }
@@ -63,13 +77,18 @@
 pub struct Daemon {
     edge: Option<Edge>,
     links: Links,
+    lifecycle: Lifecycle,
+    /// Whether the process announces an upstream.
+    announces: bool,
 }
 
 /// The roles that streams from peers are for.
 #[derive(Default)]
-struct Roles {
-    sidecar: Option<Attempts>,
-    directory: Option<Mailbox<DirectoryMsg>>,
+pub struct Roles {
+    pub sidecar: Option<Attempts>,
+    pub directory: Option<Mailbox<DirectoryMsg>>,
+    pub ledger: Option<LedgerService>,
+    pub control: Option<ControlService>,
 }
 
 impl Daemon {
@@ -79,7 +98,9 @@
     ///
     /// Says which address or key can't be used.
     pub fn start(settings: &Settings, identity: Identity) -> Result<Self, StartError> {
+        telemetry::start();
         let clock = Clock::start();
+        let lifecycle = Lifecycle::default();
         let roles = Arc::new(OnceLock::<Roles>::new());
         let link_settings = LinkSettings {
             listen: Some(settings.link.listen),
@@ -93,20 +114,31 @@
             }
         })?;
         let mut started = Roles::default();
-        if settings.ledger.is_some() {
-            started.directory = Some(
-                spawn("directory", clock, Directory::default()).map_err(starting("directory"))?,
-            );
+        if let Some(ledger) = &settings.ledger {
+            let (directory, control) = start_control(ledger, clock)?;
+            started.directory = Some(directory);
+            started.control = Some(control);
+            started.ledger = Some(start_ledger(clock)?);
         }
         if let Some(sidecar) = &settings.sidecar {
-            started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock)?);
+            started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock, &lifecycle)?);
         }
+        let current = Current::default();
+        let changed = follow_marks(settings, &started);
         let _ = roles.set(started);
+        subscribe(settings, &links, &current, changed)?;
         let edge = match &settings.entry {
-            Some(entry) => Some(start_entry(settings, entry, &links, clock)?),
+            Some(entry) => Some(start_entry(
+                settings, entry, &links, clock, current, &lifecycle,
+            )?),
             None => None,
         };
-        Ok(Self { edge, links })
+        Ok(Self {
+            edge,
+            links,
+            lifecycle,
+            announces: settings.sidecar.is_some(),
+        })
     }
 
     /// Address that callers reach, if the entry role runs.
@@ -115,6 +147,32 @@
         self.edge.as_ref().map(Edge::local_addr)
     }
 
+    /// Waits until entries can have heard that this process leaves.
+    pub fn linger(&self) {
+        if self.announces {
+            thread::sleep(MembersSettings::default().heartbeat * 2);
+        }
+    }
+
+    /// Whether the process takes new requests, and how many are in progress.
+    #[must_use]
+    pub const fn lifecycle(&self) -> &Lifecycle {
+        &self.lifecycle
+    }
+
+    /// Takes new keys into use when the files change, until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system gives no thread.
+    pub fn watch_keys(&self, files: KeyFiles) -> io::Result<()> {
+        let links = self.links.clone();
+        thread::Builder::new()
+            .name("key-watch".into())
+            .spawn(move || watch_keys(&links, &files))?;
+        Ok(())
+    }
+
     /// Address that links are accepted on.
     #[must_use]
     pub const fn link_addr(&self) -> Option<SocketAddr> {
@@ -128,25 +186,40 @@
     entry: &EntrySettings,
     links: &Links,
     clock: Clock,
+    rules: Current,
+    lifecycle: &Lifecycle,
 ) -> Result<Edge, StartError> {
     let router = spawn("router", clock, Router::default()).map_err(starting("router"))?;
-    let (reader_links, reader_router, ledgers) =
-        (links.clone(), router.clone(), settings.link.ledgers.clone());
+    let reader = Reader {
+        name: settings.process.name.clone(),
+        links: links.clone(),
+        router: router.clone(),
+        clock,
+    };
+    let ledgers = settings.link.ledgers.clone();
     thread::Builder::new()
         .name("directory-reader".into())
-        .spawn(move || announcer::read_directory(&reader_links, &ledgers, &reader_router))
+        .spawn(move || reader.run(&ledgers))
         .map_err(starting("directory reader"))?;
-    let listener = TcpListener::bind(entry.listen)
-        .map_err(starting(&format!("[entry] listen {}", entry.listen)))?;
     let calls = CallContext {
         links: links.clone(),
         router,
+        ledger: LedgerClient::new(links.clone(), settings.link.ledgers.as_slice()),
     };
     let cx = EntryContext {
         calls,
-        rules: Current::new(Rules::new(&settings.accounts)),
+        rules,
+        lifecycle: lifecycle.clone(),
+        settings: entry.clone(),
     };
-    Edge::start(listener, cx).map_err(starting("edge"))
+    Edge::start(cx).map_err(starting(&format!("[entry] listen {}", entry.listen)))
+}
+
+/// Starts the ledger role.
+fn start_ledger(clock: Clock) -> Result<LedgerService, StartError> {
+    let ledger = Ledger::new(FIRST_PROGRAM_GROUP, LedgerLimits::default());
+    let group = spawn("programs", clock, Group::new(ledger)).map_err(starting("programs"))?;
+    LedgerService::start([group]).map_err(starting("ledger"))
 }
 
 /// Starts the sidecar role.
@@ -155,9 +228,12 @@
     sidecar: &SidecarSettings,
     links: &Links,
     clock: Clock,
+    lifecycle: &Lifecycle,
 ) -> Result<Attempts, StartError> {
     let gate = spawn("gate", clock, Gate::new(sidecar.concurrency)).map_err(starting("gate"))?;
     let incarnation = Incarnation(Clock::wall_ms());
+    let book = PermitBook::new(UpstreamId::of(&sidecar.upstream), incarnation);
+    let permits: Mailbox<PermitMsg> = spawn("permits", clock, book).map_err(starting("permits"))?;
     let announcement = Announcement {
         name: sidecar.upstream.clone(),
         incarnation,
@@ -168,18 +244,33 @@
         state: UpstreamState::Serving,
         load: Load::default(),
     };
-    let (announcer_links, announcer_gate, ledgers) =
-        (links.clone(), gate.clone(), settings.link.ledgers.clone());
-    thread::Builder::new()
-        .name("announcer".into())
-        .spawn(move || {
-            announcer::announce(&announcer_links, &ledgers, &announcer_gate, announcement);
-        })
+    let health = SharedHealth::new(clock);
+    health
+        .probe(format!("http://{}/healthz", sidecar.addr).into())
+        .map_err(starting("prober"))?;
+    let standing = Standing {
+        lifecycle: lifecycle.clone(),
+        health: health.clone(),
+    };
+    let announcer = Announcer {
+        links: links.clone(),
+        gate: gate.clone(),
+        standing,
+        announcement,
+    };
+    announcer
+        .start(&settings.link.ledgers)
         .map_err(starting("announcer"))?;
     Ok(Attempts {
         incarnation,
         gate,
+        permits,
         engine: EngineClient::new(sidecar.addr),
+        lifecycle: lifecycle.clone(),
+        health,
+        clock,
+        numbers: Arc::default(),
+        service: ServiceClient::new(sidecar.addr),
     })
 }
 
@@ -203,11 +294,11 @@
 // Streams from peers
 
 /// Hands a stream to the role that it is for.
-fn dispatch(roles: Arc<OnceLock<Roles>>, incoming: Incoming) {
+fn dispatch(roles: Arc<OnceLock<Roles>>, mut incoming: Incoming) {
     let spawned = thread::Builder::new().name("stream".into()).spawn(move || {
         let Some(roles) = roles.get() else { return };
         match incoming.first.decode::<LinkRequest>() {
-            Ok(req) => serve_stream(roles, req, &incoming),
+            Ok(req) => serve_stream(roles, req, &mut incoming),
             Err(err) => log::warn!("event=bad_request peer={} cause={err:?}", incoming.addr),
         }
     });
@@ -217,7 +308,7 @@
 }
 
 /// Serves a stream if the peer's role may ask for it.
-fn serve_stream(roles: &Roles, req: LinkRequest, incoming: &Incoming) {
+fn serve_stream(roles: &Roles, req: LinkRequest, incoming: &mut Incoming) {
     if !allowed(&req, &incoming.roles) {
         log::warn!(
             "event=role_refused peer={} roles={:?}",
@@ -229,35 +320,62 @@
     match req {
         LinkRequest::Sidecar(SidecarRequest::Call(call)) => {
             if let Some(attempts) = &roles.sidecar {
-                serve_attempt(attempts, &incoming.stream, &call);
+                serve_attempt(attempts, &mut incoming.stream, &call);
             }
         }
-        LinkRequest::Directory(req) => {
-            let answer = roles
-                .directory
-                .as_ref()
-                .and_then(|directory| directory.ask(|reply| DirectoryMsg { req, reply }));
+        LinkRequest::Members(req) => {
+            let directory = roles.directory.as_ref();
+            let answer = directory
+                .and_then(|directory| directory.ask(|reply| DirectoryMsg::Request { req, reply }));
             if let Some(answer) = answer {
                 let _ = incoming.stream.send(&answer);
             }
         }
-        LinkRequest::Sidecar(SidecarRequest::Inquire(..)) => {
-            let _ = incoming
-                .stream
-                .send(&CallEvent::Fate(quay_types::PermitFate::Unknown));
+        LinkRequest::Control(req) => {
+            if let Some(control) = &roles.control {
+                let _ = incoming.stream.send(&control.serve(req, incoming));
+            }
+        }
+        LinkRequest::Sidecar(SidecarRequest::Inquire(id, incarnation)) => {
+            if let Some(attempts) = &roles.sidecar {
+                answer_inquiry(attempts, &incoming.stream, id, incarnation);
+            }
         }
-        LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) | LinkRequest::Ledger(_) => {}
+        LinkRequest::Ledger(req) => {
+            if let Some(ledger) = &roles.ledger {
+                let reply = stale(roles, &req).unwrap_or_else(|| ledger.serve(req));
+                let _ = incoming.stream.send(&reply);
+            }
+        }
+        LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) => {}
     }
 }
 
+/// The refusal of a call that was begun under rules that are no longer in force.
+fn stale(roles: &Roles, req: &LedgerRequest) -> Option<LedgerReply> {
+    let LedgerRequest::Begin(begin) = req else {
+        return None;
+    };
+    let err = roles.control.as_ref()?.check(begin.config).err()?;
+    Some(LedgerReply::Begin(BeginReply::Refused(err)))
+}
+
 /// Whether a peer with `roles` may send `req`.
 fn allowed(req: &LinkRequest, roles: &[LinkRole]) -> bool {
     let needed: &[LinkRole] = match req {
-        LinkRequest::Sidecar(_) => &[LinkRole::Entry],
-        LinkRequest::Directory(DirectoryRequest::Announce(_)) => &[LinkRole::Sidecar],
-        LinkRequest::Directory(DirectoryRequest::Changes(_)) => {
-            &[LinkRole::Entry, LinkRole::Operator]
+        LinkRequest::Sidecar(_) | LinkRequest::Members(MembersRequest::Changes(_)) => {
+            &[LinkRole::Entry]
+        }
+        LinkRequest::Members(MembersRequest::Announce(_) | MembersRequest::Heartbeat(_)) => {
+            &[LinkRole::Sidecar]
+        }
+        LinkRequest::Control(ControlRequest::Poll { .. }) => {
+            &[LinkRole::Entry, LinkRole::Sidecar, LinkRole::Ledger]
+        }
+        LinkRequest::Control(ControlRequest::Quarantine { .. }) => {
+            &[LinkRole::Entry, LinkRole::Ledger]
         }
+        LinkRequest::Control(_) => &[LinkRole::Operator],
         LinkRequest::Ledger(_) => &[LinkRole::Entry, LinkRole::Sidecar],
     };
     needed.iter().any(|role| roles.contains(role))
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -3,17 +3,41 @@
 mod actor;
 mod announcer;
 mod clock;
+mod control;
+mod control_client;
+mod control_message;
+mod control_role;
 mod daemon;
 mod directory;
 mod gate;
 mod group;
+mod health;
+mod ledger;
+mod ledger_client;
+mod lifecycle;
+mod permits;
+mod prober;
 mod router;
+mod subscription;
+pub mod telemetry;
 
 pub use {
     actor::{Machine, Mailbox, spawn},
     clock::Clock,
+    control::ControlService,
+    control_client::{ControlClient, ControlFault},
+    control_message::{
+        ControlReply, ControlRequest, ControlStatus, DaemonRow, MemberRow, OperatorOrder,
+    },
     daemon::{Daemon, StartError},
     gate::{Gate, GateMsg},
     group::{Group, GroupError, GroupMsg},
+    health::{Health, HealthSettings},
+    ledger::LedgerService,
+    ledger_client::{LedgerClient, LedgerFault},
+    lifecycle::{Lifecycle, Progress},
+    permits::PermitMsg,
+    prober::SharedHealth,
     router::{Pick, Router, RouterMsg},
+    subscription::Subscription,
 };
