--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -21,10 +21,10 @@
 pub use {
     process::{
         Clock, ControlClient, ControlFault, ControlReply, ControlRequest, ControlStatus, Daemon,
-        DaemonRow, Group, GroupError, GroupMsg, Machine, Mailbox, MemberRow, OperatorOrder,
-        StartError, spawn,
+        DaemonRow, Group, GroupError, GroupMsg, Health, HealthSettings, Lifecycle, Machine,
+        Mailbox, MemberRow, OperatorOrder, Progress, StartError, spawn,
     },
-    request::{Splice, Spliced},
+    request::{Input, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
     settings::{
         EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings, Settings, SettingsError,
         SidecarSettings,
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -5,11 +5,11 @@
         connection::{Edge, EngineClient, EntryContext, ServiceClient},
         process::{
             Clock, ControlRequest, ControlService, Gate, Group, LedgerClient, LedgerService,
-            Mailbox, PermitMsg, Router,
-            announcer::{Announcer, Reader},
+            Lifecycle, Mailbox, PermitMsg, Router, SharedHealth,
+            announcer::{Announcer, Reader, Standing},
             control_role::{follow_marks, start_control, subscribe, watch_keys},
             directory::DirectoryMsg,
-            spawn,
+            spawn, telemetry,
         },
         request::{Attempts, CallContext, answer_inquiry, serve_attempt},
         settings::{EntrySettings, Settings, SidecarSettings},
@@ -22,12 +22,12 @@
     quay_link::{Identity, Incoming, KeyFiles, LinkError, LinkRole, LinkSettings, Links},
     quay_members::MembersRequest,
     quay_types::{
-        Announcement, BeginReply, GroupId, Incarnation, LedgerReply, LedgerRequest, Load, ModelId,
-        ServiceId, SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
+        Announcement, BeginReply, ConfigIndex, GroupId, Incarnation, LedgerReply, LedgerRequest,
+        Load, ModelId, ServiceId, SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
     },
     std::{
         fmt, io,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         sync::{Arc, OnceLock},
         thread,
     },
@@ -76,6 +76,8 @@
 pub struct Daemon {
     edge: Option<Edge>,
     links: Links,
+    lifecycle: Lifecycle,
+    current: Current,
 }
 
 /// The roles that streams from peers are for.
@@ -94,7 +96,9 @@
     ///
     /// Says which address or key can't be used.
     pub fn start(settings: &Settings, identity: Identity) -> Result<Self, StartError> {
+        telemetry::start();
         let clock = Clock::start();
+        let lifecycle = Lifecycle::default();
         let roles = Arc::new(OnceLock::<Roles>::new());
         let link_settings = LinkSettings {
             listen: Some(settings.link.listen),
@@ -115,17 +119,29 @@
             started.ledger = Some(start_ledger(clock)?);
         }
         if let Some(sidecar) = &settings.sidecar {
-            started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock)?);
+            started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock, &lifecycle)?);
         }
         let current = Current::default();
         let changed = follow_marks(settings, &started);
         let _ = roles.set(started);
         subscribe(settings, &links, &current, changed)?;
         let edge = match &settings.entry {
-            Some(entry) => Some(start_entry(settings, entry, &links, clock, current)?),
+            Some(entry) => Some(start_entry(
+                settings,
+                entry,
+                &links,
+                clock,
+                current.clone(),
+                &lifecycle,
+            )?),
             None => None,
         };
-        Ok(Self { edge, links })
+        Ok(Self {
+            edge,
+            links,
+            lifecycle,
+            current,
+        })
     }
 
     /// Address that callers reach, if the entry role runs.
@@ -147,6 +163,18 @@
         Ok(())
     }
 
+    /// Index of the configuration in force here; 0 before the first document.
+    #[must_use]
+    pub fn config_index(&self) -> ConfigIndex {
+        self.current.get().index()
+    }
+
+    /// Whether the process takes new requests, and how many are in progress.
+    #[must_use]
+    pub const fn lifecycle(&self) -> &Lifecycle {
+        &self.lifecycle
+    }
+
     /// Address that links are accepted on.
     #[must_use]
     pub const fn link_addr(&self) -> Option<SocketAddr> {
@@ -161,6 +189,7 @@
     links: &Links,
     clock: Clock,
     rules: Current,
+    lifecycle: &Lifecycle,
 ) -> Result<Edge, StartError> {
     let router = spawn("router", clock, Router::default()).map_err(starting("router"))?;
     let reader = Reader {
@@ -174,15 +203,18 @@
         .name("directory-reader".into())
         .spawn(move || reader.run(&ledgers))
         .map_err(starting("directory reader"))?;
-    let listener = TcpListener::bind(entry.listen)
-        .map_err(starting(&format!("[entry] listen {}", entry.listen)))?;
     let calls = CallContext {
         links: links.clone(),
         router,
         ledger: LedgerClient::new(links.clone(), settings.link.ledgers.as_slice()),
     };
-    let cx = EntryContext { calls, rules };
-    Edge::start(listener, cx).map_err(starting("edge"))
+    let cx = EntryContext {
+        calls,
+        rules,
+        lifecycle: lifecycle.clone(),
+        settings: entry.clone(),
+    };
+    Edge::start(cx).map_err(starting(&format!("[entry] listen {}", entry.listen)))
 }
 
 /// Starts the ledger role.
@@ -198,6 +230,7 @@
     sidecar: &SidecarSettings,
     links: &Links,
     clock: Clock,
+    lifecycle: &Lifecycle,
 ) -> Result<Attempts, StartError> {
     let gate = spawn("gate", clock, Gate::new(sidecar.concurrency)).map_err(starting("gate"))?;
     let incarnation = Incarnation(Clock::wall_ms());
@@ -213,9 +246,17 @@
         state: UpstreamState::Serving,
         load: Load::default(),
     };
+    let health = SharedHealth::new(clock);
+    health
+        .probe(format!("http://{}/healthz", sidecar.addr).into())
+        .map_err(starting("prober"))?;
     let announcer = Announcer {
         links: links.clone(),
         gate: gate.clone(),
+        standing: Standing {
+            lifecycle: lifecycle.clone(),
+            health: health.clone(),
+        },
         announcement,
     };
     announcer
@@ -226,6 +267,10 @@
         gate,
         permits,
         engine: EngineClient::new(sidecar.addr),
+        lifecycle: lifecycle.clone(),
+        health,
+        clock,
+        numbers: Arc::default(),
         service: ServiceClient::new(sidecar.addr),
     })
 }
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -11,11 +11,15 @@
 mod directory;
 mod gate;
 mod group;
+mod health;
 mod ledger;
 mod ledger_client;
+mod lifecycle;
 mod permits;
+mod prober;
 mod router;
 mod subscription;
+pub mod telemetry;
 
 pub use {
     actor::{Machine, Mailbox, spawn},
@@ -28,9 +32,12 @@
     daemon::{Daemon, StartError},
     gate::{Gate, GateMsg},
     group::{Group, GroupError, GroupMsg},
+    health::{Health, HealthSettings},
     ledger::LedgerService,
     ledger_client::{LedgerClient, LedgerFault},
+    lifecycle::{Lifecycle, Progress},
     permits::PermitMsg,
+    prober::SharedHealth,
     router::{Pick, Router, RouterMsg},
     subscription::Subscription,
 };
--- a/crates/sapphirequayd/src/request/attempt.rs
+++ b/crates/sapphirequayd/src/request/attempt.rs
@@ -2,23 +2,33 @@
 
 use {
     crate::{
-        connection::{EngineClient, EngineEvent, ServiceClient},
-        process::{GateMsg, Mailbox, PermitMsg},
+        connection::{EngineClient, EngineStream, ServiceClient, StreamId},
+        process::{Clock, GateMsg, Lifecycle, Mailbox, PermitMsg, SharedHealth},
+        request::{Input, Step, Transcript, TranscriptSettings, Usage},
     },
     quay_link::LinkStream,
     quay_types::{
-        CallEvent, CallRequest, CallTarget, Error, ErrorKind, Incarnation, PermitId, Result,
+        CallEvent, CallRequest, CallTarget, Error, ErrorKind, FinishReason, Incarnation, PermitId,
+        Result,
     },
     std::{
-        sync::mpsc::{self, RecvTimeoutError},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+            mpsc::{self, RecvTimeoutError},
+        },
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
 /// Interval of heartbeats while an attempt waits in the queue.
 const HEARTBEAT: Duration = Duration::from_secs(1);
 
+/// Time beyond the deadline after which a sidecar ends an attempt by itself:
+/// its entry, which knows more, should do so first.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
+
 /// What attempts on one sidecar share.
 #[derive(Debug, Clone)]
 pub struct Attempts {
@@ -32,25 +42,40 @@
     pub engine: EngineClient,
     /// The upstream, if it is a plain service.
     pub service: ServiceClient,
+    /// Whether requests are taken.
+    pub lifecycle: Lifecycle,
+    /// Health of the upstream.
+    pub health: SharedHealth,
+    /// Time of the process.
+    pub clock: Clock,
+    /// Number of the last attempt.
+    pub numbers: Arc<AtomicU64>,
 }
 
 /// Serves one attempt and reports its events on `stream`.
 pub fn serve_attempt(cx: &Attempts, stream: &LinkStream, call: &CallRequest) {
+    let Some(_progress) = cx.lifecycle.begin() else {
+        let err = Error::new(ErrorKind::Draining, "the sidecar is leaving");
+        return drop(stream.send(&CallEvent::Refused(err)));
+    };
     let permit = match use_permit(cx, call) {
         Ok(permit) => permit,
         Err(event) => return drop(stream.send(&event)),
     };
+    let queued = Instant::now();
     let last = match admit(cx, stream, call) {
         Ok(()) => {
-            let end = match call.target {
-                CallTarget::Model(_) => run(cx, stream, call).unwrap_or_else(CallEvent::Failed),
+            metrics::histogram!("sapphirequay_queue_seconds").record(queued.elapsed());
+            let last = match call.target {
+                CallTarget::Model(_) => run_model(cx, stream, call),
                 CallTarget::Service(_) => run_service(cx, stream, call),
             };
             cx.gate.send(GateMsg::Leave);
-            end
+            last
         }
         Err(err) => CallEvent::Refused(err),
     };
+    report(&last);
     // Whoever asks hears of the end no later than the entry does.
     cx.permits.send(match &last {
         CallEvent::Refused(_) => PermitMsg::Refuse(permit),
@@ -60,6 +85,16 @@
     let _ = stream.send(&last);
 }
 
+/// Runs an admitted call of a model and tells the upstream's health of it.
+fn run_model(cx: &Attempts, stream: &LinkStream, call: &CallRequest) -> CallEvent {
+    let mut run = Run::new(cx, stream, call);
+    let last = run.run();
+    if let Some(good) = run.verdict(&last) {
+        cx.health.outcome(good);
+    }
+    last
+}
+
 /// Uses the call's permit, or says why it can't be used.
 fn use_permit(cx: &Attempts, call: &CallRequest) -> std::result::Result<PermitId, CallEvent> {
     let asked = cx.permits.ask(|reply| PermitMsg::Admit(call.permit, reply));
@@ -83,6 +118,28 @@
     }
 }
 
+/// Counts and logs the end of an attempt.
+fn report(last: &CallEvent) {
+    let outcome = match last {
+        CallEvent::Refused(err) | CallEvent::Failed(err) => err.kind.name(),
+        _ => "ok",
+    };
+    metrics::counter!("sapphirequay_attempts_total", "outcome" => outcome).increment(1);
+    match last {
+        CallEvent::End { prompt, output, .. } => {
+            metrics::counter!("sapphirequay_tokens_total", "kind" => "prompt").increment(prompt.0);
+            metrics::counter!("sapphirequay_tokens_total", "kind" => "output").increment(output.0);
+        }
+        CallEvent::Refused(err) | CallEvent::Failed(err) => {
+            log::warn!(
+                "event=attempt_ended outcome={outcome} cause={:?}",
+                err.message
+            );
+        }
+        _ => {}
+    }
+}
+
 /// Waits for admission; the entry hears heartbeats meanwhile.
 fn admit(cx: &Attempts, stream: &LinkStream, call: &CallRequest) -> Result<()> {
     if call.incarnation != cx.incarnation {
@@ -122,7 +179,13 @@
     }
     loop {
         match rx.recv_timeout(HEARTBEAT) {
-            Ok(end) => return end,
+            Ok(last) => {
+                cx.health.outcome(!matches!(
+                    last,
+                    CallEvent::Refused(_) | CallEvent::Failed(_)
+                ));
+                return last;
+            }
             Err(RecvTimeoutError::Timeout) => drop(stream.send(&CallEvent::Heartbeat)),
             Err(RecvTimeoutError::Disconnected) => {
                 let err = Error::new(ErrorKind::OutcomeUnknown, "the call of the service broke");
@@ -132,39 +195,139 @@
     }
 }
 
-/// Runs an admitted attempt; the result is its last event.
-fn run(cx: &Attempts, stream: &LinkStream, call: &CallRequest) -> Result<CallEvent> {
-    let _ = stream.send(&CallEvent::Started);
-    let mut offset = 0;
-    for event in cx.engine.complete(&call.body)? {
-        match event? {
-            EngineEvent::Delta(text) => {
-                let next = offset + text.len() as u64;
-                let sent = stream.send(&CallEvent::Delta {
+// ----------------------------------------------------------------------------
+// An admitted call of a model
+
+/// An admitted attempt.
+struct Run<'a> {
+    cx: &'a Attempts,
+    stream: &'a LinkStream,
+    call: &'a CallRequest,
+    id: StreamId,
+    transcript: Transcript,
+}
+
+impl<'a> Run<'a> {
+    fn new(cx: &'a Attempts, stream: &'a LinkStream, call: &'a CallRequest) -> Self {
+        let now = cx.clock.now();
+        let settings = TranscriptSettings {
+            idempotent: call.idempotent,
+            max_output: call.max_output,
+            prompt: call.prompt,
+            deadline: now + Duration::from_millis(call.deadline_ms) + DEADLINE_MARGIN,
+            ..TranscriptSettings::default()
+        };
+        Self {
+            cx,
+            stream,
+            call,
+            id: StreamId {
+                incarnation: cx.incarnation.0,
+                attempt: cx.numbers.fetch_add(1, Ordering::Relaxed),
+            },
+            transcript: Transcript::new(settings, now),
+        }
+    }
+
+    /// Runs the attempt to its last event.
+    fn run(&mut self) -> CallEvent {
+        let _ = self.stream.send(&CallEvent::Started);
+        let mut connection = self.cx.engine.start(self.id, &self.call.body);
+        loop {
+            let (silent, input) = match &mut connection {
+                Ok(events) => {
+                    let input = events.next();
+                    (input == Input::Silent, input)
+                }
+                Err(input) => (*input == Input::Silent, input.clone()),
+            };
+            let step = self.transcript.take(self.cx.clock.now(), input);
+            // The entry hears that the attempt lives, and this side whether the
+            // entry does.
+            if silent && self.stream.send(&CallEvent::Heartbeat).is_err() {
+                return self.cancelled();
+            }
+            match self.carry_out(step, connection) {
+                Ok(next) => connection = next,
+                Err(last) => return last,
+            }
+        }
+    }
+
+    /// What the end of the attempt says of the upstream; `None` if nothing.
+    fn verdict(&self, last: &CallEvent) -> Option<bool> {
+        match last {
+            CallEvent::End { .. } => Some(true),
+            CallEvent::Failed(err) if err.kind == ErrorKind::Cancelled => None,
+            CallEvent::Failed(_) if self.transcript.blameless() => None,
+            CallEvent::Refused(_) | CallEvent::Failed(_) => Some(false),
+            _ => None,
+        }
+    }
+
+    /// Carries out a step: the connection to read from, or the last event.
+    fn carry_out(
+        &self,
+        step: Step,
+        connection: Connection,
+    ) -> std::result::Result<Connection, CallEvent> {
+        match step {
+            Step::Read => Ok(connection),
+            Step::Pass {
+                offset,
+                tokens,
+                text,
+            } => {
+                let delta = CallEvent::Delta {
                     offset,
-                    tokens: 1,
+                    tokens,
                     text,
-                });
-                sent.map_err(|err| Error::new(ErrorKind::Cancelled, format!("entry: {err}")))?;
-                offset = next;
+                };
+                match self.stream.send(&delta) {
+                    Ok(()) => Ok(connection),
+                    Err(_) => Err(self.cancelled()),
+                }
             }
-            EngineEvent::End {
-                finish,
-                prompt,
-                cached,
-                output,
-            } => {
-                return Ok(CallEvent::End {
-                    finish,
-                    prompt,
-                    cached,
-                    output,
-                });
+            Step::Resume(tokens) => {
+                metrics::counter!("sapphirequay_stream_resumes_total").increment(1);
+                log::info!("event=stream_resumed stream={} tokens={tokens}", self.id);
+                drop(connection);
+                Ok(self.cx.engine.resume(self.id, tokens))
+            }
+            Step::Repeat => Ok(self.cx.engine.start(self.id, &self.call.body)),
+            Step::End(finish, usage) => Err(end(finish, usage)),
+            Step::Cut(usage) => {
+                let _ = self.cx.engine.cancel(self.id);
+                Err(end(FinishReason::Length, usage))
+            }
+            Step::NotRun(err) => Err(CallEvent::Refused(err)),
+            Step::Fail(err) => {
+                let _ = self.cx.engine.cancel(self.id);
+                Err(CallEvent::Failed(err))
             }
         }
     }
-    Err(Error::new(
-        ErrorKind::OutcomeUnknown,
-        "the upstream closed the stream before its end",
-    ))
+
+    /// Stops the engine because nobody waits for the answer.
+    fn cancelled(&self) -> CallEvent {
+        let heard = self.cx.engine.cancel(self.id);
+        log::info!(
+            "event=attempt_cancelled stream={} engine_heard={heard}",
+            self.id
+        );
+        CallEvent::Failed(Error::new(ErrorKind::Cancelled, "the entry has gone"))
+    }
+}
+
+/// A connection to the upstream, or what it said instead.
+type Connection = std::result::Result<EngineStream, Input>;
+
+/// The event of a whole answer.
+const fn end(finish: FinishReason, usage: Usage) -> CallEvent {
+    CallEvent::End {
+        finish,
+        prompt: usage.prompt,
+        cached: usage.cached,
+        output: usage.output,
+    }
 }
--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -68,7 +68,7 @@
     /// # Errors
     ///
     /// Fails if the caller has gone away.
-    fn end(&mut self, finish: FinishReason, prompt: Tokens, output: Tokens) -> io::Result<()>;
+    fn end(&mut self, finish: FinishReason, usage: Usage) -> io::Result<()>;
 
     /// Passes on the whole answer of a plain service.
     ///
@@ -78,6 +78,17 @@
     fn body(&mut self, status: u16, body: &[u8]) -> io::Result<()>;
 }
 
+/// Tokens that the upstream counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Prompt tokens.
+    pub prompt: Tokens,
+    /// Prompt tokens found in the prefix cache.
+    pub cached: Tokens,
+    /// Tokens generated.
+    pub output: Tokens,
+}
+
 /// What calls on one entry share.
 #[derive(Debug, Clone)]
 pub struct CallContext {
@@ -270,16 +281,12 @@
     /// Settles an attempt by how it ended.
     fn conclude(&mut self, permit: Permit, end: AttemptEnd) -> Result<bool> {
         match end {
-            AttemptEnd::Whole {
-                answer,
-                prompt,
-                output,
-            } => {
-                let outcome = answer.outcome(prompt, output);
+            AttemptEnd::Whole { answer, usage } => {
+                let outcome = answer.outcome(usage.prompt, usage.output);
                 if let Some(stands) = self.settle(permit, outcome)? {
                     return self.replay(stands).map(|()| true);
                 }
-                self.delivery.finish(&answer, prompt, output);
+                self.delivery.finish(&answer, usage);
                 Ok(true)
             }
             AttemptEnd::NotRun(err) => {
@@ -436,7 +443,12 @@
                     Error::new(ErrorKind::Internal, "the recorded answer does not decode")
                 })?;
                 self.delivery.replay(&answer);
-                self.delivery.finish(&answer, prompt, output);
+                let usage = Usage {
+                    prompt,
+                    output,
+                    ..Usage::default()
+                };
+                self.delivery.finish(&answer, usage);
                 Ok(())
             }
             Outcome::Failed { kind, message, .. } => Err(Error::new(kind, message)),
--- a/crates/sapphirequayd/src/version/rules.rs
+++ b/crates/sapphirequayd/src/version/rules.rs
@@ -13,7 +13,7 @@
 const ANY_PATH: &str = "/";
 
 /// Rules that one index of the configuration sets.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Rules {
     /// The checked document; `None` before the first.
     config: Option<Arc<Config>>,
@@ -23,6 +23,12 @@
     waits: Box<str>,
 }
 
+impl Default for Rules {
+    fn default() -> Self {
+        Self::of(&Subscriber::default())
+    }
+}
+
 impl Rules {
     /// The rules that a subscriber holds.
     #[must_use]
