--- a/crates/sapphirequayd/tests/common/mod.rs
+++ b/crates/sapphirequayd/tests/common/mod.rs
@@ -1,5 +1,15 @@
 //! Daemons of every role in one process, for tests over real sockets.
-#![allow(dead_code, reason = "each test file uses a part of it")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
+
+mod cluster;
+mod counting_service;
+mod processes;
+
+pub use {
+    cluster::{Ask, Cluster, field, kind},
+    counting_service::CountingService,
+    processes::{Processes, Role},
+};
 
 use {
     quay_link::{DevelopmentKeys, LinkRole},
