--- a/crates/sapphirequayd/tests/common/cluster.rs
+++ b/crates/sapphirequayd/tests/common/cluster.rs
@@ -1,12 +1,10 @@
 //! Two entries before an engine and a service, and a caller.
 
 use {
-    super::{CountingService, any_port, before_engine, settings, wait_for},
+    super::{CountingService, DOCUMENT, any_port, before_engine, settings, wait_for},
     quay_link::{DevelopmentKeys, LinkRole},
     quay_standin::{Engine, EngineSettings},
-    sapphirequayd::{
-        AccountSettings, Daemon, EntrySettings, LedgerSettings, Settings, SidecarSettings,
-    },
+    sapphirequayd::{Daemon, EntrySettings, LedgerSettings, Settings, SidecarSettings},
     serde_json::Value,
     std::{net::SocketAddr, time::Duration},
 };
@@ -96,7 +94,10 @@
         let engine = Engine::start(any_port(), EngineSettings::default()).expect("engine");
         let service = CountingService::start(service_delay);
         let ledger = Settings {
-            ledger: Some(LedgerSettings::default()),
+            ledger: Some(LedgerSettings {
+                document_text: Some(DOCUMENT.into()),
+                ..LedgerSettings::default()
+            }),
             ..settings("ledger-1", &[])
         };
         let ledger = Daemon::start(&ledger, identity(LinkRole::Ledger)).expect("ledger");
@@ -116,14 +117,9 @@
             service: Some("orders".into()),
             ..engine_sidecar.clone()
         };
-        let account = |name: &str| AccountSettings {
-            name: name.into(),
-            key: format!("key-{name}").into(),
-        };
         let entry = |name: &str| {
             let settings = Settings {
                 entry: Some(EntrySettings::default()),
-                accounts: vec![account("a"), account("b")],
                 ..settings(name, &ledgers)
             };
             Daemon::start(&settings, identity(LinkRole::Entry)).expect("entry")
@@ -135,6 +131,9 @@
             sidecar("sidecar-2", service_sidecar),
             ledger,
         ];
+        for entry in &daemons[..2] {
+            wait_for("the first document", || entry.config_index().0 > 0);
+        }
         let entries = [0, 1].map(|slot: usize| daemons[slot].callers_addr().expect("address"));
         let cluster = Self {
             entries,
--- a/crates/sapphirequayd/tests/common/mod.rs
+++ b/crates/sapphirequayd/tests/common/mod.rs
@@ -32,7 +32,8 @@
 /// Bearer key of the only account.
 pub const KEY: &str = "k";
 
-/// The first configuration document; it holds the digest of [`KEY`].
+/// The first configuration document. Account `a` has the keys `k` and `key-a`,
+/// account `b` has `key-b`.
 pub const DOCUMENT: &str = r#"
 [platform.owners]
 platform = ["operator"]
@@ -41,6 +42,9 @@
 
 [team.accounts.a]
 key_sha256 = "8254c329a92850f6d539dd376f4816ee2764517da5e0235514af433164480d7a"
+next_key_sha256 = "f10f781241e2246678b6b45c857069208152a53863e47fac33f607ab405006f4"
+[team.accounts.b]
+key_sha256 = "a30534a53b23547377ddccbd1ac85a8a84c13db43493c16e55a6abc7b0eba634"
 "#;
 
 /// An address whose port the system picks.
--- a/crates/sapphirequayd/tests/common/processes.rs
+++ b/crates/sapphirequayd/tests/common/processes.rs
@@ -1,7 +1,7 @@
 //! Daemons as processes that a test may kill.
 
 use {
-    super::any_port,
+    super::{DOCUMENT, any_port},
     quay_link::DevelopmentKeys,
     std::{
         fs,
@@ -54,7 +54,9 @@
         let folder = TempDir::new().expect("folder");
         let keys = folder.path().join("keys");
         let made = DevelopmentKeys::generate().expect("keys");
-        made.write(&keys).expect("keys");
+        made.write(&keys, &["ada"]).expect("keys");
+        let document = folder.path().join("document.toml");
+        fs::write(&document, DOCUMENT).expect("document");
         let ledger = free_udp();
         let entries = [free_tcp(), free_tcp()];
         for role in Self::ROLES {
@@ -65,14 +67,11 @@
             };
             let name = format!("[process]\nname = \"{role:?}\"\ndata_centre = \"dc-1\"\n");
             let table = match role {
-                Role::Ledger => "[ledger]\n".to_owned(),
+                Role::Ledger => format!("[ledger]\ndocument = \"{}\"\n", document.display()),
                 Role::Sidecar => format!(
                     "[sidecar]\nupstream = \"orders-1\"\naddr = \"{service}\"\nservice = \"orders\"\n"
                 ),
-                Role::Entry(slot) => format!(
-                    "[entry]\nlisten = \"{}\"\n[[accounts]]\nname = \"a\"\nkey = \"key-a\"\n",
-                    entries[slot]
-                ),
+                Role::Entry(slot) => format!("[entry]\nlisten = \"{}\"\n", entries[slot]),
             };
             let text = format!("{name}{}{table}", link(listen, ledger, &keys));
             fs::write(file(folder.path(), role), text).expect("settings");
