--- a/crates/sapphirequayd/src/connection/edge.rs
+++ b/crates/sapphirequayd/src/connection/edge.rs
@@ -279,8 +279,8 @@
     body: &[u8],
     req: Request,
 ) -> Served {
-    let name: Box<str> = Route::service(req.url()).into();
     let rules = cx.rules.get();
+    let name: Box<str> = Route::service(req.url()).into();
     let headers = match CallHeaders::of(&req) {
         Ok(headers) => CallHeaders {
             idempotent: headers.idempotent && rules.repeatable(ServiceId::of(&name)),
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -26,8 +26,8 @@
     },
     request::{Input, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
     settings::{
-        EntrySettings, LedgerSettings, LinkTableSettings, ProcessSettings, Settings, SettingsError,
-        SidecarSettings,
+        DEFAULT_SETTINGS, EntrySettings, LedgerSettings, LinkTableSettings, LogLevel, LogSettings,
+        Problem, ProcessSettings, Settings, SettingsError, SidecarSettings,
     },
     wire::LinkRequest,
 };
--- a/crates/sapphirequayd/src/process/announcer.rs
+++ b/crates/sapphirequayd/src/process/announcer.rs
@@ -53,7 +53,7 @@
     pub links: Links,
     /// Tells load and state.
     pub gate: Mailbox<GateMsg>,
-    /// Tells what the gate does not know.
+    /// What else the state depends on.
     pub standing: Standing,
     /// What stays the same over one run of the sidecar.
     pub announcement: Announcement,
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -21,6 +21,7 @@
     quay_ledger::{Ledger, LedgerLimits},
     quay_link::{Identity, Incoming, KeyFiles, LinkError, LinkRole, LinkSettings, Links},
     quay_members::MembersRequest,
+    quay_members::MembersSettings,
     quay_types::{
         Announcement, BeginReply, ConfigIndex, GroupId, Incarnation, LedgerReply, LedgerRequest,
         Load, ModelId, ServiceId, SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
@@ -78,6 +79,8 @@
     links: Links,
     lifecycle: Lifecycle,
     current: Current,
+    /// Whether the process announces an upstream.
+    announces: bool,
 }
 
 /// The roles that streams from peers are for.
@@ -141,6 +144,7 @@
             links,
             lifecycle,
             current,
+            announces: settings.sidecar.is_some(),
         })
     }
 
@@ -150,6 +154,19 @@
         self.edge.as_ref().map(Edge::local_addr)
     }
 
+    /// Waits until entries can have heard that this process leaves.
+    pub fn linger(&self) {
+        if self.announces {
+            thread::sleep(MembersSettings::default().heartbeat * 2);
+        }
+    }
+
+    /// Whether the process takes new requests, and how many are in progress.
+    #[must_use]
+    pub const fn lifecycle(&self) -> &Lifecycle {
+        &self.lifecycle
+    }
+
     /// Takes new keys into use when the files change, until the process ends.
     ///
     /// # Errors
@@ -169,12 +186,6 @@
         self.current.get().index()
     }
 
-    /// Whether the process takes new requests, and how many are in progress.
-    #[must_use]
-    pub const fn lifecycle(&self) -> &Lifecycle {
-        &self.lifecycle
-    }
-
     /// Address that links are accepted on.
     #[must_use]
     pub const fn link_addr(&self) -> Option<SocketAddr> {
@@ -250,13 +261,14 @@
     health
         .probe(format!("http://{}/healthz", sidecar.addr).into())
         .map_err(starting("prober"))?;
+    let standing = Standing {
+        lifecycle: lifecycle.clone(),
+        health: health.clone(),
+    };
     let announcer = Announcer {
         links: links.clone(),
         gate: gate.clone(),
-        standing: Standing {
-            lifecycle: lifecycle.clone(),
-            health: health.clone(),
-        },
+        standing,
         announcement,
     };
     announcer
@@ -295,11 +307,11 @@
 // Streams from peers
 
 /// Hands a stream to the role that it is for.
-fn dispatch(roles: Arc<OnceLock<Roles>>, incoming: Incoming) {
+fn dispatch(roles: Arc<OnceLock<Roles>>, mut incoming: Incoming) {
     let spawned = thread::Builder::new().name("stream".into()).spawn(move || {
         let Some(roles) = roles.get() else { return };
         match incoming.first.decode::<LinkRequest>() {
-            Ok(req) => serve_stream(roles, req, &incoming),
+            Ok(req) => serve_stream(roles, req, &mut incoming),
             Err(err) => log::warn!("event=bad_request peer={} cause={err:?}", incoming.addr),
         }
     });
@@ -309,7 +321,7 @@
 }
 
 /// Serves a stream if the peer's role may ask for it.
-fn serve_stream(roles: &Roles, req: LinkRequest, incoming: &Incoming) {
+fn serve_stream(roles: &Roles, req: LinkRequest, incoming: &mut Incoming) {
     if !allowed(&req, &incoming.roles) {
         log::warn!(
             "event=role_refused peer={} roles={:?}",
@@ -321,7 +333,7 @@
     match req {
         LinkRequest::Sidecar(SidecarRequest::Call(call)) => {
             if let Some(attempts) = &roles.sidecar {
-                serve_attempt(attempts, &incoming.stream, &call);
+                serve_attempt(attempts, &mut incoming.stream, &call);
             }
         }
         LinkRequest::Members(req) => {
--- a/crates/sapphirequayd/tests/common/cluster.rs
+++ b/crates/sapphirequayd/tests/common/cluster.rs
@@ -1,7 +1,7 @@
 //! Two entries before an engine and a service, and a caller.
 
 use {
-    super::{CountingService, DOCUMENT, any_port, before_engine, settings, wait_for},
+    super::{CountingService, any_port, before_engine, document, settings, wait_for},
     quay_link::{DevelopmentKeys, LinkRole},
     quay_standin::{Engine, EngineSettings},
     sapphirequayd::{Daemon, EntrySettings, LedgerSettings, Settings, SidecarSettings},
@@ -56,7 +56,8 @@
         let mut answer = None;
         wait_for("an upstream is known", || {
             let got = self.send(entry);
-            let known = !got.1.contains("no_upstream");
+            let starting = ["no_upstream", "config_stale"];
+            let known = !starting.iter().any(|kind| got.1.contains(kind));
             answer = Some(got);
             known
         });
@@ -95,7 +96,7 @@
         let service = CountingService::start(service_delay);
         let ledger = Settings {
             ledger: Some(LedgerSettings {
-                document_text: Some(DOCUMENT.into()),
+                document_text: Some(document(&[("a", "key-a"), ("b", "key-b")]).into()),
                 ..LedgerSettings::default()
             }),
             ..settings("ledger-1", &[])
@@ -131,9 +132,6 @@
             sidecar("sidecar-2", service_sidecar),
             ledger,
         ];
-        for entry in &daemons[..2] {
-            wait_for("the first document", || entry.config_index().0 > 0);
-        }
         let entries = [0, 1].map(|slot: usize| daemons[slot].callers_addr().expect("address"));
         let cluster = Self {
             entries,
--- a/crates/sapphirequayd/tests/common/mod.rs
+++ b/crates/sapphirequayd/tests/common/mod.rs
@@ -12,6 +12,7 @@
 };
 
 use {
+    quay_config::KeyDigest,
     quay_link::{DevelopmentKeys, LinkRole},
     quay_standin::{Engine, EngineSettings},
     sapphirequayd::{
@@ -32,26 +33,25 @@
 /// Bearer key of the only account.
 pub const KEY: &str = "k";
 
-/// The first configuration document. Account `a` has the keys `k` and `key-a`,
-/// account `b` has `key-b`.
-pub const DOCUMENT: &str = r#"
-[platform.owners]
-platform = ["operator"]
-team = ["ada", "operator"]
-[platform.models.m]
-
-[team.accounts.a]
-key_sha256 = "8254c329a92850f6d539dd376f4816ee2764517da5e0235514af433164480d7a"
-next_key_sha256 = "f10f781241e2246678b6b45c857069208152a53863e47fac33f607ab405006f4"
-[team.accounts.b]
-key_sha256 = "a30534a53b23547377ddccbd1ac85a8a84c13db43493c16e55a6abc7b0eba634"
-"#;
-
 /// An address whose port the system picks.
 pub fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// A first configuration document with accounts, by name and key.
+pub fn document(accounts: &[(&str, &str)]) -> String {
+    let accounts = accounts.iter().map(|(name, key)| {
+        let digest = KeyDigest::of(key);
+        format!("[team.accounts.{name}]\nkey_sha256 = \"{digest}\"\n")
+    });
+    let accounts: Vec<_> = accounts.collect();
+    format!(
+        "[platform.owners]\nplatform = [\"operator\"]\nteam = [\"operator\"]\n\
+        [platform.models.m]\n{}",
+        accounts.concat()
+    )
+}
+
 /// Settings of one process without a role.
 pub fn settings(name: &str, ledgers: &[SocketAddr]) -> Settings {
     Settings {
@@ -82,7 +82,7 @@
         let identity = |role| keys.identity(role).expect("identity");
         let ledger = Settings {
             ledger: Some(LedgerSettings {
-                document_text: Some(DOCUMENT.into()),
+                document_text: Some(document(&[("a", KEY)]).into()),
                 ..LedgerSettings::default()
             }),
             ..settings("ledger-1", &[])
@@ -99,12 +99,15 @@
             ..settings("entry-1", &ledgers)
         };
         let entry = Daemon::start(&entry, identity(LinkRole::Entry)).expect("entry");
-        wait_for("the first document", || entry.config_index().0 > 0);
-        Self {
+        let running = Self {
             entry,
             ledger,
             sidecar,
-        }
+        };
+        wait_for("a configuration is in force", || {
+            post_once(running.addr(), "wrong", "").0 == 401
+        });
+        running
     }
 
     /// Address for callers.
@@ -139,7 +142,8 @@
     let started = Instant::now();
     loop {
         let (status, text) = post_once(addr, key, body);
-        if !text.contains(r#""kind":"no_upstream""#) || started.elapsed() > LIMIT {
+        let starting = [r#""kind":"no_upstream""#, r#""kind":"config_stale""#];
+        if !starting.iter().any(|kind| text.contains(kind)) || started.elapsed() > LIMIT {
             return (status, text);
         }
         thread::sleep(Duration::from_millis(50));
--- a/crates/sapphirequayd/tests/common/processes.rs
+++ b/crates/sapphirequayd/tests/common/processes.rs
@@ -1,7 +1,7 @@
 //! Daemons as processes that a test may kill.
 
 use {
-    super::{DOCUMENT, any_port},
+    super::any_port,
     quay_link::DevelopmentKeys,
     std::{
         fs,
@@ -54,9 +54,9 @@
         let folder = TempDir::new().expect("folder");
         let keys = folder.path().join("keys");
         let made = DevelopmentKeys::generate().expect("keys");
-        made.write(&keys, &["ada"]).expect("keys");
-        let document = folder.path().join("document.toml");
-        fs::write(&document, DOCUMENT).expect("document");
+        made.write(&keys, &["operator"]).expect("keys");
+        let document = folder.path().join("first.toml");
+        fs::write(&document, super::document(&[("a", "key-a")])).expect("document");
         let ledger = free_udp();
         let entries = [free_tcp(), free_tcp()];
         for role in Self::ROLES {
