Give operators their commands

A file from config show says in its first line what it was made from, so two operators who edit the same version are told apart, and a lost answer is asked for again under the same change id.

--- a/crates/quay_types/src/digest.rs
+++ b/crates/quay_types/src/digest.rs
@@ -31,6 +31,9 @@
         Self(short)
     }
 
+    /// The digest of nothing, which no content has.
+    pub const ZERO: Self = Self([0; 16]);
+
     /// The digest as a number, for use as a key.
     #[must_use]
     pub const fn to_u128(self) -> u128 {
--- /dev/null
+++ b/crates/sapphirequay/src/config/diff.rs
@@ -0,0 +1,46 @@
+//! `sapphirequay config diff`: compares a file with what is in force.
+
+use {
+    crate::{
+        config::show::{image, section_file},
+        operator::operator_args,
+        section_file::SectionFile,
+    },
+    quay_config::line_diff,
+    serde_json::json,
+    std::{error::Error, fs, path::PathBuf},
+};
+
+operator_args!(
+    /// Arguments of `config diff`.
+    DiffArgs {
+        #[options(free, required, help = "file from `config show`")]
+        file: PathBuf,
+    }
+);
+
+/// Prints the lines that differ: `-` in force, `+` in the file.
+pub fn run(args: &DiffArgs) -> Result<(), Box<dyn Error>> {
+    let text =
+        fs::read_to_string(&args.file).map_err(|err| format!("{}: {err}", args.file.display()))?;
+    let file: SectionFile = text.parse()?;
+    let now = section_file(&*image(&mut args.connect()?)?, &file.section);
+    let diff = line_diff(&now.text, &file.text);
+    let current = now.base == file.base;
+    if args.json {
+        let value = json!({
+            "section": file.section, "base_version": file.base.version,
+            "version": now.base.version, "base_in_force": current, "diff": diff,
+        });
+        println!("{value}");
+        return Ok(());
+    }
+    if !current {
+        println!(
+            "the file was made from version {} ({}), version {} ({}) is in force",
+            file.base.version, file.base.digest, now.base.version, now.base.digest
+        );
+    }
+    print!("{diff}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/sapphirequay/src/config/show.rs
@@ -0,0 +1,56 @@
+//! `sapphirequay config show`: prints a section for editing.
+
+use {
+    crate::{
+        operator::{Operator, operator_args, unexpected},
+        section_file::SectionFile,
+    },
+    quay_config::{Base, Image},
+    sapphirequayd::{ControlReply, ControlRequest},
+    serde_json::json,
+    std::error::Error,
+};
+
+operator_args!(
+    /// Arguments of `config show`.
+    ShowArgs {
+        #[options(free, required, help = "name of the section")]
+        section: String,
+    }
+);
+
+/// Reads everything in force.
+pub fn image(operator: &mut Operator) -> Result<Box<Image>, Box<dyn Error>> {
+    match operator.ask(&ControlRequest::Image)? {
+        ControlReply::Image(image) => Ok(image),
+        other => Err(unexpected(&other)),
+    }
+}
+
+/// The section as a file; an empty one if it does not exist yet.
+pub fn section_file(image: &Image, name: &str) -> SectionFile {
+    let section = image.sections.get(name);
+    SectionFile {
+        section: name.into(),
+        base: section.map_or_else(Base::default, |section| Base {
+            version: section.version,
+            digest: section.digest,
+        }),
+        text: section.map_or_else(Box::default, |section| section.text.clone()),
+    }
+}
+
+/// Prints the section.
+pub fn run(args: &ShowArgs) -> Result<(), Box<dyn Error>> {
+    let file = section_file(&*image(&mut args.connect()?)?, &args.section);
+    if args.json {
+        let value = json!({
+            "section": file.section, "version": file.base.version,
+            "digest": file.base.digest.to_string(), "text": file.text,
+        });
+        println!("{value}");
+    } else {
+        print!("{file}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sapphirequay/src/config/status.rs
@@ -0,0 +1,100 @@
+//! `sapphirequay config status`: what is in force, and which daemons lag.
+
+use {
+    crate::operator::{operator_args, unexpected, utc},
+    sapphirequayd::{ControlReply, ControlRequest, ControlStatus, DaemonRow},
+    serde_json::{Value, json},
+    std::error::Error,
+};
+
+/// A daemon that has not asked for so long is not heard of any more.
+const SILENT_AFTER_MS: u64 = 5_000;
+
+operator_args!(
+    /// Arguments of `config status`.
+    StatusArgs {}
+);
+
+/// What there is to say of a daemon.
+fn verdict(status: &ControlStatus, row: &DaemonRow) -> String {
+    let behind = status.index.0.saturating_sub(row.index.0);
+    if row.age_ms > SILENT_AFTER_MS {
+        format!("silent for {} s", row.age_ms / 1_000)
+    } else if behind > 0 {
+        format!("behind by {behind}")
+    } else {
+        "in force".into()
+    }
+}
+
+/// Prints the status.
+pub fn run(args: &StatusArgs) -> Result<(), Box<dyn Error>> {
+    let status = match args.connect()?.ask(&ControlRequest::Status)? {
+        ControlReply::Status(status) => status,
+        other => return Err(unexpected(&other)),
+    };
+    if args.json {
+        println!("{}", to_json(&status));
+    } else {
+        print(&status);
+    }
+    Ok(())
+}
+
+/// The status as JSON.
+fn to_json(status: &ControlStatus) -> Value {
+    let sections: Vec<_> = status
+        .sections
+        .iter()
+        .map(|section| {
+            json!({
+                "name": section.name, "version": section.base.version,
+                "digest": section.base.digest.to_string(), "author": section.author,
+                "time_ms": section.time_ms, "owners": section.owners,
+            })
+        })
+        .collect();
+    let daemons: Vec<_> = status
+        .daemons
+        .iter()
+        .map(|row| {
+            json!({
+                "name": row.name, "index": row.index.0, "age_ms": row.age_ms,
+                "state": verdict(status, row),
+            })
+        })
+        .collect();
+    json!({
+        "index": status.index.0, "audit": status.audit, "sections": sections, "daemons": daemons,
+    })
+}
+
+/// Prints the status for a person.
+fn print(status: &ControlStatus) {
+    println!(
+        "index {} in force, {} audit records",
+        status.index, status.audit
+    );
+    for section in &status.sections {
+        let set = if section.author.is_empty() {
+            "the first document".into()
+        } else {
+            format!("{} at {}", section.author, utc(section.time_ms))
+        };
+        println!(
+            "section {} version {} digest {} set by {set}, owned by {}",
+            section.name,
+            section.base.version,
+            section.base.digest,
+            section.owners.join(", ")
+        );
+    }
+    for row in &status.daemons {
+        println!(
+            "daemon {} index {}: {}",
+            row.name,
+            row.index,
+            verdict(status, row)
+        );
+    }
+}
--- a/crates/sapphirequay/src/main.rs
+++ b/crates/sapphirequay/src/main.rs
@@ -1,8 +1,15 @@
 //! The command `sapphirequay` for operators, callers and experiments.
 
+mod audit;
+mod config;
 mod demo;
+mod drain;
 mod experiment;
 mod keys;
+mod members;
+mod operator;
+mod quarantine;
+mod section_file;
 
 use {
     gumdrop::Options,
@@ -21,12 +28,24 @@
 /// What to do.
 #[derive(Debug, Options)]
 enum Command {
+    #[options(help = "print the audit trail")]
+    Audit(audit::AuditArgs),
+    #[options(help = "check, change and watch the configuration")]
+    Config(config::ConfigArgs),
     #[options(help = "run every role and stand-ins in one process and call it")]
     Demo(DemoArgs),
     #[options(help = "run a seeded experiment over the decision logic")]
     Experiment(experiment::ExperimentArgs),
+    #[options(help = "mark an upstream to leave: it gets no new work")]
+    Drain(drain::DrainArgs),
     #[options(help = "make keys for development")]
     Keys(KeysArgs),
+    #[options(help = "print the directory of upstreams")]
+    Members(members::MembersArgs),
+    #[options(help = "print and clear quarantined content")]
+    Quarantine(quarantine::QuarantineArgs),
+    #[options(help = "let an upstream stay after all")]
+    Undrain(drain::DrainArgs),
 }
 
 /// Arguments of `demo`.
@@ -81,7 +100,13 @@
 /// Runs the command that was asked for.
 fn run(args: Args) -> Result<(), Box<dyn Error>> {
     match args.command {
+        Some(Command::Audit(args)) => audit::run(&args),
+        Some(Command::Config(args)) => config::run(args),
         Some(Command::Demo(_)) => demo::run(),
+        Some(Command::Drain(args)) => drain::run(&args, true),
+        Some(Command::Members(args)) => members::run(&args),
+        Some(Command::Quarantine(args)) => quarantine::run(args),
+        Some(Command::Undrain(args)) => drain::run(&args, false),
         Some(Command::Experiment(args)) => experiment::run(args),
         Some(Command::Keys(KeysArgs {
             command: Some(KeysCommand::Init(init)),
--- /dev/null
+++ b/crates/sapphirequay/src/members.rs
@@ -0,0 +1,65 @@
+//! `sapphirequay members`: the directory of upstreams.
+
+use {
+    crate::operator::{operator_args, unexpected},
+    quay_types::UpstreamState,
+    sapphirequayd::{ControlReply, ControlRequest, MemberRow},
+    serde_json::json,
+    std::error::Error,
+};
+
+operator_args!(
+    /// Arguments of `members`.
+    MembersArgs {}
+);
+
+/// Name of a state.
+const fn state_name(state: UpstreamState) -> &'static str {
+    match state {
+        UpstreamState::Serving => "serving",
+        UpstreamState::Draining => "draining",
+        UpstreamState::Failing => "failing",
+    }
+}
+
+/// Prints every upstream that the asked host knows.
+pub fn run(args: &MembersArgs) -> Result<(), Box<dyn Error>> {
+    let rows = match args.connect()?.ask(&ControlRequest::Members)? {
+        ControlReply::Members(rows) => rows,
+        other => return Err(unexpected(&other)),
+    };
+    for row in &rows {
+        if args.json {
+            println!("{}", to_json(row));
+        } else {
+            print(row);
+        }
+    }
+    Ok(())
+}
+
+/// One upstream as JSON.
+fn to_json(row: &MemberRow) -> serde_json::Value {
+    json!({
+        "name": row.name, "incarnation": row.incarnation.0, "addr": row.addr.to_string(),
+        "data_centre": row.data_centre, "state": state_name(row.state),
+        "suspicion": row.suspicion, "queued": row.load.queued, "running": row.load.running,
+        "backlog": row.load.backlog, "kv_permille": row.load.kv_permille, "age_ms": row.age_ms,
+    })
+}
+
+/// Prints one upstream for a person.
+fn print(row: &MemberRow) {
+    let why = row.suspicion.as_deref().unwrap_or("-");
+    println!(
+        "{} state={} suspicion={why:?} data_centre={} addr={} queued={} running={} kv_permille={} age_ms={}",
+        row.name,
+        state_name(row.state),
+        row.data_centre,
+        row.addr,
+        row.load.queued,
+        row.load.running,
+        row.load.kv_permille,
+        row.age_ms
+    );
+}
--- /dev/null
+++ b/crates/sapphirequay/src/operator.rs
@@ -0,0 +1,182 @@
+//! What every operators' command shares: arguments, connection, output.
+
+use {
+    quay_config::{Accepted, Action, ChangeId},
+    quay_link::{KeyFiles, LinkRole, Links},
+    rand::Rng as _,
+    sapphirequayd::{ControlClient, ControlFault, ControlReply, ControlRequest, OperatorOrder},
+    std::{error::Error, net::SocketAddr, path::Path, thread, time::Duration},
+};
+
+/// Sends of one request whose answer is lost.
+const MAX_SENDS: u32 = 6;
+
+/// Pause before a request is sent again.
+const RESEND_AFTER: Duration = Duration::from_millis(500);
+
+/// Declares the arguments of a command that talks to the ledger hosts.
+macro_rules! operator_args {
+    ($(#[$doc:meta])* $name:ident { $($fields:tt)* }) => {
+        $(#[$doc])*
+        #[derive(Debug, gumdrop::Options)]
+        pub struct $name {
+            #[options(help = "print this help")]
+            help: bool,
+            #[options(no_short, meta = "ADDR", help = "address of a ledger host; may be given again")]
+            ledger: Vec<std::net::SocketAddr>,
+            #[options(no_short, meta = "DIR", help = "folder of the keys")]
+            keys: Option<std::path::PathBuf>,
+            #[options(no_short, meta = "NAME", help = "operator whose keys are used")]
+            operator: Option<String>,
+            #[options(no_short, help = "print JSON")]
+            json: bool,
+            $($fields)*
+        }
+
+        impl $name {
+            /// Sets up links to the ledger hosts that the arguments name.
+            fn connect(&self) -> Result<$crate::operator::Operator, Box<dyn std::error::Error>> {
+                $crate::operator::Operator::connect(
+                    &self.ledger,
+                    self.keys.as_deref(),
+                    self.operator.as_deref(),
+                )
+            }
+        }
+    };
+}
+
+pub(crate) use operator_args;
+
+/// An operator who is connected to the control group.
+pub struct Operator {
+    client: ControlClient,
+}
+
+impl Operator {
+    /// Sets up links under an operator's keys.
+    pub fn connect(
+        hosts: &[SocketAddr],
+        keys: Option<&Path>,
+        name: Option<&str>,
+    ) -> Result<Self, Box<dyn Error>> {
+        if hosts.is_empty() {
+            return Err("--ledger ADDR is needed".into());
+        }
+        let dir = keys.ok_or("--keys DIR is needed")?;
+        let files = match name {
+            Some(name) => KeyFiles::of_operator(dir, name),
+            None => KeyFiles::in_folder(dir, LinkRole::Operator),
+        };
+        let links = Links::connect_only(files.load()?)?;
+        Ok(Self {
+            client: ControlClient::new(links, hosts),
+        })
+    }
+
+    /// Asks; sends the request again while its answer is lost, which is safe
+    /// since a request with an id gets the first answer.
+    pub fn ask(&mut self, req: &ControlRequest) -> Result<ControlReply, ControlFault> {
+        let mut sends = 1;
+        loop {
+            match self.client.ask(req.clone()) {
+                Err(ControlFault::Unknown(why)) if sends < MAX_SENDS => {
+                    log::warn!("event=resend sends={sends} cause={why:?}");
+                    sends += 1;
+                    thread::sleep(RESEND_AFTER);
+                }
+                answer => return answer,
+            }
+        }
+    }
+
+    /// Sends an order, and returns its id and what came of it.
+    pub fn order(
+        &mut self,
+        action: Action,
+        id: Option<&str>,
+        cause: &str,
+        dry_run: bool,
+    ) -> Result<(ChangeId, Accepted), Box<dyn Error>> {
+        let id = ChangeId(id.map_or_else(random_id, Into::into));
+        let order = OperatorOrder {
+            id: id.clone(),
+            cause: cause.into(),
+            action,
+            dry_run,
+        };
+        match self.ask(&ControlRequest::Order(Box::new(order))) {
+            Ok(ControlReply::Order(Ok(accepted))) => Ok((id, accepted)),
+            Ok(ControlReply::Order(Err(refusal))) => Err(format!("refused: {refusal}").into()),
+            Ok(other) => Err(unexpected(&other)),
+            Err(fault) => Err(format!("change id {id}: {fault}").into()),
+        }
+    }
+}
+
+/// The error for an answer to another question.
+pub fn unexpected(reply: &ControlReply) -> Box<dyn Error> {
+    format!("the ledger host answered something else: {reply:?}").into()
+}
+
+/// An id that no other request has.
+fn random_id() -> Box<str> {
+    format!("op-{:016x}", rand::rng().next_u64()).into()
+}
+
+/// Prints an accepted order.
+pub fn print_accepted(json: bool, id: &ChangeId, accepted: &Accepted) {
+    if json {
+        let value = serde_json::json!({
+            "id": &*id.0, "index": accepted.index.0, "version": accepted.version,
+            "digest": accepted.digest.to_string(),
+        });
+        println!("{value}");
+    } else {
+        println!(
+            "accepted id={id} index={} version={}",
+            accepted.index, accepted.version
+        );
+    }
+}
+
+/// Seconds in a day.
+const DAY_S: u64 = 86_400;
+
+/// A time in milliseconds since the Unix epoch as `2026-12-03T21:09:00Z`.
+pub fn utc(time_ms: u64) -> String {
+    let seconds = time_ms / 1_000;
+    let (year, month, day) = date(seconds / DAY_S);
+    let of_day = seconds % DAY_S;
+    let (hour, minute, second) = (of_day / 3_600, of_day / 60 % 60, of_day % 60);
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}Z")
+}
+
+/// Year, month and day of a count of days since 1970-01-01.
+fn date(mut days: u64) -> (u64, u64, u64) {
+    let mut year = 1970;
+    loop {
+        let length = if is_leap(year) { 366 } else { 365 };
+        if days < length {
+            break;
+        }
+        days -= length;
+        year += 1;
+    }
+    let february = if is_leap(year) { 29 } else { 28 };
+    let months = [31, february, 31, 30, 31, 30, 31, 31, 30, 31, 30, 31];
+    let mut month = 1;
+    for length in months {
+        if days < length {
+            break;
+        }
+        days -= length;
+        month += 1;
+    }
+    (year, month, days + 1)
+}
+
+/// Whether a year has 366 days.
+const fn is_leap(year: u64) -> bool {
+    year.is_multiple_of(4) && (!year.is_multiple_of(100) || year.is_multiple_of(400))
+}
--- /dev/null
+++ b/crates/sapphirequay/tests/operators.rs
@@ -0,0 +1,218 @@
+//! The operators' commands against a ledger host over real sockets.
+
+use {
+    quay_link::{DevelopmentKeys, KeyFiles, LinkRole},
+    sapphirequayd::{Daemon, LedgerSettings, ProcessSettings, Settings},
+    serde_json::Value,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+        process::{Command, Output},
+        thread,
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+};
+
+/// Longest wait for anything that has to come to pass.
+const LIMIT: Duration = Duration::from_secs(30);
+
+const DOCUMENT: &str = r#"[platform.owners]
+platform = ["root"]
+ordering = ["ada"]
+haulage = ["bruno"]
+[platform.models.agent-llm]
+
+[ordering.accounts.shop-12]
+key_sha256 = "2cf24dba5fb0a30e26e83b2ac5b9e29e1b161e5c1fa7425e73043362938b9824"
+weight = 100
+
+[haulage.accounts.ranch-1]
+key_sha256 = "486ea46224d1bb4fb680f34f7c9ad96a8f24ec88be73ea8e5a6c65260e9cb8a7"
+"#;
+
+struct Stand {
+    folder: TempDir,
+    ledger: Daemon,
+}
+
+impl Stand {
+    fn start() -> Self {
+        let folder = TempDir::new().expect("folder");
+        let keys = folder.path().join("keys");
+        let made = DevelopmentKeys::generate().expect("keys");
+        made.write(&keys, &["ada", "bruno", "eve"]).expect("keys");
+        let settings = Settings {
+            process: ProcessSettings {
+                name: "ledger-1".into(),
+                ..ProcessSettings::default()
+            },
+            ledger: Some(LedgerSettings {
+                document_text: Some(DOCUMENT.into()),
+                ..LedgerSettings::default()
+            }),
+            ..Settings::default()
+        };
+        let identity = KeyFiles::in_folder(&keys, LinkRole::Ledger).load();
+        let ledger = Daemon::start(&settings, identity.expect("identity")).expect("ledger");
+        let began = Instant::now();
+        while ledger.config_index().0 == 0 {
+            assert!(began.elapsed() < LIMIT, "no document came into force");
+            thread::sleep(Duration::from_millis(20));
+        }
+        Self { folder, ledger }
+    }
+
+    /// Runs a command as an operator.
+    fn run(&self, operator: &str, args: &[&str]) -> Output {
+        let addr = self.ledger.link_addr().expect("address").to_string();
+        Command::new(env!("CARGO_BIN_EXE_sapphirequay"))
+            .args(args)
+            .args(["--ledger", &addr, "--operator", operator, "--keys"])
+            .arg(self.folder.path().join("keys"))
+            .output()
+            .expect("command")
+    }
+
+    /// Runs a command that must succeed; its output.
+    fn ok(&self, operator: &str, args: &[&str]) -> String {
+        let output = self.run(operator, args);
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(output.status.success(), "{args:?}: {text}");
+        String::from_utf8(output.stdout).expect("text")
+    }
+
+    /// Runs a command that must fail; its message.
+    fn refused(&self, operator: &str, args: &[&str]) -> String {
+        let output = self.run(operator, args);
+        assert!(!output.status.success(), "{args:?}");
+        String::from_utf8(output.stderr).expect("text")
+    }
+
+    /// Writes what `config show` prints into a file, with one text replaced.
+    fn edit(&self, section: &str, name: &str, old: &str, new: &str) -> PathBuf {
+        let text = self.ok("ada", &["config", "show", section]);
+        assert!(text.contains(old), "{text}");
+        let path = self.folder.path().join(name);
+        fs::write(&path, text.replacen(old, new, 1)).expect("file");
+        path
+    }
+}
+
+fn path(path: &Path) -> &str {
+    path.to_str().expect("path")
+}
+
+fn json(line: &str) -> Value {
+    serde_json::from_str(line).expect("json")
+}
+
+#[test]
+fn a_change_is_made_raced_and_sent_again() {
+    let stand = Stand::start();
+    let heavy = stand.edit("ordering", "heavy.toml", "100", "300");
+    let light = stand.edit("ordering", "light.toml", "100", "50");
+    let dry = stand.ok("ada", &["config", "apply", "--dry-run", path(&heavy)]);
+    assert!(dry.contains("version=2"), "{dry}");
+    let apply = [
+        "config",
+        "apply",
+        "--json",
+        "--change-id",
+        "c-1",
+        path(&heavy),
+    ];
+    let first = json(&stand.ok("ada", &apply));
+    assert_eq!(first["version"], 2);
+    // The answer is lost, and the operator sends the change again.
+    assert_eq!(json(&stand.ok("ada", &apply)), first);
+
+    let race = stand.refused("ada", &["config", "apply", path(&light)]);
+    assert!(race.contains("version 2"), "{race}");
+    assert!(race.contains("-weight = 300\n+weight = 50"), "{race}");
+    let diff = stand.ok("ada", &["config", "diff", path(&light)]);
+    assert!(diff.contains("-weight = 300\n+weight = 50"), "{diff}");
+
+    let foreign = stand.edit("haulage", "foreign.toml", "ranch-1", "ranch-2");
+    let refused = stand.refused("ada", &["config", "apply", path(&foreign)]);
+    assert!(
+        refused.contains("ada does not own section haulage"),
+        "{refused}"
+    );
+    let broken = stand.edit("ordering", "broken.toml", "300", "0");
+    let refused = stand.refused("ada", &["config", "apply", path(&broken)]);
+    let place = "section ordering, line 4, key ordering.accounts.shop-12.weight";
+    assert!(refused.contains(place), "{refused}");
+
+    let history = stand.ok(
+        "ada",
+        &["config", "history", "--section", "ordering", "--json"],
+    );
+    let refusals: Vec<_> = history
+        .lines()
+        .map(|line| json(line)["refused"].is_null())
+        .collect();
+    // The first document, the change, the race and the invalid text.
+    assert_eq!(refusals, [true, true, false, false]);
+    let status = json(&stand.ok("eve", &["config", "status", "--json"]));
+    assert_eq!(status["sections"][1]["version"], 2);
+    assert_eq!(status["sections"][1]["author"], "ada");
+    assert_eq!(status["daemons"][0]["name"], "ledger-1");
+}
+
+#[test]
+fn drains_are_audited_and_only_owners_order_them() {
+    let stand = Stand::start();
+    stand.ok("bruno", &["drain", "engine-1", "--cause", "new disk"]);
+    assert!(
+        stand
+            .refused("eve", &["undrain", "engine-1"])
+            .contains("eve owns no section")
+    );
+    stand.ok("ada", &["undrain", "engine-1"]);
+    let again = stand.refused("ada", &["undrain", "engine-1"]);
+    assert!(again.contains("no drain mark"), "{again}");
+    stand.ok("ada", &["quarantine", "clear", "--all"]);
+    assert_eq!(stand.ok("ada", &["quarantine", "list"]), "");
+    assert_eq!(stand.ok("ada", &["members"]), "");
+    let trail = stand.ok("eve", &["audit", "--json"]);
+    let told: Vec<_> = trail
+        .lines()
+        .map(json)
+        .map(|record| {
+            let word = |name: &str| record[name].as_str().unwrap_or("-").to_owned();
+            format!("{} {} {}", word("author"), word("action"), word("refused"))
+        })
+        .collect();
+    let expected = [
+        "first-document found -",
+        "bruno drain engine-1 -",
+        "eve undrain engine-1 eve owns no section",
+        "ada undrain engine-1 -",
+        "ada undrain engine-1 upstream engine-1 has no drain mark",
+        "ada clear all -",
+    ];
+    assert_eq!(told, expected);
+}
+
+#[test]
+fn a_document_is_checked_without_a_ledger() {
+    let folder = TempDir::new().expect("folder");
+    let file = folder.path().join("document.toml");
+    let check = || {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sapphirequay"));
+        let output = command.args(["config", "check", path(&file)]).output();
+        let output = output.expect("command");
+        (
+            output.status.success(),
+            String::from_utf8(output.stdout).expect("text"),
+        )
+    };
+    fs::write(&file, DOCUMENT).expect("file");
+    assert_eq!(check(), (true, String::new()));
+    fs::write(&file, DOCUMENT.replace("weight = 100", "weight = 0")).expect("file");
+    let (passed, told) = check();
+    assert!(!passed);
+    let place = "line 9, key ordering.accounts.shop-12.weight: must be greater than 0";
+    assert!(told.contains(place), "{told}");
+}
--- a/crates/sapphirequayd/tests/common/mod.rs
+++ b/crates/sapphirequayd/tests/common/mod.rs
@@ -73,6 +73,7 @@
     pub entry: Daemon,
     pub ledger: Daemon,
     pub sidecar: Daemon,
+    pub keys: DevelopmentKeys,
 }
 
 impl Running {
@@ -103,6 +104,7 @@
             entry,
             ledger,
             sidecar,
+            keys,
         };
         wait_for("a configuration is in force", || {
             post_once(running.addr(), "wrong", "").0 == 401
