--- a/crates/quay_types/src/directory.rs
+++ b/crates/quay_types/src/directory.rs
@@ -88,19 +88,10 @@
     pub age_ms: u32,
 }
 
-/// First message on a stream to a host that keeps the directory.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum DirectoryRequest {
-    /// A sidecar's heartbeat.
-    Announce(Announcement),
-    /// Changes after the given directory version; 0 asks for all.
-    Changes(u64),
-}
-
-/// Answer to a [`DirectoryRequest`].
+/// What a host that keeps the directory tells a reader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DirectoryReply {
-    /// The announcement was taken.
+    /// Nothing was read.
     Accepted,
     /// Changes since the version that was asked for.
     Changes {
@@ -113,6 +104,4 @@
         /// Upstreams whose lease has ended.
         gone: Box<[UpstreamId]>,
     },
-    /// This host does not keep the directory now; ask the given one, if known.
-    Redirect(Option<SocketAddr>),
 }
