--- a/crates/quay_experiment/src/lib.rs
+++ b/crates/quay_experiment/src/lib.rs
@@ -1,5 +1,5 @@
-//! Seeded experiments over the decision logic: faults against the promises, and
-//! measured slopes for capacity planning.
+//! Seeded experiments over the decision logic: policies beside baselines,
+//! faults against the promises, and measured slopes for capacity planning.
 //!
 //! Everything here is driven by a seed, so the same seed prints the same bytes;
 //! only measured times differ between runs.
@@ -14,3 +14,4 @@
 
 pub mod capacity;
 pub mod faults;
+pub mod policy;
--- a/crates/quay_standin/src/lib.rs
+++ b/crates/quay_standin/src/lib.rs
@@ -13,4 +13,4 @@
 mod engine;
 pub mod model;
 
-pub use engine::{Engine, EngineSettings};
+pub use engine::{Engine, EngineCounts, EngineSettings};
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -22,13 +22,13 @@
     process::{
         ChangeError, Clock, ControlClient, ControlFault, ControlReply, ControlRequest,
         ControlStatus, Daemon, DaemonRow, Group, GroupError, GroupEvent, GroupHost, GroupLimits,
-        GroupMsg, GroupStartError, Machine, Mailbox, MemberRow, OperatorOrder, PeerFrame,
-        QuorumReply, QuorumRequest, StartError, spawn,
+        GroupMsg, GroupStartError, Health, HealthSettings, Lifecycle, Machine, Mailbox, MemberRow,
+        OperatorOrder, PeerFrame, Progress, QuorumReply, QuorumRequest, StartError, spawn,
     },
-    request::{Splice, Spliced},
+    request::{Input, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
     settings::{
-        EntrySettings, LedgerSettings, LinkTableSettings, PeerSettings, ProcessSettings, Settings,
-        SettingsError, SidecarSettings,
+        DEFAULT_SETTINGS, EntrySettings, LedgerSettings, LinkTableSettings, LogLevel, LogSettings,
+        PeerSettings, Problem, ProcessSettings, Settings, SettingsError, SidecarSettings,
     },
     wire::LinkRequest,
 };
--- a/crates/sapphirequayd/src/process/announcer.rs
+++ b/crates/sapphirequayd/src/process/announcer.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::{
-        process::{Clock, GateMsg, Mailbox, RouterMsg},
+        process::{Clock, GateMsg, Lifecycle, Mailbox, RouterMsg, SharedHealth},
         wire::LinkRequest,
     },
     quay_link::{LinkError, LinkRole, Links},
     quay_members::{HostContact, MembersReply, MembersRequest, MembersSettings, Pacer, View},
-    quay_types::{Announcement, ContentDigest, DirectoryReply},
+    quay_types::{Announcement, ContentDigest, DirectoryReply, UpstreamState},
     rand::RngExt as _,
     std::{io, net::SocketAddr, thread, time::Duration},
 };
@@ -26,6 +26,26 @@
         .recv()
 }
 
+/// What decides beside the gate whether the upstream takes new work.
+#[derive(Debug, Clone)]
+pub struct Standing {
+    /// Whether this process is leaving.
+    pub lifecycle: Lifecycle,
+    /// Health of the upstream.
+    pub health: SharedHealth,
+}
+
+impl Standing {
+    /// The state to announce, given what the gate says.
+    fn state(&self, gate: UpstreamState) -> UpstreamState {
+        if self.lifecycle.draining() {
+            UpstreamState::Draining
+        } else {
+            self.health.state(gate)
+        }
+    }
+}
+
 /// Announces one upstream to every ledger host.
 #[derive(Debug, Clone)]
 pub struct Announcer {
@@ -33,6 +53,8 @@
     pub links: Links,
     /// Tells load and state.
     pub gate: Mailbox<GateMsg>,
+    /// What else the state depends on.
+    pub standing: Standing,
     /// What stays the same over one run of the sidecar.
     pub announcement: Announcement,
 }
@@ -65,7 +87,7 @@
             };
             self.announcement.sequence += 1;
             self.announcement.load = load;
-            self.announcement.state = state;
+            self.announcement.state = self.standing.state(state);
             let reply = ask(&self.links, host, contact.tell(&self.announcement));
             if let Err(err) = &reply {
                 log::warn!("event=announce_failed ledger={host} cause={err:?}");
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -5,11 +5,11 @@
         connection::{Edge, EngineClient, EntryContext, ServiceClient},
         process::{
             Clock, ControlRequest, ControlService, Gate, GroupHost, GroupStartError, LedgerClient,
-            LedgerService, Mailbox, PermitMsg, QuorumRequest, Router,
-            announcer::{Announcer, Reader},
+            LedgerService, Lifecycle, Mailbox, PermitMsg, QuorumRequest, Router, SharedHealth,
+            announcer::{Announcer, Reader, Standing},
             control_role::{follow_marks, start_control, subscribe, watch_keys},
             directory::DirectoryMsg,
-            spawn,
+            spawn, telemetry,
         },
         request::{Attempts, CallContext, answer_inquiry, serve_attempt},
         settings::{EntrySettings, Settings, SidecarSettings},
@@ -21,13 +21,14 @@
     quay_ledger::{Ledger, LedgerLimits},
     quay_link::{Identity, Incoming, KeyFiles, LinkError, LinkRole, LinkSettings, Links},
     quay_members::MembersRequest,
+    quay_members::MembersSettings,
     quay_types::{
         Announcement, BeginReply, GroupId, Incarnation, LedgerReply, LedgerRequest, Load, ModelId,
         ServiceId, SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
     },
     std::{
         fmt, io,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         sync::{Arc, OnceLock},
         thread,
     },
@@ -85,6 +86,9 @@
 pub struct Daemon {
     edge: Option<Edge>,
     links: Links,
+    lifecycle: Lifecycle,
+    /// Whether the process announces an upstream.
+    announces: bool,
 }
 
 /// The roles that streams from peers are for.
@@ -104,7 +108,9 @@
     ///
     /// Says which address or key can't be used.
     pub fn start(settings: &Settings, identity: Identity) -> Result<Self, StartError> {
+        telemetry::start();
         let clock = Clock::start();
+        let lifecycle = Lifecycle::default();
         let roles = Arc::new(OnceLock::<Roles>::new());
         let link_settings = LinkSettings {
             listen: Some(settings.link.listen),
@@ -127,17 +133,24 @@
             started.groups = Some(groups);
         }
         if let Some(sidecar) = &settings.sidecar {
-            started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock)?);
+            started.sidecar = Some(start_sidecar(settings, sidecar, &links, clock, &lifecycle)?);
         }
         let current = Current::default();
         let changed = follow_marks(settings, &started);
         let _ = roles.set(started);
         subscribe(settings, &links, &current, changed)?;
         let edge = match &settings.entry {
-            Some(entry) => Some(start_entry(settings, entry, &links, clock, current)?),
+            Some(entry) => Some(start_entry(
+                settings, entry, &links, clock, current, &lifecycle,
+            )?),
             None => None,
         };
-        Ok(Self { edge, links })
+        Ok(Self {
+            edge,
+            links,
+            lifecycle,
+            announces: settings.sidecar.is_some(),
+        })
     }
 
     /// Address that callers reach, if the entry role runs.
@@ -146,6 +159,19 @@
         self.edge.as_ref().map(Edge::local_addr)
     }
 
+    /// Waits until entries can have heard that this process leaves.
+    pub fn linger(&self) {
+        if self.announces {
+            thread::sleep(MembersSettings::default().heartbeat * 2);
+        }
+    }
+
+    /// Whether the process takes new requests, and how many are in progress.
+    #[must_use]
+    pub const fn lifecycle(&self) -> &Lifecycle {
+        &self.lifecycle
+    }
+
     /// Takes new keys into use when the files change, until the process ends.
     ///
     /// # Errors
@@ -173,6 +199,7 @@
     links: &Links,
     clock: Clock,
     rules: Current,
+    lifecycle: &Lifecycle,
 ) -> Result<Edge, StartError> {
     let router = spawn("router", clock, Router::default()).map_err(starting("router"))?;
     let reader = Reader {
@@ -186,15 +213,18 @@
         .name("directory-reader".into())
         .spawn(move || reader.run(&ledgers))
         .map_err(starting("directory reader"))?;
-    let listener = TcpListener::bind(entry.listen)
-        .map_err(starting(&format!("[entry] listen {}", entry.listen)))?;
     let calls = CallContext {
         links: links.clone(),
         router,
         ledger: LedgerClient::new(links.clone(), settings.link.ledgers.as_slice()),
     };
-    let cx = EntryContext { calls, rules };
-    Edge::start(listener, cx).map_err(starting("edge"))
+    let cx = EntryContext {
+        calls,
+        rules,
+        lifecycle: lifecycle.clone(),
+        settings: entry.clone(),
+    };
+    Edge::start(cx).map_err(starting(&format!("[entry] listen {}", entry.listen)))
 }
 
 /// Starts the ledger role.
@@ -213,6 +243,7 @@
     sidecar: &SidecarSettings,
     links: &Links,
     clock: Clock,
+    lifecycle: &Lifecycle,
 ) -> Result<Attempts, StartError> {
     let gate = spawn("gate", clock, Gate::new(sidecar.concurrency)).map_err(starting("gate"))?;
     let incarnation = Incarnation(Clock::wall_ms());
@@ -228,9 +259,18 @@
         state: UpstreamState::Serving,
         load: Load::default(),
     };
+    let health = SharedHealth::new(clock);
+    health
+        .probe(format!("http://{}/healthz", sidecar.addr).into())
+        .map_err(starting("prober"))?;
+    let standing = Standing {
+        lifecycle: lifecycle.clone(),
+        health: health.clone(),
+    };
     let announcer = Announcer {
         links: links.clone(),
         gate: gate.clone(),
+        standing,
         announcement,
     };
     announcer
@@ -241,6 +281,10 @@
         gate,
         permits,
         engine: EngineClient::new(sidecar.addr),
+        lifecycle: lifecycle.clone(),
+        health,
+        clock,
+        numbers: Arc::default(),
         service: ServiceClient::new(sidecar.addr),
     })
 }
@@ -265,11 +309,11 @@
 // Streams from peers
 
 /// Hands a stream to the role that it is for.
-fn dispatch(roles: Arc<OnceLock<Roles>>, incoming: Incoming) {
+fn dispatch(roles: Arc<OnceLock<Roles>>, mut incoming: Incoming) {
     let spawned = thread::Builder::new().name("stream".into()).spawn(move || {
         let Some(roles) = roles.get() else { return };
         match incoming.first.decode::<LinkRequest>() {
-            Ok(req) => serve_stream(roles, req, incoming),
+            Ok(req) => serve_stream(roles, req, &mut incoming),
             Err(err) => log::warn!("event=bad_request peer={} cause={err:?}", incoming.addr),
         }
     });
@@ -279,7 +323,7 @@
 }
 
 /// Serves a stream if the peer's role may ask for it.
-fn serve_stream(roles: &Roles, req: LinkRequest, incoming: Incoming) {
+fn serve_stream(roles: &Roles, req: LinkRequest, incoming: &mut Incoming) {
     if !allowed(&req, &incoming.roles) {
         log::warn!(
             "event=role_refused peer={} roles={:?}",
@@ -291,7 +335,7 @@
     match req {
         LinkRequest::Sidecar(SidecarRequest::Call(call)) => {
             if let Some(attempts) = &roles.sidecar {
-                serve_attempt(attempts, &incoming.stream, &call);
+                serve_attempt(attempts, &mut incoming.stream, &call);
             }
         }
         LinkRequest::Members(req) => {
@@ -304,7 +348,7 @@
         }
         LinkRequest::Control(req) => {
             if let Some(control) = &roles.control {
-                let _ = incoming.stream.send(&control.serve(req, &incoming));
+                let _ = incoming.stream.send(&control.serve(req, incoming));
             }
         }
         LinkRequest::Sidecar(SidecarRequest::Inquire(id, incarnation)) => {
--- a/crates/sapphirequayd/src/request/delivery.rs
+++ b/crates/sapphirequayd/src/request/delivery.rs
@@ -1,8 +1,7 @@
 //! Writes to a caller that may go away while its call goes on.
 
 use {
-    crate::request::{Answer, RecordedAnswer, Splice, Spliced},
-    quay_types::Tokens,
+    crate::request::{Answer, RecordedAnswer, Splice, Spliced, Usage},
     std::io,
 };
 
@@ -64,14 +63,14 @@
     }
 
     /// Ends a whole answer that is recorded.
-    pub fn finish(&mut self, answer: &RecordedAnswer, prompt: Tokens, output: Tokens) {
+    pub fn finish(&mut self, answer: &RecordedAnswer, usage: Usage) {
         let spliced = write(self.answer, self.gone, self.spliced.end());
         self.heed(spliced);
         if self.gone {
             return;
         }
         let written = match answer {
-            RecordedAnswer::Text { finish, .. } => self.answer.end(*finish, prompt, output),
+            RecordedAnswer::Text { finish, .. } => self.answer.end(*finish, usage),
             RecordedAnswer::Body { status, body } => self.answer.body(*status, body),
         };
         self.heed(written);
--- a/crates/sapphirequayd/tests/groups.rs
+++ b/crates/sapphirequayd/tests/groups.rs
@@ -74,12 +74,12 @@
         listen: Some(addr),
         ..LinkSettings::new(keys.identity(LinkRole::Ledger).expect("identity"))
     };
-    let links = Links::start(link_settings, move |incoming| {
+    let links = Links::start(link_settings, move |mut incoming| {
         let accepting = Arc::clone(&accepting);
         thread::spawn(move || {
             let req = incoming.first.decode().expect("request");
             if let (Some(host), LinkRequest::Quorum(req)) = (accepting.get(), req) {
-                host.serve(req, incoming);
+                host.serve(req, &mut incoming);
             }
         });
     })
@@ -321,7 +321,7 @@
     let text = open(7, dir.path())
         .expect_err("another identity")
         .to_string();
-    assert!(text.contains("node = 7"), "{text}");
+    assert!(text.contains("[ledger] node: 7 is named"), "{text}");
 }
 
 #[test]
@@ -337,7 +337,7 @@
                 groups: 0,
                 ..LedgerSettings::default()
             },
-            "groups = 0",
+            "[ledger] groups: it is 0",
         ),
         (
             LedgerSettings {
@@ -368,11 +368,12 @@
                 peers: vec![peer(1)],
                 ..LedgerSettings::default()
             },
-            "node = 4",
+            "[ledger] node: 4 is not",
         ),
     ];
     for (settings, part) in cases {
         let text = settings.check().expect_err("refused");
+        let text = text.to_string();
         assert!(text.contains(part), "{text}");
     }
 }
