Show and change the members of a group, and read a data folder

'sapphirequay group status|add|promote|remove' asks a ledger host under an operator's key; 'sapphirequay log inspect' reads a data folder. A replica that waits to be made a learner no longer gets advice on voters that it does not know.

--- a/crates/quay_log/src/inspect.rs
+++ b/crates/quay_log/src/inspect.rs
@@ -10,6 +10,9 @@
     std::fmt,
 };
 
+/// What is said of an incomplete last frame.
+const TORN_TAIL: &str = "torn tail";
+
 /// What one file holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FileReport {
@@ -27,6 +30,15 @@
     pub fault: Option<(u64, Box<str>)>,
 }
 
+impl FileReport {
+    /// Whether the only fault is an incomplete last frame, which recovery cuts
+    /// if the file is the last segment.
+    #[must_use]
+    pub fn is_torn(&self) -> bool {
+        matches!(&self.fault, Some((_, what)) if &**what == TORN_TAIL)
+    }
+}
+
 impl fmt::Display for FileReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
@@ -93,6 +105,6 @@
         report.range = Some((first.min(index), last.max(index)));
     }
     if let End::Torn(offset) = end {
-        report.fault = Some((offset as u64, "torn tail".into()));
+        report.fault = Some((offset as u64, TORN_TAIL.into()));
     }
 }
--- a/crates/quay_quorum/src/placement.rs
+++ b/crates/quay_quorum/src/placement.rs
@@ -39,12 +39,13 @@
     }
 }
 
-/// Checks the places of the voters.
+/// Checks the places of the voters. A replica that waits to be made a learner
+/// knows none, and gets no advice.
 #[must_use]
 pub fn placement(members: &Membership) -> Vec<Advice> {
     let voters = members.voters.len();
     let mut advice = Vec::new();
-    if voters < LEAST_VOTERS {
+    if (1..LEAST_VOTERS).contains(&voters) {
         advice.push(Advice::TooFew(voters));
     }
     if voters > 0 && voters.is_multiple_of(2) {
--- a/crates/quay_quorum/tests/replica.rs
+++ b/crates/quay_quorum/tests/replica.rs
@@ -226,6 +226,7 @@
 #[test]
 fn placement_names_what_a_lost_data_centre_takes_along() {
     assert_eq!(placement(&three()), []);
+    assert_eq!(placement(&Membership::default()), []);
     let two_in_one = Membership::of_voters([member(1, "a"), member(2, "a"), member(3, "b")]);
     let data_centre = "a".into();
     assert_eq!(
--- a/crates/sapphirequay/src/main.rs
+++ b/crates/sapphirequay/src/main.rs
@@ -2,7 +2,9 @@
 
 mod demo;
 mod experiment;
+mod group;
 mod keys;
+mod log;
 
 use {
     gumdrop::Options,
@@ -25,8 +27,12 @@
     Demo(DemoArgs),
     #[options(help = "run a seeded experiment over the decision logic")]
     Experiment(experiment::ExperimentArgs),
+    #[options(help = "show and change the members of a replicated group")]
+    Group(group::GroupArgs),
     #[options(help = "make keys for development")]
     Keys(KeysArgs),
+    #[options(help = "read the data folder of a ledger host")]
+    Log(log::LogArgs),
 }
 
 /// Arguments of `demo`.
@@ -83,6 +89,8 @@
     match args.command {
         Some(Command::Demo(_)) => demo::run(),
         Some(Command::Experiment(args)) => experiment::run(args),
+        Some(Command::Group(args)) => group::run(args),
+        Some(Command::Log(args)) => log::run(args),
         Some(Command::Keys(KeysArgs {
             command: Some(KeysCommand::Init(init)),
             ..
