--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -377,7 +377,7 @@
         }
         LinkRequest::Quorum(req) => {
             if let Some(groups) = &roles.groups {
-                groups.serve(req, incoming);
+                groups.serve(req, &mut incoming);
             }
         }
         LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) => {}
--- a/crates/sapphirequayd/src/process/group/host.rs
+++ b/crates/sapphirequayd/src/process/group/host.rs
@@ -12,7 +12,7 @@
     },
     crate::{
         process::{Clock, Mailbox, spawn},
-        settings::LedgerSettings,
+        settings::{LedgerSettings, Problem},
     },
     indexmap::IndexMap,
     quay_link::{Incoming, Links},
@@ -223,7 +223,7 @@
     // Streams from peers and operators
 
     /// Serves a stream about a group until it ends.
-    pub fn serve(&self, req: QuorumRequest, incoming: Incoming) {
+    pub fn serve(&self, req: QuorumRequest, incoming: &mut Incoming) {
         let group = match &req {
             QuorumRequest::Peer { group, .. }
             | QuorumRequest::Status(group)
@@ -300,7 +300,7 @@
 }
 
 /// Hands a replica the messages of a peer until the stream ends.
-fn receive(inlet: &Inlet, from: NodeId, addr: SocketAddr, mut incoming: Incoming) {
+fn receive(inlet: &Inlet, from: NodeId, addr: SocketAddr, incoming: &mut Incoming) {
     let take = |message: Message| {
         inlet(Inbound::Peer(GroupEvent::Peer {
             from,
@@ -354,11 +354,13 @@
     let log_error = |err| GroupStartError::Log(data.clone(), err);
     if let Some(node) = storage::read_identity(&folder).map_err(log_error)? {
         if settings.node != 0 && settings.node != node.0 {
-            let text = format!(
-                "node = {}, but the data folder is that of {node}",
+            let message = format!(
+                "{} is named, but the data folder is that of {node}",
                 settings.node
             );
-            return Err(GroupStartError::Settings(text.into()));
+            return Err(GroupStartError::Settings(Problem::new(
+                "ledger", "node", message,
+            )));
         }
         if settings.bootstrap {
             log::warn!(
