Run stand-ins as processes, and measure load

The stand-in engine puts the engine model behind HTTP: batches, prefix cache, late cache events and load, orders under fence numbers, KV export and import, resume by token, cancel, silence and crashes. A plain service counts what it runs; a weight store keeps to its rate. sapphirequay load runs programs, or both ways of calling an engine side by side.

--- a/crates/quay_standin/src/engine/http.rs
+++ b/crates/quay_standin/src/engine/http.rs
@@ -1,7 +1,10 @@
 //! HTTP of a stand-in engine.
 
 use {
-    crate::engine::stream::{Stream, Streams},
+    crate::engine::{
+        control,
+        stream::{Stream, Streams},
+    },
     serde_json::{Value, json},
     std::{
         io::{self, Write},
@@ -12,9 +15,6 @@
     tiny_http::{Method, Request, Response},
 };
 
-/// Bytes of prompt that count as one token.
-const BYTES_PER_TOKEN: usize = 4;
-
 /// Time for which a silent connection is held open.
 const SILENCE: Duration = Duration::from_mins(2);
 
@@ -57,11 +57,25 @@
                 }
                 None => req.respond(Response::empty(404)),
             },
-            _ => req.respond(Response::empty(404)),
+            _ => control(streams, req),
         },
     }
 }
 
+/// Serves what only a modelled engine knows.
+fn control(streams: &Streams, mut req: Request) -> io::Result<()> {
+    let mut body = Vec::new();
+    req.as_reader().read_to_end(&mut body)?;
+    let method = req.method().to_string();
+    let answer = streams
+        .driver()
+        .and_then(|driver| control::serve(driver, &method, req.url(), &body));
+    let Some((status, answer)) = answer else {
+        return req.respond(Response::empty(404));
+    };
+    req.respond(Response::from_string(answer.to_string()).with_status_code(status))
+}
+
 /// The value of a header.
 fn header(req: &mut Request, name: &'static str) -> Option<String> {
     let header = req.headers().iter().find(|header| header.field.equiv(name));
@@ -78,10 +92,9 @@
         drop(req.into_writer());
         return Ok(());
     }
-    let prompt = messages.len().div_ceil(BYTES_PER_TOKEN) as u64;
     let id = header(&mut req, "Sapphirequay-Stream");
     let id = id.unwrap_or_else(|| format!("own-{}", streams.counts().started));
-    let stream = streams.start(&id, prompt, body["max_tokens"].as_u64());
+    let stream = streams.start(&id, &messages, body["max_tokens"].as_u64());
     follow(streams, &stream, 0, req)
 }
 
@@ -96,6 +109,9 @@
     let mut written = from;
     loop {
         let standing = stream.wait_beyond(written);
+        if standing.crashed {
+            streams.crash();
+        }
         if streams.crashed() || streams.silence_number() != silence {
             return hold(streams);
         }
@@ -103,13 +119,13 @@
             return finish(&mut out);
         }
         while written < standing.tokens {
-            let text = format!("word{written} ");
+            let text = streams.word(written);
             written += 1;
             let delta = json!({"choices": [{"index": 0, "delta": {"content": text}}]});
             event(&mut out, written, &delta)?;
         }
         if standing.done && written >= stream.tokens {
-            return end(&mut out, stream);
+            return end(&mut out, stream, standing.cached);
         }
     }
 }
@@ -125,11 +141,14 @@
 }
 
 /// Writes the end of an answer.
-fn end(out: &mut impl Write, stream: &Stream) -> io::Result<()> {
+fn end(out: &mut impl Write, stream: &Stream, cached: u64) -> io::Result<()> {
     let finish_reason = if stream.limited { "length" } else { "stop" };
     let last = json!({
         "choices": [{"index": 0, "delta": {}, "finish_reason": finish_reason}],
-        "usage": {"prompt_tokens": stream.prompt, "completion_tokens": stream.tokens},
+        "usage": {
+            "prompt_tokens": stream.prompt, "completion_tokens": stream.tokens,
+            "prompt_tokens_details": {"cached_tokens": cached},
+        },
     });
     event(out, stream.tokens, &last)?;
     chunk(out, "data: [DONE]\n\n")?;
--- a/crates/quay_standin/src/engine/mod.rs
+++ b/crates/quay_standin/src/engine/mod.rs
@@ -1,9 +1,12 @@
 //! A model engine behind HTTP that streams a made-up answer.
 
+mod control;
+mod driver;
 mod http;
 mod stream;
 
 use {
+    crate::model::ModelSettings,
     http::serve,
     std::{
         io,
@@ -32,6 +35,12 @@
     pub poison: Option<Box<str>>,
     /// Whether a crash ends the process.
     pub crash_exits: bool,
+    /// Whether the text of a token is the time at which it was written, in
+    /// microseconds since the Unix epoch: `us1764800000000000 `.
+    pub stamps: bool,
+    /// Costs and sizes of a modelled engine that batches continuously and has a
+    /// prefix cache; without them `prefill` and `token_gap` are all there is.
+    pub model: Option<ModelSettings>,
 }
 
 impl Default for EngineSettings {
@@ -42,6 +51,8 @@
             answer_tokens: 16,
             poison: None,
             crash_exits: false,
+            stamps: false,
+            model: None,
         }
     }
 }
@@ -76,7 +87,7 @@
         let listener = TcpListener::bind(listen)?;
         let addr = listener.local_addr()?;
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-        let streams = Arc::new(Streams::new(settings));
+        let streams = Arc::new(Streams::new(settings)?);
         let accepting = Arc::clone(&streams);
         thread::Builder::new()
             .name("engine".into())
--- a/crates/quay_standin/src/engine/stream.rs
+++ b/crates/quay_standin/src/engine/stream.rs
@@ -1,19 +1,26 @@
 //! Answers in progress, which outlive the connections that read them.
 
 use {
-    crate::engine::{EngineCounts, EngineSettings},
+    crate::{
+        engine::{EngineCounts, EngineSettings, driver::Driver},
+        model::JobId,
+    },
     indexmap::IndexMap,
+    quay_types::block_hashes,
     std::{
-        process,
+        io, process,
         sync::{
             Arc, Condvar, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         thread,
-        time::Duration,
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
 };
 
+/// Bytes of prompt that count as one token.
+const BYTES_PER_TOKEN: usize = 4;
+
 /// Exit code of an engine that crashed on purpose.
 const CRASHED: i32 = 70;
 
@@ -32,6 +39,10 @@
     pub done: bool,
     /// Whether it was cancelled.
     pub cancelled: bool,
+    /// Whether the engine crashed before it was whole.
+    pub crashed: bool,
+    /// Prompt tokens found in the prefix cache.
+    pub cached: u64,
 }
 
 /// One answer.
@@ -45,6 +56,8 @@
     pub limited: bool,
     standing: Mutex<Standing>,
     moved: Condvar,
+    /// Its job, if the engine is modelled.
+    job: Mutex<Option<JobId>>,
 }
 
 impl Stream {
@@ -56,7 +69,7 @@
     /// Waits for more than `tokens` tokens or the end, for a while.
     pub fn wait_beyond(&self, tokens: u64) -> Standing {
         let standing = self.standing();
-        if standing.tokens > tokens || standing.done || standing.cancelled {
+        if standing.tokens > tokens || standing.done || standing.cancelled || standing.crashed {
             return *standing;
         }
         let waited = self.moved.wait_timeout(standing, LOOK_EVERY);
@@ -64,7 +77,7 @@
     }
 
     /// Changes where the answer stands and wakes its readers.
-    fn change(&self, change: impl FnOnce(&mut Standing)) {
+    pub fn change(&self, change: impl FnOnce(&mut Standing)) {
         change(&mut self.standing());
         self.moved.notify_all();
     }
@@ -74,6 +87,7 @@
 #[derive(Debug)]
 pub struct Streams {
     settings: EngineSettings,
+    driver: Option<Arc<Driver>>,
     known: Mutex<IndexMap<Box<str>, Arc<Stream>>>,
     /// Rises when open connections fall silent.
     silence: AtomicU64,
@@ -85,16 +99,36 @@
 
 impl Streams {
     /// No answers yet.
-    pub fn new(settings: EngineSettings) -> Self {
-        Self {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system gives no thread.
+    pub fn new(settings: EngineSettings) -> io::Result<Self> {
+        let driver = settings.model.map(Driver::start).transpose()?;
+        Ok(Self {
             settings,
+            driver,
             known: Mutex::default(),
             silence: AtomicU64::new(0),
             crashed: AtomicBool::new(false),
             started: AtomicU64::new(0),
             resumed: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
+        })
+    }
+
+    /// Text of the token after `written` others.
+    pub fn word(&self, written: u64) -> String {
+        if !self.settings.stamps {
+            return format!("word{written} ");
         }
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        format!("us{} ", now.unwrap_or_default().as_micros())
+    }
+
+    /// The modelled engine, if there is one.
+    pub fn driver(&self) -> Option<&Driver> {
+        self.driver.as_deref()
     }
 
     /// Locks the answers.
@@ -103,7 +137,7 @@
     }
 
     /// Begins an answer, or finds the one that `id` began before.
-    pub fn start(self: &Arc<Self>, id: &str, prompt: u64, limit: Option<u64>) -> Arc<Stream> {
+    pub fn start(self: &Arc<Self>, id: &str, prompt: &str, limit: Option<u64>) -> Arc<Stream> {
         let mut streams = self.known();
         if let Some(stream) = streams.get(id) {
             return Arc::clone(stream);
@@ -111,22 +145,44 @@
         let whole = self.settings.answer_tokens;
         let tokens = limit.map_or(whole, |limit| whole.min(limit));
         let stream = Arc::new(Stream {
-            prompt,
+            prompt: prompt.len().div_ceil(BYTES_PER_TOKEN) as u64,
             tokens,
             limited: tokens < whole,
             standing: Mutex::default(),
             moved: Condvar::new(),
+            job: Mutex::default(),
         });
         if streams.len() >= KEPT {
             streams.shift_remove_index(0);
         }
         streams.insert(id.into(), Arc::clone(&stream));
         self.started.fetch_add(1, Ordering::Relaxed);
-        let (engine, generated) = (Arc::clone(self), Arc::clone(&stream));
-        thread::spawn(move || engine.generate(&generated));
+        drop(streams);
+        self.run(&stream, prompt);
         stream
     }
 
+    /// Has the tokens of an answer made.
+    fn run(self: &Arc<Self>, stream: &Arc<Stream>, prompt: &str) {
+        let poison = self.is_poison(prompt);
+        let Some(driver) = &self.driver else {
+            let (engine, generated) = (Arc::clone(self), Arc::clone(stream));
+            thread::spawn(move || engine.generate(&generated));
+            return;
+        };
+        let job = driver.submit(stream, &block_hashes(prompt.as_bytes()), poison);
+        *stream.job.lock().unwrap_or_else(PoisonError::into_inner) = job;
+        if job.is_none() {
+            stream.change(|standing| standing.cancelled = true);
+        }
+    }
+
+    /// Whether a prompt crashes the engine.
+    fn is_poison(&self, prompt: &str) -> bool {
+        let poison = self.settings.poison.as_deref();
+        poison.is_some_and(|poison| prompt.contains(poison))
+    }
+
     /// Generates the tokens of one answer.
     fn generate(&self, stream: &Stream) {
         thread::sleep(self.settings.prefill);
@@ -153,6 +209,10 @@
         let Some(stream) = self.known().get(id).cloned() else {
             return false;
         };
+        let job = *stream.job.lock().unwrap_or_else(PoisonError::into_inner);
+        if let (Some(driver), Some(job)) = (&self.driver, job) {
+            driver.cancel(job);
+        }
         stream.change(|standing| {
             if !standing.done && !standing.cancelled {
                 standing.cancelled = true;
@@ -187,8 +247,7 @@
 
     /// Crashes if `prompt` is poison.
     pub fn swallow(&self, prompt: &str) {
-        let poison = self.settings.poison.as_deref();
-        if poison.is_some_and(|poison| prompt.contains(poison)) {
+        if self.is_poison(prompt) {
             self.crash();
         }
     }
--- a/crates/quay_standin/src/lib.rs
+++ b/crates/quay_standin/src/lib.rs
@@ -1,4 +1,5 @@
-//! Small stand-ins of the systems that sapphirequay meets: a model engine.
+//! Small stand-ins of the systems that sapphirequay meets: a model engine, a
+//! plain service and a weight store.
 //!
 //! They serve real HTTP on loopback, so that the daemon is met through the same
 //! protocol as in production.
@@ -12,5 +13,11 @@
 
 mod engine;
 pub mod model;
+mod service;
+mod weights;
 
-pub use engine::{Engine, EngineCounts, EngineSettings};
+pub use {
+    engine::{Engine, EngineCounts, EngineSettings},
+    service::{Service, ServiceSettings},
+    weights::Weights,
+};
--- a/crates/sapphirequay/src/main.rs
+++ b/crates/sapphirequay/src/main.rs
@@ -3,6 +3,8 @@
 mod demo;
 mod experiment;
 mod keys;
+mod load;
+mod stand_in;
 
 use {
     gumdrop::Options,
@@ -27,6 +29,10 @@
     Experiment(experiment::ExperimentArgs),
     #[options(help = "make keys for development")]
     Keys(KeysArgs),
+    #[options(help = "run programs against running entries and measure them")]
+    Load(load::LoadArgs),
+    #[options(help = "run a stand-in of an engine, a service or a weight store")]
+    StandIn(stand_in::StandInArgs),
 }
 
 /// Arguments of `demo`.
@@ -83,6 +89,8 @@
     match args.command {
         Some(Command::Demo(_)) => demo::run(),
         Some(Command::Experiment(args)) => experiment::run(args),
+        Some(Command::Load(args)) => load::run(&args),
+        Some(Command::StandIn(args)) => stand_in::run(args),
         Some(Command::Keys(KeysArgs {
             command: Some(KeysCommand::Init(init)),
             ..
