Release memory of a program that ends while a call of it runs

The release now waits for the last call. The test that expected a release in the midst of a call is replaced by two: released at once when idle, and after the last call otherwise.

--- a/crates/quay_experiment/src/faults/calls/callers.rs
+++ b/crates/quay_experiment/src/faults/calls/callers.rs
@@ -6,8 +6,9 @@
         calls::{
             entry::Request,
             truth::{Call, Told},
-            world::{BUDGET, CALLS, CallWorld, PROGRAMS, account, answer_of, chance, draw},
+            world::{BUDGET, CALLS, CallWorld, PROGRAMS, account, answer_of},
         },
+        chance::{chance, draw},
     },
     quay_ledger::{Op, Reply},
     quay_types::{NewProgram, ProgramId, ProgramLimits, RequestKey, Tokens},
--- a/crates/quay_experiment/src/faults/calls/faults.rs
+++ b/crates/quay_experiment/src/faults/calls/faults.rs
@@ -3,7 +3,8 @@
 use {
     crate::faults::{
         Promise, Score,
-        calls::world::{CallWorld, Message, SIDECARS, chance, draw, freeze},
+        calls::world::{CallWorld, Message, SIDECARS, freeze},
+        chance::{chance, draw},
     },
     quay_ledger::{Ledger, LedgerLimits},
     quay_quorum::StateMachine as _,
--- a/crates/quay_experiment/src/faults/calls/requests.rs
+++ b/crates/quay_experiment/src/faults/calls/requests.rs
@@ -7,9 +7,10 @@
             entry::{Request, Waits},
             truth::Told,
             world::{
-                CallWorld, MAX_ATTEMPTS, Message, PATIENCE, SIDECARS, Stream, account, draw, key_of,
+                CallWorld, MAX_ATTEMPTS, Message, PATIENCE, SIDECARS, Stream, account, key_of,
             },
         },
+        chance::draw,
     },
     quay_ledger::{Op, Reply},
     quay_types::{
--- a/crates/quay_experiment/src/faults/calls/upstreams.rs
+++ b/crates/quay_experiment/src/faults/calls/upstreams.rs
@@ -9,9 +9,9 @@
             truth::Told,
             world::{
                 BUDGET, CONFIRM_LIMIT, CallWorld, Message, SILENCE, Stream, answer_of, call_of,
-                chance, draw,
             },
         },
+        chance::{chance, draw},
     },
     quay_types::{CallEvent, Outcome, Permit, Tokens},
     rand_chacha::ChaCha8Rng,
--- a/crates/quay_experiment/src/faults/calls/wire.rs
+++ b/crates/quay_experiment/src/faults/calls/wire.rs
@@ -3,7 +3,8 @@
 use {
     crate::faults::{
         Promise, Score,
-        calls::world::{CallWorld, Message, Stream, chance, draw},
+        calls::world::{CallWorld, Message, Stream},
+        chance::{chance, draw},
     },
     quay_ledger::{Command, Op, Reply},
     quay_quorum::StateMachine as _,
--- a/crates/quay_policy/src/retain.rs
+++ b/crates/quay_policy/src/retain.rs
@@ -58,6 +58,8 @@
     running: u32,
     idle_since: Time,
     exported: bool,
+    /// Whether the program has ended while a call of it ran.
+    ended: bool,
 }
 
 /// KV memory of the programs at one upstream.
@@ -109,6 +111,7 @@
             running: 0,
             idle_since: now,
             exported: false,
+            ended: false,
         });
         if held.running == 0 {
             let pause = now.since(held.idle_since);
@@ -130,18 +133,28 @@
         if held.running > 0 {
             return None;
         }
+        if held.ended {
+            self.programs.swap_remove(&program);
+            return Some(RetentionAction::Release(program));
+        }
         held.idle_since = now;
         let export = !self.cfg.export_after.is_zero() && self.pause >= self.cfg.export_after;
         held.exported = export;
         export.then_some(RetentionAction::Export(program))
     }
 
-    /// A program has ended.
+    /// A program has ended. What a running call still uses is released when the
+    /// call has ended too.
     pub fn ended(&mut self, program: ProgramId) -> Option<RetentionAction> {
         if !self.cfg.release {
             return None;
         }
-        self.programs.swap_remove(&program)?;
+        let held = self.programs.get_mut(&program)?;
+        if held.running > 0 {
+            held.ended = true;
+            return None;
+        }
+        self.programs.swap_remove(&program);
         Some(RetentionAction::Release(program))
     }
 
--- a/crates/quay_policy/tests/guards.rs
+++ b/crates/quay_policy/tests/guards.rs
@@ -51,6 +51,8 @@
     assert_eq!(paused, Some(RetentionAction::Export(program)));
     let again = retention.started(Time::from_millis(2_000), program);
     assert_eq!(again, [RetentionAction::Import(program)]);
+    let paused = retention.paused(Time::from_millis(2_100), program);
+    assert_eq!(paused, Some(RetentionAction::Export(program)));
     assert_eq!(
         retention.ended(program),
         Some(RetentionAction::Release(program))
@@ -58,6 +60,25 @@
     assert_eq!(retention.ended(program), None);
 }
 
+#[test]
+fn kv_of_a_program_that_ends_while_a_call_runs_is_released_after_the_call() {
+    let mut retention = Retention::new(RetentionSettings::default());
+    let program = ProgramId::root(1);
+    retention.started(Time::ZERO, program);
+    retention.started(Time::ZERO, program);
+    assert_eq!(
+        retention.ended(program),
+        None,
+        "calls still fill its memory"
+    );
+    assert_eq!(retention.paused(Time::from_millis(100), program), None);
+    assert_eq!(
+        retention.paused(Time::from_millis(200), program),
+        Some(RetentionAction::Release(program))
+    );
+    assert!(retention.is_empty());
+}
+
 #[test]
 fn an_end_that_was_never_heard_is_found_by_the_sweep() {
     let mut retention = Retention::new(RetentionSettings::default());
