Kill ledger hosts too, and promise "not run" for every send or not at all

Cause: the process tests ran over a ledger in memory. Over three hosts with files they showed, and reading for it showed further, refusals that spoke for the last send only: an entry that had just started told a resend of a running order config_stale, not_run true; a refused resend of a lost attempt was told so too. And a resend after all ledger hosts were restarted was told unknown although its sidecar, not yet in the rebuilt directory, had the answer.

An error now carries whether an earlier send may have run. Refusals of the moment that come before the ledger is asked carry it wherever the caller named a key; the ledger sets it for calls with an attempt that may have run. A sidecar that can't be found is waited for longer than the directory takes to be rebuilt.

Conclusion: what a ledger acknowledged outlives each of its hosts and all of them together.

--- a/crates/quay_ledger/src/calls.rs
+++ b/crates/quay_ledger/src/calls.rs
@@ -53,7 +53,14 @@
         self.owned(id, begin.account)?;
         match self.find(&begin)? {
             Found::Closed(outcome) => Ok(BeginReply::Replay(outcome)),
-            Found::Open => self.next_attempt(at, &begin),
+            Found::Open => self.next_attempt(at, &begin).map_err(|err| {
+                let program = &self.state.programs[&begin.program];
+                if program.open_may_have_run() {
+                    err.sent_before()
+                } else {
+                    err
+                }
+            }),
             Found::Nothing => self.next_call(at, begin),
         }
     }
@@ -200,6 +207,7 @@
             epoch: at.epoch,
             reserved: begin.reserve,
         };
+        let idempotent = open.idempotent;
         open.attempts += 1;
         open.live = Some(permit);
         open.given_up = false;
@@ -208,6 +216,7 @@
             permit,
             number,
             attained,
+            idempotent,
         }
     }
 
--- a/crates/quay_ledger/tests/calls.rs
+++ b/crates/quay_ledger/tests/calls.rs
@@ -123,6 +123,24 @@
     assert_eq!(bench.show(ROOT).calls.len(), 2);
 }
 
+#[test]
+fn a_refused_resend_of_what_may_have_run_is_no_not_run() {
+    let mut bench = Bench::with_root(limits(150));
+    let first = bench.go(call(1));
+    bench.settle(first, Outcome::NotRun);
+    let nowhere = Begin {
+        upstream: (UpstreamId(0), Incarnation(0)),
+        ..call(1)
+    };
+    let not_run = |reply| matches!(reply, BeginReply::Refused(err) if err.not_run());
+    assert!(not_run(bench.begin(nowhere)));
+    let lost = bench.go(call(1));
+    bench.settle(lost, Outcome::Unknown);
+    // The lost attempt's tokens are still set aside, and it may still run.
+    assert_eq!(bench.refusal(call(1)), ErrorKind::BudgetExceeded);
+    assert!(!not_run(bench.begin(call(1))));
+}
+
 #[test]
 fn an_answer_under_a_permit_given_back_is_refused() {
     let mut bench = Bench::with_root(limits(1_000));
--- a/crates/quay_types/src/error.rs
+++ b/crates/quay_types/src/error.rs
@@ -125,6 +125,9 @@
     pub message: Box<str>,
     /// Overrides the kind's default when something better is known.
     pub retry_after: Option<Duration>,
+    /// Whether an earlier send of the same request may have run; nobody then
+    /// promises that it did not, whatever the kind says of this send.
+    pub sent_before: bool,
 }
 
 impl Error {
@@ -135,6 +138,7 @@
             kind,
             message: message.into(),
             retry_after: None,
+            sent_before: false,
         }
     }
 
@@ -147,6 +151,21 @@
         }
     }
 
+    /// Notes that an earlier send of the same request may have run.
+    #[must_use]
+    pub fn sent_before(self) -> Self {
+        Self {
+            sent_before: true,
+            ..self
+        }
+    }
+
+    /// Whether the request truly never ran, by no send of it.
+    #[must_use]
+    pub const fn not_run(&self) -> bool {
+        self.kind.not_run() && !self.sent_before
+    }
+
     /// Seconds for the `Retry-After` header, rounded up.
     #[must_use]
     pub fn retry_after_s(&self) -> Option<u32> {
--- a/crates/quay_types/src/ledger.rs
+++ b/crates/quay_types/src/ledger.rs
@@ -89,6 +89,8 @@
         number: CallNumber,
         /// Tokens used by the program so far.
         attained: Tokens,
+        /// Whether the call may run more than once, as its first send said.
+        idempotent: bool,
     },
     /// An earlier call is open; ask again after the given milliseconds.
     Wait(u32),
--- a/crates/sapphirequayd/src/connection/answer.rs
+++ b/crates/sapphirequayd/src/connection/answer.rs
@@ -90,7 +90,7 @@
 pub fn error_json(err: &Error) -> Value {
     json!({"error": {
         "kind": err.kind.name(), "type": err.kind.name(), "code": err.kind.name(),
-        "message": err.message, "not_run": err.kind.not_run(),
+        "message": err.message, "not_run": err.not_run(),
     }})
 }
 
--- a/crates/sapphirequayd/src/connection/body.rs
+++ b/crates/sapphirequayd/src/connection/body.rs
@@ -75,6 +75,7 @@
 
 /// Answers a request whose body may be unread.
 pub fn refuse(req: Request, number: u64, err: &Error) -> io::Result<()> {
+    let err = &of_resend(&req, err);
     match req.body_length() {
         None if is_chunked(&req) => write_last_error(&mut req.into_writer(), number, err),
         None => write_error(&mut req.into_writer(), number, err),
@@ -90,6 +91,17 @@
     }
 }
 
+/// The error as a request that may be a resend is told it. A refusal of the
+/// moment comes before the ledger is asked, so nothing is known of a named key.
+fn of_resend(req: &Request, err: &Error) -> Error {
+    let mut headers = req.headers().iter();
+    let key_named = headers.any(|header| header.field.equiv("Idempotency-Key"));
+    if key_named && err.kind.retry_after_s().is_some() {
+        return err.clone().sent_before();
+    }
+    err.clone()
+}
+
 /// Whether the body has no length. Where an unread one ends is unknown, so the
 /// connection can't be used again.
 fn is_chunked(req: &Request) -> bool {
--- a/crates/sapphirequayd/src/connection/programs.rs
+++ b/crates/sapphirequayd/src/connection/programs.rs
@@ -171,9 +171,7 @@
         CallTarget::Model(model) => model.0,
         CallTarget::Service(service) => service.0,
     };
-    // The same key with another flag is another request.
-    let flags = [u8::from(headers.idempotent)];
-    let digest = ContentDigest::of(&[&target.to_le_bytes(), &flags, content.sent]);
+    let digest = ContentDigest::of(&[&target.to_le_bytes(), content.sent]);
     CallOrder {
         request: CallRequest {
             permit: None,
--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -40,6 +40,11 @@
 /// whoever asks about it.
 const SETTLE_GRACE: Duration = Duration::from_secs(2);
 
+/// A sidecar that is not announced, or does not answer, for so long is taken
+/// for gone. Longer than a directory takes to be rebuilt after its hosts were
+/// lost.
+const GONE_GRACE: Duration = Duration::from_secs(8);
+
 /// Where the answer goes, in the form that the caller asked for.
 pub trait Answer {
     /// Passes part of the answer on.
@@ -127,6 +132,8 @@
     tried: Vec<UpstreamId>,
     /// Attempts that may have run without a whole answer.
     lost: usize,
+    /// Whether the call may run more than once, as its first send said.
+    idempotent: bool,
     /// Why the last attempt was refused.
     refusal: Option<Error>,
     /// Whether an attempt that another entry began may still run.
@@ -151,6 +158,7 @@
         delivery: Delivery::new(answer),
         tried: Vec::new(),
         lost: 0,
+        idempotent: order.request.idempotent,
         refusal: None,
         joined: false,
         waiting_since: None,
@@ -191,10 +199,16 @@
         let went = match (reply, &pick) {
             (
                 Ok(BeginReply::Go {
-                    permit, attained, ..
+                    permit,
+                    attained,
+                    idempotent,
+                    ..
                 }),
                 Some(pick),
-            ) => self.attempt(pick, permit, attained),
+            ) => {
+                self.idempotent = idempotent;
+                self.attempt(pick, permit, attained)
+            }
             (Ok(reply), _) => self.heed(reply),
             (Err(fault), _) => Err(self.without_ledger(fault)),
         };
@@ -265,6 +279,7 @@
         request.permit = Some(permit);
         request.incarnation = pick.incarnation;
         request.attained = attained;
+        request.idempotent = self.idempotent;
         request.deadline_ms = u64::try_from(self.order.left().as_millis()).unwrap_or(u64::MAX);
         self.delivery.next_attempt();
         let end = run_attempt(
@@ -336,7 +351,7 @@
         if let Some(stands) = self.settle(permit, Outcome::Unknown)? {
             return self.replay(stands).map(|()| true);
         }
-        if !self.order.request.idempotent {
+        if !self.idempotent {
             return Err(unknown_outcome());
         }
         if self.tried.len() >= MAX_ATTEMPTS {
@@ -369,7 +384,8 @@
             // Its entry may still be about to settle it.
             known => {
                 let since = *self.ended_since.get_or_insert_with(Instant::now);
-                if since.elapsed() >= SETTLE_GRACE {
+                let grace = known.as_ref().map_or(GONE_GRACE, |_| SETTLE_GRACE);
+                if since.elapsed() >= grace {
                     self.ended_since = None;
                     return self.settle_for_another(permit, known);
                 }
@@ -479,7 +495,7 @@
                 log::warn!("event=give_up_unheard program={program} key={key}");
             }
         }
-        if self.lost > 0 && err.kind.not_run() {
+        if self.lost > 0 && err.not_run() {
             return Error::new(
                 ErrorKind::UpstreamLost,
                 format!("an attempt was lost, then: {err}"),
--- a/crates/sapphirequayd/tests/common/processes.rs
+++ b/crates/sapphirequayd/tests/common/processes.rs
@@ -1,7 +1,7 @@
 //! Daemons as processes that a test may kill.
 
 use {
-    super::any_port,
+    super::{any_port, document},
     quay_link::DevelopmentKeys,
     std::{
         fs,
@@ -15,12 +15,23 @@
 /// What a process does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
-    Ledger,
+    Ledger(usize),
     Entry(usize),
     Sidecar,
 }
 
-/// One ledger, two entries and the sidecar of a service.
+impl Role {
+    const ALL: [Self; 6] = [
+        Self::Ledger(0),
+        Self::Ledger(1),
+        Self::Ledger(2),
+        Self::Sidecar,
+        Self::Entry(0),
+        Self::Entry(1),
+    ];
+}
+
+/// Three ledgers with their files, two entries and the sidecar of a service.
 pub struct Processes {
     pub entries: [SocketAddr; 2],
     children: Vec<(Role, Child)>,
@@ -39,49 +50,80 @@
     listener.local_addr().expect("address")
 }
 
-/// The table of links.
-fn link(listen: SocketAddr, ledger: SocketAddr, keys: &Path) -> String {
-    format!(
-        "[link]\nlisten = \"{listen}\"\nledgers = [\"{ledger}\"]\nkeys = \"{}\"\n",
-        keys.display()
-    )
+/// Addresses of every process, and the folder of all files.
+struct Plan<'a> {
+    service: SocketAddr,
+    ledgers: [SocketAddr; 3],
+    entries: [SocketAddr; 2],
+    folder: &'a Path,
 }
 
-impl Processes {
-    pub const ROLES: [Role; 4] = [Role::Ledger, Role::Sidecar, Role::Entry(0), Role::Entry(1)];
+impl Plan<'_> {
+    /// Settings of one process.
+    fn settings(&self, role: Role) -> String {
+        let (listen, table) = match role {
+            Role::Ledger(slot) => (self.ledgers[slot], self.ledger(slot)),
+            Role::Sidecar => (free_udp(), self.sidecar()),
+            Role::Entry(slot) => (free_udp(), self.entry(slot)),
+        };
+        let ledgers = self.ledgers.map(|addr| addr.to_string());
+        format!(
+            "[process]\nname = \"{role:?}\"\ndata_centre = \"dc-1\"\n\
+            [link]\nlisten = \"{listen}\"\nledgers = {ledgers:?}\nkeys = \"{}\"\n{table}",
+            self.folder.join("keys").display()
+        )
+    }
+
+    fn ledger(&self, slot: usize) -> String {
+        let peers = self.ledgers.iter().zip(1..).map(|(addr, node)| {
+            format!(
+                "[[ledger.peers]]\nnode = {node}\naddr = \"{addr}\"\ndata_centre = \"dc-{node}\"\n"
+            )
+        });
+        format!(
+            "[ledger]\ndata = \"{}\"\nnode = {}\nbootstrap = true\ndocument = \"{}\"\n{}",
+            self.folder.join(format!("data-{slot}")).display(),
+            slot + 1,
+            self.folder.join("first.toml").display(),
+            peers.collect::<String>()
+        )
+    }
 
+    fn sidecar(&self) -> String {
+        format!(
+            "[sidecar]\nupstream = \"orders-1\"\naddr = \"{}\"\nservice = \"orders\"\n",
+            self.service
+        )
+    }
+
+    fn entry(&self, slot: usize) -> String {
+        format!("[entry]\nlisten = \"{}\"\n", self.entries[slot])
+    }
+}
+
+impl Processes {
     pub fn start(service: SocketAddr) -> Self {
         let folder = TempDir::new().expect("folder");
-        let keys = folder.path().join("keys");
         let made = DevelopmentKeys::generate().expect("keys");
-        made.write(&keys, &["operator"]).expect("keys");
-        let document = folder.path().join("first.toml");
-        fs::write(&document, super::document(&[("a", "key-a")])).expect("document");
-        let ledger = free_udp();
-        let entries = [free_tcp(), free_tcp()];
-        for role in Self::ROLES {
-            let listen = if role == Role::Ledger {
-                ledger
-            } else {
-                free_udp()
-            };
-            let name = format!("[process]\nname = \"{role:?}\"\ndata_centre = \"dc-1\"\n");
-            let table = match role {
-                Role::Ledger => format!("[ledger]\ndocument = \"{}\"\n", document.display()),
-                Role::Sidecar => format!(
-                    "[sidecar]\nupstream = \"orders-1\"\naddr = \"{service}\"\nservice = \"orders\"\n"
-                ),
-                Role::Entry(slot) => format!("[entry]\nlisten = \"{}\"\n", entries[slot]),
-            };
-            let text = format!("{name}{}{table}", link(listen, ledger, &keys));
-            fs::write(file(folder.path(), role), text).expect("settings");
+        made.write(&folder.path().join("keys"), &["operator"])
+            .expect("keys");
+        let first = document(&[("a", "key-a")]);
+        fs::write(folder.path().join("first.toml"), first).expect("document");
+        let plan = Plan {
+            service,
+            ledgers: [free_udp(), free_udp(), free_udp()],
+            entries: [free_tcp(), free_tcp()],
+            folder: folder.path(),
+        };
+        for role in Role::ALL {
+            fs::write(file(folder.path(), role), plan.settings(role)).expect("settings");
         }
         let mut processes = Self {
-            entries,
+            entries: plan.entries,
             children: Vec::new(),
             folder,
         };
-        for role in Self::ROLES {
+        for role in Role::ALL {
             processes.run(role);
         }
         processes
--- a/crates/sapphirequayd/tests/kill.rs
+++ b/crates/sapphirequayd/tests/kill.rs
@@ -7,11 +7,7 @@
 
 use {
     common::{Ask, CountingService, Processes, Role, kind, wait_for},
-    std::{
-        net::SocketAddr,
-        thread,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, thread, time::Duration},
 };
 
 /// Headers of a call that may not run twice.
@@ -94,14 +90,34 @@
     assert_eq!(service.runs("order-2"), 1);
 }
 
+#[test]
+fn a_killed_ledger_host_loses_nothing() {
+    let service = CountingService::start(Duration::from_millis(800));
+    let mut processes = start(&service);
+    let [one, two] = processes.entries;
+    // Whichever host leads, one of the two kills meets it.
+    for (slot, key) in [(0, "order-5"), (1, "order-6")] {
+        let sent = send_until_it_runs(&service, one, key);
+        processes.kill(Role::Ledger(slot));
+        let answer = (200, format!("{key} run 1"));
+        assert_eq!(sent.join().expect("thread"), Some(answer.clone()));
+        assert_eq!(order(&once(key), key).send(two), answer);
+        processes.run(Role::Ledger(slot));
+        assert_eq!(service.runs(key), 1);
+    }
+}
+
 #[test]
 fn without_a_ledger_nothing_runs() {
+    const LEDGERS: [Role; 3] = [Role::Ledger(0), Role::Ledger(1), Role::Ledger(2)];
     let service = CountingService::start(Duration::from_millis(300));
     let mut processes = start(&service);
     let [one, two] = processes.entries;
+    let before = order(&once("order-2"), "order-2").send(one);
     let sent = send_until_it_runs(&service, one, "order-3");
-    processes.kill(Role::Ledger);
-    let began = Instant::now();
+    for role in LEDGERS {
+        processes.kill(role);
+    }
     let (status, text) = order(&[("Sapphirequay-Idempotent", "false")], "order-4").send(two);
     assert_eq!(
         (status, &*kind(&text)),
@@ -115,13 +131,25 @@
     assert_eq!(kind(&text), "ledger_unreachable", "{text}");
     let (_, text) = sent.join().expect("thread").expect("answer");
     assert_eq!(kind(&text), "outcome_unknown", "{text}");
-    assert_eq!(service.runs("order-3"), 1);
-    assert!(began.elapsed() < common::LIMIT, "no answer was held back");
+
+    for role in LEDGERS {
+        processes.run(role);
+    }
+    let mut after = None;
+    wait_for("the ledger is back", || {
+        after = order(&once("order-3"), "order-3").try_send(two);
+        after.as_ref().is_some_and(|(status, _)| *status != 503)
+    });
+    // The permit outlived the ledger's hosts, and the sidecar kept the answer.
+    assert_eq!(after, Some((200, "order-3 run 1".to_owned())));
+    assert_eq!(order(&once("order-2"), "order-2").send(two), before);
+    assert_eq!((service.runs("order-2"), service.runs("order-3")), (1, 1));
+    assert_eq!(service.runs("order-4"), 0);
 }
 
 #[test]
 fn kills_at_any_moment_never_run_an_order_twice() {
-    const ORDERS: usize = 32;
+    const ORDERS: usize = 40;
     let service = CountingService::start(Duration::from_millis(150));
     let mut processes = start(&service);
     let entries = processes.entries;
@@ -134,7 +162,14 @@
             })
         })
         .collect();
-    for role in [Role::Entry(0), Role::Sidecar, Role::Entry(1), Role::Sidecar] {
+    for role in [
+        Role::Entry(0),
+        Role::Ledger(0),
+        Role::Sidecar,
+        Role::Ledger(1),
+        Role::Entry(1),
+        Role::Sidecar,
+    ] {
         thread::sleep(Duration::from_millis(620));
         processes.kill(role);
         processes.run(role);
