--- a/crates/sapphirequay/src/experiment/commits/cluster.rs
+++ b/crates/sapphirequay/src/experiment/commits/cluster.rs
@@ -52,12 +52,12 @@
         listen: Some(addr),
         ..LinkSettings::new(keys.identity(LinkRole::Ledger)?)
     };
-    let links = Links::start(settings, move |incoming| {
+    let links = Links::start(settings, move |mut incoming| {
         let serving = Arc::clone(&serving);
         thread::spawn(move || {
             let req = incoming.first.decode();
             if let (Some(host), Ok(LinkRequest::Quorum(req))) = (serving.get(), req) {
-                host.serve(req, incoming);
+                host.serve(req, &mut incoming);
             }
         });
     })?;
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -23,8 +23,8 @@
     quay_members::MembersRequest,
     quay_members::MembersSettings,
     quay_types::{
-        Announcement, BeginReply, GroupId, Incarnation, LedgerReply, LedgerRequest, Load, ModelId,
-        ServiceId, SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
+        Announcement, BeginReply, ConfigIndex, GroupId, Incarnation, LedgerReply, LedgerRequest,
+        Load, ModelId, ServiceId, SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
     },
     std::{
         fmt, io,
@@ -87,6 +87,7 @@
     edge: Option<Edge>,
     links: Links,
     lifecycle: Lifecycle,
+    current: Current,
     /// Whether the process announces an upstream.
     announces: bool,
 }
@@ -141,7 +142,12 @@
         subscribe(settings, &links, &current, changed)?;
         let edge = match &settings.entry {
             Some(entry) => Some(start_entry(
-                settings, entry, &links, clock, current, &lifecycle,
+                settings,
+                entry,
+                &links,
+                clock,
+                current.clone(),
+                &lifecycle,
             )?),
             None => None,
         };
@@ -149,6 +155,7 @@
             edge,
             links,
             lifecycle,
+            current,
             announces: settings.sidecar.is_some(),
         })
     }
@@ -185,6 +192,12 @@
         Ok(())
     }
 
+    /// Index of the configuration in force here; 0 before the first document.
+    #[must_use]
+    pub fn config_index(&self) -> ConfigIndex {
+        self.current.get().index()
+    }
+
     /// Address that links are accepted on.
     #[must_use]
     pub const fn link_addr(&self) -> Option<SocketAddr> {
@@ -364,7 +377,7 @@
         }
         LinkRequest::Quorum(req) => {
             if let Some(groups) = &roles.groups {
-                groups.serve(req, incoming);
+                groups.serve(req, &mut incoming);
             }
         }
         LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) => {}
--- a/crates/sapphirequayd/src/settings/ledger.rs
+++ b/crates/sapphirequayd/src/settings/ledger.rs
@@ -1,6 +1,7 @@
 //! The ledger role.
 
 use {
+    crate::settings::Problem,
     serde::Deserialize,
     std::{collections::BTreeSet, fs, io, net::SocketAddr, path::PathBuf},
 };
@@ -63,27 +64,28 @@
     /// # Errors
     ///
     /// Names the key and what is wrong with it.
-    pub fn check(&self) -> Result<(), Box<str>> {
+    pub fn check(&self) -> Result<(), Problem> {
+        let problem = |key, message: &str| Err(Problem::new("ledger", key, message));
         if self.groups == 0 {
-            return Err("groups = 0: at least one group is needed".into());
+            return problem("groups", "it is 0, but at least one group is needed");
         }
         let mut nodes = BTreeSet::new();
         for peer in &self.peers {
             if peer.node == 0 {
-                return Err("peers: node = 0 is no identity".into());
+                return problem("peers", "node = 0 is no identity");
             }
             if !nodes.insert(peer.node) {
-                return Err(format!("peers: node = {} is there twice", peer.node).into());
+                return problem("peers", &format!("node = {} is there twice", peer.node));
             }
         }
         if !self.bootstrap {
             return Ok(());
         }
         if self.data.is_none() {
-            return Err("bootstrap = true needs a data folder".into());
+            return problem("bootstrap", "it needs a data folder");
         }
         if !nodes.contains(&self.node) {
-            return Err(format!("node = {} is not among the peers", self.node).into());
+            return problem("node", &format!("{} is not among the peers", self.node));
         }
         Ok(())
     }
