--- a/crates/sapphirequay/src/experiment/commits/measure.rs
+++ b/crates/sapphirequay/src/experiment/commits/measure.rs
@@ -65,26 +65,54 @@
     (count as f64 / of.max(1) as f64 * 10.0).round() / 10.0
 }
 
-/// Measures a write of one record and its sync.
-pub fn measure_syncs(dir: &Path, record_bytes: usize) -> Result<Value, Box<dyn Error>> {
+/// Measures writes of one record and their syncs, by `files` threads at once.
+pub fn measure_syncs(
+    dir: &Path,
+    files: usize,
+    record_bytes: usize,
+) -> Result<Value, Box<dyn Error>> {
     let folder = DiskFolder::create(dir)?;
-    let mut file = folder.create("sync-test")?;
-    let record = vec![1; record_bytes];
+    let threads: Vec<_> = (0..files)
+        .map(|number| {
+            let folder = folder.clone();
+            thread::spawn(move || sync_often(&folder, number, record_bytes))
+        })
+        .collect();
     let mut times = histogram()?;
-    for _ in 0..SYNCS {
-        let started = Instant::now();
-        file.write(&record)?;
-        file.sync()?;
-        times.record(micros(started.elapsed()))?;
+    for thread in threads {
+        times.add(&thread.join().map_err(|_| "a thread died")??)?;
     }
-    folder.remove("sync-test")?;
     Ok(json!({
+        "files_at_once": files,
         "syncs": SYNCS,
         "p50_ms": quantile_ms(&times, 0.5),
         "p99_ms": quantile_ms(&times, 0.99),
     }))
 }
 
+/// Times of writes of one record and their syncs.
+fn sync_often(
+    folder: &DiskFolder,
+    number: usize,
+    record_bytes: usize,
+) -> Result<Histogram<u64>, String> {
+    let text = |err: &dyn std::fmt::Display| err.to_string();
+    let name = format!("sync-test-{number}");
+    let mut file = folder.create(&name).map_err(|err| text(&err))?;
+    let record = vec![1; record_bytes];
+    let mut times = Histogram::new(3).map_err(|err| text(&err))?;
+    for _ in 0..SYNCS {
+        let started = Instant::now();
+        file.write(&record).map_err(|err| text(&err))?;
+        file.sync().map_err(|err| text(&err))?;
+        times
+            .record(micros(started.elapsed()))
+            .map_err(|err| text(&err))?;
+    }
+    folder.remove(&name).map_err(|err| text(&err))?;
+    Ok(times)
+}
+
 /// Limits of the groups that are measured.
 fn limits(sync_each: bool) -> GroupLimits {
     GroupLimits {
--- a/crates/sapphirequay/src/experiment/commits/mod.rs
+++ b/crates/sapphirequay/src/experiment/commits/mod.rs
@@ -69,8 +69,13 @@
 
 /// Runs every measurement.
 fn measure(args: &CommitsArgs, dir: &Path) -> Result<Value, Box<dyn Error>> {
-    let syncs = measure_syncs(dir, args.record_bytes)?;
-    tell(args, "disk_sync", &syncs);
+    let mut syncs = Vec::new();
+    // Three replicas on one disk sync at the same time.
+    for files in [1, 3] {
+        let measured = measure_syncs(dir, files, args.record_bytes)?;
+        tell(args, "disk_sync", &measured);
+        syncs.push(measured);
+    }
     let mut loads = Vec::new();
     for groups in GROUPS {
         for programs in PROGRAMS {
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -23,8 +23,8 @@
     quay_members::MembersRequest,
     quay_members::MembersSettings,
     quay_types::{
-        Announcement, BeginReply, GroupId, Incarnation, LedgerReply, LedgerRequest, Load, ModelId,
-        ServiceId, SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
+        Announcement, BeginReply, ConfigIndex, GroupId, Incarnation, LedgerReply, LedgerRequest,
+        Load, ModelId, ServiceId, SidecarRequest, UpstreamId, UpstreamKind, UpstreamState,
     },
     std::{
         fmt, io,
@@ -87,6 +87,7 @@
     edge: Option<Edge>,
     links: Links,
     lifecycle: Lifecycle,
+    current: Current,
     /// Whether the process announces an upstream.
     announces: bool,
 }
@@ -141,7 +142,12 @@
         subscribe(settings, &links, &current, changed)?;
         let edge = match &settings.entry {
             Some(entry) => Some(start_entry(
-                settings, entry, &links, clock, current, &lifecycle,
+                settings,
+                entry,
+                &links,
+                clock,
+                current.clone(),
+                &lifecycle,
             )?),
             None => None,
         };
@@ -149,6 +155,7 @@
             edge,
             links,
             lifecycle,
+            current,
             announces: settings.sidecar.is_some(),
         })
     }
@@ -185,6 +192,12 @@
         Ok(())
     }
 
+    /// Index of the configuration in force here; 0 before the first document.
+    #[must_use]
+    pub fn config_index(&self) -> ConfigIndex {
+        self.current.get().index()
+    }
+
     /// Address that links are accepted on.
     #[must_use]
     pub const fn link_addr(&self) -> Option<SocketAddr> {
@@ -309,11 +322,11 @@
 // Streams from peers
 
 /// Hands a stream to the role that it is for.
-fn dispatch(roles: Arc<OnceLock<Roles>>, mut incoming: Incoming) {
+fn dispatch(roles: Arc<OnceLock<Roles>>, incoming: Incoming) {
     let spawned = thread::Builder::new().name("stream".into()).spawn(move || {
         let Some(roles) = roles.get() else { return };
         match incoming.first.decode::<LinkRequest>() {
-            Ok(req) => serve_stream(roles, req, &mut incoming),
+            Ok(req) => serve_stream(roles, req, incoming),
             Err(err) => log::warn!("event=bad_request peer={} cause={err:?}", incoming.addr),
         }
     });
@@ -323,7 +336,7 @@
 }
 
 /// Serves a stream if the peer's role may ask for it.
-fn serve_stream(roles: &Roles, req: LinkRequest, incoming: &mut Incoming) {
+fn serve_stream(roles: &Roles, req: LinkRequest, mut incoming: Incoming) {
     if !allowed(&req, &incoming.roles) {
         log::warn!(
             "event=role_refused peer={} roles={:?}",
@@ -348,7 +361,7 @@
         }
         LinkRequest::Control(req) => {
             if let Some(control) = &roles.control {
-                let _ = incoming.stream.send(&control.serve(req, incoming));
+                let _ = incoming.stream.send(&control.serve(req, &incoming));
             }
         }
         LinkRequest::Sidecar(SidecarRequest::Inquire(id, incarnation)) => {
@@ -364,7 +377,7 @@
         }
         LinkRequest::Quorum(req) => {
             if let Some(groups) = &roles.groups {
-                groups.serve(req, incoming);
+                groups.serve(req, &mut incoming);
             }
         }
         LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) => {}
