Copy a data folder and start its groups again

'log restore' starts the groups of a copy again with one new host. A test copies a running host, stops all three and finds every number again.

The commits experiment clears what a run that was cut short left behind: its hosts found the old members' addresses in the log and elected nobody.

--- a/crates/quay_log/src/lib.rs
+++ b/crates/quay_log/src/lib.rs
@@ -39,5 +39,5 @@
     record::{Hard, LogEntry, Record},
     replay::{Replay, ReplayError},
     snapshot::{Snapshot, read_newest_snapshot, save_snapshot},
-    whole::{read_whole, save_whole},
+    whole::{UNFINISHED, read_whole, save_whole},
 };
--- a/crates/quay_log/src/snapshot.rs
+++ b/crates/quay_log/src/snapshot.rs
@@ -1,7 +1,7 @@
 //! Snapshots: the state after an entry, each in a file of its own.
 
 use {
-    crate::{Folder, LogError, read_whole, save_whole, whole::NEW},
+    crate::{Folder, LogError, read_whole, save_whole, whole::UNFINISHED},
     quay_types::{Epoch, LogIndex},
 };
 
@@ -46,7 +46,7 @@
 /// Names of the snapshots, oldest first.
 pub(crate) fn list(folder: &impl Folder) -> Result<Vec<Box<str>>, LogError> {
     let mut names = folder.list().map_err(LogError::io("folder"))?;
-    names.retain(|name| name.starts_with(PREFIX) && !name.ends_with(NEW));
+    names.retain(|name| name.starts_with(PREFIX) && !name.ends_with(UNFINISHED));
     names.sort_unstable();
     Ok(names)
 }
@@ -78,7 +78,7 @@
 /// A damaged one is an error: the entries that it covers may be gone.
 pub(crate) fn recover(folder: &impl Folder) -> Result<Option<Snapshot>, LogError> {
     let names = folder.list().map_err(LogError::io("folder"))?;
-    for half in names.iter().filter(|name| name.ends_with(NEW)) {
+    for half in names.iter().filter(|name| name.ends_with(UNFINISHED)) {
         folder.remove(half).map_err(LogError::io(half))?;
     }
     read_newest_snapshot(folder)
--- a/crates/quay_log/src/whole.rs
+++ b/crates/quay_log/src/whole.rs
@@ -3,7 +3,7 @@
 use crate::{Folder, LogError, LogFile, frame};
 
 /// Ending of a file that is not in place yet.
-pub(crate) const NEW: &str = ".new";
+pub const UNFINISHED: &str = ".new";
 
 /// Writes all bytes to a file.
 pub(crate) fn write_all(file: &mut impl LogFile, mut bytes: &[u8]) -> std::io::Result<()> {
@@ -32,7 +32,7 @@
     let mut buf = frame::start();
     buf.extend_from_slice(payload);
     frame::seal(&mut buf, number)?;
-    let new = format!("{name}{NEW}");
+    let new = format!("{name}{UNFINISHED}");
     let write = || {
         let mut file = folder.create(&new)?;
         write_all(&mut file, &buf)?;
--- a/crates/sapphirequay/src/experiment/commits/measure.rs
+++ b/crates/sapphirequay/src/experiment/commits/measure.rs
@@ -31,6 +31,8 @@
 /// A load to measure.
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
+    /// Hosts, each with a replica of every group.
+    pub hosts: u64,
     /// Groups that programs are spread over.
     pub groups: u16,
     /// Programs that commit one record after another.
@@ -156,13 +158,14 @@
     cluster.stop();
     fs::remove_dir_all(&dir)?;
     Ok(json!({
+        "hosts": load.hosts,
         "groups": load.groups,
         "programs": load.programs,
         "sync": if load.sync_each { "each" } else { "batched" },
         "commits_s": ratio(commits * 1_000_000, micros(span)),
         "p50_ms": quantile_ms(&times, 0.5),
         "p99_ms": quantile_ms(&times, 0.99),
-        "disk_bytes_a_commit_and_host": ratio(disk, 3 * commits),
+        "disk_bytes_a_commit_and_host": ratio(disk, load.hosts * commits),
         "wire_bytes_a_commit": ratio(wire, commits),
     }))
 }
--- a/crates/sapphirequay/src/experiment/commits/mod.rs
+++ b/crates/sapphirequay/src/experiment/commits/mod.rs
@@ -50,6 +50,10 @@
         Some(dir) => dir.join("commits-experiment"),
         None => std::env::temp_dir().join(format!("sapphirequay-commits-{}", process::id())),
     };
+    // What a run that was cut short has left would be taken for its group.
+    if dir.exists() {
+        fs::remove_dir_all(&dir)?;
+    }
     fs::create_dir_all(&dir)?;
     let done = measure(args, &dir);
     fs::remove_dir_all(&dir)?;
@@ -67,6 +71,27 @@
     }
 }
 
+/// Every load: three hosts with one sync each and batched, then one host alone.
+fn loads(args: &CommitsArgs) -> Vec<Load> {
+    let load = |hosts, groups, programs, sync_each| Load {
+        hosts,
+        groups,
+        programs,
+        sync_each,
+        span: Duration::from_secs(args.seconds),
+        record_bytes: args.record_bytes,
+    };
+    let mut loads = Vec::new();
+    for groups in GROUPS {
+        for programs in PROGRAMS {
+            loads.extend([true, false].map(|sync_each| load(3, groups, programs, sync_each)));
+        }
+    }
+    // What a commit would cost if no other host had to hold it.
+    loads.extend(PROGRAMS.map(|programs| load(1, 1, programs, false)));
+    loads
+}
+
 /// Runs every measurement.
 fn measure(args: &CommitsArgs, dir: &Path) -> Result<Value, Box<dyn Error>> {
     let mut syncs = Vec::new();
@@ -76,22 +101,11 @@
         tell(args, "disk_sync", &measured);
         syncs.push(measured);
     }
-    let mut loads = Vec::new();
-    for groups in GROUPS {
-        for programs in PROGRAMS {
-            for sync_each in [true, false] {
-                let load = Load {
-                    groups,
-                    programs,
-                    sync_each,
-                    span: Duration::from_secs(args.seconds),
-                    record_bytes: args.record_bytes,
-                };
-                let measured = measure_load(dir, load)?;
-                tell(args, "load", &measured);
-                loads.push(measured);
-            }
-        }
+    let mut measured_loads = Vec::new();
+    for load in loads(args) {
+        let measured = measure_load(dir, load)?;
+        tell(args, "load", &measured);
+        measured_loads.push(measured);
     }
     let elections = measure_elections(dir, args.elections, args.record_bytes)?;
     tell(args, "elections", &elections);
@@ -102,6 +116,6 @@
         recoveries.push(measured);
     }
     Ok(json!({
-        "disk_sync": syncs, "loads": loads, "elections": elections, "recoveries": recoveries,
+        "disk_sync": syncs, "loads": measured_loads, "elections": elections, "recoveries": recoveries,
     }))
 }
--- a/crates/sapphirequay/src/log.rs
+++ b/crates/sapphirequay/src/log.rs
@@ -3,9 +3,11 @@
 use {
     gumdrop::Options,
     quay_log::{DiskFolder, FileReport, inspect},
+    sapphirequayd::{backup, restore},
     std::{
         error::Error,
         fs,
+        net::SocketAddr,
         path::{Path, PathBuf},
     },
 };
@@ -24,6 +26,10 @@
 enum LogCommand {
     #[options(help = "tell what the files of a data folder hold")]
     Inspect(InspectArgs),
+    #[options(help = "copy the groups of a data folder, whose host may run")]
+    Backup(BackupArgs),
+    #[options(help = "start groups again from a copy, with one new host")]
+    Restore(RestoreArgs),
 }
 
 /// Arguments of `log inspect`.
@@ -35,10 +41,50 @@
     dir: PathBuf,
 }
 
+/// Arguments of `log backup`.
+#[derive(Debug, Options)]
+struct BackupArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "data folder")]
+    from: PathBuf,
+    #[options(free, required, help = "folder to write; must not exist")]
+    to: PathBuf,
+}
+
+/// Arguments of `log restore`.
+#[derive(Debug, Options)]
+struct RestoreArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "copy that log backup made")]
+    from: PathBuf,
+    #[options(free, required, help = "data folder to write; must not exist")]
+    to: PathBuf,
+    #[options(free, required, help = "link address of the new host")]
+    addr: Option<SocketAddr>,
+    #[options(free, help = "data centre of the new host")]
+    data_centre: String,
+}
+
 /// Runs the command that was asked for.
 pub fn run(args: LogArgs) -> Result<(), Box<dyn Error>> {
     match args.command {
         Some(LogCommand::Inspect(args)) => run_inspect(&args.dir),
+        Some(LogCommand::Backup(args)) => {
+            for copy in backup(&args.from, &args.to)? {
+                println!("group={} last={}", copy.name, copy.last);
+            }
+            Ok(())
+        }
+        Some(LogCommand::Restore(args)) => {
+            let addr = args
+                .addr
+                .ok_or("the link address of the new host is needed")?;
+            let node = restore(&args.from, &args.to, addr, &args.data_centre)?;
+            println!("node={node}");
+            Ok(())
+        }
         None => Err("a command is needed; see --help".into()),
     }
 }
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -20,10 +20,11 @@
 
 pub use {
     process::{
-        ChangeError, Clock, ControlClient, ControlFault, ControlReply, ControlRequest,
-        ControlStatus, Daemon, DaemonRow, Group, GroupError, GroupEvent, GroupHost, GroupLimits,
-        GroupMsg, GroupStartError, Health, HealthSettings, Lifecycle, Machine, Mailbox, MemberRow,
-        OperatorOrder, PeerFrame, Progress, QuorumReply, QuorumRequest, StartError, spawn,
+        BackupError, ChangeError, Clock, ControlClient, ControlFault, ControlReply, ControlRequest,
+        ControlStatus, Daemon, DaemonRow, Group, GroupCopy, GroupError, GroupEvent, GroupHost,
+        GroupLimits, GroupMsg, GroupStartError, Health, HealthSettings, Lifecycle, Machine,
+        Mailbox, MemberRow, OperatorOrder, PeerFrame, Progress, QuorumReply, QuorumRequest,
+        StartError, backup, restore, spawn,
     },
     request::{Input, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
     settings::{
--- a/crates/sapphirequayd/src/process/group/host.rs
+++ b/crates/sapphirequayd/src/process/group/host.rs
@@ -157,6 +157,7 @@
             let state = postcard::from_bytes(state);
             machine.restore(state.map_err(|err| log_error(LogError::Encode(err)))?);
         }
+        self.check_addr(group, node, &opened.restart.mark.members);
         let (seed, now) = (rand::rng().next_u64(), self.clock.now());
         let replica = Replica::restart(node, opened.restart, self.quorum, seed, now);
         let peers = Peers::new(
@@ -193,6 +194,17 @@
         Ok(mailbox)
     }
 
+    /// Warns if the others look for this host at another address.
+    fn check_addr(&self, group: GroupId, node: NodeId, members: &Membership) {
+        let own = self.links.local_addr();
+        if let Some(member) = members.get(node)
+            && Some(member.addr) != own
+        {
+            let addr = member.addr;
+            log::warn!("event=address_differs group={group} node={node} members_say={addr}");
+        }
+    }
+
     /// Members and state of a new group, if this host is to start one.
     fn first<M: StateMachine>(&self, machine: &M) -> Result<Option<First>, GroupStartError> {
         if !self.settings.bootstrap {
@@ -372,7 +384,7 @@
     let node = if settings.bootstrap {
         NodeId(settings.node)
     } else {
-        NodeId(rand::rng().next_u64() | 1 << 63)
+        storage::draw_node(rand::rng().next_u64())
     };
     storage::write_identity(&folder, node).map_err(log_error)?;
     log::info!(
--- a/crates/sapphirequayd/src/process/group/mod.rs
+++ b/crates/sapphirequayd/src/process/group/mod.rs
@@ -1,5 +1,6 @@
 //! One replicated group as the rest of the daemon sees it.
 
+mod backup;
 mod disk;
 mod host;
 mod in_memory;
@@ -12,6 +13,7 @@
 mod waiting;
 
 pub use {
+    backup::{BackupError, GroupCopy, backup, restore},
     host::GroupHost,
     in_memory::Group,
     peers::PeerFrame,
--- a/crates/sapphirequayd/src/process/group/storage.rs
+++ b/crates/sapphirequayd/src/process/group/storage.rs
@@ -6,7 +6,7 @@
         read_newest_snapshot, read_whole, save_snapshot, save_whole,
     },
     quay_quorum::{Entry, HardState, Membership, Position, Restart, SnapshotMark},
-    quay_types::NodeId,
+    quay_types::{LogIndex, NodeId},
 };
 
 /// File that holds the identity of a host.
@@ -25,6 +25,12 @@
     Ok(Some(NodeId(node)))
 }
 
+/// The identity of a host that did not start its groups, from a drawn number.
+/// Those that settings name are far smaller.
+pub const fn draw_node(drawn: u64) -> NodeId {
+    NodeId(drawn | 1 << 63)
+}
+
 /// Writes the identity of a new data folder.
 pub fn write_identity(folder: &DiskFolder, node: NodeId) -> Result<(), LogError> {
     save_whole(folder, IDENTITY, node.0, &[])
@@ -91,6 +97,14 @@
     pub state: Option<Box<[u8]>>,
 }
 
+impl Opened {
+    /// Last entry of the log.
+    pub fn restart_last(&self) -> LogIndex {
+        let last = self.restart.entries.last().map(Entry::index);
+        last.unwrap_or(self.restart.mark.position.index)
+    }
+}
+
 /// Opens the log of a replica; a new one starts with `first`, or with no
 /// members if it is to be made a learner.
 pub fn open(folder: &DiskFolder, first: Option<First>) -> Result<Opened, LogError> {
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -32,8 +32,8 @@
     daemon::{Daemon, StartError},
     gate::{Gate, GateMsg},
     group::{
-        ChangeError, Group, GroupError, GroupEvent, GroupHost, GroupLimits, GroupMsg,
-        GroupStartError, PeerFrame, QuorumReply, QuorumRequest,
+        BackupError, ChangeError, Group, GroupCopy, GroupError, GroupEvent, GroupHost, GroupLimits,
+        GroupMsg, GroupStartError, PeerFrame, QuorumReply, QuorumRequest, backup, restore,
     },
     health::{Health, HealthSettings},
     ledger::LedgerService,
--- a/crates/sapphirequayd/tests/groups.rs
+++ b/crates/sapphirequayd/tests/groups.rs
@@ -377,3 +377,31 @@
         assert!(text.contains(part), "{text}");
     }
 }
+
+#[test]
+fn a_copy_of_a_running_host_starts_the_group_again() {
+    let mut three = Three::start();
+    for number in 0..130 {
+        three.add(number);
+    }
+    let copy = three.dir.path().join("copy");
+    let leader = three.add(130);
+    let copied = sapphirequayd::backup(&three.dir.path().join(leader.to_string()), &copy);
+    let copied = copied.expect("copy");
+    assert!(copied[0].last > LogIndex(130), "{copied:?}");
+    let (addr, data) = (free_addr(), three.dir.path().join("restored"));
+    let node = sapphirequayd::restore(&copy, &data, addr, "dc-1").expect("restored");
+    let settings = LedgerSettings {
+        data: Some(data),
+        ..LedgerSettings::default()
+    };
+    // The old hosts are gone; the new one is the group.
+    for slot in (0..3).rev() {
+        drop(three.stop(slot));
+    }
+    let host = start(&three.keys, &settings, addr);
+    assert_eq!(host.groups.node(), Some(node));
+    three.hosts.push(host);
+    three.add(131);
+    assert_eq!(three.read(), (0..=131).collect::<Vec<_>>());
+}
