Encode byte strings in one piece

Cause: serde codes a boxed slice byte by byte, and each commit codes its command about ten times on its way through leader, followers and logs.

The commits experiment also measures a group of one host and processor time a commit, and '--programs N' limits it to one load.

--- a/crates/quay_log/src/record.rs
+++ b/crates/quay_log/src/record.rs
@@ -38,6 +38,7 @@
         /// Its term.
         term: Epoch,
         /// What it carries.
+        #[serde(with = "quay_types::bytes")]
         body: Box<[u8]>,
     },
     /// Every entry is dropped, because a snapshot has replaced them.
--- a/crates/quay_quorum/src/entry.rs
+++ b/crates/quay_quorum/src/entry.rs
@@ -24,7 +24,7 @@
     /// Nothing: the first entry of a leader's term.
     Empty,
     /// An encoded command of the state machine.
-    Command(Box<[u8]>),
+    Command(#[serde(with = "quay_types::bytes")] Box<[u8]>),
     /// The members from this entry on.
     Members(Membership),
 }
--- a/crates/quay_quorum/src/message.rs
+++ b/crates/quay_quorum/src/message.rs
@@ -93,6 +93,7 @@
         /// What the snapshot stands for.
         mark: SnapshotMark,
         /// The encoded state.
+        #[serde(with = "quay_types::bytes")]
         data: Box<[u8]>,
     },
 }
--- a/crates/quay_types/src/lib.rs
+++ b/crates/quay_types/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod answer_cursor;
+pub mod bytes;
 mod call;
 mod digest;
 mod directory;
--- a/crates/quay_types/tests/types.rs
+++ b/crates/quay_types/tests/types.rs
@@ -87,3 +87,17 @@
         prop_assert_eq!(cursor.checksum(), crc32fast::hash(answer.as_bytes()));
     }
 }
+
+/// Bytes in one piece, beside the same bytes as a sequence.
+#[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+struct InOnePiece(#[serde(with = "quay_types::bytes")] Box<[u8]>);
+
+#[test]
+fn bytes_in_one_piece_are_encoded_as_a_sequence() {
+    let bytes: Box<[u8]> = (0..=255).collect();
+    let whole = postcard::to_stdvec(&InOnePiece(bytes.clone())).expect("encoded");
+    assert_eq!(whole, postcard::to_stdvec(&bytes).expect("encoded"));
+    let back: InOnePiece = postcard::from_bytes(&whole).expect("decoded");
+    assert_eq!(back.0, bytes);
+    assert!(postcard::from_bytes::<InOnePiece>(&whole[..100]).is_err());
+}
--- a/crates/sapphirequay/src/experiment/commits/measure.rs
+++ b/crates/sapphirequay/src/experiment/commits/measure.rs
@@ -128,7 +128,7 @@
     let dir = dir.join("load");
     let cluster = Arc::new(Cluster::start(
         &dir,
-        3,
+        load.hosts,
         load.groups,
         limits(load.sync_each),
     )?);
@@ -136,6 +136,7 @@
         set(cluster.group(group), 0, &record(0, load.record_bytes))?;
     }
     let (disk, wire) = (folder_bytes(&dir)?, cluster.sent_bytes());
+    let cpu = cpu_micros()?;
     let stop = Arc::new(AtomicBool::new(false));
     let threads: Vec<_> = (0..load.programs)
         .map(|program| {
@@ -155,6 +156,7 @@
     let commits = times.len();
     let disk = folder_bytes(&dir)?.saturating_sub(disk);
     let wire = cluster.sent_bytes() - wire;
+    let cpu = cpu_micros()?.saturating_sub(cpu);
     cluster.stop();
     fs::remove_dir_all(&dir)?;
     Ok(json!({
@@ -167,9 +169,21 @@
         "p99_ms": quantile_ms(&times, 0.99),
         "disk_bytes_a_commit_and_host": ratio(disk, load.hosts * commits),
         "wire_bytes_a_commit": ratio(wire, commits),
+        "cpu_us_a_commit": ratio(cpu, commits),
     }))
 }
 
+/// Processor time of this process: all hosts and the programs.
+fn cpu_micros() -> Result<u64, Box<dyn Error>> {
+    const TICK_US: u64 = 10_000;
+    let stat = fs::read_to_string("/proc/self/stat")?;
+    // The name, in parentheses, may hold spaces.
+    let after_name = stat.rsplit(')').next().unwrap_or_default();
+    let fields = after_name.split_whitespace().skip(11).take(2);
+    let ticks: Result<Vec<u64>, _> = fields.map(str::parse).collect();
+    Ok(ticks?.into_iter().sum::<u64>() * TICK_US)
+}
+
 /// A record of a program.
 fn record(program: u64, bytes: usize) -> SetRecord {
     SetRecord {
--- a/crates/sapphirequay/src/experiment/commits/mod.rs
+++ b/crates/sapphirequay/src/experiment/commits/mod.rs
@@ -40,6 +40,8 @@
     record_bytes: usize,
     #[options(help = "elections to measure", default = "5")]
     elections: u32,
+    #[options(help = "measure this many programs only, and nothing else", meta = "N")]
+    programs: Option<usize>,
     #[options(help = "print JSON instead of lines")]
     json: bool,
 }
@@ -89,6 +91,7 @@
     }
     // What a commit would cost if no other host had to hold it.
     loads.extend(PROGRAMS.map(|programs| load(1, 1, programs, false)));
+    loads.retain(|load| args.programs.is_none_or(|only| only == load.programs));
     loads
 }
 
@@ -107,6 +110,9 @@
         tell(args, "load", &measured);
         measured_loads.push(measured);
     }
+    if args.programs.is_some() {
+        return Ok(json!({ "disk_sync": syncs, "loads": measured_loads }));
+    }
     let elections = measure_elections(dir, args.elections, args.record_bytes)?;
     tell(args, "elections", &elections);
     let mut recoveries = Vec::new();
--- a/crates/sapphirequay/src/experiment/commits/records.rs
+++ b/crates/sapphirequay/src/experiment/commits/records.rs
@@ -17,6 +17,7 @@
     /// The program.
     pub program: u64,
     /// Its record.
+    #[serde(with = "quay_types::bytes")]
     pub record: Box<[u8]>,
 }
 
--- a/crates/sapphirequayd/src/process/group/peers.rs
+++ b/crates/sapphirequayd/src/process/group/peers.rs
@@ -39,9 +39,9 @@
     /// A message.
     Whole(Message),
     /// Part of an encoded message that is too large for one frame.
-    Part(Box<[u8]>),
+    Part(#[serde(with = "quay_types::bytes")] Box<[u8]>),
     /// The last part.
-    LastPart(Box<[u8]>),
+    LastPart(#[serde(with = "quay_types::bytes")] Box<[u8]>),
 }
 
 /// Sends to the other replicas of a group; clones share the threads.
