--- a/crates/sapphirequay/src/experiment/mod.rs
+++ b/crates/sapphirequay/src/experiment/mod.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod policy;
+mod spread;
 
 use {gumdrop::Options, std::error::Error};
 
@@ -21,6 +22,8 @@
     Faults(faults::FaultsArgs),
     #[options(help = "compare scheduling policies over a small engine model")]
     Policy(policy::PolicyArgs),
+    #[options(help = "measure how configuration and directory reach the daemons")]
+    Spread(spread::SpreadArgs),
 }
 
 /// Runs the experiment that was asked for.
@@ -28,6 +31,7 @@
     match args.command {
         Some(ExperimentCommand::Faults(args)) => faults::run(&args),
         Some(ExperimentCommand::Policy(args)) => policy::run(&args),
+        Some(ExperimentCommand::Spread(args)) => spread::run(&args),
         None => Err("an experiment is needed; see --help".into()),
     }
 }
