--- a/crates/sapphirequay/src/experiment/mod.rs
+++ b/crates/sapphirequay/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! `sapphirequay experiment`: seeded experiments over the decision logic.
 
+mod commits;
 mod faults;
 mod policy;
 mod spread;
@@ -18,6 +19,8 @@
 /// Which experiment to run; one module each.
 #[derive(Debug, Options)]
 enum ExperimentCommand {
+    #[options(help = "measure commits of three replicas on loopback with real syncs")]
+    Commits(commits::CommitsArgs),
     #[options(help = "attack the promises with seeded faults")]
     Faults(faults::FaultsArgs),
     #[options(help = "compare scheduling policies over a small engine model")]
@@ -29,6 +32,7 @@
 /// Runs the experiment that was asked for.
 pub fn run(args: ExperimentArgs) -> Result<(), Box<dyn Error>> {
     match args.command {
+        Some(ExperimentCommand::Commits(args)) => commits::run(&args),
         Some(ExperimentCommand::Faults(args)) => faults::run(&args),
         Some(ExperimentCommand::Policy(args)) => policy::run(&args),
         Some(ExperimentCommand::Spread(args)) => spread::run(&args),
--- a/crates/sapphirequay/src/main.rs
+++ b/crates/sapphirequay/src/main.rs
@@ -5,11 +5,15 @@
 mod demo;
 mod drain;
 mod experiment;
+mod group;
 mod keys;
+mod load;
+mod log;
 mod members;
 mod operator;
 mod quarantine;
 mod section_file;
+mod stand_in;
 
 use {
     gumdrop::Options,
@@ -38,14 +42,22 @@
     Experiment(experiment::ExperimentArgs),
     #[options(help = "mark an upstream to leave: it gets no new work")]
     Drain(drain::DrainArgs),
-    #[options(help = "make keys for development")]
-    Keys(KeysArgs),
     #[options(help = "print the directory of upstreams")]
     Members(members::MembersArgs),
     #[options(help = "print and clear quarantined content")]
     Quarantine(quarantine::QuarantineArgs),
     #[options(help = "let an upstream stay after all")]
     Undrain(drain::DrainArgs),
+    #[options(help = "show and change the members of a replicated group")]
+    Group(group::GroupArgs),
+    #[options(help = "make keys for development")]
+    Keys(KeysArgs),
+    #[options(help = "read the data folder of a ledger host")]
+    Log(log::LogArgs),
+    #[options(help = "run programs against running entries and measure them")]
+    Load(load::LoadArgs),
+    #[options(help = "run a stand-in of an engine, a service or a weight store")]
+    StandIn(stand_in::StandInArgs),
 }
 
 /// Arguments of `demo`.
@@ -108,6 +120,10 @@
         Some(Command::Quarantine(args)) => quarantine::run(args),
         Some(Command::Undrain(args)) => drain::run(&args, false),
         Some(Command::Experiment(args)) => experiment::run(args),
+        Some(Command::Group(args)) => group::run(args),
+        Some(Command::Log(args)) => log::run(args),
+        Some(Command::Load(args)) => load::run(&args),
+        Some(Command::StandIn(args)) => stand_in::run(args),
         Some(Command::Keys(KeysArgs {
             command: Some(KeysCommand::Init(init)),
             ..
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -10,8 +10,13 @@
 mod sidecar;
 
 pub use {
-    entry::EntrySettings, ledger::LedgerSettings, link::LinkTableSettings, log::LogLevel,
-    log::LogSettings, problem::Problem, process::ProcessSettings, sidecar::SidecarSettings,
+    entry::EntrySettings,
+    ledger::{LedgerSettings, PeerSettings},
+    link::LinkTableSettings,
+    log::{LogLevel, LogSettings},
+    problem::Problem,
+    process::ProcessSettings,
+    sidecar::SidecarSettings,
 };
 
 use {
