--- a/crates/sapphirequay/src/experiment/mod.rs
+++ b/crates/sapphirequay/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 mod commits;
 mod faults;
 mod policy;
+mod spread;
 
 use {gumdrop::Options, std::error::Error};
 
@@ -24,6 +25,8 @@
     Faults(faults::FaultsArgs),
     #[options(help = "compare scheduling policies over a small engine model")]
     Policy(policy::PolicyArgs),
+    #[options(help = "measure how configuration and directory reach the daemons")]
+    Spread(spread::SpreadArgs),
 }
 
 /// Runs the experiment that was asked for.
@@ -32,6 +35,7 @@
         Some(ExperimentCommand::Commits(args)) => commits::run(&args),
         Some(ExperimentCommand::Faults(args)) => faults::run(&args),
         Some(ExperimentCommand::Policy(args)) => policy::run(&args),
+        Some(ExperimentCommand::Spread(args)) => spread::run(&args),
         None => Err("an experiment is needed; see --help".into()),
     }
 }
