Route and admit by the policy in the daemon

Cause: the daemon chose the fewest calls and admitted in order of arrival. The router and gate actors are now shells around the machines that the experiments run, with every knob in the settings. Sidecars measure the time between tokens that the learned limit keeps to; entries learn from what upstreams found in their caches; retries after a lost upstream need a budget.

Conclusion: KV fill is not read from engines yet, so the limit learns from the time between tokens alone.

--- a/crates/quay_experiment/src/policy/calls.rs
+++ b/crates/quay_experiment/src/policy/calls.rs
@@ -221,7 +221,7 @@
         let req = RouteRequest {
             target: CallTarget::Model(MODEL),
             program: spec.id,
-            attained: Tokens(state.attained),
+            under_way: state.attained > 0,
             prompt: Tokens(open.prompt.into()),
             blocks: &open.blocks[..open.blocks.len().min((open.prompt / BLOCK_TOKENS) as usize)],
             tried: &open.tried,
--- a/crates/quay_policy/src/route/router.rs
+++ b/crates/quay_policy/src/route/router.rs
@@ -21,8 +21,9 @@
     pub target: CallTarget,
     /// Program of the call.
     pub program: ProgramId,
-    /// Tokens that the program was given so far; 0 for its first call.
-    pub attained: Tokens,
+    /// Whether the program may have made calls before, so that its home may
+    /// hold its history.
+    pub under_way: bool,
     /// Length of the prompt.
     pub prompt: Tokens,
     /// Chained hashes of the prompt's blocks.
@@ -99,6 +100,18 @@
         self.upstreams.keys().copied()
     }
 
+    /// Where the sidecar of an upstream is; nothing is known of its cache.
+    #[must_use]
+    pub fn find(&self, id: UpstreamId) -> Option<Choice> {
+        let announcement = &self.upstreams.get(&id)?.announcement;
+        Some(Choice {
+            upstream: id,
+            incarnation: announcement.incarnation,
+            addr: announcement.addr,
+            held: 0,
+        })
+    }
+
     // -----------------------------------------------------------------------
     // What is learned
 
@@ -245,7 +258,7 @@
     /// rendezvous hashing: entries share no state, and a program's calls come
     /// through any of them.
     fn home(&self, req: &RouteRequest<'_>) -> Option<UpstreamId> {
-        if !S::PREFIX || self.cfg.home_weight == 0 || req.attained.0 == 0 {
+        if !S::PREFIX || self.cfg.home_weight == 0 || !req.under_way {
             return None;
         }
         let fitting = self
--- a/crates/quay_policy/tests/routing.rs
+++ b/crates/quay_policy/tests/routing.rs
@@ -43,7 +43,7 @@
     RouteRequest {
         target: CallTarget::Model(MODEL),
         program: ProgramId::root(root),
-        attained: Tokens(0),
+        under_way: false,
         prompt: Tokens(blocks.len() as u64 * 64),
         blocks,
         tried: &[],
@@ -113,7 +113,7 @@
 fn entries_agree_on_the_home_of_a_program() {
     let blocks: Vec<u64> = (1..100).collect();
     let under_way = RouteRequest {
-        attained: Tokens(500),
+        under_way: true,
         ..request(9, &blocks)
     };
     let choices: Vec<_> = (0..5)
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -189,7 +189,7 @@
     rules: Current,
     lifecycle: &Lifecycle,
 ) -> Result<Edge, StartError> {
-    let router = spawn("router", clock, Router::default()).map_err(starting("router"))?;
+    let router = spawn("router", clock, router(settings)).map_err(starting("router"))?;
     let reader = Reader {
         name: settings.process.name.clone(),
         links: links.clone(),
@@ -215,6 +215,13 @@
     Edge::start(cx).map_err(starting(&format!("[entry] listen {}", entry.listen)))
 }
 
+/// Routing by the knobs of the settings.
+fn router(settings: &Settings) -> Router {
+    let knobs = &settings.policy;
+    let place = &settings.process.data_centre;
+    Router::new(knobs.route.settings(), knobs.retry.settings(), place)
+}
+
 /// Starts the ledger role.
 fn start_ledger(clock: Clock) -> Result<LedgerService, StartError> {
     let ledger = Ledger::new(FIRST_PROGRAM_GROUP, LedgerLimits::default());
@@ -230,7 +237,8 @@
     clock: Clock,
     lifecycle: &Lifecycle,
 ) -> Result<Attempts, StartError> {
-    let gate = spawn("gate", clock, Gate::new(sidecar.concurrency)).map_err(starting("gate"))?;
+    let gate = settings.policy.admit.settings(sidecar.concurrency);
+    let gate = spawn("gate", clock, Gate::new(gate)).map_err(starting("gate"))?;
     let incarnation = Incarnation(Clock::wall_ms());
     let book = PermitBook::new(UpstreamId::of(&sidecar.upstream), incarnation);
     let permits: Mailbox<PermitMsg> = spawn("permits", clock, book).map_err(starting("permits"))?;
--- a/crates/sapphirequayd/src/process/gate.rs
+++ b/crates/sapphirequayd/src/process/gate.rs
@@ -2,96 +2,137 @@
 
 use {
     crate::process::Machine,
-    quay_types::{Error, ErrorKind, Load, Time, UpstreamState},
-    std::{collections::VecDeque, sync::mpsc::SyncSender, time::Duration},
+    indexmap::IndexMap,
+    quay_policy::{Admission, AdmitSettings, LearnedLimit, Observation, Ticket, TicketId, Verdict},
+    quay_types::{CallRequest, Error, Load, Time, UpstreamState},
+    std::{sync::mpsc::SyncSender, time::Duration},
 };
 
-/// Calls that may wait before the upstream.
-const MAX_QUEUED: usize = 1_000;
+/// Weight of the newest time between tokens in the mean, as a divisor.
+const GAP_MEAN: u32 = 16;
+
+/// Takes the verdict on a call: its ticket if it may run.
+pub type Waiter = SyncSender<Result<TicketId, Error>>;
 
 /// What the gate is told.
 pub enum GateMsg {
     /// A call asks for admission; the answer comes when it may run.
-    Enter(SyncSender<Result<(), Error>>),
+    Enter(Ticket, Waiter),
     /// An admitted call has ended.
-    Leave,
+    Leave(TicketId),
+    /// Tokens came from the upstream this far apart.
+    TokenGap(Duration),
     /// An operator's mark to leave was set, or taken away.
     Drain(bool),
     /// Asks for the load to announce.
     Load(SyncSender<(Load, UpstreamState)>),
 }
 
+/// What admission needs to know of a call.
+pub fn ticket(now: Time, call: &CallRequest) -> Ticket {
+    Ticket {
+        program: call.program,
+        account: call.account,
+        attained: call.attained,
+        depth: call.depth,
+        prompt: call.prompt,
+        deadline: now + Duration::from_millis(call.deadline_ms),
+        ..Ticket::default()
+    }
+}
+
 /// The queue before one upstream.
 pub struct Gate {
-    queue: VecDeque<SyncSender<Result<(), Error>>>,
-    running: u32,
-    concurrency: u32,
-    state: UpstreamState,
+    admission: Admission<LearnedLimit>,
+    waiters: IndexMap<TicketId, Waiter>,
+    last_ticket: u64,
+    token_gap: Duration,
+    drained: bool,
 }
 
 impl Gate {
-    /// A gate that admits `concurrency` calls at a time.
-    pub fn new(concurrency: u32) -> Self {
+    /// An empty queue.
+    pub fn new(cfg: AdmitSettings) -> Self {
         Self {
-            queue: VecDeque::new(),
-            running: 0,
-            concurrency,
-            state: UpstreamState::Serving,
+            admission: Admission::new(cfg),
+            waiters: IndexMap::new(),
+            last_ticket: 0,
+            token_gap: Duration::ZERO,
+            drained: false,
         }
     }
 
-    /// Admits from the queue while there is room.
-    fn admit(&mut self) {
-        while self.running < self.concurrency {
-            let Some(waiter) = self.queue.pop_front() else {
+    /// Queues a call under a ticket of its own.
+    fn enter(&mut self, now: Time, ticket: Ticket, waiter: Waiter) {
+        self.last_ticket += 1;
+        let id = TicketId(self.last_ticket);
+        self.waiters.insert(id, waiter);
+        self.admission.enter(now, Ticket { id, ..ticket });
+    }
+
+    /// Tells the callers of `poll` what was decided.
+    fn answer(&mut self, now: Time) {
+        loop {
+            let verdicts = self.admission.poll(now);
+            if verdicts.is_empty() {
                 return;
-            };
-            // A waiter that has gone away takes no place.
-            if waiter.send(Ok(())).is_ok() {
-                self.running += 1;
+            }
+            for verdict in verdicts {
+                self.tell(now, verdict);
             }
         }
     }
 
-    /// Queues a call, or refuses it if the upstream leaves or the queue is full.
-    fn enter(&mut self, waiter: SyncSender<Result<(), Error>>) {
-        let refusal = match self.state {
-            UpstreamState::Draining => {
-                Some(Error::new(ErrorKind::Draining, "the upstream is leaving"))
-            }
-            _ if self.queue.len() >= MAX_QUEUED => {
-                Some(Error::new(ErrorKind::Overloaded, "the queue is full"))
-            }
-            _ => None,
+    fn tell(&mut self, now: Time, verdict: Verdict) {
+        let (id, answer) = match verdict {
+            Verdict::Admit(id) => (id, Ok(id)),
+            Verdict::Refuse(id, err) => (id, Err(err)),
         };
-        match refusal {
-            Some(err) => drop(waiter.send(Err(err))),
-            None => self.queue.push_back(waiter),
+        let waiter = self.waiters.swap_remove(&id);
+        let heard = waiter.is_some_and(|waiter| waiter.send(answer).is_ok());
+        // A waiter that has gone away takes no place.
+        if !heard {
+            self.admission.leave(now, id);
         }
     }
 
     /// Takes no new work, or takes it again. What waits has not run, and is
     /// refused; what runs goes on.
     fn drain(&mut self, drained: bool) {
-        if !drained {
-            self.state = UpstreamState::Serving;
-            return;
-        }
-        self.state = UpstreamState::Draining;
-        for waiter in std::mem::take(&mut self.queue) {
-            let err = Error::new(ErrorKind::Draining, "the upstream is leaving");
-            let _ = waiter.send(Err(err));
+        self.drained = drained;
+        if drained {
+            self.admission.drain();
+        } else {
+            self.admission.undrain();
         }
     }
 
+    /// Takes the time between tokens of one stream into the mean.
+    fn token_gap(&mut self, gap: Duration) {
+        self.token_gap = if self.token_gap.is_zero() {
+            gap
+        } else {
+            (self.token_gap * (GAP_MEAN - 1) + gap) / GAP_MEAN
+        };
+    }
+
     /// The load as it is announced.
     fn load(&self) -> Load {
         Load {
-            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
-            running: self.running,
+            queued: u32::try_from(self.admission.queued()).unwrap_or(u32::MAX),
+            running: u32::try_from(self.admission.running()).unwrap_or(u32::MAX),
+            token_gap_us: u32::try_from(self.token_gap.as_micros()).unwrap_or(u32::MAX),
             ..Load::default()
         }
     }
+
+    fn state(&self) -> UpstreamState {
+        if self.drained {
+            UpstreamState::Draining
+        } else {
+            UpstreamState::Serving
+        }
+    }
 }
 
 impl Machine for Gate {
@@ -99,17 +140,23 @@
 
     const TICK: Duration = Duration::from_millis(100);
 
-    fn handle(&mut self, _: Time, msg: GateMsg) {
+    fn handle(&mut self, now: Time, msg: GateMsg) {
         match msg {
-            GateMsg::Enter(waiter) => self.enter(waiter),
-            GateMsg::Leave => self.running = self.running.saturating_sub(1),
+            GateMsg::Enter(ticket, waiter) => self.enter(now, ticket, waiter),
+            GateMsg::Leave(id) => self.admission.leave(now, id),
+            GateMsg::TokenGap(gap) => self.token_gap(gap),
             GateMsg::Drain(drained) => self.drain(drained),
-            GateMsg::Load(reply) => drop(reply.send((self.load(), self.state))),
+            GateMsg::Load(reply) => drop(reply.send((self.load(), self.state()))),
         }
-        self.admit();
+        self.answer(now);
     }
 
-    fn tick(&mut self, _: Time) {
-        self.admit();
+    fn tick(&mut self, now: Time) {
+        let seen = Observation {
+            token_gap: self.token_gap,
+            kv_permille: 0,
+        };
+        self.admission.observe(now, seen);
+        self.answer(now);
     }
 }
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -30,7 +30,7 @@
         ControlReply, ControlRequest, ControlStatus, DaemonRow, MemberRow, OperatorOrder,
     },
     daemon::{Daemon, StartError},
-    gate::{Gate, GateMsg},
+    gate::{Gate, GateMsg, ticket},
     group::{Group, GroupError, GroupMsg},
     health::{Health, HealthSettings},
     ledger::LedgerService,
@@ -38,6 +38,6 @@
     lifecycle::{Lifecycle, Progress},
     permits::PermitMsg,
     prober::SharedHealth,
-    router::{Pick, Router, RouterMsg},
+    router::{Pick, PickRequest, Router, RouterMsg, Try},
     subscription::Subscription,
 };
--- a/crates/sapphirequayd/src/process/router.rs
+++ b/crates/sapphirequayd/src/process/router.rs
@@ -2,10 +2,9 @@
 
 use {
     crate::process::Machine,
-    indexmap::IndexMap,
+    quay_policy::{Choice, ExpectedTime, RetryBudgets, RetrySettings, RouteRequest, RouteSettings},
     quay_types::{
-        CallTarget, DirectoryEntry, DirectoryReply, Incarnation, Time, UpstreamId, UpstreamKind,
-        UpstreamState,
+        AccountId, CallTarget, DirectoryReply, Incarnation, ProgramId, Time, Tokens, UpstreamId,
     },
     std::{net::SocketAddr, sync::mpsc::SyncSender, time::Duration},
 };
@@ -19,53 +18,93 @@
     pub incarnation: Incarnation,
     /// Address of its sidecar.
     pub addr: SocketAddr,
+    /// Leading blocks of the prompt that it is believed to hold.
+    pub held: u32,
+}
+
+impl From<Choice> for Pick {
+    fn from(choice: Choice) -> Self {
+        Self {
+            upstream: choice.upstream,
+            incarnation: choice.incarnation,
+            addr: choice.addr,
+            held: choice.held,
+        }
+    }
+}
+
+/// What an attempt is to the budgets of retries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Try {
+    /// The call's first attempt, which earns a share of a retry.
+    First,
+    /// Another attempt after one that did not run, which costs nothing.
+    Again,
+    /// Another attempt after one that was lost, which the budgets must cover.
+    Retry,
+}
+
+/// A call that needs an upstream.
+#[derive(Debug, Clone)]
+pub struct PickRequest {
+    /// What is to be run.
+    pub target: CallTarget,
+    /// Account that pays.
+    pub account: AccountId,
+    /// Program of the call.
+    pub program: ProgramId,
+    /// Whether the program may have made calls before.
+    pub under_way: bool,
+    /// Length of the prompt.
+    pub prompt: Tokens,
+    /// Chained hashes of the prompt's blocks.
+    pub blocks: Box<[u64]>,
+    /// Upstreams that refused or failed this call.
+    pub tried: Box<[UpstreamId]>,
+    /// What the attempt is to the budgets of retries.
+    pub attempt: Try,
+    /// A random number.
+    pub draw: u64,
 }
 
 /// What the router is told.
 pub enum RouterMsg {
     /// What a ledger host says of the directory.
     Directory(DirectoryReply),
-    /// Asks for an upstream, less those that were tried already.
-    Pick {
-        /// What is to be run.
-        target: CallTarget,
-        /// Upstreams that refused or failed this call.
-        tried: Box<[UpstreamId]>,
-        /// Takes the choice; `None` if no upstream fits.
-        reply: SyncSender<Option<Pick>>,
-    },
+    /// Asks for an upstream; `None` if none fits or no budget covers a retry.
+    Pick(PickRequest, SyncSender<Option<Pick>>),
     /// Asks where the sidecar of an upstream is.
     Find(UpstreamId, SyncSender<Option<Pick>>),
+    /// An upstream found this many leading blocks of a prompt in its cache.
+    Found {
+        /// Where the attempt ran, and what was expected there.
+        pick: Pick,
+        /// Chained hashes of the prompt's blocks.
+        blocks: Box<[u64]>,
+        /// Leading blocks that were found.
+        held: u32,
+    },
     /// An attempt has ended.
     Done(UpstreamId),
 }
 
-/// One upstream and what this entry has sent it.
-struct Line {
-    entry: DirectoryEntry,
-    open: u32,
-}
-
-impl Line {
-    /// Where an attempt on this upstream goes.
-    const fn pick(&self, upstream: UpstreamId) -> Pick {
-        Pick {
-            upstream,
-            incarnation: self.entry.announcement.incarnation,
-            addr: self.entry.announcement.addr,
-        }
-    }
-}
-
 /// Routing state of an entry.
-#[derive(Default)]
 pub struct Router {
-    lines: IndexMap<UpstreamId, Line>,
+    policy: quay_policy::Router<ExpectedTime>,
+    budgets: RetryBudgets,
 }
 
 impl Router {
+    /// A router of an entry in a data centre.
+    pub fn new(route: RouteSettings, retry: RetrySettings, data_centre: &str) -> Self {
+        Self {
+            policy: quay_policy::Router::new(route, data_centre),
+            budgets: RetryBudgets::new(retry),
+        }
+    }
+
     /// Takes a read of the directory.
-    fn learn(&mut self, reply: DirectoryReply) {
+    fn learn(&mut self, now: Time, reply: DirectoryReply) {
         let DirectoryReply::Changes {
             whole,
             entries,
@@ -80,66 +119,65 @@
                 .iter()
                 .map(|entry| entry.announcement.upstream())
                 .collect();
-            self.lines.retain(|id, _| listed.contains(id));
+            self.policy.keep_only(&listed);
         }
         for id in gone {
-            self.lines.shift_remove(&id);
+            self.policy.gone(id);
         }
         for entry in entries {
-            let id = entry.announcement.upstream();
-            let open = self.lines.get(&id).map_or(0, |line| line.open);
-            self.lines.insert(id, Line { entry, open });
+            let made = now - Duration::from_millis(entry.age_ms.into());
+            self.policy.announced(made, &entry.announcement);
         }
     }
 
-    /// The fitting upstream with the fewest calls.
-    fn pick(&mut self, target: CallTarget, tried: &[UpstreamId]) -> Option<Pick> {
-        let fitting = self
-            .lines
-            .iter_mut()
-            .filter(|(id, line)| !tried.contains(id) && fits(&line.entry, target));
-        let (id, line) = fitting.min_by_key(|(_, line)| {
-            let load = line.entry.announcement.load;
-            load.queued + load.running + line.open
-        })?;
-        line.open += 1;
-        Some(line.pick(*id))
+    /// Chooses an upstream if the budgets allow the attempt.
+    fn pick(&mut self, now: Time, req: &PickRequest) -> Option<Pick> {
+        let group = match req.target {
+            CallTarget::Model(model) => model.0,
+            CallTarget::Service(service) => service.0,
+        };
+        match req.attempt {
+            Try::First => self.budgets.first(req.account, group),
+            Try::Again => {}
+            Try::Retry if self.budgets.retry(req.account, group) => {}
+            Try::Retry => {
+                log::warn!(
+                    "event=retry_refused account={} group={group:016x}",
+                    req.account
+                );
+                return None;
+            }
+        }
+        let route = RouteRequest {
+            target: req.target,
+            program: req.program,
+            under_way: req.under_way,
+            prompt: req.prompt,
+            blocks: &req.blocks,
+            tried: &req.tried,
+        };
+        self.policy.pick(now, &route, req.draw).map(Pick::from)
     }
 }
 
-/// Whether an upstream serves `target` and takes new work.
-fn fits(entry: &DirectoryEntry, target: CallTarget) -> bool {
-    let announcement = &entry.announcement;
-    let serves = match (&announcement.kind, target) {
-        (UpstreamKind::Engine { models }, CallTarget::Model(model)) => models.contains(&model),
-        (UpstreamKind::Service { service }, CallTarget::Service(wanted)) => *service == wanted,
-        _ => false,
-    };
-    serves && announcement.state == UpstreamState::Serving
-}
-
 impl Machine for Router {
     type Msg = RouterMsg;
 
     const TICK: Duration = Duration::from_millis(250);
 
-    fn handle(&mut self, _: Time, msg: RouterMsg) {
+    fn handle(&mut self, now: Time, msg: RouterMsg) {
         match msg {
-            RouterMsg::Directory(reply) => self.learn(reply),
-            RouterMsg::Pick {
-                target,
-                tried,
-                reply,
-            } => drop(reply.send(self.pick(target, &tried))),
+            RouterMsg::Directory(reply) => self.learn(now, reply),
+            RouterMsg::Pick(req, reply) => {
+                let _ = reply.send(self.pick(now, &req));
+            }
             RouterMsg::Find(id, reply) => {
-                let pick = self.lines.get(&id).map(|line| line.pick(id));
-                let _ = reply.send(pick);
+                let _ = reply.send(self.policy.find(id).map(Pick::from));
             }
-            RouterMsg::Done(id) => {
-                if let Some(line) = self.lines.get_mut(&id) {
-                    line.open = line.open.saturating_sub(1);
-                }
+            RouterMsg::Found { pick, blocks, held } => {
+                self.policy.found(pick.upstream, &blocks, held, pick.held);
             }
+            RouterMsg::Done(id) => self.policy.ended(now, id),
         }
     }
 
--- a/crates/sapphirequayd/src/request/attempt.rs
+++ b/crates/sapphirequayd/src/request/attempt.rs
@@ -3,15 +3,17 @@
 use {
     crate::{
         connection::{EngineClient, EngineStream, ServiceClient, StreamId},
-        process::{Clock, GateMsg, Lifecycle, Mailbox, PermitMsg, SharedHealth},
+        process::{Clock, GateMsg, Lifecycle, Mailbox, PermitMsg, SharedHealth, ticket},
         request::{Input, Step, Transcript, TranscriptSettings, Usage},
     },
     quay_link::LinkStream,
+    quay_policy::TicketId,
     quay_types::{
         CallEvent, CallRequest, CallTarget, Error, ErrorKind, FinishReason, Incarnation, PermitId,
-        Proceed, Result,
+        Proceed, Result, Time,
     },
     std::{
+        cell::Cell,
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
@@ -25,6 +27,9 @@
 /// Interval of heartbeats while an attempt waits in the queue.
 const HEARTBEAT: Duration = Duration::from_secs(1);
 
+/// Tokens over which their mean distance is told to the gate.
+const METERED_TOKENS: u32 = 16;
+
 /// Time beyond the deadline after which a sidecar ends an attempt by itself:
 /// its entry, which knows more, should do so first.
 const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
@@ -64,14 +69,14 @@
     };
     let queued = Instant::now();
     let last = match admit(cx, stream, call) {
-        Ok(()) => {
+        Ok(id) => {
             metrics::histogram!("sapphirequay_queue_seconds").record(queued.elapsed());
             let last = match (confirm(stream, call, permit), call.target) {
                 (Err(err), _) => CallEvent::Refused(err),
                 (Ok(()), CallTarget::Model(_)) => run_model(cx, stream, call),
                 (Ok(()), CallTarget::Service(_)) => run_service(cx, stream, call),
             };
-            cx.gate.send(GateMsg::Leave);
+            cx.gate.send(GateMsg::Leave(id));
             last
         }
         Err(err) => CallEvent::Refused(err),
@@ -142,7 +147,7 @@
 }
 
 /// Waits for admission; the entry hears heartbeats meanwhile.
-fn admit(cx: &Attempts, stream: &LinkStream, call: &CallRequest) -> Result<()> {
+fn admit(cx: &Attempts, stream: &LinkStream, call: &CallRequest) -> Result<TicketId> {
     if call.incarnation != cx.incarnation {
         return Err(Error::new(
             ErrorKind::PermitRefused,
@@ -150,7 +155,8 @@
         ));
     }
     let (tx, rx) = mpsc::sync_channel(1);
-    cx.gate.send(GateMsg::Enter(tx));
+    cx.gate
+        .send(GateMsg::Enter(ticket(cx.clock.now(), call), tx));
     loop {
         match rx.recv_timeout(HEARTBEAT) {
             Ok(verdict) => return verdict,
@@ -224,9 +230,26 @@
     call: &'a CallRequest,
     id: StreamId,
     transcript: Transcript,
+    /// Since when tokens are counted, and how many came.
+    metered: Cell<(Time, u32)>,
 }
 
 impl<'a> Run<'a> {
+    /// Tells the gate from time to time how far apart tokens are.
+    fn meter(&self, tokens: u32) {
+        let now = self.cx.clock.now();
+        let (since, count) = self.metered.get();
+        if since == Time::ZERO {
+            self.metered.set((now, 0));
+        } else if count + tokens >= METERED_TOKENS {
+            let gap = now.since(since) / (count + tokens);
+            self.cx.gate.send(GateMsg::TokenGap(gap));
+            self.metered.set((now, 0));
+        } else {
+            self.metered.set((since, count + tokens));
+        }
+    }
+
     fn new(cx: &'a Attempts, stream: &'a LinkStream, call: &'a CallRequest) -> Self {
         let now = cx.clock.now();
         let settings = TranscriptSettings {
@@ -245,6 +268,7 @@
                 attempt: cx.numbers.fetch_add(1, Ordering::Relaxed),
             },
             transcript: Transcript::new(settings, now),
+            metered: Cell::default(),
         }
     }
 
@@ -302,6 +326,7 @@
                     tokens,
                     text,
                 };
+                self.meter(tokens);
                 match self.stream.send(&delta) {
                     Ok(()) => Ok(connection),
                     Err(_) => Err(self.cancelled()),
--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -3,20 +3,24 @@
 
 use {
     crate::{
-        process::{LedgerClient, LedgerFault, Mailbox, Pick, RouterMsg},
+        process::{LedgerClient, LedgerFault, Mailbox, Pick, PickRequest, RouterMsg, Try},
         request::{AttemptEnd, CallOrder, Delivery, RecordedAnswer, inquire::inquire, run_attempt},
     },
     quay_link::Links,
     quay_types::{
-        BeginReply, CallTarget, Error, ErrorKind, FinishReason, LedgerReply, LedgerRequest,
-        Outcome, Permit, PermitFate, Result, Settle, Tokens, UpstreamId,
+        BeginReply, Error, ErrorKind, FinishReason, LedgerReply, LedgerRequest, Outcome, Permit,
+        PermitFate, Result, Settle, Tokens, UpstreamId,
     },
+    rand::RngExt as _,
     std::{
         io, thread,
         time::{Duration, Instant},
     },
 };
 
+/// Tokens in a block of a prompt.
+const BLOCK_TOKENS: u64 = 64;
+
 /// Attempts of one call at most.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -102,12 +106,20 @@
 
 impl CallContext {
     /// Asks the router for an upstream that was not tried yet.
-    fn pick(&self, target: CallTarget, tried: &[UpstreamId]) -> Option<Pick> {
-        let asked = self.router.ask(|reply| RouterMsg::Pick {
-            target,
+    fn pick(&self, order: &CallOrder, tried: &[UpstreamId], attempt: Try) -> Option<Pick> {
+        let request = &order.request;
+        let req = PickRequest {
+            target: request.target,
+            account: request.account,
+            program: request.program,
+            under_way: order.implicit.is_none(),
+            prompt: request.prompt,
+            blocks: request.blocks.clone(),
             tried: tried.into(),
-            reply,
-        });
+            attempt,
+            draw: rand::rng().random(),
+        };
+        let asked = self.router.ask(|reply| RouterMsg::Pick(req, reply));
         asked.flatten()
     }
 
@@ -127,6 +139,10 @@
     tried: Vec<UpstreamId>,
     /// Attempts that may have run without a whole answer.
     lost: usize,
+    /// How many of these the budgets of retries have covered.
+    retried: usize,
+    /// Whether an upstream was asked for.
+    picked: bool,
     /// Why the last attempt was refused.
     refusal: Option<Error>,
     /// Whether an attempt that another entry began may still run.
@@ -151,6 +167,8 @@
         delivery: Delivery::new(answer),
         tried: Vec::new(),
         lost: 0,
+        retried: 0,
+        picked: false,
         refusal: None,
         joined: false,
         waiting_since: None,
@@ -186,7 +204,13 @@
 
     /// Asks the ledger and does what it says; `true` once the call has ended.
     fn step(&mut self) -> Result<bool> {
-        let pick = self.cx.pick(self.order.request.target, &self.tried);
+        let attempt = match (self.picked, self.lost > self.retried) {
+            (false, _) => Try::First,
+            (true, false) => Try::Again,
+            (true, true) => Try::Retry,
+        };
+        (self.picked, self.retried) = (true, self.lost);
+        let pick = self.cx.pick(self.order, &self.tried, attempt);
         let reply = self.begin(pick.as_ref());
         let went = match (reply, &pick) {
             (
@@ -275,9 +299,22 @@
             &mut self.delivery,
         );
         self.tried.push(pick.upstream);
+        self.tell_found(*pick, &end);
         self.conclude(permit, end)
     }
 
+    /// Tells the router what the upstream found in its cache, if it says so.
+    fn tell_found(&self, pick: Pick, end: &AttemptEnd) {
+        let AttemptEnd::Whole { usage, .. } = end else {
+            return;
+        };
+        if usage.cached.0 > 0 {
+            let held = u32::try_from(usage.cached.0 / BLOCK_TOKENS).unwrap_or(u32::MAX);
+            let blocks = self.order.request.blocks.clone();
+            self.cx.router.send(RouterMsg::Found { pick, blocks, held });
+        }
+    }
+
     /// Settles an attempt by how it ended.
     fn conclude(&mut self, permit: Permit, end: AttemptEnd) -> Result<bool> {
         match end {
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -5,13 +5,15 @@
 mod ledger;
 mod link;
 mod log;
+mod policy;
 mod problem;
 mod process;
 mod sidecar;
 
 pub use {
     entry::EntrySettings, ledger::LedgerSettings, link::LinkTableSettings, log::LogLevel,
-    log::LogSettings, problem::Problem, process::ProcessSettings, sidecar::SidecarSettings,
+    log::LogSettings, policy::PolicyTable, problem::Problem, process::ProcessSettings,
+    sidecar::SidecarSettings,
 };
 
 use {
@@ -40,6 +42,9 @@
     pub sidecar: Option<SidecarSettings>,
     /// The ledger role.
     pub ledger: Option<LedgerSettings>,
+    /// Knobs of the policy.
+    #[serde(default)]
+    pub policy: PolicyTable,
 }
 
 /// Why settings can't be used.
--- /dev/null
+++ b/crates/sapphirequayd/src/settings/policy.rs
@@ -0,0 +1,200 @@
+//! Knobs of the policy.
+
+use {
+    quay_policy::{AdmitSettings, RetrySettings, RouteSettings},
+    serde::Deserialize,
+    std::time::Duration,
+};
+
+/// Knobs of the policy.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PolicyTable {
+    /// Choice of upstream, on entries.
+    pub route: RouteTable,
+    /// Queue before the upstream, on sidecars.
+    pub admit: AdmitTable,
+    /// Retries after a lost upstream, on entries.
+    pub retry: RetryTable,
+}
+
+/// Knobs of [`RouteSettings`].
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RouteTable {
+    /// [`RouteSettings::prefill_us`].
+    pub prefill_us: u64,
+    /// [`RouteSettings::prefix_weight`].
+    pub prefix_weight: u64,
+    /// [`RouteSettings::prefix_per_running`].
+    pub prefix_per_running: u64,
+    /// [`RouteSettings::per_running_us`].
+    pub per_running_us: u64,
+    /// [`RouteSettings::answer_tokens`].
+    pub answer_tokens: u64,
+    /// [`RouteSettings::token_gap_us`].
+    pub token_gap_us: u64,
+    /// [`RouteSettings::spread`] in milliseconds.
+    pub spread_ms: u64,
+    /// [`RouteSettings::home_weight`].
+    pub home_weight: u64,
+    /// [`RouteSettings::far`] in milliseconds.
+    pub far_ms: u64,
+    /// [`RouteSettings::stale_after`] in milliseconds.
+    pub stale_after_ms: u64,
+    /// [`RouteSettings::silent_after`] in milliseconds.
+    pub silent_after_ms: u64,
+    /// [`RouteSettings::stale_cost`] in milliseconds.
+    pub stale_cost_ms: u64,
+    /// [`RouteSettings::book_blocks`].
+    pub book_blocks: usize,
+}
+
+impl Default for RouteTable {
+    fn default() -> Self {
+        let cfg = RouteSettings::default();
+        Self {
+            prefill_us: cfg.prefill_us,
+            prefix_weight: cfg.prefix_weight,
+            prefix_per_running: cfg.prefix_per_running,
+            per_running_us: cfg.per_running_us,
+            answer_tokens: cfg.answer_tokens,
+            token_gap_us: cfg.token_gap_us,
+            spread_ms: ms(cfg.spread),
+            home_weight: cfg.home_weight,
+            far_ms: ms(cfg.far),
+            stale_after_ms: ms(cfg.stale_after),
+            silent_after_ms: ms(cfg.silent_after),
+            stale_cost_ms: ms(cfg.stale_cost),
+            book_blocks: cfg.book_blocks,
+        }
+    }
+}
+
+impl RouteTable {
+    /// The knobs as routing takes them.
+    #[must_use]
+    pub fn settings(&self) -> RouteSettings {
+        RouteSettings {
+            prefill_us: self.prefill_us,
+            prefix_weight: self.prefix_weight,
+            prefix_per_running: self.prefix_per_running,
+            per_running_us: self.per_running_us,
+            answer_tokens: self.answer_tokens,
+            token_gap_us: self.token_gap_us,
+            spread: Duration::from_millis(self.spread_ms),
+            home_weight: self.home_weight,
+            far: Duration::from_millis(self.far_ms),
+            stale_after: Duration::from_millis(self.stale_after_ms),
+            silent_after: Duration::from_millis(self.silent_after_ms),
+            stale_cost: Duration::from_millis(self.stale_cost_ms),
+            book_blocks: self.book_blocks,
+            ..RouteSettings::default()
+        }
+    }
+}
+
+/// Knobs of [`AdmitSettings`].
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdmitTable {
+    /// [`AdmitSettings::start_limit`].
+    pub start_limit: u32,
+    /// [`AdmitSettings::min_limit`].
+    pub min_limit: u32,
+    /// [`AdmitSettings::token_gap`] in milliseconds.
+    pub token_gap_ms: u64,
+    /// [`AdmitSettings::limit_every`] in milliseconds.
+    pub limit_every_ms: u64,
+    /// [`AdmitSettings::max_queued`].
+    pub max_queued: usize,
+    /// [`AdmitSettings::attained_per_1k`] in milliseconds.
+    pub attained_per_1k_ms: u64,
+    /// [`AdmitSettings::attained_max`] in milliseconds.
+    pub attained_max_ms: u64,
+    /// [`AdmitSettings::sub_agent_lead`] in milliseconds.
+    pub sub_agent_lead_ms: u64,
+    /// [`AdmitSettings::account_share_permille`].
+    pub account_share_permille: u32,
+    /// [`AdmitSettings::shed_new_after`] in milliseconds.
+    pub shed_new_after_ms: u64,
+    /// [`AdmitSettings::service`] in milliseconds.
+    pub service_ms: u64,
+}
+
+impl Default for AdmitTable {
+    fn default() -> Self {
+        let cfg = AdmitSettings::default();
+        Self {
+            start_limit: cfg.start_limit,
+            min_limit: cfg.min_limit,
+            token_gap_ms: ms(cfg.token_gap),
+            limit_every_ms: ms(cfg.limit_every),
+            max_queued: cfg.max_queued,
+            attained_per_1k_ms: ms(cfg.attained_per_1k),
+            attained_max_ms: ms(cfg.attained_max),
+            sub_agent_lead_ms: ms(cfg.sub_agent_lead),
+            account_share_permille: cfg.account_share_permille,
+            shed_new_after_ms: ms(cfg.shed_new_after),
+            service_ms: ms(cfg.service),
+        }
+    }
+}
+
+impl AdmitTable {
+    /// The knobs as admission takes them, for at most `concurrency` calls.
+    #[must_use]
+    pub fn settings(&self, concurrency: u32) -> AdmitSettings {
+        AdmitSettings {
+            start_limit: self.start_limit.min(concurrency),
+            min_limit: self.min_limit.min(concurrency),
+            max_limit: concurrency,
+            token_gap: Duration::from_millis(self.token_gap_ms),
+            limit_every: Duration::from_millis(self.limit_every_ms),
+            max_queued: self.max_queued,
+            attained_per_1k: Duration::from_millis(self.attained_per_1k_ms),
+            attained_max: Duration::from_millis(self.attained_max_ms),
+            sub_agent_lead: Duration::from_millis(self.sub_agent_lead_ms),
+            account_share_permille: self.account_share_permille,
+            shed_new_after: Duration::from_millis(self.shed_new_after_ms),
+            service: Duration::from_millis(self.service_ms),
+            ..AdmitSettings::default()
+        }
+    }
+}
+
+/// Knobs of [`RetrySettings`].
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RetryTable {
+    /// [`RetrySettings::share_permille`].
+    pub share_permille: u32,
+    /// [`RetrySettings::burst`].
+    pub burst: u32,
+}
+
+impl Default for RetryTable {
+    fn default() -> Self {
+        let cfg = RetrySettings::default();
+        Self {
+            share_permille: cfg.share_permille,
+            burst: cfg.burst,
+        }
+    }
+}
+
+impl RetryTable {
+    /// The knobs as retry budgets take them.
+    #[must_use]
+    pub const fn settings(&self) -> RetrySettings {
+        RetrySettings {
+            share_permille: self.share_permille,
+            burst: self.burst,
+        }
+    }
+}
+
+/// Whole milliseconds of a span.
+fn ms(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
