--- a/crates/quay_policy/src/guard/slices.rs
+++ b/crates/quay_policy/src/guard/slices.rs
@@ -60,7 +60,8 @@
     /// Lends `holder` up to `wanted` of an account's `limit`; replaces its slice.
     ///
     /// A slice is never smaller than the `open` calls that the holder has in
-    /// progress under the old one. While it has any it has to ask again before
+    /// progress, as far as the old slice covers them: calls beyond it would
+    /// raise the limit for good. While it has any it has to ask again before
     /// the slice ends.
     pub fn ask(
         &mut self,
@@ -72,6 +73,7 @@
     ) -> Grant {
         let slices = self.slices.entry(account).or_default();
         slices.retain(|_, slice| slice.grant.until > now);
+        let held = slices.get(&holder).map_or(0, |slice| slice.grant.amount);
         let others = slices.iter().filter(|(id, _)| **id != holder);
         let lent: u32 = others.clone().map(|(_, slice)| slice.grant.amount).sum();
         let asked: u32 = others.map(|(_, slice)| slice.wanted).sum();
@@ -85,7 +87,10 @@
             limit
         };
         let grant = Grant {
-            amount: wanted.min(most).min(limit.saturating_sub(lent)).max(open),
+            amount: wanted
+                .min(most)
+                .min(limit.saturating_sub(lent))
+                .max(open.min(held)),
             until: now + self.cfg.lease,
         };
         slices.insert(holder, Slice { wanted, grant });
