Trust the home of a program in full, and decide faster

Cause: with thirty entries that hear of no cache events, as at the size to design for, an entry knows only its own calls; a program's calls went wherever an old call of that entry had gone. All entries agree on a program's home by rendezvous hashing, and now trust it to hold the whole history.

--- a/crates/quay_experiment/src/policy/calls.rs
+++ b/crates/quay_experiment/src/policy/calls.rs
@@ -216,12 +216,11 @@
             return self.come_back(call, COME_BACK);
         }
         let spec = &self.specs[self.calls[call].program];
-        let state = &self.states[self.calls[call].program];
         let open = &mut self.calls[call];
         let req = RouteRequest {
             target: CallTarget::Model(MODEL),
             program: spec.id,
-            under_way: state.attained > 0,
+            under_way: true,
             prompt: Tokens(open.prompt.into()),
             blocks: &open.blocks[..open.blocks.len().min((open.prompt / BLOCK_TOKENS) as usize)],
             tried: &open.tried,
--- a/crates/quay_experiment/src/policy/report.rs
+++ b/crates/quay_experiment/src/policy/report.rs
@@ -50,6 +50,7 @@
             list.push(Scenario::new(deployment, load, false));
             list.push(Scenario::new(deployment, load, true));
         }
+        list.push(Scenario::new(deployment, 900, false).with_many_entries());
         list.push(Scenario {
             flood: true,
             ..Scenario::new(deployment, 900, false)
--- a/crates/quay_experiment/src/policy/scenario.rs
+++ b/crates/quay_experiment/src/policy/scenario.rs
@@ -37,6 +37,8 @@
     pub faults: bool,
     /// Whether one account sends five times its share.
     pub flood: bool,
+    /// Whether cache events reach the entries.
+    pub events: bool,
     /// How long programs arrive, in seconds.
     pub seconds: u64,
     /// Upstreams.
@@ -57,18 +59,30 @@
             load_permille,
             faults,
             flood: false,
+            events: true,
             seconds: SECONDS,
             upstreams: 10,
             entries: 3,
         }
     }
 
+    /// The same with so many entries that each hears only of its own calls.
+    #[must_use]
+    pub const fn with_many_entries(self) -> Self {
+        Self {
+            entries: 30,
+            events: false,
+            ..self
+        }
+    }
+
     /// Name in reports.
     #[must_use]
     pub fn name(&self) -> String {
         let faults = if self.faults { ", faults" } else { "" };
         let flood = if self.flood { ", flood" } else { "" };
+        let many = if self.events { "" } else { ", many entries" };
         let load = f64::from(self.load_permille) / 1_000.0;
-        format!("{} {load:.1}{faults}{flood}", self.deployment.name())
+        format!("{} {load:.1}{faults}{flood}{many}", self.deployment.name())
     }
 }
--- a/crates/quay_experiment/src/policy/world.rs
+++ b/crates/quay_experiment/src/policy/world.rs
@@ -83,6 +83,8 @@
     report_lag: Duration,
     pub open: usize,
     end: Time,
+    /// Whether cache events reach the entries.
+    events: bool,
     seconds: u64,
 }
 
@@ -130,6 +132,7 @@
             reports: Vec::new(),
             report_lag: REPORT_LAG,
             open: 0,
+            events: scenario.events,
             seconds: scenario.seconds,
             cfg,
             rng,
@@ -328,7 +331,9 @@
                 entry.announced(made, &report);
             }
         }
-        self.deliver_cache_events(at, id);
+        if self.events {
+            self.deliver_cache_events(at, id);
+        }
     }
 
     fn deliver_cache_events(&mut self, at: usize, id: UpstreamId) {
--- a/crates/quay_policy/src/route/cache_book.rs
+++ b/crates/quay_policy/src/route/cache_book.rs
@@ -14,6 +14,13 @@
 /// Beyond these, one block in so many is looked at.
 const STRIDE: usize = 8;
 
+/// Depth from which on only one block in [`WIDE_STRIDE`] is looked at, so that
+/// the longest histories cost no more than a few dozen look-ups.
+const WIDE_FROM: usize = DENSE + 32 * STRIDE;
+
+/// Stride beyond [`WIDE_FROM`].
+const WIDE_STRIDE: usize = 64;
+
 /// Depths that one lookup visits at most below the deepest that is held.
 const MAX_PROBES: usize = 24;
 
@@ -271,15 +278,20 @@
 
 impl Grid {
     fn len(&self) -> usize {
-        self.0.min(DENSE) + self.0.saturating_sub(DENSE) / STRIDE
+        let strided = self.0.min(WIDE_FROM).saturating_sub(DENSE) / STRIDE;
+        let wide = self.0.saturating_sub(WIDE_FROM) / WIDE_STRIDE;
+        self.0.min(DENSE) + strided + wide
     }
 
     /// Depth of the block at a place of the grid; the same for every prompt.
     fn depth(at: usize) -> usize {
+        let strided = DENSE + (WIDE_FROM - DENSE) / STRIDE;
         if at < DENSE {
             at
-        } else {
+        } else if at < strided {
             DENSE + (at - DENSE + 1) * STRIDE - 1
+        } else {
+            WIDE_FROM + (at - strided + 1) * WIDE_STRIDE - 1
         }
     }
 }
--- a/crates/quay_policy/src/route/load.rs
+++ b/crates/quay_policy/src/route/load.rs
@@ -14,6 +14,8 @@
     report: Option<(Time, Load)>,
     /// Calls sent, with the tokens that they make the upstream prefill; oldest first.
     sent: VecDeque<(Time, u64)>,
+    /// Sum of the tokens in `sent`.
+    prefill: u64,
     /// Calls ended; oldest first.
     ended: VecDeque<Time>,
 }
@@ -26,7 +28,11 @@
         }
         self.report = Some((at, load));
         let known = self.sent.partition_point(|(sent, _)| *sent <= at);
-        self.sent.drain(..known);
+        self.prefill -= self
+            .sent
+            .drain(..known)
+            .map(|(_, tokens)| tokens)
+            .sum::<u64>();
         let known = self.ended.partition_point(|ended| *ended <= at);
         self.ended.drain(..known);
     }
@@ -34,9 +40,11 @@
     /// Notes a call sent now.
     pub(super) fn sent(&mut self, now: Time, prefill: u64) {
         if self.sent.len() == MAX_RECENT {
-            self.sent.pop_front();
+            let oldest = self.sent.pop_front();
+            self.prefill -= oldest.map_or(0, |(_, tokens)| tokens);
         }
         self.sent.push_back((now, prefill));
+        self.prefill += prefill;
     }
 
     /// Notes a call ended now.
@@ -61,10 +69,9 @@
         }
         let sent = u32::try_from(self.sent.len()).unwrap_or(u32::MAX);
         let ended = u32::try_from(self.ended.len()).unwrap_or(u32::MAX);
-        let prefill: u64 = self.sent.iter().map(|(_, prefill)| prefill).sum();
         Load {
             running: (load.running + sent).saturating_sub(ended),
-            backlog: load.backlog + prefill,
+            backlog: load.backlog + self.prefill,
             ..load
         }
     }
--- a/crates/quay_policy/src/route/router.rs
+++ b/crates/quay_policy/src/route/router.rs
@@ -67,6 +67,8 @@
     book: CacheBook,
     /// Blocks held by each slot for the call at hand.
     depths: Vec<u32>,
+    /// Upstreams that serve the call at hand.
+    fitting: Vec<usize>,
     /// Costs of the upstreams that fit the call at hand.
     costs: Vec<(u64, usize)>,
     score: PhantomData<S>,
@@ -83,6 +85,7 @@
             used_slots: 0,
             book: CacheBook::new(cfg.book_blocks),
             depths: Vec::new(),
+            fitting: Vec::new(),
             costs: Vec::new(),
             score: PhantomData,
             cfg,
@@ -225,9 +228,16 @@
     /// Rates every upstream that fits; the silent ones only as a last resort.
     fn rate(&mut self, now: Time, req: &RouteRequest<'_>, last_resort: bool) {
         self.costs.clear();
+        self.fitting.clear();
+        let fitting = self.upstreams.values().zip(0..);
+        let fitting = fitting.filter(|(upstream, _)| fits(&upstream.announcement, req.target));
+        self.fitting.extend(fitting.map(|(_, at)| at));
         let home = self.home(req);
-        for (at, (id, upstream)) in self.upstreams.iter().enumerate() {
-            if !fits(&upstream.announcement, req.target) || req.tried.contains(id) {
+        for at in self.fitting.iter().copied() {
+            let Some((id, upstream)) = self.upstreams.get_index(at) else {
+                continue;
+            };
+            if req.tried.contains(id) {
                 continue;
             }
             let silent = now.since(upstream.heard) > self.cfg.silent_after;
@@ -261,12 +271,12 @@
         if !S::PREFIX || self.cfg.home_weight == 0 || !req.under_way {
             return None;
         }
-        let fitting = self
-            .upstreams
+        let program = mix(req.program.root);
+        let ids = self
+            .fitting
             .iter()
-            .filter(|(_, upstream)| fits(&upstream.announcement, req.target));
-        let rank = |id: UpstreamId| mix(id.0 ^ mix(req.program.root));
-        fitting.map(|(id, _)| *id).max_by_key(|id| rank(*id))
+            .filter_map(|at| self.upstreams.get_index(*at));
+        ids.map(|(id, _)| *id).max_by_key(|id| mix(id.0 ^ program))
     }
 
     /// Notes the call as sent to the upstream at `at`.
--- a/crates/quay_policy/src/route/settings.rs
+++ b/crates/quay_policy/src/route/settings.rs
@@ -52,7 +52,7 @@
             token_gap_us: 20_000,
             correct_load: true,
             spread: Duration::from_millis(20),
-            home_weight: 500,
+            home_weight: 1_000,
             far: Duration::from_millis(3),
             stale_after: Duration::from_secs(3),
             silent_after: Duration::from_secs(6),
