Take attained service out of the queue's order

With a good prefix most of the wait is at the engine, and under overload it puts back the programs that are nearest to their end.

Conclusion: taken out, with its knob and the test of its order. What bounds the wait, the static place in the queue, stays and its property test is tighter.

--- a/crates/quay_experiment/src/policy/policies.rs
+++ b/crates/quay_experiment/src/policy/policies.rs
@@ -71,11 +71,6 @@
         spread: Duration::ZERO,
         ..RouteSettings::default()
     });
-    /// Calls start in order of arrival.
-    NoAttained => "less attained service", ExpectedTime, LearnedLimit, admit(AdmitSettings {
-        attained_per_1k: Duration::ZERO,
-        ..AdmitSettings::default()
-    });
     /// Sub-agents wait like others.
     NoLead => "less sub-agent lead", ExpectedTime, LearnedLimit, admit(AdmitSettings {
         sub_agent_lead: Duration::ZERO,
@@ -131,7 +126,6 @@
         admit: AdmitSettings {
             max_limit: 100_000,
             max_queued: 100_000,
-            attained_per_1k: Duration::ZERO,
             sub_agent_lead: Duration::ZERO,
             account_share_permille: 0,
             shed_new_after: Duration::ZERO,
--- a/crates/quay_policy/src/admit/admission.rs
+++ b/crates/quay_policy/src/admit/admission.rs
@@ -21,8 +21,8 @@
 
 /// Place in the queue: virtual start, then order of arrival.
 ///
-/// The virtual start is the time of arrival, put back by what the program and
-/// the account were given already. All calls age at the same rate, so the order
+/// The virtual start is the time of arrival, put back by what the account was
+/// given already, and forward for sub-agents. All calls age at the same rate, so the order
 /// of two never changes and a call put back by at most `d` is passed only by
 /// calls that arrive within `d` of it.
 type Place = (Time, u64);
@@ -267,18 +267,12 @@
     // -----------------------------------------------------------------------
     // Priority
 
-    /// When a call would have come, had nobody been given anything yet.
+    /// When a call would have come, had its account kept to its share.
     fn virtual_start(&self, now: Time, ticket: &Ticket) -> Time {
-        let thousands = ticket.attained.0 / 1_000;
-        let behind = self
-            .cfg
-            .attained_per_1k
-            .saturating_mul(u32::try_from(thousands).unwrap_or(u32::MAX))
-            .min(self.cfg.attained_max);
         let lead = self.cfg.sub_agent_lead * u32::from(ticket.depth);
         let used = self.accounts.get(&ticket.account).copied();
         let from = used.unwrap_or_default().max(now);
-        from.min(now + self.cfg.attained_max) + behind - lead
+        from.min(now + self.cfg.behind_max) - lead
     }
 
     /// Charges an account for the upstream time of a call, shared by the calls beside it.
--- a/crates/quay_policy/src/admit/settings.rs
+++ b/crates/quay_policy/src/admit/settings.rs
@@ -19,11 +19,8 @@
     pub limit_every: Duration,
     /// Calls that may wait.
     pub max_queued: usize,
-    /// How long a call waits behind one whose program was given 1,000 tokens
-    /// less; zero is order of arrival.
-    pub attained_per_1k: Duration,
-    /// Most time that attained service can put a call back, which bounds its wait.
-    pub attained_max: Duration,
+    /// Most time that its account's use can put a call back, which bounds its wait.
+    pub behind_max: Duration,
     /// Head start of a sub-agent for each level of depth.
     pub sub_agent_lead: Duration,
     /// Upstream time that one account may take in each second before its calls
@@ -46,8 +43,7 @@
             kv_permille: 900,
             limit_every: Duration::from_millis(250),
             max_queued: 1_000,
-            attained_per_1k: Duration::from_millis(100),
-            attained_max: Duration::from_secs(10),
+            behind_max: Duration::from_secs(10),
             sub_agent_lead: Duration::from_secs(1),
             account_share_permille: 100,
             shed_new_after: Duration::from_secs(2),
--- a/crates/quay_policy/tests/admission.rs
+++ b/crates/quay_policy/tests/admission.rs
@@ -47,15 +47,6 @@
     started
 }
 
-#[test]
-fn the_program_that_was_given_least_goes_first() {
-    let mut queue = one_by_one();
-    for (id, attained) in [(1, 50_000), (2, 20_000), (3, 0), (4, 20_000)] {
-        queue.enter(Time::ZERO, ticket(id, attained));
-    }
-    assert_eq!(order(&mut queue), [3, 2, 4, 1]);
-}
-
 #[test]
 fn a_sub_agent_goes_before_its_peers() {
     let mut queue = one_by_one();
@@ -235,7 +226,7 @@
         steps in prop::collection::vec((0_u64..5_000, 0_u64..200_000, 0_u8..3, 0_u64..3, 0_u8..4), 1..80),
     ) {
         let cfg = AdmitSettings { start_limit: 4, max_limit: 4, ..AdmitSettings::default() };
-        let bound = cfg.attained_max * 2 + cfg.sub_agent_lead * 2;
+        let bound = cfg.behind_max + cfg.sub_agent_lead * 2;
         let mut queue = Admission::<LearnedLimit>::new(cfg);
         let mut now = Time::from_millis(1_000_000);
         let (mut entered, mut running) = (indexmap::IndexMap::new(), Vec::new());
--- a/crates/sapphirequayd/src/settings/policy.rs
+++ b/crates/sapphirequayd/src/settings/policy.rs
@@ -108,10 +108,8 @@
     pub limit_every_ms: u64,
     /// [`AdmitSettings::max_queued`].
     pub max_queued: usize,
-    /// [`AdmitSettings::attained_per_1k`] in milliseconds.
-    pub attained_per_1k_ms: u64,
-    /// [`AdmitSettings::attained_max`] in milliseconds.
-    pub attained_max_ms: u64,
+    /// [`AdmitSettings::behind_max`] in milliseconds.
+    pub behind_max_ms: u64,
     /// [`AdmitSettings::sub_agent_lead`] in milliseconds.
     pub sub_agent_lead_ms: u64,
     /// [`AdmitSettings::account_share_permille`].
@@ -131,8 +129,7 @@
             token_gap_ms: ms(cfg.token_gap),
             limit_every_ms: ms(cfg.limit_every),
             max_queued: cfg.max_queued,
-            attained_per_1k_ms: ms(cfg.attained_per_1k),
-            attained_max_ms: ms(cfg.attained_max),
+            behind_max_ms: ms(cfg.behind_max),
             sub_agent_lead_ms: ms(cfg.sub_agent_lead),
             account_share_permille: cfg.account_share_permille,
             shed_new_after_ms: ms(cfg.shed_new_after),
@@ -152,8 +149,7 @@
             token_gap: Duration::from_millis(self.token_gap_ms),
             limit_every: Duration::from_millis(self.limit_every_ms),
             max_queued: self.max_queued,
-            attained_per_1k: Duration::from_millis(self.attained_per_1k_ms),
-            attained_max: Duration::from_millis(self.attained_max_ms),
+            behind_max: Duration::from_millis(self.behind_max_ms),
             sub_agent_lead: Duration::from_millis(self.sub_agent_lead_ms),
             account_share_permille: self.account_share_permille,
             shed_new_after: Duration::from_millis(self.shed_new_after_ms),
