--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -30,7 +30,7 @@
         ControlReply, ControlRequest, ControlStatus, DaemonRow, MemberRow, OperatorOrder,
     },
     daemon::{Daemon, StartError},
-    gate::{Gate, GateMsg},
+    gate::{Gate, GateMsg, ticket},
     group::{
         BackupError, ChangeError, Group, GroupCopy, GroupError, GroupEvent, GroupHost, GroupLimits,
         GroupMsg, GroupStartError, PeerFrame, QuorumReply, QuorumRequest, backup, restore,
@@ -41,6 +41,6 @@
     lifecycle::{Lifecycle, Progress},
     permits::PermitMsg,
     prober::SharedHealth,
-    router::{Pick, Router, RouterMsg},
+    router::{Pick, PickRequest, Router, RouterMsg, Try},
     subscription::Subscription,
 };
