Give a resend the very answer that was recorded, and measure beyond 2 ms

An answer carried the second in which it was written, so that a replay could differ from the first answer: the program test failed when it met the change of a second. The load command's histogram did not grow beyond 2 ms.

--- a/crates/sapphirequay/src/load/caller.rs
+++ b/crates/sapphirequay/src/load/caller.rs
@@ -77,7 +77,13 @@
             req = req.set(name, value);
         }
         let started = Instant::now();
-        let response = req.send_string(&body.to_string()).map_err(Box::new)?;
+        let response = match req.send_string(&body.to_string()) {
+            Ok(response) => response,
+            Err(ureq::Error::Status(status, response)) => {
+                return Err(format!("{status}: {}", response.into_string()?).into());
+            }
+            Err(err) => return Err(err.into()),
+        };
         let mut answered = Answered::default();
         let mut ended = false;
         for line in BufReader::new(response.into_reader()).lines() {
--- a/crates/sapphirequay/src/load/mod.rs
+++ b/crates/sapphirequay/src/load/mod.rs
@@ -105,7 +105,9 @@
     /// Adds one time.
     fn add(&mut self, span: Duration) {
         let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
-        self.0.saturating_record(micros);
+        if self.0.record(micros).is_err() {
+            eprintln!("a time of {micros} µs is out of range");
+        }
     }
 
     /// A quantile in milliseconds.
--- a/crates/sapphirequayd/src/connection/answer.rs
+++ b/crates/sapphirequayd/src/connection/answer.rs
@@ -16,6 +16,10 @@
     }
 }
 
+/// Time that answers carry because callers' libraries want one. It is always
+/// the same, so that a resend gets the very answer that was recorded.
+const CREATED: u64 = 0;
+
 /// What every answer to one request shares.
 #[derive(Debug, Clone)]
 pub struct AnswerHead {
@@ -25,8 +29,6 @@
     pub id: Box<str>,
     /// Model that the caller named.
     pub model: Box<str>,
-    /// Seconds since the Unix epoch.
-    pub created: u64,
     /// Whether the last event of a stream tells the tokens used.
     pub usage_event: bool,
 }
@@ -164,7 +166,7 @@
     fn completion(&mut self, choices: &Value, extra: &[(&str, Value)]) -> io::Result<()> {
         let mut event = json!({
             "id": self.head.id, "object": "chat.completion.chunk",
-            "created": self.head.created, "model": self.head.model, "choices": choices,
+            "created": CREATED, "model": self.head.model, "choices": choices,
         });
         for (name, value) in extra {
             event[*name] = value.clone();
@@ -287,7 +289,7 @@
     fn end(&mut self, finish: FinishReason, usage: Usage) -> io::Result<()> {
         let body = json!({
             "id": self.head.id, "object": "chat.completion",
-            "created": self.head.created, "model": self.head.model,
+            "created": CREATED, "model": self.head.model,
             "choices": [{
                 "index": 0, "finish_reason": finish_name(finish),
                 "message": {"role": "assistant", "content": self.text},
--- a/crates/sapphirequayd/src/connection/edge.rs
+++ b/crates/sapphirequayd/src/connection/edge.rs
@@ -249,7 +249,6 @@
     let head = AnswerHead {
         number,
         id: format!("chatcmpl-{}", order.request.program).into(),
-        created: Clock::wall_ms() / 1_000,
         usage_event: completion.wants_usage(),
         model: completion.model,
     };
