--- /dev/null
+++ b/crates/quay_experiment/src/capacity/members.rs
@@ -0,0 +1,149 @@
+//! Membership: bytes and time of the directory against upstreams and readers.
+
+use {
+    crate::capacity::{Slope, ledger::as_f64, slope::least_us},
+    quay_members::{Directory, Heartbeat, MembersReply, MembersRequest, MembersSettings, View},
+    quay_types::{
+        Announcement, Incarnation, Load, ModelId, Time, UpstreamId, UpstreamKind, UpstreamState,
+    },
+    std::time::Duration,
+};
+
+/// Upstreams in the directory.
+const UPSTREAMS: [u32; 5] = [75, 150, 300, 600, 1_200];
+
+/// Models in steady use.
+const MODELS: u32 = 21;
+
+/// A directory in which every upstream has announced itself at `now`.
+fn directory(upstreams: u32, now: Time) -> Directory {
+    let mut directory = Directory::new(Time::ZERO, 1, MembersSettings::default());
+    for number in 0..upstreams {
+        let announcement = announcement(number);
+        directory.handle(now, MembersRequest::Announce(Box::new(announcement)));
+    }
+    directory
+}
+
+fn announcement(number: u32) -> Announcement {
+    Announcement {
+        name: format!("engine-{number}").into(),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        addr: ([10, 0, 0, 1], 7_000).into(),
+        data_centre: "it-north-1".into(),
+        kind: UpstreamKind::Engine {
+            models: [ModelId((number % MODELS).into())].into(),
+        },
+        state: UpstreamState::Serving,
+        load: load(number),
+    }
+}
+
+fn load(number: u32) -> Load {
+    Load {
+        queued: number % 50,
+        running: number % 64,
+        backlog: u64::from(number) * 977 % 100_000,
+        kv_permille: u16::try_from(number * 13 % 1_000).unwrap_or_default(),
+        token_gap_us: 20_000 + number * 7 % 16_000,
+        age_ms: number % 500,
+    }
+}
+
+/// A heartbeat after which the load has changed.
+fn heartbeat(number: u32, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        upstream: UpstreamId::of(&format!("engine-{number}")),
+        incarnation: Incarnation(1),
+        sequence,
+        acked: sequence - 1,
+        state: UpstreamState::Serving,
+        load: load(number + u32::try_from(sequence).unwrap_or_default()),
+    }
+}
+
+/// Lets every upstream send a heartbeat.
+fn beat(directory: &mut Directory, upstreams: u32, now: Time, sequence: u64) {
+    for number in 0..upstreams {
+        directory.handle(now, MembersRequest::Heartbeat(heartbeat(number, sequence)));
+    }
+}
+
+/// Bytes of one read of the directory after every load has changed.
+fn read_bytes(upstreams: u32) -> f64 {
+    let mut directory = directory(upstreams, Time::ZERO);
+    let mut view = View::default();
+    let mut now = Time::ZERO;
+    // The first reads take the lines; the last one takes changed loads only.
+    for sequence in 2..40 {
+        now = now + Duration::from_secs(1);
+        beat(&mut directory, upstreams, now, sequence);
+        let changes = directory.changes(now, &view.ask(7));
+        let reply = MembersReply::Changes(changes.clone());
+        let bytes = postcard::to_stdvec(&reply).map_or(0, |bytes| bytes.len());
+        view.learn(now, changes);
+        if sequence == 39 {
+            return as_f64(bytes);
+        }
+    }
+    f64::NAN
+}
+
+/// Slopes of membership.
+pub fn slopes() -> Vec<Slope> {
+    let bytes = Slope::measure(
+        "members.read_bytes",
+        "upstreams",
+        "B",
+        &UPSTREAMS,
+        read_bytes,
+    );
+    let beat_bytes = Slope::measure(
+        "members.heartbeat_bytes",
+        "upstreams",
+        "B",
+        &UPSTREAMS,
+        |upstreams| {
+            let req = MembersRequest::Heartbeat(heartbeat(upstreams, 1_000));
+            as_f64(postcard::to_stdvec(&req).map_or(0, |bytes| bytes.len()))
+        },
+    );
+    let beats = Slope::measure(
+        "members.heartbeats_cpu",
+        "upstreams",
+        "us",
+        &UPSTREAMS,
+        |upstreams| {
+            let mut directory = directory(upstreams, Time::ZERO);
+            let mut sequence = 1;
+            least_us(1, || {
+                sequence += 1;
+                beat(
+                    &mut directory,
+                    upstreams,
+                    Time::from_millis(sequence * 100),
+                    sequence,
+                );
+            })
+        },
+    );
+    let reads = Slope::measure(
+        "members.read_cpu",
+        "upstreams",
+        "us",
+        &UPSTREAMS,
+        |upstreams| {
+            let mut directory = directory(upstreams, Time::ZERO);
+            beat(&mut directory, upstreams, Time::from_millis(100), 2);
+            least_us(100, || {
+                for reader in 0..100 {
+                    let changes =
+                        directory.changes(Time::from_millis(200), &View::default().ask(reader));
+                    std::hint::black_box(changes);
+                }
+            })
+        },
+    );
+    vec![bytes, beat_bytes, beats, reads]
+}
--- /dev/null
+++ b/crates/quay_experiment/src/capacity/policy.rs
@@ -0,0 +1,123 @@
+//! Policy: time of a routing decision and of an admission.
+
+use {
+    crate::capacity::{Slope, slope::least_us},
+    quay_policy::{
+        Admission, AdmitSettings, ExpectedTime, FixedLimit, RouteRequest, RouteSettings, Router,
+        Ticket, TicketId, Verdict,
+    },
+    quay_types::{
+        AccountId, Announcement, CallTarget, Incarnation, Load, ModelId, ProgramId, Time, Tokens,
+        UpstreamKind, UpstreamState,
+    },
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Upstreams that serve the model.
+const UPSTREAMS: [u32; 5] = [75, 150, 300, 600, 1_200];
+
+/// Calls in the queue.
+const QUEUED: [u32; 5] = [125, 250, 500, 1_000, 2_000];
+
+/// Blocks of a prompt of 6,400 tokens.
+const BLOCKS: u64 = 100;
+
+/// Decisions that are timed at each size.
+const TIMED: u32 = 500;
+
+/// A router that knows so many upstreams.
+fn router(upstreams: u32) -> Router<ExpectedTime> {
+    let mut router = Router::new(RouteSettings::default(), "a");
+    for number in 0..upstreams {
+        let announcement = Announcement {
+            name: format!("u{number}").into(),
+            incarnation: Incarnation(1),
+            sequence: 1,
+            addr: ([127, 0, 0, 1], 1).into(),
+            data_centre: "a".into(),
+            kind: UpstreamKind::Engine {
+                models: [ModelId(0)].into(),
+            },
+            state: UpstreamState::Serving,
+            load: Load {
+                running: number % 40,
+                ..Load::default()
+            },
+        };
+        router.announced(Time::ZERO, &announcement);
+    }
+    router
+}
+
+/// Time of one routing decision.
+fn route(upstreams: u32) -> f64 {
+    let mut router = router(upstreams);
+    let mut turn = 0;
+    least_us(TIMED, || {
+        for _ in 0..TIMED {
+            turn += 1;
+            let blocks: Vec<u64> = (0..BLOCKS).map(|depth| (turn % 64) << 32 | depth).collect();
+            let req = RouteRequest {
+                target: CallTarget::Model(ModelId(0)),
+                program: ProgramId::root(turn % 64),
+                under_way: true,
+                prompt: Tokens(BLOCKS * 64),
+                blocks: &blocks,
+                tried: &[],
+            };
+            std::hint::black_box(router.pick(Time::ZERO, &req, turn));
+        }
+    })
+}
+
+fn ticket(id: u64) -> Ticket {
+    Ticket {
+        id: TicketId(id),
+        account: AccountId(id % 100),
+        deadline: Time::ZERO + Duration::from_hours(1),
+        ..Ticket::default()
+    }
+}
+
+/// Time of one admission: a call enters, one ends, one starts.
+fn admit(queued: u32) -> f64 {
+    let mut admission = Admission::<FixedLimit>::new(AdmitSettings {
+        shed_new_after: Duration::ZERO,
+        max_queued: 4_000,
+        ..AdmitSettings::default()
+    });
+    let mut id = 0;
+    let mut running: VecDeque<TicketId> = VecDeque::new();
+    while admission.queued() < usize::try_from(queued).unwrap_or_default() {
+        id += 1;
+        admission.enter(Time::ZERO, ticket(id));
+        running.extend(admitted(&admission.poll(Time::ZERO)));
+    }
+    least_us(TIMED, || {
+        for _ in 0..TIMED {
+            id += 1;
+            admission.enter(Time::ZERO, ticket(id));
+            if let Some(ended) = running.pop_front() {
+                admission.leave(Time::ZERO, ended);
+            }
+            running.extend(admitted(&admission.poll(Time::ZERO)));
+        }
+    })
+}
+
+/// The calls that may run.
+fn admitted(verdicts: &[Verdict]) -> Vec<TicketId> {
+    let admitted = verdicts.iter().filter_map(|verdict| match verdict {
+        Verdict::Admit(id) => Some(*id),
+        Verdict::Refuse(..) => None,
+    });
+    admitted.collect()
+}
+
+/// Slopes of policy.
+pub fn slopes() -> Vec<Slope> {
+    vec![
+        Slope::measure("entry.route_cpu", "upstreams", "us", &UPSTREAMS, route),
+        Slope::measure("sidecar.admit_cpu", "queued", "us", &QUEUED, admit),
+    ]
+}
--- a/crates/sapphirequay/src/experiment/mod.rs
+++ b/crates/sapphirequay/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! `sapphirequay experiment`: seeded experiments over the decision logic.
 
+mod capacity;
 mod commits;
 mod faults;
 mod policy;
@@ -19,6 +20,8 @@
 /// Which experiment to run; one module each.
 #[derive(Debug, Options)]
 enum ExperimentCommand {
+    #[options(help = "measure slopes and work out the size to design for")]
+    Capacity(capacity::CapacityArgs),
     #[options(help = "measure commits of three replicas on loopback with real syncs")]
     Commits(commits::CommitsArgs),
     #[options(help = "attack the promises with seeded faults")]
@@ -32,6 +35,7 @@
 /// Runs the experiment that was asked for.
 pub fn run(args: ExperimentArgs) -> Result<(), Box<dyn Error>> {
     match args.command {
+        Some(ExperimentCommand::Capacity(args)) => capacity::run(&args),
         Some(ExperimentCommand::Commits(args)) => commits::run(&args),
         Some(ExperimentCommand::Faults(args)) => faults::run(&args),
         Some(ExperimentCommand::Policy(args)) => policy::run(&args),
