--- a/crates/sapphirequay/src/experiment/commits/mod.rs
+++ b/crates/sapphirequay/src/experiment/commits/mod.rs
@@ -40,6 +40,8 @@
     record_bytes: usize,
     #[options(help = "elections to measure", default = "5")]
     elections: u32,
+    #[options(help = "measure this many programs only, and nothing else", meta = "N")]
+    programs: Option<usize>,
     #[options(help = "print JSON instead of lines")]
     json: bool,
 }
@@ -50,6 +52,10 @@
         Some(dir) => dir.join("commits-experiment"),
         None => std::env::temp_dir().join(format!("sapphirequay-commits-{}", process::id())),
     };
+    // What a run that was cut short has left would be taken for its group.
+    if dir.exists() {
+        fs::remove_dir_all(&dir)?;
+    }
     fs::create_dir_all(&dir)?;
     let done = measure(args, &dir);
     fs::remove_dir_all(&dir)?;
@@ -67,27 +73,46 @@
     }
 }
 
-/// Runs every measurement.
-fn measure(args: &CommitsArgs, dir: &Path) -> Result<Value, Box<dyn Error>> {
-    let syncs = measure_syncs(dir, args.record_bytes)?;
-    tell(args, "disk_sync", &syncs);
+/// Every load: three hosts with one sync each and batched, then one host alone.
+fn loads(args: &CommitsArgs) -> Vec<Load> {
+    let load = |hosts, groups, programs, sync_each| Load {
+        hosts,
+        groups,
+        programs,
+        sync_each,
+        span: Duration::from_secs(args.seconds),
+        record_bytes: args.record_bytes,
+    };
     let mut loads = Vec::new();
     for groups in GROUPS {
         for programs in PROGRAMS {
-            for sync_each in [true, false] {
-                let load = Load {
-                    groups,
-                    programs,
-                    sync_each,
-                    span: Duration::from_secs(args.seconds),
-                    record_bytes: args.record_bytes,
-                };
-                let measured = measure_load(dir, load)?;
-                tell(args, "load", &measured);
-                loads.push(measured);
-            }
+            loads.extend([true, false].map(|sync_each| load(3, groups, programs, sync_each)));
         }
     }
+    // What a commit would cost if no other host had to hold it.
+    loads.extend(PROGRAMS.map(|programs| load(1, 1, programs, false)));
+    loads.retain(|load| args.programs.is_none_or(|only| only == load.programs));
+    loads
+}
+
+/// Runs every measurement.
+fn measure(args: &CommitsArgs, dir: &Path) -> Result<Value, Box<dyn Error>> {
+    let mut syncs = Vec::new();
+    // Three replicas on one disk sync at the same time.
+    for files in [1, 3] {
+        let measured = measure_syncs(dir, files, args.record_bytes)?;
+        tell(args, "disk_sync", &measured);
+        syncs.push(measured);
+    }
+    let mut measured_loads = Vec::new();
+    for load in loads(args) {
+        let measured = measure_load(dir, load)?;
+        tell(args, "load", &measured);
+        measured_loads.push(measured);
+    }
+    if args.programs.is_some() {
+        return Ok(json!({ "disk_sync": syncs, "loads": measured_loads }));
+    }
     let elections = measure_elections(dir, args.elections, args.record_bytes)?;
     tell(args, "elections", &elections);
     let mut recoveries = Vec::new();
@@ -97,6 +122,6 @@
         recoveries.push(measured);
     }
     Ok(json!({
-        "disk_sync": syncs, "loads": loads, "elections": elections, "recoveries": recoveries,
+        "disk_sync": syncs, "loads": measured_loads, "elections": elections, "recoveries": recoveries,
     }))
 }
