--- a/crates/quay_ledger/src/calls.rs
+++ b/crates/quay_ledger/src/calls.rs
@@ -216,6 +216,7 @@
             epoch: at.epoch,
             reserved: begin.reserve,
         };
+        let idempotent = open.idempotent;
         open.attempts += 1;
         open.issued_ms = self.state.now_ms;
         open.live = Some(permit);
@@ -225,6 +226,7 @@
             permit,
             number,
             attained,
+            idempotent,
         }
     }
 
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -5,6 +5,7 @@
 mod ledger;
 mod link;
 mod log;
+mod policy;
 mod problem;
 mod process;
 mod sidecar;
@@ -14,6 +15,7 @@
     ledger::{LedgerSettings, PeerSettings},
     link::LinkTableSettings,
     log::{LogLevel, LogSettings},
+    policy::PolicyTable,
     problem::Problem,
     process::ProcessSettings,
     sidecar::SidecarSettings,
@@ -45,6 +47,9 @@
     pub sidecar: Option<SidecarSettings>,
     /// The ledger role.
     pub ledger: Option<LedgerSettings>,
+    /// Knobs of the policy.
+    #[serde(default)]
+    pub policy: PolicyTable,
 }
 
 /// Why settings can't be used.
