--- a/crates/sapphirequayd/tests/settings.rs
+++ b/crates/sapphirequayd/tests/settings.rs
@@ -100,6 +100,7 @@
     let settings = Settings::parse(DEFAULT_SETTINGS).expect("settings");
     assert_eq!(settings.entry, Some(EntrySettings::default()));
     assert_eq!(settings.log, LogSettings::default());
+    assert_eq!(settings.policy, Settings::default().policy);
     let process = ProcessSettings {
         name: "host-1".into(),
         ..ProcessSettings::default()
