--- a/crates/quay_experiment/src/policy/report.rs
+++ b/crates/quay_experiment/src/policy/report.rs
@@ -59,15 +59,15 @@
     list
 }
 
-/// Runs every policy whose name contains `only` in every scenario whose name
-/// contains `within`.
+/// Runs every policy whose name contains a part of `only`, which commas
+/// separate, in every scenario whose name contains `within`.
 #[must_use]
 pub fn report(seed: u64, only: &str, within: &str) -> Report {
     let jobs: Vec<(Scenario, &'static str)> = scenarios()
         .into_iter()
         .filter(|scenario| scenario.name().contains(within))
         .flat_map(|scenario| NAMES.iter().map(move |name| (scenario, *name)))
-        .filter(|(_, name)| name.contains(only))
+        .filter(|(_, name)| only.split(',').any(|part| name.contains(part)))
         .collect();
     let next = Mutex::new(0);
     let rows = Mutex::new(vec![None; jobs.len()]);
--- a/crates/sapphirequay/src/experiment/policy.rs
+++ b/crates/sapphirequay/src/experiment/policy.rs
@@ -15,7 +15,10 @@
     seed: u64,
     #[options(help = "print JSON instead of tables")]
     json: bool,
-    #[options(help = "only policies whose name contains this", meta = "TEXT")]
+    #[options(
+        help = "only policies whose name contains one of these, separated by commas",
+        meta = "TEXT"
+    )]
     only: String,
     #[options(help = "only scenarios whose name contains this", meta = "TEXT")]
     within: String,
