--- a/crates/sapphirequayd/src/connection/edge.rs
+++ b/crates/sapphirequayd/src/connection/edge.rs
@@ -163,6 +163,8 @@
 fn health(cx: &EntryContext, number: u64, req: Request) -> io::Result<()> {
     let (status, word) = if cx.lifecycle.draining() {
         (503, "draining")
+    } else if cx.rules.get().config().is_none() {
+        (503, "waiting for a configuration")
     } else {
         (200, "ok")
     };
@@ -249,7 +251,6 @@
     let head = AnswerHead {
         number,
         id: format!("chatcmpl-{}", order.request.program).into(),
-        created: Clock::wall_ms() / 1_000,
         usage_event: completion.wants_usage(),
         model: completion.model,
     };
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -20,14 +20,16 @@
 
 pub use {
     process::{
-        Clock, ControlClient, ControlFault, ControlReply, ControlRequest, ControlStatus, Daemon,
-        DaemonRow, Group, GroupError, GroupMsg, Health, HealthSettings, Lifecycle, Machine,
-        Mailbox, MemberRow, OperatorOrder, Progress, StartError, spawn,
+        BackupError, ChangeError, Clock, ControlClient, ControlFault, ControlReply, ControlRequest,
+        ControlStatus, Daemon, DaemonRow, Group, GroupCopy, GroupError, GroupEvent, GroupHost,
+        GroupLimits, GroupMsg, GroupStartError, Health, HealthSettings, Lifecycle, Machine,
+        Mailbox, MemberRow, OperatorOrder, PeerFrame, Progress, QuorumReply, QuorumRequest,
+        StartError, backup, restore, spawn,
     },
     request::{Input, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
     settings::{
         DEFAULT_SETTINGS, EntrySettings, LedgerSettings, LinkTableSettings, LogLevel, LogSettings,
-        Problem, ProcessSettings, Settings, SettingsError, SidecarSettings,
+        PeerSettings, Problem, ProcessSettings, Settings, SettingsError, SidecarSettings,
     },
     wire::LinkRequest,
 };
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -31,7 +31,10 @@
     },
     daemon::{Daemon, StartError},
     gate::{Gate, GateMsg, ticket},
-    group::{Group, GroupError, GroupMsg},
+    group::{
+        BackupError, ChangeError, Group, GroupCopy, GroupError, GroupEvent, GroupHost, GroupLimits,
+        GroupMsg, GroupStartError, PeerFrame, QuorumReply, QuorumRequest, backup, restore,
+    },
     health::{Health, HealthSettings},
     ledger::LedgerService,
     ledger_client::{LedgerClient, LedgerFault},
--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -44,6 +44,11 @@
 /// whoever asks about it.
 const SETTLE_GRACE: Duration = Duration::from_secs(2);
 
+/// A sidecar that is not announced, or does not answer, for so long is taken
+/// for gone. Longer than a directory takes to be rebuilt after its hosts were
+/// lost.
+const GONE_GRACE: Duration = Duration::from_secs(8);
+
 /// Where the answer goes, in the form that the caller asked for.
 pub trait Answer {
     /// Passes part of the answer on.
@@ -139,6 +144,8 @@
     tried: Vec<UpstreamId>,
     /// Attempts that may have run without a whole answer.
     lost: usize,
+    /// Whether the call may run more than once, as its first send said.
+    idempotent: bool,
     /// How many of these the budgets of retries have covered.
     retried: usize,
     /// Whether an upstream was asked for.
@@ -167,6 +174,7 @@
         delivery: Delivery::new(answer),
         tried: Vec::new(),
         lost: 0,
+        idempotent: order.request.idempotent,
         retried: 0,
         picked: false,
         refusal: None,
@@ -211,14 +219,21 @@
         };
         (self.picked, self.retried) = (true, self.lost);
         let pick = self.cx.pick(self.order, &self.tried, attempt);
+        let asked = Instant::now();
         let reply = self.begin(pick.as_ref());
         let went = match (reply, &pick) {
             (
                 Ok(BeginReply::Go {
-                    permit, attained, ..
+                    permit,
+                    attained,
+                    idempotent,
+                    ..
                 }),
                 Some(pick),
-            ) => self.attempt(pick, permit, attained),
+            ) => {
+                self.idempotent = idempotent;
+                self.attempt(pick, permit, attained, asked)
+            }
             (Ok(reply), _) => self.heed(reply),
             (Err(fault), _) => Err(self.without_ledger(fault)),
         };
@@ -284,11 +299,18 @@
     // Attempts
 
     /// Runs one attempt under its permit and settles it.
-    fn attempt(&mut self, pick: &Pick, permit: Permit, attained: Tokens) -> Result<bool> {
+    fn attempt(
+        &mut self,
+        pick: &Pick,
+        permit: Permit,
+        attained: Tokens,
+        asked: Instant,
+    ) -> Result<bool> {
         let mut request = self.order.request.clone();
         request.permit = Some(permit);
         request.incarnation = pick.incarnation;
         request.attained = attained;
+        request.idempotent = self.idempotent;
         request.deadline_ms = u64::try_from(self.order.left().as_millis()).unwrap_or(u64::MAX);
         self.delivery.next_attempt();
         let end = run_attempt(
@@ -296,6 +318,7 @@
             pick.addr,
             request,
             self.order.deadline,
+            asked,
             &mut self.delivery,
         );
         self.tried.push(pick.upstream);
@@ -373,7 +396,7 @@
         if let Some(stands) = self.settle(permit, Outcome::Unknown)? {
             return self.replay(stands).map(|()| true);
         }
-        if !self.order.request.idempotent {
+        if !self.idempotent {
             return Err(unknown_outcome());
         }
         if self.tried.len() >= MAX_ATTEMPTS {
@@ -406,7 +429,8 @@
             // Its entry may still be about to settle it.
             known => {
                 let since = *self.ended_since.get_or_insert_with(Instant::now);
-                if since.elapsed() >= SETTLE_GRACE {
+                let grace = known.as_ref().map_or(GONE_GRACE, |_| SETTLE_GRACE);
+                if since.elapsed() >= grace {
                     self.ended_since = None;
                     return self.settle_for_another(permit, known);
                 }
@@ -516,7 +540,7 @@
                 log::warn!("event=give_up_unheard program={program} key={key}");
             }
         }
-        if self.lost > 0 && err.kind.not_run() {
+        if self.lost > 0 && err.not_run() {
             return Error::new(
                 ErrorKind::UpstreamLost,
                 format!("an attempt was lost, then: {err}"),
--- a/crates/sapphirequayd/src/settings/check.rs
+++ b/crates/sapphirequayd/src/settings/check.rs
@@ -86,6 +86,7 @@
     /// The first configuration document can be read.
     fn check_ledger(&self, problems: &mut Vec<Problem>) {
         let Some(ledger) = &self.ledger else { return };
+        problems.extend(ledger.check().err());
         if let Err(err) = ledger.first_document() {
             problems.push(Problem::new("ledger", "document", err.to_string()));
         }
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -11,8 +11,13 @@
 mod sidecar;
 
 pub use {
-    entry::EntrySettings, ledger::LedgerSettings, link::LinkTableSettings, log::LogLevel,
-    log::LogSettings, policy::PolicyTable, problem::Problem, process::ProcessSettings,
+    entry::EntrySettings,
+    ledger::{LedgerSettings, PeerSettings},
+    link::LinkTableSettings,
+    log::{LogLevel, LogSettings},
+    policy::PolicyTable,
+    problem::Problem,
+    process::ProcessSettings,
     sidecar::SidecarSettings,
 };
 
