--- a/crates/quay_members/src/directory.rs
+++ b/crates/quay_members/src/directory.rs
@@ -258,12 +258,19 @@
         self.take_complaints(now, req);
         let whole = req.run != self.run || req.announced < self.forgotten;
         let (known, since) = if whole {
-            (0, 0)
+            // Every line is sent in full, with its load of that time.
+            (0, self.version)
         } else {
             (req.announced, req.version)
         };
         let (full, announced) = self.announced_since(known);
-        let (loads, version) = self.loads_since(known, since);
+        // While announcements are missing the loads wait: both at once would
+        // take a starting reader over its share of the network.
+        let (loads, version) = if announced < self.version {
+            (Vec::new(), since)
+        } else {
+            self.loads_since(known, since)
+        };
         let full = full.into_iter().filter_map(|slot| {
             let line = self.line(slot)?;
             Some(FullLine {
--- a/crates/quay_members/src/settings.rs
+++ b/crates/quay_members/src/settings.rs
@@ -38,7 +38,7 @@
             complainants: 2,
             complaint_window: Duration::from_secs(10),
             probation: Duration::from_secs(10),
-            full_lines: 32,
+            full_lines: 28,
             lines: 1_024,
             capacity: 4_096,
         }
