--- a/crates/sapphirequay/src/experiment/commits/measure.rs
+++ b/crates/sapphirequay/src/experiment/commits/measure.rs
@@ -31,6 +31,8 @@
 /// A load to measure.
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
+    /// Hosts, each with a replica of every group.
+    pub hosts: u64,
     /// Groups that programs are spread over.
     pub groups: u16,
     /// Programs that commit one record after another.
@@ -65,26 +67,54 @@
     (count as f64 / of.max(1) as f64 * 10.0).round() / 10.0
 }
 
-/// Measures a write of one record and its sync.
-pub fn measure_syncs(dir: &Path, record_bytes: usize) -> Result<Value, Box<dyn Error>> {
+/// Measures writes of one record and their syncs, by `files` threads at once.
+pub fn measure_syncs(
+    dir: &Path,
+    files: usize,
+    record_bytes: usize,
+) -> Result<Value, Box<dyn Error>> {
     let folder = DiskFolder::create(dir)?;
-    let mut file = folder.create("sync-test")?;
-    let record = vec![1; record_bytes];
+    let threads: Vec<_> = (0..files)
+        .map(|number| {
+            let folder = folder.clone();
+            thread::spawn(move || sync_often(&folder, number, record_bytes))
+        })
+        .collect();
     let mut times = histogram()?;
-    for _ in 0..SYNCS {
-        let started = Instant::now();
-        file.write(&record)?;
-        file.sync()?;
-        times.record(micros(started.elapsed()))?;
+    for thread in threads {
+        times.add(&thread.join().map_err(|_| "a thread died")??)?;
     }
-    folder.remove("sync-test")?;
     Ok(json!({
+        "files_at_once": files,
         "syncs": SYNCS,
         "p50_ms": quantile_ms(&times, 0.5),
         "p99_ms": quantile_ms(&times, 0.99),
     }))
 }
 
+/// Times of writes of one record and their syncs.
+fn sync_often(
+    folder: &DiskFolder,
+    number: usize,
+    record_bytes: usize,
+) -> Result<Histogram<u64>, String> {
+    let text = |err: &dyn std::fmt::Display| err.to_string();
+    let name = format!("sync-test-{number}");
+    let mut file = folder.create(&name).map_err(|err| text(&err))?;
+    let record = vec![1; record_bytes];
+    let mut times = Histogram::new(3).map_err(|err| text(&err))?;
+    for _ in 0..SYNCS {
+        let started = Instant::now();
+        file.write(&record).map_err(|err| text(&err))?;
+        file.sync().map_err(|err| text(&err))?;
+        times
+            .record(micros(started.elapsed()))
+            .map_err(|err| text(&err))?;
+    }
+    folder.remove(&name).map_err(|err| text(&err))?;
+    Ok(times)
+}
+
 /// Limits of the groups that are measured.
 fn limits(sync_each: bool) -> GroupLimits {
     GroupLimits {
@@ -98,7 +128,7 @@
     let dir = dir.join("load");
     let cluster = Arc::new(Cluster::start(
         &dir,
-        3,
+        load.hosts,
         load.groups,
         limits(load.sync_each),
     )?);
@@ -106,6 +136,7 @@
         set(cluster.group(group), 0, &record(0, load.record_bytes))?;
     }
     let (disk, wire) = (folder_bytes(&dir)?, cluster.sent_bytes());
+    let cpu = cpu_micros()?;
     let stop = Arc::new(AtomicBool::new(false));
     let threads: Vec<_> = (0..load.programs)
         .map(|program| {
@@ -125,20 +156,34 @@
     let commits = times.len();
     let disk = folder_bytes(&dir)?.saturating_sub(disk);
     let wire = cluster.sent_bytes() - wire;
+    let cpu = cpu_micros()?.saturating_sub(cpu);
     cluster.stop();
     fs::remove_dir_all(&dir)?;
     Ok(json!({
+        "hosts": load.hosts,
         "groups": load.groups,
         "programs": load.programs,
         "sync": if load.sync_each { "each" } else { "batched" },
         "commits_s": ratio(commits * 1_000_000, micros(span)),
         "p50_ms": quantile_ms(&times, 0.5),
         "p99_ms": quantile_ms(&times, 0.99),
-        "disk_bytes_a_commit_and_host": ratio(disk, 3 * commits),
+        "disk_bytes_a_commit_and_host": ratio(disk, load.hosts * commits),
         "wire_bytes_a_commit": ratio(wire, commits),
+        "cpu_us_a_commit": ratio(cpu, commits),
     }))
 }
 
+/// Processor time of this process: all hosts and the programs.
+fn cpu_micros() -> Result<u64, Box<dyn Error>> {
+    const TICK_US: u64 = 10_000;
+    let stat = fs::read_to_string("/proc/self/stat")?;
+    // The name, in parentheses, may hold spaces.
+    let after_name = stat.rsplit(')').next().unwrap_or_default();
+    let fields = after_name.split_whitespace().skip(11).take(2);
+    let ticks: Result<Vec<u64>, _> = fields.map(str::parse).collect();
+    Ok(ticks?.into_iter().sum::<u64>() * TICK_US)
+}
+
 /// A record of a program.
 fn record(program: u64, bytes: usize) -> SetRecord {
     SetRecord {
