--- a/crates/quay_standin/src/engine/mod.rs
+++ b/crates/quay_standin/src/engine/mod.rs
@@ -8,6 +8,7 @@
 use {
     crate::model::ModelSettings,
     http::serve,
+    socket2::SockRef,
     std::{
         io,
         net::{SocketAddr, TcpListener},
@@ -19,6 +20,9 @@
     tiny_http::Server,
 };
 
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
 /// Interval at which the listener looks whether the engine has stopped.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -85,6 +89,7 @@
     /// Fails if the address is taken.
     pub fn start(listen: SocketAddr, settings: EngineSettings) -> io::Result<Self> {
         let listener = TcpListener::bind(listen)?;
+        SockRef::from(&listener).listen(BACKLOG)?;
         let addr = listener.local_addr()?;
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let streams = Arc::new(Streams::new(settings)?);
--- a/crates/quay_types/src/lib.rs
+++ b/crates/quay_types/src/lib.rs
@@ -25,10 +25,7 @@
     answer_cursor::{AnswerCursor, Gap},
     call::{CallEvent, CallRequest, CallTarget, FinishReason, Proceed, SidecarRequest},
     digest::{ContentDigest, block_hashes},
-    directory::{
-        Announcement, DirectoryEntry, DirectoryReply, DirectoryRequest, Load, UpstreamKind,
-        UpstreamState,
-    },
+    directory::{Announcement, DirectoryEntry, DirectoryReply, Load, UpstreamKind, UpstreamState},
     error::{Error, ErrorKind, Result},
     ids::{
         AccountId, Attempt, CallNumber, ConfigIndex, Epoch, FenceNumber, GroupId, Incarnation,
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -31,7 +31,10 @@
     },
     daemon::{Daemon, StartError},
     gate::{Gate, GateMsg},
-    group::{Group, GroupError, GroupMsg},
+    group::{
+        ChangeError, Group, GroupError, GroupEvent, GroupHost, GroupLimits, GroupMsg,
+        GroupStartError, PeerFrame, QuorumReply, QuorumRequest,
+    },
     health::{Health, HealthSettings},
     ledger::LedgerService,
     ledger_client::{LedgerClient, LedgerFault},
