--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -30,8 +30,9 @@
 /// Longest wait for the ledger to record how an attempt ended.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(15);
 
-/// Longest wait for an earlier call of the program.
-const ORDER_PATIENCE: Duration = Duration::from_secs(10);
+/// Longest wait for an earlier call of the program; longer than the ledger holds
+/// the next call back after one whose outcome is unknown.
+const ORDER_PATIENCE: Duration = Duration::from_secs(20);
 
 /// First pause before the ledger is asked again about an attempt of another
 /// entry; doubles up to [`MAX_JOIN_PAUSE`].
