--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -30,10 +30,10 @@
         ControlReply, ControlRequest, ControlStatus, DaemonRow, MemberRow, OperatorOrder,
     },
     daemon::{Daemon, StartError},
-    gate::{Gate, GateMsg},
+    gate::{Gate, GateMsg, ticket},
     group::{
-        ChangeError, Group, GroupError, GroupEvent, GroupHost, GroupLimits, GroupMsg,
-        GroupStartError, PeerFrame, QuorumReply, QuorumRequest,
+        BackupError, ChangeError, Group, GroupCopy, GroupError, GroupEvent, GroupHost, GroupLimits,
+        GroupMsg, GroupStartError, PeerFrame, QuorumReply, QuorumRequest, backup, restore,
     },
     health::{Health, HealthSettings},
     ledger::LedgerService,
@@ -41,6 +41,6 @@
     lifecycle::{Lifecycle, Progress},
     permits::PermitMsg,
     prober::SharedHealth,
-    router::{Pick, Router, RouterMsg},
+    router::{Pick, PickRequest, Router, RouterMsg, Try},
     subscription::Subscription,
 };
--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -3,20 +3,24 @@
 
 use {
     crate::{
-        process::{LedgerClient, LedgerFault, Mailbox, Pick, RouterMsg},
+        process::{LedgerClient, LedgerFault, Mailbox, Pick, PickRequest, RouterMsg, Try},
         request::{AttemptEnd, CallOrder, Delivery, RecordedAnswer, inquire::inquire, run_attempt},
     },
     quay_link::Links,
     quay_types::{
-        BeginReply, CallTarget, Error, ErrorKind, FinishReason, LedgerReply, LedgerRequest,
-        Outcome, Permit, PermitFate, Result, Settle, Tokens, UpstreamId,
+        BeginReply, Error, ErrorKind, FinishReason, LedgerReply, LedgerRequest, Outcome, Permit,
+        PermitFate, Result, Settle, Tokens, UpstreamId,
     },
+    rand::RngExt as _,
     std::{
         io, thread,
         time::{Duration, Instant},
     },
 };
 
+/// Tokens in a block of a prompt.
+const BLOCK_TOKENS: u64 = 64;
+
 /// Attempts of one call at most.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -40,6 +44,11 @@
 /// whoever asks about it.
 const SETTLE_GRACE: Duration = Duration::from_secs(2);
 
+/// A sidecar that is not announced, or does not answer, for so long is taken
+/// for gone. Longer than a directory takes to be rebuilt after its hosts were
+/// lost.
+const GONE_GRACE: Duration = Duration::from_secs(8);
+
 /// Where the answer goes, in the form that the caller asked for.
 pub trait Answer {
     /// Passes part of the answer on.
@@ -102,12 +111,20 @@
 
 impl CallContext {
     /// Asks the router for an upstream that was not tried yet.
-    fn pick(&self, target: CallTarget, tried: &[UpstreamId]) -> Option<Pick> {
-        let asked = self.router.ask(|reply| RouterMsg::Pick {
-            target,
+    fn pick(&self, order: &CallOrder, tried: &[UpstreamId], attempt: Try) -> Option<Pick> {
+        let request = &order.request;
+        let req = PickRequest {
+            target: request.target,
+            account: request.account,
+            program: request.program,
+            under_way: order.implicit.is_none(),
+            prompt: request.prompt,
+            blocks: request.blocks.clone(),
             tried: tried.into(),
-            reply,
-        });
+            attempt,
+            draw: rand::rng().random(),
+        };
+        let asked = self.router.ask(|reply| RouterMsg::Pick(req, reply));
         asked.flatten()
     }
 
@@ -127,6 +144,12 @@
     tried: Vec<UpstreamId>,
     /// Attempts that may have run without a whole answer.
     lost: usize,
+    /// Whether the call may run more than once, as its first send said.
+    idempotent: bool,
+    /// How many of these the budgets of retries have covered.
+    retried: usize,
+    /// Whether an upstream was asked for.
+    picked: bool,
     /// Why the last attempt was refused.
     refusal: Option<Error>,
     /// Whether an attempt that another entry began may still run.
@@ -151,6 +174,9 @@
         delivery: Delivery::new(answer),
         tried: Vec::new(),
         lost: 0,
+        idempotent: order.request.idempotent,
+        retried: 0,
+        picked: false,
         refusal: None,
         joined: false,
         waiting_since: None,
@@ -186,16 +212,28 @@
 
     /// Asks the ledger and does what it says; `true` once the call has ended.
     fn step(&mut self) -> Result<bool> {
-        let pick = self.cx.pick(self.order.request.target, &self.tried);
+        let attempt = match (self.picked, self.lost > self.retried) {
+            (false, _) => Try::First,
+            (true, false) => Try::Again,
+            (true, true) => Try::Retry,
+        };
+        (self.picked, self.retried) = (true, self.lost);
+        let pick = self.cx.pick(self.order, &self.tried, attempt);
         let asked = Instant::now();
         let reply = self.begin(pick.as_ref());
         let went = match (reply, &pick) {
             (
                 Ok(BeginReply::Go {
-                    permit, attained, ..
+                    permit,
+                    attained,
+                    idempotent,
+                    ..
                 }),
                 Some(pick),
-            ) => self.attempt(pick, permit, attained, asked),
+            ) => {
+                self.idempotent = idempotent;
+                self.attempt(pick, permit, attained, asked)
+            }
             (Ok(reply), _) => self.heed(reply),
             (Err(fault), _) => Err(self.without_ledger(fault)),
         };
@@ -272,6 +310,7 @@
         request.permit = Some(permit);
         request.incarnation = pick.incarnation;
         request.attained = attained;
+        request.idempotent = self.idempotent;
         request.deadline_ms = u64::try_from(self.order.left().as_millis()).unwrap_or(u64::MAX);
         self.delivery.next_attempt();
         let end = run_attempt(
@@ -283,9 +322,22 @@
             &mut self.delivery,
         );
         self.tried.push(pick.upstream);
+        self.tell_found(*pick, &end);
         self.conclude(permit, end)
     }
 
+    /// Tells the router what the upstream found in its cache, if it says so.
+    fn tell_found(&self, pick: Pick, end: &AttemptEnd) {
+        let AttemptEnd::Whole { usage, .. } = end else {
+            return;
+        };
+        if usage.cached.0 > 0 {
+            let held = u32::try_from(usage.cached.0 / BLOCK_TOKENS).unwrap_or(u32::MAX);
+            let blocks = self.order.request.blocks.clone();
+            self.cx.router.send(RouterMsg::Found { pick, blocks, held });
+        }
+    }
+
     /// Settles an attempt by how it ended.
     fn conclude(&mut self, permit: Permit, end: AttemptEnd) -> Result<bool> {
         match end {
@@ -344,7 +396,7 @@
         if let Some(stands) = self.settle(permit, Outcome::Unknown)? {
             return self.replay(stands).map(|()| true);
         }
-        if !self.order.request.idempotent {
+        if !self.idempotent {
             return Err(unknown_outcome());
         }
         if self.tried.len() >= MAX_ATTEMPTS {
@@ -377,7 +429,8 @@
             // Its entry may still be about to settle it.
             known => {
                 let since = *self.ended_since.get_or_insert_with(Instant::now);
-                if since.elapsed() >= SETTLE_GRACE {
+                let grace = known.as_ref().map_or(GONE_GRACE, |_| SETTLE_GRACE);
+                if since.elapsed() >= grace {
                     self.ended_since = None;
                     return self.settle_for_another(permit, known);
                 }
@@ -487,7 +540,7 @@
                 log::warn!("event=give_up_unheard program={program} key={key}");
             }
         }
-        if self.lost > 0 && err.kind.not_run() {
+        if self.lost > 0 && err.not_run() {
             return Error::new(
                 ErrorKind::UpstreamLost,
                 format!("an attempt was lost, then: {err}"),
