Give a joined attempt a second to arrive before its permit is asked about

Cause of the flaky resends_that_come_together_run_once: a resend asked the sidecar about a permit while its first send was still delivering it; asking marks a permit that was not seen as refused, and three such races used up the attempts of the first send (503 permit_refused). Ruled out: the permit book.

--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -9,7 +9,7 @@
     quay_link::Links,
     quay_types::{
         BeginReply, Error, ErrorKind, FinishReason, LedgerReply, LedgerRequest, Outcome, Permit,
-        PermitFate, Result, Settle, Tokens, UpstreamId,
+        PermitFate, PermitId, Result, Settle, Tokens, UpstreamId,
     },
     rand::RngExt as _,
     std::{
@@ -41,6 +41,10 @@
 /// Longest pause before the ledger is asked again.
 const MAX_JOIN_PAUSE: Duration = Duration::from_millis(500);
 
+/// A permit that another entry was given is not asked about sooner: asking marks
+/// one that has not arrived yet as refused, and its entry may be on the way.
+const INQUIRE_AFTER: Duration = Duration::from_secs(1);
+
 /// An attempt that has ended and that nobody settles for so long is settled by
 /// whoever asks about it.
 const SETTLE_GRACE: Duration = Duration::from_secs(2);
@@ -157,6 +161,8 @@
     joined: bool,
     /// Since when the program's earlier call is waited for.
     waiting_since: Option<Instant>,
+    /// The attempt of another entry that was joined last, and since when.
+    joined_since: Option<(PermitId, Instant)>,
     /// Since when the attempt of another entry is known to have ended.
     ended_since: Option<Instant>,
     /// Pause before the ledger is asked again.
@@ -181,6 +187,7 @@
         refusal: None,
         joined: false,
         waiting_since: None,
+        joined_since: None,
         ended_since: None,
         join_pause: JOIN_PAUSE,
     };
@@ -418,8 +425,12 @@
     /// Joins an attempt that another entry began, or that an entry began which
     /// has died: waits for its outcome, or finds out that nobody will bring it.
     fn join(&mut self, permit: Permit) -> Result<bool> {
-        let known = self.ask_sidecar(permit);
         self.joined = true;
+        if !self.may_inquire(permit.id) {
+            self.pause_join();
+            return Ok(false);
+        }
+        let known = self.ask_sidecar(permit);
         match known {
             Some((PermitFate::Refused, _)) => {
                 self.joined = false;
@@ -437,10 +448,24 @@
                 }
             }
         }
+        self.pause_join();
+        Ok(false)
+    }
+
+    /// Whether a joined attempt has had time to reach its sidecar.
+    fn may_inquire(&mut self, id: PermitId) -> bool {
+        let joined = self.joined_since.filter(|(known, _)| *known == id);
+        let (_, since) = *self
+            .joined_since
+            .insert(joined.unwrap_or((id, Instant::now())));
+        since.elapsed() >= INQUIRE_AFTER
+    }
+
+    /// Waits before the ledger is asked again about another entry's attempt.
+    fn pause_join(&mut self) {
         thread::sleep(self.join_pause.min(self.order.left()));
         self.join_pause = (self.join_pause * 2).min(MAX_JOIN_PAUSE);
         self.delivery.heartbeat();
-        Ok(false)
     }
 
     /// Settles an attempt whose entry does not.
