--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod admit;
 mod guard;
+mod held_blocks;
 mod placement;
 mod policy;
 mod retain;
@@ -32,6 +33,7 @@
         Grant, Leave, RetryBudgets, RetrySettings, SliceGrantor, SliceHolder, SliceSettings,
         SuspectCommand, SuspectReply, SuspectSettings, Suspects,
     },
+    held_blocks::HeldBlocks,
     placement::{Move, Placement, PlacementSettings, PlacementView},
     policy::{Policy, PolicySettings},
     retain::{Retention, RetentionAction, RetentionSettings},
--- a/crates/quay_policy/tests/guards.rs
+++ b/crates/quay_policy/tests/guards.rs
@@ -3,7 +3,7 @@
 use {
     proptest::prelude::*,
     quay_policy::{
-        Grant, Placement, PlacementSettings, PlacementView, Retention, RetentionAction,
+        Grant, HeldBlocks, Placement, PlacementSettings, PlacementView, Retention, RetentionAction,
         RetentionSettings, RetryBudgets, RetrySettings, SliceGrantor, SliceHolder, SliceSettings,
     },
     quay_types::{AccountId, FenceNumber, ModelId, ProgramId, Time, UpstreamId},
@@ -199,3 +199,16 @@
         "a slice that has ended allows nothing"
     );
 }
+
+#[test]
+fn a_program_gives_up_its_own_blocks_and_no_shared_ones() {
+    let mut held = HeldBlocks::default();
+    let (one, two) = (ProgramId::root(1), ProgramId::root(2));
+    held.note(one, &[1, 2, 3]);
+    held.note(one, &[1, 2, 3, 4]);
+    held.note(two, &[1, 2, 9]);
+    assert_eq!(*held.take(one), [3, 4]);
+    assert_eq!(*held.take(one), []);
+    assert_eq!(*held.take(two), [9], "a common prompt is nobody's own");
+    assert!(held.is_empty());
+}
--- a/crates/sapphirequayd/src/connection/engine.rs
+++ b/crates/sapphirequayd/src/connection/engine.rs
@@ -156,6 +156,21 @@
             .call();
         !matches!(sent, Err(ureq::Error::Transport(_)))
     }
+
+    /// Has the engine drop blocks of its prefix cache; `false` if it did not.
+    #[must_use]
+    pub fn release(&self, blocks: &[u64]) -> bool {
+        if blocks.is_empty() {
+            return true;
+        }
+        let sent = self
+            .agent
+            .post(&format!("{}/v1/kv/release", self.base))
+            .timeout(CANCEL_TIMEOUT)
+            .set("content-type", "application/json")
+            .send_string(&serde_json::json!({ "blocks": blocks }).to_string());
+        sent.is_ok()
+    }
 }
 
 /// What a failed exchange says of the upstream.
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -28,8 +28,9 @@
     },
     request::{Input, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
     settings::{
-        DEFAULT_SETTINGS, EntrySettings, LedgerSettings, LinkTableSettings, LogLevel, LogSettings,
-        PeerSettings, Problem, ProcessSettings, Settings, SettingsError, SidecarSettings,
+        DEFAULT_SETTINGS, EntrySettings, KvTable, LedgerSettings, LinkTableSettings, LogLevel,
+        LogSettings, PeerSettings, PolicyTable, Problem, ProcessSettings, Settings, SettingsError,
+        SidecarSettings,
     },
     wire::LinkRequest,
 };
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -4,8 +4,9 @@
     crate::{
         connection::{Edge, EngineClient, EntryContext, ServiceClient},
         process::{
-            Clock, ControlRequest, ControlService, Gate, GroupHost, GroupStartError, LedgerClient,
-            LedgerService, Lifecycle, Mailbox, PermitMsg, QuorumRequest, Router, SharedHealth,
+            Clock, ControlRequest, ControlService, Gate, GroupHost, GroupStartError, KvKeeper,
+            KvMsg, LedgerClient, LedgerService, Lifecycle, Mailbox, PermitMsg, QuorumRequest,
+            Router, SharedHealth,
             announcer::{Announcer, Reader, Standing},
             control_role::{follow_marks, start_control, subscribe, watch_keys},
             directory::DirectoryMsg,
@@ -297,11 +298,21 @@
     announcer
         .start(&settings.link.ledgers)
         .map_err(starting("announcer"))?;
+    let engine = EngineClient::new(sidecar.addr);
+    let kv = if sidecar.service.is_some() {
+        None
+    } else {
+        let ledger = LedgerClient::new(links.clone(), settings.link.ledgers.as_slice());
+        let sweep = settings.policy.kv.sweep();
+        let kv = KvKeeper::start(clock, sweep, engine.clone(), ledger);
+        Some(kv.map_err(starting("kv keeper"))?)
+    };
     Ok(Attempts {
         incarnation,
         gate,
+        kv,
         permits,
-        engine: EngineClient::new(sidecar.addr),
+        engine,
         lifecycle: lifecycle.clone(),
         health,
         clock,
@@ -388,7 +399,11 @@
                 groups.serve(req, &mut incoming);
             }
         }
-        LinkRequest::Sidecar(SidecarRequest::ProgramEnded(_)) => {}
+        LinkRequest::Sidecar(SidecarRequest::ProgramEnded(program)) => {
+            if let Some(kv) = roles.sidecar.as_ref().and_then(|it| it.kv.as_ref()) {
+                kv.send(KvMsg::Ended(program));
+            }
+        }
     }
 }
 
--- a/crates/sapphirequayd/src/process/ledger.rs
+++ b/crates/sapphirequayd/src/process/ledger.rs
@@ -91,6 +91,12 @@
     /// left out, so that nothing counts as ended by mistake.
     fn ended(&self, ids: &[ProgramId]) -> LedgerReply {
         let groups = u16::try_from(self.groups.len()).unwrap_or(u16::MAX);
+        if let Some(first) = ids.first().copied()
+            && ids.iter().all(|id| id.group(groups) == first.group(groups))
+        {
+            // Of one group, so that another host can be named that leads it.
+            return self.read(first, Query::Ended(ids.into()));
+        }
         let mut ended = Vec::new();
         for number in 0..groups {
             let of_group = ids.iter().filter(|id| id.group(groups).0 == number);
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -12,6 +12,7 @@
 mod gate;
 mod group;
 mod health;
+mod kv_keeper;
 mod ledger;
 mod ledger_client;
 mod lifecycle;
@@ -36,6 +37,7 @@
         GroupMsg, GroupStartError, PeerFrame, QuorumReply, QuorumRequest, backup, restore,
     },
     health::{Health, HealthSettings},
+    kv_keeper::{KvKeeper, KvMsg},
     ledger::LedgerService,
     ledger_client::{LedgerClient, LedgerFault},
     lifecycle::{Lifecycle, Progress},
--- a/crates/sapphirequayd/src/request/attempt.rs
+++ b/crates/sapphirequayd/src/request/attempt.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         connection::{EngineClient, EngineStream, ServiceClient, StreamId},
-        process::{Clock, GateMsg, Lifecycle, Mailbox, PermitMsg, SharedHealth, ticket},
+        process::{Clock, GateMsg, KvMsg, Lifecycle, Mailbox, PermitMsg, SharedHealth, ticket},
         request::{Input, Step, Transcript, TranscriptSettings, Usage},
     },
     quay_link::LinkStream,
@@ -41,6 +41,8 @@
     pub incarnation: Incarnation,
     /// Queue before the upstream.
     pub gate: Mailbox<GateMsg>,
+    /// Decides what the engine keeps; `None` before a plain service.
+    pub kv: Option<Mailbox<KvMsg>>,
     /// Permits that this run was shown.
     pub permits: Mailbox<PermitMsg>,
     /// The upstream, if it is a model engine.
@@ -93,8 +95,14 @@
 
 /// Runs an admitted call of a model and tells the upstream's health of it.
 fn run_model(cx: &Attempts, stream: &LinkStream, call: &CallRequest) -> CallEvent {
+    if let Some(kv) = &cx.kv {
+        kv.send(KvMsg::Started(call.program, call.blocks.clone()));
+    }
     let mut run = Run::new(cx, stream, call);
     let last = run.run();
+    if let Some(kv) = &cx.kv {
+        kv.send(KvMsg::Paused(call.program));
+    }
     if let Some(good) = run.verdict(&last) {
         cx.health.outcome(good);
     }
--- a/crates/sapphirequayd/src/request/completion.rs
+++ b/crates/sapphirequayd/src/request/completion.rs
@@ -78,7 +78,9 @@
     /// The prompt as bytes, for estimates and prefix hashes.
     #[must_use]
     pub fn prompt_bytes(&self) -> Vec<u8> {
-        serde_json::to_vec(&self.messages).unwrap_or_default()
+        // Keys in the order that the engine hashes its prefix in.
+        let canonical = serde_json::to_value(&self.messages).unwrap_or_default();
+        canonical.to_string().into_bytes()
     }
 
     /// The messages after the model's last answer, which no earlier call had.
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -15,7 +15,7 @@
     ledger::{LedgerSettings, PeerSettings},
     link::LinkTableSettings,
     log::{LogLevel, LogSettings},
-    policy::PolicyTable,
+    policy::{KvTable, PolicyTable},
     problem::Problem,
     process::ProcessSettings,
     sidecar::SidecarSettings,
--- a/crates/sapphirequayd/src/settings/policy.rs
+++ b/crates/sapphirequayd/src/settings/policy.rs
@@ -16,6 +16,31 @@
     pub admit: AdmitTable,
     /// Retries after a lost upstream, on entries.
     pub retry: RetryTable,
+    /// Memory of engines, on sidecars.
+    pub kv: KvTable,
+}
+
+/// Knobs of what engines keep for programs.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct KvTable {
+    /// Interval at which the ledger is asked which idle programs have ended, in
+    /// milliseconds.
+    pub sweep_ms: u64,
+}
+
+impl Default for KvTable {
+    fn default() -> Self {
+        Self { sweep_ms: 10_000 }
+    }
+}
+
+impl KvTable {
+    /// The interval of sweeps.
+    #[must_use]
+    pub const fn sweep(&self) -> Duration {
+        Duration::from_millis(self.sweep_ms)
+    }
 }
 
 /// Knobs of [`RouteSettings`].
--- a/crates/sapphirequayd/tests/common/cluster.rs
+++ b/crates/sapphirequayd/tests/common/cluster.rs
@@ -4,7 +4,9 @@
     super::{CountingService, any_port, before_engine, document, settings, wait_for},
     quay_link::{DevelopmentKeys, LinkRole},
     quay_standin::{Engine, EngineSettings},
-    sapphirequayd::{Daemon, EntrySettings, LedgerSettings, Settings, SidecarSettings},
+    sapphirequayd::{
+        Daemon, EntrySettings, KvTable, LedgerSettings, PolicyTable, Settings, SidecarSettings,
+    },
     serde_json::Value,
     std::{net::SocketAddr, time::Duration},
 };
@@ -84,15 +86,19 @@
 pub struct Cluster {
     pub entries: [SocketAddr; 2],
     pub service: CountingService,
-    _engine: Engine,
+    pub engine: Engine,
     _daemons: Vec<Daemon>,
 }
 
 impl Cluster {
     pub fn start(service_delay: Duration) -> Self {
+        Self::with_engine(service_delay, EngineSettings::default())
+    }
+
+    pub fn with_engine(service_delay: Duration, engine: EngineSettings) -> Self {
         let keys = DevelopmentKeys::generate().expect("keys");
         let identity = |role| keys.identity(role).expect("identity");
-        let engine = Engine::start(any_port(), EngineSettings::default()).expect("engine");
+        let engine = Engine::start(any_port(), engine).expect("engine");
         let service = CountingService::start(service_delay);
         let ledger = Settings {
             ledger: Some(LedgerSettings {
@@ -106,6 +112,10 @@
         let sidecar = |name: &str, sidecar| {
             let settings = Settings {
                 sidecar: Some(sidecar),
+                policy: PolicyTable {
+                    kv: KvTable { sweep_ms: 300 },
+                    ..PolicyTable::default()
+                },
                 ..settings(name, &ledgers)
             };
             Daemon::start(&settings, identity(LinkRole::Sidecar)).expect("sidecar")
@@ -136,7 +146,7 @@
         let cluster = Self {
             entries,
             service,
-            _engine: engine,
+            engine,
             _daemons: daemons,
         };
         for entry in cluster.entries {
--- a/crates/sapphirequayd/tests/programs.rs
+++ b/crates/sapphirequayd/tests/programs.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use {
-    common::{Ask, Cluster, field, kind},
+    common::{Ask, Cluster, field, kind, wait_for},
+    quay_standin::{EngineSettings, model::ModelSettings},
     std::{net::SocketAddr, thread, time::Duration},
 };
 
@@ -247,3 +248,48 @@
     assert_eq!(kind(&grab.send(two).1), "forbidden");
     assert_eq!(show(one, &program), before);
 }
+
+/// Blocks in the engine's prefix cache.
+fn cached_blocks(cluster: &Cluster) -> usize {
+    let url = format!("http://{}/v1/cache/snapshot", cluster.engine.addr());
+    let text = ureq::get(&url)
+        .call()
+        .expect("snapshot")
+        .into_string()
+        .expect("text");
+    let snapshot: serde_json::Value = serde_json::from_str(&text).expect("json");
+    snapshot["blocks"].as_array().expect("blocks").len()
+}
+
+#[test]
+fn engine_memory_of_an_ended_program_is_released() {
+    let engine = EngineSettings {
+        model: Some(ModelSettings::default()),
+        ..EngineSettings::default()
+    };
+    let cluster = Cluster::with_engine(Duration::ZERO, engine);
+    let [one, _] = cluster.entries;
+    let program = create(one, "long", r#"{"budget_tokens":100000}"#);
+    let prompt = "a long history of one shop ".repeat(100);
+    let body = TURN.replace(r#""hi""#, &format!("{prompt:?}"));
+    let call = Ask {
+        headers: &[("Sapphirequay-Program", &program)],
+        body: &body,
+        ..Ask::default()
+    };
+    assert_eq!(call.send(one).0, 200);
+    assert!(cached_blocks(&cluster) >= 10, "the prompt is cached");
+    thread::sleep(Duration::from_secs(1));
+    assert!(
+        cached_blocks(&cluster) >= 10,
+        "a program under way keeps its memory"
+    );
+
+    // Nobody tells the sidecar: its sweep finds out.
+    let path = format!("/v1/programs/{program}");
+    let end = ureq::delete(&format!("http://{one}{path}"));
+    end.set("authorization", "Bearer key-a")
+        .call()
+        .expect("end");
+    wait_for("the memory is released", || cached_blocks(&cluster) == 0);
+}
