Answer unknown models as such, hold accounts to their models, and mend a racing test

Cause: an unknown model got no_upstream, and an account's list of models was checked but not used. an_entry_finishes_its_calls_before_it_ends was flaky since its polling could outlive the process; it now waits for the shutdown to begin (told after the door is shut) and expects the refusal at once, which is stricter.

--- a/crates/sapphirequayd/src/connection/edge.rs
+++ b/crates/sapphirequayd/src/connection/edge.rs
@@ -244,7 +244,10 @@
     };
     let rules = cx.rules.get();
     let order = programs::order(account, &headers, content, rules.index());
-    if let Err(err) = rules.runs(order.digest, Clock::wall_ms()) {
+    let allowed = rules
+        .may_call(account, &completion.model)
+        .and_then(|()| rules.runs(order.digest, Clock::wall_ms()));
+    if let Err(err) = allowed {
         return refuse(req, number, &err).map(|()| Err(err));
     }
     let out = req.into_writer();
@@ -262,11 +265,19 @@
     if completion.stream {
         let mut answer = EventAnswer::new(out, head);
         let ran = run_call(&cx.calls, &order, &mut answer);
-        ran.map_or_else(|err| answer.fail(&err).map(|()| Err(err)), |()| Ok(Ok(())))
+        told(ran, |err| answer.fail(err))
     } else {
         let mut answer = WholeAnswer::new(out, head);
         let ran = run_call(&cx.calls, &order, &mut answer);
-        ran.map_or_else(|err| answer.fail(&err).map(|()| Err(err)), |()| Ok(Ok(())))
+        told(ran, |err| answer.fail(err))
+    }
+}
+
+/// Tells the caller how a call failed, if it did.
+fn told(ran: Result<()>, fail: impl FnOnce(&Error) -> io::Result<()>) -> Served {
+    match ran {
+        Ok(()) => Ok(Ok(())),
+        Err(err) => fail(&err).map(|()| Err(err)),
     }
 }
 
@@ -294,7 +305,7 @@
     }
     let mut answer = BodyAnswer::new(req.into_writer(), number);
     let ran = run_call(&cx.calls, &order, &mut answer);
-    ran.map_or_else(|err| answer.fail(&err).map(|()| Err(err)), |()| Ok(Ok(())))
+    told(ran, |err| answer.fail(err))
 }
 
 /// Serves a request about programs.
--- a/crates/sapphirequayd/src/shutdown.rs
+++ b/crates/sapphirequayd/src/shutdown.rs
@@ -35,12 +35,13 @@
     let signals = listen()?;
     let _ = signals.recv();
     let lifecycle = daemon.lifecycle();
+    // Counted after the door is shut, so that the count only falls.
+    lifecycle.drain();
     let open = lifecycle.in_progress();
     log::info!(
         "event=shutdown_began in_progress={open} grace_s={}",
         grace.as_secs()
     );
-    lifecycle.drain();
     let ending = drain(lifecycle, &signals, Instant::now() + grace);
     // Entries hear that the upstream leaves, so that they ask no more.
     daemon.linger();
--- a/crates/sapphirequayd/src/version/rules.rs
+++ b/crates/sapphirequayd/src/version/rules.rs
@@ -3,8 +3,8 @@
 use {
     quay_config::{Config, Image, Subscriber},
     quay_types::{
-        AccountId, ConfigIndex, ContentDigest, Error, ErrorKind, ProgramLimits, Result, ServiceId,
-        UpstreamId,
+        AccountId, ConfigIndex, ContentDigest, Error, ErrorKind, ModelId, ProgramLimits, Result,
+        ServiceId, UpstreamId,
     },
     std::{sync::Arc, time::Duration},
 };
@@ -71,6 +71,29 @@
         })
     }
 
+    /// Whether an account may call the model of this name.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::UnknownModel`] if the document has no such model,
+    /// [`ErrorKind::Forbidden`] if the account is bound to others.
+    pub fn may_call(&self, account: AccountId, model: &str) -> Result<()> {
+        let id = ModelId::of(model);
+        let Some(config) = &self.config else {
+            return Ok(());
+        };
+        if !config.models.contains_key(&id) {
+            let message = format!("no model is called {model:?}");
+            return Err(Error::new(ErrorKind::UnknownModel, message));
+        }
+        let bound = config.accounts.get(&account).map(|account| &account.models);
+        if bound.is_some_and(|models| !models.is_empty() && !models.contains(&id)) {
+            let message = format!("the account may not call model {model:?}");
+            return Err(Error::new(ErrorKind::Forbidden, message));
+        }
+        Ok(())
+    }
+
     /// Most that a program of an account may ask for.
     #[must_use]
     pub fn limits(&self, account: AccountId) -> ProgramLimits {
--- a/crates/sapphirequayd/tests/callers.rs
+++ b/crates/sapphirequayd/tests/callers.rs
@@ -63,6 +63,12 @@
             400,
             "bad_request",
         ),
+        (
+            KEY,
+            format!(r#"{{"model":"no-such",{messages}}}"#),
+            404,
+            "unknown_model",
+        ),
         ("wrong", completion(true), 401, "unauthorized"),
     ];
     for (key, body, status, kind) in cases {
--- a/crates/sapphirequayd/tests/processes.rs
+++ b/crates/sapphirequayd/tests/processes.rs
@@ -161,10 +161,12 @@
     let mut processes = start();
     let caller = processes.begin_call();
     processes.entry.terminate();
-    wait_for("new calls are refused", || {
-        let (status, text) = common::post_once(processes.callers, KEY, &completion(true));
-        status == 503 && text.contains(r#""kind":"draining""#)
+    wait_for("the shutdown begins", || {
+        processes.log("entry-1").contains("event=shutdown_began")
     });
+    let (status, text) = common::post_once(processes.callers, KEY, &completion(true));
+    assert_eq!(status, 503, "{text}");
+    assert!(text.contains(r#""kind":"draining""#), "{text}");
     let (status, text) = caller.join().expect("caller");
     assert_eq!(status, 200);
     assert!(is_whole(&text), "{text}");
