Remove the answer cursor and the directory messages that nothing used

Found in the read-through: quay_types kept AnswerCursor beside Transcript and Spliced, which carry resumed answers in the daemon, and a reply enum of which one variant was left. The cursor's test goes with it; transcripts and splices have their own. No change of behaviour.

--- a/crates/quay_types/src/directory.rs
+++ b/crates/quay_types/src/directory.rs
@@ -87,21 +87,3 @@
     /// Age of the announcement when the line was sent, in milliseconds.
     pub age_ms: u32,
 }
-
-/// What a host that keeps the directory tells a reader.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum DirectoryReply {
-    /// Nothing was read.
-    Accepted,
-    /// Changes since the version that was asked for.
-    Changes {
-        /// Version that the reader is at afterwards.
-        version: u64,
-        /// Whether `entries` is the whole directory.
-        whole: bool,
-        /// New or changed lines.
-        entries: Box<[DirectoryEntry]>,
-        /// Upstreams whose lease has ended.
-        gone: Box<[UpstreamId]>,
-    },
-}
--- a/crates/quay_types/src/lib.rs
+++ b/crates/quay_types/src/lib.rs
@@ -11,7 +11,6 @@
 //! assert!(ErrorKind::Draining.not_run());
 //! ```
 
-mod answer_cursor;
 pub mod bytes;
 mod call;
 mod digest;
@@ -23,10 +22,9 @@
 mod time;
 
 pub use {
-    answer_cursor::{AnswerCursor, Gap},
     call::{CallEvent, CallRequest, CallTarget, FinishReason, Proceed, SidecarRequest},
     digest::{ContentDigest, block_hashes},
-    directory::{Announcement, DirectoryEntry, DirectoryReply, Load, UpstreamKind, UpstreamState},
+    directory::{Announcement, DirectoryEntry, Load, UpstreamKind, UpstreamState},
     error::{Error, ErrorKind, Result},
     ids::{
         AccountId, Attempt, CallNumber, ConfigIndex, Epoch, FenceNumber, GroupId, Incarnation,
--- a/crates/sapphirequayd/src/process/announcer.rs
+++ b/crates/sapphirequayd/src/process/announcer.rs
@@ -7,7 +7,7 @@
     },
     quay_link::{LinkError, LinkRole, Links},
     quay_members::{HostContact, MembersReply, MembersRequest, MembersSettings, Pacer, View},
-    quay_types::{Announcement, ContentDigest, DirectoryReply, UpstreamState},
+    quay_types::{Announcement, ContentDigest, UpstreamState},
     rand::RngExt as _,
     std::{io, net::SocketAddr, thread, time::Duration},
 };
@@ -149,14 +149,7 @@
         let now = self.clock.now();
         let learnt = view.learn(now, changes);
         if learnt {
-            let entries = view.entries(now);
-            self.router
-                .send(RouterMsg::Directory(DirectoryReply::Changes {
-                    version: 0,
-                    whole: true,
-                    entries,
-                    gone: Box::default(),
-                }));
+            self.router.send(RouterMsg::Directory(view.entries(now)));
         }
         learnt
     }
--- a/crates/sapphirequayd/src/process/router.rs
+++ b/crates/sapphirequayd/src/process/router.rs
@@ -4,7 +4,7 @@
     crate::process::Machine,
     quay_policy::{Choice, ExpectedTime, RetryBudgets, RetrySettings, RouteRequest, RouteSettings},
     quay_types::{
-        AccountId, CallTarget, DirectoryReply, Incarnation, ProgramId, Time, Tokens, UpstreamId,
+        AccountId, CallTarget, DirectoryEntry, Incarnation, ProgramId, Time, Tokens, UpstreamId,
     },
     std::{net::SocketAddr, sync::mpsc::SyncSender, time::Duration},
 };
@@ -69,8 +69,8 @@
 
 /// What the router is told.
 pub enum RouterMsg {
-    /// What a ledger host says of the directory.
-    Directory(DirectoryReply),
+    /// The directory as it was last read.
+    Directory(Box<[DirectoryEntry]>),
     /// Asks for an upstream; `None` if none fits or no budget covers a retry.
     Pick(PickRequest, SyncSender<Option<Pick>>),
     /// Asks where the sidecar of an upstream is.
@@ -103,27 +103,13 @@
         }
     }
 
-    /// Takes a read of the directory.
-    fn learn(&mut self, now: Time, reply: DirectoryReply) {
-        let DirectoryReply::Changes {
-            whole,
-            entries,
-            gone,
-            ..
-        } = reply
-        else {
-            return;
-        };
-        if whole {
-            let listed: Vec<_> = entries
-                .iter()
-                .map(|entry| entry.announcement.upstream())
-                .collect();
-            self.policy.keep_only(&listed);
-        }
-        for id in gone {
-            self.policy.gone(id);
-        }
+    /// Takes the directory as it was last read.
+    fn learn(&mut self, now: Time, entries: &[DirectoryEntry]) {
+        let listed: Vec<_> = entries
+            .iter()
+            .map(|entry| entry.announcement.upstream())
+            .collect();
+        self.policy.keep_only(&listed);
         for entry in entries {
             let made = now - Duration::from_millis(entry.age_ms.into());
             self.policy.announced(made, &entry.announcement);
@@ -167,7 +153,7 @@
 
     fn handle(&mut self, now: Time, msg: RouterMsg) {
         match msg {
-            RouterMsg::Directory(reply) => self.learn(now, reply),
+            RouterMsg::Directory(entries) => self.learn(now, &entries),
             RouterMsg::Pick(req, reply) => {
                 let _ = reply.send(self.pick(now, &req));
             }
