--- a/crates/sapphirequay/src/drain.rs
+++ b/crates/sapphirequay/src/drain.rs
@@ -1,7 +1,10 @@
 //! `sapphirequay drain` and `undrain`: marks upstreams that are to leave.
 
 use {
-    crate::operator::{operator_args, print_accepted},
+    crate::{
+        members,
+        operator::{operator_args, print_accepted},
+    },
     quay_config::Action,
     std::error::Error,
 };
@@ -30,5 +33,10 @@
     let mut operator = args.connect()?;
     let (id, accepted) = operator.order(action, args.change_id.as_deref(), cause, false)?;
     print_accepted(args.json, &id, &accepted);
+    let known = members::rows(&mut operator)?;
+    if drained && !known.iter().any(|row| *row.name == *args.upstream) {
+        // A mark may come before its upstream; a slip of the pen looks the same.
+        eprintln!("warning: no upstream {:?} is announced", args.upstream);
+    }
     Ok(())
 }
--- a/crates/sapphirequay/src/members.rs
+++ b/crates/sapphirequay/src/members.rs
@@ -1,7 +1,7 @@
 //! `sapphirequay members`: the directory of upstreams.
 
 use {
-    crate::operator::{operator_args, unexpected},
+    crate::operator::{Operator, operator_args, unexpected},
     quay_types::UpstreamState,
     sapphirequayd::{ControlReply, ControlRequest, MemberRow},
     serde_json::json,
@@ -22,13 +22,17 @@
     }
 }
 
+/// Every upstream that the asked host knows.
+pub fn rows(operator: &mut Operator) -> Result<Box<[MemberRow]>, Box<dyn Error>> {
+    match operator.ask(&ControlRequest::Members)? {
+        ControlReply::Members(rows) => Ok(rows),
+        other => Err(unexpected(&other)),
+    }
+}
+
 /// Prints every upstream that the asked host knows.
 pub fn run(args: &MembersArgs) -> Result<(), Box<dyn Error>> {
-    let rows = match args.connect()?.ask(&ControlRequest::Members)? {
-        ControlReply::Members(rows) => rows,
-        other => return Err(unexpected(&other)),
-    };
-    for row in &rows {
+    for row in &rows(&mut args.connect()?)? {
         if args.json {
             println!("{}", to_json(row));
         } else {
--- a/crates/sapphirequayd/src/connection/programs.rs
+++ b/crates/sapphirequayd/src/connection/programs.rs
@@ -311,13 +311,23 @@
         sub_agents: body.sub_agents.unwrap_or(account.sub_agents),
         depth: body.depth.unwrap_or(account.depth),
     };
-    let within = limits.budget <= account.budget
-        && limits.turns <= account.turns
-        && limits.lifetime_s <= account.lifetime_s
-        && limits.sub_agents <= account.sub_agents
-        && limits.depth <= account.depth;
-    if !within {
-        let message = format!("the account allows at most {account:?}");
+    let asked = [
+        ("budget_tokens", limits.budget.0, account.budget.0),
+        ("turns", limits.turns.into(), account.turns.into()),
+        (
+            "lifetime_s",
+            limits.lifetime_s.into(),
+            account.lifetime_s.into(),
+        ),
+        (
+            "sub_agents",
+            limits.sub_agents.into(),
+            account.sub_agents.into(),
+        ),
+        ("depth", limits.depth.into(), account.depth.into()),
+    ];
+    if let Some((name, asked, most)) = asked.into_iter().find(|(_, asked, most)| asked > most) {
+        let message = format!("{name}: {asked} is over the account's limit of {most}");
         return Err(Error::new(ErrorKind::ProgramLimit, message));
     }
     if limits.budget.0 == 0 || limits.turns == 0 || limits.lifetime_s == 0 {
--- a/crates/sapphirequayd/tests/programs.rs
+++ b/crates/sapphirequayd/tests/programs.rs
@@ -183,6 +183,22 @@
     assert_eq!(cluster.service.runs("two trucks"), 0);
 }
 
+#[test]
+fn a_program_over_its_accounts_limits_is_told_which() {
+    let cluster = Cluster::start(Duration::ZERO);
+    let (status, text) = Ask {
+        path: "/v1/programs",
+        body: r#"{"budget_tokens":10,"turns":4000000}"#,
+        ..Ask::default()
+    }
+    .send(cluster.entries[0]);
+    assert_eq!((status, &*kind(&text)), (403, "program_limit"));
+    assert!(
+        text.contains("turns: 4000000 is over the account's limit of"),
+        "{text}"
+    );
+}
+
 #[test]
 fn refusals_change_nothing() {
     let cluster = Cluster::start(Duration::ZERO);
