--- a/crates/sapphirequayd/src/connection/mod.rs
+++ b/crates/sapphirequayd/src/connection/mod.rs
@@ -5,6 +5,7 @@
 mod edge;
 mod engine;
 mod listener;
+mod monitor;
 mod programs;
 mod route;
 mod service;
@@ -12,5 +13,6 @@
 pub use {
     edge::{Edge, EntryContext},
     engine::{EngineClient, EngineStream, StreamId},
+    monitor::Monitor,
     service::ServiceClient,
 };
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        connection::{Edge, EngineClient, EntryContext, ServiceClient},
+        connection::{Edge, EngineClient, EntryContext, Monitor, ServiceClient},
         process::{
             Clock, ControlRequest, ControlService, Gate, GroupHost, GroupStartError, KvKeeper,
             KvMsg, LedgerClient, LedgerService, Lifecycle, Mailbox, PermitMsg, QuorumRequest,
@@ -86,6 +86,7 @@
 #[derive(Debug)]
 pub struct Daemon {
     edge: Option<Edge>,
+    monitor: Option<Monitor>,
     links: Links,
     lifecycle: Lifecycle,
     current: Current,
@@ -152,8 +153,16 @@
             )?),
             None => None,
         };
+        let monitor = match settings.process.monitor {
+            Some(addr) => {
+                let monitor = Monitor::start(addr, lifecycle.clone());
+                Some(monitor.map_err(starting(&format!("[process] monitor {addr}")))?)
+            }
+            None => None,
+        };
         Ok(Self {
             edge,
+            monitor,
             links,
             lifecycle,
             current,
@@ -199,6 +208,12 @@
         self.current.get().index()
     }
 
+    /// Address of `/metrics` and `/healthz`, if the settings name one.
+    #[must_use]
+    pub fn monitor_addr(&self) -> Option<SocketAddr> {
+        self.monitor.as_ref().map(Monitor::local_addr)
+    }
+
     /// Address that links are accepted on.
     #[must_use]
     pub const fn link_addr(&self) -> Option<SocketAddr> {
--- a/crates/sapphirequayd/src/settings/check.rs
+++ b/crates/sapphirequayd/src/settings/check.rs
@@ -54,6 +54,9 @@
         if let Some(entry) = &self.entry {
             listens.push(("entry", "listen", entry.listen));
         }
+        if let Some(monitor) = self.process.monitor {
+            listens.push(("process", "monitor", monitor));
+        }
         listens
     }
 
--- a/crates/sapphirequayd/src/settings/process.rs
+++ b/crates/sapphirequayd/src/settings/process.rs
@@ -1,6 +1,9 @@
 //! Name and place of the process.
 
-use {serde::Deserialize, std::time::Duration};
+use {
+    serde::Deserialize,
+    std::{net::SocketAddr, time::Duration},
+};
 
 /// Name and place of the process.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -12,6 +15,8 @@
     pub data_centre: Box<str>,
     /// Longest wait for requests in progress at shutdown, in seconds.
     pub grace_s: u64,
+    /// TCP address of `/metrics` and `/healthz`, beside those that an entry has.
+    pub monitor: Option<SocketAddr>,
 }
 
 impl Default for ProcessSettings {
@@ -20,6 +25,7 @@
             name: Box::default(),
             data_centre: Box::default(),
             grace_s: 60,
+            monitor: None,
         }
     }
 }
--- a/crates/sapphirequayd/tests/callers.rs
+++ b/crates/sapphirequayd/tests/callers.rs
@@ -256,3 +256,17 @@
     assert!(text.contains(r#""kind":"draining""#), "{text}");
     assert!(text.contains(r#""not_run":true"#), "{text}");
 }
+
+#[test]
+fn every_process_shows_its_metrics_and_health() {
+    let (running, _engine) = start(EngineSettings::default(), EntrySettings::default());
+    assert_eq!(post(running.addr(), KEY, &completion(false)).0, 200);
+    let sidecar = running.sidecar.monitor_addr().expect("address");
+    let (status, text) = get(sidecar, "/metrics");
+    assert_eq!(status, 200);
+    assert!(text.contains("sapphirequay_attempts_total{"), "{text}");
+    assert_eq!(get(sidecar, "/healthz").0, 200);
+    assert_eq!(get(sidecar, "/v1/programs").0, 404);
+    running.sidecar.lifecycle().drain();
+    assert_eq!(get(sidecar, "/healthz").0, 503);
+}
--- a/crates/sapphirequayd/tests/common/mod.rs
+++ b/crates/sapphirequayd/tests/common/mod.rs
@@ -58,6 +58,7 @@
         process: ProcessSettings {
             name: name.into(),
             data_centre: "dc-1".into(),
+            monitor: Some(any_port()),
             ..ProcessSettings::default()
         },
         link: LinkTableSettings {
