--- a/crates/quay_experiment/src/faults/leaving.rs
+++ b/crates/quay_experiment/src/faults/leaving.rs
@@ -110,8 +110,11 @@
     }
 
     fn settle(&mut self, _: &mut ChaCha8Rng, score: &mut Score) {
-        self.now = self.now + Duration::from_millis(LONGEST_DELIVERY_MS);
-        self.deliver(score);
+        // In small steps, so that each permit arrives when it is due.
+        for _ in 0..LONGEST_DELIVERY_MS / 50 {
+            self.now = self.now + Duration::from_millis(50);
+            self.deliver(score);
+        }
     }
 }
 
