--- a/crates/quay_standin/src/engine/mod.rs
+++ b/crates/quay_standin/src/engine/mod.rs
@@ -6,16 +6,10 @@
 mod stream;
 
 use {
-    crate::model::ModelSettings,
+    crate::{listen::bind, model::ModelSettings},
     http::serve,
     socket2::SockRef,
-    std::{
-        io,
-        net::{SocketAddr, TcpListener},
-        sync::Arc,
-        thread,
-        time::Duration,
-    },
+    std::{io, net::SocketAddr, sync::Arc, thread, time::Duration},
     stream::Streams,
     tiny_http::Server,
 };
@@ -88,7 +82,7 @@
     ///
     /// Fails if the address is taken.
     pub fn start(listen: SocketAddr, settings: EngineSettings) -> io::Result<Self> {
-        let listener = TcpListener::bind(listen)?;
+        let listener = bind(listen)?;
         SockRef::from(&listener).listen(BACKLOG)?;
         let addr = listener.local_addr()?;
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
--- a/crates/quay_standin/src/lib.rs
+++ b/crates/quay_standin/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod engine;
+mod listen;
 pub mod model;
 mod service;
 mod weights;
--- a/crates/quay_standin/src/service.rs
+++ b/crates/quay_standin/src/service.rs
@@ -1,11 +1,12 @@
 //! A plain service that counts how often it ran each request.
 
 use {
+    crate::listen::bind,
     indexmap::IndexMap,
     serde_json::json,
     std::{
         io,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         process,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         thread,
@@ -43,7 +44,7 @@
     ///
     /// Fails if the address is taken.
     pub fn start(listen: SocketAddr, settings: ServiceSettings) -> io::Result<Self> {
-        let listener = TcpListener::bind(listen)?;
+        let listener = bind(listen)?;
         let addr = listener.local_addr()?;
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let runs = Arc::<Mutex<Runs>>::default();
--- a/crates/quay_standin/src/weights.rs
+++ b/crates/quay_standin/src/weights.rs
@@ -1,12 +1,12 @@
 //! A weight store behind HTTP that sends at a limited rate.
 
 use {
-    crate::model::WeightStore,
+    crate::{listen::bind, model::WeightStore},
     quay_types::Time,
     serde_json::json,
     std::{
         io,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         thread,
         time::Instant,
@@ -28,7 +28,7 @@
     ///
     /// Fails if the address is taken.
     pub fn start(listen: SocketAddr, bytes_per_second: u64) -> io::Result<Self> {
-        let listener = TcpListener::bind(listen)?;
+        let listener = bind(listen)?;
         let addr = listener.local_addr()?;
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         thread::Builder::new()
