--- a/crates/sapphirequay/src/load/overhead.rs
+++ b/crates/sapphirequay/src/load/overhead.rs
@@ -6,6 +6,7 @@
         caller::{Answered, Fault, Target},
         watch::Watched,
     },
+    quay_experiment::capacity::LineFit,
     serde_json::{Value, json},
     std::{
         error::Error,
@@ -17,7 +18,7 @@
 };
 
 /// Streams at a time where the arguments name none.
-const DEFAULT_STREAMS: [usize; 3] = [1, 100, 500];
+const DEFAULT_STREAMS: [usize; 4] = [1, 100, 250, 500];
 
 /// Time after the start of a round at which memory is read.
 const MEMORY_AFTER: Duration = Duration::from_millis(400);
@@ -54,7 +55,34 @@
             &watched,
         )?);
     }
-    Ok(json!({"rounds": args.rounds, "tokens": args.max_tokens, "streams": rows}))
+    let slopes = slopes(&rows);
+    Ok(json!({
+        "rounds": args.rounds, "tokens": args.max_tokens, "streams": rows, "slopes": slopes,
+    }))
+}
+
+/// Lines through the processor time against tokens and the memory against
+/// streams of each watched process; none for fewer than four numbers of streams.
+fn slopes(rows: &[Value]) -> Vec<Value> {
+    let processes = rows.first().and_then(|row| row["processes"].as_array());
+    let names = processes.into_iter().flatten().enumerate();
+    let lines = names.flat_map(|(place, process)| {
+        let fit = |name: &str, per: &Value, x: &dyn Fn(&Value) -> Option<f64>, key: &str| {
+            let points: Option<Vec<_>> = rows
+                .iter()
+                .map(|row| Some((x(row)?, row["processes"][place][key].as_f64()?)))
+                .collect();
+            let fit = LineFit::of(&points?)?;
+            Some(json!({"process": process["name"], "of": name, "per": per, "fit": fit}))
+        };
+        let tokens = |row: &Value| row["entry"]["token"]["count"].as_f64();
+        let streams = |row: &Value| row["streams"].as_f64();
+        [
+            fit("cpu_s", &json!("token"), &tokens, "cpu_s"),
+            fit("memory_kib", &json!("stream"), &streams, "most_kib"),
+        ]
+    });
+    lines.flatten().collect()
 }
 
 /// Measures one number of streams: both ways, one round after the other.
