--- a/crates/sapphirequayd/src/connection/edge.rs
+++ b/crates/sapphirequayd/src/connection/edge.rs
@@ -233,36 +233,39 @@
         Ok(parsed) => parsed,
         Err(err) => return refuse(req, number, &err).map(|()| Err(err)),
     };
+    let rules = cx.rules.get();
+    if let Err(err) = rules.may_call(account, &completion.model) {
+        return refuse(req, number, &err).map(|()| Err(err));
+    }
+    let (model, stream) = (completion.model.clone(), completion.stream);
+    let usage_event = completion.wants_usage();
+    let prompt = completion.prompt();
     let content = CallContent {
         target: CallTarget::Model(completion.model_id()),
         sent: body,
-        body: completion.upstream_body(),
         history: completion.new_part().into(),
-        prompt: completion.prompt_tokens(),
+        prompt: prompt.tokens,
         max_output: completion.max_output(),
-        blocks: completion.blocks(),
+        blocks: prompt.blocks,
+        body: completion.into_upstream_body(),
     };
-    let rules = cx.rules.get();
     let order = programs::order(account, &headers, content, rules.index());
-    let allowed = rules
-        .may_call(account, &completion.model)
-        .and_then(|()| rules.runs(order.digest, Clock::wall_ms()));
-    if let Err(err) = allowed {
+    if let Err(err) = rules.runs(order.digest, Clock::wall_ms()) {
         return refuse(req, number, &err).map(|()| Err(err));
     }
     let out = req.into_writer();
     let head = AnswerHead {
         number,
         id: format!("chatcmpl-{}", order.request.program).into(),
-        usage_event: completion.wants_usage(),
-        model: completion.model,
+        usage_event,
+        model,
     };
     log::info!(
         "event=call req={number} program={} key={}",
         order.request.program,
         order.key
     );
-    if completion.stream {
+    if stream {
         let mut answer = EventAnswer::new(out, head);
         let ran = run_call(&cx.calls, &order, &mut answer);
         told(ran, |err| answer.fail(err))
--- a/crates/sapphirequayd/src/request/completion.rs
+++ b/crates/sapphirequayd/src/request/completion.rs
@@ -45,6 +45,15 @@
     pub other: serde_json::Map<String, serde_json::Value>,
 }
 
+/// What routing and budgets need to know of a prompt.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Prompt {
+    /// Estimate of its length.
+    pub tokens: Tokens,
+    /// Chained hashes of its blocks.
+    pub blocks: Box<[u64]>,
+}
+
 impl Completion {
     /// Parses a body.
     ///
@@ -75,12 +84,16 @@
         ModelId::of(&self.model)
     }
 
-    /// The prompt as bytes, for estimates and prefix hashes.
+    /// The prompt's estimated length and prefix hashes, from one pass over it.
     #[must_use]
-    pub fn prompt_bytes(&self) -> Vec<u8> {
+    pub fn prompt(&self) -> Prompt {
         // Keys in the order that the engine hashes its prefix in.
         let canonical = serde_json::to_value(&self.messages).unwrap_or_default();
-        canonical.to_string().into_bytes()
+        let text = canonical.to_string();
+        Prompt {
+            tokens: Tokens((text.len() as u64).div_ceil(BYTES_PER_TOKEN)),
+            blocks: block_hashes(text.as_bytes()),
+        }
     }
 
     /// The messages after the model's last answer, which no earlier call had.
@@ -92,18 +105,6 @@
         serde_json::to_vec(new).unwrap_or_default()
     }
 
-    /// Chained hashes of the prompt's blocks.
-    #[must_use]
-    pub fn blocks(&self) -> Box<[u64]> {
-        block_hashes(&self.prompt_bytes())
-    }
-
-    /// Estimate of the prompt's length.
-    #[must_use]
-    pub fn prompt_tokens(&self) -> Tokens {
-        Tokens((self.prompt_bytes().len() as u64).div_ceil(BYTES_PER_TOKEN))
-    }
-
     /// Most tokens that the answer may have.
     #[must_use]
     pub fn max_output(&self) -> Tokens {
@@ -120,11 +121,11 @@
     /// The body for the upstream: always streamed, always bounded, always with
     /// the tokens used.
     #[must_use]
-    pub fn upstream_body(&self) -> Box<[u8]> {
+    pub fn into_upstream_body(self) -> Box<[u8]> {
         let mut body = Self {
             stream: true,
             max_tokens: Some(self.max_output().0),
-            ..self.clone()
+            ..self
         };
         let options = serde_json::json!({"include_usage": true});
         body.other.insert("stream_options".into(), options);
