Serve the users' platform by fronts, control hosts and stores

Adds quay_routes (routes, heads, the dialect seam), quay_turns (kept turns and budgets by quorums), platform/ (translation) and the gateway roles of sapphirequayd.

--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -20,7 +20,7 @@
         thread,
         time::Duration,
     },
-    tokio::sync::mpsc,
+    tokio::sync::{mpsc, oneshot},
 };
 
 /// Protocol name in the TLS handshake.
@@ -78,7 +78,7 @@
     addr: SocketAddr,
     role: LinkRole,
     first: Vec<u8>,
-    done: std_mpsc::SyncSender<Result<LinkStream, LinkError>>,
+    done: oneshot::Sender<Result<LinkStream, LinkError>>,
 }
 
 /// What the link thread is asked.
@@ -87,6 +87,8 @@
     Open(Open),
     /// Use other keys from now on.
     Reload(Identity, std_mpsc::SyncSender<Result<(), LinkError>>),
+    /// Use new connections to this peer from now on.
+    Forget(SocketAddr),
 }
 
 /// Handle to the link thread; clones share it.
@@ -117,6 +119,23 @@
         Ok(Self { asks, local })
     }
 
+    /// Serves links on the `tokio` runtime that this is called in, without a
+    /// thread of their own. Blocking calls must come from other threads.
+    ///
+    /// # Errors
+    ///
+    /// As [`Links::start`].
+    pub fn start_on_runtime(
+        settings: LinkSettings,
+        accept: impl Fn(Incoming) + Send + Sync + 'static,
+    ) -> Result<Self, LinkError> {
+        let (asks, queue) = mpsc::unbounded_channel();
+        let endpoint = bind(&settings)?;
+        let local = settings.listen.and_then(|_| endpoint.local_addr().ok());
+        tokio::spawn(serve(endpoint, settings, accept, queue));
+        Ok(Self { asks, local })
+    }
+
     /// Starts a link thread that accepts nothing.
     ///
     /// # Errors
@@ -144,8 +163,34 @@
         role: LinkRole,
         first: &impl Serialize,
     ) -> Result<LinkStream, LinkError> {
+        let opened = self.ask_open(addr, role, first)?;
+        opened.blocking_recv().map_err(|_| LinkError::Stopped)?
+    }
+
+    /// Opens a stream as [`Links::open`] does, from a task.
+    ///
+    /// # Errors
+    ///
+    /// As [`Links::open`].
+    pub async fn open_from_task(
+        &self,
+        addr: SocketAddr,
+        role: LinkRole,
+        first: &impl Serialize,
+    ) -> Result<LinkStream, LinkError> {
+        let opened = self.ask_open(addr, role, first)?;
+        opened.await.map_err(|_| LinkError::Stopped)?
+    }
+
+    /// Asks for a stream.
+    fn ask_open(
+        &self,
+        addr: SocketAddr,
+        role: LinkRole,
+        first: &impl Serialize,
+    ) -> Result<oneshot::Receiver<Result<LinkStream, LinkError>>, LinkError> {
         let first = frame::encode(first)?;
-        let (done, opened) = std_mpsc::sync_channel(1);
+        let (done, opened) = oneshot::channel();
         let open = Open {
             addr,
             role,
@@ -155,7 +200,13 @@
         self.asks
             .send(Ask::Open(open))
             .map_err(|_| LinkError::Stopped)?;
-        opened.recv().map_err(|_| LinkError::Stopped)?
+        Ok(opened)
+    }
+
+    /// Makes the next stream to a peer use a new connection: the old one may
+    /// have gone silent. Streams in progress go on.
+    pub fn forget(&self, addr: SocketAddr) {
+        let _ = self.asks.send(Ask::Forget(addr));
     }
 
     /// Uses other keys for every connection that is made from now on.
@@ -201,18 +252,28 @@
         };
         let local = settings.listen.and_then(|_| endpoint.local_addr().ok());
         let _ = ready.send(Ok(local));
-        if settings.listen.is_some() {
-            tokio::spawn(accept_connections(
-                endpoint.clone(),
-                Arc::new(accept),
-                settings.silence,
-            ));
-        }
-        serve_asks(endpoint.clone(), settings, queue).await;
-        endpoint.close(VarInt::from_u32(0), b"stopped");
+        serve(endpoint, settings, accept, queue).await;
     });
 }
 
+/// Accepts and opens streams until every handle is dropped.
+async fn serve(
+    endpoint: Endpoint,
+    settings: LinkSettings,
+    accept: impl Fn(Incoming) + Send + Sync + 'static,
+    queue: mpsc::UnboundedReceiver<Ask>,
+) {
+    if settings.listen.is_some() {
+        tokio::spawn(accept_connections(
+            endpoint.clone(),
+            Arc::new(accept),
+            settings.silence,
+        ));
+    }
+    serve_asks(endpoint.clone(), settings, queue).await;
+    endpoint.close(VarInt::from_u32(0), b"stopped");
+}
+
 // ---------------------------------------------------------------------------
 // Set-up
 
@@ -315,6 +376,10 @@
                     settings.silence,
                 ));
             }
+            Ask::Forget(addr) => {
+                let mut connections = connections.lock().await;
+                connections.retain(|(peer, _), _| *peer != addr);
+            }
             Ask::Reload(identity, done) => {
                 let reloaded = reload(&mut endpoint, &mut settings, identity);
                 // Connections under the old keys end with their last stream.
--- a/crates/quay_link/src/stream.rs
+++ b/crates/quay_link/src/stream.rs
@@ -44,6 +44,29 @@
         Ok(bytes)
     }
 
+    /// Sends one value from a task; waits while the peer's window is full.
+    ///
+    /// # Errors
+    ///
+    /// As [`LinkStream::send`].
+    pub async fn send_from_task(&self, value: &impl Serialize) -> Result<(), LinkError> {
+        let buf = frame::encode(value)?;
+        let sent = self.tx.send(buf).await;
+        sent.map_err(|_| LinkError::Broken("stream ended".into()))
+    }
+
+    /// Receives one value in a task.
+    ///
+    /// # Errors
+    ///
+    /// As [`LinkStream::recv`].
+    pub async fn recv_in_task<T: DeserializeOwned>(&mut self) -> Result<T, LinkError> {
+        match self.rx.recv().await {
+            Some(frame) => frame?.decode(),
+            None => Err(LinkError::Finished),
+        }
+    }
+
     /// Receives one value.
     ///
     /// # Errors
--- a/crates/quay_types/src/ids.rs
+++ b/crates/quay_types/src/ids.rs
@@ -65,6 +65,19 @@
     UpstreamId, b"upstream"
 );
 
+name_key!(
+    /// A kept turn, by the number that its caller gave it.
+    TurnId, b"turn"
+);
+name_key!(
+    /// A program whose budget is kept, by the name that its caller gave it.
+    ProgramTag, b"program"
+);
+name_key!(
+    /// One attempt of a caller, by the number that the caller gave it.
+    AttemptTag, b"attempt"
+);
+
 number_key!(
     /// Position of a call within its program, counted from 1.
     CallNumber(u32), ""
--- a/crates/quay_types/src/lib.rs
+++ b/crates/quay_types/src/lib.rs
@@ -29,7 +29,7 @@
     ids::{
         AccountId, Attempt, CallNumber, ConfigIndex, Epoch, FenceNumber, GroupId, Incarnation,
         LogIndex, ModelId, NodeId, ParseProgramIdError, ProgramId, RequestKey, ServiceId, Tokens,
-        UpstreamId,
+        AttemptTag, ProgramTag, TurnId, UpstreamId,
     },
     ledger::{
         Begin, BeginReply, CallRecord, LedgerReply, LedgerRequest, NewProgram, ProgramLimits,
--- /dev/null
+++ b/crates/sapphirequayd/src/gateway/control_client.rs
@@ -0,0 +1,160 @@
+//! Reaches the leader of the control group.
+
+use {
+    super::{
+        GatewayRequest,
+        messages::{ControlReply, ControlRequest},
+    },
+    crate::wire::LinkRequest,
+    quay_link::{LinkError, LinkRole, LinkStream, Links},
+    serde::{Serialize, de::DeserializeOwned},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::time::timeout,
+};
+
+/// Longest wait for one control host; upstreams turn elsewhere after a second.
+const ONE_HOST: Duration = Duration::from_millis(400);
+
+/// Hosts that are asked for one request.
+const MAX_HOPS: usize = 6;
+
+/// Asks one host and waits for its answer.
+///
+/// A host that does not answer in time gets a new connection next time: the
+/// old one may have gone silent.
+pub async fn ask<T: DeserializeOwned>(
+    links: &Links,
+    addr: SocketAddr,
+    req: &impl Serialize,
+    within: Duration,
+) -> Result<T, LinkError> {
+    let exchange = async {
+        let mut stream: LinkStream = links.open_from_task(addr, LinkRole::Ledger, req).await?;
+        stream.recv_in_task().await
+    };
+    match timeout(within, exchange).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            links.forget(addr);
+            Err(LinkError::Silent)
+        }
+    }
+}
+
+/// Reaches the leader of the control group; clones share what is known of it.
+#[derive(Debug, Clone)]
+pub struct ControlClient {
+    links: Links,
+    shared: Rc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    /// Links of control hosts.
+    hosts: RefCell<Vec<SocketAddr>>,
+    /// Links that the settings name; kept in case all others have gone.
+    seeds: RefCell<Vec<SocketAddr>>,
+    leader: Cell<Option<SocketAddr>>,
+    next: Cell<usize>,
+    /// Whether the last request reached the leader; a change is logged.
+    reached: Cell<bool>,
+}
+
+impl ControlClient {
+    /// A client that knows the seeds.
+    pub fn new(links: Links, seeds: Vec<SocketAddr>) -> Self {
+        let shared = Shared {
+            hosts: RefCell::new(seeds.clone()),
+            seeds: RefCell::new(seeds),
+            leader: Cell::new(None),
+            next: Cell::new(0),
+            reached: Cell::new(false),
+        };
+        Self {
+            links,
+            shared: Rc::new(shared),
+        }
+    }
+
+    /// Takes other seeds.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.shared.seeds.borrow_mut() = seeds;
+    }
+
+    /// Learns the links of all control hosts.
+    pub fn learn(&self, hosts: Vec<SocketAddr>) {
+        if !hosts.is_empty() {
+            *self.shared.hosts.borrow_mut() = hosts;
+        }
+    }
+
+    /// The host to ask next: the leader, or the others by turns.
+    fn candidate(&self) -> Option<SocketAddr> {
+        if let Some(leader) = self.shared.leader.get() {
+            return Some(leader);
+        }
+        let turn = self.shared.next.get();
+        self.shared.next.set(turn.wrapping_add(1));
+        let mut all = self.shared.hosts.borrow().clone();
+        for seed in &*self.shared.seeds.borrow() {
+            if !all.contains(seed) {
+                all.push(*seed);
+            }
+        }
+        let len = all.len();
+        all.into_iter().nth(turn.checked_rem(len)?)
+    }
+
+    /// Asks the leader within a time; `None` if it was not reached.
+    ///
+    /// The request may have been carried out all the same.
+    pub async fn ask(&self, req: ControlRequest, within: Duration) -> Option<ControlReply> {
+        let req = LinkRequest::Gateway(GatewayRequest::Control(req));
+        let reply = timeout(within, self.ask_hosts(&req)).await.ok().flatten();
+        if self.shared.reached.replace(reply.is_some()) != reply.is_some() {
+            match &reply {
+                Some(_) => log::info!(
+                    "event=control_reached leader={:?}",
+                    self.shared.leader.get()
+                ),
+                None => log::warn!("event=control_lost after_ms={}", within.as_millis()),
+            }
+        }
+        reply
+    }
+
+    async fn ask_hosts(&self, req: &LinkRequest) -> Option<ControlReply> {
+        for _ in 0..MAX_HOPS {
+            let addr = self.candidate()?;
+            let wait = match req {
+                LinkRequest::Gateway(GatewayRequest::Control(ControlRequest::Follow(_))) => {
+                    ONE_HOST + super::control::FOLLOW_WAIT
+                }
+                _ => ONE_HOST,
+            };
+            match ask(&self.links, addr, req, wait).await {
+                Ok(ControlReply::NotLeader(leader)) => {
+                    let leader = leader.filter(|leader| *leader != addr);
+                    self.shared.leader.set(leader);
+                    if leader.is_none() {
+                        tokio::time::sleep(Duration::from_millis(30)).await;
+                    }
+                }
+                Ok(ControlReply::Unavailable) | Err(_) => {
+                    self.shared.leader.set(None);
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+                Ok(reply) => {
+                    self.shared.leader.set(Some(addr));
+                    return Some(reply);
+                }
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -0,0 +1,13 @@
+//! The front role: takes callers' requests and passes them on to upstreams.
+
+mod call;
+mod chains;
+mod connections;
+mod events;
+mod host;
+mod refusal;
+mod reservation;
+mod stream;
+mod upstreams;
+
+pub use host::FrontHost;
--- /dev/null
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -0,0 +1,366 @@
+//! Starts the role of a gateway that the settings name and ends it on a signal.
+
+use {
+    super::{
+        GatewayRequest,
+        control::ControlHost,
+        control_client::ControlClient,
+        front::FrontHost,
+        store::{StoreClient, StoreHost},
+    },
+    crate::{
+        process::{Clock, GroupHost, GroupStartError, telemetry},
+        settings::{
+            ControlSettings, FrontSettings, LedgerSettings, PeerSettings, SeedSettings, Settings,
+            StoreSettings,
+        },
+        wire::LinkRequest,
+    },
+    quay_link::{Identity, Incoming, LinkError, LinkRole, LinkSettings, Links},
+    quay_quorum::Member,
+    quay_routes::Dialect,
+    quay_turns::Hello,
+    quay_types::GroupId,
+    rand::Rng as _,
+    std::{
+        fmt, io,
+        path::{Path, PathBuf},
+        thread,
+        time::{Duration, SystemTime},
+    },
+    tokio::{
+        net::TcpListener,
+        signal::unix::{SignalKind, signal},
+        sync::mpsc,
+        task::{LocalSet, spawn_local},
+        time::sleep,
+    },
+};
+
+/// Silence after which a link is given up: less than a second, in which callers
+/// turn to another host.
+const LINK_IDLE: Duration = Duration::from_millis(1_600);
+
+/// Interval of keep-alive packets on an idle link.
+const LINK_KEEP_ALIVE: Duration = Duration::from_millis(500);
+
+/// Interval at which the settings file is looked at.
+const SETTINGS_EVERY: Duration = Duration::from_secs(1);
+
+/// Why a gateway could not start.
+#[derive(Debug)]
+pub enum GatewayError {
+    /// An address, a file or a thread can't be had.
+    Io(&'static str, io::Error),
+    /// Links can't be set up.
+    Link(LinkError),
+    /// The replica of the control group can't be started.
+    Group(GroupStartError),
+    /// The settings name no role of a gateway.
+    NoRole,
+}
+
+impl fmt::Display for GatewayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(what, err) => write!(f, "{what}: {err}"),
+            Self::Link(err) => write!(f, "{err}"),
+            Self::Group(err) => write!(f, "{err}"),
+            Self::NoRole => f.write_str("the settings name no role of a gateway"),
+        }
+    }
+}
+
+impl std::error::Error for GatewayError {}
+
+fn io(what: &'static str) -> impl FnOnce(io::Error) -> GatewayError {
+    move |err| GatewayError::Io(what, err)
+}
+
+/// Runs the role of a gateway until a signal ends it. `path` is the settings
+/// file, which may change.
+///
+/// # Errors
+///
+/// Says what can't be had.
+pub fn run(
+    settings: &Settings,
+    path: &Path,
+    identity: Identity,
+    dialect: impl Dialect,
+) -> Result<(), GatewayError> {
+    telemetry::start();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(io("runtime"))?;
+    LocalSet::new().block_on(&runtime, serve(settings, path, identity, dialect))
+}
+
+/// What every role has.
+struct Base {
+    clock: Clock,
+    links: Links,
+    incoming: mpsc::UnboundedReceiver<Incoming>,
+    control: ControlClient,
+}
+
+async fn serve(
+    settings: &Settings,
+    path: &Path,
+    identity: Identity,
+    dialect: impl Dialect,
+) -> Result<(), GatewayError> {
+    let seeds = settings.gateway.clone().unwrap_or_default();
+    let (tx, incoming) = mpsc::unbounded_channel();
+    let link_settings = LinkSettings {
+        listen: Some(settings.link.listen),
+        idle_timeout: LINK_IDLE,
+        keep_alive: LINK_KEEP_ALIVE,
+        ..LinkSettings::new(identity)
+    };
+    let links = Links::start_on_runtime(link_settings, move |incoming| {
+        let _ = tx.send(incoming);
+    })
+    .map_err(GatewayError::Link)?;
+    let control = ControlClient::new(links.clone(), seeds.links());
+    let base = Base {
+        clock: Clock::start(),
+        links,
+        incoming,
+        control: control.clone(),
+    };
+    spawn_local(keep_settings(path.into(), control));
+    let name = &settings.process.name;
+    if let Some(front) = &settings.front {
+        let host = start_front(settings, front, base, dialect).await?;
+        log::info!("event=started name={name} role=front");
+        terminated().await?;
+        host.drain(settings.process.grace()).await;
+    } else if let Some(control) = &settings.control {
+        start_control(settings, control, &seeds, base, dialect)?;
+        log::info!("event=started name={name} role=control");
+        terminated().await?;
+    } else if let Some(store) = &settings.store {
+        start_store(settings, store, &seeds, base)?;
+        log::info!("event=started name={name} role=store");
+        terminated().await?;
+    } else {
+        return Err(GatewayError::NoRole);
+    }
+    log::info!("event=stopped name={name}");
+    Ok(())
+}
+
+/// Waits for the signal to end.
+async fn terminated() -> Result<(), GatewayError> {
+    let mut term = signal(SignalKind::terminate()).map_err(io("signals"))?;
+    let mut int = signal(SignalKind::interrupt()).map_err(io("signals"))?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    Ok(())
+}
+
+// ---------------------------------------------------------------------------
+// Roles
+
+async fn start_front<D: Dialect>(
+    settings: &Settings,
+    front: &FrontSettings,
+    base: Base,
+    dialect: D,
+) -> Result<FrontHost<D>, GatewayError> {
+    let data_centre = &settings.process.data_centre;
+    let host = FrontHost::new(
+        dialect,
+        base.clock,
+        data_centre,
+        base.control,
+        StoreClient::new(base.links, data_centre),
+        front.chain_cache_bytes,
+        rand::rng().next_u64(),
+    );
+    let callers = TcpListener::bind(front.listen).await;
+    let ready = TcpListener::bind(front.ready).await;
+    host.start(
+        callers.map_err(io("address of callers"))?,
+        ready.map_err(io("address of readiness"))?,
+    );
+    Ok(host)
+}
+
+fn start_control<D: Dialect>(
+    settings: &Settings,
+    control: &ControlSettings,
+    seeds: &SeedSettings,
+    mut base: Base,
+    dialect: D,
+) -> Result<(), GatewayError> {
+    let ledger = group_settings(settings, control, seeds);
+    let groups =
+        GroupHost::new(&ledger, base.links.clone(), base.clock).map_err(GatewayError::Group)?;
+    let group = groups
+        .start(GroupId(0), super::control::ControlState::default())
+        .map_err(GatewayError::Group)?;
+    let node = groups.node().unwrap_or_default();
+    let own = Member::new(
+        node,
+        settings.link.listen,
+        settings.process.data_centre.clone(),
+    );
+    let host = ControlHost::new(
+        dialect,
+        base.clock,
+        base.links,
+        base.control,
+        group,
+        own,
+        seeds.losses,
+    );
+    let listener = std::net::TcpListener::bind(control.listen).map_err(io("address of control"))?;
+    listener
+        .set_nonblocking(true)
+        .map_err(io("address of control"))?;
+    host.start(listener).map_err(io("address of control"))?;
+    spawn_local(async move {
+        while let Some(incoming) = base.incoming.recv().await {
+            serve_control(&host, &groups, incoming);
+        }
+    });
+    Ok(())
+}
+
+/// The group as its first members start it; all others wait to be asked in.
+fn group_settings(
+    settings: &Settings,
+    control: &ControlSettings,
+    seeds: &SeedSettings,
+) -> LedgerSettings {
+    let mut addrs = seeds.links();
+    addrs.sort_unstable();
+    let own = addrs.iter().position(|addr| *addr == settings.link.listen);
+    let mut ledger = LedgerSettings {
+        data: Some(control.data.clone()),
+        ..LedgerSettings::default()
+    };
+    if let (true, Some(own)) = (seeds.first_start, own) {
+        let peers = addrs.iter().zip(1..).map(|(addr, node)| PeerSettings {
+            node,
+            addr: *addr,
+            data_centre: Box::default(),
+        });
+        ledger.peers = peers.collect();
+        ledger.node = own as u64 + 1;
+        ledger.bootstrap = true;
+    }
+    ledger
+}
+
+/// Serves a stream to a control host.
+fn serve_control<D: Dialect>(host: &ControlHost<D>, groups: &GroupHost, mut incoming: Incoming) {
+    match incoming.first.decode() {
+        Ok(LinkRequest::Gateway(GatewayRequest::Control(req))) => {
+            let host = host.clone();
+            spawn_local(async move {
+                let reply = host.serve(req).await;
+                let _ = incoming.stream.send_from_task(&reply).await;
+            });
+        }
+        Ok(LinkRequest::Quorum(req)) if incoming.roles.contains(&LinkRole::Ledger) => {
+            let groups = groups.clone();
+            let served = thread::Builder::new()
+                .name("peer-stream".into())
+                .spawn(move || groups.serve(req, &mut incoming));
+            if let Err(err) = served {
+                log::error!("event=peer_thread_failed cause={err}");
+            }
+        }
+        Ok(_) => log::warn!("event=link_request_refused peer={}", incoming.addr),
+        Err(err) => log::warn!("event=link_request_unread peer={} cause={err:?}", incoming.addr),
+    }
+}
+
+fn start_store(
+    settings: &Settings,
+    store: &StoreSettings,
+    seeds: &SeedSettings,
+    mut base: Base,
+) -> Result<(), GatewayError> {
+    let hello = Hello {
+        host: settings.process.name.clone(),
+        // Never 0, which stands for none.
+        identity: rand::rng().next_u64() | 1,
+        addr: settings.link.listen,
+        data_centre: settings.process.data_centre.clone(),
+        bootstrap: seeds.first_start,
+        whole: 0,
+    };
+    let host = StoreHost::open(
+        store.data.clone(),
+        store.segment_bytes,
+        hello,
+        base.clock,
+        base.links,
+        base.control,
+    )
+    .map_err(io("data folder"))?;
+    host.start();
+    spawn_local(async move {
+        while let Some(incoming) = base.incoming.recv().await {
+            serve_store(&host, incoming);
+        }
+    });
+    Ok(())
+}
+
+/// Serves a stream to a store host.
+fn serve_store(host: &StoreHost, incoming: Incoming) {
+    match incoming.first.decode() {
+        Ok(LinkRequest::Gateway(GatewayRequest::Store(req))) => {
+            let host = host.clone();
+            spawn_local(async move {
+                let reply = host.serve(req).await;
+                let _ = incoming.stream.send_from_task(&reply).await;
+            });
+        }
+        Ok(_) => log::warn!("event=link_request_refused peer={}", incoming.addr),
+        Err(err) => log::warn!("event=link_request_unread peer={} cause={err:?}", incoming.addr),
+    }
+}
+
+// ---------------------------------------------------------------------------
+// Settings that change
+
+/// Takes other seeds when the settings file has changed, told or not.
+async fn keep_settings(path: PathBuf, control: ControlClient) {
+    let Ok(mut hup) = signal(SignalKind::hangup()) else {
+        log::error!("event=signals_unheard");
+        return;
+    };
+    let mut seen = changed_at(&path);
+    loop {
+        let told = tokio::select! {
+            _ = hup.recv() => true,
+            () = sleep(SETTINGS_EVERY) => false,
+        };
+        let now = changed_at(&path);
+        if !told && now == seen {
+            continue;
+        }
+        seen = now;
+        match Settings::load(&path) {
+            Ok(settings) => {
+                let seeds = settings.gateway.unwrap_or_default().links();
+                log::info!("event=settings_reloaded told={told} seeds={seeds:?}");
+                control.set_seeds(seeds);
+            }
+            Err(err) => log::error!("event=settings_kept cause=\"{err}\""),
+        }
+    }
+}
+
+fn changed_at(path: &Path) -> Option<SystemTime> {
+    path.metadata().and_then(|meta| meta.modified()).ok()
+}
--- /dev/null
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -0,0 +1,282 @@
+//! How a front reads and writes turns and charges.
+
+use {
+    crate::{
+        gateway::{
+            control_client::ask,
+            messages::{GatewayRequest, StoreOp, StoreReply, StoreRequest},
+        },
+        wire::LinkRequest,
+    },
+    indexmap::IndexMap,
+    quay_link::Links,
+    quay_turns::{
+        Charge, ChargeTally, ChargeVerdict, LookupTally, LookupVerdict, Record, StoreMember,
+        StoreView, TurnRecord, WriteTally, WriteVerdict,
+    },
+    quay_types::{ProgramTag, Tokens, TurnId},
+    std::{cell::RefCell, rc::Rc, time::Duration},
+    tokio::{
+        sync::mpsc,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// Longest wait for one store.
+const ONE_STORE: Duration = Duration::from_millis(800);
+
+/// Pause before a write that too few stores took is tried again.
+const AGAIN_AFTER: Duration = Duration::from_millis(60);
+
+/// What became of a reservation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reserved {
+    /// It is durable and the budget covers it.
+    Covered,
+    /// The budget does not cover it.
+    Spent {
+        /// Tokens charged to other attempts.
+        others: Tokens,
+    },
+    /// Nobody can be sure now.
+    Unsure,
+}
+
+/// What was found of a turn and all before it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Turns {
+    /// All of them, oldest first.
+    Found(Vec<TurnRecord>),
+    /// There is no such turn.
+    Absent,
+    /// Nobody can be sure now.
+    Unsure,
+}
+
+/// Reads and writes turns and charges; clones share the view.
+#[derive(Debug, Clone)]
+pub struct StoreClient {
+    links: Links,
+    data_centre: Rc<str>,
+    view: Rc<RefCell<Rc<StoreView>>>,
+}
+
+impl StoreClient {
+    /// A client in a data centre that knows no stores yet.
+    pub fn new(links: Links, data_centre: &str) -> Self {
+        Self {
+            links,
+            data_centre: data_centre.into(),
+            view: Rc::default(),
+        }
+    }
+
+    /// Takes a view unless a newer one is held.
+    pub fn learn(&self, view: StoreView) {
+        if view.version >= self.view.borrow().version {
+            log::info!(
+                "event=stores_view epoch={} version={} members={}",
+                view.epoch,
+                view.version,
+                view.members.len()
+            );
+            *self.view.borrow_mut() = Rc::new(view);
+        }
+    }
+
+    /// Version of the view that is held.
+    pub fn version(&self) -> u64 {
+        self.view.borrow().version
+    }
+
+    fn view(&self) -> Rc<StoreView> {
+        Rc::clone(&self.view.borrow())
+    }
+
+    /// Asks every member at once; answers come as they are.
+    fn ask_all(
+        &self,
+        view: &StoreView,
+        op: &StoreOp,
+    ) -> mpsc::UnboundedReceiver<(u64, Option<StoreReply>)> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        for member in &view.members {
+            let (links, tx) = (self.links.clone(), tx.clone());
+            let (identity, addr) = (member.identity, member.addr);
+            let req = request(view, member, op.clone());
+            spawn_local(async move {
+                let reply = ask(&links, addr, &req, ONE_STORE).await;
+                if let Err(err) = &reply {
+                    log::debug!("event=store_unreached store={identity} cause={err:?}");
+                }
+                let _ = tx.send((identity, reply.ok()));
+            });
+        }
+        rx
+    }
+
+    // -----------------------------------------------------------------------
+    // Writes
+
+    /// Writes a record until it is durable or the time is over.
+    pub async fn write(&self, record: Record, limit: Duration) -> bool {
+        let op = StoreOp::Write(record);
+        let tries = async {
+            while !self.write_once(&op).await {
+                sleep(AGAIN_AFTER).await;
+            }
+        };
+        timeout(limit, tries).await.is_ok()
+    }
+
+    async fn write_once(&self, op: &StoreOp) -> bool {
+        let view = self.view();
+        let mut tally = WriteTally::new(&view);
+        let mut replies = self.ask_all(&view, op);
+        while tally.verdict() == WriteVerdict::Open {
+            match replies.recv().await {
+                Some((identity, Some(StoreReply::Took))) => tally.took(identity),
+                Some((identity, _)) => tally.failed(identity),
+                None => return false,
+            }
+        }
+        tally.verdict() == WriteVerdict::Durable
+    }
+
+    /// Reserves tokens of a program's budget.
+    pub async fn reserve(
+        &self,
+        program: ProgramTag,
+        own: Charge,
+        budget: Tokens,
+        limit: Duration,
+    ) -> Reserved {
+        let tries = async {
+            loop {
+                match self.reserve_once(program, own, budget).await {
+                    Reserved::Unsure => sleep(AGAIN_AFTER).await,
+                    reserved => return reserved,
+                }
+            }
+        };
+        timeout(limit, tries).await.unwrap_or(Reserved::Unsure)
+    }
+
+    async fn reserve_once(&self, program: ProgramTag, own: Charge, budget: Tokens) -> Reserved {
+        let view = self.view();
+        let mut tally = ChargeTally::new(&view, own, budget);
+        let mut replies = self.ask_all(&view, &StoreOp::Reserve(program, own));
+        loop {
+            match tally.verdict() {
+                ChargeVerdict::Covered => return Reserved::Covered,
+                ChargeVerdict::Spent { others } => return Reserved::Spent { others },
+                ChargeVerdict::Unsure => return Reserved::Unsure,
+                ChargeVerdict::Open => {}
+            }
+            match replies.recv().await {
+                Some((identity, Some(StoreReply::Charges(charges)))) => {
+                    tally.took(identity, charges);
+                }
+                Some((identity, _)) => tally.failed(identity),
+                None => return Reserved::Unsure,
+            }
+        }
+    }
+
+    // -----------------------------------------------------------------------
+    // Reads
+
+    /// Finds a turn and all before it.
+    pub async fn turns(&self, last: TurnId, limit: Duration) -> Turns {
+        let tries = async {
+            loop {
+                match self.turns_once(last).await {
+                    Turns::Unsure => sleep(AGAIN_AFTER).await,
+                    found => return found,
+                }
+            }
+        };
+        timeout(limit, tries).await.unwrap_or(Turns::Unsure)
+    }
+
+    async fn turns_once(&self, last: TurnId) -> Turns {
+        let view = self.view();
+        let mut held = IndexMap::new();
+        // A store of the own data centre mostly has them all.
+        if let Some(near) = self.near(&view) {
+            let req = request(&view, near, StoreOp::Chain(last));
+            let reply = ask(&self.links, near.addr, &req, ONE_STORE).await;
+            if let Ok(StoreReply::Chain(turns, _)) = reply {
+                hold(&mut held, turns);
+            }
+        }
+        let mut missing = last;
+        loop {
+            match walk(&held, missing) {
+                Ok(()) => return in_order(&held, last),
+                Err(next) => missing = next,
+            }
+            let mut tally = LookupTally::new(&view);
+            let mut replies = self.ask_all(&view, &StoreOp::Chain(missing));
+            while !held.contains_key(&missing) && tally.verdict() == LookupVerdict::Open {
+                match replies.recv().await {
+                    Some((identity, Some(StoreReply::Chain(turns, _)))) => {
+                        if turns.is_empty() {
+                            tally.denied(identity);
+                        }
+                        hold(&mut held, turns);
+                    }
+                    Some((identity, _)) => tally.failed(identity),
+                    None => return Turns::Unsure,
+                }
+            }
+            if !held.contains_key(&missing) {
+                return match tally.verdict() {
+                    LookupVerdict::Absent => Turns::Absent,
+                    _ => Turns::Unsure,
+                };
+            }
+        }
+    }
+
+    /// A whole member in the own data centre.
+    fn near<'a>(&self, view: &'a StoreView) -> Option<&'a StoreMember> {
+        let mut whole = view.members.iter().filter(|it| it.whole);
+        whole.find(|it| *it.data_centre == *self.data_centre)
+    }
+}
+
+fn request(view: &StoreView, member: &StoreMember, op: StoreOp) -> LinkRequest {
+    LinkRequest::Gateway(GatewayRequest::Store(StoreRequest {
+        to: member.identity,
+        epoch: view.epoch,
+        joined: member.joined,
+        op,
+    }))
+}
+
+fn hold(held: &mut IndexMap<TurnId, TurnRecord>, turns: Vec<TurnRecord>) {
+    held.extend(turns.into_iter().map(|turn| (turn.id, turn)));
+}
+
+/// Walks back from a turn; the first one that is not held is the error.
+fn walk(held: &IndexMap<TurnId, TurnRecord>, from: TurnId) -> Result<(), TurnId> {
+    let mut next = Some(from);
+    while let Some(id) = next {
+        next = held.get(&id).ok_or(id)?.prior;
+    }
+    Ok(())
+}
+
+/// The chain that ends with a turn, oldest first.
+fn in_order(held: &IndexMap<TurnId, TurnRecord>, last: TurnId) -> Turns {
+    let mut turns = Vec::new();
+    let mut next = Some(last);
+    while let Some(turn) = next.and_then(|id| held.get(&id)) {
+        turns.push(turn.clone());
+        next = turn.prior;
+    }
+    turns.reverse();
+    Turns::Found(turns)
+}
--- /dev/null
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -0,0 +1,381 @@
+//! A store host: answers fronts and other stores, and says how it stands.
+
+use {
+    super::{
+        copy,
+        files::{self, Files},
+    },
+    crate::{
+        gateway::{
+            control_client::ControlClient,
+            messages::{ControlReply, ControlRequest, StoreOp, StoreReply, StoreRequest},
+        },
+        process::Clock,
+    },
+    quay_link::Links,
+    quay_turns::{Hello, Place, Record, Shelf, ShelfSettings, StoreMember, StoreView, TurnRecord},
+    quay_types::{Time, TurnId},
+    std::{
+        cell::{Cell, RefCell},
+        io,
+        path::{Path, PathBuf},
+        rc::Rc,
+        sync::mpsc as std_mpsc,
+        thread,
+        time::Duration,
+    },
+    tokio::{
+        sync::oneshot,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// Interval at which the store says how it stands.
+const HELLO_EVERY: Duration = Duration::from_millis(300);
+
+/// Longest wait for the leader to hear it.
+const HELLO_WITHIN: Duration = Duration::from_secs(1);
+
+/// Interval at which what has expired is dropped.
+const EXPIRE_EVERY: Duration = Duration::from_secs(5);
+
+/// Records that go into one sync.
+const MAX_BATCH: usize = 256;
+
+/// Turns in one part of a copy.
+const COPY_TURNS: usize = 24;
+
+/// Programs in one part of a copy.
+const COPY_PROGRAMS: usize = 256;
+
+/// Exit code after a disk that gave no certain answer.
+const DISK_EXIT_CODE: i32 = 4;
+
+/// A record for the disk, and who waits for its place.
+struct Job {
+    record: Record,
+    done: oneshot::Sender<Option<(Place, u64)>>,
+}
+
+/// A store host; clones share it.
+#[derive(Debug, Clone)]
+pub struct StoreHost {
+    pub(super) clock: Clock,
+    pub(super) links: Links,
+    client: ControlClient,
+    folder: Rc<Path>,
+    hello: Rc<RefCell<Hello>>,
+    shelf: Rc<RefCell<Shelf>>,
+    view: Rc<RefCell<StoreView>>,
+    /// File that is written now.
+    segment: Rc<Cell<u64>>,
+    disk: std_mpsc::Sender<Job>,
+    /// Whether a copy is under way.
+    pub(super) copying: Rc<Cell<bool>>,
+}
+
+impl StoreHost {
+    /// Opens the folder of a store. `hello` tells all but its identity.
+    ///
+    /// # Errors
+    ///
+    /// If the folder can't be used.
+    pub fn open(
+        folder: PathBuf,
+        segment_bytes: u64,
+        mut hello: Hello,
+        clock: Clock,
+        links: Links,
+        client: ControlClient,
+    ) -> io::Result<Self> {
+        let mut shelf = Shelf::new(ShelfSettings::default());
+        let now = clock.now();
+        let mut replay = |record: &Record, place| shelf.saved(now, record, place);
+        let (files, identity) =
+            Files::open(&folder, segment_bytes, hello.identity, &mut replay)?;
+        hello.identity = identity;
+        log::info!(
+            "event=store_opened identity={identity} turns={} epoch={} whole={}",
+            shelf.turns(),
+            shelf.epoch(),
+            shelf.whole()
+        );
+        let segment = files.segment();
+        let (disk, jobs) = std_mpsc::channel();
+        thread::Builder::new()
+            .name("store-disk".into())
+            .spawn(move || write_all(files, &jobs))?;
+        Ok(Self {
+            clock,
+            links,
+            client,
+            folder: folder.into(),
+            hello: Rc::new(RefCell::new(hello)),
+            shelf: Rc::new(RefCell::new(shelf)),
+            view: Rc::default(),
+            segment: Rc::new(Cell::new(segment)),
+            disk,
+            copying: Rc::default(),
+        })
+    }
+
+    /// Starts the host's tasks.
+    pub fn start(&self) {
+        spawn_local(self.clone().keep_saying_hello());
+        spawn_local(self.clone().keep_expiring());
+    }
+
+    /// Identity of the folder.
+    pub fn identity(&self) -> u64 {
+        self.hello.borrow().identity
+    }
+
+    pub(super) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    // -----------------------------------------------------------------------
+    // Requests
+
+    /// Answers a request of a front or another store.
+    pub async fn serve(&self, req: StoreRequest) -> StoreReply {
+        if req.to != self.identity() {
+            return StoreReply::Refused;
+        }
+        let (admitted, seen, open) = {
+            let shelf = self.shelf.borrow();
+            (shelf.admit(req.epoch), shelf.epoch(), shelf.open())
+        };
+        if let Err(stale) = admitted {
+            return StoreReply::Stale(stale.seen);
+        }
+        let writes = matches!(req.op, StoreOp::Write(_) | StoreOp::Reserve(..));
+        if writes && open < req.joined {
+            return StoreReply::Refused;
+        }
+        if req.epoch > seen && !self.save(Record::Epoch(req.epoch)).await {
+            return StoreReply::Refused;
+        }
+        self.carry_out(req.op).await
+    }
+
+    async fn carry_out(&self, op: StoreOp) -> StoreReply {
+        match op {
+            StoreOp::Write(record) => match self.save(record).await {
+                true => StoreReply::Took,
+                false => StoreReply::Refused,
+            },
+            StoreOp::Reserve(program, charge) => {
+                if self.save(Record::Charge(program, charge)).await {
+                    StoreReply::Charges(self.shelf.borrow().charges(program))
+                } else {
+                    StoreReply::Refused
+                }
+            }
+            StoreOp::Chain(turn) => self.chain(turn),
+            StoreOp::Adopt => StoreReply::Took,
+            StoreOp::Copy { turns, programs } => self.copy_part(turns, programs),
+        }
+    }
+
+    /// A turn and all before it.
+    fn chain(&self, turn: TurnId) -> StoreReply {
+        let chain = self.shelf.borrow().chain(turn);
+        let mut missing = chain.missing;
+        let mut turns = Vec::with_capacity(chain.places.len());
+        for (id, place) in chain.places {
+            if let Some(record) = self.read_turn(place) {
+                turns.push(record);
+            } else {
+                missing = Some(id);
+                break;
+            }
+        }
+        StoreReply::Chain(turns, missing)
+    }
+
+    fn read_turn(&self, place: Place) -> Option<TurnRecord> {
+        match files::read(&self.folder, place) {
+            Ok(Record::Turn(turn)) => Some(turn),
+            Ok(_) => None,
+            Err(err) => {
+                log::error!("event=store_unread place={place:?} cause={err}");
+                None
+            }
+        }
+    }
+
+    /// A part of all that is held.
+    fn copy_part(&self, turns: u64, programs: u64) -> StoreReply {
+        let shelf = self.shelf.borrow();
+        let places = shelf.turns_after(turns, COPY_TURNS);
+        let (last_program, charges) = shelf.charges_after(programs, COPY_PROGRAMS);
+        drop(shelf);
+        let last = places.is_empty() && charges.is_empty();
+        let last_turn = places.last().map_or(turns, |(number, _)| *number);
+        let mut records = Vec::with_capacity(places.len() + charges.len());
+        for (_, place) in places {
+            match self.read_turn(place) {
+                Some(turn) => records.push(Record::Turn(turn)),
+                None => return StoreReply::Refused,
+            }
+        }
+        let charges = charges.into_iter();
+        records.extend(charges.map(|(program, charge)| Record::Charge(program, charge)));
+        StoreReply::Copy {
+            turns: last_turn,
+            programs: last_program,
+            records,
+            last,
+        }
+    }
+
+    /// Saves and syncs a record unless it is held; `false` if the disk refuses.
+    pub(super) async fn save(&self, record: Record) -> bool {
+        if self.shelf.borrow().holds(&record) {
+            return true;
+        }
+        let (done, saved) = oneshot::channel();
+        let job = Job {
+            record: record.clone(),
+            done,
+        };
+        if self.disk.send(job).is_err() {
+            return false;
+        }
+        let Ok(Some((place, segment))) = saved.await else {
+            return false;
+        };
+        self.segment.set(segment);
+        let now = self.now();
+        self.shelf.borrow_mut().saved(now, &record, place);
+        true
+    }
+
+    // -----------------------------------------------------------------------
+    // Tasks
+
+    /// Says how the store stands, again and again.
+    async fn keep_saying_hello(self) {
+        loop {
+            let hello = Hello {
+                whole: self.shelf.borrow().whole(),
+                ..self.hello.borrow().clone()
+            };
+            let reply = self
+                .client
+                .ask(ControlRequest::Hello(hello), HELLO_WITHIN)
+                .await;
+            if let Some(ControlReply::Stores(view)) = reply {
+                self.take_view(view).await;
+            }
+            sleep(HELLO_EVERY).await;
+        }
+    }
+
+    /// Takes the view in force, and what it asks of this store.
+    async fn take_view(&self, view: StoreView) {
+        if view.version < self.view.borrow().version {
+            return;
+        }
+        let own = view.member(self.identity()).cloned();
+        self.view.replace(view);
+        if let Some(own) = own {
+            self.take_membership(&own).await;
+        }
+    }
+
+    /// Opens a store that has become a member.
+    async fn take_membership(&self, own: &StoreMember) {
+        let (open, whole) = {
+            let shelf = self.shelf.borrow();
+            (shelf.open(), shelf.whole())
+        };
+        if own.whole {
+            if open < own.joined {
+                self.save(Record::Open(own.joined)).await;
+            }
+            if whole < own.joined {
+                self.save(Record::Whole(own.joined)).await;
+            }
+        } else if whole < own.joined && !self.copying.replace(true) {
+            spawn_local(copy::join(self.clone(), own.clone()));
+        }
+    }
+
+    /// Epoch in which the store opened last.
+    pub(super) fn opened(&self) -> u64 {
+        self.shelf.borrow().open()
+    }
+
+    /// Whether the store still is the member that joined in an epoch.
+    pub(super) fn joined_in(&self, epoch: u64) -> bool {
+        let view = self.view.borrow();
+        view.member(self.identity())
+            .is_some_and(|own| own.joined == epoch)
+    }
+
+    /// Epoch of the view in force.
+    pub(super) fn epoch(&self) -> u64 {
+        self.view.borrow().epoch
+    }
+
+    /// Drops what has expired, again and again.
+    async fn keep_expiring(self) {
+        loop {
+            sleep(EXPIRE_EVERY).await;
+            let now = self.now();
+            let empty = self.shelf.borrow_mut().expire(now, self.segment.get());
+            for segment in empty {
+                match files::remove(&self.folder, segment) {
+                    Ok(()) => log::info!("event=store_file_removed segment={segment}"),
+                    Err(err) => {
+                        log::warn!("event=store_file_kept segment={segment} cause={err}");
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Writes records until the host stops; one sync serves all that wait.
+fn write_all(mut files: Files, jobs: &std_mpsc::Receiver<Job>) {
+    let mut refused = false;
+    while let Ok(first) = jobs.recv() {
+        let mut batch = vec![first];
+        while batch.len() < MAX_BATCH
+            && let Ok(job) = jobs.try_recv()
+        {
+            batch.push(job);
+        }
+        let (records, waiting): (Vec<_>, Vec<_>) =
+            batch.into_iter().map(|job| (job.record, job.done)).unzip();
+        match files.append(&records) {
+            Ok(places) => {
+                if std::mem::take(&mut refused) {
+                    log::info!("event=store_disk_regained");
+                }
+                for (place, done) in places.into_iter().zip(waiting) {
+                    let _ = done.send(Some((place, files.segment())));
+                }
+            }
+            Err(err) if err.kind() == io::ErrorKind::StorageFull => {
+                if !std::mem::replace(&mut refused, true) {
+                    log::error!("event=store_disk_full records={}", records.len());
+                }
+                waiting.into_iter().for_each(|done| drop(done.send(None)));
+            }
+            Err(err) => {
+                // After a failed sync nobody knows what the disk holds.
+                log::error!("event=store_disk_failed cause={err}");
+                std::process::exit(DISK_EXIT_CODE);
+            }
+        }
+    }
+}
+
+/// Waits for a future, but not for ever.
+pub(super) async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
+    timeout(limit, work).await.ok()
+}
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod connection;
+mod gateway;
 mod process;
 mod request;
 mod settings;
@@ -19,6 +20,7 @@
 mod wire;
 
 pub use {
+    gateway::{GatewayRequest, run as run_gateway},
     process::{
         BackupError, ChangeError, Clock, ControlClient, ControlFault, ControlReply, ControlRequest,
         ControlStatus, Daemon, DaemonRow, Group, GroupCopy, GroupError, GroupEvent, GroupHost,
@@ -28,9 +30,9 @@
     },
     request::{Input, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
     settings::{
-        DEFAULT_SETTINGS, EntrySettings, KvTable, LedgerSettings, LinkTableSettings, LogLevel,
-        LogSettings, PeerSettings, PolicyTable, Problem, ProcessSettings, Settings, SettingsError,
-        SidecarSettings,
+        ControlSettings, DEFAULT_SETTINGS, EntrySettings, FrontSettings, KvTable, LedgerSettings, LinkTableSettings, LogLevel,
+        LogSettings, PeerSettings, PolicyTable, Problem, ProcessSettings, SeedSettings, Settings, SettingsError,
+        SidecarSettings, StoreSettings,
     },
     wire::LinkRequest,
 };
--- a/crates/sapphirequayd/src/main.rs
+++ b/crates/sapphirequayd/src/main.rs
@@ -6,9 +6,13 @@
 use {
     gumdrop::Options,
     quay_link::KeyFiles,
-    sapphirequayd::{DEFAULT_SETTINGS, Daemon, Settings},
+    quay_platform::Platform,
+    sapphirequayd::{DEFAULT_SETTINGS, Daemon, Settings, run_gateway},
     shutdown::Ending,
-    std::{path::PathBuf, process::ExitCode},
+    std::{
+        path::{Path, PathBuf},
+        process::ExitCode,
+    },
 };
 
 /// Exit code for settings that can't be used.
@@ -48,7 +52,7 @@
         println!("the settings can be used");
         return ExitCode::SUCCESS;
     }
-    match run(&settings) {
+    match run(&settings, args.config.as_deref()) {
         Ok(Ending::Whole) => ExitCode::SUCCESS,
         Ok(Ending::Cut(requests)) => fail(&format!("{requests} requests were cut off"), CUT),
         Err(text) => fail(&text, BAD_SETTINGS),
@@ -70,10 +74,16 @@
 }
 
 /// Runs the process until a signal ends it.
-fn run(settings: &Settings) -> Result<Ending, String> {
+fn run(settings: &Settings, path: Option<&Path>) -> Result<Ending, String> {
     logging::start(&settings.log).map_err(|err| err.to_string())?;
     let files = KeyFiles::in_folder(&settings.link.keys, settings.link_role());
     let identity = files.load().map_err(|err| err.to_string())?;
+    if settings.is_gateway() {
+        let path = path.ok_or("--config FILE is needed")?;
+        return run_gateway(settings, path, identity, Platform)
+            .map(|()| Ending::Whole)
+            .map_err(|err| err.to_string());
+    }
     let daemon = Daemon::start(settings, identity).map_err(|err| err.to_string())?;
     daemon.watch_keys(files).map_err(|err| err.to_string())?;
     let addr = |addr: Option<std::net::SocketAddr>| {
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -414,6 +414,7 @@
                 groups.serve(req, &mut incoming);
             }
         }
+        LinkRequest::Gateway(_) => {}
         LinkRequest::Sidecar(SidecarRequest::ProgramEnded(program)) => {
             if let Some(kv) = roles.sidecar.as_ref().and_then(|it| it.kv.as_ref()) {
                 kv.send(KvMsg::Ended(program));
@@ -447,6 +448,8 @@
             &[LinkRole::Entry, LinkRole::Ledger]
         }
         LinkRequest::Quorum(QuorumRequest::Peer { .. }) => &[LinkRole::Ledger],
+        // A daemon has no role of a gateway.
+        LinkRequest::Gateway(_) => &[],
         LinkRequest::Control(_) | LinkRequest::Quorum(_) => &[LinkRole::Operator],
         LinkRequest::Ledger(_) => &[LinkRole::Entry, LinkRole::Sidecar],
     };
--- a/crates/sapphirequayd/src/settings/check.rs
+++ b/crates/sapphirequayd/src/settings/check.rs
@@ -25,10 +25,10 @@
     /// The role whose certificate the process shows.
     #[must_use]
     pub const fn link_role(&self) -> LinkRole {
-        match (&self.entry, &self.sidecar) {
-            (Some(_), _) => LinkRole::Entry,
-            (None, Some(_)) => LinkRole::Sidecar,
-            (None, None) => LinkRole::Ledger,
+        match (&self.entry, &self.sidecar, &self.front) {
+            (Some(_), _, _) | (None, None, Some(_)) => LinkRole::Entry,
+            (None, Some(_), _) => LinkRole::Sidecar,
+            (None, None, None) => LinkRole::Ledger,
         }
     }
 
@@ -37,8 +37,11 @@
         if self.process.name.is_empty() {
             problems.push(Problem::new("process", "name", "it is empty"));
         }
-        if self.entry.is_none() && self.sidecar.is_none() && self.ledger.is_none() {
-            let message = "no role: one of the tables [entry], [sidecar] and [ledger] is needed";
+        let calls = self.entry.is_some() || self.sidecar.is_some() || self.ledger.is_some();
+        if self.is_gateway() {
+            self.check_gateway(calls, problems);
+        } else if !calls {
+            let message = "no role: one of the tables [entry], [sidecar], [ledger], [front], [control] and [store] is needed";
             problems.push(Problem::new("", "", message));
         }
         let reads_ledger = self.entry.is_some() || self.sidecar.is_some();
@@ -48,12 +51,43 @@
         }
     }
 
+    /// Whether the process has a role of a gateway.
+    #[must_use]
+    pub const fn is_gateway(&self) -> bool {
+        self.front.is_some() || self.control.is_some() || self.store.is_some()
+    }
+
+    /// A gateway's process has one role and knows where to find the others.
+    fn check_gateway(&self, calls: bool, problems: &mut Vec<Problem>) {
+        let roles = [
+            self.front.is_some(),
+            self.control.is_some(),
+            self.store.is_some(),
+            calls,
+        ];
+        if roles.iter().filter(|has| **has).count() > 1 {
+            let message = "[front], [control] and [store] each need a process of their own";
+            problems.push(Problem::new("", "", message));
+        }
+        match &self.gateway {
+            Some(seeds) => problems.extend(seeds.check().err()),
+            None => problems.push(Problem::new("gateway", "seeds", "the table is needed")),
+        }
+    }
+
     /// Every address that this process listens on, with its table and key.
     fn listens(&self) -> Vec<(&'static str, &'static str, SocketAddr)> {
         let mut listens = vec![("link", "listen", self.link.listen)];
         if let Some(entry) = &self.entry {
             listens.push(("entry", "listen", entry.listen));
         }
+        if let Some(front) = &self.front {
+            listens.push(("front", "listen", front.listen));
+            listens.push(("front", "ready", front.ready));
+        }
+        if let Some(control) = &self.control {
+            listens.push(("control", "listen", control.listen));
+        }
         if let Some(monitor) = self.process.monitor {
             listens.push(("process", "monitor", monitor));
         }
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod entry;
+mod gateway;
 mod ledger;
 mod link;
 mod log;
@@ -12,6 +13,7 @@
 
 pub use {
     entry::EntrySettings,
+    gateway::{ControlSettings, FrontSettings, SeedSettings, StoreSettings},
     ledger::{LedgerSettings, PeerSettings},
     link::LinkTableSettings,
     log::{LogLevel, LogSettings},
@@ -47,6 +49,14 @@
     pub sidecar: Option<SidecarSettings>,
     /// The ledger role.
     pub ledger: Option<LedgerSettings>,
+    /// How the roles of a gateway find each other.
+    pub gateway: Option<SeedSettings>,
+    /// The front role of a gateway.
+    pub front: Option<FrontSettings>,
+    /// The control role of a gateway.
+    pub control: Option<ControlSettings>,
+    /// The store role of a gateway.
+    pub store: Option<StoreSettings>,
     /// Knobs of the policy.
     #[serde(default)]
     pub policy: PolicyTable,
--- a/crates/sapphirequayd/src/wire.rs
+++ b/crates/sapphirequayd/src/wire.rs
@@ -1,7 +1,10 @@
 //! First message of every stream between two processes.
 
 use {
-    crate::process::{ControlRequest, QuorumRequest},
+    crate::{
+        gateway::GatewayRequest,
+        process::{ControlRequest, QuorumRequest},
+    },
     quay_members::MembersRequest,
     quay_types::{LedgerRequest, SidecarRequest},
     serde::{Deserialize, Serialize},
@@ -20,4 +23,6 @@
     Control(ControlRequest),
     /// For the replica of a group.
     Quorum(QuorumRequest),
+    /// For a control host or a store host of a gateway.
+    Gateway(GatewayRequest),
 }
