--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -16,9 +16,9 @@
     std::{
         collections::HashMap,
         net::{Ipv4Addr, SocketAddr},
-        sync::{Arc, mpsc as std_mpsc},
+        sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc as std_mpsc},
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::sync::{mpsc, oneshot},
 };
@@ -29,6 +29,16 @@
 /// Code with which a stream is ended when its user has dropped it.
 const CANCELLED: VarInt = VarInt::from_u32(1);
 
+/// Longest time to set up a connection; a few lost packets fit in.
+const CONNECT_WITHIN: Duration = Duration::from_millis(600);
+
+/// Round trip that is assumed of a new connection: a lost first packet is sent
+/// again after three times as long.
+const INITIAL_RTT: Duration = Duration::from_millis(40);
+
+/// Time after a failed try in which a peer counts as unreachable.
+const RECONNECT_AFTER: Duration = Duration::from_millis(150);
+
 /// What a process needs to take part in links.
 #[derive(Debug)]
 pub struct LinkSettings {
@@ -294,6 +304,7 @@
         .map_err(|err| LinkError::Keys(format!("idle timeout: {err}").into()))?;
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(Some(idle));
+    transport.initial_rtt(INITIAL_RTT);
     transport.keep_alive_interval(Some(settings.keep_alive));
     transport.max_concurrent_bidi_streams(VarInt::from_u32(16_384));
     transport.max_concurrent_uni_streams(VarInt::from_u32(0));
@@ -355,8 +366,24 @@
 // ---------------------------------------------------------------------------
 // Streams that are opened here
 
-/// One connection a peer and role.
-type Connections = Arc<tokio::sync::Mutex<HashMap<(SocketAddr, LinkRole), Connection>>>;
+/// What is known of the way to one peer.
+#[derive(Debug, Default)]
+struct Way {
+    connection: Option<Connection>,
+    /// When the last try to connect failed.
+    failed: Option<Instant>,
+}
+
+/// One connection a peer and role. Whoever holds the lock of a way connects;
+/// the others wait for the outcome instead of connecting as well.
+type Connections = Arc<Mutex<HashMap<(SocketAddr, LinkRole), Arc<tokio::sync::Mutex<Way>>>>>;
+
+/// The ways that are known.
+fn ways(
+    connections: &Connections,
+) -> MutexGuard<'_, HashMap<(SocketAddr, LinkRole), Arc<tokio::sync::Mutex<Way>>>> {
+    connections.lock().unwrap_or_else(PoisonError::into_inner)
+}
 
 /// Opens streams and takes new keys until every handle is dropped.
 async fn serve_asks(
@@ -377,8 +404,7 @@
                 ));
             }
             Ask::Forget(addr) => {
-                let mut connections = connections.lock().await;
-                connections.retain(|(peer, _), _| *peer != addr);
+                ways(&connections).retain(|(peer, _), _| *peer != addr);
             }
             Ask::Reload(identity, done) => {
                 let reloaded = reload(&mut endpoint, &mut settings, identity);
@@ -415,21 +441,45 @@
 
 /// Opens one stream, on the connection to the peer if it still lives.
 async fn serve_open(endpoint: Endpoint, connections: Connections, open: Open, silence: Duration) {
-    let key = (open.addr, open.role);
-    let known = connections.lock().await.get(&key).cloned();
-    let live = known.filter(|conn| conn.close_reason().is_none());
-    let connection = match live {
-        Some(connection) => Ok(connection),
-        None => connect(&endpoint, open.addr, open.role).await,
+    let Open {
+        addr,
+        role,
+        first,
+        mut done,
+    } = open;
+    let stream = async {
+        let connection = connection(&endpoint, &connections, addr, role).await?;
+        open_stream(&connection, first, silence).await
     };
-    let stream = match connection {
-        Ok(connection) => {
-            connections.lock().await.insert(key, connection.clone());
-            open_stream(&connection, open.first, silence).await
-        }
-        Err(err) => Err(err),
-    };
-    let _ = open.done.send(stream);
+    tokio::select! {
+        stream = stream => drop(done.send(stream)),
+        () = done.closed() => {}
+    }
+}
+
+/// The connection to a peer; a new one if there is none that lives.
+async fn connection(
+    endpoint: &Endpoint,
+    connections: &Connections,
+    addr: SocketAddr,
+    role: LinkRole,
+) -> Result<Connection, LinkError> {
+    let way = Arc::clone(ways(connections).entry((addr, role)).or_default());
+    let mut way = way.lock().await;
+    if let Some(connection) = &way.connection
+        && connection.close_reason().is_none()
+    {
+        return Ok(connection.clone());
+    }
+    let unreachable = |why: &str| LinkError::Connect(format!("{addr}: {why}").into());
+    if way.failed.is_some_and(|at| at.elapsed() < RECONNECT_AFTER) {
+        return Err(unreachable("it could not be reached a moment ago"));
+    }
+    let connecting = tokio::time::timeout(CONNECT_WITHIN, connect(endpoint, addr, role)).await;
+    let connected = connecting.unwrap_or_else(|_| Err(unreachable("no answer in time")));
+    way.failed = connected.is_err().then(Instant::now);
+    way.connection = connected.as_ref().ok().cloned();
+    connected
 }
 
 /// Makes a new connection and checks the peer's role by its DNS name.
