--- a/crates/quay_turns/src/lib.rs
+++ b/crates/quay_turns/src/lib.rs
@@ -34,5 +34,5 @@
     shelf::{Chain, Place, Shelf, ShelfSettings, StaleView},
     tally::{ChargeTally, ChargeVerdict, LookupTally, LookupVerdict, WriteTally, WriteVerdict},
     turn::{Record, TurnRecord},
-    view::{StoreMember, StoreView},
+    view::{Source, StoreMember, StoreView},
 };
--- a/crates/quay_turns/src/roster.rs
+++ b/crates/quay_turns/src/roster.rs
@@ -1,7 +1,7 @@
 //! How the members of the stores are exchanged.
 
 use {
-    crate::{StoreMember, StoreView},
+    crate::{Source, StoreMember, StoreView},
     indexmap::IndexMap,
     quay_types::Time,
     serde::{Deserialize, Serialize},
@@ -81,8 +81,12 @@
         };
         self.epoch += 1;
         let mut joining = member(new, self.epoch);
-        let sources = self.members.iter().filter(|it| it.whole);
-        joining.sources = sources.map(|it| (it.identity, it.addr)).collect();
+        let sources = self.members.iter().map(|it| Source {
+            identity: it.identity,
+            addr: it.addr,
+            whole: it.whole,
+        });
+        joining.sources = sources.collect();
         joining.needed = self.read_quorum();
         self.members[place] = joining;
         true
--- a/crates/quay_turns/src/shelf.rs
+++ b/crates/quay_turns/src/shelf.rs
@@ -234,11 +234,17 @@
         chain
     }
 
-    /// Places of the turns with numbers above `after`, lowest first, with their numbers.
+    /// Turns with numbers above `after`, lowest first, with their numbers.
     #[must_use]
-    pub fn turns_after(&self, after: u64, limit: usize) -> Vec<(u64, Place)> {
-        let turns = self.turns.values().filter(|held| held.number > after);
-        turns.take(limit).map(|held| (held.number, held.place)).collect()
+    pub fn turns_after(&self, after: u64, limit: usize) -> Vec<(u64, TurnId)> {
+        let turns = self.turns.iter().filter(|(_, held)| held.number > after);
+        turns.take(limit).map(|(id, held)| (held.number, *id)).collect()
+    }
+
+    /// Where a turn is, if it is held.
+    #[must_use]
+    pub fn place(&self, turn: TurnId) -> Option<Place> {
+        self.turns.get(&turn).map(|held| held.place)
     }
 
     /// Charges of the programs with numbers above `after`, lowest first, with
--- a/crates/quay_turns/src/view.rs
+++ b/crates/quay_turns/src/view.rs
@@ -5,6 +5,17 @@
     std::net::{Ipv4Addr, SocketAddr},
 };
 
+/// A member that another one copies from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Source {
+    /// Its identity.
+    pub identity: u64,
+    /// Address of its links.
+    pub addr: SocketAddr,
+    /// Whether it was whole when the other one joined.
+    pub whole: bool,
+}
+
 /// One member of a view.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreMember {
@@ -21,10 +32,10 @@
     pub whole: bool,
     /// Epoch in which it became a member.
     pub joined: u64,
-    /// Members that it copies from while it is not whole: those of the view
-    /// before it joined.
-    pub sources: Vec<(u64, SocketAddr)>,
-    /// Sources that it must have copied from to be whole.
+    /// Members of the view before it joined; it copies from them while it is
+    /// not whole.
+    pub sources: Vec<Source>,
+    /// Whole sources that it must have copied from to be whole.
     pub needed: usize,
 }
 
@@ -78,6 +89,30 @@
         self.members.iter().find(|it| it.identity == identity)
     }
 
+    /// Whether a source of a joining member is whole: it was, or has become so.
+    #[must_use]
+    pub fn source_is_whole(&self, source: &Source) -> bool {
+        match self.member(source.identity) {
+            Some(member) => member.whole,
+            None => source.whole,
+        }
+    }
+
+    /// Whether a joining member is whole once it has copied from these sources.
+    ///
+    /// What was acknowledged before it joined is on a write quorum of the
+    /// members of that time, which meets every `needed` whole ones. Where so
+    /// many are not left, more than what all members hold can't be had.
+    #[must_use]
+    pub fn suffices(&self, joining: &StoreMember, copied: &[u64]) -> bool {
+        let whole = joining.sources.iter().filter(|source| {
+            copied.contains(&source.identity) && self.source_is_whole(source)
+        });
+        let others = self.members.iter().map(|it| it.identity);
+        let mut others = others.filter(|identity| *identity != joining.identity);
+        whole.count() >= joining.needed || others.all(|identity| copied.contains(&identity))
+    }
+
     /// The member on a host.
     #[must_use]
     pub fn on_host(&self, host: &str) -> Option<&StoreMember> {
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -143,8 +143,10 @@
     Chain(TurnId),
     /// Refuse earlier epochs from now on.
     Adopt,
-    /// Tell turns and charges after these numbers.
-    Copy {
+    /// Tell these turns.
+    Fetch(Vec<TurnId>),
+    /// List turns, and tell charges, after these numbers.
+    List {
         /// Number of the last turn that is known.
         turns: u64,
         /// Number of the last program that is known.
@@ -161,19 +163,25 @@
     Charges(Vec<Charge>),
     /// Turns, newest first, and the one at which the chain breaks off.
     Chain(Vec<TurnRecord>, Option<TurnId>),
-    /// A part of a copy.
-    Copy {
-        /// Number of the last turn that was told.
-        turns: u64,
-        /// Number of the last program that was told.
-        programs: u64,
-        /// Turns and charges.
-        records: Vec<Record>,
-        /// Whether nothing is left.
-        last: bool,
-    },
+    /// To [`StoreOp::Fetch`]; turns that are not held are left out.
+    Turns(Vec<TurnRecord>),
+    /// A part of all that is held.
+    List(Box<StoreList>),
     /// The sender's view is not in force.
     Stale(u64),
     /// The store can't do it now, or is not the one that is meant.
     Refused,
 }
+
+/// A part of all that a store holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreList {
+    /// Turns.
+    pub turns: Vec<TurnId>,
+    /// Charges.
+    pub charges: Vec<(ProgramTag, Charge)>,
+    /// Number of the last turn that is listed.
+    pub last_turn: u64,
+    /// Number of the last program whose charges are told.
+    pub last_program: u64,
+}
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -26,9 +26,13 @@
 /// Longest wait for one store.
 const ONE_STORE: Duration = Duration::from_millis(800);
 
-/// Pause before a write that too few stores took is tried again.
+/// Pause before something that too few stores answered is tried again; it
+/// doubles with each try, so that stores in trouble aren't asked all the more.
 const AGAIN_AFTER: Duration = Duration::from_millis(60);
 
+/// Longest such pause.
+const AGAIN_AT_MOST: Duration = Duration::from_millis(800);
+
 /// What became of a reservation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reserved {
@@ -123,8 +127,9 @@
     pub async fn write(&self, record: Record, limit: Duration) -> bool {
         let op = StoreOp::Write(record);
         let tries = async {
+            let mut pause = Pause::default();
             while !self.write_once(&op).await {
-                sleep(AGAIN_AFTER).await;
+                pause.wait().await;
             }
         };
         timeout(limit, tries).await.is_ok()
@@ -153,9 +158,10 @@
         limit: Duration,
     ) -> Reserved {
         let tries = async {
+            let mut pause = Pause::default();
             loop {
                 match self.reserve_once(program, own, budget).await {
-                    Reserved::Unsure => sleep(AGAIN_AFTER).await,
+                    Reserved::Unsure => pause.wait().await,
                     reserved => return reserved,
                 }
             }
@@ -190,9 +196,10 @@
     /// Finds a turn and all before it.
     pub async fn turns(&self, last: TurnId, limit: Duration) -> Turns {
         let tries = async {
+            let mut pause = Pause::default();
             loop {
                 match self.turns_once(last).await {
-                    Turns::Unsure => sleep(AGAIN_AFTER).await,
+                    Turns::Unsure => pause.wait().await,
                     found => return found,
                 }
             }
@@ -247,6 +254,18 @@
     }
 }
 
+/// Pauses between tries.
+#[derive(Debug, Default)]
+struct Pause(u32);
+
+impl Pause {
+    async fn wait(&mut self) {
+        let pause = AGAIN_AFTER * (1 << self.0.min(4));
+        self.0 += 1;
+        sleep(pause.min(AGAIN_AT_MOST)).await;
+    }
+}
+
 fn request(view: &StoreView, member: &StoreMember, op: StoreOp) -> LinkRequest {
     LinkRequest::Gateway(GatewayRequest::Store(StoreRequest {
         to: member.identity,
--- a/crates/sapphirequayd/src/gateway/store/copy.rs
+++ b/crates/sapphirequayd/src/gateway/store/copy.rs
@@ -5,13 +5,14 @@
     crate::{
         gateway::{
             control_client::ask,
-            messages::{GatewayRequest, StoreOp, StoreReply, StoreRequest},
+            messages::{GatewayRequest, StoreList, StoreOp, StoreReply, StoreRequest},
         },
         wire::LinkRequest,
     },
-    quay_turns::{Record, StoreMember},
-    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
-    tokio::time::sleep,
+    quay_turns::{Record, Source, StoreMember},
+    quay_types::TurnId,
+    std::time::Duration,
+    tokio::{task::spawn_local, time::sleep},
 };
 
 /// Longest wait for a part of a copy.
@@ -20,12 +21,15 @@
 /// Pause before sources are tried again.
 const AGAIN_AFTER: Duration = Duration::from_millis(100);
 
+/// Turns in one part of a copy: half a megabyte of ordinary ones.
+const PART_TURNS: usize = 24;
+
+/// Rounds after which a source that is not whole is copied as well: whole ones
+/// may be gone for good.
+const PATIENT_ROUNDS: u32 = 30;
+
 /// Joins: has enough sources refuse earlier epochs, then takes writes, then
 /// copies what the sources hold.
-///
-/// What was acknowledged under earlier epochs is on a write quorum of the
-/// sources' view, which meets every set of `needed` sources; what comes later
-/// goes to the members of this epoch.
 pub async fn join(host: StoreHost, own: StoreMember) {
     log::info!(
         "event=store_joins epoch={} sources={:?} needed={}",
@@ -33,34 +37,34 @@
         own.sources,
         own.needed
     );
-    let joined = if host.opened() < own.joined {
-        adopt(&host, &own).await && host.save(Record::Open(own.joined)).await
-    } else {
-        true
-    };
-    if joined && copy(&host, &own).await && host.save(Record::Whole(own.joined)).await {
+    let joined = host.opened() >= own.joined
+        || from_enough(&host, &own, adopt).await && host.save(Record::Open(own.joined)).await;
+    if joined
+        && from_enough(&host, &own, copy_source).await
+        && host.save(Record::Whole(own.joined)).await
+    {
         log::info!("event=store_whole epoch={}", own.joined);
     }
     host.copying.set(false);
 }
 
-/// Asks sources until enough have done something; `false` if the store is no
+/// Does something with sources until it suffices; `false` if the store is no
 /// longer the member that it was.
 async fn from_enough(
     host: &StoreHost,
     own: &StoreMember,
-    mut step: impl AsyncFnMut(&StoreHost, u64, SocketAddr) -> bool,
+    step: impl AsyncFn(&StoreHost, &Source) -> bool,
 ) -> bool {
-    let mut done = BTreeSet::new();
+    let mut done = Vec::new();
+    let mut round = 0;
     loop {
-        for (identity, addr) in &own.sources {
-            if *identity == host.identity() || done.contains(identity) {
-                continue;
+        for source in &own.sources {
+            let open = source.identity != host.identity() && !done.contains(&source.identity);
+            let wanted = host.source_is_whole(source) || round >= PATIENT_ROUNDS;
+            if open && wanted && step(host, source).await {
+                done.push(source.identity);
             }
-            if step(host, *identity, *addr).await {
-                done.insert(*identity);
-            }
-            if done.len() >= own.needed {
+            if host.suffices(own, &done) {
                 return true;
             }
         }
@@ -68,57 +72,70 @@
             return false;
         }
         sleep(AGAIN_AFTER).await;
+        round += 1;
     }
 }
 
-async fn adopt(host: &StoreHost, own: &StoreMember) -> bool {
-    from_enough(host, own, async |host, to, addr| {
-        let reply = ask_source(host, to, addr, StoreOp::Adopt).await;
-        reply == Some(StoreReply::Took)
-    })
-    .await
-}
-
-async fn copy(host: &StoreHost, own: &StoreMember) -> bool {
-    from_enough(host, own, async |host, to, addr| {
-        copy_source(host, to, addr).await
-    })
-    .await
+/// Has a source refuse earlier epochs.
+async fn adopt(host: &StoreHost, source: &Source) -> bool {
+    ask_source(host, source, StoreOp::Adopt).await == Some(StoreReply::Took)
 }
 
-/// Copies all that one source holds.
-async fn copy_source(host: &StoreHost, to: u64, addr: SocketAddr) -> bool {
+/// Copies what a source holds and this store does not.
+async fn copy_source(host: &StoreHost, source: &Source) -> bool {
     let (mut turns, mut programs, mut copied) = (0, 0, 0);
     loop {
-        let op = StoreOp::Copy { turns, programs };
-        let Some(StoreReply::Copy {
-            turns: last_turn,
-            programs: last_program,
-            records,
-            last,
-        }) = ask_source(host, to, addr, op).await
+        let Some(StoreReply::List(list)) =
+            ask_source(host, source, StoreOp::List { turns, programs }).await
         else {
             return false;
         };
-        copied += records.len();
-        if !save_all(host, records).await {
-            return false;
-        }
-        if last {
-            log::info!("event=store_copied source={to} records={copied}");
+        let StoreList {
+            turns: listed,
+            charges,
+            last_turn,
+            last_program,
+        } = *list;
+        if listed.is_empty() && charges.is_empty() {
+            log::info!("event=store_copied source={} turns={copied}", source.identity);
             return true;
         }
+        let charges = charges.into_iter();
+        let charges = charges.map(|(program, charge)| Record::Charge(program, charge));
+        let missing: Vec<TurnId> = listed
+            .into_iter()
+            .filter(|id| !host.holds_turn(*id))
+            .collect();
+        copied += missing.len();
+        if !save_all(host, charges.collect()).await || !fetch_all(host, source, &missing).await {
+            return false;
+        }
         (turns, programs) = (last_turn, last_program);
     }
 }
 
+/// Copies turns.
+async fn fetch_all(host: &StoreHost, source: &Source, turns: &[TurnId]) -> bool {
+    for part in turns.chunks(PART_TURNS) {
+        let op = StoreOp::Fetch(part.to_vec());
+        let Some(StoreReply::Turns(turns)) = ask_source(host, source, op).await else {
+            return false;
+        };
+        let records = turns.into_iter().map(Record::Turn).collect();
+        if !save_all(host, records).await {
+            return false;
+        }
+    }
+    true
+}
+
 /// Saves records side by side, so that one sync serves them.
 async fn save_all(host: &StoreHost, records: Vec<Record>) -> bool {
     let saves: Vec<_> = records
         .into_iter()
         .map(|record| {
             let host = host.clone();
-            tokio::task::spawn_local(async move { host.save(record).await })
+            spawn_local(async move { host.save(record).await })
         })
         .collect();
     let mut all = true;
@@ -128,18 +145,13 @@
     all
 }
 
-async fn ask_source(
-    host: &StoreHost,
-    to: u64,
-    addr: SocketAddr,
-    op: StoreOp,
-) -> Option<StoreReply> {
+async fn ask_source(host: &StoreHost, source: &Source, op: StoreOp) -> Option<StoreReply> {
     let req = StoreRequest {
-        to,
+        to: source.identity,
         epoch: host.epoch(),
         joined: 0,
         op,
     };
     let req = LinkRequest::Gateway(GatewayRequest::Store(req));
-    ask(&host.links, addr, &req, PART_WITHIN).await.ok()
+    ask(&host.links, source.addr, &req, PART_WITHIN).await.ok()
 }
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -8,12 +8,14 @@
     crate::{
         gateway::{
             control_client::ControlClient,
-            messages::{ControlReply, ControlRequest, StoreOp, StoreReply, StoreRequest},
+            messages::{
+                ControlReply, ControlRequest, StoreList, StoreOp, StoreReply, StoreRequest,
+            },
         },
         process::Clock,
     },
     quay_link::Links,
-    quay_turns::{Hello, Place, Record, Shelf, ShelfSettings, StoreMember, StoreView, TurnRecord},
+    quay_turns::{Hello, Place, Record, Shelf, ShelfSettings, Source, StoreMember, StoreView, TurnRecord},
     quay_types::{Time, TurnId},
     std::{
         cell::{Cell, RefCell},
@@ -24,11 +26,7 @@
         thread,
         time::Duration,
     },
-    tokio::{
-        sync::oneshot,
-        task::spawn_local,
-        time::{sleep, timeout},
-    },
+    tokio::{sync::oneshot, task::spawn_local, time::sleep},
 };
 
 /// Interval at which the store says how it stands.
@@ -43,11 +41,11 @@
 /// Records that go into one sync.
 const MAX_BATCH: usize = 256;
 
-/// Turns in one part of a copy.
-const COPY_TURNS: usize = 24;
+/// Turns in one part of a list.
+const LIST_TURNS: usize = 1_024;
 
-/// Programs in one part of a copy.
-const COPY_PROGRAMS: usize = 256;
+/// Programs in one part of a list.
+const LIST_PROGRAMS: usize = 256;
 
 /// Exit code after a disk that gave no certain answer.
 const DISK_EXIT_CODE: i32 = 4;
@@ -175,7 +173,8 @@
             }
             StoreOp::Chain(turn) => self.chain(turn),
             StoreOp::Adopt => StoreReply::Took,
-            StoreOp::Copy { turns, programs } => self.copy_part(turns, programs),
+            StoreOp::Fetch(turns) => self.fetch(&turns),
+            StoreOp::List { turns, programs } => self.list(turns, programs),
         }
     }
 
@@ -206,29 +205,42 @@
         }
     }
 
+    /// The turns of these that are held.
+    fn fetch(&self, turns: &[TurnId]) -> StoreReply {
+        let places: Vec<Place> = {
+            let shelf = self.shelf.borrow();
+            turns.iter().filter_map(|id| shelf.place(*id)).collect()
+        };
+        let turns = places.into_iter().filter_map(|place| self.read_turn(place));
+        StoreReply::Turns(turns.collect())
+    }
+
     /// A part of all that is held.
-    fn copy_part(&self, turns: u64, programs: u64) -> StoreReply {
+    fn list(&self, turns: u64, programs: u64) -> StoreReply {
         let shelf = self.shelf.borrow();
-        let places = shelf.turns_after(turns, COPY_TURNS);
-        let (last_program, charges) = shelf.charges_after(programs, COPY_PROGRAMS);
-        drop(shelf);
-        let last = places.is_empty() && charges.is_empty();
-        let last_turn = places.last().map_or(turns, |(number, _)| *number);
-        let mut records = Vec::with_capacity(places.len() + charges.len());
-        for (_, place) in places {
-            match self.read_turn(place) {
-                Some(turn) => records.push(Record::Turn(turn)),
-                None => return StoreReply::Refused,
-            }
-        }
-        let charges = charges.into_iter();
-        records.extend(charges.map(|(program, charge)| Record::Charge(program, charge)));
-        StoreReply::Copy {
-            turns: last_turn,
-            programs: last_program,
-            records,
-            last,
-        }
+        let listed = shelf.turns_after(turns, LIST_TURNS);
+        let (last_program, charges) = shelf.charges_after(programs, LIST_PROGRAMS);
+        StoreReply::List(Box::new(StoreList {
+            last_turn: listed.last().map_or(turns, |(number, _)| *number),
+            turns: listed.into_iter().map(|(_, id)| id).collect(),
+            charges,
+            last_program,
+        }))
+    }
+
+    /// Whether a turn is held.
+    pub(super) fn holds_turn(&self, turn: TurnId) -> bool {
+        self.shelf.borrow().place(turn).is_some()
+    }
+
+    /// Whether a joining store is whole once it has copied from these sources.
+    pub(super) fn suffices(&self, own: &StoreMember, copied: &[u64]) -> bool {
+        self.view.borrow().suffices(own, copied)
+    }
+
+    /// Whether a source of a joining store is whole.
+    pub(super) fn source_is_whole(&self, source: &Source) -> bool {
+        self.view.borrow().source_is_whole(source)
     }
 
     /// Saves and syncs a record unless it is held; `false` if the disk refuses.
@@ -364,7 +376,9 @@
                 if !std::mem::replace(&mut refused, true) {
                     log::error!("event=store_disk_full records={}", records.len());
                 }
-                waiting.into_iter().for_each(|done| drop(done.send(None)));
+                for done in waiting {
+                    let _ = done.send(None);
+                }
             }
             Err(err) => {
                 // After a failed sync nobody knows what the disk holds.
@@ -374,8 +388,3 @@
         }
     }
 }
-
-/// Waits for a future, but not for ever.
-pub(super) async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
-    timeout(limit, work).await.ok()
-}
