--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -7,8 +7,8 @@
         stream::WINDOW_FRAMES,
     },
     quinn::{
-        ClientConfig, Connection, Endpoint, EndpointConfig, IdleTimeout, MtuDiscoveryConfig, RecvStream, SendStream, ServerConfig,
-        TransportConfig, VarInt,
+        ClientConfig, Connection, Endpoint, EndpointConfig, IdleTimeout, MtuDiscoveryConfig,
+        RecvStream, SendStream, ServerConfig, TransportConfig, VarInt,
         congestion::CubicConfig,
         crypto::rustls::{QuicClientConfig, QuicServerConfig},
     },
@@ -398,12 +398,13 @@
 
 /// One connection a peer and role. Whoever holds the lock of a way connects;
 /// the others wait for the outcome instead of connecting as well.
-type Connections = Arc<Mutex<HashMap<(SocketAddr, LinkRole), Arc<tokio::sync::Mutex<Way>>>>>;
+type Ways = HashMap<(SocketAddr, LinkRole), Arc<tokio::sync::Mutex<Way>>>;
+
+/// The ways, shared by all that open streams.
+type Connections = Arc<Mutex<Ways>>;
 
 /// The ways that are known.
-fn ways(
-    connections: &Connections,
-) -> MutexGuard<'_, HashMap<(SocketAddr, LinkRole), Arc<tokio::sync::Mutex<Way>>>> {
+fn ways(connections: &Connections) -> MutexGuard<'_, Ways> {
     connections.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/crates/quay_routes/src/head.rs
+++ b/crates/quay_routes/src/head.rs
@@ -58,19 +58,29 @@
 
 impl std::error::Error for HeadFault {}
 
+/// What an upstream says of whether it ran a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Execution {
+    /// Nothing: it may have run.
+    #[default]
+    Possible,
+    /// It did not run and never will.
+    NotRun,
+    /// It did not run and never will, because another upstream was meant.
+    OtherMeant,
+}
+
 /// What a gateway must know of an upstream's answer.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct UpstreamHead {
     /// Number of the request that it answers.
     pub id: Option<Box<str>>,
-    /// Whether the upstream states that it did not run the request.
-    pub not_run: bool,
+    /// Whether the upstream ran the request.
+    pub execution: Execution,
     /// Whether the answer vouches for the upstream's own bytes.
     pub sealed: bool,
     /// Requests that run and wait at the upstream, and its slots.
     pub load: Option<(u32, u32, u32)>,
     /// Whether the body is in a form that nobody asked for.
     pub encoded: bool,
-    /// Whether the upstream is another one than was expected.
-    pub another: bool,
 }
--- a/crates/quay_routes/src/lib.rs
+++ b/crates/quay_routes/src/lib.rs
@@ -32,7 +32,7 @@
 pub use {
     allowance::Allowance,
     dialect::{Dialect, Forwarding},
-    head::{CallHead, HeadFault, TurnHead, UpstreamHead},
+    head::{CallHead, Execution, HeadFault, TurnHead, UpstreamHead},
     operator::{OperatorAnswer, OperatorCall, OperatorFault},
     prompt::{BLOCK_TOKENS, PromptPart, blocks, tokens},
     table::{EdgeLimits, Repeat, Route, RoutingTable, Service, TableFault, Target},
--- a/crates/quay_routes/src/table.rs
+++ b/crates/quay_routes/src/table.rs
@@ -171,7 +171,10 @@
         match self {
             Self::Unreadable(why) => write!(f, "the table can't be read: {why}"),
             Self::UnknownService { route, service } => {
-                write!(f, "route {route:?} names service {service:?}, which does not exist")
+                write!(
+                    f,
+                    "route {route:?} names service {service:?}, which does not exist"
+                )
             }
             Self::SamePlace { host, prefix } => {
                 write!(f, "two routes have host {host:?} and prefix {prefix:?}")
--- a/crates/quay_turns/src/shelf.rs
+++ b/crates/quay_turns/src/shelf.rs
@@ -32,7 +32,7 @@
     fn default() -> Self {
         Self {
             // Longer than any retention in the deployments' tables (60 s).
-            keep_charges: Duration::from_secs(120),
+            keep_charges: Duration::from_mins(2),
             margin: Duration::from_secs(15),
         }
     }
@@ -119,10 +119,13 @@
             Record::Charge(program, charge) => {
                 self.taken += 1;
                 let number = self.taken;
-                let held = self.programs.entry(*program).or_insert_with(|| HeldCharges {
-                    number,
-                    ..HeldCharges::default()
-                });
+                let held = self
+                    .programs
+                    .entry(*program)
+                    .or_insert_with(|| HeldCharges {
+                        number,
+                        ..HeldCharges::default()
+                    });
                 held.book.take(*charge);
                 held.expires = now + self.cfg.keep_charges;
                 held.expires
@@ -238,7 +241,10 @@
     #[must_use]
     pub fn turns_after(&self, after: u64, limit: usize) -> Vec<(u64, TurnId)> {
         let turns = self.turns.iter().filter(|(_, held)| held.number > after);
-        turns.take(limit).map(|(id, held)| (held.number, *id)).collect()
+        turns
+            .take(limit)
+            .map(|(id, held)| (held.number, *id))
+            .collect()
     }
 
     /// Where a turn is, if it is held.
--- a/crates/quay_turns/src/tally.rs
+++ b/crates/quay_turns/src/tally.rs
@@ -141,7 +141,8 @@
         if others.0 + self.own.tokens.0 > self.budget.0 && self.seen() {
             return ChargeVerdict::Spent { others };
         }
-        if self.write.verdict() == WriteVerdict::Failed || self.whole_members.len() < self.needed_whole
+        if self.write.verdict() == WriteVerdict::Failed
+            || self.whole_members.len() < self.needed_whole
         {
             return ChargeVerdict::Unsure;
         }
--- a/crates/quay_turns/src/view.rs
+++ b/crates/quay_turns/src/view.rs
@@ -105,9 +105,10 @@
     /// many are not left, more than what all members hold can't be had.
     #[must_use]
     pub fn suffices(&self, joining: &StoreMember, copied: &[u64]) -> bool {
-        let whole = joining.sources.iter().filter(|source| {
-            copied.contains(&source.identity) && self.source_is_whole(source)
-        });
+        let whole = joining
+            .sources
+            .iter()
+            .filter(|source| copied.contains(&source.identity) && self.source_is_whole(source));
         let others = self.members.iter().map(|it| it.identity);
         let mut others = others.filter(|identity| *identity != joining.identity);
         whole.count() >= joining.needed || others.all(|identity| copied.contains(&identity))
--- /dev/null
+++ b/crates/quay_turns/tests/quorums.rs
@@ -0,0 +1,168 @@
+//! What quorums promise, whatever answers come.
+
+use {
+    proptest::prelude::*,
+    quay_turns::{
+        Charge, ChargeBook, ChargeTally, ChargeVerdict, LookupTally, LookupVerdict, Standing,
+        StoreMember, StoreView, WriteTally, WriteVerdict,
+    },
+    quay_types::{AttemptTag, Tokens},
+};
+
+fn view(members: u64) -> StoreView {
+    let member = |identity| StoreMember {
+        host: format!("store-{identity}").into(),
+        identity,
+        whole: true,
+        ..StoreMember::default()
+    };
+    StoreView {
+        epoch: 1,
+        members: (1..=members).map(member).collect(),
+        ..StoreView::default()
+    }
+}
+
+fn reserved(attempt: u64, tokens: u64) -> Charge {
+    Charge {
+        attempt: AttemptTag(attempt),
+        standing: Standing::Reserved,
+        tokens: Tokens(tokens),
+    }
+}
+
+#[test]
+fn a_write_is_durable_with_a_majority() {
+    let mut tally = WriteTally::new(&view(3));
+    tally.took(1);
+    tally.failed(2);
+    assert_eq!(tally.verdict(), WriteVerdict::Open);
+    tally.took(3);
+    assert_eq!(tally.verdict(), WriteVerdict::Durable);
+}
+
+#[test]
+fn a_write_fails_once_a_majority_is_out_of_reach() {
+    let mut tally = WriteTally::new(&view(3));
+    tally.failed(1);
+    tally.failed(2);
+    assert_eq!(tally.verdict(), WriteVerdict::Failed);
+    assert_eq!(
+        WriteTally::new(&StoreView::default()).verdict(),
+        WriteVerdict::Failed
+    );
+}
+
+#[test]
+fn a_turn_is_absent_only_if_enough_whole_members_deny_it() {
+    let mut view = view(3);
+    view.members[2].whole = false;
+    let mut tally = LookupTally::new(&view);
+    tally.denied(1);
+    tally.denied(3);
+    tally.failed(2);
+    assert_eq!(tally.verdict(), LookupVerdict::Unsure);
+    let mut tally = LookupTally::new(&view);
+    tally.denied(1);
+    tally.denied(2);
+    tally.failed(3);
+    assert_eq!(tally.verdict(), LookupVerdict::Absent);
+}
+
+#[test]
+fn a_reservation_needs_whole_members_to_be_covered() {
+    let mut view = view(3);
+    view.members[2].whole = false;
+    let mut tally = ChargeTally::new(&view, reserved(1, 10), Tokens(100));
+    tally.took(1, []);
+    tally.took(3, []);
+    assert_eq!(tally.verdict(), ChargeVerdict::Open);
+    tally.failed(2);
+    assert_eq!(tally.verdict(), ChargeVerdict::Unsure);
+}
+
+#[test]
+fn a_settled_charge_replaces_a_reserved_one_in_any_order() {
+    let settled = Charge {
+        standing: Standing::Settled,
+        tokens: Tokens(3),
+        ..reserved(1, 10)
+    };
+    for order in [[reserved(1, 10), settled], [settled, reserved(1, 10)]] {
+        let mut book = ChargeBook::default();
+        for charge in order {
+            book.take(charge);
+        }
+        assert_eq!(book.total_without(AttemptTag(2)), Tokens(3));
+    }
+}
+
+#[test]
+fn a_spent_budget_is_refused_with_what_others_hold() {
+    let mut tally = ChargeTally::new(&view(3), reserved(1, 10), Tokens(100));
+    tally.took(1, [reserved(2, 91)]);
+    assert_eq!(tally.verdict(), ChargeVerdict::Open);
+    tally.took(2, []);
+    let others = Tokens(91);
+    assert_eq!(tally.verdict(), ChargeVerdict::Spent { others });
+}
+
+/// One reservation against stores of three members, step by step.
+#[derive(Debug, Clone)]
+struct Step {
+    attempt: usize,
+    store: usize,
+}
+
+proptest! {
+    /// Whatever the order in which stores take reservations, the covered ones
+    /// exceed the budget by less than the most of one turn.
+    #[test]
+    fn covered_reservations_stay_within_the_budget_and_one_turn(
+        steps in proptest::collection::vec((0..6usize, 0..3usize), 1..60),
+        budget in 0..60u64,
+    ) {
+        const MOST: u64 = 10;
+        let view = view(3);
+        let mut stores = vec![ChargeBook::default(); 3];
+        let own = |attempt: usize| reserved(attempt as u64 + 1, MOST);
+        let mut tallies: Vec<_> =
+            (0..6).map(|it| ChargeTally::new(&view, own(it), Tokens(budget))).collect();
+        let mut covered = [false; 6];
+        for (attempt, store) in steps {
+            let step = Step { attempt, store };
+            if covered[step.attempt] {
+                continue;
+            }
+            stores[step.store].take(own(step.attempt));
+            let held: Vec<_> = stores[step.store].charges().collect();
+            tallies[step.attempt].took(step.store as u64 + 1, held);
+            covered[step.attempt] = tallies[step.attempt].verdict() == ChargeVerdict::Covered;
+        }
+        let total = covered.iter().filter(|it| **it).count() as u64 * MOST;
+        prop_assert!(total <= budget + MOST, "{total} of {budget}");
+    }
+
+    /// A write that was acknowledged is seen by every lookup that says absent.
+    #[test]
+    fn what_was_acknowledged_is_never_absent(
+        took in proptest::collection::vec(any::<bool>(), 5),
+        answers in proptest::collection::vec(any::<bool>(), 5),
+    ) {
+        let view = view(5);
+        let mut write = WriteTally::new(&view);
+        let mut lookup = LookupTally::new(&view);
+        let mut found = false;
+        for (identity, (took, answers)) in (1..).zip(took.into_iter().zip(answers)) {
+            if took { write.took(identity) } else { write.failed(identity) }
+            match (answers, took) {
+                (true, true) => found = true,
+                (true, false) => lookup.denied(identity),
+                (false, _) => lookup.failed(identity),
+            }
+        }
+        if write.verdict() == WriteVerdict::Durable && !found {
+            prop_assert_ne!(lookup.verdict(), LookupVerdict::Absent);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quay_turns/tests/roster.rs
@@ -0,0 +1,131 @@
+//! How members of the stores are exchanged.
+
+use {
+    quay_turns::{Hello, Roster, RosterSettings, StoreChange, StoreView},
+    quay_types::Time,
+};
+
+fn hello(host: &str, identity: u64) -> Hello {
+    Hello {
+        host: host.into(),
+        identity,
+        addr: ([127, 0, 0, 1], 7_000).into(),
+        data_centre: host.into(),
+        bootstrap: true,
+        whole: 0,
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+/// A view of three members, and a roster that has heard them.
+fn formed() -> (Roster, StoreView) {
+    let mut roster = Roster::new(RosterSettings::default(), at(0));
+    for (host, identity) in [("a", 1), ("b", 2), ("c", 3)] {
+        roster.hear(at(0), hello(host, identity));
+    }
+    let mut view = StoreView::default();
+    assert_eq!(roster.next(at(100), &view), None, "too early");
+    let form = roster.next(at(600), &view).expect("form");
+    assert!(view.change(&form));
+    (roster, view)
+}
+
+/// Everybody but `silent` says hello from second 1 to `until`.
+fn hear(roster: &mut Roster, hosts: &[(&str, u64)], until: u64) {
+    for millis in (1_000..=until).step_by(300) {
+        for (host, identity) in hosts {
+            roster.hear(at(millis), hello(host, *identity));
+        }
+    }
+}
+
+#[test]
+fn the_first_members_are_whole_and_form_once() {
+    let (_, mut view) = formed();
+    assert_eq!((view.epoch, view.members.len()), (1, 3));
+    assert!(view.all_whole());
+    assert!(!view.change(&StoreChange::Form(vec![hello("x", 9)])));
+}
+
+#[test]
+fn a_host_that_lost_its_disk_takes_its_own_place() {
+    let (mut roster, mut view) = formed();
+    roster.hear(at(1_000), hello("b", 20));
+    let change = roster.next(at(1_000), &view).expect("swap");
+    assert!(view.change(&change));
+    let member = view.member(20).expect("member");
+    assert!(!member.whole);
+    assert_eq!(member.needed, 2);
+    assert!(!view.suffices(member, &[1]));
+    assert!(view.suffices(member, &[1, 3]));
+}
+
+#[test]
+fn a_joining_member_counts_a_source_that_has_become_whole() {
+    let (_, mut view) = formed();
+    for (out, host, new) in [(2, "b", 20), (3, "c", 30)] {
+        let new = Box::new(hello(host, new));
+        assert!(view.change(&StoreChange::Swap { out, new }));
+    }
+    let second = view.member(30).expect("member").clone();
+    assert!(!view.suffices(&second, &[1]), "b is not whole yet");
+    assert!(view.change(&StoreChange::Whole {
+        identity: 20,
+        joined: 2
+    }));
+    assert!(view.suffices(&second, &[1, 20]));
+}
+
+#[test]
+fn a_newcomer_takes_the_place_of_a_member_that_fell_silent_before() {
+    let (mut roster, view) = formed();
+    hear(&mut roster, &[("a", 1), ("b", 2)], 4_000);
+    roster.hear(at(4_000), hello("d", 4));
+    let change = roster.next(at(4_000), &view);
+    assert!(
+        matches!(change, Some(StoreChange::Swap { out: 3, .. })),
+        "{change:?}"
+    );
+}
+
+#[test]
+fn an_old_spare_leaves_a_frozen_member_its_place() {
+    let (mut roster, view) = formed();
+    roster.hear(at(0), hello("d", 4));
+    hear(&mut roster, &[("a", 1), ("b", 2), ("d", 4)], 6_000);
+    assert_eq!(roster.next(at(6_000), &view), None);
+}
+
+#[test]
+fn a_retired_member_goes_only_if_another_host_can_take_its_place() {
+    let (mut roster, mut view) = formed();
+    hear(&mut roster, &[("a", 1), ("b", 2), ("c", 3)], 2_000);
+    assert!(!roster.can_spare(at(2_000), &view, "a"));
+    roster.hear(at(2_000), hello("d", 4));
+    assert!(roster.can_spare(at(2_000), &view, "a"));
+    assert!(view.change(&StoreChange::Retire("a".into())));
+    let change = roster.next(at(2_000), &view).expect("swap");
+    assert!(view.change(&change));
+    let newcomer = view.member(4).expect("member");
+    // The one that goes is alive and still holds what it acknowledged.
+    assert!(view.suffices(newcomer, &[1, 2]));
+}
+
+#[test]
+fn an_unreadable_change_changes_nothing() {
+    let (_, mut view) = formed();
+    let before = view.clone();
+    let stray = StoreChange::Swap {
+        out: 99,
+        new: Box::new(hello("d", 4)),
+    };
+    assert!(!view.change(&stray));
+    assert!(!view.change(&StoreChange::Whole {
+        identity: 1,
+        joined: 1
+    }));
+    assert_eq!(view, before);
+}
--- a/crates/quay_types/src/lib.rs
+++ b/crates/quay_types/src/lib.rs
@@ -27,9 +27,9 @@
     directory::{Announcement, DirectoryEntry, Load, UpstreamKind, UpstreamState},
     error::{Error, ErrorKind, Result},
     ids::{
-        AccountId, Attempt, CallNumber, ConfigIndex, Epoch, FenceNumber, GroupId, Incarnation,
-        LogIndex, ModelId, NodeId, ParseProgramIdError, ProgramId, RequestKey, ServiceId, Tokens,
-        AttemptTag, ProgramTag, TurnId, UpstreamId,
+        AccountId, Attempt, AttemptTag, CallNumber, ConfigIndex, Epoch, FenceNumber, GroupId,
+        Incarnation, LogIndex, ModelId, NodeId, ParseProgramIdError, ProgramId, ProgramTag,
+        RequestKey, ServiceId, Tokens, TurnId, UpstreamId,
     },
     ledger::{
         Begin, BeginReply, CallRecord, LedgerReply, LedgerRequest, NewProgram, ProgramLimits,
--- a/crates/sapphirequayd/src/gateway/control/api.rs
+++ b/crates/sapphirequayd/src/gateway/control/api.rs
@@ -111,9 +111,7 @@
 
 /// Reads and checks a table.
 fn table_text(dialect: &impl Dialect, document: &Bytes) -> Result<TableText, Box<str>> {
-    let table = dialect
-        .table(document)
-        .map_err(|fault| fault.to_string())?;
+    let table = dialect.table(document).map_err(|fault| fault.to_string())?;
     table.check().map_err(|fault| fault.to_string())?;
     Ok(TableText {
         revision: table.revision,
--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -191,13 +191,12 @@
                 *leading = Some(Leading::new(now, run, *state, self.losses));
                 self.news.notify_waiters();
             }
-            (Ok(None), None) => {}
             (Err(ControlReply::NotLeader(leader)), Some(_)) => {
                 log::warn!("event=control_follows leader={leader:?}");
                 *leading = None;
                 self.news.notify_waiters();
             }
-            (Err(_), _) => {}
+            (Ok(None), None) | (Err(_), _) => {}
         }
     }
 
@@ -218,9 +217,11 @@
             ControlRequest::Follow(mark) => self.follow(&mark).await,
             ControlRequest::Announce(announcement) => self.announce(*announcement).await,
             ControlRequest::Leave(name, run) => {
-                let found = self.leading.borrow().as_ref().map(|leads| {
-                    leads.leaving_run(&name, run, Clock::wall_ms())
-                });
+                let found = self
+                    .leading
+                    .borrow()
+                    .as_ref()
+                    .map(|leads| leads.leaving_run(&name, run, Clock::wall_ms()));
                 match found {
                     Some(run) => self.done(ControlCommand::Depart(name, run)).await,
                     None => self.not_leader().await,
--- a/crates/sapphirequayd/src/gateway/control/leading.rs
+++ b/crates/sapphirequayd/src/gateway/control/leading.rs
@@ -95,7 +95,8 @@
         let leaves = announcement.state != UpstreamState::Serving;
         let known = self.state.departures.get(&announcement.name);
         let run = announcement.incarnation;
-        (leaves && known < Some(&run)).then(|| ControlCommand::Depart(announcement.name.clone(), run))
+        (leaves && known < Some(&run))
+            .then(|| ControlCommand::Depart(announcement.name.clone(), run))
     }
 
     /// The run that an upstream ends when it leaves without saying which.
@@ -230,8 +231,5 @@
 
 /// Whether changes tell nothing.
 fn is_empty(changes: &Changes) -> bool {
-    !changes.whole
-        && changes.full.is_empty()
-        && changes.loads.is_empty()
-        && changes.gone.is_empty()
+    !changes.whole && changes.full.is_empty() && changes.loads.is_empty() && changes.gone.is_empty()
 }
--- a/crates/sapphirequayd/src/gateway/control/members.rs
+++ b/crates/sapphirequayd/src/gateway/control/members.rs
@@ -32,7 +32,12 @@
         }
         let replaced = members.voters.iter().find(|it| it.addr == learner.addr);
         let full = members.voters.len() >= view.voters;
-        let silent = || members.voters.iter().find(|it| view.silent.contains(&it.node));
+        let silent = || {
+            members
+                .voters
+                .iter()
+                .find(|it| view.silent.contains(&it.node))
+        };
         let out = replaced.or_else(|| full.then(silent).flatten());
         return Some(match out {
             Some(out) if members.voters.len() > 1 => Change::Remove(out.node),
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -17,7 +17,9 @@
     http::{HeaderMap, Request, Response, StatusCode, request, response},
     http_body_util::{BodyExt as _, Full, Limited},
     hyper::body::Incoming,
-    quay_routes::{Allowance, CallHead, Dialect, Forwarding, Repeat, Route, TurnHead, UpstreamHead},
+    quay_routes::{
+        Allowance, CallHead, Dialect, Execution, Forwarding, Repeat, Route, TurnHead, UpstreamHead,
+    },
     quay_turns::{Charge, Standing},
     quay_types::{AttemptTag, ProgramTag, Time, Tokens, TurnId, UpstreamId},
     std::time::Duration,
@@ -125,15 +127,15 @@
                 refusal.status()
             );
             let mut response = refusal.answer(draw);
-            front
-                .dialect()
-                .own_answer(&head, response.headers_mut());
+            front.dialect().own_answer(&head, response.headers_mut());
             response
         }
     };
     if front.draining() {
         let close = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(http::header::CONNECTION, close);
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
     }
     response
 }
@@ -359,10 +361,10 @@
         tried: &mut Vec<UpstreamId>,
     ) -> Tried<D> {
         let now = self.front.now();
-        let chosen =
-            self.front
-                .upstreams()
-                .choose(now, self.service, self.head, tried, self.draw);
+        let chosen = self
+            .front
+            .upstreams()
+            .choose(now, self.service, self.head, tried, self.draw);
         let Some(chosen) = chosen else {
             return Tried::NoUpstream;
         };
@@ -435,7 +437,10 @@
             upstream: &chosen.name,
             left: self.allowance.left(self.front.now()),
         };
-        let headers = self.front.dialect().forward(&self.parts.headers, &forwarding);
+        let headers = self
+            .front
+            .dialect()
+            .forward(&self.parts.headers, &forwarding);
         let mut req = Request::new(Full::new(body.clone()));
         *req.method_mut() = self.parts.method.clone();
         *req.uri_mut() = self.parts.uri.clone();
@@ -453,36 +458,37 @@
     ) -> Tried<D> {
         let answer = self.front.dialect().answer(&head);
         let now = self.front.now();
-        if answer.another {
+        let not_run = answer.execution != Execution::Possible;
+        if answer.execution == Execution::OtherMeant {
             self.front.upstreams().unreachable(now, sent.chosen.id);
         }
         if let Some(load) = answer.load {
             self.front.upstreams().reported(now, sent.chosen.id, load);
         }
-        if let Some(fault) = self.fault(&answer) {
+        if let Some(fault) = self.fault(&answer, not_run) {
             return Tried::Unknown(fault);
         }
-        if self.route.repeat.streams() && head.status == StatusCode::OK && !answer.not_run {
+        if self.route.repeat.streams() && head.status == StatusCode::OK && !not_run {
             return Tried::Answer(Box::new(sent), Box::new(head), incoming);
         }
         let body = timeout(limit, Limited::new(incoming, MAX_ANSWER_BYTES).collect()).await;
         let body = match body {
             Ok(Ok(body)) => body.to_bytes(),
-            _ if answer.not_run => return Tried::NotRun,
+            _ if not_run => return Tried::NotRun,
             _ => return Tried::Unknown("answer_cut"),
         };
         sent.whole(&head.headers);
-        if answer.not_run {
+        if not_run {
             return Tried::NotRun;
         }
         Tried::Whole(self.response(&head, full(body)))
     }
 
     /// Why an answer is not one to this request, if it is not.
-    fn fault(&self, answer: &UpstreamHead) -> Option<&'static str> {
+    fn fault(&self, answer: &UpstreamHead, not_run: bool) -> Option<&'static str> {
         if answer.id.as_deref().is_some_and(|id| id != &*self.head.id) {
             Some("answer_to_another")
-        } else if answer.id.is_none() && !answer.not_run {
+        } else if answer.id.is_none() && !not_run {
             Some("answer_to_nobody")
         } else if answer.encoded {
             Some("answer_encoded")
--- a/crates/sapphirequayd/src/gateway/front/connections.rs
+++ b/crates/sapphirequayd/src/gateway/front/connections.rs
@@ -141,11 +141,6 @@
         });
     }
 
-    /// Closes all connections to an address.
-    pub fn forget(&self, addr: SocketAddr) {
-        self.0.borrow_mut().shift_remove(&addr);
-    }
-
     /// Closes the connections that have been idle for too long.
     pub fn close_idle(&self) {
         let now = Instant::now();
@@ -168,7 +163,10 @@
     /// # Errors
     ///
     /// Tells whether the upstream may have got the request.
-    pub async fn send(&mut self, req: Request<RequestBody>) -> Result<Response<Incoming>, SendFault> {
+    pub async fn send(
+        &mut self,
+        req: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, SendFault> {
         match self.sender.try_send_request(req).await {
             Ok(response) => Ok(response),
             Err(mut err) => match err.take_message() {
@@ -182,13 +180,15 @@
 /// Time for which a connection may be used again after an answer.
 fn idle_time(headers: &HeaderMap) -> Duration {
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
-    let closes = text(header::CONNECTION)
-        .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+    let closes =
+        text(header::CONNECTION).is_some_and(|value| value.to_ascii_lowercase().contains("close"));
     if closes {
         return Duration::ZERO;
     }
     let named = text(header::HeaderName::from_static("keep-alive")).and_then(|value| {
-        let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+        let timeout = value
+            .split(',')
+            .find_map(|part| part.trim().strip_prefix("timeout="));
         timeout?.trim().parse().ok()
     });
     // Four fifths, since the upstream counts from another moment.
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -284,7 +284,10 @@
     pub async fn drain(&self, grace: Duration) {
         let ends = Instant::now() + grace.saturating_sub(ENDING);
         self.0.draining.set(true);
-        log::info!("event=drain_began connections={}", self.0.limits.closing.open());
+        log::info!(
+            "event=drain_began connections={}",
+            self.0.limits.closing.open()
+        );
         sleep(LINGER.min(grace / 2)).await;
         let closing = &self.0.limits.closing;
         closing.begin();
--- a/crates/sapphirequayd/src/gateway/front/refusal.rs
+++ b/crates/sapphirequayd/src/gateway/front/refusal.rs
@@ -18,10 +18,6 @@
         pub enum Refusal { $( $(#[$doc])* $kind, )* }
 
         impl Refusal {
-            /// Every kind.
-            #[cfg(test)]
-            pub const ALL: &[Self] = &[ $( Self::$kind, )* ];
-
             /// Name in logs and in the answer.
             pub const fn name(self) -> &'static str {
                 match self { $( Self::$kind => $name, )* }
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -1,12 +1,7 @@
 //! Passes a stream of events on as it comes.
 
 use {
-    super::{
-        call::Sent,
-        events::EventReader,
-        host::FrontHost,
-        reservation::Reservation,
-    },
+    super::{call::Sent, events::EventReader, host::FrontHost, reservation::Reservation},
     crate::gateway::http_server::{Body, BrokenOff},
     bytes::Bytes,
     http::response,
@@ -182,9 +177,8 @@
         if timeout(left, writing).await != Ok(true) {
             return End::Broken("turn_not_kept");
         }
-        let mut whole = Vec::with_capacity(
-            keeping.before.len() + keeping.input.len() + output.len(),
-        );
+        let mut whole =
+            Vec::with_capacity(keeping.before.len() + keeping.input.len() + output.len());
         whole.extend_from_slice(&keeping.before);
         whole.extend_from_slice(&keeping.input);
         whole.extend_from_slice(&output);
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -4,10 +4,10 @@
     indexmap::IndexMap,
     quay_members::{ChangesRequest, View},
     quay_policy::{ExpectedTime, RouteRequest, RouteSettings, Router},
-    quay_routes::{blocks, tokens, CallHead},
+    quay_routes::{CallHead, blocks, tokens},
     quay_types::{
-        Announcement, CallTarget, DirectoryEntry, Incarnation, Load, ProgramId, ServiceId, Time,
-        Tokens, UpstreamId,
+        Announcement, CallTarget, DirectoryEntry, Load, ProgramId, ServiceId, Time, Tokens,
+        UpstreamId,
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -93,7 +93,10 @@
         for entry in &entries {
             self.learn_entry(now, entry);
         }
-        let listed: Vec<UpstreamId> = entries.iter().map(|it| it.announcement.upstream()).collect();
+        let listed: Vec<UpstreamId> = entries
+            .iter()
+            .map(|it| it.announcement.upstream())
+            .collect();
         self.known.retain(|id, _| listed.contains(id));
         self.router.keep_only(&listed);
     }
@@ -229,9 +232,4 @@
             self.router.ended(now, id);
         }
     }
-
-    /// The run of an upstream that is known.
-    pub fn run_of(&self, id: UpstreamId) -> Option<Incarnation> {
-        self.known.get(&id).map(|it| it.announcement.incarnation)
-    }
 }
--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -6,19 +6,8 @@
     http_body_util::{BodyExt as _, Full, combinators::UnsyncBoxBody},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{
-        cell::Cell,
-        convert::Infallible,
-        fmt,
-        future::Future,
-        rc::Rc,
-        time::Duration,
-    },
-    tokio::{
-        net::TcpListener,
-        sync::Notify,
-        task::spawn_local,
-    },
+    std::{cell::Cell, convert::Infallible, fmt, future::Future, rc::Rc, time::Duration},
+    tokio::{net::TcpListener, sync::Notify, task::spawn_local},
 };
 
 /// Why the body of an answer ends before it is whole.
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -278,7 +278,10 @@
             }
         }
         Ok(_) => log::warn!("event=link_request_refused peer={}", incoming.addr),
-        Err(err) => log::warn!("event=link_request_unread peer={} cause={err:?}", incoming.addr),
+        Err(err) => log::warn!(
+            "event=link_request_unread peer={} cause={err:?}",
+            incoming.addr
+        ),
     }
 }
 
@@ -326,7 +329,10 @@
             });
         }
         Ok(_) => log::warn!("event=link_request_refused peer={}", incoming.addr),
-        Err(err) => log::warn!("event=link_request_unread peer={} cause={err:?}", incoming.addr),
+        Err(err) => log::warn!(
+            "event=link_request_unread peer={} cause={err:?}",
+            incoming.addr
+        ),
     }
 }
 
--- a/crates/sapphirequayd/src/gateway/store/copy.rs
+++ b/crates/sapphirequayd/src/gateway/store/copy.rs
@@ -100,7 +100,10 @@
             last_program,
         } = *list;
         if listed.is_empty() && charges.is_empty() {
-            log::info!("event=store_copied source={} turns={copied}", source.identity);
+            log::info!(
+                "event=store_copied source={} turns={copied}",
+                source.identity
+            );
             return true;
         }
         let charges = charges.into_iter();
--- a/crates/sapphirequayd/src/gateway/store/files.rs
+++ b/crates/sapphirequayd/src/gateway/store/files.rs
@@ -131,9 +131,8 @@
 pub fn read_all(folder: &Path, mut places: Vec<Place>) -> io::Result<Vec<Record>> {
     places.sort_unstable_by_key(|place| (place.segment, place.offset));
     let mut records = Vec::with_capacity(places.len());
-    let near = |a: &Place, b: &Place| {
-        a.segment == b.segment && b.offset - end_of(a) <= MAX_GAP_BYTES
-    };
+    let near =
+        |a: &Place, b: &Place| a.segment == b.segment && b.offset - end_of(a) <= MAX_GAP_BYTES;
     for span in places.chunk_by(near) {
         let (Some(first), Some(last)) = (span.first(), span.last()) else {
             continue;
@@ -221,9 +220,11 @@
         if file.read_exact(&mut head).is_err() {
             return Ok(offset);
         }
-        let [a, b, c, d, e, f, g, h] = head;
-        let len = u32::from_le_bytes([a, b, c, d]);
-        let sum = u32::from_le_bytes([e, f, g, h]);
+        let word = |at: usize| {
+            let bytes = head.iter().skip(at).take(4).rev();
+            bytes.fold(0, |word, byte| word << 8 | u32::from(*byte))
+        };
+        let (len, sum) = (word(0), word(4));
         if len == 0 || len > MAX_RECORD_BYTES {
             return Ok(offset);
         }
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -15,7 +15,9 @@
         process::Clock,
     },
     quay_link::Links,
-    quay_turns::{Hello, Place, Record, Shelf, ShelfSettings, Source, StoreMember, StoreView, TurnRecord},
+    quay_turns::{
+        Hello, Place, Record, Shelf, ShelfSettings, Source, StoreMember, StoreView, TurnRecord,
+    },
     quay_types::{Time, TurnId},
     std::{
         cell::{Cell, RefCell},
@@ -94,8 +96,7 @@
         let mut shelf = Shelf::new(ShelfSettings::default());
         let now = clock.now();
         let mut replay = |record: &Record, place| shelf.saved(now, record, place);
-        let (files, identity) =
-            Files::open(&folder, segment_bytes, hello.identity, &mut replay)?;
+        let (files, identity) = Files::open(&folder, segment_bytes, hello.identity, &mut replay)?;
         hello.identity = identity;
         log::info!(
             "event=store_opened identity={identity} turns={} epoch={} whole={}",
@@ -146,8 +147,8 @@
             return StoreReply::Refused;
         }
         let (admitted, seen, open) = {
-            let shelf = self.shelf.borrow();
-            (shelf.admit(req.epoch), shelf.epoch(), shelf.open())
+            let held = self.shelf.borrow();
+            (held.admit(req.epoch), held.epoch(), held.open())
         };
         if let Err(stale) = admitted {
             return StoreReply::Stale(stale.seen);
@@ -164,10 +165,14 @@
 
     async fn carry_out(&self, op: StoreOp) -> StoreReply {
         match op {
-            StoreOp::Write(record) => match self.save(record).await {
-                true => StoreReply::Took,
-                false => StoreReply::Refused,
-            },
+            StoreOp::Write(record) => {
+                let saved = self.save(record).await;
+                if saved {
+                    StoreReply::Took
+                } else {
+                    StoreReply::Refused
+                }
+            }
             StoreOp::Reserve(program, charge) => {
                 if self.save(Record::Charge(program, charge)).await {
                     StoreReply::Charges(self.shelf.borrow().charges(program))
@@ -195,8 +200,8 @@
     /// The turns of these that are held.
     async fn fetch(&self, turns: &[TurnId]) -> StoreReply {
         let places: Vec<Place> = {
-            let shelf = self.shelf.borrow();
-            turns.iter().filter_map(|id| shelf.place(*id)).collect()
+            let held = self.shelf.borrow();
+            turns.iter().filter_map(|id| held.place(*id)).collect()
         };
         match self.read_turns(places).await {
             Some(turns) => StoreReply::Turns(turns),
@@ -231,9 +236,9 @@
 
     /// A part of all that is held.
     fn list(&self, turns: u64, programs: u64) -> StoreReply {
-        let shelf = self.shelf.borrow();
-        let listed = shelf.turns_after(turns, LIST_TURNS);
-        let (last_program, charges) = shelf.charges_after(programs, LIST_PROGRAMS);
+        let held = self.shelf.borrow();
+        let listed = held.turns_after(turns, LIST_TURNS);
+        let (last_program, charges) = held.charges_after(programs, LIST_PROGRAMS);
         StoreReply::List(Box::new(StoreList {
             last_turn: listed.last().map_or(turns, |(number, _)| *number),
             turns: listed.into_iter().map(|(_, id)| id).collect(),
@@ -315,8 +320,8 @@
     /// Opens a store that has become a member.
     async fn take_membership(&self, own: &StoreMember) {
         let (open, whole) = {
-            let shelf = self.shelf.borrow();
-            (shelf.open(), shelf.whole())
+            let held = self.shelf.borrow();
+            (held.open(), held.whole())
         };
         if own.whole {
             if open < own.joined {
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -30,9 +30,9 @@
     },
     request::{Input, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
     settings::{
-        ControlSettings, DEFAULT_SETTINGS, EntrySettings, FrontSettings, KvTable, LedgerSettings, LinkTableSettings, LogLevel,
-        LogSettings, PeerSettings, PolicyTable, Problem, ProcessSettings, SeedSettings, Settings, SettingsError,
-        SidecarSettings, StoreSettings,
+        ControlSettings, DEFAULT_SETTINGS, EntrySettings, FrontSettings, KvTable, LedgerSettings,
+        LinkTableSettings, LogLevel, LogSettings, PeerSettings, PolicyTable, Problem,
+        ProcessSettings, SeedSettings, Settings, SettingsError, SidecarSettings, StoreSettings,
     },
     wire::LinkRequest,
 };
