--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -93,6 +93,7 @@
     head: &'a CallHead,
     parts: &'a request::Parts,
     route: &'a Route,
+    arrived: Time,
     allowance: Allowance,
     service: &'a str,
     event_tokens: u64,
@@ -168,6 +169,7 @@
         head,
         parts,
         route,
+        arrived,
         allowance,
         service,
         event_tokens,
@@ -306,6 +308,8 @@
             match outcome {
                 Tried::Whole(response) => return Ok(response),
                 Tried::Answer(sent, head, incoming) => {
+                    let first_ms = sent.elapsed_ms();
+                    let sent_after = sent.since.since(self.arrived);
                     let passing = Passing {
                         front: self.front.clone(),
                         sent: *sent,
@@ -314,6 +318,8 @@
                         reservation,
                         event_tokens: self.event_tokens,
                         ends: self.allowance.ends(),
+                        wait_ms: sent_after.as_millis(),
+                        first_ms,
                     };
                     let body = passing.start(&head, incoming);
                     return Ok(self.response(&head, body));
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -74,6 +74,10 @@
     pub event_tokens: u64,
     /// When the request is given up.
     pub ends: Time,
+    /// Milliseconds from the request's arrival until it was sent.
+    pub wait_ms: u128,
+    /// Milliseconds from then until the upstream's first answer.
+    pub first_ms: u128,
 }
 
 /// How a stream ended.
@@ -97,6 +101,7 @@
         let mut reader = EventReader::new(self.keeping.is_some());
         let end = self.pass_frames(&mut body, &mut reader, &frames).await;
         let events = reader.events();
+        let read_ms = self.sent.elapsed_ms();
         let end = match end {
             End::Whole if reader.mid_event() => End::Broken("upstream_ended_mid_event"),
             End::Whole => self.keep(reader).await,
@@ -107,11 +112,13 @@
             End::CallerGone => {}
             End::Broken(why) => drop(frames.send(Err(BrokenOff(why))).await),
         }
-        let ms = self.sent.elapsed_ms();
+        let keep_ms = self.sent.elapsed_ms() - read_ms;
         log::info!(
-            "event=stream_ended id={} upstream={} events={events} ms={ms} end={end:?}",
+            "event=stream_ended id={} upstream={} events={events} wait_ms={} first_ms={} read_ms={read_ms} keep_ms={keep_ms} end={end:?}",
             self.id,
-            self.sent.upstream_name()
+            self.sent.upstream_name(),
+            self.wait_ms,
+            self.first_ms,
         );
     }
 
