--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -198,12 +198,14 @@
 
     /// A conversation up to a turn, if this front has seen it of late.
     pub fn chain(&self, turn: TurnId) -> Option<Bytes> {
-        self.0.chains.borrow_mut().get(turn)
+        let now = self.now();
+        self.0.chains.borrow_mut().get(now, turn)
     }
 
     /// Takes a conversation up to a turn.
     pub fn put_chain(&self, turn: TurnId, conversation: Bytes) {
-        self.0.chains.borrow_mut().put(turn, conversation);
+        let now = self.now();
+        self.0.chains.borrow_mut().put(now, turn, conversation);
     }
 
     // -----------------------------------------------------------------------
@@ -276,6 +278,7 @@
             sleep(TICK_EVERY).await;
             let now = self.now();
             self.upstreams().tick(now);
+            self.0.chains.borrow_mut().tick(now);
             self.0.connections.close_idle();
         }
     }
--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -115,7 +115,10 @@
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle.get())
             .max_buf_size(limits.head_bytes.get().max(MIN_HEAD_BYTES));
-        let conn = builder.serve_connection(TokioIo::new(stream), service_fn(answer.clone()));
+        let answer = answer.clone();
+        // Boxed, so that a connection without a request holds no room for one.
+        let service = service_fn(move |req| Box::pin(answer(req)));
+        let conn = builder.serve_connection(TokioIo::new(stream), service);
         spawn_local(drive(conn, Rc::clone(&limits.closing)));
     }
 }
--- /dev/null
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -0,0 +1,309 @@
+//! A gateway as processes that a test may kill, and a stand-in of an upstream.
+
+use {
+    quay_link::DevelopmentKeys,
+    std::{
+        fs,
+        io::{Read as _, Write as _},
+        net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
+        process::{Child, Command, Stdio},
+        sync::{Arc, Mutex},
+        thread,
+        time::Duration,
+    },
+    tempfile::TempDir,
+};
+
+const LOOPBACK: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
+
+/// What a process of a gateway does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    Control(usize),
+    Store(usize),
+    Front(usize),
+}
+
+/// Three control hosts, three stores and two fronts.
+pub struct Gateway {
+    pub controls: Vec<SocketAddr>,
+    pub fronts: Vec<SocketAddr>,
+    links: Vec<SocketAddr>,
+    children: Vec<(Part, Child)>,
+    folder: TempDir,
+}
+
+fn free_udp() -> SocketAddr {
+    let socket = UdpSocket::bind(LOOPBACK).expect("port");
+    socket.local_addr().expect("address")
+}
+
+fn free_tcp() -> SocketAddr {
+    let listener = TcpListener::bind(LOOPBACK).expect("port");
+    listener.local_addr().expect("address")
+}
+
+impl Gateway {
+    pub fn start() -> Self {
+        let folder = TempDir::new().expect("folder");
+        let made = DevelopmentKeys::generate().expect("keys");
+        let nobody: [&str; 0] = [];
+        made.write(&folder.path().join("keys"), &nobody)
+            .expect("keys");
+        let mut gateway = Self {
+            controls: (0..3).map(|_| free_tcp()).collect(),
+            fronts: (0..2).map(|_| free_tcp()).collect(),
+            links: (0..3).map(|_| free_udp()).collect(),
+            children: Vec::new(),
+            folder,
+        };
+        for slot in 0..3 {
+            gateway.run(Part::Control(slot), true);
+            gateway.run(Part::Store(slot), true);
+        }
+        for slot in 0..2 {
+            gateway.run(Part::Front(slot), true);
+        }
+        gateway
+    }
+
+    /// Starts a process, for the first time or again.
+    pub fn run(&mut self, part: Part, first_start: bool) {
+        let folder = self.folder.path();
+        let (link, table) = match part {
+            Part::Control(slot) => (
+                self.links[slot],
+                format!(
+                    "[control]\nlisten = \"{}\"\ndata = \"{}\"\n",
+                    self.controls[slot],
+                    folder.join(format!("control-{slot}")).display()
+                ),
+            ),
+            Part::Store(slot) => (
+                free_udp(),
+                format!(
+                    "[store]\ndata = \"{}\"\n",
+                    folder.join(format!("store-{slot}")).display()
+                ),
+            ),
+            Part::Front(slot) => (
+                free_udp(),
+                format!(
+                    "[front]\nlisten = \"{}\"\nready = \"{}\"\n",
+                    self.fronts[slot],
+                    free_tcp()
+                ),
+            ),
+        };
+        let seeds: Vec<String> = self.links.iter().map(ToString::to_string).collect();
+        let settings = format!(
+            "[process]\nname = \"{part:?}\"\ndata_centre = \"dc-1\"\n[link]\nlisten = \"{link}\"\n\
+             keys = \"{}\"\n[gateway]\nseeds = {seeds:?}\nfirst_start = {first_start}\n{table}",
+            folder.join("keys").display()
+        );
+        let file = folder.join(format!("{part:?}.toml"));
+        fs::write(&file, settings).expect("settings");
+        let child = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"))
+            .arg("--config")
+            .arg(file)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("process");
+        self.children.push((part, child));
+    }
+
+    /// Kills a process as `kill -9` does.
+    pub fn kill(&mut self, part: Part) {
+        let slot = self.children.iter().position(|(it, _)| *it == part);
+        let (_, mut child) = self.children.remove(slot.expect("a running process"));
+        child.kill().expect("kill");
+        child.wait().expect("wait");
+    }
+
+    /// Removes the data folder of a store that does not run.
+    pub fn wipe_store(&self, slot: usize) {
+        fs::remove_dir_all(self.folder.path().join(format!("store-{slot}"))).expect("wiped");
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        for (_, child) in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// An answer: status, head and body without its framing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    /// Whether the body came whole.
+    pub whole: bool,
+}
+
+/// Sends a request on a connection of its own; `None` if no head came back.
+pub fn send(addr: SocketAddr, head: &str, body: &str) -> Option<Answer> {
+    let mut stream = TcpStream::connect(addr).ok()?;
+    stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .ok()?;
+    let head = head.replace('\n', "\r\n");
+    let len = body.len();
+    let text = format!("{head}\r\nConnection: close\r\nContent-Length: {len}\r\n\r\n{body}");
+    stream.write_all(text.as_bytes()).ok()?;
+    let mut got = Vec::new();
+    let _ = stream.read_to_end(&mut got);
+    parse(&String::from_utf8(got).ok()?)
+}
+
+fn parse(text: &str) -> Option<Answer> {
+    let (head, rest) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let chunked = head.to_lowercase().contains("transfer-encoding: chunked");
+    let (body, whole) = if chunked {
+        dechunk(rest)
+    } else {
+        (rest.to_owned(), true)
+    };
+    Some(Answer {
+        status,
+        head: head.to_lowercase(),
+        body,
+        whole,
+    })
+}
+
+fn dechunk(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((len, after)) = rest.split_once("\r\n") {
+        let Ok(len) = usize::from_str_radix(len, 16) else {
+            return (body, false);
+        };
+        if len == 0 {
+            return (body, true);
+        }
+        let Some(chunk) = after.get(..len) else {
+            return (body, false);
+        };
+        body.push_str(chunk);
+        rest = after.get(len + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
+
+/// What the stand-in does with the next requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Manner {
+    /// Answers.
+    Sound,
+    /// Closes the connection after the request without a word.
+    Mute,
+    /// Says that it did not run the request.
+    Full,
+    /// Answers under another request's number.
+    Mixed,
+    /// Ends a stream within an event.
+    Torn,
+}
+
+/// A stand-in of an upstream: streams two events, or answers a plain call.
+#[derive(Clone)]
+pub struct Upstream {
+    pub addr: SocketAddr,
+    manner: Arc<Mutex<Manner>>,
+    /// Bodies of the requests that it ran.
+    ran: Arc<Mutex<Vec<String>>>,
+}
+
+impl Upstream {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind(LOOPBACK).expect("port");
+        let upstream = Self {
+            addr: listener.local_addr().expect("address"),
+            manner: Arc::new(Mutex::new(Manner::Sound)),
+            ran: Arc::default(),
+        };
+        let shared = upstream.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = shared.clone();
+                thread::spawn(move || shared.serve(stream));
+            }
+        });
+        upstream
+    }
+
+    pub fn set(&self, manner: Manner) {
+        *self.manner.lock().expect("lock") = manner;
+    }
+
+    pub fn ran(&self) -> Vec<String> {
+        self.ran.lock().expect("lock").clone()
+    }
+
+    /// Answers one request and closes the connection.
+    fn serve(&self, mut stream: TcpStream) -> Option<()> {
+        let (head, body) = read_request(&mut stream)?;
+        let manner = *self.manner.lock().expect("lock");
+        let id = match manner {
+            Manner::Mixed => "another",
+            _ => header(&head, "x-sapphirequay-request-id")?,
+        };
+        let common = format!(
+            "x-sapphirequay-request-id: {id}\r\nx-sapphirequay-response-seal: s\r\nconnection: close\r\n"
+        );
+        if manner == Manner::Full {
+            let text = format!(
+                "HTTP/1.1 503 Full\r\nx-sapphirequay-not-executed: 1\r\n{common}content-length: 0\r\n\r\n"
+            );
+            return stream.write_all(text.as_bytes()).ok();
+        }
+        self.ran.lock().expect("lock").push(body);
+        if manner == Manner::Mute {
+            return None;
+        }
+        let text = if head.starts_with("POST /chat/") {
+            let second = match manner {
+                Manner::Torn => "id: 2\ndata: wo",
+                _ => "id: 2\ndata: world\n\n",
+            };
+            format!(
+                "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{common}transfer-encoding: chunked\r\n\r\n\
+                 13\r\nid: 1\ndata: hello\n\n\r\n{:x}\r\n{second}\r\n0\r\n\r\n",
+                second.len()
+            )
+        } else {
+            format!("HTTP/1.1 200 OK\r\n{common}content-length: 4\r\n\r\ndone")
+        };
+        stream.write_all(text.as_bytes()).ok()
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
+    let mut got = Vec::new();
+    loop {
+        let mut buf = [0; 4_096];
+        let len = stream.read(&mut buf).ok().filter(|len| *len > 0)?;
+        got.extend_from_slice(&buf[..len]);
+        let text = String::from_utf8_lossy(&got).into_owned();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let wanted = header(head, "content-length").map_or(0, |len| len.parse().unwrap_or(0));
+        if body.len() >= wanted {
+            return Some((head.to_owned(), body.to_owned()));
+        }
+    }
+}
