Find a store that comes back with its disk at another address

Cause: the test of a gateway as processes gave a restarted store another port; the view kept the old address for ever, so that no turn could be read.

--- a/crates/quay_turns/src/roster.rs
+++ b/crates/quay_turns/src/roster.rs
@@ -46,6 +46,13 @@
     },
     /// A host is to be emptied.
     Retire(Box<str>),
+    /// A member, with its disk, is at another address.
+    Moved {
+        /// The member.
+        identity: u64,
+        /// Address of its links.
+        addr: SocketAddr,
+    },
 }
 
 impl StoreView {
@@ -56,6 +63,7 @@
             StoreChange::Swap { out, new } => self.swap(*out, new),
             StoreChange::Whole { identity, joined } => self.mark_whole(*identity, *joined),
             StoreChange::Retire(host) => self.retire(host),
+            StoreChange::Moved { identity, addr } => self.moved(*identity, *addr),
         };
         self.version += u64::from(fits);
         fits
@@ -104,6 +112,15 @@
         }
     }
 
+    fn moved(&mut self, identity: u64, addr: SocketAddr) -> bool {
+        let sources = self.members.iter_mut().flat_map(|it| &mut it.sources);
+        for source in sources.filter(|source| source.identity == identity) {
+            source.addr = addr;
+        }
+        let member = self.members.iter_mut().find(|it| it.identity == identity);
+        member.is_some_and(|member| std::mem::replace(&mut member.addr, addr) != addr)
+    }
+
     fn retire(&mut self, host: &str) -> bool {
         if self.retiring.iter().any(|it| &**it == host) {
             return false;
@@ -220,7 +237,8 @@
         if view.epoch == 0 {
             return self.form(now);
         }
-        self.became_whole(view)
+        self.readdressed(view)
+            .or_else(|| self.became_whole(view))
             .or_else(|| self.lost_disk(view))
             .or_else(|| self.moved(now, view))
     }
@@ -244,6 +262,18 @@
         Some(StoreChange::Form(members))
     }
 
+    /// A member that has come back, with its disk, at another address.
+    fn readdressed(&self, view: &StoreView) -> Option<StoreChange> {
+        view.members.iter().find_map(|member| {
+            let hello = &self.heard.get(&member.host)?.hello;
+            let same = hello.identity == member.identity;
+            (same && hello.addr != member.addr).then_some(StoreChange::Moved {
+                identity: member.identity,
+                addr: hello.addr,
+            })
+        })
+    }
+
     /// A member that has copied all it needs.
     fn became_whole(&self, view: &StoreView) -> Option<StoreChange> {
         let mut joining = view.members.iter().filter(|it| !it.whole);
--- a/crates/quay_turns/tests/roster.rs
+++ b/crates/quay_turns/tests/roster.rs
@@ -129,3 +129,18 @@
     }));
     assert_eq!(view, before);
 }
+
+#[test]
+fn a_member_that_comes_back_at_another_address_is_found_there() {
+    let (mut roster, mut view) = formed();
+    let moved = Hello {
+        addr: ([127, 0, 0, 1], 7_777).into(),
+        ..hello("b", 2)
+    };
+    roster.hear(at(1_000), moved.clone());
+    let change = roster.next(at(1_000), &view).expect("change");
+    assert!(view.change(&change));
+    let member = view.member(2).expect("member");
+    assert_eq!((member.addr, member.whole), (moved.addr, true));
+    assert_eq!(roster.next(at(1_000), &view), None);
+}
