--- a/crates/sapphirequayd/src/gateway/control/members.rs
+++ b/crates/sapphirequayd/src/gateway/control/members.rs
@@ -23,6 +23,7 @@
 /// A newcomer is a learner first. One that comes back at a member's address
 /// has lost its disk and takes that member's place; any other takes the place
 /// of a silent voter, or a free one.
+#[must_use]
 pub fn next_change(view: &MembersView<'_>) -> Option<Change> {
     let members = view.members;
     if let Some(learner) = members.learners.first() {
--- a/crates/sapphirequayd/src/gateway/control/mod.rs
+++ b/crates/sapphirequayd/src/gateway/control/mod.rs
@@ -9,5 +9,6 @@
 
 pub use {
     host::{ControlHost, FOLLOW_WAIT},
+    members::{MembersView, next_change},
     state::ControlState,
 };
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -10,4 +10,4 @@
 mod stream;
 mod upstreams;
 
-pub use host::FrontHost;
+pub use {chains::Chains, events::EventReader, host::FrontHost};
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -14,4 +14,9 @@
 mod run;
 mod store;
 
-pub use {messages::GatewayRequest, run::run};
+pub use {
+    control::{ControlState, MembersView, next_change},
+    front::{Chains, EventReader},
+    messages::{ControlCommand, GatewayRequest, TableText},
+    run::run,
+};
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -20,7 +20,10 @@
 mod wire;
 
 pub use {
-    gateway::{GatewayRequest, run as run_gateway},
+    gateway::{
+        Chains, ControlCommand, ControlState, EventReader, GatewayRequest, MembersView, TableText,
+        next_change, run as run_gateway,
+    },
     process::{
         BackupError, ChangeError, Clock, ControlClient, ControlFault, ControlReply, ControlRequest,
         ControlStatus, Daemon, DaemonRow, Group, GroupCopy, GroupError, GroupEvent, GroupHost,
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -6,7 +6,11 @@
 
 use {
     gateway::{Answer, Gateway, Manner, Part, Upstream, send},
-    std::{net::SocketAddr, thread, time::Duration},
+    std::{
+        net::SocketAddr,
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
 const TABLE: &str = r#"{"Version":VERSION,"Routes":[
--- /dev/null
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -0,0 +1,154 @@
+//! Decisions of a gateway, without a network.
+
+use {
+    bytes::Bytes,
+    proptest::prelude::*,
+    quay_quorum::{Change, Member, Membership, StateMachine as _},
+    quay_types::{Epoch, Incarnation, LogIndex, NodeId, Time, TurnId},
+    sapphirequayd::{
+        Chains, ControlCommand, ControlState, EventReader, MembersView, TableText, next_change,
+    },
+};
+
+// ---------------------------------------------------------------------------
+// Events
+
+const STREAM: &[u8] =
+    b": note\nid: 1\ndata: one\n\nx-version: 2\nid: 2\ndata: two\ndata:  lines\r\n\r\nid: 3\n\n";
+
+#[test]
+fn the_data_of_each_event_is_kept_with_a_line_feed() {
+    let mut reader = EventReader::new(true);
+    reader.feed(STREAM);
+    assert_eq!((reader.events(), reader.mid_event()), (2, false));
+    assert_eq!(reader.into_kept(), b"one\ntwo\n lines\n");
+}
+
+#[test]
+fn a_stream_that_ends_within_an_event_is_told_apart() {
+    for torn in [&b"id: 1\ndata: o"[..], b"id: 1\ndata: one\n", b"i"] {
+        let mut reader = EventReader::new(true);
+        reader.feed(torn);
+        assert!(reader.mid_event(), "{torn:?}");
+        assert_eq!(reader.events(), 0);
+    }
+}
+
+proptest! {
+    /// However the bytes arrive, the same is read.
+    #[test]
+    fn pieces_do_not_matter(cuts in proptest::collection::vec(0..STREAM.len(), 0..8)) {
+        let mut cuts = cuts;
+        cuts.sort_unstable();
+        let mut reader = EventReader::new(true);
+        let mut from = 0;
+        for cut in cuts.into_iter().chain([STREAM.len()]) {
+            reader.feed(&STREAM[from..cut]);
+            from = cut;
+        }
+        prop_assert_eq!(reader.events(), 2);
+        prop_assert_eq!(reader.into_kept(), b"one\ntwo\n lines\n");
+    }
+}
+
+// ---------------------------------------------------------------------------
+// Conversations
+
+#[test]
+fn conversations_are_bounded_and_dropped_when_unused() {
+    let mut chains = Chains::new(10);
+    let at = Time::from_millis;
+    chains.put(at(0), TurnId(1), Bytes::from_static(b"12345"));
+    chains.put(at(0), TurnId(2), Bytes::from_static(b"12345"));
+    assert!(chains.get(at(1), TurnId(1)).is_some());
+    // The one used longest ago makes room.
+    chains.put(at(1), TurnId(3), Bytes::from_static(b"123"));
+    assert_eq!(chains.get(at(1), TurnId(2)), None);
+    chains.tick(at(2_000));
+    assert!(chains.get(at(2_000), TurnId(1)).is_some());
+    chains.tick(at(4_500));
+    assert_eq!(chains.get(at(4_500), TurnId(3)), None);
+    assert!(chains.get(at(4_500), TurnId(1)).is_some());
+}
+
+// ---------------------------------------------------------------------------
+// Control group
+
+fn table(revision: u64, text: &[u8]) -> ControlCommand {
+    ControlCommand::PutTable(TableText {
+        revision,
+        document: text.into(),
+    })
+}
+
+#[test]
+fn only_a_higher_revision_replaces_a_table() {
+    let mut state = ControlState::default();
+    let mut apply = |command| state.apply(LogIndex(1), Epoch(1), command);
+    assert!(apply(table(7, b"seven")));
+    assert!(!apply(table(5, b"five")));
+    assert!(!apply(table(7, b"other")));
+    assert!(apply(ControlCommand::Depart("u".into(), Incarnation(4))));
+    assert!(!apply(ControlCommand::Depart("u".into(), Incarnation(3))));
+    assert_eq!(state.version, 2);
+    let held = state.table.map(|table| table.document);
+    assert_eq!(held.as_deref(), Some(&b"seven"[..]));
+}
+
+fn member(node: u64, port: u16) -> Member {
+    Member::new(NodeId(node), ([127, 0, 0, 1], port).into(), "dc")
+}
+
+fn three() -> Membership {
+    Membership::of_voters([member(1, 1), member(2, 2), member(3, 3)])
+}
+
+/// Carries out changes until none is due.
+fn settle(mut members: Membership, joining: &[Member], silent: &[NodeId]) -> Membership {
+    for _ in 0..9 {
+        let view = MembersView {
+            members: &members,
+            joining,
+            silent,
+            voters: 3,
+        };
+        let Some(change) = next_change(&view) else {
+            return members;
+        };
+        members = members.after(&change).expect("a change that fits");
+    }
+    panic!("it never settles: {members:?}");
+}
+
+fn voters(members: &Membership) -> Vec<u64> {
+    let mut nodes: Vec<u64> = members.voters.iter().map(|it| it.node.0).collect();
+    nodes.sort_unstable();
+    nodes
+}
+
+#[test]
+fn a_replica_that_lost_its_disk_takes_the_place_of_its_old_self() {
+    let members = settle(three(), &[member(9, 2)], &[]);
+    assert_eq!(voters(&members), [1, 3, 9]);
+    assert!(members.learners.is_empty());
+}
+
+#[test]
+fn a_newcomer_takes_only_the_place_of_a_silent_voter() {
+    assert_eq!(voters(&settle(three(), &[member(9, 9)], &[])), [1, 2, 3]);
+    let members = settle(three(), &[member(9, 9)], &[NodeId(2)]);
+    assert_eq!(voters(&members), [1, 3, 9]);
+}
+
+#[test]
+fn a_learner_that_no_longer_asks_is_dropped() {
+    let mut members = three();
+    members.learners.push(member(9, 9));
+    let view = MembersView {
+        members: &members,
+        joining: &[],
+        silent: &[],
+        voters: 3,
+    };
+    assert_eq!(next_change(&view), Some(Change::Remove(NodeId(9))));
+}
