--- a/crates/sapphirequayd/tests/settings.rs
+++ b/crates/sapphirequayd/tests/settings.rs
@@ -69,7 +69,7 @@
     insta::assert_snapshot!(changed("127.0.0.1:8080", "127.0.0.1:7100"), @r#"sapphirequayd: DIR/settings.toml: [entry] listen: 127.0.0.1:7100 is also the address of [link] listen"#);
     insta::assert_snapshot!(changed("keys = \"KEYS\"", "keys = \"KEYS/none\""), @r#"sapphirequayd: DIR/settings.toml: [link] keys: link keys: DIR/keys/none/root.pem: I/O error: No such file or directory (os error 2)"#);
     insta::assert_snapshot!(changed("[\"127.0.0.1:7200\"]", "[]"), @r#"sapphirequayd: DIR/settings.toml: [link] ledgers: entries and sidecars need at least one address"#);
-    insta::assert_snapshot!(changed("[entry]\nlisten = \"127.0.0.1:8080\"", ""), @r#"sapphirequayd: DIR/settings.toml: no role: one of the tables [entry], [sidecar] and [ledger] is needed"#);
+    insta::assert_snapshot!(changed("[entry]\nlisten = \"127.0.0.1:8080\"", ""), @r#"sapphirequayd: DIR/settings.toml: no role: one of the tables [entry], [sidecar], [ledger], [front], [control] and [store] is needed"#);
     insta::assert_snapshot!(changed("[entry]", "[entry]\nmax_requests = 0"), @r#"sapphirequayd: DIR/settings.toml: [entry] max_requests: it must be positive"#);
     let sidecar = "[sidecar]\nupstream = \"\"\naddr = \"127.0.0.1:0\"\nconcurrency = 0\n[entry]";
     insta::assert_snapshot!(changed("[entry]", sidecar), @r#"
