--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -476,7 +476,9 @@
         };
         if let Some(change) = change {
             log::info!("event=stores_change change={change:?}");
-            let _ = self.propose(ControlCommand::Stores(change)).await;
+            if let Err(reply) = self.propose(ControlCommand::Stores(change)).await {
+                log::warn!("event=stores_unchanged cause={reply:?}");
+            }
         }
     }
 }
--- a/crates/sapphirequayd/src/gateway/control_client.rs
+++ b/crates/sapphirequayd/src/gateway/control_client.rs
@@ -20,6 +20,12 @@
 /// Longest wait for one control host; upstreams turn elsewhere after a second.
 const ONE_HOST: Duration = Duration::from_millis(400);
 
+/// Pause after a host that knows no leader: a part of an election (0.5 s).
+const NO_LEADER_PAUSE: Duration = Duration::from_millis(30);
+
+/// Pause before the next host is asked, so that unreachable ones cost no loop.
+const NEXT_HOST_PAUSE: Duration = Duration::from_millis(20);
+
 /// Hosts that are asked for one request.
 const MAX_HOPS: usize = 6;
 
@@ -134,12 +140,12 @@
                     let leader = leader.filter(|leader| *leader != addr);
                     self.shared.leader.set(leader);
                     if leader.is_none() {
-                        tokio::time::sleep(Duration::from_millis(30)).await;
+                        tokio::time::sleep(NO_LEADER_PAUSE).await;
                     }
                 }
                 Ok(ControlReply::Unavailable) | Err(_) => {
                     self.shared.leader.set(None);
-                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    tokio::time::sleep(NEXT_HOST_PAUSE).await;
                 }
                 Ok(reply) => {
                     self.shared.leader.set(Some(addr));
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -229,7 +229,6 @@
 
     fn mark(&self) -> Mark {
         Mark {
-            version: 0,
             revision: self.table().map_or(0, |table| table.revision),
             stores: self.0.stores.version(),
             directory: self.upstreams().ask(self.0.reader),
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -47,8 +47,6 @@
 /// How much a follower knows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mark {
-    /// Version of the control state.
-    pub version: u64,
     /// Revision of the routing table; 0 without one.
     pub revision: u64,
     /// Version of the view of stores.
