Let a try to connect outlive the asker that began it

Cause: whoever held the lock of a way connected, and dropped the try when its own asker gave up. No failure was noted then, so the next in the queue began another connection at once. Behind a cut of 5 s a front with a hundred waiting requests began 160 connections in 2 s, each with its buffers, and they arrived at the stores when the cut healed.

Ruled out: questions that were given up during the cut and arrive after it.

--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -467,10 +467,19 @@
         first,
         mut done,
     } = open;
-    let stream = async {
-        let connection = connection(&endpoint, &connections, addr, role).await?;
-        open_stream(&connection, first, silence).await
+    let way = Arc::clone(ways(&connections).entry((addr, role)).or_default());
+    let mut way = tokio::select! {
+        way = way.lock() => way,
+        () = done.closed() => return,
     };
+    if done.is_closed() {
+        return;
+    }
+    // Not given up when the asker goes: its outcome serves those that wait, and
+    // a try that leaves no trace is followed by another one at once.
+    let connection = connection(&endpoint, &mut way, addr, role).await;
+    drop(way);
+    let stream = async { open_stream(&connection?, first, silence).await };
     tokio::select! {
         stream = stream => drop(done.send(stream)),
         () = done.closed() => {}
@@ -480,12 +489,10 @@
 /// The connection to a peer; a new one if there is none that lives.
 async fn connection(
     endpoint: &Endpoint,
-    connections: &Connections,
+    way: &mut Way,
     addr: SocketAddr,
     role: LinkRole,
 ) -> Result<Connection, LinkError> {
-    let way = Arc::clone(ways(connections).entry((addr, role)).or_default());
-    let mut way = way.lock().await;
     if let Some(connection) = &way.connection
         && connection.close_reason().is_none()
     {
