Draw the ports of the gateway's tests so that nobody takes them in between

Cause: a port was drawn by binding and dropping it, from the range that the system also gives to outgoing connections. Another test, or a connection, could take it before its process started, or while that process was killed; the process then ended with 'Address already in use', which nobody saw, and the test waited for it.

Ruled out: the lost disk and the restart themselves; in the traced run all three stores and two control hosts were up and had a leader.

Ports now come from below that range, each draw of a run another one, runs far apart. No bound was changed.

--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -3,11 +3,14 @@
 use {
     quay_link::DevelopmentKeys,
     std::{
-        fs,
+        fs::{self, OpenOptions},
         io::{Read as _, Write as _},
         net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
-        process::{Child, Command, Stdio},
-        sync::{Arc, Mutex},
+        process::{self, Child, Command},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU16, Ordering},
+        },
         thread,
         time::Duration,
     },
@@ -33,14 +36,28 @@
     folder: TempDir,
 }
 
-fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind(LOOPBACK).expect("port");
-    socket.local_addr().expect("address")
-}
+/// Ports below those that the system gives to outgoing connections, so that
+/// none is taken between its draw and its use, or while its owner is down.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+
+/// More than one run of the tests draws.
+const PORTS_OF_A_RUN: u32 = 500;
+
+static DRAWN: AtomicU16 = AtomicU16::new(0);
 
-fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind(LOOPBACK).expect("port");
-    listener.local_addr().expect("address")
+/// A port that no other test of this run draws and nobody else has bound.
+fn free_port() -> SocketAddr {
+    let span = u32::from(PORTS.end - PORTS.start);
+    loop {
+        let drawn = u32::from(DRAWN.fetch_add(1, Ordering::Relaxed));
+        // Runs at the same time start at places far from each other.
+        let offset = (process::id() % 24 * PORTS_OF_A_RUN + drawn) % span;
+        let port = PORTS.start + u16::try_from(offset).expect("within the range");
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if UdpSocket::bind(addr).is_ok() && TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 impl Gateway {
@@ -51,9 +68,9 @@
         made.write(&folder.path().join("keys"), &nobody)
             .expect("keys");
         let mut gateway = Self {
-            controls: (0..3).map(|_| free_tcp()).collect(),
-            fronts: (0..2).map(|_| free_tcp()).collect(),
-            links: (0..3).map(|_| free_udp()).collect(),
+            controls: (0..3).map(|_| free_port()).collect(),
+            fronts: (0..2).map(|_| free_port()).collect(),
+            links: (0..3).map(|_| free_port()).collect(),
             children: Vec::new(),
             folder,
         };
@@ -80,18 +97,18 @@
                 ),
             ),
             Part::Store(slot) => (
-                free_udp(),
+                free_port(),
                 format!(
                     "[store]\ndata = \"{}\"\n",
                     folder.join(format!("store-{slot}")).display()
                 ),
             ),
             Part::Front(slot) => (
-                free_udp(),
+                free_port(),
                 format!(
                     "[front]\nlisten = \"{}\"\nready = \"{}\"\n",
                     self.fronts[slot],
-                    free_tcp()
+                    free_port()
                 ),
             ),
         };
@@ -103,11 +120,16 @@
         );
         let file = folder.join(format!("{part:?}.toml"));
         fs::write(&file, settings).expect("settings");
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(folder.join(format!("{part:?}.log")))
+            .expect("log");
         let child = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"))
             .arg("--config")
             .arg(file)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stdout(log.try_clone().expect("log"))
+            .stderr(log)
             .spawn()
             .expect("process");
         self.children.push((part, child));
@@ -121,6 +143,20 @@
         child.wait().expect("wait");
     }
 
+    /// Prints the end of what each process wrote, for the report of a failure.
+    fn print_logs(&self) {
+        const LINES: usize = 60;
+        for entry in fs::read_dir(self.folder.path()).into_iter().flatten().flatten() {
+            let path = entry.path();
+            if path.extension().is_some_and(|it| it == "log") {
+                let text = fs::read_to_string(&path).unwrap_or_default();
+                let lines: Vec<&str> = text.lines().collect();
+                let from = lines.len().saturating_sub(LINES);
+                println!("--- {}\n{}", path.display(), lines[from..].join("\n"));
+            }
+        }
+    }
+
     /// Removes the data folder of a store that does not run.
     pub fn wipe_store(&self, slot: usize) {
         fs::remove_dir_all(self.folder.path().join(format!("store-{slot}"))).expect("wiped");
@@ -133,6 +169,9 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        if thread::panicking() {
+            self.print_logs();
+        }
     }
 }
 
