Have a joining store follow its sources to other addresses

Found while the hang of the gateway's test was traced, not its cause: a store that joins copied from the addresses that its sources had when it began, and went on asking there after they had come back elsewhere. It asks at the addresses of the view in force now. Test without a network in quay_turns.

--- a/crates/quay_turns/src/view.rs
+++ b/crates/quay_turns/src/view.rs
@@ -89,6 +89,14 @@
         self.members.iter().find(|it| it.identity == identity)
     }
 
+    /// The sources of a joining member, at the addresses of this view.
+    #[must_use]
+    pub fn sources_of<'a>(&'a self, joining: &'a StoreMember) -> &'a [Source] {
+        let known = self.member(joining.identity);
+        let known = known.filter(|member| member.joined == joining.joined);
+        &known.unwrap_or(joining).sources
+    }
+
     /// Whether a source of a joining member is whole: it was, or has become so.
     #[must_use]
     pub fn source_is_whole(&self, source: &Source) -> bool {
--- a/crates/quay_turns/tests/roster.rs
+++ b/crates/quay_turns/tests/roster.rs
@@ -144,3 +144,28 @@
     assert_eq!((member.addr, member.whole), (moved.addr, true));
     assert_eq!(roster.next(at(1_000), &view), None);
 }
+
+#[test]
+fn a_joining_member_finds_its_sources_where_they_have_moved() {
+    let (mut roster, mut view) = formed();
+    roster.hear(at(1_000), hello("b", 20));
+    let change = roster.next(at(1_000), &view).expect("swap");
+    assert!(view.change(&change));
+    // What the joining store knew when it began to copy.
+    let joining = view.member(20).expect("member").clone();
+    let elsewhere = ([127, 0, 0, 1], 7_100).into();
+    assert!(view.change(&StoreChange::Moved {
+        identity: 3,
+        addr: elsewhere,
+    }));
+    let found = |view: &StoreView| {
+        let sources = view.sources_of(&joining);
+        let source = sources.iter().find(|it| it.identity == 3);
+        source.map(|it| it.addr)
+    };
+    assert_eq!(found(&view), Some(elsewhere));
+    // A later join of the same store has sources of its own.
+    view.members[1].joined += 1;
+    view.members[1].sources = Vec::new();
+    assert_ne!(found(&view), Some(elsewhere));
+}
--- a/crates/sapphirequayd/src/gateway/store/copy.rs
+++ b/crates/sapphirequayd/src/gateway/store/copy.rs
@@ -61,7 +61,8 @@
     let mut done = Vec::new();
     let mut round = 0;
     loop {
-        for source in &own.sources {
+        // The sources may have moved since the last round.
+        for source in &host.sources(own) {
             let open = source.identity != host.identity() && !done.contains(&source.identity);
             let wanted = host.source_is_whole(source) || round >= PATIENT_ROUNDS;
             if open && wanted && step(host, source).await {
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -347,6 +347,11 @@
             .is_some_and(|own| own.joined == epoch)
     }
 
+    /// Where the sources of a joining store are now.
+    pub(super) fn sources(&self, own: &StoreMember) -> Vec<Source> {
+        self.view.borrow().sources_of(own).to_vec()
+    }
+
     /// Epoch of the view in force.
     pub(super) fn epoch(&self) -> u64 {
         self.view.borrow().epoch
