Rate upstreams by how their calls went, against their peers

A call's time (an event of a stream, or a whole answer) and its loss now rate the upstream; one that takes 1.8 times what the better quarter of its peers takes, or loses two in a row, costs more by that factor, and gets one retrial every 3 s.

Ruled out: the fronts' own delay (33 ms at P99 before the send).

Tests play both loads through the router: ten upstreams of which two are slow or lossy get only retrials, come back after, and a pool that is bad as a whole is used all the same.

--- a/crates/quay_policy/src/route/mod.rs
+++ b/crates/quay_policy/src/route/mod.rs
@@ -1,6 +1,7 @@
 //! Choice of an upstream for a call.
 
 mod cache_book;
+mod health;
 mod load;
 mod router;
 mod score;
--- a/crates/quay_policy/src/route/router.rs
+++ b/crates/quay_policy/src/route/router.rs
@@ -1,14 +1,18 @@
 //! Routing state of one entry.
 
 use {
-    super::{cache_book::MAX_SLOTS, load::LoadEstimate},
+    super::{
+        cache_book::MAX_SLOTS,
+        health::{Health, typical},
+        load::LoadEstimate,
+    },
     crate::{CacheBook, RouteSettings, Score, Slot, UpstreamView},
     indexmap::IndexMap,
     quay_types::{
         Announcement, CallTarget, Incarnation, ProgramId, Time, Tokens, UpstreamId, UpstreamKind,
         UpstreamState,
     },
-    std::{marker::PhantomData, net::SocketAddr},
+    std::{marker::PhantomData, net::SocketAddr, time::Duration},
 };
 
 /// Tokens in a block of a prompt.
@@ -50,6 +54,7 @@
 struct Upstream {
     announcement: Announcement,
     load: LoadEstimate,
+    health: Health,
     heard: Time,
     slot: Slot,
     far: bool,
@@ -71,6 +76,8 @@
     fitting: Vec<usize>,
     /// Costs of the upstreams that fit the call at hand.
     costs: Vec<(u64, usize)>,
+    /// Mean times of the upstreams that serve the call at hand.
+    means: Vec<Duration>,
     score: PhantomData<S>,
 }
 
@@ -87,6 +94,7 @@
             depths: Vec::new(),
             fitting: Vec::new(),
             costs: Vec::new(),
+            means: Vec::new(),
             score: PhantomData,
             cfg,
         }
@@ -122,7 +130,7 @@
     pub fn announced(&mut self, made: Time, announcement: &Announcement) {
         let id = announcement.upstream();
         let far = announcement.data_centre != self.data_centre;
-        let age = std::time::Duration::from_millis(announcement.load.age_ms.into());
+        let age = Duration::from_millis(announcement.load.age_ms.into());
         if let Some(known) = self.upstreams.get_mut(&id) {
             let order = |of: &Announcement| (of.incarnation, of.sequence);
             if order(announcement) < order(&known.announcement) {
@@ -130,6 +138,7 @@
             }
             if known.announcement.incarnation != announcement.incarnation {
                 known.load = LoadEstimate::default();
+                known.health = Health::default();
                 self.book.forget(known.slot);
             }
             known.load.report(made - age, announcement.load);
@@ -145,6 +154,7 @@
         let upstream = Upstream {
             announcement: announcement.clone(),
             load,
+            health: Health::default(),
             heard: made,
             slot,
             far,
@@ -175,6 +185,20 @@
         }
     }
 
+    /// Notes that a call ended well, and how long a unit of its work took.
+    pub fn served(&mut self, now: Time, id: UpstreamId, took: Duration) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.health.served(&self.cfg, now, took);
+        }
+    }
+
+    /// Notes that an upstream lost or spoilt a call.
+    pub fn failed(&mut self, now: Time, id: UpstreamId) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.health.failed(now);
+        }
+    }
+
     /// Notes how many leading blocks an upstream found, against those expected.
     pub fn found(&mut self, id: UpstreamId, blocks: &[u64], held: u32, expected: u32) {
         if held >= expected {
@@ -233,6 +257,7 @@
         let fitting = fitting.filter(|(upstream, _)| fits(&upstream.announcement, req.target));
         self.fitting.extend(fitting.map(|(_, at)| at));
         let home = self.home(req);
+        let typical = self.typical();
         for at in self.fitting.iter().copied() {
             let Some((id, upstream)) = self.upstreams.get_index(at) else {
                 continue;
@@ -259,11 +284,23 @@
                     .is_none_or(|age| age > self.cfg.stale_after),
                 far: upstream.far,
                 missing: req.prompt.0.saturating_sub(held),
+                slowness: upstream.health.factor(&self.cfg, now, typical),
             };
             self.costs.push((S::cost(&self.cfg, &view), at));
         }
     }
 
+    /// Time that a call takes at the better of the upstreams that fit.
+    fn typical(&mut self) -> Option<Duration> {
+        self.means.clear();
+        for at in &self.fitting {
+            let known = self.upstreams.get_index(*at);
+            self.means
+                .extend(known.and_then(|(_, it)| it.health.mean()));
+        }
+        typical(&mut self.means)
+    }
+
     /// The upstream that every entry agrees on for a program under way, by
     /// rendezvous hashing: entries share no state, and a program's calls come
     /// through any of them.
@@ -285,6 +322,7 @@
         let held = self.depths[usize::from(upstream.slot.0)];
         let missing = req.prompt.0.saturating_sub(u64::from(held) * BLOCK_TOKENS);
         upstream.load.sent(now, missing);
+        upstream.health.sent(now);
         let choice = Choice {
             upstream: *id,
             incarnation: upstream.announcement.incarnation,
--- a/crates/quay_policy/src/route/score.rs
+++ b/crates/quay_policy/src/route/score.rs
@@ -16,6 +16,9 @@
     pub far: bool,
     /// Tokens of the prompt that it would have to prefill.
     pub missing: u64,
+    /// Factor on what it takes, against peers, in thousandths; 1,000 and less
+    /// say nothing.
+    pub slowness: u64,
 }
 
 /// Rates upstreams; the lowest cost is chosen.
@@ -90,6 +93,7 @@
             .filter(|(applies, _)| *applies)
             .map(|(_, cost)| u64::try_from(cost.as_micros()).unwrap_or(u64::MAX))
             .sum();
-        answer + queue + prefill + backlog + surcharge
+        let work = answer + queue + prefill + backlog;
+        work.saturating_mul(view.slowness.max(PER_MILLE)) / PER_MILLE + surcharge
     }
 }
--- a/crates/quay_policy/src/route/settings.rs
+++ b/crates/quay_policy/src/route/settings.rs
@@ -39,6 +39,16 @@
     pub kv_full_cost: Duration,
     /// Blocks that the cache book remembers.
     pub book_blocks: usize,
+    /// Time of a call, in thousandths of what peers take, from which on an
+    /// upstream is slow; twice as much as queues of 6 to 16 places explain.
+    pub slow_from: u64,
+    /// Rate of failed calls, in thousandths, from which on an upstream fails:
+    /// two calls in a row do it, a single one does not.
+    pub failing_from: u64,
+    /// Calls that a failed one counts as.
+    pub failing_weight: u64,
+    /// Time after which one call tries a slow or failing upstream again.
+    pub retrial: Duration,
 }
 
 impl Default for RouteSettings {
@@ -60,6 +70,10 @@
             kv_full_permille: 900,
             kv_full_cost: Duration::from_secs(2),
             book_blocks: 65_536,
+            slow_from: 1_800,
+            failing_from: 200,
+            failing_weight: 20,
+            retrial: Duration::from_secs(3),
         }
     }
 }
--- a/crates/quay_policy/tests/routing.rs
+++ b/crates/quay_policy/tests/routing.rs
@@ -218,3 +218,167 @@
         }
     }
 }
+
+// ---------------------------------------------------------------------------
+// Upstreams that are slow or fail
+
+/// A caller that sends calls to ten upstreams one every few milliseconds, and
+/// what each of them does.
+struct Played {
+    router: Router<ExpectedTime>,
+    now: Time,
+    /// Calls under way: when they end, where, how long they took.
+    under_way: Vec<(Time, u64, Duration)>,
+    sent: [u32; 10],
+}
+
+/// Interval of the calls.
+const CALL_EVERY: Duration = Duration::from_millis(10);
+
+/// Time of a call at a sound upstream that does nothing else.
+const SOUND: Duration = Duration::from_millis(200);
+
+impl Played {
+    fn new() -> Self {
+        Self {
+            router: router(10),
+            now: Time::from_millis(10_000),
+            under_way: Vec::new(),
+            sent: [0; 10],
+        }
+    }
+
+    /// Plays for a while: calls to an upstream take `times` as long as at a
+    /// sound one, and of those to a failing one each second is lost.
+    fn play(&mut self, span: Duration, times: impl Fn(u64) -> u32, fails: impl Fn(u64) -> bool) {
+        self.sent = [0; 10];
+        let ends = self.now + span;
+        let mut call = 0;
+        while self.now < ends {
+            self.now = self.now + CALL_EVERY;
+            self.end_calls(&fails);
+            call += 1;
+            if call % 10 == 0 {
+                self.report();
+            }
+            let choice = self
+                .router
+                .pick(self.now, &request(call, &[]), call * 7_919);
+            let choice = choice.expect("choice").upstream;
+            let number = (0..10).find(|number| upstream(*number) == choice);
+            let number = number.expect("known");
+            self.sent[usize::try_from(number).expect("small")] += 1;
+            let took = SOUND * times(number) * (20 + self.beside(number)) / 20;
+            self.under_way.push((self.now + took, number, took));
+        }
+    }
+
+    fn beside(&self, number: u64) -> u32 {
+        let beside = self.under_way.iter().filter(|it| it.1 == number).count();
+        u32::try_from(beside).expect("small")
+    }
+
+    /// Every upstream tells its load.
+    fn report(&mut self) {
+        for number in 0..10 {
+            let load = Load {
+                running: self.beside(number),
+                ..Load::default()
+            };
+            self.router
+                .announced(self.now, &announcement(number, 1, load));
+        }
+    }
+
+    fn end_calls(&mut self, fails: &impl Fn(u64) -> bool) {
+        let now = self.now;
+        let ended: Vec<_> = self
+            .under_way
+            .extract_if(.., |(ends, ..)| *ends <= now)
+            .collect();
+        for (at, number, took) in ended {
+            let id = upstream(number);
+            self.router.ended(now, id);
+            if fails(number) && at.as_millis() % 2 == 0 {
+                self.router.failed(now, id);
+            } else {
+                self.router.served(now, id, took);
+            }
+        }
+    }
+
+    /// Calls that went to the first two upstreams.
+    fn to_first_two(&self) -> u32 {
+        self.sent[0] + self.sent[1]
+    }
+}
+
+/// Retrials of two upstreams in a span, one at a time each.
+fn retrials(span: Duration) -> u32 {
+    let every = RouteSettings::default().retrial;
+    2 * u32::try_from(span.as_millis() / every.as_millis() + 1).expect("small")
+}
+
+/// The load of a day on which a fifth of a service's upstreams turn slow: calls
+/// must not wait there while others are free, and must come back afterwards.
+#[test]
+fn slow_upstreams_get_only_retrials_until_they_have_recovered() {
+    let span = Duration::from_secs(30);
+    let mut played = Played::new();
+    played.play(Duration::from_secs(5), |_| 1, |_| false);
+    let slow = |number| if number < 2 { 4 } else { 1 };
+    // What is under way while it is found out.
+    played.play(Duration::from_secs(3), slow, |_| false);
+    played.play(span, slow, |_| false);
+    assert!(played.to_first_two() <= retrials(span), "{:?}", played.sent);
+    // Each retrial but one or two more finds them sound again.
+    played.play(Duration::from_secs(15), |_| 1, |_| false);
+    played.play(span, |_| 1, |_| false);
+    let share = played.sent.iter().sum::<u32>() / 10;
+    assert!(played.to_first_two() >= share, "{:?}", played.sent);
+}
+
+/// As above where calls are lost instead.
+#[test]
+fn failing_upstreams_get_only_retrials_until_they_have_recovered() {
+    let span = Duration::from_secs(30);
+    let mut played = Played::new();
+    played.play(Duration::from_secs(5), |_| 1, |_| false);
+    played.play(Duration::from_secs(3), |_| 1, |number| number < 2);
+    played.play(span, |_| 1, |number| number < 2);
+    // A retrial that succeeds by luck is followed by a few more calls.
+    assert!(
+        played.to_first_two() <= 8 * retrials(span),
+        "{:?}",
+        played.sent
+    );
+    played.play(Duration::from_secs(15), |_| 1, |_| false);
+    played.play(span, |_| 1, |_| false);
+    let share = played.sent.iter().sum::<u32>() / 10;
+    assert!(played.to_first_two() >= share, "{:?}", played.sent);
+}
+
+#[test]
+fn a_pool_that_is_slow_or_fails_as_a_whole_is_used_all_the_same() {
+    let mut played = Played::new();
+    played.play(Duration::from_secs(10), |_| 4, |_| true);
+    assert!(
+        played.sent.iter().all(|sent| *sent > 20),
+        "{:?}",
+        played.sent
+    );
+    // Most of it: the others are still told apart, and nobody is left out.
+    let mut played = Played::new();
+    played.play(Duration::from_secs(5), |_| 1, |_| false);
+    played.play(Duration::from_secs(10), |_| 1, |number| number < 7);
+    assert!(
+        played.sent[7..].iter().all(|sent| *sent > 100),
+        "{:?}",
+        played.sent
+    );
+    assert!(
+        played.sent[..7].iter().all(|sent| *sent > 0),
+        "{:?}",
+        played.sent
+    );
+}
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -22,7 +22,7 @@
     },
     quay_turns::{Charge, Standing},
     quay_types::{AttemptTag, ProgramTag, Time, Tokens, TurnId, UpstreamId},
-    std::time::Duration,
+    std::{cell::Cell, time::Duration},
     tokio::time::timeout,
 };
 
@@ -33,6 +33,10 @@
 /// Largest answer that is held in memory, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// Silence of an upstream, at the end of a request, that counts as a failure;
+/// callers abandon a stream after two seconds of it.
+const SILENT: Duration = Duration::from_secs(1);
+
 /// Least time for one of several attempts of an idempotent request.
 const LEAST_ATTEMPT: Duration = Duration::from_millis(150);
 
@@ -45,6 +49,10 @@
     /// Whether the upstream may have got the request.
     offered: bool,
     since: Time,
+    /// When the upstream was heard last; when the request was sent, before.
+    heard: Cell<Time>,
+    /// Whether it is noted how the upstream did.
+    rated: Cell<bool>,
 }
 
 impl<D: Dialect> Sent<D> {
@@ -62,13 +70,40 @@
 
     /// Milliseconds since the request was sent.
     pub fn elapsed_ms(&self) -> u128 {
-        self.front.now().since(self.since).as_millis()
+        self.elapsed().as_millis()
+    }
+
+    /// Time since the request was sent.
+    pub fn elapsed(&self) -> Duration {
+        self.front.now().since(self.since)
+    }
+
+    /// Something came from the upstream.
+    pub fn heard(&self) {
+        self.heard.set(self.front.now());
+    }
+
+    /// The upstream did its work; `took` is the time of one unit of it.
+    pub fn served(&self, took: Duration) {
+        self.rated.set(true);
+        let now = self.front.now();
+        self.front.upstreams().served(now, self.chosen.id, took);
+    }
+
+    /// The upstream lost or spoilt the request.
+    pub fn failed(&self) {
+        self.rated.set(true);
+        let now = self.front.now();
+        self.front.upstreams().failed(now, self.chosen.id);
     }
 }
 
 impl<D: Dialect> Drop for Sent<D> {
     fn drop(&mut self) {
         let now = self.front.now();
+        if !self.rated.get() && self.offered && now.since(self.heard.get()) >= SILENT {
+            self.failed();
+        }
         self.front.upstreams().ended(now, self.chosen.id);
     }
 }
@@ -381,13 +416,23 @@
             lease: None,
             offered: false,
             since: now,
+            heard: Cell::new(now),
+            rated: Cell::default(),
         };
         let exchange = self.exchange(&mut sent, body);
         match timeout(limit, exchange).await {
             Ok(Ok((head, incoming))) => self.judge(sent, head, incoming, limit).await,
-            Ok(Err(tried)) => tried,
+            Ok(Err(tried)) => {
+                if matches!(tried, Tried::Unknown(_)) {
+                    sent.failed();
+                }
+                tried
+            }
             Err(_) if !sent.offered => Tried::NotRun,
-            Err(_) => Tried::Unknown("upstream_silent"),
+            Err(_) => {
+                sent.failed();
+                Tried::Unknown("upstream_silent")
+            }
         }
     }
 
@@ -417,6 +462,7 @@
             match lease.send(req).await {
                 Ok(response) => {
                     sent.lease = Some(lease);
+                    sent.heard();
                     return Ok(response.into_parts());
                 }
                 Err(SendFault::NotSent) => {
@@ -472,8 +518,12 @@
             self.front.upstreams().reported(now, sent.chosen.id, load);
         }
         if let Some(fault) = self.fault(&answer, not_run) {
+            sent.failed();
             return Tried::Unknown(fault);
         }
+        if head.status.is_server_error() && !not_run {
+            sent.failed();
+        }
         if self.route.repeat.streams() && head.status == StatusCode::OK && !not_run {
             return Tried::Answer(Box::new(sent), Box::new(head), incoming);
         }
@@ -481,8 +531,14 @@
         let body = match body {
             Ok(Ok(body)) => body.to_bytes(),
             _ if not_run => return Tried::NotRun,
-            _ => return Tried::Unknown("answer_cut"),
+            _ => {
+                sent.failed();
+                return Tried::Unknown("answer_cut");
+            }
         };
+        if head.status.is_success() {
+            sent.served(sent.elapsed());
+        }
         sent.whole(&head.headers);
         if not_run {
             return Tried::NotRun;
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -24,6 +24,10 @@
 /// Frames that wait for a caller who reads slowly.
 const WINDOW_FRAMES: usize = 16;
 
+/// Events from which on the time of one says how fast an upstream is: before
+/// the first one the prompt is read, which takes as long as some events.
+const LEAST_EVENTS: u32 = 4;
+
 /// Frames for a caller.
 type Frames = mpsc::Sender<Result<Frame<Bytes>, BrokenOff>>;
 
@@ -80,6 +84,9 @@
     pub first_ms: u128,
 }
 
+/// Why a stream that the upstream did not end whole is cut.
+const UPSTREAM_BROKE_OFF: &str = "upstream_broke_off";
+
 /// How a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
@@ -102,6 +109,7 @@
         let end = self.pass_frames(&mut body, &mut reader, &frames).await;
         let events = reader.events();
         let read_ms = self.sent.elapsed_ms();
+        self.rate_upstream(end, &reader);
         let end = match end {
             End::Whole if reader.mid_event() => End::Broken("upstream_ended_mid_event"),
             End::Whole => self.keep(reader).await,
@@ -122,6 +130,21 @@
         );
     }
 
+    /// Notes how the upstream did its work.
+    fn rate_upstream(&self, end: End, reader: &EventReader) {
+        let events = u32::try_from(reader.events()).unwrap_or(u32::MAX);
+        match end {
+            End::Whole if !reader.mid_event() => {
+                if events >= LEAST_EVENTS {
+                    self.sent.served(self.sent.elapsed() / events);
+                }
+            }
+            End::Whole | End::Broken(UPSTREAM_BROKE_OFF) => self.sent.failed(),
+            // The upstream may have been silent: that is noted at the end.
+            End::Broken(_) | End::CallerGone => {}
+        }
+    }
+
     /// Passes frames on until one side ends.
     async fn pass_frames(
         &self,
@@ -142,13 +165,14 @@
                 None => return End::Whole,
                 Some(Err(err)) => {
                     log::info!("event=stream_broken id={} cause=\"{err}\"", self.id);
-                    return End::Broken("upstream_broke_off");
+                    return End::Broken(UPSTREAM_BROKE_OFF);
                 }
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
                     Err(_) => continue,
                 },
             };
+            self.sent.heard();
             reader.feed(&data);
             if let Some(reservation) = &self.reservation {
                 // What has begun to pass counts as handed out.
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -161,6 +161,17 @@
         self.tell_router(now, id, Some(load));
     }
 
+    /// A request has ended well at an upstream; `took` is the time of its unit
+    /// of work, an event of a stream or a whole answer.
+    pub fn served(&mut self, now: Time, id: UpstreamId, took: Duration) {
+        self.router.served(now, id, took);
+    }
+
+    /// An upstream lost or spoilt a request.
+    pub fn failed(&mut self, now: Time, id: UpstreamId) {
+        self.router.failed(now, id);
+    }
+
     /// Counts only own requests where the last report is old.
     pub fn tick(&mut self, now: Time) {
         let old: Vec<UpstreamId> = self
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -146,7 +146,11 @@
     /// Prints the end of what each process wrote, for the report of a failure.
     fn print_logs(&self) {
         const LINES: usize = 60;
-        for entry in fs::read_dir(self.folder.path()).into_iter().flatten().flatten() {
+        for entry in fs::read_dir(self.folder.path())
+            .into_iter()
+            .flatten()
+            .flatten()
+        {
             let path = entry.path();
             if path.extension().is_some_and(|it| it == "log") {
                 let text = fs::read_to_string(&path).unwrap_or_default();
