Keep a line of calls with the upstream that holds it

Three reasons: a difference of two running requests outweighed a history; the home of a program was believed to hold what another engine, known to this front, held in fact; the cache book samples a long prompt only every 4,096 tokens.

The router remembers exactly who ran the last call of a line, and trusts the home only where it does not know. A token that is to be prefilled weighs more with each running request, which it holds up.

--- a/crates/quay_experiment/src/capacity/policy.rs
+++ b/crates/quay_experiment/src/capacity/policy.rs
@@ -61,6 +61,7 @@
                 target: CallTarget::Model(ModelId(0)),
                 program: ProgramId::root(turn % 64),
                 under_way: true,
+                lines: &[],
                 prompt: Tokens(BLOCKS * 64),
                 blocks: &blocks,
                 tried: &[],
--- a/crates/quay_experiment/src/policy/calls.rs
+++ b/crates/quay_experiment/src/policy/calls.rs
@@ -221,6 +221,7 @@
             target: CallTarget::Model(MODEL),
             program: spec.id,
             under_way: true,
+            lines: &[],
             prompt: Tokens(open.prompt.into()),
             blocks: &open.blocks[..open.blocks.len().min((open.prompt / BLOCK_TOKENS) as usize)],
             tried: &open.tried,
--- a/crates/quay_policy/benches/decisions.rs
+++ b/crates/quay_policy/benches/decisions.rs
@@ -76,6 +76,7 @@
                     target: CallTarget::Model(ModelId(0)),
                     program: ProgramId::root(program),
                     under_way: true,
+                    lines: &[],
                     prompt: Tokens(len * 64),
                     blocks,
                     tried: &[],
--- a/crates/quay_policy/src/route/mod.rs
+++ b/crates/quay_policy/src/route/mod.rs
@@ -2,6 +2,7 @@
 
 mod cache_book;
 mod health;
+mod lines;
 mod load;
 mod router;
 mod score;
--- a/crates/quay_policy/src/route/router.rs
+++ b/crates/quay_policy/src/route/router.rs
@@ -4,6 +4,7 @@
     super::{
         cache_book::MAX_SLOTS,
         health::{Health, typical},
+        lines::{Lines, Run},
         load::LoadEstimate,
     },
     crate::{CacheBook, RouteSettings, Score, Slot, UpstreamView},
@@ -15,6 +16,9 @@
     std::{marker::PhantomData, net::SocketAddr, time::Duration},
 };
 
+/// Scale of weights.
+const PER_MILLE: u64 = 1_000;
+
 /// Tokens in a block of a prompt.
 const BLOCK_TOKENS: u64 = 64;
 
@@ -28,6 +32,9 @@
     /// Whether the program may have made calls before, so that its home may
     /// hold its history.
     pub under_way: bool,
+    /// The lines of calls that this one goes on from, nearest first: its own
+    /// line, and the one that this branched off from.
+    pub lines: &'a [u64],
     /// Length of the prompt.
     pub prompt: Tokens,
     /// Chained hashes of the prompt's blocks.
@@ -70,6 +77,7 @@
     free_slots: Vec<Slot>,
     used_slots: u16,
     book: CacheBook,
+    lines: Lines,
     /// Blocks held by each slot for the call at hand.
     depths: Vec<u32>,
     /// Upstreams that serve the call at hand.
@@ -91,6 +99,7 @@
             free_slots: Vec::new(),
             used_slots: 0,
             book: CacheBook::new(cfg.book_blocks),
+            lines: Lines::new(cfg.lines),
             depths: Vec::new(),
             fitting: Vec::new(),
             costs: Vec::new(),
@@ -256,8 +265,9 @@
         let fitting = self.upstreams.values().zip(0..);
         let fitting = fitting.filter(|(upstream, _)| fits(&upstream.announcement, req.target));
         self.fitting.extend(fitting.map(|(_, at)| at));
-        let home = self.home(req);
         let typical = self.typical();
+        let ran = self.ran(req);
+        let home = ran.is_none().then(|| self.home(req)).flatten();
         for at in self.fitting.iter().copied() {
             let Some((id, upstream)) = self.upstreams.get_index(at) else {
                 continue;
@@ -270,10 +280,12 @@
                 continue;
             }
             let depth = self.depths[usize::from(upstream.slot.0)];
-            let trusted = if home == Some(*id) {
-                req.blocks.len() as u64 * self.cfg.home_weight / 1_000
-            } else {
-                0
+            let trusted = match ran {
+                Some((runner, blocks)) if runner == *id => blocks.min(req.blocks.len()) as u64,
+                None if home == Some(*id) => {
+                    req.blocks.len() as u64 * self.cfg.home_weight / PER_MILLE
+                }
+                _ => 0,
             };
             let held = u64::from(depth).max(trusted) * BLOCK_TOKENS;
             let view = UpstreamView {
@@ -301,6 +313,17 @@
         typical(&mut self.means)
     }
 
+    /// The upstream to which this entry sent the last call of a line, and the
+    /// blocks of that call's prompt.
+    fn ran(&self, req: &RouteRequest<'_>) -> Option<(UpstreamId, usize)> {
+        req.lines.iter().find_map(|line| {
+            let run = self.lines.get(*line)?;
+            let known = self.upstreams.get(&run.upstream)?;
+            let same = known.announcement.incarnation == run.incarnation;
+            same.then_some((run.upstream, run.blocks))
+        })
+    }
+
     /// The upstream that every entry agrees on for a program under way, by
     /// rendezvous hashing: entries share no state, and a program's calls come
     /// through any of them.
@@ -331,6 +354,14 @@
         };
         if S::PREFIX {
             self.book.sent(upstream.slot, req.blocks);
+            if let Some(line) = req.lines.first() {
+                let run = Run {
+                    upstream: choice.upstream,
+                    incarnation: choice.incarnation,
+                    blocks: req.blocks.len(),
+                };
+                self.lines.put(*line, run);
+            }
         }
         Some(choice)
     }
--- a/crates/quay_policy/src/route/settings.rs
+++ b/crates/quay_policy/src/route/settings.rs
@@ -39,6 +39,8 @@
     pub kv_full_cost: Duration,
     /// Blocks that the cache book remembers.
     pub book_blocks: usize,
+    /// Lines of calls of which it is remembered who ran the last one.
+    pub lines: usize,
     /// Time of a call, in thousandths of what peers take, from which on an
     /// upstream is slow; twice as much as queues of 6 to 16 places explain.
     pub slow_from: u64,
@@ -70,6 +72,7 @@
             kv_full_permille: 900,
             kv_full_cost: Duration::from_secs(2),
             book_blocks: 65_536,
+            lines: 8_192,
             slow_from: 1_800,
             failing_from: 200,
             failing_weight: 20,
--- a/crates/quay_policy/tests/routing.rs
+++ b/crates/quay_policy/tests/routing.rs
@@ -44,6 +44,7 @@
         target: CallTarget::Model(MODEL),
         program: ProgramId::root(root),
         under_way: false,
+        lines: &[],
         prompt: Tokens(blocks.len() as u64 * 64),
         blocks,
         tried: &[],
@@ -114,6 +115,7 @@
     let blocks: Vec<u64> = (1..100).collect();
     let under_way = RouteRequest {
         under_way: true,
+        lines: &[],
         ..request(9, &blocks)
     };
     let choices: Vec<_> = (0..5)
@@ -219,6 +221,139 @@
     }
 }
 
+// ---------------------------------------------------------------------------
+// Lines of calls
+
+/// Blocks of a prompt that grows.
+const LONG: [u64; 300] = {
+    let mut blocks = [0; 300];
+    let mut at = 0;
+    while at < 300 {
+        blocks[at] = at as u64 + 1;
+        at += 1;
+    }
+    blocks
+};
+
+/// A router of ten upstreams as a gateway's front has it: engines that prefill
+/// 368 tokens in a ms and make one in 0.76 ms.
+fn gateway_router() -> Router<ExpectedTime> {
+    let cfg = RouteSettings {
+        prefill_us: 3,
+        prefix_per_running: 1_000,
+        per_running_us: 30,
+        token_gap_us: 760,
+        answer_tokens: 260,
+        spread: Duration::from_millis(1),
+        ..RouteSettings::default()
+    };
+    let mut router = Router::new(cfg, "a");
+    for number in 0..10 {
+        router.announced(Time::ZERO, &announcement(number, 1, Load::default()));
+    }
+    router
+}
+
+/// A router that has sent a call of line 5 to an upstream, which has one more
+/// to do than the others since.
+fn router_with_a_line() -> (Router<ExpectedTime>, UpstreamId) {
+    let mut router = gateway_router();
+    let first = RouteRequest {
+        lines: &[5],
+        ..request(1, &LONG[..250])
+    };
+    let ran = router.pick(Time::ZERO, &first, 3).expect("choice").upstream;
+    for number in 0..10 {
+        let running = u32::from(upstream(number) == ran);
+        let load = Load {
+            running,
+            ..Load::default()
+        };
+        router.announced(Time::from_millis(5), &announcement(number, 2, load));
+    }
+    (router, ran)
+}
+
+#[test]
+fn a_line_of_calls_stays_with_the_upstream_that_ran_the_last_one() {
+    // Its next call, and one that branches off, wherever the home may be.
+    for lines in [&[5][..], &[6, 5]] {
+        for root in 0..20 {
+            let (mut router, ran) = router_with_a_line();
+            let next = RouteRequest {
+                lines,
+                under_way: true,
+                ..request(root, &LONG[..300])
+            };
+            let choice = router.pick(Time::from_millis(6), &next, root);
+            assert_eq!(choice.expect("choice").upstream, ran);
+        }
+    }
+}
+
+#[test]
+fn an_upstream_that_started_again_holds_no_line() {
+    let (mut router, ran) = router_with_a_line();
+    let number = (0..10).find(|number| upstream(*number) == ran);
+    let load = Load {
+        running: 3,
+        ..Load::default()
+    };
+    let again = Announcement {
+        incarnation: Incarnation(2),
+        ..announcement(number.expect("known"), 1, load)
+    };
+    router.announced(Time::from_millis(6), &again);
+    let next = RouteRequest {
+        lines: &[5],
+        ..request(1, &LONG[..300])
+    };
+    let choice = router.pick(Time::from_millis(6), &next, 0);
+    assert_ne!(choice.expect("choice").upstream, ran);
+}
+
+/// The load of a burst: ten upstreams, 120 conversations that go on for nine
+/// calls each, all of them under way at a time. What was said is read once, but
+/// for one call in ten.
+#[test]
+fn conversations_are_not_read_again_and_again_in_a_burst() {
+    const SHARED: u64 = 200;
+    const GROWS: u64 = 20;
+    let mut router = gateway_router();
+    let mut last: Vec<Option<UpstreamId>> = vec![None; 120];
+    let (mut moved, mut calls, mut now) = (0, 0, Time::ZERO);
+    // Each conversation has a call every 480 ms, which takes 400.
+    for step in 0..9 * 120_u64 {
+        now = now + Duration::from_millis(4);
+        let line = step % 120;
+        let turn = step / 120 + 1;
+        let shared = 0..SHARED;
+        let own = (0..turn * GROWS).map(|block| line << 32 | 1 << 20 | block);
+        let blocks: Vec<u64> = shared.chain(own).collect();
+        let req = RouteRequest {
+            lines: &[line + 1],
+            under_way: turn > 1,
+            ..request(line, &blocks)
+        };
+        let choice = router
+            .pick(now, &req, step * 7_919)
+            .expect("choice")
+            .upstream;
+        let place = usize::try_from(line).expect("small");
+        calls += u32::from(last[place].is_some());
+        moved += u32::from(last[place].is_some_and(|it| it != choice));
+        last[place] = Some(choice);
+        // Of the 120, 100 run at a time; all upstreams tell their load.
+        if step >= 100 {
+            let ended = usize::try_from((step - 100) % 120).expect("small");
+            if let Some(id) = last[ended] {
+                router.ended(now, id);
+            }
+        }
+    }
+    assert!(moved * 10 <= calls, "{moved} of {calls} calls moved");
+}
+
 // ---------------------------------------------------------------------------
 // Upstreams that are slow or fail
 
--- a/crates/quay_routes/src/lib.rs
+++ b/crates/quay_routes/src/lib.rs
@@ -34,6 +34,6 @@
     dialect::{Dialect, Forwarding},
     head::{CallHead, Execution, HeadFault, TurnHead, UpstreamHead},
     operator::{OperatorAnswer, OperatorCall, OperatorFault},
-    prompt::{BLOCK_TOKENS, PromptPart, blocks, tokens},
+    prompt::{BLOCK_TOKENS, PromptPart, blocks, lines, tokens},
     table::{EdgeLimits, Repeat, Route, RoutingTable, Service, TableFault, Target},
 };
--- a/crates/quay_routes/src/prompt.rs
+++ b/crates/quay_routes/src/prompt.rs
@@ -18,6 +18,22 @@
     parts.iter().map(|part| part.tokens).sum()
 }
 
+/// The line of calls that a prompt belongs to, and the one that it branched off
+/// from, if any. The first part is shared by many lines; the last one is the
+/// line's own and grows with each of its calls.
+#[must_use]
+pub fn lines(parts: &[PromptPart]) -> Vec<u64> {
+    let mut chain = 0;
+    let chained = parts.iter().map(|part| {
+        chain = mix(chain ^ part.id);
+        chain
+    });
+    let mut lines: Vec<u64> = chained.skip(1).collect();
+    lines.reverse();
+    lines.truncate(2);
+    lines
+}
+
 /// Chained hashes of the prompt's blocks: a block is only worth something to
 /// one who holds all blocks before it.
 #[must_use]
--- a/crates/quay_routes/tests/table.rs
+++ b/crates/quay_routes/tests/table.rs
@@ -101,3 +101,20 @@
         prop_assert_eq!(of_a, a as usize);
     }
 }
+
+#[test]
+fn a_prompt_names_its_line_and_the_one_that_it_branched_off_from() {
+    use quay_routes::{PromptPart, lines};
+    let part = |id, tokens| PromptPart { id, tokens };
+    let first = lines(&[part(1, 900), part(2, 30)]);
+    let next = lines(&[part(1, 900), part(2, 80)]);
+    let branch = lines(&[part(1, 900), part(2, 30), part(3, 10)]);
+    let other = lines(&[part(1, 900), part(4, 30)]);
+    assert_eq!(first.len(), 1);
+    assert_eq!(first, next, "a line grows");
+    assert_eq!(branch[1..], first[..]);
+    assert_ne!(branch[0], first[0]);
+    assert_ne!(other, first);
+    // A part that many share is no line.
+    assert!(lines(&[part(1, 900)]).is_empty() && lines(&[]).is_empty());
+}
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -4,7 +4,7 @@
     indexmap::IndexMap,
     quay_members::{ChangesRequest, View},
     quay_policy::{ExpectedTime, RouteRequest, RouteSettings, Router},
-    quay_routes::{CallHead, blocks, tokens},
+    quay_routes::{CallHead, blocks, lines, tokens},
     quay_types::{
         Announcement, CallTarget, DirectoryEntry, Load, ProgramId, ServiceId, Time, Tokens,
         UpstreamId,
@@ -56,7 +56,8 @@
             // prefilled in a ms, a step takes 0.76 ms and 0.03 ms more for each
             // running request, an answer has about 260 tokens.
             prefill_us: 3,
-            prefix_per_running: 0,
+            // A prefill holds up each running request for as long as it takes.
+            prefix_per_running: 1_000,
             per_running_us: 30,
             answer_tokens: 260,
             token_gap_us: 760,
@@ -213,11 +214,13 @@
         passed_over.extend_from_slice(tried);
         let blocks = blocks(&head.prompt);
         let program = head.program.as_deref().unwrap_or(&head.id);
-        let turn = head.turn.as_ref();
+        let lines = lines(&head.prompt);
+        let goes_on = head.turn.as_ref().is_some_and(|turn| turn.prior.is_some());
         let mut req = RouteRequest {
             target: CallTarget::Service(ServiceId::of(service)),
             program: ProgramId::root(UpstreamId::of(program).0),
-            under_way: turn.is_some_and(|turn| turn.prior.is_some()),
+            under_way: goes_on || lines.len() > 1,
+            lines: &lines,
             prompt: Tokens(tokens(&head.prompt)),
             blocks: &blocks,
             tried: &passed_over,
--- a/crates/sapphirequayd/src/process/router.rs
+++ b/crates/sapphirequayd/src/process/router.rs
@@ -138,6 +138,7 @@
             target: req.target,
             program: req.program,
             under_way: req.under_way,
+            lines: &[],
             prompt: req.prompt,
             blocks: &req.blocks,
             tried: &req.tried,
