Write log lines from a thread within bounds, count and time what a gateway does

Lines were written one by one by whoever logged: an output that blocked held up requests, and nothing bounded their volume. They wait in a bounded queue now, are written together, and are bounded by event and second; what is left out is counted and said. Counters and histograms of fronts, control hosts and stores stand at the metrics address, which the deploy file names.

--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -13,6 +13,7 @@
             messages::{
                 ControlCommand, ControlReply, ControlRequest, GatewayRequest, Mark, TableText,
             },
+            meters,
         },
         process::{ChangeError, Clock, GroupError, GroupMsg, Mailbox},
         wire::LinkRequest,
@@ -377,6 +378,7 @@
         loop {
             let status = self.ask_group(GroupMsg::Status).await.flatten();
             if let Some(status) = status {
+                meters::leads(status.leads);
                 self.client
                     .learn(status.members.all().map(|it| it.addr).collect());
                 if !status.members.is_voter(self.own.node) {
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -11,6 +11,7 @@
     },
     crate::gateway::{
         http_server::{Body, full},
+        meters::{self, Stage},
         store::{Reserved, Turns},
     },
     bytes::{Bytes, BytesMut},
@@ -68,11 +69,6 @@
         &self.chosen.name
     }
 
-    /// Milliseconds since the request was sent.
-    pub fn elapsed_ms(&self) -> u128 {
-        self.elapsed().as_millis()
-    }
-
     /// Time since the request was sent.
     pub fn elapsed(&self) -> Duration {
         self.front.now().since(self.since)
@@ -148,10 +144,12 @@
     };
     let draw = AttemptTag::of(&head.id).0;
     let answered = answer_known(&front, arrived, &parts, &head, body, draw).await;
-    let ms = front.now().since(arrived).as_millis();
+    let took = front.now().since(arrived);
+    let ms = took.as_millis();
     let mut response = match answered {
         Ok(response) => {
             let status = response.status().as_u16();
+            meters::answered(status, took);
             log::info!("event=call_answered id={} status={status} ms={ms}", head.id);
             response
         }
@@ -162,6 +160,8 @@
                 refusal.name(),
                 refusal.status()
             );
+            meters::answered(refusal.status(), took);
+            meters::refused(refusal.name());
             let mut response = refusal.answer(draw);
             front.dialect().own_answer(&head, response.headers_mut());
             response
@@ -343,8 +343,10 @@
             match outcome {
                 Tried::Whole(response) => return Ok(response),
                 Tried::Answer(sent, head, incoming) => {
-                    let first_ms = sent.elapsed_ms();
+                    let first = sent.elapsed();
                     let sent_after = sent.since.since(self.arrived);
+                    meters::stage(Stage::Wait, sent_after);
+                    meters::stage(Stage::First, first);
                     let passing = Passing {
                         front: self.front.clone(),
                         sent: *sent,
@@ -354,7 +356,7 @@
                         event_tokens: self.event_tokens,
                         ends: self.allowance.ends(),
                         wait_ms: sent_after.as_millis(),
-                        first_ms,
+                        first_ms: first.as_millis(),
                     };
                     let body = passing.start(&head, incoming);
                     return Ok(self.response(&head, body));
@@ -371,6 +373,7 @@
                 Tried::Unknown(why) => {
                     attempts += 1;
                     log::info!("event=attempt_lost id={} cause={why}", self.head.id);
+                    meters::attempt_lost(why);
                     let idempotent = self.route.repeat == Repeat::Idempotent;
                     let time_over = self.allowance.left(self.front.now()).is_zero();
                     if time_over {
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -7,6 +7,7 @@
             control_client::ControlClient,
             http_server::{self, Body, ServerLimits, full},
             messages::{ControlReply, ControlRequest, Mark, News},
+            meters,
             store::StoreClient,
         },
         process::Clock,
@@ -279,6 +280,13 @@
             self.upstreams().tick(now);
             self.0.chains.borrow_mut().tick(now);
             self.0.connections.close_idle();
+            let heard = self.0.heard.get();
+            meters::front(
+                self.0.limits.closing.open(),
+                heard.map(|at| now.since(at)),
+                self.table().map_or(0, |table| table.revision),
+                self.0.stores.version(),
+            );
         }
     }
 
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{call::Sent, events::EventReader, host::FrontHost, reservation::Reservation},
-    crate::gateway::http_server::{Body, BrokenOff},
+    crate::gateway::{
+        http_server::{Body, BrokenOff},
+        meters::{self, Stage},
+    },
     bytes::Bytes,
     http::response,
     http_body_util::BodyExt as _,
@@ -108,7 +111,8 @@
         let mut reader = EventReader::new(self.keeping.is_some());
         let end = self.pass_frames(&mut body, &mut reader, &frames).await;
         let events = reader.events();
-        let read_ms = self.sent.elapsed_ms();
+        let read = self.sent.elapsed();
+        let read_ms = read.as_millis();
         self.rate_upstream(end, &reader);
         let end = match end {
             End::Whole if reader.mid_event() => End::Broken("upstream_ended_mid_event"),
@@ -120,7 +124,10 @@
             End::CallerGone => {}
             End::Broken(why) => drop(frames.send(Err(BrokenOff(why))).await),
         }
-        let keep_ms = self.sent.elapsed_ms() - read_ms;
+        let kept = self.sent.elapsed() - read;
+        let keep_ms = kept.as_millis();
+        meters::stage(Stage::Stream, read);
+        meters::stage(Stage::Keep, kept);
         log::info!(
             "event=stream_ended id={} upstream={} events={events} wait_ms={} first_ms={} read_ms={read_ms} keep_ms={keep_ms} end={end:?}",
             self.id,
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -11,6 +11,8 @@
 mod front;
 mod http_server;
 mod messages;
+mod meters;
+mod monitor;
 mod run;
 mod store;
 
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -6,6 +6,7 @@
         control::ControlHost,
         control_client::ControlClient,
         front::FrontHost,
+        monitor,
         store::{StoreClient, StoreHost},
     },
     crate::{
@@ -89,7 +90,10 @@
     identity: Identity,
     dialect: impl Dialect,
 ) -> Result<(), GatewayError> {
-    telemetry::start();
+    // Without an address to read it from, nothing is recorded.
+    if settings.process.monitor.is_some() {
+        telemetry::start();
+    }
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -131,6 +135,11 @@
         control: control.clone(),
     };
     spawn_local(keep_settings(path.into(), control));
+    if let Some(listen) = settings.process.monitor {
+        let listener = TcpListener::bind(listen).await;
+        spawn_local(monitor::serve(listener.map_err(io("address of metrics"))?));
+        spawn_local(monitor::keep_up());
+    }
     let name = &settings.process.name;
     if let Some(front) = &settings.front {
         let host = start_front(settings, front, base, dialect).await?;
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -11,6 +11,7 @@
             messages::{
                 ControlReply, ControlRequest, StoreList, StoreOp, StoreReply, StoreRequest,
             },
+            meters,
         },
         process::Clock,
     },
@@ -26,7 +27,7 @@
         rc::Rc,
         sync::{Arc, mpsc as std_mpsc},
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         sync::oneshot,
@@ -362,6 +363,10 @@
         loop {
             sleep(EXPIRE_EVERY).await;
             let now = self.now();
+            {
+                let held = self.shelf.borrow();
+                meters::store(held.turns(), held.whole() > 0);
+            }
             let empty = self.shelf.borrow_mut().expire(now, self.segment.get());
             for segment in empty {
                 match files::remove(&self.folder, segment) {
@@ -387,11 +392,13 @@
         }
         let (records, waiting): (Vec<_>, Vec<_>) =
             batch.into_iter().map(|job| (job.record, job.done)).unzip();
+        let began = Instant::now();
         match files.append(&records) {
             Ok(places) => {
                 if std::mem::take(&mut refused) {
                     log::info!("event=store_disk_regained");
                 }
+                meters::synced(records.len(), began.elapsed());
                 for (place, done) in places.into_iter().zip(waiting) {
                     let _ = done.send(Some((place, files.segment())));
                 }
@@ -407,6 +414,7 @@
             Err(err) => {
                 // After a failed sync nobody knows what the disk holds.
                 log::error!("event=store_disk_failed cause={err}");
+                log::logger().flush();
                 std::process::exit(DISK_EXIT_CODE);
             }
         }
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -27,9 +27,9 @@
     process::{
         BackupError, ChangeError, Clock, ControlClient, ControlFault, ControlReply, ControlRequest,
         ControlStatus, Daemon, DaemonRow, Group, GroupCopy, GroupError, GroupEvent, GroupHost,
-        GroupLimits, GroupMsg, GroupStartError, Health, HealthSettings, Lifecycle, Machine,
-        Mailbox, MemberRow, OperatorOrder, PeerFrame, Progress, QuorumReply, QuorumRequest,
-        StartError, backup, restore, spawn,
+        GroupLimits, GroupMsg, GroupStartError, Health, HealthSettings, Lifecycle, LogBounds,
+        LogLines, Machine, Mailbox, MemberRow, OperatorOrder, PeerFrame, Progress, QuorumReply,
+        QuorumRequest, StartError, backup, restore, spawn,
     },
     request::{Input, Splice, Spliced, Step, Transcript, TranscriptSettings, Usage},
     settings::{
--- a/crates/sapphirequayd/src/logging.rs
+++ b/crates/sapphirequayd/src/logging.rs
@@ -1,34 +1,50 @@
 //! Sets up log lines: a time, a level and key=value pairs.
 
 use {
-    log::LevelFilter,
-    log4rs::{
-        append::{console::ConsoleAppender, file::FileAppender},
-        config::{Appender, Config, Root},
-        encode::pattern::PatternEncoder,
+    log::{LevelFilter, Log, Metadata, Record},
+    log4rs::encode::{Encode as _, pattern::PatternEncoder, writer::simple::SimpleWriter},
+    sapphirequayd::{LogBounds, LogLevel, LogLines, LogSettings},
+    std::{
+        error::Error,
+        fs::OpenOptions,
+        io::{self, Write},
     },
-    sapphirequayd::{LogLevel, LogSettings},
-    std::{error::Error, path::Path},
 };
 
 /// Form of one line.
 const PATTERN: &str = "time={d(%Y-%m-%dT%H:%M:%S%.3f%:z)} level={l} {m}{n}";
 
-/// Name of the only place that lines go to.
-const APPENDER: &str = "lines";
+/// Room for a usual line, in bytes.
+const LINE_BYTES: usize = 256;
 
 /// Starts to write log lines.
 pub fn start(settings: &LogSettings) -> Result<(), Box<dyn Error>> {
-    let appender = match &settings.file {
-        Some(path) => file(path)?,
-        None => console(),
+    let out: Box<dyn Write + Send> = match &settings.file {
+        Some(path) => {
+            let file = OpenOptions::new().create(true).append(true).open(path);
+            Box::new(file.map_err(|err| format!("[log] file: {}: {err}", path.display()))?)
+        }
+        None => Box::new(io::stdout()),
     };
-    let root = Root::builder().appender(APPENDER).build(level(settings));
-    let config = Config::builder().appender(appender).build(root)?;
-    log4rs::init_config(config)?;
+    let bounds = LogBounds {
+        lines_per_event_s: settings.lines_per_event_s,
+        waiting_lines: settings.waiting_lines,
+    };
+    let logger = Logger {
+        level: level(settings),
+        encoder: PatternEncoder::new(PATTERN),
+        lines: LogLines::start(out, bounds)?,
+    };
+    log::set_max_level(logger.level);
+    log::set_boxed_logger(Box::new(logger))?;
     Ok(())
 }
 
+/// Writes what is still waiting; for the end of the process.
+pub fn flush() {
+    log::logger().flush();
+}
+
 /// The level that the settings name.
 const fn level(settings: &LogSettings) -> LevelFilter {
     match settings.level {
@@ -39,17 +55,32 @@
     }
 }
 
-/// Lines go to the console.
-fn console() -> Appender {
-    let lines = ConsoleAppender::builder().encoder(Box::new(PatternEncoder::new(PATTERN)));
-    Appender::builder().build(APPENDER, Box::new(lines.build()))
+/// Encodes lines and hands them on; who logs never waits for the output.
+#[derive(Debug)]
+struct Logger {
+    level: LevelFilter,
+    encoder: PatternEncoder,
+    lines: LogLines,
 }
 
-/// Lines are appended to a file.
-fn file(path: &Path) -> Result<Appender, Box<dyn Error>> {
-    let lines = FileAppender::builder().encoder(Box::new(PatternEncoder::new(PATTERN)));
-    let lines = lines
-        .build(path)
-        .map_err(|err| format!("[log] file: {}: {err}", path.display()))?;
-    Ok(Appender::builder().build(APPENDER, Box::new(lines)))
+impl Log for Logger {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= self.level
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let mut line = SimpleWriter(Vec::with_capacity(LINE_BYTES));
+        // Writing to memory does not fail.
+        if self.encoder.encode(&mut line, record).is_ok() {
+            self.lines
+                .put(String::from_utf8_lossy(&line.0).into_owned());
+        }
+    }
+
+    fn flush(&self) {
+        self.lines.flush();
+    }
 }
--- a/crates/sapphirequayd/src/main.rs
+++ b/crates/sapphirequayd/src/main.rs
@@ -52,7 +52,9 @@
         println!("the settings can be used");
         return ExitCode::SUCCESS;
     }
-    match run(&settings, args.config.as_deref()) {
+    let ended = run(&settings, args.config.as_deref());
+    logging::flush();
+    match ended {
         Ok(Ending::Whole) => ExitCode::SUCCESS,
         Ok(Ending::Cut(requests)) => fail(&format!("{requests} requests were cut off"), CUT),
         Err(text) => fail(&text, BAD_SETTINGS),
--- a/crates/sapphirequayd/src/process/group/replicated.rs
+++ b/crates/sapphirequayd/src/process/group/replicated.rs
@@ -356,6 +356,7 @@
         log::error!("event=replica_fault group={} cause=\"{cause}\"", self.group);
         self.stop();
         if self.limits.exit_on_fault {
+            log::logger().flush();
             std::process::exit(FAULT_EXIT_CODE);
         }
     }
@@ -455,6 +456,7 @@
         // A broken rule ends the thread by an assertion; the process must not
         // go on as if the replica were only slow.
         if thread::panicking() && self.limits.exit_on_fault {
+            log::logger().flush();
             std::process::exit(FAULT_EXIT_CODE);
         }
     }
--- a/crates/sapphirequayd/src/process/mod.rs
+++ b/crates/sapphirequayd/src/process/mod.rs
@@ -16,6 +16,7 @@
 mod ledger;
 mod ledger_client;
 mod lifecycle;
+mod log_lines;
 mod permits;
 mod prober;
 mod router;
@@ -41,6 +42,7 @@
     ledger::LedgerService,
     ledger_client::{LedgerClient, LedgerFault},
     lifecycle::{Lifecycle, Progress},
+    log_lines::{LogBounds, LogLines},
     permits::PermitMsg,
     prober::SharedHealth,
     router::{Pick, PickRequest, Router, RouterMsg, Try},
--- a/crates/sapphirequayd/src/process/telemetry.rs
+++ b/crates/sapphirequayd/src/process/telemetry.rs
@@ -27,6 +27,13 @@
     });
 }
 
+/// Puts recorded times into their buckets; between two calls each takes memory.
+pub fn keep_up() {
+    if let Some(handle) = HANDLE.get() {
+        handle.run_upkeep();
+    }
+}
+
 /// Every metric in Prometheus text.
 #[must_use]
 pub fn render() -> String {
--- a/crates/sapphirequayd/src/settings/log.rs
+++ b/crates/sapphirequayd/src/settings/log.rs
@@ -10,6 +10,10 @@
     pub level: LogLevel,
     /// File to append to; the console if there is none.
     pub file: Option<PathBuf>,
+    /// Lines of one event in a second; further ones are counted.
+    pub lines_per_event_s: u32,
+    /// Lines that wait for an output that is slow; further ones are counted.
+    pub waiting_lines: usize,
 }
 
 impl Default for LogSettings {
@@ -17,6 +21,10 @@
         Self {
             level: LogLevel::Info,
             file: None,
+            // Twice what a front of the deployments' tables answers in a burst.
+            lines_per_event_s: 500,
+            // Some seconds of them; 2 MB at most.
+            waiting_lines: 8_192,
         }
     }
 }
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -31,6 +31,8 @@
 pub struct Gateway {
     pub controls: Vec<SocketAddr>,
     pub fronts: Vec<SocketAddr>,
+    /// Where the first front tells its metrics.
+    pub monitor: SocketAddr,
     links: Vec<SocketAddr>,
     children: Vec<(Part, Child)>,
     folder: TempDir,
@@ -70,6 +72,7 @@
         let mut gateway = Self {
             controls: (0..3).map(|_| free_port()).collect(),
             fronts: (0..2).map(|_| free_port()).collect(),
+            monitor: free_port(),
             links: (0..3).map(|_| free_port()).collect(),
             children: Vec::new(),
             folder,
@@ -113,8 +116,12 @@
             ),
         };
         let seeds: Vec<String> = self.links.iter().map(ToString::to_string).collect();
+        let monitor = match part {
+            Part::Front(0) => format!("monitor = \"{}\"\n", self.monitor),
+            _ => String::new(),
+        };
         let settings = format!(
-            "[process]\nname = \"{part:?}\"\ndata_centre = \"dc-1\"\n[link]\nlisten = \"{link}\"\n\
+            "[process]\nname = \"{part:?}\"\ndata_centre = \"dc-1\"\n{monitor}[link]\nlisten = \"{link}\"\n\
              keys = \"{}\"\n[gateway]\nseeds = {seeds:?}\nfirst_start = {first_start}\n{table}",
             folder.join("keys").display()
         );
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -267,3 +267,27 @@
     assert_eq!(send(front, nameless, "").expect("answer").status, 400);
     assert_eq!(app.ran().len(), ran);
 }
+
+#[test]
+fn what_a_front_did_is_counted_and_timed() {
+    let (gateway, llm, _app) = started();
+    let front = gateway.fronts[0];
+    run_turn(&gateway, front, &llm, ("m1", "", 1_000, "in"));
+    send(front, &call("gone", "m2"), "").expect("answer");
+    let metrics = wait_for("the stream's end is counted", || {
+        let got = send(gateway.monitor, "GET /metrics HTTP/1.1\nHost: m", "")?;
+        got.body.contains("stage=\"keep\"").then_some(got.body)
+    });
+    for line in [
+        "sapphirequay_calls_total{status=\"200\"} 1",
+        "sapphirequay_refusals_total{kind=\"no_route\"} 1",
+        "sapphirequay_call_seconds_bucket",
+        "sapphirequay_stage_seconds_count{stage=\"first\"} 1",
+        "sapphirequay_table_revision 3",
+        "sapphirequay_control_age_seconds",
+    ] {
+        assert!(metrics.contains(line), "{line}: {metrics}");
+    }
+    let other = send(gateway.monitor, "GET /secret HTTP/1.1\nHost: m", "");
+    assert_eq!(other.expect("answer").status, 404);
+}
