--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -124,7 +124,7 @@
             End::CallerGone => {}
             End::Broken(why) => drop(frames.send(Err(BrokenOff(why))).await),
         }
-        let kept = self.sent.elapsed() - read;
+        let kept = self.sent.elapsed().saturating_sub(read);
         let keep_ms = kept.as_millis();
         meters::stage(Stage::Stream, read);
         meters::stage(Stage::Keep, kept);
