Wait for the table in the first moments of a front, and elect sooner after a restart

A replica waited 0.5 to 1 s before it asked for votes, though nobody can have led.

A front waits up to 2 s from its start for a table and for an upstream of the service; later it refuses at once, as before. A replica that has heard no leader since it started asks for votes after 0.15 to 0.3 s; the pre-vote keeps it from disturbing a leader that lives.

Ruled out: starts of the control hosts, which come with the spread of all starts (0.3 s).

--- a/crates/quay_quorum/src/replica/mod.rs
+++ b/crates/quay_quorum/src/replica/mod.rs
@@ -438,8 +438,12 @@
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
         mixed ^= mixed >> 31;
-        let span = u64::try_from(self.cfg.election.as_micros()).unwrap_or(u64::MAX);
+        let least = match self.leader_heard {
+            None => self.cfg.restart,
+            Some(_) => self.cfg.election,
+        };
+        let span = u64::try_from(least.as_micros()).unwrap_or(u64::MAX);
         let extra = Time::from_micros(mixed % span.max(1));
-        self.deadline = now + self.cfg.election + extra.since(Time::ZERO);
+        self.deadline = now + least + extra.since(Time::ZERO);
     }
 }
--- a/crates/quay_quorum/src/settings.rs
+++ b/crates/quay_quorum/src/settings.rs
@@ -26,6 +26,10 @@
     /// actual time is drawn between this and twice this. A leader that hears no
     /// quorum for so long steps down.
     pub election: Duration,
+    /// The same for a replica that has heard no leader since it started. Shorter:
+    /// the pre-vote keeps it from disturbing one that lives, and after a restart
+    /// of all nobody has one.
+    pub restart: Duration,
     /// A leader that has heard no quorum for so long refuses new work.
     pub suspect: Duration,
     /// Time after which unanswered entries are sent again.
@@ -49,6 +53,8 @@
         Self {
             heartbeat: Duration::from_millis(100),
             election: Duration::from_millis(500),
+            // Longer than a vote takes, with its sync.
+            restart: Duration::from_millis(150),
             suspect: Duration::from_millis(350),
             resend: Duration::from_millis(300),
             snapshot_resend: Duration::from_secs(10),
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -184,7 +184,10 @@
     body: Incoming,
     draw: u64,
 ) -> Result<Response<Body>, Refusal> {
-    let table = front.table().ok_or(Refusal::NoTable)?;
+    // Without a table the route's own limit is not known yet.
+    let patience = head.patience.unwrap_or(Duration::MAX);
+    let table = front.table_soon(arrived + patience).await;
+    let table = table.ok_or(Refusal::NoTable)?;
     let route = table.find(&head.host, &head.path);
     let unknown = if front.in_touch(arrived) {
         Refusal::NoRoute
@@ -199,6 +202,7 @@
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
     let limit = table.limits.body_bytes as usize;
     let body = read_body(front, body, limit, &allowance).await?;
+    front.served_soon(service, allowance.ends()).await;
     let call = Call {
         front,
         head,
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -1,7 +1,9 @@
 //! A front: what lives as long as the process.
 
 use {
-    super::{call, chains::Chains, connections::Connections, upstreams::Upstreams},
+    super::{
+        call, chains::Chains, connections::Connections, starting::Starting, upstreams::Upstreams,
+    },
     crate::{
         gateway::{
             control_client::ControlClient,
@@ -43,6 +45,10 @@
 /// Silence of the control group after which the front takes no callers.
 const READY: Duration = Duration::from_secs(4);
 
+/// Time from the start in which the front waits for a table and upstreams: an
+/// election after a restart of all (0.5 s), and starts 0.3 s apart, with room.
+const STARTING: Duration = Duration::from_secs(2);
+
 /// Interval at which old reports and idle connections are looked at.
 const TICK_EVERY: Duration = Duration::from_millis(300);
 
@@ -74,6 +80,7 @@
     chains: RefCell<Chains>,
     table: RefCell<Option<Rc<RoutingTable>>>,
     limits: ServerLimits,
+    starting: Starting,
     /// When the control group was heard last.
     heard: Cell<Option<Time>>,
     draining: Cell<bool>,
@@ -102,6 +109,7 @@
             chains: RefCell::new(Chains::new(chain_cache_bytes)),
             table: RefCell::default(),
             limits: ServerLimits::default(),
+            starting: Starting::new(clock.now(), STARTING),
             heard: Cell::default(),
             draining: Cell::default(),
             reader,
@@ -170,6 +178,18 @@
         self.0.table.borrow().clone()
     }
 
+    /// The routing table; one that has just started waits for it.
+    pub async fn table_soon(&self, ends: Time) -> Option<Rc<RoutingTable>> {
+        let starting = &self.0.starting;
+        starting.soon(ends, || self.now(), || self.table()).await
+    }
+
+    /// Waits, if the front has just started, until it knows who serves a service.
+    pub async fn served_soon(&self, service: &str, ends: Time) {
+        let look = || self.upstreams().serves(service).then_some(());
+        self.0.starting.soon(ends, || self.now(), look).await;
+    }
+
     /// Whether the control group has been heard so lately that no change can
     /// have been missed.
     pub fn in_touch(&self, now: Time) -> bool {
@@ -247,6 +267,7 @@
         if let Some(text) = news.table {
             self.learn_table(&text.document);
         }
+        self.0.starting.learned();
     }
 
     fn learn_table(&self, document: &[u8]) {
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -7,7 +7,8 @@
 mod host;
 mod refusal;
 mod reservation;
+mod starting;
 mod stream;
 mod upstreams;
 
-pub use {chains::Chains, events::EventReader, host::FrontHost};
+pub use {chains::Chains, events::EventReader, host::FrontHost, starting::Starting};
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -7,7 +7,7 @@
     quay_routes::{CallHead, blocks, lines, tokens},
     quay_types::{
         Announcement, CallTarget, DirectoryEntry, Load, ProgramId, ServiceId, Time, Tokens,
-        UpstreamId,
+        UpstreamId, UpstreamKind, UpstreamState,
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -200,6 +200,16 @@
     // -----------------------------------------------------------------------
     // What is decided
 
+    /// Whether any upstream that takes requests serves a service.
+    pub fn serves(&self, service: &str) -> bool {
+        let wanted = ServiceId::of(service);
+        self.known.values().any(|known| {
+            let kind = &known.announcement.kind;
+            known.announcement.state == UpstreamState::Serving
+                && matches!(kind, UpstreamKind::Service { service } if *service == wanted)
+        })
+    }
+
     /// Chooses an upstream of a service and counts the request as sent to it.
     pub fn choose(
         &mut self,
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -18,7 +18,7 @@
 
 pub use {
     control::{ControlState, MembersView, next_change},
-    front::{Chains, EventReader},
+    front::{Chains, EventReader, Starting},
     messages::{ControlCommand, GatewayRequest, TableText},
     run::run,
 };
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -6,7 +6,8 @@
     quay_quorum::{Change, Member, Membership, StateMachine as _},
     quay_types::{Epoch, Incarnation, LogIndex, NodeId, Time, TurnId},
     sapphirequayd::{
-        Chains, ControlCommand, ControlState, EventReader, MembersView, TableText, next_change,
+        Chains, ControlCommand, ControlState, EventReader, MembersView, Starting, TableText,
+        next_change,
     },
 };
 
@@ -152,3 +153,46 @@
     };
     assert_eq!(next_change(&view), Some(Change::Remove(NodeId(9))));
 }
+
+// ---------------------------------------------------------------------------
+// First moments
+
+/// A clock that stands still until it is set.
+fn stopped(now: &std::cell::Cell<u64>) -> impl Fn() -> Time + '_ {
+    || Time::from_millis(now.get())
+}
+
+#[tokio::test]
+async fn a_front_that_has_just_started_waits_for_what_is_about_to_come() {
+    let now = std::cell::Cell::new(0);
+    let starting = Starting::new(Time::ZERO, std::time::Duration::from_mins(5));
+    let table = std::cell::Cell::new(None);
+    let looks = std::cell::Cell::new(0);
+    let look = || {
+        looks.set(looks.get() + 1);
+        table.get()
+    };
+    let waits = starting.soon(Time::from_millis(90_000), stopped(&now), look);
+    let learns = async {
+        // News that is not what is waited for, then what is.
+        starting.learned();
+        tokio::task::yield_now().await;
+        table.set(Some(7));
+        starting.learned();
+    };
+    let (found, ()) = tokio::join!(waits, learns);
+    assert_eq!(found, Some(7));
+    assert!(looks.get() >= 2);
+}
+
+#[tokio::test]
+async fn nobody_waits_once_the_first_moments_or_the_time_of_the_request_are_over() {
+    let now = std::cell::Cell::new(6_000);
+    let starting = Starting::new(Time::ZERO, std::time::Duration::from_secs(5));
+    let look = || None::<u32>;
+    let ends = Time::from_millis(90_000);
+    assert_eq!(starting.soon(ends, stopped(&now), look).await, None);
+    now.set(1_000);
+    let ends = Time::from_millis(1_000);
+    assert_eq!(starting.soon(ends, stopped(&now), look).await, None);
+}
