--- a/crates/quay_link/src/lib.rs
+++ b/crates/quay_link/src/lib.rs
@@ -27,11 +27,13 @@
 //! assert_eq!(stream.recv::<usize>().expect("reply"), 5);
 //! ```
 
+mod endpoint;
 mod error;
 mod frame;
 mod identity;
 mod keys;
 mod links;
+mod pump;
 mod stream;
 
 pub use {
--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -2,21 +2,18 @@
 
 use {
     crate::{
-        Frame, Identity, LinkError, LinkRole, LinkStream, frame,
+        Frame, Identity, LinkError, LinkRole, LinkStream,
+        endpoint::{bind, client_config, server_config},
+        frame,
         identity::{Holder, holder_of},
-        stream::WINDOW_FRAMES,
+        pump::{couple, read_frame},
     },
-    quinn::{
-        ClientConfig, Connection, Endpoint, EndpointConfig, IdleTimeout, MtuDiscoveryConfig,
-        RecvStream, SendStream, ServerConfig, TransportConfig, VarInt,
-        congestion::CubicConfig,
-        crypto::rustls::{QuicClientConfig, QuicServerConfig},
-    },
-    rustls::{RootCertStore, pki_types::CertificateDer, server::WebPkiClientVerifier},
+    quinn::{Connection, Endpoint, VarInt},
+    rustls::pki_types::CertificateDer,
     serde::Serialize,
     std::{
         collections::HashMap,
-        net::{Ipv4Addr, SocketAddr},
+        net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc as std_mpsc},
         thread,
         time::{Duration, Instant},
@@ -24,29 +21,12 @@
     tokio::sync::{mpsc, oneshot},
 };
 
-/// Protocol name in the TLS handshake.
-const ALPN: &[u8] = b"sapphirequay/1";
-
-/// Code with which a stream is ended when its user has dropped it.
-const CANCELLED: VarInt = VarInt::from_u32(1);
-
 /// Longest time to set up a connection; a few lost packets fit in.
 const CONNECT_WITHIN: Duration = Duration::from_millis(600);
 
-/// Round trip that is assumed of a new connection: a lost first packet is sent
-/// again after three times as long.
-const INITIAL_RTT: Duration = Duration::from_millis(40);
-
 /// Time after a failed try in which a peer counts as unreachable.
 const RECONNECT_AFTER: Duration = Duration::from_millis(150);
 
-/// Largest datagram that is tried, in bytes; paths with jumbo frames take it.
-const LARGEST_DATAGRAM: u16 = 8_900;
-
-/// Bytes that may be under way on a new connection: about what a link of
-/// 600 Mbit/s carries in a round trip between data centres.
-const INITIAL_WINDOW: u64 = 200_000;
-
 /// What a process needs to take part in links.
 #[derive(Debug)]
 pub struct LinkSettings {
@@ -284,107 +264,6 @@
     endpoint.close(VarInt::from_u32(0), b"stopped");
 }
 
-// ---------------------------------------------------------------------------
-// Set-up
-
-/// Binds the endpoint, as a server too if the settings name an address.
-fn bind(settings: &LinkSettings) -> Result<Endpoint, LinkError> {
-    let client = client_config(settings)?;
-    let (server, addr) = match settings.listen {
-        Some(addr) => (Some(server_config(settings)?), addr),
-        None => (None, (Ipv4Addr::UNSPECIFIED, 0).into()),
-    };
-    let socket = std::net::UdpSocket::bind(addr)?;
-    let runtime = Arc::new(quinn::TokioRuntime);
-    let mut endpoint = Endpoint::new(endpoint_config(settings)?, server, socket, runtime)?;
-    endpoint.set_default_client_config(client);
-    Ok(endpoint)
-}
-
-/// What all connections of an endpoint share. The reset key comes from the
-/// private key, so that a process that has restarted can tell its peers that
-/// their connections are gone.
-fn endpoint_config(settings: &LinkSettings) -> Result<EndpointConfig, LinkError> {
-    let secret = settings.identity.key.secret_der();
-    let key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, secret);
-    let mut config = EndpointConfig::new(Arc::new(key));
-    config
-        .max_udp_payload_size(LARGEST_DATAGRAM)
-        .map_err(|err| keys_error(&err))?;
-    Ok(config)
-}
-
-/// Times and limits of a connection.
-fn transport(settings: &LinkSettings) -> Result<Arc<TransportConfig>, LinkError> {
-    let idle = IdleTimeout::try_from(settings.idle_timeout)
-        .map_err(|err| LinkError::Keys(format!("idle timeout: {err}").into()))?;
-    let mut transport = TransportConfig::default();
-    transport.max_idle_timeout(Some(idle));
-    transport.initial_rtt(INITIAL_RTT);
-    let mut mtu = MtuDiscoveryConfig::default();
-    mtu.upper_bound(LARGEST_DATAGRAM);
-    transport.mtu_discovery_config(Some(mtu));
-    let mut congestion = CubicConfig::default();
-    congestion.initial_window(INITIAL_WINDOW);
-    transport.congestion_controller_factory(Arc::new(congestion));
-    transport.keep_alive_interval(Some(settings.keep_alive));
-    transport.max_concurrent_bidi_streams(VarInt::from_u32(16_384));
-    transport.max_concurrent_uni_streams(VarInt::from_u32(0));
-    Ok(Arc::new(transport))
-}
-
-/// The trusted root as a store.
-fn roots(identity: &Identity) -> Result<Arc<RootCertStore>, LinkError> {
-    let mut roots = RootCertStore::empty();
-    for root in &identity.roots {
-        roots.add(root.clone()).map_err(|err| keys_error(&err))?;
-    }
-    Ok(Arc::new(roots))
-}
-
-/// TLS for links that are opened here.
-fn client_config(settings: &LinkSettings) -> Result<ClientConfig, LinkError> {
-    let identity = &settings.identity;
-    let mut tls = rustls::ClientConfig::builder_with_provider(Arc::new(
-        rustls::crypto::ring::default_provider(),
-    ))
-    .with_protocol_versions(&[&rustls::version::TLS13])
-    .map_err(|err| keys_error(&err))?
-    .with_root_certificates(roots(identity)?)
-    .with_client_auth_cert(identity.chain.clone(), identity.key.clone_key())
-    .map_err(|err| keys_error(&err))?;
-    tls.alpn_protocols = vec![ALPN.to_vec()];
-    let quic = QuicClientConfig::try_from(tls).map_err(|err| keys_error(&err))?;
-    let mut config = ClientConfig::new(Arc::new(quic));
-    config.transport_config(transport(settings)?);
-    Ok(config)
-}
-
-/// TLS for links that are accepted here; peers must show a certificate.
-fn server_config(settings: &LinkSettings) -> Result<ServerConfig, LinkError> {
-    let identity = &settings.identity;
-    let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let verifier = WebPkiClientVerifier::builder_with_provider(roots(identity)?, provider.clone())
-        .build()
-        .map_err(|err| keys_error(&err))?;
-    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
-        .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(|err| keys_error(&err))?
-        .with_client_cert_verifier(verifier)
-        .with_single_cert(identity.chain.clone(), identity.key.clone_key())
-        .map_err(|err| keys_error(&err))?;
-    tls.alpn_protocols = vec![ALPN.to_vec()];
-    let quic = QuicServerConfig::try_from(tls).map_err(|err| keys_error(&err))?;
-    let mut config = ServerConfig::with_crypto(Arc::new(quic));
-    config.transport_config(transport(settings)?);
-    Ok(config)
-}
-
-/// Wraps an error of the TLS library.
-fn keys_error(err: &dyn std::fmt::Display) -> LinkError {
-    LinkError::Keys(err.to_string().into())
-}
-
 // ---------------------------------------------------------------------------
 // Streams that are opened here
 
@@ -597,73 +476,3 @@
         });
     }
 }
-
-// ---------------------------------------------------------------------------
-// Frames
-
-/// Ties a network stream to a blocking [`LinkStream`].
-fn couple(send: SendStream, recv: RecvStream, silence: Duration) -> LinkStream {
-    let (out_tx, out_rx) = mpsc::channel(WINDOW_FRAMES);
-    let (in_tx, in_rx) = mpsc::channel(WINDOW_FRAMES);
-    tokio::spawn(write_frames(send, out_rx));
-    tokio::spawn(read_frames(recv, in_tx, silence));
-    LinkStream {
-        tx: out_tx,
-        rx: in_rx,
-    }
-}
-
-/// Writes frames until the user drops the stream, then finishes it.
-async fn write_frames(mut send: SendStream, mut frames: mpsc::Receiver<Vec<u8>>) {
-    loop {
-        tokio::select! {
-            frame = frames.recv() => {
-                let Some(frame) = frame else {
-                    let _ = send.finish();
-                    return;
-                };
-                if send.write_all(&frame).await.is_err() {
-                    return;
-                }
-            }
-            // The peer has dropped its end: further frames are of no use.
-            _ = send.stopped() => return,
-        }
-    }
-}
-
-/// Reads frames until the stream ends, the peer is silent or the user drops it.
-async fn read_frames(
-    mut recv: RecvStream,
-    frames: mpsc::Sender<Result<Frame, LinkError>>,
-    silence: Duration,
-) {
-    loop {
-        let next = tokio::select! {
-            next = tokio::time::timeout(silence, read_frame(&mut recv)) => next.unwrap_or(Err(LinkError::Silent)),
-            () = frames.closed() => break,
-        };
-        let last = next.is_err();
-        if frames.send(next).await.is_err() || last {
-            break;
-        }
-    }
-    let _ = recv.stop(CANCELLED);
-}
-
-/// Reads one frame.
-async fn read_frame(recv: &mut RecvStream) -> Result<Frame, LinkError> {
-    let mut head = [0; frame::HEAD_BYTES];
-    read_exact(recv, &mut head).await?;
-    let mut body = vec![0; frame::body_bytes(head)?];
-    read_exact(recv, &mut body).await?;
-    Ok(Frame(body.into()))
-}
-
-/// Fills `buf`; a clean end of the stream is [`LinkError::Finished`].
-async fn read_exact(recv: &mut RecvStream, buf: &mut [u8]) -> Result<(), LinkError> {
-    recv.read_exact(buf).await.map_err(|err| match err {
-        quinn::ReadExactError::FinishedEarly(0) => LinkError::Finished,
-        other => LinkError::Broken(other.to_string().into()),
-    })
-}
