Reach the stores through another front when a front is cut off from them

The leader tells each front a few others. A front whose stores leave every question unanswered for 0.4 s tries these one by one, asks through the one that reaches a store, and comes back when the straight way works again. It also says that it takes no callers after 2.3 s without the control group instead of 4 s, longer than a restart of all control hosts with an election.

--- a/crates/sapphirequayd/src/gateway/control/leading.rs
+++ b/crates/sapphirequayd/src/gateway/control/leading.rs
@@ -8,7 +8,12 @@
     quay_quorum::{Member, Membership},
     quay_turns::{Hello, Roster, RosterSettings, StoreView},
     quay_types::{Announcement, Incarnation, NodeId, Time, UpstreamId, UpstreamState},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        ops::Bound::{Excluded, Unbounded},
+        time::Duration,
+    },
 };
 
 /// Age up to which a confirmed state is told to followers.
@@ -17,6 +22,12 @@
 /// How long a request to join counts.
 const JOIN_COUNTS: Duration = Duration::from_secs(2);
 
+/// How long a follower that does not ask any more is told to others.
+const FOLLOWER_COUNTS: Duration = Duration::from_secs(3);
+
+/// Other followers that one is told of.
+const FOLLOWERS_TOLD: usize = 4;
+
 /// Soft state of the leader; a new leader starts with an empty one.
 #[derive(Debug)]
 pub struct Leading {
@@ -35,6 +46,8 @@
     silent: IndexMap<NodeId, Time>,
     /// Members of the group.
     pub members: Membership,
+    /// When followers asked last, by their links.
+    followers: BTreeMap<SocketAddr, Time>,
 }
 
 impl Leading {
@@ -60,6 +73,7 @@
             joins: IndexMap::new(),
             silent: IndexMap::new(),
             members: Membership::default(),
+            followers: BTreeMap::new(),
         }
     }
 
@@ -84,6 +98,8 @@
         self.directory.tick(now);
         self.joins
             .retain(|_, (_, heard)| now.since(*heard) < JOIN_COUNTS);
+        self.followers
+            .retain(|_, heard| now.since(*heard) < FOLLOWER_COUNTS);
     }
 
     // -----------------------------------------------------------------------
@@ -164,6 +180,7 @@
 
     /// What a follower does not know yet; `None` if there is nothing.
     pub fn news(&mut self, now: Time, mark: &Mark) -> Option<News> {
+        self.followers.insert(mark.link, now);
         let directory = self.directory.changes(now, &mark.directory);
         let held = self.state.table.as_ref();
         let revision = held.map_or(0, |table| table.revision);
@@ -179,6 +196,7 @@
             stores,
             directory,
             controls: self.controls(),
+            followers: self.followers_beside(mark.link),
         })
     }
 
@@ -190,9 +208,19 @@
             stores: None,
             directory: self.directory.changes(now, &mark.directory),
             controls: self.controls(),
+            followers: self.followers_beside(mark.link),
         }
     }
 
+    /// The followers that come after one in the order of their links, so that
+    /// each is known to a few others however many there are.
+    fn followers_beside(&self, link: SocketAddr) -> Vec<SocketAddr> {
+        let after = self.followers.range((Excluded(link), Unbounded));
+        let before = self.followers.range(..link);
+        let beside = after.chain(before).map(|(other, _)| *other);
+        beside.take(FOLLOWERS_TOLD).collect()
+    }
+
     /// Links of all control hosts.
     fn controls(&self) -> Vec<SocketAddr> {
         self.members.all().map(|member| member.addr).collect()
--- a/crates/sapphirequayd/src/gateway/control_client.rs
+++ b/crates/sapphirequayd/src/gateway/control_client.rs
@@ -29,15 +29,34 @@
 /// Hosts that are asked for one request.
 const MAX_HOPS: usize = 6;
 
-/// Asks one host and waits for its answer.
+/// Asks one control host or store host and waits for its answer.
 pub async fn ask<T: DeserializeOwned>(
     links: &Links,
     addr: SocketAddr,
     req: &impl Serialize,
     within: Duration,
+) -> Result<T, LinkError> {
+    ask_role(links, (addr, LinkRole::Ledger), req, within).await
+}
+
+/// Asks one front and waits for its answer.
+pub async fn ask_front<T: DeserializeOwned>(
+    links: &Links,
+    addr: SocketAddr,
+    req: &impl Serialize,
+    within: Duration,
+) -> Result<T, LinkError> {
+    ask_role(links, (addr, LinkRole::Entry), req, within).await
+}
+
+async fn ask_role<T: DeserializeOwned>(
+    links: &Links,
+    (addr, role): (SocketAddr, LinkRole),
+    req: &impl Serialize,
+    within: Duration,
 ) -> Result<T, LinkError> {
     let exchange = async {
-        let mut stream: LinkStream = links.open_from_task(addr, LinkRole::Ledger, req).await?;
+        let mut stream: LinkStream = links.open_from_task(addr, role, req).await?;
         stream.recv_in_task().await
     };
     let answer = timeout(within, exchange).await;
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -22,6 +22,7 @@
     std::{
         cell::{Cell, RefCell, RefMut},
         convert::Infallible,
+        net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
@@ -42,8 +43,9 @@
 /// knows: less than the 2 s in which a change must be in force.
 const IN_TOUCH: Duration = Duration::from_millis(1_500);
 
-/// Silence of the control group after which the front takes no callers.
-const READY: Duration = Duration::from_secs(4);
+/// Silence of the control group after which the front takes no callers: longer
+/// than a restart of all control hosts with an election (2.0 s).
+const READY: Duration = Duration::from_millis(2_300);
 
 /// Time from the start in which the front waits for a table and upstreams: an
 /// election after a restart of all (0.5 s), and starts 0.3 s apart, with room.
@@ -86,6 +88,8 @@
     draining: Cell<bool>,
     /// Identity of this front to those that it asks.
     reader: u64,
+    /// Links of this front.
+    link: SocketAddr,
 }
 
 impl<D: Dialect> FrontHost<D> {
@@ -98,6 +102,7 @@
         stores: StoreClient,
         chain_cache_bytes: usize,
         reader: u64,
+        link: SocketAddr,
     ) -> Self {
         Self(Rc::new(Shared {
             dialect,
@@ -113,6 +118,7 @@
             heard: Cell::default(),
             draining: Cell::default(),
             reader,
+            link,
         }))
     }
 
@@ -120,6 +126,7 @@
     pub fn start(&self, callers: TcpListener, ready: TcpListener) {
         spawn_local(self.clone().keep_following());
         spawn_local(self.clone().keep_ticking());
+        spawn_local(self.0.stores.clone().keep_reaching());
         let front = self.clone();
         spawn_local(async move {
             let shared = front.clone();
@@ -253,6 +260,7 @@
             revision: self.table().map_or(0, |table| table.revision),
             stores: self.0.stores.version(),
             directory: self.upstreams().ask(self.0.reader),
+            link: self.0.link,
         }
     }
 
@@ -260,6 +268,7 @@
         let now = self.now();
         self.0.heard.set(Some(now));
         self.0.control.learn(news.controls);
+        self.0.stores.learn_fronts(news.followers);
         if let Some(stores) = news.stores {
             self.0.stores.learn(stores);
         }
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -16,6 +16,9 @@
     Control(ControlRequest),
     /// For a store host; answered by [`StoreReply`].
     Store(StoreRequest),
+    /// For a front: to be passed on to the store host at this address; answered
+    /// by [`StoreReply`].
+    PassOn(SocketAddr, StoreRequest),
 }
 
 // ---------------------------------------------------------------------------
@@ -53,6 +56,8 @@
     pub stores: u64,
     /// What is known of the directory.
     pub directory: ChangesRequest,
+    /// Links of the follower.
+    pub link: SocketAddr,
 }
 
 /// A routing table as it was sent.
@@ -78,6 +83,8 @@
     pub directory: Changes,
     /// Links of all control hosts.
     pub controls: Vec<SocketAddr>,
+    /// Links of some other followers.
+    pub followers: Vec<SocketAddr>,
 }
 
 /// Answer of a control host.
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub use {
     control::{ControlState, MembersView, next_change},
     front::{Chains, EventReader, Starting},
-    messages::{ControlCommand, GatewayRequest, TableText},
+    messages::{ControlCommand, GatewayRequest, StoreOp, StoreReply, StoreRequest, TableText},
     run::run,
+    store::{Detour, Trial},
 };
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -178,18 +178,20 @@
 async fn start_front<D: Dialect>(
     settings: &Settings,
     front: &FrontSettings,
-    base: Base,
+    mut base: Base,
     dialect: D,
 ) -> Result<FrontHost<D>, GatewayError> {
     let data_centre = &settings.process.data_centre;
+    let stores = StoreClient::new(base.links, data_centre, base.clock);
     let host = FrontHost::new(
         dialect,
         base.clock,
         data_centre,
         base.control,
-        StoreClient::new(base.links, data_centre),
+        stores.clone(),
         front.chain_cache_bytes,
         rand::rng().next_u64(),
+        settings.link.listen,
     );
     let callers = TcpListener::bind(front.listen).await;
     let ready = TcpListener::bind(front.ready).await;
@@ -197,9 +199,32 @@
         callers.map_err(io("address of callers"))?,
         ready.map_err(io("address of readiness"))?,
     );
+    spawn_local(async move {
+        while let Some(incoming) = base.incoming.recv().await {
+            serve_front(&stores, incoming);
+        }
+    });
     Ok(host)
 }
 
+/// Passes a question of another front on to a store.
+fn serve_front(stores: &StoreClient, incoming: Incoming) {
+    match incoming.first.decode() {
+        Ok(LinkRequest::Gateway(GatewayRequest::PassOn(addr, req))) => {
+            let stores = stores.clone();
+            spawn_local(async move {
+                let reply = stores.pass_on(addr, req).await;
+                let _ = incoming.stream.send_from_task(&reply).await;
+            });
+        }
+        Ok(_) => log::warn!("event=link_request_refused peer={}", incoming.addr),
+        Err(err) => log::warn!(
+            "event=link_request_unread peer={} cause={err:?}",
+            incoming.addr
+        ),
+    }
+}
+
 fn start_control<D: Dialect>(
     settings: &Settings,
     control: &ControlSettings,
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -1,21 +1,23 @@
 //! How a front reads and writes turns and charges.
 
 use {
+    super::detour::{Detour, Trial},
     crate::{
         gateway::{
-            control_client::ask,
+            control_client::{ask, ask_front},
             messages::{GatewayRequest, StoreOp, StoreReply, StoreRequest},
         },
+        process::Clock,
         wire::LinkRequest,
     },
     indexmap::IndexMap,
-    quay_link::Links,
+    quay_link::{LinkError, Links},
     quay_turns::{
         Charge, ChargeTally, ChargeVerdict, LookupTally, LookupVerdict, Record, StoreMember,
         StoreView, TurnRecord, WriteTally, WriteVerdict,
     },
     quay_types::{ProgramTag, Tokens, TurnId},
-    std::{cell::RefCell, rc::Rc, time::Duration},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         sync::mpsc,
         task::spawn_local,
@@ -26,6 +28,12 @@
 /// Longest wait for one store.
 const ONE_STORE: Duration = Duration::from_millis(800);
 
+/// Longest wait for one store when a way is tried.
+const TRIAL_WITHIN: Duration = Duration::from_millis(300);
+
+/// Interval at which is looked whether the stores are silent.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
 /// Pause before something that too few stores answered is tried again; it
 /// doubles with each try, so that stores in trouble aren't asked all the more.
 const AGAIN_AFTER: Duration = Duration::from_millis(60);
@@ -63,15 +71,19 @@
 pub struct StoreClient {
     links: Links,
     data_centre: Rc<str>,
+    clock: Clock,
+    detour: Rc<RefCell<Detour>>,
     view: Rc<RefCell<Rc<StoreView>>>,
 }
 
 impl StoreClient {
     /// A client in a data centre that knows no stores yet.
-    pub fn new(links: Links, data_centre: &str) -> Self {
+    pub fn new(links: Links, data_centre: &str, clock: Clock) -> Self {
         Self {
             links,
             data_centre: data_centre.into(),
+            clock,
+            detour: Rc::default(),
             view: Rc::default(),
         }
     }
@@ -89,6 +101,11 @@
         }
     }
 
+    /// Learns other fronts.
+    pub fn learn_fronts(&self, fronts: Vec<SocketAddr>) {
+        self.detour.borrow_mut().set_peers(fronts);
+    }
+
     /// Version of the view that is held.
     pub fn version(&self) -> u64 {
         self.view.borrow().version
@@ -106,11 +123,11 @@
     ) -> mpsc::UnboundedReceiver<(u64, Option<StoreReply>)> {
         let (tx, rx) = mpsc::unbounded_channel();
         for member in &view.members {
-            let (links, tx) = (self.links.clone(), tx.clone());
+            let (client, tx) = (self.clone(), tx.clone());
             let (identity, addr) = (member.identity, member.addr);
             let req = request(view, member, op.clone());
             spawn_local(async move {
-                let reply = ask(&links, addr, &req, ONE_STORE).await;
+                let reply = client.ask_one(addr, req).await;
                 if let Err(err) = &reply {
                     log::debug!("event=store_unreached store={identity} cause={err:?}");
                 }
@@ -120,6 +137,80 @@
         rx
     }
 
+    // -----------------------------------------------------------------------
+    // The way to the stores
+
+    /// Asks one store, straight or through another front.
+    async fn ask_one(&self, addr: SocketAddr, req: StoreRequest) -> Result<StoreReply, LinkError> {
+        let through = {
+            let mut detour = self.detour.borrow_mut();
+            detour.asked(self.clock.now());
+            detour.through()
+        };
+        let reply = self.ask_by(through, addr, req, ONE_STORE).await;
+        if reply.is_ok() {
+            self.detour.borrow_mut().answered();
+        }
+        reply
+    }
+
+    async fn ask_by(
+        &self,
+        through: Option<SocketAddr>,
+        addr: SocketAddr,
+        req: StoreRequest,
+        within: Duration,
+    ) -> Result<StoreReply, LinkError> {
+        let Some(front) = through else {
+            let req = LinkRequest::Gateway(GatewayRequest::Store(req));
+            return ask(&self.links, addr, &req, within).await;
+        };
+        let req = LinkRequest::Gateway(GatewayRequest::PassOn(addr, req));
+        let reply: Option<StoreReply> = ask_front(&self.links, front, &req, within).await?;
+        reply.ok_or(LinkError::Silent)
+    }
+
+    /// Passes another front's question on to a store that this one knows; `None`
+    /// if it did not answer.
+    pub async fn pass_on(&self, addr: SocketAddr, req: StoreRequest) -> Option<StoreReply> {
+        if !self.view().members.iter().any(|it| it.addr == addr) {
+            return None;
+        }
+        let reply = self.ask_by(None, addr, req, ONE_STORE).await;
+        reply.ok()
+    }
+
+    /// Looks for another way while the stores are silent, until the task is
+    /// dropped.
+    pub async fn keep_reaching(self) {
+        loop {
+            sleep(LOOK_EVERY).await;
+            let trial = self.detour.borrow_mut().due(self.clock.now());
+            if let Some(trial) = trial {
+                self.try_way(trial).await;
+            }
+        }
+    }
+
+    /// Asks a store that any answer of will do.
+    async fn try_way(&self, trial: Trial) {
+        let view = self.view();
+        let through = match trial {
+            Trial::Through(front) => Some(front),
+            Trial::Straight => None,
+        };
+        for member in &view.members {
+            let req = request(&view, member, StoreOp::Chain(TurnId(0)));
+            let reply = self.ask_by(through, member.addr, req, TRIAL_WITHIN).await;
+            if reply.is_ok() {
+                if self.detour.borrow_mut().reached(trial) {
+                    log::warn!("event=stores_way through={through:?}");
+                }
+                return;
+            }
+        }
+    }
+
     // -----------------------------------------------------------------------
     // Writes
 
@@ -213,7 +304,7 @@
         // A store of the own data centre mostly has them all.
         if let Some(near) = self.near(&view) {
             let req = request(&view, near, StoreOp::Chain(last));
-            let reply = ask(&self.links, near.addr, &req, ONE_STORE).await;
+            let reply = self.ask_one(near.addr, req).await;
             if let Ok(StoreReply::Chain(turns, _)) = reply {
                 hold(&mut held, turns);
             }
@@ -266,13 +357,13 @@
     }
 }
 
-fn request(view: &StoreView, member: &StoreMember, op: StoreOp) -> LinkRequest {
-    LinkRequest::Gateway(GatewayRequest::Store(StoreRequest {
+const fn request(view: &StoreView, member: &StoreMember, op: StoreOp) -> StoreRequest {
+    StoreRequest {
         to: member.identity,
         epoch: view.epoch,
         joined: member.joined,
         op,
-    }))
+    }
 }
 
 fn hold(held: &mut IndexMap<TurnId, TurnRecord>, turns: Vec<TurnRecord>) {
--- a/crates/sapphirequayd/src/gateway/store/mod.rs
+++ b/crates/sapphirequayd/src/gateway/store/mod.rs
@@ -2,10 +2,12 @@
 
 mod client;
 mod copy;
+mod detour;
 mod files;
 mod host;
 
 pub use {
     client::{Reserved, StoreClient, Turns},
+    detour::{Detour, Trial},
     host::StoreHost,
 };
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -21,8 +21,9 @@
 
 pub use {
     gateway::{
-        Chains, ControlCommand, ControlState, EventReader, GatewayRequest, MembersView, Starting,
-        TableText, next_change, run as run_gateway,
+        Chains, ControlCommand, ControlState, Detour, EventReader, GatewayRequest, MembersView,
+        Starting, StoreOp, StoreReply, StoreRequest, TableText, Trial, next_change,
+        run as run_gateway,
     },
     process::{
         BackupError, ChangeError, Clock, ControlClient, ControlFault, ControlReply, ControlRequest,
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -1,7 +1,7 @@
 //! A gateway as processes that a test may kill, and a stand-in of an upstream.
 
 use {
-    quay_link::DevelopmentKeys,
+    quay_link::{DevelopmentKeys, KeyFiles, LinkRole, Links},
     std::{
         fs::{self, OpenOptions},
         io::{Read as _, Write as _},
@@ -34,6 +34,9 @@
     /// Where the first front tells its metrics.
     pub monitor: SocketAddr,
     links: Vec<SocketAddr>,
+    /// Links of fronts and stores.
+    pub front_links: Vec<SocketAddr>,
+    pub store_links: Vec<SocketAddr>,
     children: Vec<(Part, Child)>,
     folder: TempDir,
 }
@@ -74,6 +77,8 @@
             fronts: (0..2).map(|_| free_port()).collect(),
             monitor: free_port(),
             links: (0..3).map(|_| free_port()).collect(),
+            front_links: (0..2).map(|_| free_port()).collect(),
+            store_links: (0..3).map(|_| free_port()).collect(),
             children: Vec::new(),
             folder,
         };
@@ -89,6 +94,10 @@
 
     /// Starts a process, for the first time or again.
     pub fn run(&mut self, part: Part, first_start: bool) {
+        if let Part::Store(slot) = part {
+            // Each run of a store is at another address.
+            self.store_links[slot] = free_port();
+        }
         let folder = self.folder.path();
         let (link, table) = match part {
             Part::Control(slot) => (
@@ -100,14 +109,14 @@
                 ),
             ),
             Part::Store(slot) => (
-                free_port(),
+                self.store_links[slot],
                 format!(
                     "[store]\ndata = \"{}\"\n",
                     folder.join(format!("store-{slot}")).display()
                 ),
             ),
             Part::Front(slot) => (
-                free_port(),
+                self.front_links[slot],
                 format!(
                     "[front]\nlisten = \"{}\"\nready = \"{}\"\n",
                     self.fronts[slot],
@@ -142,6 +151,13 @@
         self.children.push((part, child));
     }
 
+    /// Links as a front has them.
+    pub fn front_client(&self) -> Links {
+        let keys = self.folder.path().join("keys");
+        let identity = KeyFiles::in_folder(&keys, LinkRole::Entry).load();
+        Links::connect_only(identity.expect("identity")).expect("links")
+    }
+
     /// Kills a process as `kill -9` does.
     pub fn kill(&mut self, part: Part) {
         let slot = self.children.iter().position(|(it, _)| *it == part);
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -6,6 +6,9 @@
 
 use {
     gateway::{Answer, Gateway, Manner, Part, Upstream, send},
+    quay_link::LinkRole,
+    quay_types::TurnId,
+    sapphirequayd::{GatewayRequest, LinkRequest, StoreOp, StoreReply, StoreRequest},
     std::{
         net::SocketAddr,
         thread,
@@ -291,3 +294,29 @@
     let other = send(gateway.monitor, "GET /secret HTTP/1.1\nHost: m", "");
     assert_eq!(other.expect("answer").status, 404);
 }
+
+#[test]
+fn a_front_passes_on_what_another_one_asks_a_store_and_nothing_else() {
+    let (gateway, llm, _app) = started();
+    // From then on the front knows the stores.
+    run_turn(&gateway, gateway.fronts[0], &llm, ("d1", "", 1_000, "in"));
+    let other = gateway.front_client();
+    let ask = |addr: SocketAddr| {
+        let req = StoreRequest {
+            // No store is called so: each says no, and that it is there.
+            to: 0,
+            epoch: 1,
+            joined: 0,
+            op: StoreOp::Chain(TurnId(0)),
+        };
+        let req = LinkRequest::Gateway(GatewayRequest::PassOn(addr, req));
+        let stream = other.open(gateway.front_links[0], LinkRole::Entry, &req);
+        let answer = stream.expect("stream").recv::<Option<StoreReply>>();
+        answer.expect("answer")
+    };
+    for store in &gateway.store_links {
+        assert_eq!(ask(*store), Some(StoreReply::Refused));
+    }
+    assert_eq!(ask(gateway.controls[0]), None);
+    assert_eq!(ask(gateway.front_links[1]), None);
+}
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -6,8 +6,8 @@
     quay_quorum::{Change, Member, Membership, StateMachine as _},
     quay_types::{Epoch, Incarnation, LogIndex, NodeId, Time, TurnId},
     sapphirequayd::{
-        Chains, ControlCommand, ControlState, EventReader, MembersView, Starting, TableText,
-        next_change,
+        Chains, ControlCommand, ControlState, Detour, EventReader, MembersView, Starting,
+        TableText, Trial, next_change,
     },
 };
 
@@ -196,3 +196,55 @@
     let ends = Time::from_millis(1_000);
     assert_eq!(starting.soon(ends, stopped(&now), look).await, None);
 }
+
+// ---------------------------------------------------------------------------
+// The way to the stores
+
+fn front(number: u8) -> std::net::SocketAddr {
+    ([10, 0, 0, number], 7_400).into()
+}
+
+#[test]
+fn a_front_that_hears_no_store_tries_other_fronts_in_turn_and_comes_back() {
+    let at = Time::from_millis;
+    let mut detour = Detour::default();
+    detour.set_peers(vec![front(1), front(2)]);
+    // Nothing was asked, or a store answers: straight.
+    assert_eq!(detour.due(at(5_000)), None);
+    detour.asked(at(5_000));
+    detour.answered();
+    assert_eq!(detour.due(at(9_000)), None);
+    // Silence: one front after another, not all at once.
+    detour.asked(at(10_000));
+    detour.asked(at(10_300));
+    assert_eq!(detour.due(at(10_300)), None);
+    assert_eq!(detour.due(at(10_400)), Some(Trial::Through(front(1))));
+    assert_eq!(detour.due(at(10_500)), None);
+    assert_eq!(detour.due(at(10_600)), Some(Trial::Through(front(2))));
+    assert_eq!(detour.through(), None);
+    assert!(detour.reached(Trial::Through(front(2))));
+    assert_eq!(detour.through(), Some(front(2)));
+    // From time to time the straight way is tried.
+    assert_eq!(detour.due(at(10_900)), None);
+    assert_eq!(detour.due(at(11_100)), Some(Trial::Straight));
+    assert!(detour.reached(Trial::Straight));
+    assert_eq!(detour.through(), None);
+    assert_eq!(detour.due(at(11_600)), None);
+}
+
+#[test]
+fn a_detour_that_has_become_silent_is_left_for_the_next_front() {
+    let at = Time::from_millis;
+    let mut detour = Detour::default();
+    detour.asked(at(0));
+    assert_eq!(detour.due(at(1_000)), None, "no other front is known");
+    detour.set_peers(vec![front(1), front(2)]);
+    assert_eq!(detour.due(at(1_100)), Some(Trial::Through(front(1))));
+    assert!(detour.reached(Trial::Through(front(1))));
+    detour.asked(at(2_000));
+    assert_eq!(detour.due(at(2_400)), Some(Trial::Through(front(2))));
+    assert_eq!(detour.through(), None);
+    // Fewer fronts are told: the known ones stay until others are.
+    detour.set_peers(Vec::new());
+    assert_eq!(detour.due(at(2_600)), Some(Trial::Through(front(1))));
+}
