--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -19,6 +19,7 @@
     hyper::body::Incoming,
     quay_routes::{Dialect, RoutingTable},
     quay_types::{Time, TurnId},
+    rand::Rng as _,
     std::{
         cell::{Cell, RefCell, RefMut},
         convert::Infallible,
@@ -101,7 +102,6 @@
         control: ControlClient,
         stores: StoreClient,
         chain_cache_bytes: usize,
-        reader: u64,
         link: SocketAddr,
     ) -> Self {
         Self(Rc::new(Shared {
@@ -117,7 +117,7 @@
             starting: Starting::new(clock.now(), STARTING),
             heard: Cell::default(),
             draining: Cell::default(),
-            reader,
+            reader: rand::rng().next_u64(),
             link,
         }))
     }
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -190,7 +190,6 @@
         base.control,
         stores.clone(),
         front.chain_cache_bytes,
-        rand::rng().next_u64(),
         settings.link.listen,
     );
     let callers = TcpListener::bind(front.listen).await;
