Wait for room on a full disk instead of ending the replica

A write that was refused for want of room has written nothing, so nothing is unknown. A failed sync still ends the replica.

Ruled out: taking the write back in the log. A file that refuses a write is at its old length, so there is nothing to take back.

Tests: room that comes after a while, other errors told at once, what the system says of a full disk.

--- a/crates/quay_log/src/folder.rs
+++ b/crates/quay_log/src/folder.rs
@@ -1,9 +1,12 @@
 //! The files under a log, as small traits, so that tests can bring faults about.
 
-use std::{
-    fs::{self, File, OpenOptions},
-    io::{self, Write as _},
-    path::{Path, PathBuf},
+use {
+    crate::with_room,
+    std::{
+        fs::{self, File, OpenOptions},
+        io::{self, Write as _},
+        path::{Path, PathBuf},
+    },
 };
 
 /// A file that is written at its end.
@@ -129,7 +132,7 @@
 
 impl LogFile for DiskFile {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.write(bytes)
+        with_room("write", || self.0.write(bytes))
     }
 
     fn sync(&mut self) -> io::Result<()> {
@@ -158,7 +161,7 @@
 
     fn create(&self, name: &str) -> io::Result<DiskFile> {
         // Appending, so that a cut does not leave a hole.
-        fs::write(self.0.join(name), [])?;
+        with_room("create", || fs::write(self.0.join(name), []))?;
         self.append(name)
     }
 
--- a/crates/quay_log/src/lib.rs
+++ b/crates/quay_log/src/lib.rs
@@ -27,6 +27,7 @@
 mod log;
 mod record;
 mod replay;
+mod room;
 mod segment;
 mod snapshot;
 mod whole;
@@ -38,6 +39,7 @@
     log::{Log, LogSettings, Recovered, TornTail},
     record::{Hard, LogEntry, Record},
     replay::{Replay, ReplayError},
+    room::{with_room, with_room_after},
     snapshot::{Snapshot, read_newest_snapshot, save_snapshot},
     whole::{UNFINISHED, read_whole, save_whole},
 };
--- a/crates/quay_log/tests/files/main.rs
+++ b/crates/quay_log/tests/files/main.rs
@@ -3,3 +3,4 @@
 mod crash;
 mod damage;
 mod memory_folder;
+mod room;
