--- a/crates/quay_policy/src/route/health.rs
+++ b/crates/quay_policy/src/route/health.rs
@@ -1,14 +1,12 @@
 //! How an upstream does against its peers, from what its calls met.
 
 use {
+    super::PER_MILLE,
     crate::RouteSettings,
     quay_types::Time,
     std::{cmp::Ordering, time::Duration},
 };
 
-/// Scale of factors and rates.
-pub(super) const PER_MILLE: u64 = 1_000;
-
 /// Calls from which on a mean says something.
 const LEAST_CALLS: u32 = 4;
 
--- a/crates/quay_policy/src/route/mod.rs
+++ b/crates/quay_policy/src/route/mod.rs
@@ -8,6 +8,9 @@
 mod score;
 mod settings;
 
+/// Scale of weights, factors and rates.
+const PER_MILLE: u64 = 1_000;
+
 pub use {
     cache_book::{CacheBook, FeedState, Slot},
     router::{Choice, RouteRequest, Router},
--- a/crates/quay_policy/src/route/router.rs
+++ b/crates/quay_policy/src/route/router.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        PER_MILLE,
         cache_book::MAX_SLOTS,
         health::{Health, typical},
         lines::{Lines, Run},
@@ -16,9 +17,6 @@
     std::{marker::PhantomData, net::SocketAddr, time::Duration},
 };
 
-/// Scale of weights.
-const PER_MILLE: u64 = 1_000;
-
 /// Tokens in a block of a prompt.
 const BLOCK_TOKENS: u64 = 64;
 
--- a/crates/quay_policy/src/route/score.rs
+++ b/crates/quay_policy/src/route/score.rs
@@ -1,9 +1,6 @@
 //! Ways to rate an upstream for a call.
 
-use {crate::RouteSettings, quay_types::Load};
-
-/// Scale of weights.
-const PER_MILLE: u64 = 1_000;
+use {super::PER_MILLE, crate::RouteSettings, quay_types::Load};
 
 /// What is known of an upstream when a call is to be sent.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
