Rate an upstream by its own part of a stream only

Cause, found by reading: a stream of under four events left its upstream unrated while the turn was made durable; if that took over a second, its silence since the last event counted as a failure of the upstream.

What a stream says of its upstream is decided by a function of its own now, when the upstream has ended its part. Test without a network.

--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -86,6 +86,19 @@
         self.front.upstreams().served(now, self.chosen.id, took);
     }
 
+    /// The upstream did its work, of which too little is known to say how fast.
+    pub fn done(&self) {
+        self.rated.set(true);
+    }
+
+    /// The request was given up: that is the upstream's fault if it was silent.
+    pub fn given_up(&self) {
+        self.rated.set(true);
+        if self.front.now().since(self.heard.get()) >= SILENT {
+            self.failed();
+        }
+    }
+
     /// The upstream lost or spoilt the request.
     pub fn failed(&self) {
         self.rated.set(true);
@@ -97,8 +110,8 @@
 impl<D: Dialect> Drop for Sent<D> {
     fn drop(&mut self) {
         let now = self.front.now();
-        if !self.rated.get() && self.offered && now.since(self.heard.get()) >= SILENT {
-            self.failed();
+        if !self.rated.get() && self.offered {
+            self.given_up();
         }
         self.front.upstreams().ended(now, self.chosen.id);
     }
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -10,5 +10,12 @@
 mod starting;
 mod stream;
 mod upstreams;
+mod verdict;
 
-pub use {chains::Chains, events::EventReader, host::FrontHost, starting::Starting};
+pub use {
+    chains::Chains,
+    events::EventReader,
+    host::FrontHost,
+    starting::Starting,
+    verdict::{StreamEnd, UPSTREAM_BROKE_OFF, Verdict, verdict},
+};
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -1,7 +1,13 @@
 //! Passes a stream of events on as it comes.
 
 use {
-    super::{call::Sent, events::EventReader, host::FrontHost, reservation::Reservation},
+    super::{
+        call::Sent,
+        events::EventReader,
+        host::FrontHost,
+        reservation::Reservation,
+        verdict::{StreamEnd, UPSTREAM_BROKE_OFF, Verdict, verdict},
+    },
     crate::gateway::{
         http_server::{Body, BrokenOff},
         meters::{self, Stage},
@@ -27,10 +33,6 @@
 /// Frames that wait for a caller who reads slowly.
 const WINDOW_FRAMES: usize = 16;
 
-/// Events from which on the time of one says how fast an upstream is: before
-/// the first one the prompt is read, which takes as long as some events.
-const LEAST_EVENTS: u32 = 4;
-
 /// Frames for a caller.
 type Frames = mpsc::Sender<Result<Frame<Bytes>, BrokenOff>>;
 
@@ -87,17 +89,6 @@
     pub first_ms: u128,
 }
 
-/// Why a stream that the upstream did not end whole is cut.
-const UPSTREAM_BROKE_OFF: &str = "upstream_broke_off";
-
-/// How a stream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum End {
-    Whole,
-    CallerGone,
-    Broken(&'static str),
-}
-
 impl<D: Dialect> Passing<D> {
     /// Starts to pass the stream on; the answer's body is filled from now on.
     pub fn start(self, head: &response::Parts, body: Incoming) -> Body {
@@ -115,14 +106,14 @@
         let read_ms = read.as_millis();
         self.rate_upstream(end, &reader);
         let end = match end {
-            End::Whole if reader.mid_event() => End::Broken("upstream_ended_mid_event"),
-            End::Whole => self.keep(reader).await,
+            StreamEnd::Whole if reader.mid_event() => StreamEnd::Broken("upstream_ended_mid_event"),
+            StreamEnd::Whole => self.keep(reader).await,
             end => end,
         };
         match end {
-            End::Whole => self.sent.whole(&headers),
-            End::CallerGone => {}
-            End::Broken(why) => drop(frames.send(Err(BrokenOff(why))).await),
+            StreamEnd::Whole => self.sent.whole(&headers),
+            StreamEnd::CallerGone => {}
+            StreamEnd::Broken(why) => drop(frames.send(Err(BrokenOff(why))).await),
         }
         let kept = self.sent.elapsed().saturating_sub(read);
         let keep_ms = kept.as_millis();
@@ -138,17 +129,16 @@
     }
 
     /// Notes how the upstream did its work.
-    fn rate_upstream(&self, end: End, reader: &EventReader) {
-        let events = u32::try_from(reader.events()).unwrap_or(u32::MAX);
-        match end {
-            End::Whole if !reader.mid_event() => {
-                if events >= LEAST_EVENTS {
-                    self.sent.served(self.sent.elapsed() / events);
-                }
+    fn rate_upstream(&self, end: StreamEnd, reader: &EventReader) {
+        let events = reader.events();
+        match verdict(end, events, reader.mid_event()) {
+            Verdict::Served => {
+                let events = u32::try_from(events).unwrap_or(u32::MAX);
+                self.sent.served(self.sent.elapsed() / events);
             }
-            End::Whole | End::Broken(UPSTREAM_BROKE_OFF) => self.sent.failed(),
-            // The upstream may have been silent: that is noted at the end.
-            End::Broken(_) | End::CallerGone => {}
+            Verdict::Done => self.sent.done(),
+            Verdict::Failed => self.sent.failed(),
+            Verdict::GivenUp => self.sent.given_up(),
         }
     }
 
@@ -158,21 +148,21 @@
         body: &mut Incoming,
         reader: &mut EventReader,
         frames: &Frames,
-    ) -> End {
+    ) -> StreamEnd {
         let left = self.ends.since(self.front.now());
         let ends = sleep(left);
         tokio::pin!(ends);
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
-                () = frames.closed() => return End::CallerGone,
-                () = &mut ends => return End::Broken("time_over"),
+                () = frames.closed() => return StreamEnd::CallerGone,
+                () = &mut ends => return StreamEnd::Broken("time_over"),
             };
             let data = match frame {
-                None => return End::Whole,
+                None => return StreamEnd::Whole,
                 Some(Err(err)) => {
                     log::info!("event=stream_broken id={} cause=\"{err}\"", self.id);
-                    return End::Broken(UPSTREAM_BROKE_OFF);
+                    return StreamEnd::Broken(UPSTREAM_BROKE_OFF);
                 }
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
@@ -189,18 +179,18 @@
             tokio::select! {
                 sent = frames.send(Ok(Frame::data(data))) => {
                     if sent.is_err() {
-                        return End::CallerGone;
+                        return StreamEnd::CallerGone;
                     }
                 }
-                () = &mut ends => return End::Broken("time_over"),
+                () = &mut ends => return StreamEnd::Broken("time_over"),
             }
         }
     }
 
     /// Makes the turn durable before the caller sees its end.
-    async fn keep(&mut self, reader: EventReader) -> End {
+    async fn keep(&mut self, reader: EventReader) -> StreamEnd {
         let Some(keeping) = self.keeping.take() else {
-            return End::Whole;
+            return StreamEnd::Whole;
         };
         let output = reader.into_kept();
         let record = TurnRecord {
@@ -213,7 +203,7 @@
         let left = self.ends.since(self.front.now());
         let writing = self.front.stores().write(Record::Turn(record), left);
         if timeout(left, writing).await != Ok(true) {
-            return End::Broken("turn_not_kept");
+            return StreamEnd::Broken("turn_not_kept");
         }
         let mut whole =
             Vec::with_capacity(keeping.before.len() + keeping.input.len() + output.len());
@@ -221,6 +211,6 @@
         whole.extend_from_slice(&keeping.input);
         whole.extend_from_slice(&output);
         self.front.put_chain(keeping.id, Bytes::from(whole));
-        End::Whole
+        StreamEnd::Whole
     }
 }
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -17,7 +17,7 @@
 
 pub use {
     control::{ControlState, MembersView, next_change},
-    front::{Chains, EventReader, Starting},
+    front::{Chains, EventReader, Starting, StreamEnd, UPSTREAM_BROKE_OFF, Verdict, verdict},
     messages::{ControlCommand, GatewayRequest, StoreOp, StoreReply, StoreRequest, TableText},
     run::run,
     store::{Detour, Trial},
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -22,8 +22,8 @@
 pub use {
     gateway::{
         Chains, ControlCommand, ControlState, Detour, EventReader, GatewayRequest, MembersView,
-        Starting, StoreOp, StoreReply, StoreRequest, TableText, Trial, next_change,
-        run as run_gateway,
+        Starting, StoreOp, StoreReply, StoreRequest, StreamEnd, TableText, Trial,
+        UPSTREAM_BROKE_OFF, Verdict, next_change, run as run_gateway, verdict,
     },
     process::{
         BackupError, ChangeError, Clock, ControlClient, ControlFault, ControlReply, ControlRequest,
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -7,7 +7,7 @@
     quay_types::{Epoch, Incarnation, LogIndex, NodeId, Time, TurnId},
     sapphirequayd::{
         Chains, ControlCommand, ControlState, Detour, EventReader, MembersView, Starting,
-        TableText, Trial, next_change,
+        StreamEnd, TableText, Trial, UPSTREAM_BROKE_OFF, Verdict, next_change, verdict,
     },
 };
 
@@ -52,6 +52,21 @@
     }
 }
 
+#[test]
+fn an_upstream_is_rated_by_its_own_part_of_a_stream_only() {
+    let whole = StreamEnd::Whole;
+    assert_eq!(verdict(whole, 8, false), Verdict::Served);
+    // Too short to say how fast; how long its turn waits for stores is not its
+    // doing.
+    assert_eq!(verdict(whole, 2, false), Verdict::Done);
+    assert_eq!(verdict(whole, 8, true), Verdict::Failed);
+    let broke_off = StreamEnd::Broken(UPSTREAM_BROKE_OFF);
+    assert_eq!(verdict(broke_off, 8, false), Verdict::Failed);
+    for end in [StreamEnd::CallerGone, StreamEnd::Broken("time_over")] {
+        assert_eq!(verdict(end, 8, false), Verdict::GivenUp);
+    }
+}
+
 // ---------------------------------------------------------------------------
 // Conversations
 
