--- a/crates/sapphirequayd/tests/processes.rs
+++ b/crates/sapphirequayd/tests/processes.rs
@@ -180,6 +180,10 @@
     let mut processes = start();
     let caller = processes.begin_call();
     processes.sidecar.terminate();
+    // A call before that is an ordinary one.
+    wait_for("the shutdown begins", || {
+        processes.log("sidecar-1").contains("event=shutdown_began")
+    });
     wait_for("new calls are not run", || {
         let (status, text) = common::post_once(processes.callers, KEY, &completion(true));
         assert!(text.contains(r#""not_run":true"#), "{text}");
