Count an upstream whose load report expired as loaded like its peers

Cause: a front learns an upstream's load from the heads of responses. With 25 fronts and 41 upstreams a front sends less than one turn a second to each, so most reports reach their limit of 1 s. The router then counted only this front's own requests there, mostly none: an upstream of which nothing was heard looked idle and was preferred. A full upstream answers late, so its report expired first, and all fronts sent it more. The class of fault is missing information read as zero.

From second 16 on 100 to 180 turns waited at full upstreams while 59 to 77 slots were free.

The router now assumes that such an upstream has the mean number of calls of the peers whose reports are current, so an unknown upstream is neither preferred nor avoided. Turns spread over the free slots again and the backlog drains.

--- a/crates/quay_policy/src/route/load.rs
+++ b/crates/quay_policy/src/route/load.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Default)]
 pub(super) struct LoadEstimate {
     report: Option<(Time, Load)>,
+    /// Whether `report` counts only this process's own calls.
+    own_only: bool,
     /// Calls sent, with the tokens that each makes the upstream prefill; oldest
     /// first.
     sent: VecDeque<(Time, u64)>,
@@ -30,6 +32,7 @@
             return;
         }
         self.report = Some((at, load));
+        self.own_only = false;
         let known = self.sent.partition_point(|(sent, _)| *sent <= at);
         self.prefill -= self
             .sent
@@ -40,6 +43,23 @@
         self.ended.drain(..known);
     }
 
+    /// Replaces the report by the number of this process's calls in flight.
+    pub(super) fn expire(&mut self, now: Time, in_flight: u32) {
+        let load = Load {
+            running: in_flight,
+            ..Load::default()
+        };
+        self.report(now, load);
+        self.own_only = true;
+    }
+
+    /// Number of calls queued or running according to the upstream's report;
+    /// `None` if only this process's own calls are known.
+    pub(super) fn reported_calls(&self) -> Option<u32> {
+        let load = self.load(true, 0);
+        (self.report.is_some() && !self.own_only).then_some(load.running + load.queued)
+    }
+
     /// Records a call sent at `now`.
     pub(super) fn sent(&mut self, now: Time, prefill: u64) {
         if self.sent.len() == MAX_RECENT {
@@ -65,15 +85,20 @@
 
     /// Returns the reported load, corrected if `correct` is set. Without a
     /// report the load consists only of the calls sent.
-    pub(super) fn load(&self, correct: bool) -> Load {
+    ///
+    /// Where only this process's own calls are known, other processes are
+    /// assumed to raise them to `typical` running calls.
+    pub(super) fn load(&self, correct: bool, typical: u32) -> Load {
         let (_, load) = self.report.unwrap_or_default();
         if !correct {
             return load;
         }
         let sent = u32::try_from(self.sent.len()).unwrap_or(u32::MAX);
         let ended = u32::try_from(self.ended.len()).unwrap_or(u32::MAX);
+        let running = (load.running + sent).saturating_sub(ended);
+        let assumed = if self.own_only { typical } else { 0 };
         Load {
-            running: (load.running + sent).saturating_sub(ended),
+            running: running.max(assumed),
             backlog: load.backlog + self.prefill,
             ..load
         }
--- a/crates/quay_policy/src/route/router.rs
+++ b/crates/quay_policy/src/route/router.rs
@@ -171,6 +171,14 @@
         self.upstreams.insert(id, upstream);
     }
 
+    /// Discards an upstream's load report, after which only the number of this
+    /// entry's own calls in flight there is known.
+    pub fn expire_load(&mut self, now: Time, id: UpstreamId, in_flight: u32) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.load.expire(now, in_flight);
+        }
+    }
+
     /// Removes an upstream.
     pub fn remove(&mut self, id: UpstreamId) {
         if let Some(upstream) = self.upstreams.shift_remove(&id) {
@@ -272,6 +280,7 @@
             eligible.filter(|(upstream, _)| is_eligible(&upstream.announcement, req.target));
         self.eligible.extend(eligible.map(|(_, at)| at));
         let typical = self.typical();
+        let typical_calls = self.typical_calls();
         let previous = self.previous_upstream(req);
         let home = previous.is_none().then(|| self.home(req)).flatten();
         for at in self.eligible.iter().copied() {
@@ -295,7 +304,7 @@
             };
             let held = u64::from(depth).max(trusted) * BLOCK_TOKENS;
             let view = UpstreamView {
-                load: upstream.load.load(self.cfg.correct_load),
+                load: upstream.load.load(self.cfg.correct_load, typical_calls),
                 stale: upstream
                     .load
                     .age(now)
@@ -319,6 +328,15 @@
         typical(&mut self.means)
     }
 
+    /// Mean number of calls at the eligible upstreams whose reports are current.
+    fn typical_calls(&self) -> u32 {
+        let eligible = self.eligible.iter();
+        let upstreams = eligible.filter_map(|at| self.upstreams.get_index(*at));
+        let reported = upstreams.filter_map(|(_, upstream)| upstream.load.reported_calls());
+        let (sum, count) = reported.fold((0, 0), |(sum, count), calls| (sum + calls, count + 1));
+        sum / count.max(1)
+    }
+
     /// Returns the upstream to which this entry sent the latest call of a
     /// conversation, and the number of blocks in that call's prompt.
     fn previous_upstream(&self, req: &RouteRequest<'_>) -> Option<(UpstreamId, usize)> {
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -15,8 +15,8 @@
 /// Time for which an unreachable upstream is not selected.
 const SUSPENSION: Duration = Duration::from_millis(500);
 
-/// Age after which a load report is discarded and only this front's own
-/// requests are counted.
+/// Age after which a load report is discarded and the upstream is assumed to
+/// have as many requests as the others.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
 
 /// Upstream selected for a request.
@@ -52,6 +52,7 @@
 
 impl Upstreams {
     /// Creates an empty set. `data_centre` is the front's own.
+    #[must_use]
     pub fn new(data_centre: &str) -> Self {
         let cfg = RouteSettings {
             // Speeds of the engines in the deployments' tables: 368 tokens are
@@ -137,22 +138,20 @@
         }
     }
 
-    /// Passes an upstream to the router, with its reported load or else the
-    /// number of own requests.
+    /// Passes an upstream to the router, with its reported load if there is one.
     fn update_router(&mut self, now: Time, id: UpstreamId, reported: Option<Load>) {
         let Some(known) = self.known.get_mut(&id) else {
             return;
         };
-        let load = reported.unwrap_or(Load {
-            running: known.in_flight,
-            ..Load::default()
-        });
         known.reported = reported.map(|_| now);
         let announcement = Announcement {
-            load,
+            load: reported.unwrap_or_default(),
             ..known.announcement.clone()
         };
         self.router.apply_announcement(now, &announcement);
+        if reported.is_none() {
+            self.router.expire_load(now, id, known.in_flight);
+        }
     }
 
     /// Applies an upstream's load report: running requests, waiting requests,
@@ -210,6 +209,7 @@
     // Selection
 
     /// Whether any upstream in state `Serving` serves a service.
+    #[must_use]
     pub fn serves(&self, service: &str) -> bool {
         let wanted = ServiceId::of(service);
         self.known.values().any(|known| {
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -18,8 +18,8 @@
 pub use {
     control::{ControlState, MembershipInputs, next_membership_change},
     front::{
-        ConversationCache, EventReader, StartupWait, StreamEnd, UPSTREAM_DISCONNECTED,
-        UpstreamOutcome, upstream_outcome,
+        ConversationCache, EventReader, SelectedUpstream, StartupWait, StreamEnd,
+        UPSTREAM_DISCONNECTED, UpstreamOutcome, Upstreams, upstream_outcome,
     },
     messages::{ControlCommand, GatewayRequest, StoreOp, StoreReply, StoreRequest, TableDocument},
     run::run,
