Limit the concurrent streams of a link connection

Cause: every connection allowed its peer 16,384 concurrent streams, and the QUIC library reserves table entries for all of them when the connection is set up.

Change: the limit is a setting of a link, 56 for hosts of a gateway, whose requests wait within their time-outs beyond it.

--- a/crates/quay_link/src/endpoint.rs
+++ b/crates/quay_link/src/endpoint.rs
@@ -68,7 +68,7 @@
     congestion.initial_window(INITIAL_WINDOW_BYTES);
     transport.congestion_controller_factory(Arc::new(congestion));
     transport.keep_alive_interval(Some(settings.keep_alive));
-    transport.max_concurrent_bidi_streams(VarInt::from_u32(16_384));
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(settings.max_streams));
     transport.max_concurrent_uni_streams(VarInt::from_u32(0));
     Ok(Arc::new(transport))
 }
--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -44,6 +44,10 @@
     /// Time without a received frame after which a stream fails with
     /// [`LinkError::Silent`].
     pub receive_timeout: Duration,
+    /// Maximum number of concurrent streams that a peer may open on a
+    /// connection; further ones wait. Each costs some 50 bytes on every
+    /// connection, whether it is open or not.
+    pub max_streams: u32,
 }
 
 impl LinkSettings {
@@ -57,6 +61,7 @@
             idle_timeout: Duration::from_secs(3),
             keep_alive: Duration::from_secs(1),
             receive_timeout: Duration::from_secs(5),
+            max_streams: 1_024,
         }
     }
 }
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -46,6 +46,10 @@
 /// Interval between keep-alive packets on an idle link.
 const LINK_KEEP_ALIVE: Duration = Duration::from_millis(500);
 
+/// Maximum number of concurrent requests of one host to another; further ones
+/// wait within their time-outs.
+const LINK_MAX_STREAMS: u32 = 56;
+
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -129,6 +133,7 @@
         listen: Some(settings.link.listen),
         idle_timeout: LINK_IDLE_TIMEOUT,
         keep_alive: LINK_KEEP_ALIVE,
+        max_streams: LINK_MAX_STREAMS,
         ..LinkSettings::new(identity)
     };
     let links = Links::start_on_runtime(link_settings, move |incoming| {
