Send nothing more to an upstream that says it is leaving

Cause: a front learned only from the control group that an upstream leaves. Cut off from it, the front went on sending, by the directory it had.

Selection, which conversations, retries and the fallback to suspended upstreams all go through, leaves marked upstreams out; if a service has no other, its calls are refused at once. The header is passed on unchanged.

A gateway test checks the header and the refusals over real sockets.

--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -1,11 +1,13 @@
-//! Protection against overload and faults: retry budgets, account quotas, and
-//! quarantine of requests that crash upstreams.
+//! Protection against overload and faults: retry budgets, account quotas,
+//! quarantine of requests that crash upstreams, and upstreams that leave.
 
+mod leaving;
 mod quota;
 mod retry;
 mod suspects;
 
 pub use {
+    leaving::LeavingUpstreams,
     quota::{QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings},
     retry::{RetryBudgets, RetrySettings},
     suspects::{Clearance, SuspectCommand, SuspectRegistry, SuspectReply, SuspectSettings},
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -31,8 +31,9 @@
         NewProgramGate, NewProgramSettings, Observation, Ticket, TicketId, Verdict,
     },
     guard::{
-        Clearance, QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings, RetryBudgets,
-        RetrySettings, SuspectCommand, SuspectRegistry, SuspectReply, SuspectSettings,
+        Clearance, LeavingUpstreams, QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings,
+        RetryBudgets, RetrySettings, SuspectCommand, SuspectRegistry, SuspectReply,
+        SuspectSettings,
     },
     placement::{Move, Placement, PlacementSettings, PlacementView},
     policy::{Policy, PolicySettings},
--- a/crates/quay_routes/src/head.rs
+++ b/crates/quay_routes/src/head.rs
@@ -84,6 +84,8 @@
     pub sealed: bool,
     /// Requests running at the upstream, requests queued there, and its slots.
     pub load: Option<(u32, u32, u32)>,
+    /// Whether the upstream says that it is leaving.
+    pub leaving: bool,
     /// Whether the body has a content encoding that was not requested.
     pub encoded: bool,
 }
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -611,6 +611,10 @@
             in_flight.record_failure();
         }
         if self.route.repeat.is_stream() && head.status == StatusCode::OK && !not_run {
+        // An upstream that was not meant is another one than the selected one.
+        if answer.leaving && answer.execution != Execution::Misdirected {
+            self.front.upstreams().record_leaving(&in_flight.upstream);
+        }
             return AttemptResult::Stream(Box::new(in_flight), Box::new(head), incoming);
         }
         let body = timeout(limit, Limited::new(incoming, MAX_RESPONSE_BYTES).collect()).await;
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -3,11 +3,14 @@
 use {
     indexmap::IndexMap,
     quay_members::{ChangesRequest, DirectoryView},
-    quay_policy::{ExpectedTime, NewProgram, NewProgramGate, RouteRequest, RouteSettings, Router},
+    quay_policy::{
+        ExpectedTime, LeavingUpstreams, NewProgram, NewProgramGate, RouteRequest, RouteSettings,
+        Router,
+    },
     quay_routes::{CallHead, block_hashes, branch_ids, token_count},
     quay_types::{
-        Announcement, CallTarget, DirectoryEntry, Load, ProgramId, ServiceId, Time, Tokens,
-        UpstreamId, UpstreamKind, UpstreamState,
+        Announcement, CallTarget, DirectoryEntry, Incarnation, Load, ProgramId, ServiceId, Time,
+        Tokens, UpstreamId, UpstreamKind, UpstreamState,
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -26,6 +29,8 @@
     pub id: UpstreamId,
     /// Name from its announcement.
     pub name: Box<str>,
+    /// Incarnation from its announcement.
+    pub incarnation: Incarnation,
     /// Address of the upstream.
     pub addr: SocketAddr,
 }
@@ -48,6 +53,7 @@
     router: Router<ExpectedTime>,
     view: DirectoryView,
     known: IndexMap<UpstreamId, Known>,
+    leaving: LeavingUpstreams,
     /// Services whose calls have waited for upstreams.
     gates: IndexMap<ServiceId, NewProgramGate>,
 }
@@ -77,6 +83,7 @@
             router: Router::new(cfg, data_centre),
             view: DirectoryView::default(),
             known: IndexMap::new(),
+            leaving: LeavingUpstreams::default(),
             gates: IndexMap::new(),
         }
     }
@@ -208,6 +215,18 @@
         }
     }
 
+    /// Records that an upstream said in a response that it is leaving. It is not
+    /// selected again in this incarnation.
+    pub fn record_leaving(&mut self, upstream: &SelectedUpstream) {
+        if self.leaving.record(upstream.id, upstream.incarnation) {
+            log::info!(
+                "event=upstream_leaving upstream={} run={}",
+                upstream.name,
+                upstream.incarnation
+            );
+        }
+    }
+
     // -----------------------------------------------------------------------
     // Admission
 
@@ -236,9 +255,15 @@
     #[must_use]
     pub fn serves(&self, service: &str) -> bool {
         let wanted = ServiceId::of(service);
-        self.known.values().any(|known| {
-            let kind = &known.announcement.kind;
-            known.announcement.state == UpstreamState::Serving
+        self.known.iter().any(|(id, known)| {
+            let Announcement {
+                incarnation,
+                kind,
+                state,
+                ..
+            } = &known.announcement;
+            *state == UpstreamState::Serving
+                && !self.leaving.contains(*id, *incarnation)
                 && matches!(kind, UpstreamKind::Service { service } if *service == wanted)
         })
     }
@@ -246,7 +271,7 @@
     /// Selects an upstream of a service and counts the request as in flight
     /// there.
     ///
-    /// Upstreams in `tried` are excluded. `draw` spreads requests over equally
+    /// Upstreams in `tried` and leaving ones are excluded. `draw` spreads requests over equally
     /// good upstreams.
     pub fn select(
         &mut self,
@@ -256,9 +281,15 @@
         tried: &[UpstreamId],
         draw: u64,
     ) -> Option<SelectedUpstream> {
+        let leaving = self
+            .known
+            .iter()
+            .filter(|(id, it)| self.leaving.contains(**id, it.announcement.incarnation));
+        let mut never: Vec<UpstreamId> = leaving.map(|(id, _)| *id).collect();
+        never.extend_from_slice(tried);
         let suspended = self.known.iter().filter(|(_, it)| it.suspended_until > now);
         let mut excluded: Vec<UpstreamId> = suspended.map(|(id, _)| *id).collect();
-        excluded.extend_from_slice(tried);
+        excluded.extend_from_slice(&never);
         let blocks = block_hashes(&head.prompt);
         let program = head.program.as_deref().unwrap_or(&head.id);
         let branches = branch_ids(&head.prompt);
@@ -274,7 +305,7 @@
         };
         let choice = self.router.pick(now, &req, draw).or_else(|| {
             // Suspended upstreams are used if there is no other.
-            req.tried = tried;
+            req.tried = &never;
             self.router.pick(now, &req, draw)
         })?;
         let known = self.known.get_mut(&choice.upstream)?;
@@ -282,6 +313,7 @@
         Some(SelectedUpstream {
             id: choice.upstream,
             name: known.announcement.name.clone(),
+            incarnation: known.announcement.incarnation,
             addr: choice.addr,
         })
     }
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -252,6 +252,8 @@
 }
 
 /// Stub upstream: streams two events for a chat request, or sends a short plain
+    /// Answers completely and says that it is leaving.
+    Leaving,
 /// response.
 #[derive(Clone)]
 pub struct StubUpstream {
@@ -301,6 +303,10 @@
         if behaviour == Behaviour::Overloaded {
             let text = format!(
                 "HTTP/1.1 503 Full\r\nx-sapphirequay-not-executed: 1\r\n{common}content-length: 0\r\n\r\n"
+        let common = match behaviour {
+            Behaviour::Leaving => format!("{common}server-leaving: 1\r\n"),
+            _ => common,
+        };
             );
             return stream.write_all(text.as_bytes()).ok();
         }
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -276,6 +276,31 @@
     let unknown = send(front, &call("gone", "r1"), "").expect("answer");
     assert_eq!(unknown.status, 404);
     let large = send(front, &call("read", "r2"), &"x".repeat(100_001)).expect("answer");
+#[test]
+fn an_upstream_that_says_it_is_leaving_gets_no_further_calls() {
+    let (gateway, llm, app) = start_gateway();
+    let front = gateway.fronts[0];
+    run_turn(&gateway, front, &llm, ("warm", "", 1_000, "w"));
+    llm.set_behaviour(Behaviour::Leaving);
+    app.set_behaviour(Behaviour::Leaving);
+    let (_, got) = run_turn(&gateway, front, &llm, ("last", "", 1_000, "x"));
+    assert_eq!(got.status, 200, "{got:?}");
+    assert!(got.head.contains("server-leaving: 1"), "{got:?}");
+    let got = send(front, &call("order", "o1"), "o1").expect("answer");
+    assert_eq!(got.status, 200, "{got:?}");
+    assert!(got.head.contains("server-leaving: 1"), "{got:?}");
+    // Both services have no other upstream, so calls are refused at once.
+    let (ran, orders) = (llm.requests_run().len(), app.requests_run().len());
+    let got = send(front, &turn("late", "", 1_000), "y").expect("answer");
+    assert_eq!(got.status, 503, "{got:?}");
+    let got = send(front, &call("read", "r1"), "r1").expect("answer");
+    assert_eq!(got.status, 503, "{got:?}");
+    assert_eq!(
+        (llm.requests_run().len(), app.requests_run().len()),
+        (ran, orders)
+    );
+}
+
     assert_eq!(large.status, 413);
     let without_id = "POST /read/1 HTTP/1.1\nHost: a.example";
     assert_eq!(send(front, without_id, "").expect("answer").status, 400);
--- /dev/null
+++ b/crates/sapphirequayd/tests/leaving_upstreams.rs
@@ -0,0 +1,149 @@
+//! Upstreams that say in their responses that they are leaving, at a front that
+//! hears nothing from the control group.
+
+use {
+    quay_members::{Changes, Directory, MembersSettings},
+    quay_routes::{CallHead, PromptPart, TurnHead},
+    quay_types::{
+        Announcement, Incarnation, Load, ServiceId, Time, UpstreamId, UpstreamKind, UpstreamState,
+    },
+    sapphirequayd::{SelectedUpstream, Upstreams},
+};
+
+const SERVICE: &str = "llm";
+/// Time of the response that says so, and one far beyond any drain time.
+const SAID: Time = Time::from_millis(1_000);
+const LATER: Time = Time::from_millis(60_000);
+
+fn announcement(name: &str, incarnation: u64) -> Announcement {
+    Announcement {
+        name: name.into(),
+        incarnation: Incarnation(incarnation),
+        sequence: 1,
+        addr: ([127, 0, 0, 1], 1).into(),
+        data_centre: "a".into(),
+        kind: UpstreamKind::Service {
+            service: ServiceId::of(SERVICE),
+        },
+        state: UpstreamState::Serving,
+        load: Load::default(),
+    }
+}
+
+/// Directory changes that list exactly `upstreams`.
+fn directory(upstreams: &[Announcement], reader: &mut Upstreams, run: u64) -> Changes {
+    let mut directory = Directory::new(Time::ZERO, run, MembersSettings::default());
+    for upstream in upstreams {
+        directory.announce(Time::ZERO, upstream.clone());
+    }
+    directory.changes(Time::ZERO, &reader.next_request(1))
+}
+
+/// A turn of a conversation.
+fn turn(conversation: u64) -> CallHead {
+    CallHead {
+        id: format!("call-{conversation}").into(),
+        program: Some(format!("program-{conversation}").into()),
+        turn: Some(TurnHead {
+            prior: Some("prior".into()),
+            ..TurnHead::default()
+        }),
+        prompt: vec![PromptPart {
+            id: conversation,
+            tokens: 12_800,
+        }],
+        ..CallHead::default()
+    }
+}
+
+/// Sends a turn of each of many conversations, one after the other. Returns the
+/// upstreams that got one.
+fn select(front: &mut Upstreams, now: Time, tried: &[UpstreamId]) -> Vec<SelectedUpstream> {
+    let mut chosen: Vec<SelectedUpstream> = Vec::new();
+    for conversation in 0..100 {
+        let head = turn(conversation);
+        if let Some(upstream) = front.select(now, SERVICE, &head, tried, conversation) {
+            front.record_end(now, upstream.id);
+            if !chosen.contains(&upstream) {
+                chosen.push(upstream);
+            }
+        }
+    }
+    chosen
+}
+
+fn ids(chosen: &[SelectedUpstream]) -> Vec<UpstreamId> {
+    chosen.iter().map(|it| it.id).collect()
+}
+
+/// A front with two upstreams that both run conversations, of which one has said
+/// that it is leaving. Returns the front, that upstream and the other one.
+fn front_before_a_leaving_upstream() -> (Upstreams, SelectedUpstream, UpstreamId) {
+    let mut front = Upstreams::new("a");
+    let both = [announcement("one", 1), announcement("two", 1)];
+    let changes = directory(&both, &mut front, 1);
+    front.apply_changes(Time::ZERO, changes);
+    let chosen = select(&mut front, SAID, &[]);
+    let [leaving, other] = &*chosen else {
+        panic!("{chosen:?}");
+    };
+    front.record_leaving(leaving);
+    (front, leaving.clone(), other.id)
+}
+
+#[test]
+fn the_next_turns_of_all_conversations_go_elsewhere() {
+    let (mut front, _, other) = front_before_a_leaving_upstream();
+    assert_eq!(ids(&select(&mut front, LATER, &[])), [other]);
+}
+
+#[test]
+fn a_retry_is_refused_rather_than_sent_to_a_leaving_upstream() {
+    let (mut front, _, other) = front_before_a_leaving_upstream();
+    assert_eq!(select(&mut front, LATER, &[other]), []);
+}
+
+#[test]
+fn a_suspended_upstream_is_preferred_to_a_leaving_one() {
+    let (mut front, leaving, other) = front_before_a_leaving_upstream();
+    front.suspend(LATER, other);
+    assert_eq!(ids(&select(&mut front, LATER, &[])), [other]);
+    front.suspend(LATER, leaving.id);
+    assert_eq!(ids(&select(&mut front, LATER, &[])), [other]);
+}
+
+#[test]
+fn a_service_of_which_every_upstream_leaves_is_not_served() {
+    let (mut front, _, other) = front_before_a_leaving_upstream();
+    let rest = select(&mut front, LATER, &[]);
+    assert_eq!(ids(&rest), [other]);
+    assert!(front.serves(SERVICE));
+    front.record_leaving(&rest[0]);
+    assert!(!front.serves(SERVICE));
+    assert_eq!(select(&mut front, LATER, &[]), []);
+}
+
+#[test]
+fn a_late_announcement_does_not_bring_a_leaving_upstream_back() {
+    let (mut front, leaving, _) = front_before_a_leaving_upstream();
+    let changes = directory(&[], &mut front, 2);
+    front.apply_changes(LATER, changes);
+    let changes = directory(&[announcement(&leaving.name, 1)], &mut front, 3);
+    front.apply_changes(LATER, changes);
+    assert_eq!(select(&mut front, LATER, &[]), []);
+}
+
+#[test]
+fn an_upstream_that_has_started_again_is_used() {
+    let (mut front, leaving, _) = front_before_a_leaving_upstream();
+    let changes = directory(&[announcement(&leaving.name, 2)], &mut front, 2);
+    front.apply_changes(LATER, changes);
+    let chosen = select(&mut front, LATER, &[]);
+    assert_eq!(
+        (chosen[0].id, chosen[0].incarnation),
+        (leaving.id, Incarnation(2))
+    );
+    // A response of the earlier incarnation that arrives now changes nothing.
+    front.record_leaving(&leaving);
+    assert_eq!(select(&mut front, LATER, &[]), chosen);
+}
