--- a/crates/quay_turns/src/lib.rs
+++ b/crates/quay_turns/src/lib.rs
@@ -1,5 +1,5 @@
-//! Replicated storage of turns and token budgets on a small set of store hosts,
-//! using quorums without a leader.
+//! Replicated storage of turns and token budgets on store hosts, using quorums
+//! without a leader. Programs are spread over groups of store hosts.
 //!
 //! The crate does no I/O and reads no clock: it takes the replies of stores and
 //! the current time, and returns decisions. Sending, syncing and copying are
@@ -15,7 +15,7 @@
 //!     whole: true,
 //!     ..StoreMember::default()
 //! };
-//! let view = StoreView { epoch: 1, members: vec![member(1), member(2), member(3)], ..StoreView::default() };
+//! let view = StoreView { epoch: 1, members: vec![member(1), member(2), member(3)] };
 //! let mut tally = WriteTally::new(&view);
 //! tally.synced(1);
 //! assert_eq!(tally.verdict(), WriteVerdict::Pending);
@@ -26,14 +26,18 @@
 mod charge;
 mod membership;
 mod store_index;
+mod store_indexes;
+mod store_map;
 mod tally;
 mod turn;
 mod view;
 
 pub use {
     charge::{Charge, ChargeSet, ChargeStatus},
-    membership::{MembershipPlanner, MembershipSettings, StoreAnnouncement, StoreChange},
+    membership::{MembershipPlanner, MembershipSettings},
     store_index::{RecordLocation, StaleView, StoreIndex, StoreIndexSettings, TurnChain},
+    store_indexes::StoreIndexes,
+    store_map::{StoreAnnouncement, StoreChange, StoreMap},
     tally::{ChargeTally, ChargeVerdict, LookupTally, LookupVerdict, WriteTally, WriteVerdict},
     turn::{Record, TurnRecord},
     view::{CopySource, StoreMember, StoreView},
--- a/crates/quay_turns/src/membership.rs
+++ b/crates/quay_turns/src/membership.rs
@@ -1,163 +1,22 @@
-//! Forming the set of store hosts and replacing its members.
+//! Plans the membership of the groups of store hosts.
 
 use {
-    crate::{CopySource, StoreMember, StoreView},
+    crate::{StoreAnnouncement, StoreChange, StoreMap, StoreMember, StoreView},
     indexmap::IndexMap,
     quay_types::Time,
-    serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, time::Duration},
+    std::{cmp::Reverse, time::Duration},
 };
 
-/// Announcement that a store host sends to the control leader periodically.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoreAnnouncement {
-    /// Name of the host.
-    pub host: Box<str>,
-    /// Random identity, generated when the host's data directory was created.
-    pub identity: u64,
-    /// Address that the store host listens on.
-    pub addr: SocketAddr,
-    /// Data centre of the host.
-    pub data_centre: Box<str>,
-    /// Whether the cluster is being bootstrapped.
-    pub bootstrap: bool,
-    /// Epoch of the join for which the store has finished copying; 0 if none. A
-    /// store is whole once it holds every write acknowledged before it joined.
-    pub whole: u64,
-}
-
-/// Change of the store view, as replicated in the control group's log.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum StoreChange {
-    /// Sets the first members. They are whole, since no data was stored before.
-    Form(Vec<StoreAnnouncement>),
-    /// Replaces one member by another host.
-    Swap {
-        /// Identity of the member that leaves.
-        out: u64,
-        /// Announcement of the host that joins.
-        new: Box<StoreAnnouncement>,
-    },
-    /// Marks a member as whole: it holds every write that its predecessor
-    /// acknowledged.
-    Whole {
-        /// Identity of the member.
-        identity: u64,
-        /// Epoch in which the member joined.
-        joined: u64,
-    },
-    /// Marks a host for removal; its data moves to another host.
-    Retire(Box<str>),
-    /// Records a new address of a member whose data is intact.
-    Moved {
-        /// Identity of the member.
-        identity: u64,
-        /// Address that the store host listens on.
-        addr: SocketAddr,
-    },
-}
-
-impl StoreView {
-    /// Applies a change. Returns `false` if the change does not apply to this
-    /// view.
-    pub fn apply(&mut self, change: &StoreChange) -> bool {
-        let applied = match change {
-            StoreChange::Form(announcements) => self.form(announcements),
-            StoreChange::Swap { out, new } => self.swap(*out, new),
-            StoreChange::Whole { identity, joined } => self.mark_whole(*identity, *joined),
-            StoreChange::Retire(host) => self.retire(host),
-            StoreChange::Moved { identity, addr } => self.update_address(*identity, *addr),
-        };
-        self.version += u64::from(applied);
-        applied
-    }
-
-    fn form(&mut self, announcements: &[StoreAnnouncement]) -> bool {
-        if self.epoch > 0 || announcements.is_empty() {
-            return false;
-        }
-        self.epoch = 1;
-        self.members = announcements
-            .iter()
-            .map(|announcement| member(announcement, 1))
-            .collect();
-        for member in &mut self.members {
-            member.whole = true;
-        }
-        true
-    }
-
-    fn swap(&mut self, out: u64, new: &StoreAnnouncement) -> bool {
-        let known = self.member(new.identity).is_some();
-        let place = self.members.iter().position(|it| it.identity == out);
-        let (Some(place), false) = (place, known) else {
-            return false;
-        };
-        self.epoch += 1;
-        let mut joining = member(new, self.epoch);
-        let sources = self.members.iter().map(|it| CopySource {
-            identity: it.identity,
-            addr: it.addr,
-            whole: it.whole,
-        });
-        joining.sources = sources.collect();
-        joining.needed = self.read_quorum();
-        self.members[place] = joining;
-        true
-    }
-
-    fn mark_whole(&mut self, identity: u64, joined: u64) -> bool {
-        let member = self.members.iter_mut().find(|it| it.identity == identity);
-        match member {
-            Some(member) if !member.whole && member.joined == joined => {
-                member.whole = true;
-                member.sources = Vec::new();
-                true
-            }
-            _ => false,
-        }
-    }
-
-    fn update_address(&mut self, identity: u64, addr: SocketAddr) -> bool {
-        let sources = self.members.iter_mut().flat_map(|it| &mut it.sources);
-        for source in sources.filter(|source| source.identity == identity) {
-            source.addr = addr;
-        }
-        let member = self.members.iter_mut().find(|it| it.identity == identity);
-        member.is_some_and(|member| std::mem::replace(&mut member.addr, addr) != addr)
-    }
-
-    fn retire(&mut self, host: &str) -> bool {
-        if self.retiring.iter().any(|it| &**it == host) {
-            return false;
-        }
-        self.retiring.push(host.into());
-        true
-    }
-}
-
-/// Creates a member from a host's announcement.
-fn member(announcement: &StoreAnnouncement, joined: u64) -> StoreMember {
-    StoreMember {
-        host: announcement.host.clone(),
-        identity: announcement.identity,
-        addr: announcement.addr,
-        data_centre: announcement.data_centre.clone(),
-        joined,
-        ..StoreMember::default()
-    }
-}
-
 /// Times that control when members are added and replaced.
 #[derive(Debug, Clone, Copy)]
 pub struct MembershipSettings {
-    /// Members that a view should have: `2 f + 1` to tolerate `f` failures.
+    /// Members that a group should have: `2 f + 1` to tolerate `f` failures.
     pub members: usize,
-    /// Time to wait for more hosts, from the first announcement, before a view
-    /// with `members` hosts is formed.
+    /// Time to wait for more hosts, from the first announcement, before groups
+    /// of `members` hosts are formed.
     pub form_after: Duration,
-    /// Time from the first announcement after which a view is formed with fewer
-    /// than `members` hosts.
+    /// Time from the first announcement after which a group is formed with
+    /// fewer than `members` hosts.
     pub form_partial_after: Duration,
     /// Time without an announcement after which a member is replaced by a host
     /// that first announced itself after the member's last announcement.
@@ -165,6 +24,9 @@
     /// Time without an announcement after which a member is replaced by any
     /// spare host.
     pub replace_with_spare_after: Duration,
+    /// Maximum number of members that join at the same time because another
+    /// one is silent or retires; bounds what is copied at a time.
+    pub concurrent_joins: usize,
 }
 
 impl Default for MembershipSettings {
@@ -181,6 +43,7 @@
             // Longer than an ordinary pause of a process, since a replacement
             // copies all data.
             replace_with_spare_after: Duration::from_secs(8),
+            concurrent_joins: 8,
         }
     }
 }
@@ -238,23 +101,45 @@
         self.known.contains_key(host)
     }
 
-    /// Whether `host` can be retired: it is no member, or a live spare host can
-    /// replace it.
+    /// Whether `host` can be retired: a live host can take its place in each of
+    /// its groups.
     #[must_use]
-    pub fn can_retire(&self, now: Time, view: &StoreView, host: &str) -> bool {
-        view.member_on_host(host).is_none() || self.find_spare(now, view, Some(host)).is_some()
+    pub fn can_retire(&self, now: Time, map: &StoreMap, host: &str) -> bool {
+        let mut views = map.groups.iter();
+        views.all(|view| {
+            let member = view.member_on_host(host);
+            member.is_none_or(|out| {
+                let mut spares = self.spares(now, map, view, out.identity);
+                spares.any(|spare| &*spare.announcement.host != host)
+            })
+        })
+    }
+
+    /// Returns the changes of the map that are due, in order.
+    #[must_use]
+    pub fn due_changes(&self, now: Time, map: &StoreMap) -> Vec<StoreChange> {
+        let mut map = map.clone();
+        let mut changes = Vec::new();
+        while let Some(change) = self.next_change(now, &map) {
+            if !map.apply(&change) {
+                break;
+            }
+            changes.push(change);
+        }
+        changes
     }
 
-    /// Returns the next change of the view, if one is due.
+    /// Returns the next change of the map, if one is due.
     #[must_use]
-    pub fn next_change(&self, now: Time, view: &StoreView) -> Option<StoreChange> {
-        if view.epoch == 0 {
+    pub fn next_change(&self, now: Time, map: &StoreMap) -> Option<StoreChange> {
+        if map.groups.is_empty() {
             return self.form(now);
         }
-        self.find_address_change(view)
-            .or_else(|| self.find_completed_member(view))
-            .or_else(|| self.find_data_loss(view))
-            .or_else(|| self.find_replacement(now, view))
+        self.find_address_change(map)
+            .or_else(|| self.find_completed_member(map))
+            .or_else(|| self.find_data_loss(map))
+            .or_else(|| self.find_replacement(now, map))
+            .or_else(|| self.find_balancing_move(now, map))
     }
 
     fn form(&self, now: Time) -> Option<StoreChange> {
@@ -272,13 +157,16 @@
             return None;
         }
         announcements.sort_by(|a, b| a.host.cmp(&b.host));
-        let members = select_across_data_centres(&announcements, self.cfg.members);
-        Some(StoreChange::Form(members))
+        Some(StoreChange::Form {
+            hosts: alternate_data_centres(&announcements),
+            members: self.cfg.members,
+        })
     }
 
     /// Finds a member that announces its known identity from a new address.
-    fn find_address_change(&self, view: &StoreView) -> Option<StoreChange> {
-        view.members.iter().find_map(|member| {
+    fn find_address_change(&self, map: &StoreMap) -> Option<StoreChange> {
+        let mut members = map.groups.iter().flat_map(|view| &view.members);
+        members.find_map(|member| {
             let announcement = &self.known.get(&member.host)?.announcement;
             let same = announcement.identity == member.identity;
             (same && announcement.addr != member.addr).then_some(StoreChange::Moved {
@@ -289,80 +177,157 @@
     }
 
     /// Finds a joining member that has finished copying.
-    fn find_completed_member(&self, view: &StoreView) -> Option<StoreChange> {
-        let mut joining = view.members.iter().filter(|it| !it.whole);
-        let done = joining.find(|it| {
-            let known = self.known.get(&it.host);
-            known.is_some_and(|known| {
-                known.announcement.identity == it.identity && known.announcement.whole == it.joined
+    fn find_completed_member(&self, map: &StoreMap) -> Option<StoreChange> {
+        map.iter().find_map(|(group, view)| {
+            let mut joining = view.members.iter().filter(|it| !it.whole);
+            let done = joining.find(|it| {
+                let known = self.known.get(&it.host).map(|known| &known.announcement);
+                known.is_some_and(|known| {
+                    known.identity == it.identity && known.whole_epoch(group) == it.joined
+                })
+            })?;
+            Some(StoreChange::Whole {
+                group,
+                identity: done.identity,
+                joined: done.joined,
             })
-        })?;
-        Some(StoreChange::Whole {
-            identity: done.identity,
-            joined: done.joined,
         })
     }
 
     /// Finds a member whose host announces a new identity, since its data was
     /// lost.
-    fn find_data_loss(&self, view: &StoreView) -> Option<StoreChange> {
-        view.members.iter().find_map(|member| {
-            let known = self.known.get(&member.host)?;
-            let new = known.announcement.identity != member.identity;
-            new.then(|| StoreChange::Swap {
-                out: member.identity,
-                new: Box::new(known.announcement.clone()),
+    fn find_data_loss(&self, map: &StoreMap) -> Option<StoreChange> {
+        map.iter().find_map(|(group, view)| {
+            view.members.iter().find_map(|member| {
+                let known = self.known.get(&member.host)?;
+                let new = known.announcement.identity != member.identity;
+                new.then(|| StoreChange::Swap {
+                    group,
+                    out: member.identity,
+                    new: Box::new(known.announcement.clone()),
+                })
             })
         })
     }
 
     /// Finds a member that is silent or retiring, and a spare host to replace
     /// it.
-    fn find_replacement(&self, now: Time, view: &StoreView) -> Option<StoreChange> {
-        // Members are replaced one at a time, since a joining member copies
-        // from the other members.
-        if !view.all_whole() {
+    fn find_replacement(&self, now: Time, map: &StoreMap) -> Option<StoreChange> {
+        if map.joining() >= self.cfg.concurrent_joins {
+            return None;
+        }
+        // Members of one group are replaced one at a time, since a joining
+        // member copies from the other members.
+        let mut stable = map.iter().filter(|(_, view)| view.all_whole());
+        stable.find_map(|(group, view)| {
+            view.members.iter().find_map(|member| {
+                let spare = self.replacement(now, map, view, member)?;
+                Some(StoreChange::Swap {
+                    group,
+                    out: member.identity,
+                    new: Box::new(spare.announcement.clone()),
+                })
+            })
+        })
+    }
+
+    /// Host that should replace a member now, if the member is due to be
+    /// replaced.
+    fn replacement<'a>(
+        &'a self,
+        now: Time,
+        map: &'a StoreMap,
+        view: &'a StoreView,
+        member: &StoreMember,
+    ) -> Option<&'a KnownHost> {
+        let retiring = map.retiring.contains(&member.host);
+        let known = self.known.get(&member.host);
+        let last = known.map_or(self.listening_since, |it| it.last_announced);
+        let silence = now.since(last);
+        let spares = || self.spares(now, map, view, member.identity);
+        if retiring || silence >= self.cfg.replace_with_spare_after {
+            return spares().max_by_key(|it| Self::suitability(map, view, member, it));
+        }
+        // A host that appeared while the member was silent was added for it.
+        let newer = spares().filter(|it| it.first_announced > last);
+        let newest = newer.max_by_key(|it| it.first_announced)?;
+        (silence >= self.cfg.replace_after).then_some(newest)
+    }
+
+    /// Finds a member on a host with at least two groups more than some other
+    /// live host, which takes its place. Done while no other member joins, so
+    /// that hosts fill gradually.
+    fn find_balancing_move(&self, now: Time, map: &StoreMap) -> Option<StoreChange> {
+        if !map.all_whole() {
+            return None;
+        }
+        let live = self.known.values().filter(|it| self.is_live(now, map, it));
+        let mut load: Vec<(usize, &KnownHost)> = live
+            .map(|it| (map.groups_on(&it.announcement.host), it))
+            .collect();
+        load.sort_by_key(|(groups, _)| *groups);
+        let (least, taker) = load.first()?;
+        let (most, giver) = load.last()?;
+        if *most < least + 2 {
             return None;
         }
-        let out = view.members.iter().find_map(|member| {
-            let retiring = view.retiring.contains(&member.host);
-            let known = self.known.get(&member.host);
-            let last = known.map_or(self.listening_since, |it| it.last_announced);
-            let silence = now.since(last);
-            let spare = self.find_spare(now, view, None)?;
-            let replaced_by_newer_host =
-                spare.first_announced > last && silence >= self.cfg.replace_after;
-            let due =
-                retiring || replaced_by_newer_host || silence >= self.cfg.replace_with_spare_after;
-            due.then_some((member.identity, spare))
+        let moves = map.iter().filter_map(|(group, view)| {
+            let out = view.member_on_host(&giver.announcement.host)?;
+            let mut spares = self.spares(now, map, view, out.identity);
+            let taker = spares.find(|it| it.announcement.host == taker.announcement.host)?;
+            Some((group, view, out, taker))
         });
-        let (out, spare) = out?;
+        let (group, _, out, taker) =
+            moves.max_by_key(|(_, view, out, taker)| Self::suitability(map, view, out, taker))?;
         Some(StoreChange::Swap {
-            out,
-            new: Box::new(spare.announcement.clone()),
+            group,
+            out: out.identity,
+            new: Box::new(taker.announcement.clone()),
         })
     }
 
-    /// Returns the live spare host that announced itself most recently for the
-    /// first time, other than `without`.
-    fn find_spare(&self, now: Time, view: &StoreView, without: Option<&str>) -> Option<&KnownHost> {
-        let spares = self.known.values().filter(|it| {
-            let host = &*it.announcement.host;
-            view.member_on_host(host).is_none()
-                && view.member(it.announcement.identity).is_none()
-                && !view.retiring.iter().any(|retiring| &**retiring == host)
-                && Some(host) != without
-                && now.since(it.last_announced) < self.cfg.replace_after
-        });
-        spares.max_by_key(|it| it.first_announced)
+    /// Whether a host announces itself and is not being retired.
+    fn is_live(&self, now: Time, map: &StoreMap, host: &KnownHost) -> bool {
+        !map.retiring.contains(&host.announcement.host)
+            && now.since(host.last_announced) < self.cfg.replace_after
+    }
+
+    /// Live hosts that could replace the member `out` of a group.
+    fn spares<'a>(
+        &'a self,
+        now: Time,
+        map: &'a StoreMap,
+        view: &'a StoreView,
+        out: u64,
+    ) -> impl Iterator<Item = &'a KnownHost> {
+        self.known.values().filter(move |it| {
+            let announcement = &it.announcement;
+            view.member_on_host(&announcement.host).is_none()
+                && view.member(announcement.identity).is_none()
+                && announcement.identity != out
+                && self.is_live(now, map, it)
+        })
+    }
+
+    /// How suitable a host is to replace the member `out` of a group: the more
+    /// the greater. A data centre without another member comes first, then few
+    /// groups on the host, then a late first announcement.
+    fn suitability(
+        map: &StoreMap,
+        view: &StoreView,
+        out: &StoreMember,
+        host: &KnownHost,
+    ) -> (bool, Reverse<usize>, Time) {
+        let announcement = &host.announcement;
+        let mut others = view.members.iter().filter(|it| it.identity != out.identity);
+        let apart = others.all(|it| it.data_centre != announcement.data_centre);
+        let groups = map.groups_on(&announcement.host);
+        (apart, Reverse(groups), host.first_announced)
     }
 }
 
-/// Selects `count` hosts, alternating between data centres.
-fn select_across_data_centres(
-    announcements: &[&StoreAnnouncement],
-    count: usize,
-) -> Vec<StoreAnnouncement> {
+/// Orders hosts so that consecutive ones are in different data centres.
+fn alternate_data_centres(announcements: &[&StoreAnnouncement]) -> Vec<StoreAnnouncement> {
     let mut data_centres: IndexMap<&str, Vec<&StoreAnnouncement>> = IndexMap::new();
     for announcement in announcements {
         data_centres
@@ -370,7 +335,7 @@
             .or_default()
             .push(announcement);
     }
-    let mut selected = Vec::new();
+    let mut ordered = Vec::new();
     let rounds = data_centres
         .values()
         .map(Vec::len)
@@ -378,12 +343,10 @@
         .unwrap_or_default();
     for round in 0..rounds {
         for hosts in data_centres.values() {
-            if let Some(announcement) = hosts.get(round)
-                && selected.len() < count
-            {
-                selected.push((*announcement).clone());
+            if let Some(announcement) = hosts.get(round) {
+                ordered.push((*announcement).clone());
             }
         }
     }
-    selected
+    ordered
 }
--- a/crates/quay_turns/src/store_index.rs
+++ b/crates/quay_turns/src/store_index.rs
@@ -1,4 +1,5 @@
-//! In-memory index of the records on one store; the record bytes are on disk.
+//! In-memory index of one group's records on one store; the record bytes are
+//! on disk.
 
 use {
     crate::{Charge, ChargeSet, Record},
@@ -72,7 +73,8 @@
     expires: Time,
 }
 
-/// In-memory index of the records on one store; the record bytes are on disk.
+/// In-memory index of one group's records on one store; the record bytes are
+/// on disk.
 #[derive(Debug, Default)]
 pub struct StoreIndex {
     cfg: StoreIndexSettings,
@@ -279,6 +281,12 @@
         self.turns.len()
     }
 
+    /// Whether a record in a segment has not expired.
+    #[must_use]
+    pub fn uses_segment(&self, segment: u64) -> bool {
+        self.segments.contains_key(&segment)
+    }
+
     /// Removes expired entries. Returns the segments before `open_segment` in
     /// which all records have expired, so that their files can be deleted.
     pub fn expire(&mut self, now: Time, open_segment: u64) -> Vec<u64> {
--- a/crates/quay_turns/src/view.rs
+++ b/crates/quay_turns/src/view.rs
@@ -1,6 +1,7 @@
-//! The replicated set of store hosts that hold turns and charges.
+//! The store hosts that hold the turns and charges of one group of programs.
 
 use {
+    crate::StoreAnnouncement,
     serde::{Deserialize, Serialize},
     std::net::{Ipv4Addr, SocketAddr},
 };
@@ -54,7 +55,21 @@
     }
 }
 
-/// The store hosts that hold turns and charges.
+impl StoreMember {
+    /// Member that joins in an epoch, without sources.
+    fn joining(announcement: &StoreAnnouncement, joined: u64) -> Self {
+        Self {
+            host: announcement.host.clone(),
+            identity: announcement.identity,
+            addr: announcement.addr,
+            data_centre: announcement.data_centre.clone(),
+            joined,
+            ..Self::default()
+        }
+    }
+}
+
+/// The store hosts that hold the turns and charges of one group of programs.
 ///
 /// Consecutive epochs differ in one member. A store that has seen an epoch
 /// refuses requests of earlier epochs.
@@ -63,12 +78,8 @@
     /// Incremented when a member joins or is replaced; 0 before the first
     /// members are set.
     pub epoch: u64,
-    /// Incremented with every change of the view.
-    pub version: u64,
     /// Members, with distinct identities.
     pub members: Vec<StoreMember>,
-    /// Hosts that are marked for removal.
-    pub retiring: Vec<Box<str>>,
 }
 
 impl StoreView {
@@ -137,4 +148,63 @@
     pub fn all_whole(&self) -> bool {
         self.members.iter().all(|it| it.whole)
     }
+
+    // -----------------------------------------------------------------------
+    // Changes; each returns `false` if it does not apply
+
+    /// Sets the first members. They are whole, since no data was stored before.
+    pub(crate) fn form<'a>(&mut self, members: impl Iterator<Item = &'a StoreAnnouncement>) {
+        self.epoch = 1;
+        self.members = members
+            .map(|announcement| StoreMember {
+                whole: true,
+                ..StoreMember::joining(announcement, 1)
+            })
+            .collect();
+    }
+
+    /// Replaces a member by another host.
+    pub(crate) fn swap(&mut self, out: u64, new: &StoreAnnouncement) -> bool {
+        let known = self.member(new.identity).is_some();
+        let place = self.members.iter().position(|it| it.identity == out);
+        let (Some(place), false) = (place, known) else {
+            return false;
+        };
+        self.epoch += 1;
+        let sources = self.members.iter().map(|it| CopySource {
+            identity: it.identity,
+            addr: it.addr,
+            whole: it.whole,
+        });
+        let joining = StoreMember {
+            sources: sources.collect(),
+            needed: self.read_quorum(),
+            ..StoreMember::joining(new, self.epoch)
+        };
+        self.members[place] = joining;
+        true
+    }
+
+    /// Marks a member as whole.
+    pub(crate) fn mark_whole(&mut self, identity: u64, joined: u64) -> bool {
+        let member = self.members.iter_mut().find(|it| it.identity == identity);
+        match member {
+            Some(member) if !member.whole && member.joined == joined => {
+                member.whole = true;
+                member.sources = Vec::new();
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Sets the address of a member, also where it is a source of others.
+    pub(crate) fn update_address(&mut self, identity: u64, addr: SocketAddr) -> bool {
+        let sources = self.members.iter_mut().flat_map(|it| &mut it.sources);
+        for source in sources.filter(|source| source.identity == identity) {
+            source.addr = addr;
+        }
+        let member = self.members.iter_mut().find(|it| it.identity == identity);
+        member.is_some_and(|member| std::mem::replace(&mut member.addr, addr) != addr)
+    }
 }
--- a/crates/quay_turns/tests/membership.rs
+++ b/crates/quay_turns/tests/membership.rs
@@ -2,9 +2,9 @@
 
 use {
     quay_turns::{
-        MembershipPlanner, MembershipSettings, StoreAnnouncement, StoreChange, StoreView,
+        MembershipPlanner, MembershipSettings, StoreAnnouncement, StoreChange, StoreMap, StoreView,
     },
-    quay_types::Time,
+    quay_types::{GroupId, Time},
 };
 
 fn announcement(host: &str, identity: u64) -> StoreAnnouncement {
@@ -14,7 +14,7 @@
         addr: ([127, 0, 0, 1], 7_000).into(),
         data_centre: host.into(),
         bootstrap: true,
-        whole: 0,
+        whole: Vec::new(),
     }
 }
 
@@ -22,18 +22,26 @@
     Time::from_millis(millis)
 }
 
-/// A view of three members, and the planner that has received their
+const GROUP: GroupId = GroupId(0);
+
+/// The view of the only group.
+fn only(map: &StoreMap) -> &StoreView {
+    assert_eq!(map.groups.len(), 1);
+    &map.groups[0]
+}
+
+/// A group of three members, and the planner that has received their
 /// announcements.
-fn formed() -> (MembershipPlanner, StoreView) {
+fn formed() -> (MembershipPlanner, StoreMap) {
     let mut planner = MembershipPlanner::new(MembershipSettings::default(), at(0));
     for (host, identity) in [("a", 1), ("b", 2), ("c", 3)] {
         planner.record_announcement(at(0), announcement(host, identity));
     }
-    let mut view = StoreView::default();
-    assert_eq!(planner.next_change(at(100), &view), None, "too early");
-    let form = planner.next_change(at(600), &view).expect("form");
-    assert!(view.apply(&form));
-    (planner, view)
+    let mut map = StoreMap::default();
+    assert_eq!(planner.next_change(at(100), &map), None, "too early");
+    let form = planner.next_change(at(600), &map).expect("form");
+    assert!(map.apply(&form));
+    (planner, map)
 }
 
 /// Announces `hosts` every 300 ms from 1 s to `until` milliseconds.
@@ -47,47 +55,58 @@
 
 #[test]
 fn the_first_members_are_whole_and_form_once() {
-    let (_, mut view) = formed();
-    assert_eq!((view.epoch, view.members.len()), (1, 3));
-    assert!(view.all_whole());
-    assert!(!view.apply(&StoreChange::Form(vec![announcement("x", 9)])));
+    let (_, mut map) = formed();
+    assert_eq!((only(&map).epoch, only(&map).members.len()), (1, 3));
+    assert!(map.all_whole());
+    assert!(!map.apply(&StoreChange::Form {
+        hosts: vec![announcement("x", 9)],
+        members: 3
+    }));
 }
 
 #[test]
 fn a_host_that_lost_its_data_replaces_its_former_member() {
-    let (mut planner, mut view) = formed();
+    let (mut planner, mut map) = formed();
     planner.record_announcement(at(1_000), announcement("b", 20));
-    let change = planner.next_change(at(1_000), &view).expect("swap");
-    assert!(view.apply(&change));
-    let member = view.member(20).expect("member");
+    let change = planner.next_change(at(1_000), &map).expect("swap");
+    assert!(map.apply(&change));
+    let member = only(&map).member(20).expect("member");
     assert!(!member.whole);
     assert_eq!(member.needed, 2);
-    assert!(!view.copy_is_complete(member, &[1]));
-    assert!(view.copy_is_complete(member, &[1, 3]));
+    assert!(!only(&map).copy_is_complete(member, &[1]));
+    assert!(only(&map).copy_is_complete(member, &[1, 3]));
 }
 
 #[test]
 fn a_joining_member_counts_a_source_that_has_become_whole() {
-    let (_, mut view) = formed();
+    let (_, mut map) = formed();
     for (out, host, new) in [(2, "b", 20), (3, "c", 30)] {
         let new = Box::new(announcement(host, new));
-        assert!(view.apply(&StoreChange::Swap { out, new }));
+        assert!(map.apply(&StoreChange::Swap {
+            group: GROUP,
+            out,
+            new
+        }));
     }
-    let second = view.member(30).expect("member").clone();
-    assert!(!view.copy_is_complete(&second, &[1]), "b is not whole yet");
-    assert!(view.apply(&StoreChange::Whole {
+    let second = only(&map).member(30).expect("member").clone();
+    assert!(
+        !only(&map).copy_is_complete(&second, &[1]),
+        "b is not whole yet"
+    );
+    assert!(map.apply(&StoreChange::Whole {
+        group: GROUP,
         identity: 20,
         joined: 2
     }));
-    assert!(view.copy_is_complete(&second, &[1, 20]));
+    assert!(only(&map).copy_is_complete(&second, &[1, 20]));
 }
 
 #[test]
 fn a_new_host_replaces_a_member_that_fell_silent_before() {
-    let (mut planner, view) = formed();
+    let (mut planner, map) = formed();
     announce(&mut planner, &[("a", 1), ("b", 2)], 4_000);
     planner.record_announcement(at(4_000), announcement("d", 4));
-    let change = planner.next_change(at(4_000), &view);
+    let change = planner.next_change(at(4_000), &map);
     assert!(
         matches!(change, Some(StoreChange::Swap { out: 3, .. })),
         "{change:?}"
@@ -96,79 +115,81 @@
 
 #[test]
 fn an_older_spare_does_not_replace_a_briefly_silent_member() {
-    let (mut planner, view) = formed();
+    let (mut planner, map) = formed();
     planner.record_announcement(at(0), announcement("d", 4));
     announce(&mut planner, &[("a", 1), ("b", 2), ("d", 4)], 6_000);
-    assert_eq!(planner.next_change(at(6_000), &view), None);
+    assert_eq!(planner.next_change(at(6_000), &map), None);
 }
 
 #[test]
 fn a_member_is_retired_only_if_a_spare_can_replace_it() {
-    let (mut planner, mut view) = formed();
+    let (mut planner, mut map) = formed();
     announce(&mut planner, &[("a", 1), ("b", 2), ("c", 3)], 2_000);
-    assert!(!planner.can_retire(at(2_000), &view, "a"));
+    assert!(!planner.can_retire(at(2_000), &map, "a"));
     planner.record_announcement(at(2_000), announcement("d", 4));
-    assert!(planner.can_retire(at(2_000), &view, "a"));
-    assert!(view.apply(&StoreChange::Retire("a".into())));
-    let change = planner.next_change(at(2_000), &view).expect("swap");
-    assert!(view.apply(&change));
-    let newcomer = view.member(4).expect("member");
+    assert!(planner.can_retire(at(2_000), &map, "a"));
+    assert!(map.apply(&StoreChange::Retire("a".into())));
+    let change = planner.next_change(at(2_000), &map).expect("swap");
+    assert!(map.apply(&change));
+    let newcomer = only(&map).member(4).expect("member");
     // The retired member is alive and still holds the writes it acknowledged.
-    assert!(view.copy_is_complete(newcomer, &[1, 2]));
+    assert!(only(&map).copy_is_complete(newcomer, &[1, 2]));
 }
 
 #[test]
 fn an_inapplicable_change_leaves_the_view_unchanged() {
-    let (_, mut view) = formed();
-    let before = view.clone();
+    let (_, mut map) = formed();
+    let before = map.clone();
     let inapplicable = StoreChange::Swap {
+        group: GROUP,
         out: 99,
         new: Box::new(announcement("d", 4)),
     };
-    assert!(!view.apply(&inapplicable));
-    assert!(!view.apply(&StoreChange::Whole {
+    assert!(!map.apply(&inapplicable));
+    assert!(!map.apply(&StoreChange::Whole {
+        group: GROUP,
         identity: 1,
         joined: 1
     }));
-    assert_eq!(view, before);
+    assert_eq!(map, before);
 }
 
 #[test]
 fn a_member_that_comes_back_at_another_address_is_found_there() {
-    let (mut planner, mut view) = formed();
+    let (mut planner, mut map) = formed();
     let moved = StoreAnnouncement {
         addr: ([127, 0, 0, 1], 7_777).into(),
         ..announcement("b", 2)
     };
     planner.record_announcement(at(1_000), moved.clone());
-    let change = planner.next_change(at(1_000), &view).expect("change");
-    assert!(view.apply(&change));
-    let member = view.member(2).expect("member");
+    let change = planner.next_change(at(1_000), &map).expect("change");
+    assert!(map.apply(&change));
+    let member = only(&map).member(2).expect("member");
     assert_eq!((member.addr, member.whole), (moved.addr, true));
-    assert_eq!(planner.next_change(at(1_000), &view), None);
+    assert_eq!(planner.next_change(at(1_000), &map), None);
 }
 
 #[test]
 fn a_joining_member_finds_its_sources_where_they_have_moved() {
-    let (mut planner, mut view) = formed();
+    let (mut planner, mut map) = formed();
     planner.record_announcement(at(1_000), announcement("b", 20));
-    let change = planner.next_change(at(1_000), &view).expect("swap");
-    assert!(view.apply(&change));
-    // The joining store's view of itself when it began to copy.
-    let joining = view.member(20).expect("member").clone();
+    let change = planner.next_change(at(1_000), &map).expect("swap");
+    assert!(map.apply(&change));
+    // The joining store's map of itself when it began to copy.
+    let joining = only(&map).member(20).expect("member").clone();
     let elsewhere = ([127, 0, 0, 1], 7_100).into();
-    assert!(view.apply(&StoreChange::Moved {
+    assert!(map.apply(&StoreChange::Moved {
         identity: 3,
         addr: elsewhere,
     }));
-    let found = |view: &StoreView| {
-        let sources = view.sources_of(&joining);
+    let found = |map: &StoreMap| {
+        let sources = only(map).sources_of(&joining);
         let source = sources.iter().find(|it| it.identity == 3);
         source.map(|it| it.addr)
     };
-    assert_eq!(found(&view), Some(elsewhere));
+    assert_eq!(found(&map), Some(elsewhere));
     // A later join of the same store has its own sources.
-    view.members[1].joined += 1;
-    view.members[1].sources = Vec::new();
-    assert_ne!(found(&view), Some(elsewhere));
+    map.groups[0].members[1].joined += 1;
+    map.groups[0].members[1].sources = Vec::new();
+    assert_ne!(found(&map), Some(elsewhere));
 }
--- a/crates/quay_turns/tests/quorums.rs
+++ b/crates/quay_turns/tests/quorums.rs
@@ -19,7 +19,6 @@
     StoreView {
         epoch: 1,
         members: (1..=members).map(member).collect(),
-        ..StoreView::default()
     }
 }
 
--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -253,10 +253,10 @@
                 })
                 .await
             }
-            ControlRequest::AnnounceStore(announcement) => {
+            ControlRequest::AnnounceStore(announcement, known) => {
                 let now = self.now();
                 self.as_leader(|leads| {
-                    ControlReply::Stores(leads.record_store_announcement(now, announcement))
+                    ControlReply::Stores(leads.record_store_announcement(now, announcement, known))
                 })
                 .await
             }
@@ -264,11 +264,12 @@
             ControlRequest::Retired(host) => {
                 self.as_leader(|leads| {
                     let stores = &leads.state.stores;
-                    if !leads.store_planner.knows(&host) && stores.member_on_host(&host).is_none() {
+                    let groups = stores.groups_on(&host);
+                    if !leads.store_planner.knows(&host) && groups == 0 {
                         return ControlReply::Unknown;
                     }
                     let marked = stores.retiring.contains(&host);
-                    let gone = stores.member_on_host(&host).is_none() && stores.all_whole();
+                    let gone = groups == 0 && stores.all_whole();
                     ControlReply::Retired(marked && gone)
                 })
                 .await
@@ -348,9 +349,7 @@
                 let stores = &leads.state.stores;
                 if stores.retiring.contains(&host) {
                     ControlReply::Done
-                } else if !leads.store_planner.knows(&host)
-                    && stores.member_on_host(&host).is_none()
-                {
+                } else if !leads.store_planner.knows(&host) && stores.groups_on(&host) == 0 {
                     ControlReply::Unknown
                 } else if leads.store_planner.can_retire(now, stores, &host) {
                     ControlReply::Retired(false)
@@ -361,7 +360,7 @@
             .await;
         match reply {
             ControlReply::Retired(_) => {
-                self.propose_and_ack(ControlCommand::Stores(StoreChange::Retire(host)))
+                self.propose_and_ack(ControlCommand::Stores(vec![StoreChange::Retire(host)]))
                     .await
             }
             reply => reply,
@@ -501,21 +500,23 @@
         answer.is_ok()
     }
 
-    /// Makes the next change of the stores' membership, if one is due.
+    /// Makes the changes of the stores' membership that are due.
     async fn change_stores(&self) {
         let now = self.now();
-        let change = {
+        let changes = {
             let leading = self.leading.borrow();
-            leading
-                .as_ref()
-                .filter(|leads| leads.is_fresh(now))
-                .and_then(|leads| leads.store_planner.next_change(now, &leads.state.stores))
+            let leads = leading.as_ref().filter(|leads| leads.is_fresh(now));
+            leads.map(|leads| leads.store_planner.due_changes(now, &leads.state.stores))
         };
-        if let Some(change) = change {
+        let changes = changes.unwrap_or_default();
+        if changes.is_empty() {
+            return;
+        }
+        for change in &changes {
             log::info!("event=stores_change change={change:?}");
-            if let Err(reply) = self.propose(ControlCommand::Stores(change)).await {
-                log::warn!("event=stores_unchanged cause={reply:?}");
-            }
+        }
+        if let Err(reply) = self.propose(ControlCommand::Stores(changes)).await {
+            log::warn!("event=stores_unchanged cause={reply:?}");
         }
     }
 }
--- a/crates/sapphirequayd/src/gateway/control/leader_state.rs
+++ b/crates/sapphirequayd/src/gateway/control/leader_state.rs
@@ -6,7 +6,7 @@
     indexmap::{IndexMap, IndexSet},
     quay_members::{Changes, Directory, Heartbeat, MembersReply, MembersSettings},
     quay_quorum::{Member, Membership},
-    quay_turns::{MembershipPlanner, MembershipSettings, StoreAnnouncement, StoreView},
+    quay_turns::{MembershipPlanner, MembershipSettings, StoreAnnouncement, StoreMap},
     quay_types::{Announcement, Incarnation, NodeId, Time, UpstreamId, UpstreamState},
     std::{
         collections::BTreeMap,
@@ -272,14 +272,17 @@
         Some(now.since(since))
     }
 
-    /// Records an announcement of a store host and returns the current view.
+    /// Records an announcement of a store host and returns the current store map,
+    /// unless the host has this version.
     pub fn record_store_announcement(
         &mut self,
         now: Time,
         announcement: StoreAnnouncement,
-    ) -> StoreView {
+        known: u64,
+    ) -> Option<StoreMap> {
         self.store_planner.record_announcement(now, announcement);
-        self.state.stores.clone()
+        let stores = &self.state.stores;
+        (stores.version != known).then(|| stores.clone())
     }
 }
 
--- a/crates/sapphirequayd/src/gateway/control/state.rs
+++ b/crates/sapphirequayd/src/gateway/control/state.rs
@@ -4,7 +4,7 @@
     crate::gateway::messages::{ControlCommand, TableDocument},
     indexmap::IndexMap,
     quay_quorum::StateMachine,
-    quay_turns::StoreView,
+    quay_turns::{StoreChange, StoreMap},
     quay_types::{Epoch, Incarnation, LogIndex},
     serde::{Deserialize, Serialize},
 };
@@ -23,7 +23,7 @@
     /// this applies.
     pub departures: IndexMap<Box<str>, Incarnation>,
     /// Store hosts that hold turns and charges.
-    pub stores: StoreView,
+    pub stores: StoreMap,
 }
 
 impl ControlState {
@@ -51,6 +51,15 @@
         }
         true
     }
+
+    /// Applies those of the changes that are applicable, in order.
+    fn change_stores(&mut self, changes: &[StoreChange]) -> bool {
+        let before = self.stores.version;
+        for change in changes {
+            self.stores.apply(change);
+        }
+        self.stores.version != before
+    }
 }
 
 /// Query for the state; the answer is `None` if the version equals the known
@@ -69,7 +78,7 @@
         let changed = match command {
             ControlCommand::PutTable(table) => self.put_table(table),
             ControlCommand::Depart(name, run) => self.depart(name, run),
-            ControlCommand::Stores(change) => self.stores.apply(&change),
+            ControlCommand::Stores(changes) => self.change_stores(&changes),
         };
         self.version += u64::from(changed);
         changed
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -224,8 +224,9 @@
     };
     let route = route.ok_or(unknown)?;
     let deadline = RequestDeadline::new(arrived, head.caller_timeout, route.timeout);
-    let share = ProgramTag::of(head.program.as_deref().unwrap_or(&head.id)).0;
-    let service = route.target(share).ok_or(Refusal::NoUpstream)?;
+    let service = route
+        .target(program_of(head).0)
+        .ok_or(Refusal::NoUpstream)?;
     let known = table.service(service);
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
     let limit = table.limits.body_bytes as usize;
@@ -249,6 +250,11 @@
     }
 }
 
+/// Program of a request; a request without one is a program of its own.
+fn program_of(head: &CallHead) -> ProgramTag {
+    ProgramTag::of(head.program.as_deref().unwrap_or(&head.id))
+}
+
 /// Reads the complete body of a request.
 async fn read_body<D: Dialect>(
     front: &FrontHost<D>,
@@ -287,6 +293,7 @@
         };
         let pending_turn = PendingTurn {
             id: TurnId::of(&self.head.id),
+            program: program_of(self.head),
             prior: turn.prior.as_deref().map(TurnId::of),
             retention,
             history,
@@ -362,11 +369,16 @@
             return Ok(Bytes::new());
         };
         let id = TurnId::of(prior);
-        if let Some(history) = self.front.cached_conversation(id) {
+        if let Some(history) = self.front.cached_conversation(program_of(self.head), id) {
             return Ok(history);
         }
         let left = self.deadline.remaining(self.front.now());
-        match self.front.stores().lookup_turns(id, left).await {
+        match self
+            .front
+            .stores()
+            .lookup_turns(program_of(self.head), id, left)
+            .await
+        {
             TurnLookup::Found(turns) => {
                 let mut history = BytesMut::new();
                 for turn in turns {
@@ -374,7 +386,8 @@
                     history.extend_from_slice(&turn.output);
                 }
                 let history = history.freeze();
-                self.front.cache_conversation(id, history.clone());
+                self.front
+                    .cache_conversation(program_of(self.head), id, history.clone());
                 Ok(history)
             }
             TurnLookup::Absent => {
@@ -598,6 +611,10 @@
         if answer.execution == Execution::Misdirected {
             self.front.upstreams().suspend(now, in_flight.upstream.id);
         }
+        // An upstream that was not meant is another one than the selected one.
+        if answer.leaving && answer.execution != Execution::Misdirected {
+            self.front.upstreams().record_leaving(&in_flight.upstream);
+        }
         if let Some(load) = answer.load {
             self.front
                 .upstreams()
@@ -611,10 +628,6 @@
             in_flight.record_failure();
         }
         if self.route.repeat.is_stream() && head.status == StatusCode::OK && !not_run {
-        // An upstream that was not meant is another one than the selected one.
-        if answer.leaving && answer.execution != Execution::Misdirected {
-            self.front.upstreams().record_leaving(&in_flight.upstream);
-        }
             return AttemptResult::Stream(Box::new(in_flight), Box::new(head), incoming);
         }
         let body = timeout(limit, Limited::new(incoming, MAX_RESPONSE_BYTES).collect()).await;
--- a/crates/sapphirequayd/src/gateway/front/conversation_cache.rs
+++ b/crates/sapphirequayd/src/gateway/front/conversation_cache.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     indexmap::IndexMap,
-    quay_types::{Time, TurnId},
+    quay_types::{GroupId, Time, TurnId},
     std::time::Duration,
 };
 
@@ -17,13 +17,16 @@
     used: Time,
 }
 
-/// LRU cache of conversations, keyed by their last turn.
+/// Last turn of a conversation, and the store group that holds the conversation.
+pub type ConversationKey = (GroupId, TurnId);
+
+/// LRU cache of conversations.
 #[derive(Debug)]
 pub struct ConversationCache {
     max_bytes: usize,
     bytes: usize,
     /// Entries in the order of their last use, oldest first.
-    entries: IndexMap<TurnId, Entry>,
+    entries: IndexMap<ConversationKey, Entry>,
 }
 
 impl ConversationCache {
@@ -38,26 +41,26 @@
     }
 
     /// Returns the conversation up to a turn and marks it as used.
-    pub fn get(&mut self, now: Time, turn: TurnId) -> Option<Bytes> {
-        let entry = self.entries.shift_remove(&turn)?;
+    pub fn get(&mut self, now: Time, key: ConversationKey) -> Option<Bytes> {
+        let entry = self.entries.shift_remove(&key)?;
         self.bytes -= entry.conversation.len();
         let conversation = entry.conversation.clone();
-        self.put(now, turn, entry.conversation);
+        self.put(now, key, entry.conversation);
         Some(conversation)
     }
 
     /// Inserts the conversation up to a turn; evicts others if there is no
     /// room.
-    pub fn put(&mut self, now: Time, turn: TurnId, conversation: Bytes) {
+    pub fn put(&mut self, now: Time, key: ConversationKey, conversation: Bytes) {
         self.bytes += conversation.len();
         let entry = Entry {
             conversation,
             used: now,
         };
-        if let Some(old) = self.entries.shift_remove(&turn) {
+        if let Some(old) = self.entries.shift_remove(&key) {
             self.bytes -= old.conversation.len();
         }
-        self.entries.insert(turn, entry);
+        self.entries.insert(key, entry);
         while self.bytes > self.max_bytes && self.evict_oldest() {}
     }
 
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -19,7 +19,7 @@
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
     quay_routes::{Dialect, RoutingTable},
-    quay_types::{Time, TurnId},
+    quay_types::{ProgramTag, Time, TurnId},
     rand::Rng as _,
     std::{
         cell::{Cell, RefCell, RefMut},
@@ -230,19 +230,22 @@
         &self.0.stores
     }
 
-    /// Returns the conversation up to a turn, if cached.
-    pub fn cached_conversation(&self, turn: TurnId) -> Option<Bytes> {
+    /// Returns the conversation up to a turn that a program continues from, if
+    /// cached.
+    pub fn cached_conversation(&self, program: ProgramTag, turn: TurnId) -> Option<Bytes> {
+        let key = (self.0.stores.group_of(program), turn);
         let now = self.now();
-        self.0.conversations.borrow_mut().get(now, turn)
+        self.0.conversations.borrow_mut().get(now, key)
     }
 
-    /// Caches the conversation up to a turn.
-    pub fn cache_conversation(&self, turn: TurnId, conversation: Bytes) {
+    /// Caches the conversation up to a turn that a program can continue from.
+    pub fn cache_conversation(&self, program: ProgramTag, turn: TurnId, conversation: Bytes) {
+        let key = (self.0.stores.group_of(program), turn);
         let now = self.now();
         self.0
             .conversations
             .borrow_mut()
-            .put(now, turn, conversation);
+            .put(now, key, conversation);
     }
 
     // -----------------------------------------------------------------------
@@ -267,7 +270,7 @@
     fn follower_state(&self) -> FollowerState {
         FollowerState {
             revision: self.table().map_or(0, |table| table.revision),
-            stores: self.0.stores.view_version(),
+            stores: self.0.stores.map_version(),
             directory: self.upstreams().next_request(self.0.reader),
             link: self.0.link,
         }
@@ -279,7 +282,7 @@
         self.0.control.set_hosts(update.controls);
         self.0.stores.set_peer_fronts(update.followers);
         if let Some(stores) = update.stores {
-            self.0.stores.set_view(stores);
+            self.0.stores.set_map(stores);
         }
         self.upstreams().apply_changes(now, update.directory);
         if let Some(text) = update.table {
@@ -324,7 +327,7 @@
                 self.0.limits.closing.open(),
                 last_update.map(|at| now.since(at)),
                 self.table().map_or(0, |table| table.revision),
-                self.0.stores.view_version(),
+                self.0.stores.map_version(),
             );
         }
     }
--- a/crates/sapphirequayd/src/gateway/front/reservation.rs
+++ b/crates/sapphirequayd/src/gateway/front/reservation.rs
@@ -50,7 +50,7 @@
         let (stores, program) = (self.stores.clone(), self.program);
         spawn_local(async move {
             let record = Record::Charge(program, charge);
-            if !stores.write(record, SETTLE_TIMEOUT).await {
+            if !stores.write(program, record, SETTLE_TIMEOUT).await {
                 log::warn!("event=charge_not_settled program={program} charge={charge:?}");
             }
         });
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -18,7 +18,7 @@
     hyper::body::{Body as HttpBody, Frame, Incoming},
     quay_routes::Dialect,
     quay_turns::{Record, TurnRecord},
-    quay_types::{Time, TurnId},
+    quay_types::{ProgramTag, Time, TurnId},
     std::{
         pin::Pin,
         task::{Context, Poll},
@@ -57,6 +57,8 @@
 pub struct PendingTurn {
     /// Identifier of the turn.
     pub id: TurnId,
+    /// Program whose store group stores the turn.
+    pub program: ProgramTag,
     /// Turn that this turn continues.
     pub prior: Option<TurnId>,
     /// Time for which the turn is stored.
@@ -203,7 +205,10 @@
             output: output.clone().into(),
         };
         let left = self.ends.since(self.front.now());
-        let writing = self.front.stores().write(Record::Turn(record), left);
+        let writing = self
+            .front
+            .stores()
+            .write(pending_turn.program, Record::Turn(record), left);
         if timeout(left, writing).await != Ok(true) {
             return StreamEnd::Broken("turn_not_kept");
         }
@@ -213,8 +218,11 @@
         conversation.extend_from_slice(&pending_turn.history);
         conversation.extend_from_slice(&pending_turn.input);
         conversation.extend_from_slice(&output);
-        self.front
-            .cache_conversation(pending_turn.id, Bytes::from(conversation));
+        self.front.cache_conversation(
+            pending_turn.program,
+            pending_turn.id,
+            Bytes::from(conversation),
+        );
         StreamEnd::Whole
     }
 }
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -6,8 +6,8 @@
 use {
     quay_members::{Changes, ChangesRequest},
     quay_quorum::Member,
-    quay_turns::{Charge, Record, StoreAnnouncement, StoreChange, StoreView, TurnRecord},
-    quay_types::{Announcement, Incarnation, ProgramTag, TurnId},
+    quay_turns::{Charge, Record, StoreAnnouncement, StoreChange, StoreMap, TurnRecord},
+    quay_types::{Announcement, GroupId, Incarnation, ProgramTag, TurnId},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -43,8 +43,9 @@
     GetTable,
     /// A replica that belongs to no group asks to join.
     Join(Member),
-    /// Announcement of a store host with its current state.
-    AnnounceStore(StoreAnnouncement),
+    /// Announcement of a store host with its current state, and the version of
+    /// its store map.
+    AnnounceStore(StoreAnnouncement, u64),
     /// Starts to retire a store host, which empties it.
     Retire(Box<str>),
     /// Asks whether a store host is empty.
@@ -56,7 +57,7 @@
 pub struct FollowerState {
     /// Revision of its routing table; 0 without one.
     pub revision: u64,
-    /// Version of its view of the stores.
+    /// Version of its store map.
     pub stores: u64,
     /// Request for the directory changes that it lacks.
     pub directory: ChangesRequest,
@@ -81,8 +82,8 @@
     pub version: u64,
     /// The routing table, if the follower's differs.
     pub table: Option<TableDocument>,
-    /// The view of the stores, if the follower's differs.
-    pub stores: Option<StoreView>,
+    /// The store map, if the follower's differs.
+    pub stores: Option<StoreMap>,
     /// Directory changes.
     pub directory: Changes,
     /// Link addresses of all control hosts.
@@ -100,9 +101,9 @@
     Done,
     /// Reply to [`ControlRequest::GetTable`]; `None` if no table was put yet.
     Table(Option<TableDocument>),
-    /// Reply to [`ControlRequest::AnnounceStore`]: the current view of the
-    /// stores.
-    Stores(StoreView),
+    /// Reply to [`ControlRequest::AnnounceStore`]: the store map, if the store's
+    /// differs.
+    Stores(Option<StoreMap>),
     /// Reply to [`ControlRequest::Retired`]: whether the host is empty.
     Retired(bool),
     /// The named host does not exist.
@@ -123,8 +124,8 @@
     PutTable(TableDocument),
     /// Gives an upstream no new requests in this incarnation or earlier ones.
     Depart(Box<str>, Incarnation),
-    /// Changes the view of the stores.
-    Stores(StoreChange),
+    /// Changes the store map, in this order.
+    Stores(Vec<StoreChange>),
 }
 
 // ---------------------------------------------------------------------------
@@ -135,9 +136,11 @@
 pub struct StoreRequest {
     /// Identity of the addressed store.
     pub to: u64,
-    /// Epoch of the sender's view of the stores.
+    /// Group that the request concerns.
+    pub group: GroupId,
+    /// Epoch of the sender's view of the group.
     pub epoch: u64,
-    /// Epoch in which the store joined, according to the sender's view.
+    /// Epoch in which the store joined the group, according to the sender's view.
     pub joined: u64,
     /// Operation to execute.
     pub op: StoreOp,
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -334,7 +334,7 @@
         addr: settings.link.listen,
         data_centre: settings.process.data_centre.clone(),
         bootstrap: seeds.first_start,
-        whole: 0,
+        whole: Vec::new(),
     };
     let host = StoreHost::open(
         store.data.clone(),
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -13,10 +13,10 @@
     indexmap::IndexMap,
     quay_link::{LinkError, LinkRole, Links},
     quay_turns::{
-        Charge, ChargeTally, ChargeVerdict, LookupTally, LookupVerdict, Record, StoreMember,
-        StoreView, TurnRecord, WriteTally, WriteVerdict,
+        Charge, ChargeTally, ChargeVerdict, LookupTally, LookupVerdict, Record, StoreMap,
+        StoreMember, StoreView, TurnRecord, WriteTally, WriteVerdict,
     },
-    quay_types::{ProgramTag, Tokens, TurnId},
+    quay_types::{GroupId, ProgramTag, Tokens, TurnId},
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         sync::mpsc,
@@ -69,39 +69,43 @@
     Undetermined,
 }
 
-/// Client of the stores in the current view. Clones share the view and the path
-/// to the stores.
+/// Client of the stores in the current map. Clones share the map and the path to
+/// the stores.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
     links: Links,
     data_centre: Rc<str>,
     clock: Clock,
     store_path: Rc<RefCell<StorePath>>,
-    view: Rc<RefCell<Rc<StoreView>>>,
+    map: Rc<RefCell<Rc<StoreMap>>>,
+    /// The views of `map` by group, so that operations can share them.
+    views: Rc<RefCell<Vec<Rc<StoreView>>>>,
 }
 
 impl StoreClient {
-    /// Creates a client in a data centre, with an empty view.
+    /// Creates a client in a data centre, with an empty map.
     pub fn new(links: Links, data_centre: &str, clock: Clock) -> Self {
         Self {
             links,
             data_centre: data_centre.into(),
             clock,
             store_path: Rc::default(),
-            view: Rc::default(),
+            map: Rc::default(),
+            views: Rc::default(),
         }
     }
 
-    /// Replaces the view, unless `view` is older than the current one.
-    pub fn set_view(&self, view: StoreView) {
-        if view.version >= self.view.borrow().version {
+    /// Replaces the map, unless `map` is older than the current one.
+    pub fn set_map(&self, map: StoreMap) {
+        if map.version >= self.map.borrow().version {
             log::info!(
-                "event=stores_view epoch={} version={} members={}",
-                view.epoch,
-                view.version,
-                view.members.len()
+                "event=stores_map version={} groups={} joining={}",
+                map.version,
+                map.groups.len(),
+                map.joining()
             );
-            *self.view.borrow_mut() = Rc::new(view);
+            *self.views.borrow_mut() = map.groups.iter().cloned().map(Rc::new).collect();
+            *self.map.borrow_mut() = Rc::new(map);
         }
     }
 
@@ -110,19 +114,32 @@
         self.store_path.borrow_mut().set_peers(fronts);
     }
 
-    /// Version of the current view.
-    pub fn view_version(&self) -> u64 {
-        self.view.borrow().version
+    /// Version of the current map.
+    pub fn map_version(&self) -> u64 {
+        self.map.borrow().version
     }
 
-    fn view(&self) -> Rc<StoreView> {
-        Rc::clone(&self.view.borrow())
+    fn map(&self) -> Rc<StoreMap> {
+        Rc::clone(&self.map.borrow())
     }
 
-    /// Sends an operation to all members concurrently. The channel yields the
-    /// identity and reply of each member as it answers; `None` on failure.
+    /// Group of a program; the first one before the groups are known.
+    pub fn group_of(&self, program: ProgramTag) -> GroupId {
+        self.map.borrow().group_of(program).unwrap_or_default()
+    }
+
+    /// Current view of a group; empty if it is unknown.
+    fn view(&self, group: GroupId) -> Rc<StoreView> {
+        let views = self.views.borrow();
+        views.get(usize::from(group.0)).cloned().unwrap_or_default()
+    }
+
+    /// Sends an operation to all members of a group concurrently. The channel
+    /// yields the identity and reply of each member as it answers; `None` on
+    /// failure.
     fn ask_all(
         &self,
+        group: GroupId,
         view: &StoreView,
         op: &StoreOp,
     ) -> mpsc::UnboundedReceiver<(u64, Option<StoreReply>)> {
@@ -130,7 +147,7 @@
         for member in &view.members {
             let (client, tx) = (self.clone(), tx.clone());
             let (identity, addr) = (member.identity, member.addr);
-            let req = request(view, member, op.clone());
+            let req = request(group, view, member, op.clone());
             spawn_local(async move {
                 let reply = client.ask_store(addr, req).await;
                 if let Err(err) = &reply {
@@ -181,9 +198,9 @@
     }
 
     /// Forwards another front's request to a store. Returns `None` if no member
-    /// of the view has this address or the store did not answer.
+    /// of the map has this address or the store did not answer.
     pub async fn forward(&self, addr: SocketAddr, req: StoreRequest) -> Option<StoreReply> {
-        if !self.view().members.iter().any(|it| it.addr == addr) {
+        if !self.map().has_member_at(addr) {
             return None;
         }
         let reply = self.ask_through(None, addr, req, STORE_TIMEOUT).await;
@@ -206,13 +223,14 @@
 
     /// Probes a path: any reply of any store shows that the path works.
     async fn probe_path(&self, probe: PathProbe) {
-        let view = self.view();
         let through = match probe {
             PathProbe::Relay(front) => Some(front),
             PathProbe::Direct => None,
         };
+        let group = GroupId::default();
+        let view = self.view(group);
         for member in &view.members {
-            let req = request(&view, member, StoreOp::Chain(TurnId(0)));
+            let req = request(group, &view, member, StoreOp::Chain(TurnId(0)));
             let reply = self
                 .ask_through(through, member.addr, req, PROBE_TIMEOUT)
                 .await;
@@ -234,23 +252,23 @@
     // -----------------------------------------------------------------------
     // Writes
 
-    /// Writes a record, with retries until it is durable. Returns `false` if it
-    /// is not durable within `limit`.
-    pub async fn write(&self, record: Record, limit: Duration) -> bool {
+    /// Writes a record of a program, with retries until it is durable. Returns
+    /// `false` if it is not durable within `limit`.
+    pub async fn write(&self, program: ProgramTag, record: Record, limit: Duration) -> bool {
         let op = StoreOp::Write(record);
         let attempts = async {
             let mut backoff = Backoff::default();
-            while !self.write_once(&op).await {
+            while !self.write_once(self.group_of(program), &op).await {
                 backoff.wait().await;
             }
         };
         timeout(limit, attempts).await.is_ok()
     }
 
-    async fn write_once(&self, op: &StoreOp) -> bool {
-        let view = self.view();
+    async fn write_once(&self, group: GroupId, op: &StoreOp) -> bool {
+        let view = self.view(group);
         let mut tally = WriteTally::new(&view);
-        let mut replies = self.ask_all(&view, op);
+        let mut replies = self.ask_all(group, &view, op);
         while tally.verdict() == WriteVerdict::Pending {
             match replies.recv().await {
                 Some((identity, Some(StoreReply::Synced))) => tally.synced(identity),
@@ -289,9 +307,10 @@
         own: Charge,
         budget: Tokens,
     ) -> ReserveOutcome {
-        let view = self.view();
+        let group = self.group_of(program);
+        let view = self.view(group);
         let mut tally = ChargeTally::new(&view, own, budget);
-        let mut replies = self.ask_all(&view, &StoreOp::Reserve(program, own));
+        let mut replies = self.ask_all(group, &view, &StoreOp::Reserve(program, own));
         loop {
             match tally.verdict() {
                 ChargeVerdict::Covered { others } => return ReserveOutcome::Covered { others },
@@ -312,12 +331,18 @@
     // -----------------------------------------------------------------------
     // Reads
 
-    /// Looks up a turn and all its predecessors, with retries within `limit`.
-    pub async fn lookup_turns(&self, last: TurnId, limit: Duration) -> TurnLookup {
+    /// Looks up a turn that a program continues from, and all its predecessors,
+    /// with retries within `limit`.
+    pub async fn lookup_turns(
+        &self,
+        program: ProgramTag,
+        last: TurnId,
+        limit: Duration,
+    ) -> TurnLookup {
         let attempts = async {
             let mut backoff = Backoff::default();
             loop {
-                match self.turns_once(last).await {
+                match self.turns_once(program, last).await {
                     TurnLookup::Undetermined => backoff.wait().await,
                     found => return found,
                 }
@@ -328,12 +353,52 @@
             .unwrap_or(TurnLookup::Undetermined)
     }
 
-    async fn turns_once(&self, last: TurnId) -> TurnLookup {
-        let view = self.view();
+    /// Looks a turn up in the group of the program, and in the other groups if
+    /// it is absent there: a program may continue from a turn of another one.
+    async fn turns_once(&self, program: ProgramTag, last: TurnId) -> TurnLookup {
+        let own = self.group_of(program);
+        let found = self.turns_in_group(own, last).await;
+        if found != TurnLookup::Absent {
+            return found;
+        }
+        let (tx, mut rx) = mpsc::unbounded_channel();
+        for (group, _) in self.map().iter().filter(|(group, _)| *group != own) {
+            let (client, tx) = (self.clone(), tx.clone());
+            spawn_local(async move {
+                let _ = tx.send(client.turns_in_group(group, last).await);
+            });
+        }
+        drop(tx);
+        let mut outcome = TurnLookup::Absent;
+        while let Some(found) = rx.recv().await {
+            match found {
+                TurnLookup::Found(turns) => return self.adopt_turns(own, turns).await,
+                TurnLookup::Absent => {}
+                TurnLookup::Undetermined => outcome = TurnLookup::Undetermined,
+            }
+        }
+        outcome
+    }
+
+    /// Copies turns of another group to the program's own, which from now on
+    /// keeps them as long as the turns that continue from them.
+    async fn adopt_turns(&self, group: GroupId, turns: Vec<TurnRecord>) -> TurnLookup {
+        log::info!("event=turns_adopted group={group} turns={}", turns.len());
+        for turn in &turns {
+            let op = StoreOp::Write(Record::Turn(turn.clone()));
+            if !self.write_once(group, &op).await {
+                return TurnLookup::Undetermined;
+            }
+        }
+        TurnLookup::Found(turns)
+    }
+
+    async fn turns_in_group(&self, group: GroupId, last: TurnId) -> TurnLookup {
+        let view = self.view(group);
         let mut held = IndexMap::new();
         // A whole store in the local data centre usually holds the full chain.
         if let Some(local) = self.local_member(&view) {
-            let req = request(&view, local, StoreOp::Chain(last));
+            let req = request(group, &view, local, StoreOp::Chain(last));
             let reply = self.ask_store(local.addr, req).await;
             if let Ok(StoreReply::Chain(turns, _)) = reply {
                 insert_turns(&mut held, turns);
@@ -346,7 +411,7 @@
                 Err(next) => missing = next,
             }
             let mut tally = LookupTally::new(&view);
-            let mut replies = self.ask_all(&view, &StoreOp::Chain(missing));
+            let mut replies = self.ask_all(group, &view, &StoreOp::Chain(missing));
             while !held.contains_key(&missing) && tally.verdict() == LookupVerdict::Pending {
                 match replies.recv().await {
                     Some((identity, Some(StoreReply::Chain(turns, _)))) => {
@@ -387,9 +452,15 @@
     }
 }
 
-const fn request(view: &StoreView, member: &StoreMember, op: StoreOp) -> StoreRequest {
+const fn request(
+    group: GroupId,
+    view: &StoreView,
+    member: &StoreMember,
+    op: StoreOp,
+) -> StoreRequest {
     StoreRequest {
         to: member.identity,
+        group,
         epoch: view.epoch,
         joined: member.joined,
         op,
--- a/crates/sapphirequayd/src/gateway/store/copy.rs
+++ b/crates/sapphirequayd/src/gateway/store/copy.rs
@@ -12,7 +12,7 @@
     },
     quay_link::LinkRole,
     quay_turns::{CopySource, Record, StoreMember},
-    quay_types::TurnId,
+    quay_types::{GroupId, TurnId},
     std::time::Duration,
     tokio::{task::spawn_local, time::sleep},
 };
@@ -33,153 +33,180 @@
 /// since the whole sources may be lost permanently.
 const WHOLE_SOURCE_ROUNDS: u32 = 30;
 
-/// Joins the view. First, enough sources adopt the new epoch, so that they
+/// A store that joins a group.
+#[derive(Debug, Clone)]
+struct Join {
+    host: StoreHost,
+    group: GroupId,
+    own: StoreMember,
+}
+
+/// Joins a group. First, enough sources adopt the new epoch, so that they
 /// refuse requests of earlier ones; then this store accepts writes; then it
 /// copies what the sources hold.
-pub async fn join(host: StoreHost, own: StoreMember) {
+pub async fn join(host: StoreHost, group: GroupId, own: StoreMember) {
     log::info!(
-        "event=store_joins epoch={} sources={:?} needed={}",
+        "event=store_joins group={group} epoch={} sources={:?} needed={}",
         own.joined,
         own.sources,
         own.needed
     );
-    let joined = host.open_epoch() >= own.joined
-        || for_enough_sources(&host, &own, adopt).await
-            && host.save(Record::Open(own.joined)).await;
-    if joined
-        && for_enough_sources(&host, &own, copy_source).await
-        && host.save(Record::Whole(own.joined)).await
-    {
-        log::info!("event=store_whole epoch={}", own.joined);
+    let join = Join { host, group, own };
+    if join.run().await {
+        log::info!("event=store_whole group={group} epoch={}", join.own.joined);
     }
-    host.copying.set(false);
+    join.host.copying.borrow_mut().remove(&group);
 }
 
-/// Runs `step` on sources until it has succeeded on enough of them. Returns
-/// `false` if the store is no longer the member that joined.
-async fn for_enough_sources(
-    host: &StoreHost,
-    own: &StoreMember,
-    step: impl AsyncFn(&StoreHost, &CopySource) -> bool,
-) -> bool {
-    let mut done = Vec::new();
-    let mut round = 0;
-    loop {
-        // The addresses of the sources may have changed since the last round.
-        for source in &host.sources(own) {
-            let pending = source.identity != host.identity() && !done.contains(&source.identity);
-            let eligible = host.source_is_whole(source) || round >= WHOLE_SOURCE_ROUNDS;
-            if pending && eligible && step(host, source).await {
-                done.push(source.identity);
+impl Join {
+    async fn run(&self) -> bool {
+        let epoch = self.own.joined;
+        let open = self.host.group(self.group).open_epoch();
+        let joined = open >= epoch
+            || self.for_enough_sources(Self::adopt).await && self.save(Record::Open(epoch)).await;
+        joined
+            && self.for_enough_sources(Self::copy_source).await
+            && self.save(Record::Whole(epoch)).await
+    }
+
+    /// Runs `step` on sources until it has succeeded on enough of them. Returns
+    /// `false` if the store is no longer the member that joined.
+    async fn for_enough_sources(&self, step: impl AsyncFn(&Self, &CopySource) -> bool) -> bool {
+        let mut done = Vec::new();
+        let mut round = 0;
+        loop {
+            // The addresses of the sources may have changed since the last round.
+            for source in self.host.view(self.group).sources_of(&self.own) {
+                let view = self.host.view(self.group);
+                let pending =
+                    source.identity != self.own.identity && !done.contains(&source.identity);
+                let eligible = view.source_is_whole(source) || round >= WHOLE_SOURCE_ROUNDS;
+                if pending && eligible && step(self, source).await {
+                    done.push(source.identity);
+                }
+                if self
+                    .host
+                    .view(self.group)
+                    .copy_is_complete(&self.own, &done)
+                {
+                    return true;
+                }
             }
-            if host.copy_is_complete(own, &done) {
-                return true;
+            let view = self.host.view(self.group);
+            let member = view.member(self.own.identity);
+            if member.is_none_or(|member| member.joined != self.own.joined) {
+                return false;
             }
+            sleep(RETRY_INTERVAL).await;
+            round += 1;
         }
-        if !host.is_member_since(own.joined) {
-            return false;
-        }
-        sleep(RETRY_INTERVAL).await;
-        round += 1;
     }
-}
 
-/// Makes a source adopt the current epoch and refuse earlier ones.
-async fn adopt(host: &StoreHost, source: &CopySource) -> bool {
-    ask_source(host, source, StoreOp::FenceEpoch).await == Some(StoreReply::Synced)
-}
+    /// Makes a source adopt the current epoch and refuse earlier ones.
+    async fn adopt(&self, source: &CopySource) -> bool {
+        self.ask(source, StoreOp::FenceEpoch).await == Some(StoreReply::Synced)
+    }
 
-/// Copies the turns that this store lacks, and all charges of the source.
-async fn copy_source(host: &StoreHost, source: &CopySource) -> bool {
-    let (mut turns, mut programs, mut copied) = (0, 0, 0);
-    loop {
-        let Some(StoreReply::List(list)) =
-            ask_source(host, source, StoreOp::List { turns, programs }).await
-        else {
-            return false;
-        };
-        let StoreList {
-            turns: listed,
-            charges,
-            last_turn,
-            last_program,
-        } = *list;
-        if listed.is_empty() && charges.is_empty() {
-            log::info!(
-                "event=store_copied source={} turns={copied}",
-                source.identity
-            );
-            return true;
-        }
-        let charges = charges.into_iter();
-        let charges = charges.map(|(program, charge)| Record::Charge(program, charge));
-        let missing: Vec<TurnId> = listed
-            .into_iter()
-            .filter(|id| !host.holds_turn(*id))
-            .collect();
-        copied += missing.len();
-        if !save_all(host, charges.collect()).await || !fetch_all(host, source, &missing).await {
-            return false;
+    /// Copies the turns that this store lacks, and all charges of the source.
+    async fn copy_source(&self, source: &CopySource) -> bool {
+        let (mut turns, mut programs, mut copied) = (0, 0, 0);
+        loop {
+            let Some(StoreReply::List(list)) =
+                self.ask(source, StoreOp::List { turns, programs }).await
+            else {
+                return false;
+            };
+            let StoreList {
+                turns: listed,
+                charges,
+                last_turn,
+                last_program,
+            } = *list;
+            if listed.is_empty() && charges.is_empty() {
+                log::info!(
+                    "event=store_copied group={} source={} turns={copied}",
+                    self.group,
+                    source.identity
+                );
+                return true;
+            }
+            let charges = charges.into_iter();
+            let charges = charges.map(|(program, charge)| Record::Charge(program, charge));
+            let missing: Vec<TurnId> = {
+                let held = self.host.group(self.group);
+                let listed = listed.into_iter();
+                listed.filter(|id| held.location(*id).is_none()).collect()
+            };
+            copied += missing.len();
+            if !self.save_all(charges.collect()).await || !self.fetch_all(source, &missing).await {
+                return false;
+            }
+            (turns, programs) = (last_turn, last_program);
         }
-        (turns, programs) = (last_turn, last_program);
     }
-}
 
-/// Copies turns with several concurrent fetch requests.
-async fn fetch_all(host: &StoreHost, source: &CopySource, turns: &[TurnId]) -> bool {
-    for window in turns.chunks(MAX_FETCH_TURNS * MAX_CONCURRENT_FETCHES) {
-        let fetches: Vec<_> = window
-            .chunks(MAX_FETCH_TURNS)
-            .map(|batch| {
-                let (host, source, batch) = (host.clone(), *source, batch.to_vec());
-                spawn_local(async move { fetch(&host, &source, batch).await })
-            })
-            .collect();
-        for fetch in fetches {
-            if !fetch.await.unwrap_or(false) {
-                return false;
+    /// Copies turns with several concurrent fetch requests.
+    async fn fetch_all(&self, source: &CopySource, turns: &[TurnId]) -> bool {
+        for window in turns.chunks(MAX_FETCH_TURNS * MAX_CONCURRENT_FETCHES) {
+            let fetches: Vec<_> = window
+                .chunks(MAX_FETCH_TURNS)
+                .map(|batch| {
+                    let (join, source, batch) = (self.clone(), *source, batch.to_vec());
+                    spawn_local(async move { join.fetch(&source, batch).await })
+                })
+                .collect();
+            for fetch in fetches {
+                if !fetch.await.unwrap_or(false) {
+                    return false;
+                }
             }
         }
+        true
     }
-    true
-}
 
-/// Copies turns with one fetch request.
-async fn fetch(host: &StoreHost, source: &CopySource, turns: Vec<TurnId>) -> bool {
-    match ask_source(host, source, StoreOp::Fetch(turns)).await {
-        Some(StoreReply::Turns(turns)) => {
-            save_all(host, turns.into_iter().map(Record::Turn).collect()).await
+    /// Copies turns with one fetch request.
+    async fn fetch(&self, source: &CopySource, turns: Vec<TurnId>) -> bool {
+        match self.ask(source, StoreOp::Fetch(turns)).await {
+            Some(StoreReply::Turns(turns)) => {
+                self.save_all(turns.into_iter().map(Record::Turn).collect())
+                    .await
+            }
+            _ => false,
         }
-        _ => false,
     }
-}
 
-/// Saves records concurrently, so that one disk sync covers them.
-async fn save_all(host: &StoreHost, records: Vec<Record>) -> bool {
-    let saves: Vec<_> = records
-        .into_iter()
-        .map(|record| {
-            let host = host.clone();
-            spawn_local(async move { host.save(record).await })
-        })
-        .collect();
-    let mut all = true;
-    for save in saves {
-        all &= save.await.unwrap_or(false);
+    async fn save(&self, record: Record) -> bool {
+        self.host.save(self.group, record).await
     }
-    all
-}
 
-async fn ask_source(host: &StoreHost, source: &CopySource, op: StoreOp) -> Option<StoreReply> {
-    let req = StoreRequest {
-        to: source.identity,
-        epoch: host.epoch(),
-        joined: 0,
-        op,
-    };
-    let req = LinkRequest::Gateway(GatewayRequest::Store(req));
-    let source = (source.addr, LinkRole::Ledger);
-    exchange(&host.links, source, &req, SOURCE_TIMEOUT)
-        .await
-        .ok()
+    /// Saves records concurrently, so that one disk sync covers them.
+    async fn save_all(&self, records: Vec<Record>) -> bool {
+        let saves: Vec<_> = records
+            .into_iter()
+            .map(|record| {
+                let join = self.clone();
+                spawn_local(async move { join.save(record).await })
+            })
+            .collect();
+        let mut all = true;
+        for save in saves {
+            all &= save.await.unwrap_or(false);
+        }
+        all
+    }
+
+    async fn ask(&self, source: &CopySource, op: StoreOp) -> Option<StoreReply> {
+        let req = StoreRequest {
+            to: source.identity,
+            group: self.group,
+            epoch: self.host.view(self.group).epoch,
+            joined: 0,
+            op,
+        };
+        let req = LinkRequest::Gateway(GatewayRequest::Store(req));
+        let source = (source.addr, LinkRole::Ledger);
+        exchange(&self.host.links, source, &req, SOURCE_TIMEOUT)
+            .await
+            .ok()
+    }
 }
--- a/crates/sapphirequayd/src/gateway/store/files.rs
+++ b/crates/sapphirequayd/src/gateway/store/files.rs
@@ -3,6 +3,7 @@
 
 use {
     quay_turns::{Record, RecordLocation},
+    quay_types::GroupId,
     std::{
         fs::{self, File, OpenOptions},
         io::{self, Read as _, Seek as _, SeekFrom, Write as _},
@@ -39,8 +40,8 @@
     end: u64,
 }
 
-/// Called with each record of a folder and its location.
-pub type Replay<'a> = &'a mut dyn FnMut(&Record, RecordLocation);
+/// Called with each record of a folder, its group and its location.
+pub type Replay<'a> = &'a mut dyn FnMut(GroupId, &Record, RecordLocation);
 
 impl Files {
     /// Opens a folder and replays its records. Returns the files and the
@@ -87,7 +88,7 @@
     ///
     /// If the write or the sync fails. The file is then truncated to its
     /// previous length.
-    pub fn append(&mut self, records: &[Record]) -> io::Result<Vec<RecordLocation>> {
+    pub fn append(&mut self, records: &[(GroupId, Record)]) -> io::Result<Vec<RecordLocation>> {
         if self.end >= self.segment_bytes {
             self.file = create(&self.folder, self.segment + 1)?;
             self.segment += 1;
@@ -150,7 +151,9 @@
             let start =
                 usize::try_from(location.offset - first.offset).map_err(io::Error::other)?;
             let bytes = &buf[start..start + location.len as usize];
-            records.push(postcard::from_bytes(bytes).map_err(io::Error::other)?);
+            let decoded = postcard::from_bytes(bytes);
+            let (_, record): (GroupId, Record) = decoded.map_err(io::Error::other)?;
+            records.push(record);
         }
     }
     Ok(records)
@@ -247,8 +250,8 @@
             offset: offset + HEADER_BYTES as u64,
             len,
         };
-        let record = postcard::from_bytes(&buf).map_err(io::Error::other)?;
-        replay(&record, location);
+        let (group, record) = postcard::from_bytes(&buf).map_err(io::Error::other)?;
+        replay(group, &record, location);
         offset += HEADER_BYTES as u64 + u64::from(len);
     }
 }
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -18,12 +18,13 @@
     },
     quay_link::Links,
     quay_turns::{
-        CopySource, Record, RecordLocation, StoreAnnouncement, StoreIndex, StoreIndexSettings,
-        StoreMember, StoreView, TurnRecord,
+        Record, RecordLocation, StoreAnnouncement, StoreIndex, StoreIndexSettings, StoreIndexes,
+        StoreMap, StoreMember, StoreView, TurnRecord,
     },
-    quay_types::{Time, TurnId},
+    quay_types::{GroupId, Time, TurnId},
     std::{
-        cell::{Cell, RefCell},
+        cell::{Cell, Ref, RefCell},
+        collections::HashSet,
         io,
         path::{Path, PathBuf},
         rc::Rc,
@@ -61,6 +62,7 @@
 
 /// Request to the disk thread to write a record.
 struct WriteJob {
+    group: GroupId,
     record: Record,
     /// Receives the location of the record and the number of the current
     /// segment; `None` if the disk is full.
@@ -75,13 +77,13 @@
     client: ControlClient,
     folder: Arc<Path>,
     announcement: Rc<RefCell<StoreAnnouncement>>,
-    index: Rc<RefCell<StoreIndex>>,
-    view: Rc<RefCell<StoreView>>,
+    index: Rc<RefCell<StoreIndexes>>,
+    map: Rc<RefCell<StoreMap>>,
     /// Number of the segment that records are appended to.
     segment: Rc<Cell<u64>>,
     disk: std_mpsc::Sender<WriteJob>,
-    /// Whether a join is in progress.
-    pub(super) copying: Rc<Cell<bool>>,
+    /// Groups in which a join is in progress.
+    pub(super) copying: Rc<RefCell<HashSet<GroupId>>>,
 }
 
 impl StoreHost {
@@ -99,17 +101,17 @@
         links: Links,
         client: ControlClient,
     ) -> io::Result<Self> {
-        let mut index = StoreIndex::new(StoreIndexSettings::default());
+        let mut index = StoreIndexes::new(StoreIndexSettings::default());
         let now = clock.now();
-        let mut replay = |record: &Record, location| index.insert(now, record, location);
+        let mut replay =
+            |group, record: &Record, location| index.insert(now, group, record, location);
         let (files, identity) =
             Files::open(&folder, segment_bytes, announcement.identity, &mut replay)?;
         announcement.identity = identity;
         log::info!(
-            "event=store_opened identity={identity} turns={} epoch={} whole={}",
+            "event=store_opened identity={identity} turns={} whole={:?}",
             index.turn_count(),
-            index.epoch(),
-            index.whole_epoch()
+            index.whole_epochs()
         );
         let segment = files.segment();
         let (disk, jobs) = std_mpsc::channel();
@@ -123,7 +125,7 @@
             folder: folder.into(),
             announcement: Rc::new(RefCell::new(announcement)),
             index: Rc::new(RefCell::new(index)),
-            view: Rc::default(),
+            map: Rc::default(),
             segment: Rc::new(Cell::new(segment)),
             disk,
             copying: Rc::default(),
@@ -155,7 +157,7 @@
             return StoreReply::Refused;
         }
         let (admitted, seen, open) = {
-            let held = self.index.borrow();
+            let held = self.group(req.group);
             (held.admit(req.epoch), held.epoch(), held.open_epoch())
         };
         if let Err(stale) = admitted {
@@ -165,16 +167,16 @@
         if writes && open < req.joined {
             return StoreReply::Refused;
         }
-        if req.epoch > seen && !self.save(Record::Epoch(req.epoch)).await {
+        if req.epoch > seen && !self.save(req.group, Record::Epoch(req.epoch)).await {
             return StoreReply::Refused;
         }
-        self.execute(req.op).await
+        self.execute(req.group, req.op).await
     }
 
-    async fn execute(&self, op: StoreOp) -> StoreReply {
+    async fn execute(&self, group: GroupId, op: StoreOp) -> StoreReply {
         match op {
             StoreOp::Write(record) => {
-                let saved = self.save(record).await;
+                let saved = self.save(group, record).await;
                 if saved {
                     StoreReply::Synced
                 } else {
@@ -182,22 +184,22 @@
                 }
             }
             StoreOp::Reserve(program, charge) => {
-                if self.save(Record::Charge(program, charge)).await {
-                    StoreReply::Charges(self.index.borrow().charges(program))
+                if self.save(group, Record::Charge(program, charge)).await {
+                    StoreReply::Charges(self.group(group).charges(program))
                 } else {
                     StoreReply::Refused
                 }
             }
-            StoreOp::Chain(turn) => self.chain(turn).await,
+            StoreOp::Chain(turn) => self.chain(group, turn).await,
             StoreOp::FenceEpoch => StoreReply::Synced,
-            StoreOp::Fetch(turns) => self.fetch(&turns).await,
-            StoreOp::List { turns, programs } => self.list(turns, programs),
+            StoreOp::Fetch(turns) => self.fetch(group, &turns).await,
+            StoreOp::List { turns, programs } => self.list(group, turns, programs),
         }
     }
 
     /// Returns a turn and its predecessors, as far as they are held.
-    async fn chain(&self, turn: TurnId) -> StoreReply {
-        let chain = self.index.borrow().chain(turn);
+    async fn chain(&self, group: GroupId, turn: TurnId) -> StoreReply {
+        let chain = self.group(group).chain(turn);
         let locations = chain.locations.into_iter().map(|(_, location)| location);
         match self.read_turns(locations.collect()).await {
             Some(turns) => StoreReply::Chain(turns, chain.missing),
@@ -206,9 +208,9 @@
     }
 
     /// Returns those of `turns` that are held.
-    async fn fetch(&self, turns: &[TurnId]) -> StoreReply {
+    async fn fetch(&self, group: GroupId, turns: &[TurnId]) -> StoreReply {
         let locations: Vec<RecordLocation> = {
-            let held = self.index.borrow();
+            let held = self.group(group);
             turns.iter().filter_map(|id| held.location(*id)).collect()
         };
         match self.read_turns(locations).await {
@@ -244,8 +246,8 @@
 
     /// Lists the turns and charges after the given numbers, up to the limits of
     /// one reply.
-    fn list(&self, turns: u64, programs: u64) -> StoreReply {
-        let held = self.index.borrow();
+    fn list(&self, group: GroupId, turns: u64, programs: u64) -> StoreReply {
+        let held = self.group(group);
         let listed = held.turns_after(turns, MAX_LIST_TURNS);
         let (last_program, charges) = held.charges_after(programs, MAX_LIST_PROGRAMS);
         StoreReply::List(Box::new(StoreList {
@@ -256,30 +258,25 @@
         }))
     }
 
-    /// Whether a turn is held.
-    pub(super) fn holds_turn(&self, turn: TurnId) -> bool {
-        self.index.borrow().location(turn).is_some()
+    /// Index of a group's records.
+    pub(super) fn group(&self, group: GroupId) -> Ref<'_, StoreIndex> {
+        Ref::map(self.index.borrow(), |indexes| indexes.group(group))
     }
 
-    /// Whether a joining store is whole after copying from the sources in
-    /// `copied`.
-    pub(super) fn copy_is_complete(&self, own: &StoreMember, copied: &[u64]) -> bool {
-        self.view.borrow().copy_is_complete(own, copied)
+    /// Current view of a group; empty if there is none.
+    pub(super) fn view(&self, group: GroupId) -> StoreView {
+        self.map.borrow().group(group).cloned().unwrap_or_default()
     }
 
-    /// Whether a source of a joining store is whole.
-    pub(super) fn source_is_whole(&self, source: &CopySource) -> bool {
-        self.view.borrow().source_is_whole(source)
-    }
-
-    /// Writes and syncs a record unless it is held already. Returns `false` if
+    /// Writes and syncs a record of a group unless it is held already. Returns `false` if
     /// the record could not be written.
-    pub(super) async fn save(&self, record: Record) -> bool {
-        if self.index.borrow().holds(&record) {
+    pub(super) async fn save(&self, group: GroupId, record: Record) -> bool {
+        if self.group(group).holds(&record) {
             return true;
         }
         let (reply_to, saved) = oneshot::channel();
         let job = WriteJob {
+            group,
             record: record.clone(),
             reply_to,
         };
@@ -291,7 +288,9 @@
         };
         self.segment.set(segment);
         let now = self.now();
-        self.index.borrow_mut().insert(now, &record, location);
+        self.index
+            .borrow_mut()
+            .insert(now, group, &record, location);
         true
     }
 
@@ -299,80 +298,64 @@
     // Tasks
 
     /// Announces the store to the control leader periodically, and applies the
-    /// views that the leader returns.
+    /// store map that the leader returns.
     async fn announce_periodically(self) {
         loop {
             let announcement = StoreAnnouncement {
-                whole: self.index.borrow().whole_epoch(),
+                whole: self.index.borrow().whole_epochs(),
                 ..self.announcement.borrow().clone()
             };
+            let known = self.map.borrow().version;
             let reply = self
                 .client
                 .request(
-                    ControlRequest::AnnounceStore(announcement),
+                    ControlRequest::AnnounceStore(announcement, known),
                     ANNOUNCE_TIMEOUT,
                 )
                 .await;
-            if let Some(ControlReply::Stores(view)) = reply {
-                self.apply_view(view).await;
+            if let Some(ControlReply::Stores(Some(map))) = reply
+                && map.version >= self.map.borrow().version
+            {
+                self.map.replace(map);
             }
+            self.apply_memberships().await;
             sleep(ANNOUNCE_INTERVAL).await;
         }
     }
 
-    /// Applies a view, unless a newer one was applied before.
-    async fn apply_view(&self, view: StoreView) {
-        if view.version < self.view.borrow().version {
-            return;
-        }
-        let own = view.member(self.identity()).cloned();
-        self.view.replace(view);
-        if let Some(own) = own {
-            self.apply_membership(&own).await;
+    /// Opens each group for writes in which the store is a whole member, and
+    /// starts to copy each one in which it is not.
+    async fn apply_memberships(&self) {
+        let identity = self.identity();
+        let own: Vec<(GroupId, StoreMember)> = {
+            let map = self.map.borrow();
+            let groups = map.iter();
+            let own =
+                groups.filter_map(|(group, view)| Some((group, view.member(identity)?.clone())));
+            own.collect()
+        };
+        for (group, own) in own {
+            self.apply_membership(group, own).await;
         }
     }
 
-    /// Opens the store for writes if it is a whole member, or starts to copy
-    /// from the sources if it is not.
-    async fn apply_membership(&self, own: &StoreMember) {
+    async fn apply_membership(&self, group: GroupId, own: StoreMember) {
         let (open, whole) = {
-            let held = self.index.borrow();
+            let held = self.group(group);
             (held.open_epoch(), held.whole_epoch())
         };
         if own.whole {
             if open < own.joined {
-                self.save(Record::Open(own.joined)).await;
+                self.save(group, Record::Open(own.joined)).await;
             }
             if whole < own.joined {
-                self.save(Record::Whole(own.joined)).await;
+                self.save(group, Record::Whole(own.joined)).await;
             }
-        } else if whole < own.joined && !self.copying.replace(true) {
-            spawn_local(copy::join(self.clone(), own.clone()));
+        } else if whole < own.joined && self.copying.borrow_mut().insert(group) {
+            spawn_local(copy::join(self.clone(), group, own));
         }
     }
 
-    /// Epoch of the latest join for which the store accepts writes.
-    pub(super) fn open_epoch(&self) -> u64 {
-        self.index.borrow().open_epoch()
-    }
-
-    /// Whether the store is still the member that joined in `epoch`.
-    pub(super) fn is_member_since(&self, epoch: u64) -> bool {
-        let view = self.view.borrow();
-        view.member(self.identity())
-            .is_some_and(|own| own.joined == epoch)
-    }
-
-    /// Sources of a joining store, with their current addresses.
-    pub(super) fn sources(&self, own: &StoreMember) -> Vec<CopySource> {
-        self.view.borrow().sources_of(own).to_vec()
-    }
-
-    /// Epoch of the current view.
-    pub(super) fn epoch(&self) -> u64 {
-        self.view.borrow().epoch
-    }
-
     /// Removes expired records and empty segments periodically.
     async fn expire_periodically(self) {
         loop {
@@ -380,7 +363,7 @@
             let now = self.now();
             {
                 let held = self.index.borrow();
-                meters::set_store(held.turn_count(), held.whole_epoch() > 0);
+                meters::set_store(held.turn_count(), !held.whole_epochs().is_empty());
             }
             let empty = self.index.borrow_mut().expire(now, self.segment.get());
             for segment in empty {
@@ -408,7 +391,7 @@
         }
         let (records, waiters): (Vec<_>, Vec<_>) = batch
             .into_iter()
-            .map(|job| (job.record, job.reply_to))
+            .map(|job| ((job.group, job.record), job.reply_to))
             .unzip();
         let began = Instant::now();
         match files.append(&records) {
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -25,7 +25,7 @@
     Front(usize),
 }
 
-/// Gateway of three control hosts, three stores and two fronts.
+/// Gateway of three control hosts, some stores and two fronts.
 pub struct Gateway {
     pub controls: Vec<SocketAddr>,
     pub fronts: Vec<SocketAddr>,
@@ -41,7 +41,8 @@
 }
 
 impl Gateway {
-    pub fn start() -> Self {
+    /// Starts a gateway with `stores` stores.
+    pub fn start(stores: usize) -> Self {
         let folder = TempDir::new().expect("folder");
         let made = DevelopmentKeys::generate().expect("keys");
         let nobody: [&str; 0] = [];
@@ -53,12 +54,14 @@
             monitor: free_port(),
             control_links: (0..3).map(|_| free_port()).collect(),
             front_links: (0..2).map(|_| free_port()).collect(),
-            store_links: (0..3).map(|_| free_port()).collect(),
+            store_links: (0..stores).map(|_| free_port()).collect(),
             children: Vec::new(),
             folder,
         };
         for slot in 0..3 {
             gateway.run(Role::Control(slot), true);
+        }
+        for slot in 0..stores {
             gateway.run(Role::Store(slot), true);
         }
         for slot in 0..2 {
@@ -249,11 +252,11 @@
     WrongRequestId,
     /// Ends a stream within an event.
     TruncatedEvent,
+    /// Answers completely and says that it is leaving.
+    Leaving,
 }
 
 /// Stub upstream: streams two events for a chat request, or sends a short plain
-    /// Answers completely and says that it is leaving.
-    Leaving,
 /// response.
 #[derive(Clone)]
 pub struct StubUpstream {
@@ -300,13 +303,13 @@
         let common = format!(
             "x-sapphirequay-request-id: {id}\r\nx-sapphirequay-response-seal: s\r\nconnection: close\r\n"
         );
-        if behaviour == Behaviour::Overloaded {
-            let text = format!(
-                "HTTP/1.1 503 Full\r\nx-sapphirequay-not-executed: 1\r\n{common}content-length: 0\r\n\r\n"
         let common = match behaviour {
             Behaviour::Leaving => format!("{common}server-leaving: 1\r\n"),
             _ => common,
         };
+        if behaviour == Behaviour::Overloaded {
+            let text = format!(
+                "HTTP/1.1 503 Full\r\nx-sapphirequay-not-executed: 1\r\n{common}content-length: 0\r\n\r\n"
             );
             return stream.write_all(text.as_bytes()).ok();
         }
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -9,7 +9,7 @@
 use {
     gateway::{Behaviour, Gateway, Response, Role, StubUpstream, send},
     quay_link::LinkRole,
-    quay_types::TurnId,
+    quay_types::{GroupId, TurnId},
     sapphirequayd::{GatewayRequest, LinkRequest, StoreOp, StoreReply, StoreRequest},
     std::{
         net::SocketAddr,
@@ -66,7 +66,12 @@
 
 /// Starts a gateway with a routing table and two upstreams.
 fn start_gateway() -> (Gateway, StubUpstream, StubUpstream) {
-    let gateway = Gateway::start();
+    start_gateway_with(3)
+}
+
+/// As [`start_gateway`], with a number of stores.
+fn start_gateway_with(stores: usize) -> (Gateway, StubUpstream, StubUpstream) {
+    let gateway = Gateway::start(stores);
     let (llm, app) = (StubUpstream::start(), StubUpstream::start());
     put_table(&gateway, 3);
     announce(&gateway, "llm-1", "llm", &llm);
@@ -75,8 +80,12 @@
 }
 
 fn turn(id: &str, prior: &str, budget: u32) -> String {
+    turn_of("p", id, prior, budget)
+}
+
+fn turn_of(program: &str, id: &str, prior: &str, budget: u32) -> String {
     let mut head = format!(
-        "POST /chat/1 HTTP/1.1\nHost: a.example\nX-Sapphirequay-Request-Id: {id}\nX-Sapphirequay-Program-Id: p\n\
+        "POST /chat/1 HTTP/1.1\nHost: a.example\nX-Sapphirequay-Request-Id: {id}\nX-Sapphirequay-Program-Id: {program}\n\
          X-Sapphirequay-Token-Budget: {budget}\nX-Sapphirequay-Token-Usage: 5,30\nX-Sapphirequay-Deadline-Ms: 8000"
     );
     if !prior.is_empty() {
@@ -89,6 +98,16 @@
 /// Sends a turn until the status is not 503, each time with a new request ID.
 /// Returns the last request ID and the answer.
 fn run_turn(
+    gateway: &Gateway,
+    front: SocketAddr,
+    upstream: &StubUpstream,
+    turn: (&str, &str, u32, &str),
+) -> (String, Response) {
+    run_turn_of("p", gateway, front, upstream, turn)
+}
+
+fn run_turn_of(
+    program: &str,
     gateway: &Gateway,
     front: SocketAddr,
     upstream: &StubUpstream,
@@ -99,7 +118,7 @@
         announce(gateway, "llm-1", "llm", upstream);
         attempt += 1;
         let id = format!("{name}-{attempt}");
-        let got = send(front, &turn(&id, prior, budget), input)?;
+        let got = send(front, &turn_of(program, &id, prior, budget), input)?;
         (got.status != 503).then_some((id, got))
     })
 }
@@ -161,6 +180,46 @@
     assert_eq!(got.status, 404, "{got:?}");
 }
 
+/// Five stores of which three hold each program.
+#[test]
+fn programs_continue_across_groups_of_stores_and_over_a_lost_disk() {
+    let (mut gateway, llm, _app) = start_gateway_with(5);
+    let [one, two] = [gateway.fronts[0], gateway.fronts[1]];
+    // Programs of all groups, each continued at the other front.
+    for program in 0..10 {
+        let name = format!("p{program}");
+        let input = format!("in-{program};");
+        let turn = (&*format!("{name}-a"), "", 1_000, &*input);
+        let (first, got) = run_turn_of(&name, &gateway, one, &llm, turn);
+        assert_eq!(got.status, 200, "{got:?}");
+        let turn = (&*format!("{name}-b"), &*first, 1_000, "more;");
+        let (_, got) = run_turn_of(&name, &gateway, two, &llm, turn);
+        assert_eq!(got.status, 200, "{got:?}");
+        let conversation = format!("{input}hello\nworld\nmore;");
+        assert_eq!(llm.requests_run().last(), Some(&conversation));
+    }
+    let (first, _) = run_turn_of("source", &gateway, one, &llm, ("s", "", 1_000, "start;"));
+    gateway.kill(Role::Store(1));
+    gateway.wipe_store(1);
+    gateway.run(Role::Store(1), false);
+    // New programs continue from the turn of another program, of whose group
+    // theirs mostly differs.
+    for program in 0..10 {
+        let name = format!("q{program}");
+        let turn = (&*format!("{name}-a"), &*first, 1_000, "next;");
+        let (second, got) = run_turn_of(&name, &gateway, two, &llm, turn);
+        assert_eq!(got.status, 200, "{got:?}");
+        let turn = (&*format!("{name}-b"), &*second, 1_000, "last;");
+        let (_, got) = run_turn_of(&name, &gateway, one, &llm, turn);
+        assert_eq!(got.status, 200, "{got:?}");
+        let conversation = "start;hello\nworld\nnext;hello\nworld\nlast;".to_owned();
+        assert_eq!(llm.requests_run().last(), Some(&conversation));
+    }
+    // A turn is absent only if every group says so.
+    let (_, got) = run_turn(&gateway, two, &llm, ("x", "never", 1_000, "in;"));
+    assert_eq!(got.status, 404, "{got:?}");
+}
+
 #[test]
 fn a_budget_holds_across_fronts_and_charges_the_tokens_sent() {
     let (gateway, llm, _app) = start_gateway();
@@ -217,6 +276,31 @@
     }
 }
 
+#[test]
+fn an_upstream_that_says_it_is_leaving_gets_no_further_calls() {
+    let (gateway, llm, app) = start_gateway();
+    let front = gateway.fronts[0];
+    run_turn(&gateway, front, &llm, ("warm", "", 1_000, "w"));
+    llm.set_behaviour(Behaviour::Leaving);
+    app.set_behaviour(Behaviour::Leaving);
+    let (_, got) = run_turn(&gateway, front, &llm, ("last", "", 1_000, "x"));
+    assert_eq!(got.status, 200, "{got:?}");
+    assert!(got.head.contains("server-leaving: 1"), "{got:?}");
+    let got = send(front, &call("order", "o1"), "o1").expect("answer");
+    assert_eq!(got.status, 200, "{got:?}");
+    assert!(got.head.contains("server-leaving: 1"), "{got:?}");
+    // Both services have no other upstream, so calls are refused at once.
+    let (ran, orders) = (llm.requests_run().len(), app.requests_run().len());
+    let got = send(front, &turn("late", "", 1_000), "y").expect("answer");
+    assert_eq!(got.status, 503, "{got:?}");
+    let got = send(front, &call("read", "r1"), "r1").expect("answer");
+    assert_eq!(got.status, 503, "{got:?}");
+    assert_eq!(
+        (llm.requests_run().len(), app.requests_run().len()),
+        (ran, orders)
+    );
+}
+
 #[test]
 fn a_stream_that_ends_within_an_event_is_not_terminated_and_not_stored() {
     let (gateway, llm, _app) = start_gateway();
@@ -276,31 +360,6 @@
     let unknown = send(front, &call("gone", "r1"), "").expect("answer");
     assert_eq!(unknown.status, 404);
     let large = send(front, &call("read", "r2"), &"x".repeat(100_001)).expect("answer");
-#[test]
-fn an_upstream_that_says_it_is_leaving_gets_no_further_calls() {
-    let (gateway, llm, app) = start_gateway();
-    let front = gateway.fronts[0];
-    run_turn(&gateway, front, &llm, ("warm", "", 1_000, "w"));
-    llm.set_behaviour(Behaviour::Leaving);
-    app.set_behaviour(Behaviour::Leaving);
-    let (_, got) = run_turn(&gateway, front, &llm, ("last", "", 1_000, "x"));
-    assert_eq!(got.status, 200, "{got:?}");
-    assert!(got.head.contains("server-leaving: 1"), "{got:?}");
-    let got = send(front, &call("order", "o1"), "o1").expect("answer");
-    assert_eq!(got.status, 200, "{got:?}");
-    assert!(got.head.contains("server-leaving: 1"), "{got:?}");
-    // Both services have no other upstream, so calls are refused at once.
-    let (ran, orders) = (llm.requests_run().len(), app.requests_run().len());
-    let got = send(front, &turn("late", "", 1_000), "y").expect("answer");
-    assert_eq!(got.status, 503, "{got:?}");
-    let got = send(front, &call("read", "r1"), "r1").expect("answer");
-    assert_eq!(got.status, 503, "{got:?}");
-    assert_eq!(
-        (llm.requests_run().len(), app.requests_run().len()),
-        (ran, orders)
-    );
-}
-
     assert_eq!(large.status, 413);
     let without_id = "POST /read/1 HTTP/1.1\nHost: a.example";
     assert_eq!(send(front, without_id, "").expect("answer").status, 400);
@@ -341,6 +400,7 @@
         let req = StoreRequest {
             // No store has this identity, so a store that is reached refuses.
             to: 0,
+            group: GroupId(0),
             epoch: 1,
             joined: 0,
             op: StoreOp::Chain(TurnId(0)),
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -4,7 +4,7 @@
     bytes::Bytes,
     proptest::prelude::*,
     quay_quorum::{Member, Membership, MembershipChange, StateMachine as _},
-    quay_types::{Epoch, Incarnation, LogIndex, NodeId, Time, TurnId},
+    quay_types::{Epoch, GroupId, Incarnation, LogIndex, NodeId, Time, TurnId},
     sapphirequayd::{
         ControlCommand, ControlState, ConversationCache, EventReader, MembershipInputs, PathProbe,
         StartupWait, StorePath, StreamEnd, TableDocument, UPSTREAM_DISCONNECTED, UpstreamOutcome,
@@ -84,17 +84,21 @@
 fn conversations_are_bounded_and_dropped_when_unused() {
     let mut chains = ConversationCache::new(10);
     let at = Time::from_millis;
-    chains.put(at(0), TurnId(1), Bytes::from_static(b"12345"));
-    chains.put(at(0), TurnId(2), Bytes::from_static(b"12345"));
-    assert!(chains.get(at(1), TurnId(1)).is_some());
+    let key = |turn| (GroupId(0), TurnId(turn));
+    chains.put(at(0), key(1), Bytes::from_static(b"12345"));
+    chains.put(at(0), key(2), Bytes::from_static(b"12345"));
+    assert!(chains.get(at(1), key(1)).is_some());
     // The least recently used chain is evicted.
-    chains.put(at(1), TurnId(3), Bytes::from_static(b"123"));
-    assert_eq!(chains.get(at(1), TurnId(2)), None);
+    chains.put(at(1), key(3), Bytes::from_static(b"123"));
+    assert_eq!(chains.get(at(1), key(2)), None);
     chains.tick(at(2_000));
-    assert!(chains.get(at(2_000), TurnId(1)).is_some());
+    assert!(chains.get(at(2_000), key(1)).is_some());
     chains.tick(at(4_500));
-    assert_eq!(chains.get(at(4_500), TurnId(3)), None);
-    assert!(chains.get(at(4_500), TurnId(1)).is_some());
+    assert_eq!(chains.get(at(4_500), key(3)), None);
+    assert!(chains.get(at(4_500), key(1)).is_some());
+    // Another group does not hold the chain.
+    let elsewhere = (GroupId(1), TurnId(1));
+    assert_eq!(chains.get(at(4_500), elsewhere), None);
 }
 
 // ---------------------------------------------------------------------------
