Count the time for which a host was suspended

Cause: every decision read a clock that stands still while the host is suspended. A front that woke up took its last update from the control group, its requests' deadlines, its load reports and its pooled connections for current; a control leader its confirmed state. This is one of the failures that operators of similar systems met: a process acts on a permission that ran out while it was paused.

--- a/crates/sapphirequayd/src/gateway/front/connections.rs
+++ b/crates/sapphirequayd/src/gateway/front/connections.rs
@@ -1,19 +1,16 @@
 //! Pool of HTTP connections to upstreams.
 
 use {
+    crate::process::Clock,
     bytes::Bytes,
     http::{HeaderMap, Request, Response, header},
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     indexmap::IndexMap,
+    quay_types::Time,
     socket2::SockRef,
-    std::{
-        cell::RefCell,
-        net::SocketAddr,
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::TcpStream,
         task::{AbortHandle, spawn_local},
@@ -44,12 +41,15 @@
 struct Idle {
     sender: http1::SendRequest<RequestBody>,
     task: CloseOnDrop,
-    until: Instant,
+    until: Time,
 }
 
 /// Pool of idle connections to upstreams.
-#[derive(Debug, Clone, Default)]
-pub struct Connections(Rc<RefCell<IndexMap<SocketAddr, Vec<Idle>>>>);
+#[derive(Debug, Clone)]
+pub struct Connections {
+    clock: Clock,
+    idle: Rc<RefCell<IndexMap<SocketAddr, Vec<Idle>>>>,
+}
 
 /// A connection in use by a request; dropping it closes the connection at once.
 #[derive(Debug)]
@@ -82,6 +82,14 @@
 }
 
 impl Connections {
+    /// Creates an empty pool.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            idle: Rc::default(),
+        }
+    }
+
     /// Takes an idle connection to an address or sets up a new one.
     ///
     /// # Errors
@@ -89,7 +97,7 @@
     /// If no connection could be set up; nothing was sent in this case.
     pub async fn lease(&self, addr: SocketAddr) -> std::io::Result<Lease> {
         while let Some(idle) = self.take(addr) {
-            if idle.sender.is_ready() && idle.until > Instant::now() {
+            if idle.sender.is_ready() && idle.until > self.clock.now() {
                 return Ok(Lease {
                     addr,
                     sender: idle.sender,
@@ -122,7 +130,7 @@
 
     /// Takes the most recently used idle connection.
     fn take(&self, addr: SocketAddr) -> Option<Idle> {
-        self.0.borrow_mut().get_mut(&addr)?.pop()
+        self.idle.borrow_mut().get_mut(&addr)?.pop()
     }
 
     /// Returns a connection to the pool after a complete response with the
@@ -132,7 +140,7 @@
         if idle.is_zero() || lease.sender.is_closed() {
             return;
         }
-        let mut all = self.0.borrow_mut();
+        let mut all = self.idle.borrow_mut();
         let pooled = all.entry(lease.addr).or_default();
         if pooled.len() >= MAX_IDLE_CONNECTIONS {
             return;
@@ -140,14 +148,14 @@
         pooled.push(Idle {
             sender: lease.sender,
             task: lease.task,
-            until: Instant::now() + idle,
+            until: self.clock.now() + idle,
         });
     }
 
     /// Closes connections that are past their idle time.
     pub fn close_idle(&self) {
-        let now = Instant::now();
-        let mut all = self.0.borrow_mut();
+        let now = self.clock.now();
+        let mut all = self.idle.borrow_mut();
         for pooled in all.values_mut() {
             pooled.retain(|idle| idle.until > now && !idle.sender.is_closed());
         }
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -114,7 +114,7 @@
             control,
             stores,
             upstreams: RefCell::new(Upstreams::new(data_centre)),
-            connections: Connections::default(),
+            connections: Connections::new(clock),
             conversations: RefCell::new(ConversationCache::new(chain_cache_bytes)),
             table: RefCell::default(),
             limits: ServerLimits::default(),
