Send calls of an object to the upstream that had it

Cause: callers name the object that a call concerns, and on sticky routes an upstream that had it lately works faster; the gateway dropped both facts.

Change: the object and the route's stickiness are parsed; a call without a prompt is placed as if the object's home upstream held a prompt of 2,048 tokens, so load still decides between a busy and an idle upstream.

--- a/crates/quay_routes/src/head.rs
+++ b/crates/quay_routes/src/head.rs
@@ -23,6 +23,8 @@
     pub turn: Option<TurnHead>,
     /// Parts of the prompt, in order.
     pub prompt: Vec<PromptPart>,
+    /// Object that the request concerns, if it names one.
+    pub object: Option<Box<str>>,
 }
 
 /// Fields that are present only in a turn of a program.
--- a/crates/quay_routes/src/table.rs
+++ b/crates/quay_routes/src/table.rs
@@ -71,6 +71,9 @@
     pub max_attempts: u32,
     /// Time for which turns are kept, if the gateway keeps them.
     pub retention: Option<Duration>,
+    /// Whether an upstream is faster with an object or a prompt that it had
+    /// lately.
+    pub sticky: bool,
 }
 
 impl Route {
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -488,10 +488,13 @@
         tried: &mut Vec<UpstreamId>,
     ) -> AttemptResult<D> {
         let now = self.front.now();
-        let upstream =
-            self.front
-                .upstreams()
-                .select(now, self.service, self.head, tried, self.draw);
+        let upstream = self.front.upstreams().select(
+            now,
+            (self.service, self.route.sticky),
+            self.head,
+            tried,
+            self.draw,
+        );
         let Some(upstream) = upstream else {
             return AttemptResult::NoUpstream;
         };
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -7,12 +7,12 @@
         ExpectedTime, LeavingUpstreams, NewProgram, NewProgramGate, RouteRequest, RouteSettings,
         Router,
     },
-    quay_routes::{CallHead, block_hashes, branch_ids, token_count},
+    quay_routes::{CallHead, PromptPart, block_hashes, branch_ids, token_count},
     quay_types::{
         Announcement, CallTarget, DirectoryEntry, Incarnation, Load, ProgramId, ServiceId, Time,
         Tokens, UpstreamId, UpstreamKind, UpstreamState,
     },
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, slice, time::Duration},
 };
 
 /// Time for which an unreachable upstream is not selected.
@@ -22,6 +22,10 @@
 /// have as many requests as the others.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
 
+/// Advantage of the upstream that had an object lately, in tokens that it need
+/// not prefill: some milliseconds, so that a busy upstream is left for another.
+const OBJECT_TOKENS: u64 = 2_048;
+
 /// Upstream selected for a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SelectedUpstream {
@@ -271,12 +275,13 @@
     /// Selects an upstream of a service and counts the request as in flight
     /// there.
     ///
-    /// Upstreams in `tried` and leaving ones are excluded. `draw` spreads requests over equally
-    /// good upstreams.
+    /// With `sticky`, an upstream that had the call's object lately is
+    /// preferred. Upstreams in `tried` and leaving ones are excluded. `draw`
+    /// spreads requests over equally good upstreams.
     pub fn select(
         &mut self,
         now: Time,
-        service: &str,
+        (service, sticky): (&str, bool),
         head: &CallHead,
         tried: &[UpstreamId],
         draw: u64,
@@ -290,16 +295,25 @@
         let suspended = self.known.iter().filter(|(_, it)| it.suspended_until > now);
         let mut excluded: Vec<UpstreamId> = suspended.map(|(id, _)| *id).collect();
         excluded.extend_from_slice(&never);
-        let blocks = block_hashes(&head.prompt);
+        let object = head.object.as_deref().filter(|_| sticky);
+        let object = object.filter(|_| head.prompt.is_empty());
+        let object_part = object.map(|object| PromptPart {
+            id: UpstreamId::of(object).0,
+            tokens: OBJECT_TOKENS,
+        });
+        let prompt = object_part.as_ref().map_or(&*head.prompt, slice::from_ref);
+        let blocks = block_hashes(prompt);
+        // All fronts compute the same home for an object, or for a program.
         let program = head.program.as_deref().unwrap_or(&head.id);
-        let branches = branch_ids(&head.prompt);
+        let program = object.unwrap_or(program);
+        let branches = branch_ids(prompt);
         let continues = head.turn.as_ref().is_some_and(|turn| turn.prior.is_some());
         let mut req = RouteRequest {
             target: CallTarget::Service(ServiceId::of(service)),
             program: ProgramId::root(UpstreamId::of(program).0),
-            has_history: continues || branches.len() > 1,
+            has_history: continues || branches.len() > 1 || object.is_some(),
             conversations: &branches,
-            prompt: Tokens(token_count(&head.prompt)),
+            prompt: Tokens(token_count(prompt)),
             blocks: &blocks,
             tried: &excluded,
         };
--- a/crates/sapphirequayd/tests/common/agent_load.rs
+++ b/crates/sapphirequayd/tests/common/agent_load.rs
@@ -251,7 +251,7 @@
             ],
             ..CallHead::default()
         };
-        let chosen = front.select(now, SERVICE, &head, &[], draw);
+        let chosen = front.select(now, (SERVICE, true), &head, &[], draw);
         let chosen = chosen.expect("an upstream").id;
         let upstream = self.names.iter().position(|name| *name == chosen);
         let upstream = upstream.expect("a known upstream");
--- a/crates/sapphirequayd/tests/leaving_upstreams.rs
+++ b/crates/sapphirequayd/tests/leaving_upstreams.rs
@@ -62,7 +62,7 @@
     let mut chosen: Vec<SelectedUpstream> = Vec::new();
     for conversation in 0..100 {
         let head = turn(conversation);
-        if let Some(upstream) = front.select(now, SERVICE, &head, tried, conversation) {
+        if let Some(upstream) = front.select(now, (SERVICE, true), &head, tried, conversation) {
             front.record_end(now, upstream.id);
             if !chosen.contains(&upstream) {
                 chosen.push(upstream);
