Report a retired store as empty although other groups move

Cause: a retiring host was reported as empty only when every member of every group was whole. While groups move to added hosts some member almost always joins, so the operator would have waited beyond the requested time.

Change: a host is empty once it is in no group and no joining member has it as a source. The planner also returns early for members that are not silent, since it looks at every member of every group four times a second.

Tests: two in quay_turns/tests/groups.rs; the second fails with the former condition by construction (it requires empty while a member joins).

--- a/crates/quay_turns/src/membership.rs
+++ b/crates/quay_turns/src/membership.rs
@@ -115,6 +115,17 @@
         })
     }
 
+    /// Whether a retiring host can be removed: it is in no group, and no joining
+    /// member copies from it.
+    #[must_use]
+    pub fn is_empty(&self, map: &StoreMap, host: &str) -> bool {
+        let copies = match self.known.get(host) {
+            Some(known) => map.copies_from(known.announcement.identity),
+            None => !map.all_whole(),
+        };
+        map.groups_on(host) == 0 && !copies
+    }
+
     /// Returns the changes of the map that are due, in order.
     #[must_use]
     pub fn due_changes(&self, now: Time, map: &StoreMap) -> Vec<StoreChange> {
@@ -244,14 +255,16 @@
         let known = self.known.get(&member.host);
         let last = known.map_or(self.listening_since, |it| it.last_announced);
         let silence = now.since(last);
+        if !retiring && silence < self.cfg.replace_after {
+            return None;
+        }
         let spares = || self.spares(now, map, view, member.identity);
         if retiring || silence >= self.cfg.replace_with_spare_after {
             return spares().max_by_key(|it| Self::suitability(map, view, member, it));
         }
         // A host that appeared while the member was silent was added for it.
         let newer = spares().filter(|it| it.first_announced > last);
-        let newest = newer.max_by_key(|it| it.first_announced)?;
-        (silence >= self.cfg.replace_after).then_some(newest)
+        newer.max_by_key(|it| it.first_announced)
     }
 
     /// Finds a member on a host with at least two groups more than some other
--- a/crates/quay_turns/src/store_map.rs
+++ b/crates/quay_turns/src/store_map.rs
@@ -133,6 +133,14 @@
         self.groups.iter().all(StoreView::all_whole)
     }
 
+    /// Whether a joining member has the store with this identity as a source.
+    #[must_use]
+    pub fn copies_from(&self, identity: u64) -> bool {
+        let members = self.groups.iter().flat_map(|view| &view.members);
+        let mut sources = members.flat_map(|member| &member.sources);
+        sources.any(|source| source.identity == identity)
+    }
+
     /// Number of members that are not whole, over all groups.
     #[must_use]
     pub fn joining(&self) -> usize {
--- a/crates/quay_turns/tests/groups.rs
+++ b/crates/quay_turns/tests/groups.rs
@@ -170,11 +170,34 @@
             .can_retire(cluster.now, &cluster.map, "store-004")
     );
     assert!(cluster.map.apply(&StoreChange::Retire("store-004".into())));
-    cluster.run(12);
+    cluster.run(1);
+    assert_eq!(cluster.map.groups_on("store-004"), 0);
+    // The hosts that take its groups over still copy from it.
+    assert!(!cluster.planner.is_empty(&cluster.map, "store-004"));
+    cluster.run(2);
+    assert!(cluster.planner.is_empty(&cluster.map, "store-004"));
+    cluster.run(9);
     assert_eq!(cluster.map.groups_on("store-004"), 0);
     assert!(cluster.map.all_whole());
 }
 
+#[test]
+fn a_retired_host_is_empty_although_other_groups_move() {
+    let mut cluster = Cluster::new(10);
+    for host in 10..16 {
+        cluster.add(host, false);
+    }
+    cluster.run(2);
+    assert!(cluster.map.apply(&StoreChange::Retire("store-004".into())));
+    let mut empty_while_joining = false;
+    for _ in 0..40 {
+        cluster.run(1);
+        let empty = cluster.planner.is_empty(&cluster.map, "store-004");
+        empty_while_joining |= empty && cluster.map.joining() > 0;
+    }
+    assert!(empty_while_joining);
+}
+
 #[test]
 fn hosts_that_are_added_take_groups_over_one_at_a_time() {
     let mut cluster = Cluster::new(10);
--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -264,13 +264,12 @@
             ControlRequest::Retired(host) => {
                 self.as_leader(|leads| {
                     let stores = &leads.state.stores;
-                    let groups = stores.groups_on(&host);
-                    if !leads.store_planner.knows(&host) && groups == 0 {
+                    if !leads.store_planner.knows(&host) && stores.groups_on(&host) == 0 {
                         return ControlReply::Unknown;
                     }
                     let marked = stores.retiring.contains(&host);
-                    let gone = groups == 0 && stores.all_whole();
-                    ControlReply::Retired(marked && gone)
+                    let empty = leads.store_planner.is_empty(stores, &host);
+                    ControlReply::Retired(marked && empty)
                 })
                 .await
             }
