Ask a write quorum of stores first

Durability is a quorum as before. Only the end that opened a link keeps it alive. A view without members has a read quorum of 1 instead of an overflow, which panicked in debug builds.

Tests: whole_members_that_answer_in_time_are_asked_first; turns_and_budgets_are_written_while_any_one_store_is_down, which found the overflow.

--- a/crates/quay_link/src/endpoint.rs
+++ b/crates/quay_link/src/endpoint.rs
@@ -54,8 +54,12 @@
     Ok(config)
 }
 
-/// Time-outs and limits of a connection.
-fn transport_config(settings: &LinkSettings) -> Result<Arc<TransportConfig>, LinkError> {
+/// Time-outs and limits of a connection. Only the end that opened it sends
+/// keep-alive packets.
+fn transport_config(
+    settings: &LinkSettings,
+    keep_alive: Option<Duration>,
+) -> Result<Arc<TransportConfig>, LinkError> {
     let idle = IdleTimeout::try_from(settings.idle_timeout)
         .map_err(|err| LinkError::Keys(format!("idle timeout: {err}").into()))?;
     let mut transport = TransportConfig::default();
@@ -67,7 +71,7 @@
     let mut congestion = CubicConfig::default();
     congestion.initial_window(INITIAL_WINDOW_BYTES);
     transport.congestion_controller_factory(Arc::new(congestion));
-    transport.keep_alive_interval(Some(settings.keep_alive));
+    transport.keep_alive_interval(keep_alive);
     transport.max_concurrent_bidi_streams(VarInt::from_u32(settings.max_streams));
     transport.max_concurrent_uni_streams(VarInt::from_u32(0));
     Ok(Arc::new(transport))
@@ -96,7 +100,7 @@
     tls.alpn_protocols = vec![ALPN.to_vec()];
     let quic = QuicClientConfig::try_from(tls).map_err(|err| keys_error(&err))?;
     let mut config = ClientConfig::new(Arc::new(quic));
-    config.transport_config(transport_config(settings)?);
+    config.transport_config(transport_config(settings, Some(settings.keep_alive))?);
     Ok(config)
 }
 
@@ -118,7 +122,7 @@
     tls.alpn_protocols = vec![ALPN.to_vec()];
     let quic = QuicServerConfig::try_from(tls).map_err(|err| keys_error(&err))?;
     let mut config = ServerConfig::with_crypto(Arc::new(quic));
-    config.transport_config(transport_config(settings)?);
+    config.transport_config(transport_config(settings, None)?);
     Ok(config)
 }
 
--- a/crates/quay_turns/src/view.rs
+++ b/crates/quay_turns/src/view.rs
@@ -92,7 +92,7 @@
     /// Number of whole members that intersect every write quorum.
     #[must_use]
     pub const fn read_quorum(&self) -> usize {
-        self.members.len() - self.write_quorum() + 1
+        self.members.len() + 1 - self.write_quorum()
     }
 
     /// Finds a member by its identity.
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -23,5 +23,5 @@
     },
     messages::{ControlCommand, GatewayRequest, StoreOp, StoreReply, StoreRequest, TableDocument},
     run::run,
-    store::{PathProbe, StorePath},
+    store::{PathProbe, SlowMembers, StorePath},
 };
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -1,7 +1,10 @@
 //! Client with which a front reads and writes turns and charges on the stores.
 
 use {
-    super::path::{PathProbe, StorePath},
+    super::{
+        exchange::{Exchange, SlowMembers},
+        path::{PathProbe, StorePath},
+    },
     crate::{
         gateway::{
             control_client::exchange,
@@ -80,6 +83,7 @@
     map: Rc<RefCell<Rc<StoreMap>>>,
     /// The views of `map` by group, so that operations can share them.
     views: Rc<RefCell<Vec<Rc<StoreView>>>>,
+    slow: Rc<RefCell<SlowMembers>>,
 }
 
 impl StoreClient {
@@ -92,6 +96,7 @@
             store_path: Rc::default(),
             map: Rc::default(),
             views: Rc::default(),
+            slow: Rc::default(),
         }
     }
 
@@ -134,29 +139,36 @@
         views.get(usize::from(group.0)).cloned().unwrap_or_default()
     }
 
-    /// Sends an operation to all members of a group concurrently. The channel
-    /// yields the identity and reply of each member as it answers; `None` on
-    /// failure.
-    fn ask_all(
-        &self,
-        group: GroupId,
-        view: &StoreView,
-        op: &StoreOp,
-    ) -> mpsc::UnboundedReceiver<(u64, Option<StoreReply>)> {
-        let (tx, rx) = mpsc::unbounded_channel();
-        for member in &view.members {
-            let (client, tx) = (self.clone(), tx.clone());
-            let (identity, addr) = (member.identity, member.addr);
-            let req = request(group, view, member, op.clone());
-            spawn_local(async move {
-                let reply = client.ask_store(addr, req).await;
-                if let Err(err) = &reply {
-                    log::debug!("event=store_unreached store={identity} cause={err:?}");
-                }
-                let _ = tx.send((identity, reply.ok()));
-            });
+    /// The members of a group in the order in which they are asked.
+    pub(super) fn member_order(&self, view: &StoreView) -> Vec<usize> {
+        self.slow.borrow_mut().order(self.clock.now(), view)
+    }
+
+    /// Records that members did not answer in time.
+    pub(super) fn record_slow(&self, members: &[u64]) {
+        let now = self.clock.now();
+        for member in members {
+            self.slow.borrow_mut().record(now, *member);
         }
-        rx
+    }
+
+    /// Sends an operation to a member of a group. `tx` gets the identity of the
+    /// member and its reply; `None` on failure.
+    pub(super) fn ask_member(
+        &self,
+        (group, view, member, op): (GroupId, &StoreView, &StoreMember, StoreOp),
+        tx: mpsc::UnboundedSender<(u64, Option<StoreReply>)>,
+    ) {
+        let client = self.clone();
+        let (identity, addr) = (member.identity, member.addr);
+        let req = request(group, view, member, op);
+        spawn_local(async move {
+            let reply = client.ask_store(addr, req).await;
+            if let Err(err) = &reply {
+                log::debug!("event=store_unreached store={identity} cause={err:?}");
+            }
+            let _ = tx.send((identity, reply.ok()));
+        });
     }
 
     // -----------------------------------------------------------------------
@@ -268,9 +280,9 @@
     async fn write_once(&self, group: GroupId, op: &StoreOp) -> bool {
         let view = self.view(group);
         let mut tally = WriteTally::new(&view);
-        let mut replies = self.ask_all(group, &view, op);
+        let mut exchange = Exchange::with_quorum(self, group, &view, op.clone());
         while tally.verdict() == WriteVerdict::Pending {
-            match replies.recv().await {
+            match exchange.next().await {
                 Some((identity, Some(StoreReply::Synced))) => tally.synced(identity),
                 Some((identity, _)) => tally.failed(identity),
                 None => return false,
@@ -310,7 +322,8 @@
         let group = self.group_of(program);
         let view = self.view(group);
         let mut tally = ChargeTally::new(&view, own, budget);
-        let mut replies = self.ask_all(group, &view, &StoreOp::Reserve(program, own));
+        let op = StoreOp::Reserve(program, own);
+        let mut exchange = Exchange::with_quorum(self, group, &view, op);
         loop {
             match tally.verdict() {
                 ChargeVerdict::Covered { others } => return ReserveOutcome::Covered { others },
@@ -318,7 +331,7 @@
                 ChargeVerdict::Undetermined => return ReserveOutcome::Undetermined,
                 ChargeVerdict::Pending => {}
             }
-            match replies.recv().await {
+            match exchange.next().await {
                 Some((identity, Some(StoreReply::Charges(charges)))) => {
                     tally.synced(identity, charges);
                 }
@@ -396,10 +409,9 @@
     async fn turns_in_group(&self, group: GroupId, last: TurnId) -> TurnLookup {
         let view = self.view(group);
         let mut held = IndexMap::new();
-        // A whole store in the local data centre usually holds the full chain.
-        if let Some(local) = self.local_member(&view) {
-            let req = request(group, &view, local, StoreOp::Chain(last));
-            let reply = self.ask_store(local.addr, req).await;
+        if let Some(likely) = self.likely_holder(&view) {
+            let req = request(group, &view, likely, StoreOp::Chain(last));
+            let reply = self.ask_store(likely.addr, req).await;
             if let Ok(StoreReply::Chain(turns, _)) = reply {
                 insert_turns(&mut held, turns);
             }
@@ -411,9 +423,9 @@
                 Err(next) => missing = next,
             }
             let mut tally = LookupTally::new(&view);
-            let mut replies = self.ask_all(group, &view, &StoreOp::Chain(missing));
+            let mut exchange = Exchange::with_all(self, group, &view, StoreOp::Chain(missing));
             while !held.contains_key(&missing) && tally.verdict() == LookupVerdict::Pending {
-                match replies.recv().await {
+                match exchange.next().await {
                     Some((identity, Some(StoreReply::Chain(turns, _)))) => {
                         if turns.is_empty() {
                             tally.not_found(identity);
@@ -433,10 +445,14 @@
         }
     }
 
-    /// A whole member in the local data centre.
-    fn local_member<'a>(&self, view: &'a StoreView) -> Option<&'a StoreMember> {
-        let mut whole = view.members.iter().filter(|it| it.whole);
-        whole.find(|it| *it.data_centre == *self.data_centre)
+    /// A whole member that usually holds every record of the group, in the local
+    /// data centre if there is one.
+    fn likely_holder<'a>(&self, view: &'a StoreView) -> Option<&'a StoreMember> {
+        let order = self.member_order(view).into_iter();
+        let first = order.take(view.write_quorum()).map(|at| &view.members[at]);
+        let whole: Vec<&StoreMember> = first.filter(|it| it.whole).collect();
+        let local = whole.iter().find(|it| *it.data_centre == *self.data_centre);
+        local.or(whole.first()).copied()
     }
 }
 
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -24,9 +24,9 @@
 pub use {
     gateway::{
         ControlCommand, ControlState, ConversationCache, EventReader, GatewayRequest,
-        MembershipInputs, PathProbe, SelectedUpstream, StartupWait, StoreOp, StorePath, StoreReply,
-        StoreRequest, StreamEnd, TableDocument, UPSTREAM_DISCONNECTED, UpstreamOutcome, Upstreams,
-        next_membership_change, run as run_gateway, upstream_outcome,
+        MembershipInputs, PathProbe, SelectedUpstream, SlowMembers, StartupWait, StoreOp,
+        StorePath, StoreReply, StoreRequest, StreamEnd, TableDocument, UPSTREAM_DISCONNECTED,
+        UpstreamOutcome, Upstreams, next_membership_change, run as run_gateway, upstream_outcome,
     },
     process::{
         Actor, BackupError, Clock, ControlClient, ControlError, ControlReply, ControlRequest,
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -13,6 +13,7 @@
     sapphirequayd::{GatewayRequest, LinkRequest, StoreOp, StoreReply, StoreRequest},
     std::{
         net::SocketAddr,
+        sync::atomic::{AtomicU64, Ordering},
         thread,
         time::{Duration, Instant},
     },
@@ -53,9 +54,12 @@
 }
 
 fn announce(gateway: &Gateway, name: &str, service: &str, upstream: &StubUpstream) {
+    // Only a heartbeat with a higher number renews the upstream's lease.
+    static SEQUENCE: AtomicU64 = AtomicU64::new(1);
+    let sequence = SEQUENCE.fetch_add(1, Ordering::Relaxed);
     let head = format!("POST /sapphirequay/instances/{name}/heartbeat HTTP/1.1\nHost: c");
     let body = format!(
-        r#"{{"Service":"{service}","Address":"{}","Zone":"dc-1","Version":"v1","Slots":16,"State":"ready","Seq":1,"born":5}}"#,
+        r#"{{"Service":"{service}","Address":"{}","Zone":"dc-1","Version":"v1","Slots":16,"State":"ready","Seq":{sequence},"born":5}}"#,
         upstream.addr
     );
     wait_for("the heartbeat is accepted", || {
@@ -220,6 +224,27 @@
     assert_eq!(got.status, 404, "{got:?}");
 }
 
+#[test]
+fn turns_and_budgets_are_written_while_any_one_store_is_down() {
+    let (mut gateway, llm, _app) = start_gateway();
+    let [one, two] = [gateway.fronts[0], gateway.fronts[1]];
+    let (mut prior, _) = run_turn(&gateway, one, &llm, ("start", "", 100_000, "in;"));
+    let mut conversation = "in;".to_owned();
+    for slot in 0..3 {
+        gateway.kill(Role::Store(slot));
+        for front in [one, two] {
+            let name = format!("down-{slot}-{front}");
+            let turn = (&*name, &*prior, 100_000, "more;");
+            let (id, got) = run_turn(&gateway, front, &llm, turn);
+            assert_eq!((got.status, got.complete), (200, true), "{got:?}");
+            conversation.push_str("hello\nworld\nmore;");
+            assert_eq!(llm.requests_run().last(), Some(&conversation));
+            prior = id;
+        }
+        gateway.run(Role::Store(slot), false);
+    }
+}
+
 #[test]
 fn a_budget_holds_across_fronts_and_charges_the_tokens_sent() {
     let (gateway, llm, _app) = start_gateway();
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -4,11 +4,12 @@
     bytes::Bytes,
     proptest::prelude::*,
     quay_quorum::{Member, Membership, MembershipChange, StateMachine as _},
+    quay_turns::{StoreMember, StoreView},
     quay_types::{Epoch, GroupId, Incarnation, LogIndex, NodeId, Time, TurnId},
     sapphirequayd::{
         ControlCommand, ControlState, ConversationCache, EventReader, MembershipInputs, PathProbe,
-        StartupWait, StorePath, StreamEnd, TableDocument, UPSTREAM_DISCONNECTED, UpstreamOutcome,
-        next_membership_change, upstream_outcome,
+        SlowMembers, StartupWait, StorePath, StreamEnd, TableDocument, UPSTREAM_DISCONNECTED,
+        UpstreamOutcome, next_membership_change, upstream_outcome,
     },
 };
 
@@ -101,6 +102,38 @@
     assert_eq!(chains.get(at(4_500), elsewhere), None);
 }
 
+// ---------------------------------------------------------------------------
+// Stores
+
+#[test]
+fn whole_members_that_answer_in_time_are_asked_first() {
+    let member = |identity, whole| StoreMember {
+        identity,
+        whole,
+        ..StoreMember::default()
+    };
+    let mut view = StoreView {
+        epoch: 1,
+        members: (1..=5)
+            .map(|identity| member(identity, identity != 1))
+            .collect(),
+    };
+    let at = Time::from_millis;
+    let mut slow = SlowMembers::default();
+    assert_eq!(slow.order(at(0), &view), [1, 2, 3, 4, 0]);
+    slow.record(at(0), 2);
+    assert_eq!(slow.order(at(10), &view), [2, 3, 4, 1, 0]);
+    // A member that is slow still comes before one that is not whole.
+    for identity in 3..=5 {
+        slow.record(at(10), identity);
+    }
+    assert_eq!(slow.order(at(20), &view), [1, 2, 3, 4, 0]);
+    view.members[0].whole = true;
+    assert_eq!(slow.order(at(20), &view), [0, 1, 2, 3, 4]);
+    // It is tried again after a while.
+    assert_eq!(slow.order(at(5_000), &view), [0, 1, 2, 3, 4]);
+}
+
 // ---------------------------------------------------------------------------
 // Control group
 
