Settle a kept turn's charge with the turn, and ping idle links less

Cause: a kept turn took three operations on its stores: reserve, write the turn, settle.

Change: the turn and the settlement are one write with one sync; a charge is settled by itself only where no turn is kept or its write failed. Links send keep-alive packets after 1 s; a silent one is still given up after 1.6 s.

--- a/crates/sapphirequayd/src/gateway/front/reservation.rs
+++ b/crates/sapphirequayd/src/gateway/front/reservation.rs
@@ -21,6 +21,7 @@
     attempt: AttemptTag,
     /// Number of tokens sent to the caller.
     used: Cell<u64>,
+    settled: bool,
 }
 
 impl Reservation {
@@ -31,6 +32,7 @@
             program,
             attempt,
             used: Cell::new(0),
+            settled: false,
         }
     }
 
@@ -38,20 +40,36 @@
     pub fn set_used(&self, tokens: u64) {
         self.used.set(tokens);
     }
-}
 
-impl Drop for Reservation {
-    fn drop(&mut self) {
+    /// Record that settles the attempt for the tokens used by now.
+    pub fn settlement(&self) -> Record {
         let charge = Charge {
             attempt: self.attempt,
             standing: ChargeStatus::Settled,
             tokens: Tokens(self.used.get()),
         };
+        Record::Charge(self.program, charge)
+    }
+
+    /// Records that [`Reservation::settlement`] was written.
+    pub fn mark_settled(&mut self) {
+        self.settled = true;
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
         let (stores, program) = (self.stores.clone(), self.program);
+        let record = self.settlement();
         spawn_local(async move {
-            let record = Record::Charge(program, charge);
-            if !stores.write(program, record, SETTLE_TIMEOUT).await {
-                log::warn!("event=charge_not_settled program={program} charge={charge:?}");
+            if !stores
+                .write(program, vec![record.clone()], SETTLE_TIMEOUT)
+                .await
+            {
+                log::warn!("event=charge_not_settled program={program} charge={record:?}");
             }
         });
     }
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -191,7 +191,8 @@
         }
     }
 
-    /// Stores the turn durably before the caller sees the end of the stream.
+    /// Stores the turn durably, and settles its charge, before the caller sees the
+    /// end of the stream.
     async fn store_turn(&mut self, reader: EventReader) -> StreamEnd {
         let Some(pending_turn) = self.pending_turn.take() else {
             return StreamEnd::Whole;
@@ -205,13 +206,18 @@
             output: output.clone().into(),
         };
         let left = self.ends.since(self.front.now());
+        let mut records = vec![Record::Turn(record)];
+        records.extend(self.reservation.as_ref().map(Reservation::settlement));
         let writing = self
             .front
             .stores()
-            .write(pending_turn.program, Record::Turn(record), left);
+            .write(pending_turn.program, records, left);
         if timeout(left, writing).await != Ok(true) {
             return StreamEnd::Broken("turn_not_kept");
         }
+        if let Some(reservation) = &mut self.reservation {
+            reservation.mark_settled();
+        }
         let mut conversation = Vec::with_capacity(
             pending_turn.history.len() + pending_turn.input.len() + output.len(),
         );
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -149,8 +149,8 @@
 /// Operation on a store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreOp {
-    /// Writes a record durably.
-    Write(Record),
+    /// Writes records durably, with one sync.
+    Write(Vec<Record>),
     /// Writes a charge durably and returns all charges of its program.
     Reserve(ProgramTag, Charge),
     /// Returns a turn and all turns before it.
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -43,8 +43,10 @@
 /// turn to another host.
 const LINK_IDLE_TIMEOUT: Duration = Duration::from_millis(1_600);
 
-/// Interval between keep-alive packets on an idle link.
-const LINK_KEEP_ALIVE: Duration = Duration::from_millis(500);
+/// Idle time after which a keep-alive packet is sent: early enough to send it
+/// several times within [`LINK_IDLE_TIMEOUT`] if it is lost, and late enough
+/// that links in regular use send none.
+const LINK_KEEP_ALIVE: Duration = Duration::from_secs(1);
 
 /// Maximum number of concurrent requests of one host to another; further ones
 /// wait within their time-outs.
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -264,10 +264,10 @@
     // -----------------------------------------------------------------------
     // Writes
 
-    /// Writes a record of a program, with retries until it is durable. Returns
-    /// `false` if it is not durable within `limit`.
-    pub async fn write(&self, program: ProgramTag, record: Record, limit: Duration) -> bool {
-        let op = StoreOp::Write(record);
+    /// Writes records of a program, with retries until they are durable. Returns
+    /// `false` if they are not durable within `limit`.
+    pub async fn write(&self, program: ProgramTag, records: Vec<Record>, limit: Duration) -> bool {
+        let op = StoreOp::Write(records);
         let attempts = async {
             let mut backoff = Backoff::default();
             while !self.write_once(self.group_of(program), &op).await {
@@ -397,13 +397,15 @@
     /// keeps them as long as the turns that continue from them.
     async fn adopt_turns(&self, group: GroupId, turns: Vec<TurnRecord>) -> TurnLookup {
         log::info!("event=turns_adopted group={group} turns={}", turns.len());
-        for turn in &turns {
-            let op = StoreOp::Write(Record::Turn(turn.clone()));
-            if !self.write_once(group, &op).await {
-                return TurnLookup::Undetermined;
-            }
+        let records = turns.iter().cloned().map(Record::Turn);
+        if self
+            .write_once(group, &StoreOp::Write(records.collect()))
+            .await
+        {
+            TurnLookup::Found(turns)
+        } else {
+            TurnLookup::Undetermined
         }
-        TurnLookup::Found(turns)
     }
 
     async fn turns_in_group(&self, group: GroupId, last: TurnId) -> TurnLookup {
--- a/crates/sapphirequayd/src/gateway/store/copy.rs
+++ b/crates/sapphirequayd/src/gateway/store/copy.rs
@@ -179,20 +179,8 @@
         self.host.save(self.group, record).await
     }
 
-    /// Saves records concurrently, so that one disk sync covers them.
     async fn save_all(&self, records: Vec<Record>) -> bool {
-        let saves: Vec<_> = records
-            .into_iter()
-            .map(|record| {
-                let join = self.clone();
-                spawn_local(async move { join.save(record).await })
-            })
-            .collect();
-        let mut all = true;
-        for save in saves {
-            all &= save.await.unwrap_or(false);
-        }
-        all
+        self.host.save_all(self.group, records).await
     }
 
     async fn ask(&self, source: &CopySource, op: StoreOp) -> Option<StoreReply> {
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -175,9 +175,8 @@
 
     async fn execute(&self, group: GroupId, op: StoreOp) -> StoreReply {
         match op {
-            StoreOp::Write(record) => {
-                let saved = self.save(group, record).await;
-                if saved {
+            StoreOp::Write(records) => {
+                if self.save_all(group, records).await {
                     StoreReply::Synced
                 } else {
                     StoreReply::Refused
@@ -268,6 +267,23 @@
         self.map.borrow().group(group).cloned().unwrap_or_default()
     }
 
+    /// Writes and syncs records of a group, so that one sync covers them. Returns
+    /// `false` if one of them could not be written.
+    pub(super) async fn save_all(&self, group: GroupId, records: Vec<Record>) -> bool {
+        let saves: Vec<_> = records
+            .into_iter()
+            .map(|record| {
+                let host = self.clone();
+                spawn_local(async move { host.save(group, record).await })
+            })
+            .collect();
+        let mut all = true;
+        for save in saves {
+            all &= save.await.unwrap_or(false);
+        }
+        all
+    }
+
     /// Writes and syncs a record of a group unless it is held already. Returns `false` if
     /// the record could not be written.
     pub(super) async fn save(&self, group: GroupId, record: Record) -> bool {
