Name the request to a group of stores for what it is

Read-through: GroupRequest in group_request.rs was Exchange, beside a function of that name for one round trip. No logic changed.

--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -45,8 +45,8 @@
     /// [`LinkError::Silent`].
     pub receive_timeout: Duration,
     /// Maximum number of concurrent streams that a peer may open on a
-    /// connection; further ones wait. Each costs some 50 bytes on every
-    /// connection, whether it is open or not.
+    /// connection; further ones wait. Each takes memory on every connection,
+    /// whether it is open or not.
     pub max_streams: u32,
 }
 
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        exchange::{Exchange, SlowMembers},
+        group_request::{GroupRequest, SlowMembers},
         path::{PathProbe, StorePath},
     },
     crate::{
@@ -83,6 +83,7 @@
     map: Rc<RefCell<Rc<StoreMap>>>,
     /// The views of `map` by group, so that operations can share them.
     views: Rc<RefCell<Vec<Rc<StoreView>>>>,
+    /// Members that were late lately.
     slow: Rc<RefCell<SlowMembers>>,
 }
 
@@ -280,9 +281,9 @@
     async fn write_once(&self, group: GroupId, op: &StoreOp) -> bool {
         let view = self.view(group);
         let mut tally = WriteTally::new(&view);
-        let mut exchange = Exchange::with_quorum(self, group, &view, op.clone());
+        let mut replies = GroupRequest::with_quorum(self, group, &view, op.clone());
         while tally.verdict() == WriteVerdict::Pending {
-            match exchange.next().await {
+            match replies.next().await {
                 Some((identity, Some(StoreReply::Synced))) => tally.synced(identity),
                 Some((identity, _)) => tally.failed(identity),
                 None => return false,
@@ -323,7 +324,7 @@
         let view = self.view(group);
         let mut tally = ChargeTally::new(&view, own, budget);
         let op = StoreOp::Reserve(program, own);
-        let mut exchange = Exchange::with_quorum(self, group, &view, op);
+        let mut replies = GroupRequest::with_quorum(self, group, &view, op);
         loop {
             match tally.verdict() {
                 ChargeVerdict::Covered { others } => return ReserveOutcome::Covered { others },
@@ -331,7 +332,7 @@
                 ChargeVerdict::Undetermined => return ReserveOutcome::Undetermined,
                 ChargeVerdict::Pending => {}
             }
-            match exchange.next().await {
+            match replies.next().await {
                 Some((identity, Some(StoreReply::Charges(charges)))) => {
                     tally.synced(identity, charges);
                 }
@@ -425,9 +426,9 @@
                 Err(next) => missing = next,
             }
             let mut tally = LookupTally::new(&view);
-            let mut exchange = Exchange::with_all(self, group, &view, StoreOp::Chain(missing));
+            let mut replies = GroupRequest::with_all(self, group, &view, StoreOp::Chain(missing));
             while !held.contains_key(&missing) && tally.verdict() == LookupVerdict::Pending {
-                match exchange.next().await {
+                match replies.next().await {
                     Some((identity, Some(StoreReply::Chain(turns, _)))) => {
                         if turns.is_empty() {
                             tally.not_found(identity);
--- a/crates/sapphirequayd/src/gateway/store/exchange.rs
+++ b/crates/sapphirequayd/src/gateway/store/group_request.rs
@@ -1,5 +1,4 @@
-//! One operation on the members of a group, and the order in which they are
-//! asked.
+//! Request to the members of a group, and the order in which they are asked.
 
 use {
     super::client::StoreClient,
@@ -44,11 +43,11 @@
     }
 }
 
-/// One operation on the members of a group. A write quorum is asked first, and
-/// the other members only if one of these fails or is late: in most cases a
-/// quorum is all that is needed, and each copy costs processor time, memory and
-/// traffic between data centres.
-pub struct Exchange {
+/// Request to the members of a group. A write quorum is asked first, and the
+/// other members only if one of these fails or is late: a quorum is mostly all
+/// that is needed, and each further copy costs processor time, memory and traffic
+/// between data centres.
+pub struct GroupRequest {
     client: StoreClient,
     group: GroupId,
     view: Rc<StoreView>,
@@ -61,7 +60,7 @@
     tx: mpsc::UnboundedSender<(u64, Option<StoreReply>)>,
 }
 
-impl Exchange {
+impl GroupRequest {
     /// Sends an operation to a write quorum of a group.
     pub fn with_quorum(
         client: &StoreClient,
@@ -72,7 +71,7 @@
         let mut rest = client.member_order(view);
         let first: Vec<usize> = rest.drain(..view.write_quorum().min(rest.len())).collect();
         let (tx, replies) = mpsc::unbounded_channel();
-        let mut exchange = Self {
+        let mut request = Self {
             client: client.clone(),
             group,
             view: Rc::clone(view),
@@ -82,8 +81,8 @@
             replies,
             tx,
         };
-        exchange.ask(first);
-        exchange
+        request.ask(first);
+        request
     }
 
     /// Sends an operation to all members of a group.
@@ -93,9 +92,9 @@
         view: &Rc<StoreView>,
         op: StoreOp,
     ) -> Self {
-        let mut exchange = Self::with_quorum(client, group, view, op);
-        exchange.ask_rest();
-        exchange
+        let mut request = Self::with_quorum(client, group, view, op);
+        request.ask_rest();
+        request
     }
 
     fn ask(&mut self, members: Vec<usize>) {
--- a/crates/sapphirequayd/src/gateway/store/mod.rs
+++ b/crates/sapphirequayd/src/gateway/store/mod.rs
@@ -2,14 +2,14 @@
 
 mod client;
 mod copy;
-mod exchange;
 mod files;
+mod group_request;
 mod host;
 mod path;
 
 pub use {
     client::{ReserveOutcome, StoreClient, TurnLookup},
-    exchange::SlowMembers,
+    group_request::SlowMembers,
     host::StoreHost,
     path::{PathProbe, StorePath},
 };
