--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -5,7 +5,7 @@
     quay_link::{DevelopmentKeys, KeyFiles, LinkRole, Links},
     std::{
         fs::{self, OpenOptions},
-        io::{Read as _, Write as _},
+        io::{Read, Write as _},
         net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
         process::{Child, Command},
         sync::{Arc, Mutex},
@@ -334,14 +334,14 @@
     }
 }
 
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     head.lines().find_map(|line| {
         let (key, value) = line.split_once(':')?;
         key.eq_ignore_ascii_case(name).then(|| value.trim())
     })
 }
 
-fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
+pub fn read_request(stream: &mut impl Read) -> Option<(String, String)> {
     let mut got = Vec::new();
     loop {
         let mut buf = [0; 4_096];
