--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -1,14 +1,18 @@
 //! Protection against overload and faults: retry budgets, account quotas,
 //! quarantine of requests that crash upstreams, and upstreams that leave.
 
+mod crashes;
 mod leaving;
 mod quota;
 mod retry;
 mod suspects;
 
 pub use {
+    crashes::{CheckResult, CrashDetector, CrashSettings, RunEnd, UpstreamRun},
     leaving::LeavingUpstreams,
     quota::{QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings},
     retry::{RetryBudgets, RetrySettings},
-    suspects::{Clearance, SuspectCommand, SuspectRegistry, SuspectReply, SuspectSettings},
+    suspects::{
+        Clearance, SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings,
+    },
 };
--- a/crates/quay_policy/src/guard/suspects.rs
+++ b/crates/quay_policy/src/guard/suspects.rs
@@ -1,13 +1,21 @@
 //! Quarantine of requests that crash the upstreams that run them.
 //!
 //! A request is identified by the digest of its content. Each crash counts as a
-//! strike for every request that was running on the upstream. After the first
-//! strike a request runs only where no other suspect runs, after the second it
-//! runs alone, and the third quarantines it. Only one run of a suspect is in
-//! progress at a time. A poison request therefore costs at most [`MAX_STRIKES`]
-//! upstreams once its first crash is known, however often it is resent and
-//! whatever other requests are poison. A harmless request is cleared by the
-//! first run that completes.
+//! strike for every request that was running on the upstream, and the third
+//! quarantines it. A harmless request is cleared by the first run that completes.
+//! Crashes are reported in one of two ways:
+//!
+//! - [`SuspectCommand::Crashed`] names all requests that were running, and each
+//!   run of a suspect needs clearance. After the first strike a request runs only
+//!   where no other suspect runs, after the second it runs alone, and only one
+//!   run of a suspect is in progress at a time. A poison request therefore costs
+//!   at most [`MAX_STRIKES`] upstreams once its first crash is known, however
+//!   often it is resent and whatever other requests are poison.
+//! - [`SuspectEvent::RunsLost`] names the runs that one entry lost, and other
+//!   entries may report more runs lost by the same crash, in any order. Suspects
+//!   need no clearance, so none waits for another. A request with three strikes
+//!   is not quarantined while another suspect was present at all of its crashes,
+//!   since that one may be the cause; with four strikes it is.
 
 use {
     indexmap::IndexMap,
@@ -17,16 +25,22 @@
 };
 
 /// Strikes at which a request is quarantined.
-const MAX_STRIKES: u8 = 3;
+const MAX_STRIKES: usize = 3;
 
 /// Strikes from which a request must run alone.
-const ALONE_STRIKES: u8 = 2;
+const ALONE_STRIKES: usize = 2;
+
+/// Strikes from which a suspect is listed to the entries.
+const LISTED_STRIKES: usize = 2;
+
+/// Maximum number of crashes that are recorded for a request.
+const MAX_CRASHES: usize = 8;
 
 /// Settings of quarantine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectSettings {
-    /// Duration of a quarantine, counted from the last time the request was
-    /// sent.
+    /// Duration of a quarantine, counted from the last crash or the last request
+    /// for clearance. It doubles with each strike after the third.
     pub quarantine_time: Duration,
     /// Time after which the run of a suspect no longer blocks other runs.
     pub trial_timeout: Duration,
@@ -87,6 +101,29 @@
         /// Digest of the request.
         digest: ContentDigest,
     },
+    /// An entry observed events.
+    Observed {
+        /// Time of the command.
+        at: Time,
+        /// The events, in this order.
+        events: Box<[SuspectEvent]>,
+    },
+}
+
+/// Observation of an entry that knows only its own runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SuspectEvent {
+    /// An upstream ended while it ran requests of the entry.
+    RunsLost {
+        /// Upstream that ended.
+        upstream: UpstreamId,
+        /// Incarnation that ended.
+        incarnation: Incarnation,
+        /// Digests of the requests.
+        runs: Box<[ContentDigest]>,
+    },
+    /// A run of the request completed, which clears it.
+    Completed(ContentDigest),
 }
 
 /// Clearance to run a request.
@@ -115,10 +152,18 @@
     Clearance(Clearance),
 }
 
+/// Crash of an upstream: the upstream, its incarnation, and the number of the
+/// crash within the incarnation.
+type CrashId = (UpstreamId, Incarnation, u64);
+
 /// State of one suspect.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Suspect {
-    strikes: u8,
+    /// Crashes of upstreams that were running the request; at most
+    /// [`MAX_CRASHES`].
+    crashes: Vec<CrashId>,
+    /// Whether the request ran alone at a crash that was not its first.
+    confirmed: bool,
     /// Upstream on which the request runs under a clearance, and the start of
     /// that run.
     trial: Option<(UpstreamId, Time)>,
@@ -126,6 +171,37 @@
     seen: Time,
 }
 
+impl Suspect {
+    const fn new(seen: Time) -> Self {
+        Self {
+            crashes: Vec::new(),
+            confirmed: false,
+            trial: None,
+            seen,
+        }
+    }
+
+    fn add_crash(&mut self, at: Time, crash: CrashId) {
+        if self.crashes.contains(&crash) {
+            return;
+        }
+        self.seen = at;
+        if self.crashes.len() < MAX_CRASHES {
+            self.crashes.push(crash);
+        }
+    }
+
+    fn strikes(&self) -> usize {
+        let least = if self.confirmed { MAX_STRIKES } else { 0 };
+        self.crashes.len().max(least)
+    }
+
+    fn quarantine_time(&self, cfg: &SuspectSettings) -> Duration {
+        let further_strikes = self.crashes.len().saturating_sub(MAX_STRIKES);
+        cfg.quarantine_time * (1 << further_strikes)
+    }
+}
+
 /// All suspects, as a state machine that the control group replicates.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectRegistry {
@@ -153,16 +229,35 @@
         self.requests.contains_key(&digest)
     }
 
+    /// Whether a request must not run at `now`.
+    #[must_use]
+    pub fn is_quarantined(&self, now: Time, digest: ContentDigest) -> bool {
+        let suspect = self.requests.get(&digest);
+        suspect.is_some_and(|suspect| self.holds_back(now, digest, suspect))
+    }
+
     /// Requests that are quarantined at `now`, with the time at which each was
     /// last seen.
     pub fn quarantined(&self, now: Time) -> impl Iterator<Item = (ContentDigest, Time)> {
         let held = self
             .requests
             .iter()
-            .filter(move |(_, suspect)| self.is_quarantined(now, suspect));
+            .filter(move |(digest, suspect)| self.holds_back(now, **digest, suspect));
         held.map(|(digest, suspect)| (*digest, suspect.seen))
     }
 
+    /// The suspects that entries must know, to refuse or to clear them: those that
+    /// are quarantined or one strike short of it.
+    #[must_use]
+    pub fn listed(&self) -> Self {
+        let mut listed = self.clone();
+        listed
+            .requests
+            .retain(|_, suspect| suspect.strikes() >= LISTED_STRIKES);
+        listed.crashes.clear();
+        listed
+    }
+
     /// Applies a command.
     pub fn apply(&mut self, command: &SuspectCommand) -> SuspectReply {
         match command {
@@ -184,10 +279,33 @@
                 completed,
             } => self.record_end(*at, *digest, *completed),
             SuspectCommand::Clear { digest } => drop(self.requests.shift_remove(digest)),
+            SuspectCommand::Observed { at, events } => {
+                for event in events {
+                    self.observe(*at, event);
+                }
+            }
         }
         SuspectReply::Done
     }
 
+    fn observe(&mut self, at: Time, event: &SuspectEvent) {
+        match event {
+            SuspectEvent::RunsLost {
+                upstream,
+                incarnation,
+                runs,
+            } => {
+                self.remove_stale(at);
+                for digest in runs {
+                    let suspect = self.requests.entry(*digest);
+                    let suspect = suspect.or_insert_with(|| Suspect::new(at));
+                    suspect.add_crash(at, (*upstream, *incarnation, 0));
+                }
+            }
+            SuspectEvent::Completed(digest) => self.record_end(at, *digest, true),
+        }
+    }
+
     fn record_crash(
         &mut self,
         at: Time,
@@ -208,19 +326,12 @@
         involved.sort_unstable();
         involved.dedup();
         for digest in &involved {
-            let suspect = self.requests.entry(*digest).or_insert(Suspect {
-                strikes: 0,
-                trial: None,
-                seen: at,
-            });
+            let suspect = self.requests.entry(*digest);
+            let suspect = suspect.or_insert_with(|| Suspect::new(at));
+            suspect.add_crash(at, (upstream, crash.0, crash.1));
             // A request that was running alone when it caused its second crash
             // is certainly the cause.
-            let confirmed = involved.len() == 1 && suspect.strikes + 1 >= ALONE_STRIKES;
-            suspect.strikes = if confirmed {
-                MAX_STRIKES
-            } else {
-                (suspect.strikes + 1).min(MAX_STRIKES)
-            };
+            suspect.confirmed |= involved.len() == 1 && suspect.strikes() >= ALONE_STRIKES;
             suspect.trial = None;
             suspect.seen = at;
         }
@@ -232,10 +343,11 @@
         digest: ContentDigest,
         upstream: UpstreamId,
     ) -> Clearance {
-        let Some(suspect) = self.requests.get(&digest).copied() else {
+        let Some(suspect) = self.requests.get(&digest) else {
             return Clearance::Unrestricted;
         };
-        if self.is_quarantined(at, &suspect) {
+        let strikes = suspect.strikes();
+        if self.holds_back(at, digest, suspect) {
             self.extend_quarantine(at, digest);
             return Clearance::Quarantined(self.cfg.quarantine_time);
         }
@@ -249,14 +361,14 @@
             .requests
             .values()
             .any(|other| trial_upstream(other) == Some(upstream));
-        if upstream_taken || trial_upstream(&suspect).is_some() {
+        if upstream_taken || trial_upstream(suspect).is_some() {
             return Clearance::Wait;
         }
         if let Some(suspect) = self.requests.get_mut(&digest) {
             suspect.trial = Some((upstream, at));
             suspect.seen = at;
         }
-        if suspect.strikes >= ALONE_STRIKES {
+        if strikes >= ALONE_STRIKES {
             Clearance::Exclusive
         } else {
             Clearance::OnlySuspect
@@ -279,18 +391,32 @@
         }
     }
 
-    fn is_quarantined(&self, now: Time, suspect: &Suspect) -> bool {
-        suspect.strikes >= MAX_STRIKES && now.since(suspect.seen) < self.cfg.quarantine_time
+    fn holds_back(&self, now: Time, digest: ContentDigest, suspect: &Suspect) -> bool {
+        let strikes = suspect.strikes();
+        let convicted = suspect.confirmed
+            || strikes > MAX_STRIKES
+            || (strikes == MAX_STRIKES && !self.has_companion(digest, suspect));
+        convicted && now.since(suspect.seen) < suspect.quarantine_time(&self.cfg)
+    }
+
+    /// Whether another suspect was present at all crashes of this one.
+    fn has_companion(&self, digest: ContentDigest, suspect: &Suspect) -> bool {
+        let mut others = self.requests.iter().filter(|(other, _)| **other != digest);
+        others.any(|(_, other)| {
+            let mut crashes = suspect.crashes.iter();
+            crashes.all(|crash| other.crashes.contains(crash))
+        })
     }
 
     /// Removes suspects that were not seen for a long time, and the oldest ones
     /// if there are too many.
     fn remove_stale(&mut self, now: Time) {
         let cfg = self.cfg;
-        self.requests
-            .retain(|_, suspect| now.since(suspect.seen) < cfg.forget_after);
+        self.requests.retain(|_, suspect| {
+            now.since(suspect.seen) < cfg.forget_after.max(suspect.quarantine_time(&cfg))
+        });
         while self.requests.len() >= cfg.max_suspects as usize {
-            let not_quarantined = |suspect: &Suspect| suspect.strikes < MAX_STRIKES;
+            let not_quarantined = |suspect: &Suspect| suspect.strikes() < MAX_STRIKES;
             let oldest = self
                 .requests
                 .values()
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -31,9 +31,9 @@
         NewProgramGate, NewProgramSettings, Observation, Ticket, TicketId, Verdict,
     },
     guard::{
-        Clearance, LeavingUpstreams, QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings,
-        RetryBudgets, RetrySettings, SuspectCommand, SuspectRegistry, SuspectReply,
-        SuspectSettings,
+        CheckResult, Clearance, CrashDetector, CrashSettings, LeavingUpstreams, QuotaAllocator,
+        QuotaHolder, QuotaLease, QuotaSettings, RetryBudgets, RetrySettings, RunEnd,
+        SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings, UpstreamRun,
     },
     placement::{Move, Placement, PlacementSettings, PlacementView},
     policy::{Policy, PolicySettings},
--- /dev/null
+++ b/crates/quay_policy/tests/crashes.rs
@@ -0,0 +1,141 @@
+//! Tests of the detection of upstreams whose process has ended.
+
+use {
+    quay_policy::{CheckResult, CrashDetector, RunEnd, SuspectEvent, UpstreamRun},
+    quay_types::{ContentDigest, Incarnation, Time, UpstreamId},
+};
+
+const FIRST: UpstreamRun = (UpstreamId(1), Incarnation(5));
+const SECOND: UpstreamRun = (UpstreamId(2), Incarnation(5));
+
+const fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn digest(number: u8) -> ContentDigest {
+    ContentDigest::of(&[&[number]])
+}
+
+/// Runs that the detector attributes to crashes, by upstream.
+fn lost(detector: &mut CrashDetector) -> Vec<(UpstreamId, Vec<ContentDigest>)> {
+    let events = detector.take_events().into_iter();
+    let lost = events.filter_map(|event| match event {
+        SuspectEvent::RunsLost { upstream, runs, .. } => Some((upstream, runs.to_vec())),
+        SuspectEvent::Completed(_) => None,
+    });
+    lost.collect()
+}
+
+/// A detector with requests 1 and 2 at the first upstream and 3 at the second.
+fn detector() -> CrashDetector {
+    let mut detector = CrashDetector::default();
+    detector.begin(at(0), FIRST, digest(1));
+    detector.begin(at(0), FIRST, digest(2));
+    detector.begin(at(0), SECOND, digest(3));
+    detector
+}
+
+#[test]
+fn a_lost_run_leads_to_one_check_and_a_refused_connection_to_a_crash() {
+    let mut detector = detector();
+    assert_eq!(detector.due_checks(at(100)), []);
+    detector.end(at(100), FIRST, digest(1), RunEnd::Lost);
+    assert_eq!(detector.due_checks(at(100)), [FIRST]);
+    assert_eq!(detector.due_checks(at(110)), []);
+    detector.record_check(at(150), FIRST, CheckResult::Refused);
+    // Requests that still wait for an answer are lost with it.
+    assert_eq!(lost(&mut detector), [(FIRST.0, vec![digest(1), digest(2)])]);
+    // So are those whose loss is seen later.
+    detector.begin(at(160), FIRST, digest(4));
+    detector.end(at(170), FIRST, digest(4), RunEnd::Lost);
+    let late = lost(&mut detector);
+    assert!(late[0].1.contains(&digest(4)), "{late:?}");
+}
+
+#[test]
+fn a_reachable_upstream_lost_nothing_by_a_crash() {
+    let mut detector = detector();
+    for number in [1, 2] {
+        detector.end(at(100), FIRST, digest(number), RunEnd::Lost);
+        assert_eq!(detector.due_checks(at(100)), [FIRST]);
+        detector.record_check(at(150), FIRST, CheckResult::Reachable);
+    }
+    detector.tick(at(4_000));
+    detector.record_ended(at(4_000), FIRST);
+    assert_eq!(lost(&mut detector), []);
+}
+
+#[test]
+fn a_restart_at_the_same_address_is_seen_by_the_next_incarnation() {
+    let mut detector = detector();
+    detector.end(at(100), FIRST, digest(1), RunEnd::Lost);
+    detector.end(at(100), FIRST, digest(2), RunEnd::Lost);
+    assert_eq!(detector.due_checks(at(100)), [FIRST]);
+    detector.record_check(at(150), FIRST, CheckResult::Reachable);
+    detector.tick(at(1_500));
+    detector.record_ended(at(1_500), FIRST);
+    assert_eq!(lost(&mut detector), [(FIRST.0, vec![digest(1), digest(2)])]);
+}
+
+#[test]
+fn a_silent_upstream_is_checked_and_a_check_without_an_answer_is_a_crash() {
+    let mut detector = detector();
+    detector.hear(at(900), SECOND);
+    assert_eq!(detector.due_checks(at(1_100)), [FIRST]);
+    detector.record_check(at(1_500), FIRST, CheckResult::TimedOut);
+    assert_eq!(lost(&mut detector), [(FIRST.0, vec![digest(1), digest(2)])]);
+}
+
+#[test]
+fn a_caller_that_leaves_a_silent_upstream_leads_to_a_check() {
+    let mut detector = detector();
+    detector.hear(at(90), SECOND);
+    detector.end(at(100), SECOND, digest(3), RunEnd::Abandoned);
+    assert_eq!(detector.due_checks(at(100)), []);
+    detector.end(at(100), FIRST, digest(1), RunEnd::Abandoned);
+    detector.end(at(100), FIRST, digest(2), RunEnd::Abandoned);
+    assert_eq!(detector.due_checks(at(100)), [FIRST]);
+}
+
+#[test]
+fn an_upstream_that_answers_during_a_check_without_an_answer_has_not_crashed() {
+    let mut detector = detector();
+    detector.end(at(100), FIRST, digest(1), RunEnd::Lost);
+    assert_eq!(detector.due_checks(at(100)), [FIRST]);
+    detector.hear(at(200), FIRST);
+    detector.record_check(at(500), FIRST, CheckResult::TimedOut);
+    assert_eq!(lost(&mut detector), []);
+}
+
+#[test]
+fn a_pause_of_the_host_during_a_check_does_not_hide_the_crash() {
+    let mut detector = detector();
+    detector.end(at(100), FIRST, digest(1), RunEnd::Lost);
+    detector.end(at(100), FIRST, digest(2), RunEnd::Lost);
+    assert_eq!(detector.due_checks(at(100)), [FIRST]);
+    detector.tick(at(20_000));
+    detector.record_check(at(20_000), FIRST, CheckResult::Refused);
+    assert_eq!(lost(&mut detector), [(FIRST.0, vec![digest(1), digest(2)])]);
+}
+
+#[test]
+fn a_failure_of_the_front_itself_is_no_evidence() {
+    let mut detector = detector();
+    detector.end(at(100), FIRST, digest(1), RunEnd::Lost);
+    assert_eq!(detector.due_checks(at(100)), [FIRST]);
+    detector.record_check(at(500), FIRST, CheckResult::Unknown);
+    assert_eq!(lost(&mut detector), []);
+}
+
+#[test]
+fn an_upstream_that_is_heard_again_after_a_false_alarm_is_checked_anew() {
+    let mut detector = detector();
+    detector.end(at(100), FIRST, digest(1), RunEnd::Lost);
+    assert_eq!(detector.due_checks(at(100)), [FIRST]);
+    detector.record_check(at(500), FIRST, CheckResult::TimedOut);
+    assert_eq!(lost(&mut detector).len(), 1);
+    detector.hear(at(600), FIRST);
+    detector.end(at(700), FIRST, digest(2), RunEnd::Lost);
+    assert_eq!(lost(&mut detector), []);
+    assert_eq!(detector.due_checks(at(700)), [FIRST]);
+}
--- a/crates/quay_policy/tests/suspects.rs
+++ b/crates/quay_policy/tests/suspects.rs
@@ -2,7 +2,9 @@
 
 use {
     proptest::prelude::*,
-    quay_policy::{Clearance, SuspectCommand, SuspectRegistry, SuspectReply, SuspectSettings},
+    quay_policy::{
+        Clearance, SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings,
+    },
     quay_types::{ContentDigest, Incarnation, Time, UpstreamId},
     std::time::Duration,
 };
@@ -129,6 +131,147 @@
     );
 }
 
+// ---------------------------------------------------------------------------
+// Entries that know only their own runs
+
+/// An entry lost runs by the crash of an upstream.
+fn lost(upstream: u64, runs: &[usize]) -> SuspectEvent {
+    SuspectEvent::RunsLost {
+        upstream: UpstreamId(upstream),
+        incarnation: Incarnation(1),
+        runs: runs.iter().map(|number| digest(*number)).collect(),
+    }
+}
+
+fn observe(suspects: &mut SuspectRegistry, at: Time, events: Vec<SuspectEvent>) {
+    let events = events.into();
+    suspects.apply(&SuspectCommand::Observed { at, events });
+}
+
+fn quarantined(suspects: &SuspectRegistry, now: Time) -> Vec<ContentDigest> {
+    suspects
+        .quarantined(now)
+        .map(|(digest, _)| digest)
+        .collect()
+}
+
+#[test]
+fn a_crash_that_several_entries_report_counts_once_for_each_request() {
+    let mut suspects = SuspectRegistry::new(SuspectSettings::default());
+    for _ in 0..5 {
+        observe(&mut suspects, Time::ZERO, vec![lost(1, &[1, 2])]);
+        observe(&mut suspects, Time::ZERO, vec![lost(1, &[3])]);
+        observe(&mut suspects, Time::ZERO, vec![lost(2, &[1])]);
+    }
+    assert_eq!(quarantined(&suspects, Time::ZERO), []);
+    observe(&mut suspects, Time::ZERO, vec![lost(3, &[1, 4])]);
+    assert_eq!(quarantined(&suspects, Time::ZERO), [digest(1)]);
+}
+
+#[test]
+fn a_request_beside_the_cause_of_three_crashes_is_not_quarantined() {
+    let mut suspects = SuspectRegistry::new(SuspectSettings::default());
+    for upstream in 1..=3 {
+        observe(&mut suspects, Time::ZERO, vec![lost(upstream, &[1, 2])]);
+    }
+    assert_eq!(quarantined(&suspects, Time::ZERO), []);
+    // The completion of one of them shows that it was the other.
+    let mut cleared = suspects.clone();
+    observe(
+        &mut cleared,
+        Time::ZERO,
+        vec![SuspectEvent::Completed(digest(2))],
+    );
+    assert_eq!(quarantined(&cleared, Time::ZERO), [digest(1)]);
+    // So does a crash of one alone.
+    observe(&mut suspects, Time::ZERO, vec![lost(4, &[1])]);
+    assert_eq!(quarantined(&suspects, Time::ZERO), [digest(1)]);
+}
+
+#[test]
+fn two_causes_of_the_same_crashes_are_quarantined_at_the_fourth() {
+    let mut suspects = SuspectRegistry::new(SuspectSettings::default());
+    for upstream in 1..=4 {
+        observe(&mut suspects, Time::ZERO, vec![lost(upstream, &[1, 2])]);
+    }
+    assert_eq!(quarantined(&suspects, Time::ZERO), [digest(1), digest(2)]);
+}
+
+#[test]
+fn a_completed_run_clears_a_request_that_many_callers_send() {
+    let mut suspects = SuspectRegistry::new(SuspectSettings::default());
+    for upstream in 0..20 {
+        observe(&mut suspects, Time::ZERO, vec![lost(upstream, &[1])]);
+        if upstream % 2 == 1 {
+            assert!(suspects.listed().is_suspect(digest(1)), "entries must know");
+            observe(
+                &mut suspects,
+                Time::ZERO,
+                vec![SuspectEvent::Completed(digest(1))],
+            );
+        }
+        assert_eq!(quarantined(&suspects, Time::ZERO), []);
+    }
+}
+
+#[test]
+fn a_quarantine_without_clearance_ends_and_doubles_with_the_next_crash() {
+    let mut suspects = SuspectRegistry::new(SuspectSettings::default());
+    for upstream in 1..=3 {
+        observe(&mut suspects, Time::ZERO, vec![lost(upstream, &[1])]);
+    }
+    let minutes = |minutes| Time::ZERO + Duration::from_mins(minutes);
+    assert!(suspects.is_quarantined(minutes(9), digest(1)));
+    assert!(!suspects.is_quarantined(minutes(11), digest(1)));
+    observe(&mut suspects, minutes(11), vec![lost(4, &[1])]);
+    assert!(suspects.is_quarantined(minutes(30), digest(1)));
+    assert!(!suspects.is_quarantined(minutes(32), digest(1)));
+}
+
+#[test]
+fn the_list_for_entries_holds_the_same_quarantines() {
+    let mut suspects = SuspectRegistry::new(SuspectSettings::default());
+    for upstream in 1..=3 {
+        let neighbour = usize::try_from(upstream).expect("small") + 10;
+        observe(
+            &mut suspects,
+            Time::ZERO,
+            vec![lost(upstream, &[1, 2, neighbour])],
+        );
+    }
+    let listed = suspects.listed();
+    assert!(!listed.is_suspect(digest(11)), "one strike needs no action");
+    assert_eq!(quarantined(&listed, Time::ZERO), []);
+    observe(&mut suspects, Time::ZERO, vec![lost(4, &[2])]);
+    assert_eq!(quarantined(&suspects.listed(), Time::ZERO), [digest(2)]);
+}
+
+proptest! {
+    /// The reports of all entries give the same quarantines in every order.
+    #[test]
+    fn the_order_of_reports_does_not_matter(
+        reports in prop::collection::vec((0_u64..6, prop::collection::vec(0_usize..5, 1..4)), 1..16),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let mut first = SuspectRegistry::new(SuspectSettings::default());
+        let mut second = first.clone();
+        for (upstream, runs) in &reports {
+            observe(&mut first, Time::ZERO, vec![lost(*upstream, runs)]);
+        }
+        let start = order.index(reports.len());
+        let rotated = reports[start..].iter().rev().chain(reports[..start].iter().rev());
+        for (upstream, runs) in rotated {
+            observe(&mut second, Time::ZERO, vec![lost(*upstream, runs)]);
+        }
+        let sorted = |suspects: &SuspectRegistry| {
+            let mut digests = quarantined(suspects, Time::ZERO);
+            digests.sort_unstable();
+            digests
+        };
+        prop_assert_eq!(sorted(&first), sorted(&second));
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(256))]
 
--- a/crates/quay_routes/src/head.rs
+++ b/crates/quay_routes/src/head.rs
@@ -2,6 +2,8 @@
 
 use {
     crate::PromptPart,
+    http::{Method, Uri},
+    quay_types::ContentDigest,
     std::{fmt, time::Duration},
 };
 
@@ -27,6 +29,25 @@
     pub object: Option<Box<str>>,
 }
 
+impl CallHead {
+    /// Digest of the content of a request, by which it is recognized when it comes
+    /// again under another id: method, host, path with query, prior turn and body.
+    /// The caller is not part of it.
+    #[must_use]
+    pub fn content(&self, method: &Method, uri: &Uri, body: &[u8]) -> ContentDigest {
+        let path = uri.path_and_query().map_or("/", |path| path.as_str());
+        let turn = self.turn.as_ref();
+        let prior = turn.and_then(|turn| turn.prior.as_deref());
+        ContentDigest::of(&[
+            method.as_str().as_bytes(),
+            self.host.as_bytes(),
+            path.as_bytes(),
+            prior.unwrap_or_default().as_bytes(),
+            body,
+        ])
+    }
+}
+
 /// Fields that are present only in a turn of a program.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TurnHead {
--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -21,6 +21,7 @@
         wire::LinkRequest,
     },
     quay_link::{LinkRole, Links},
+    quay_policy::{SuspectCommand, SuspectEvent},
     quay_quorum::{Member, MembershipChange, Status},
     quay_routes::Dialect,
     quay_turns::StoreChange,
@@ -260,6 +261,7 @@
                 })
                 .await
             }
+            ControlRequest::ReportRuns(events) => self.record_runs(events).await,
             ControlRequest::Retire(host) => self.retire(host).await,
             ControlRequest::Retired(host) => {
                 self.as_leader(|leads| {
@@ -340,6 +342,21 @@
         .await
     }
 
+    /// Replicates a front's report of runs. The time is this host's own, so that
+    /// one clock orders the reports of all fronts.
+    async fn record_runs(&self, events: Box<[SuspectEvent]>) -> ControlReply {
+        let at = Time::from_millis(Clock::wall_ms());
+        let count = events.len();
+        let command = SuspectCommand::Observed { at, events };
+        match self.propose(ControlCommand::Suspects(command)).await {
+            Ok(changed) => {
+                log::info!("event=runs_recorded events={count} changed={changed}");
+                ControlReply::Done
+            }
+            Err(reply) => reply,
+        }
+    }
+
     /// Marks a store host for removal; its data moves to another host.
     async fn retire(&self, host: Box<str>) -> ControlReply {
         let now = self.now();
--- a/crates/sapphirequayd/src/gateway/control/leader_state.rs
+++ b/crates/sapphirequayd/src/gateway/control/leader_state.rs
@@ -202,7 +202,10 @@
         let table = held.filter(|_| revision > mark.revision).cloned();
         let stores = &self.state.stores;
         let stores = (stores.version != mark.stores).then(|| stores.clone());
-        if is_empty(&directory) && table.is_none() && stores.is_none() {
+        let listed = &self.state.suspects.listed;
+        let suspects = (listed.version != mark.suspects).then(|| listed.clone());
+        let nothing = table.is_none() && stores.is_none() && suspects.is_none();
+        if nothing && is_empty(&directory) {
             return None;
         }
         Some(ControlUpdate {
@@ -212,6 +215,7 @@
             directory,
             controls: self.control_links(),
             followers: self.neighbours_of(mark.link),
+            suspects,
         })
     }
 
@@ -225,6 +229,7 @@
             directory: self.directory.changes(now, &mark.directory),
             controls: self.control_links(),
             followers: self.neighbours_of(mark.link),
+            suspects: None,
         }
     }
 
--- a/crates/sapphirequayd/src/gateway/control/state.rs
+++ b/crates/sapphirequayd/src/gateway/control/state.rs
@@ -1,12 +1,13 @@
 //! State machine that the control group replicates.
 
 use {
-    crate::gateway::messages::{ControlCommand, TableDocument},
+    crate::gateway::messages::{ControlCommand, SuspectList, TableDocument},
     indexmap::IndexMap,
+    quay_policy::{SuspectCommand, SuspectRegistry, SuspectSettings},
     quay_quorum::StateMachine,
     quay_turns::{StoreChange, StoreMap},
     quay_types::{Epoch, Incarnation, LogIndex},
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Deserializer, Serialize},
 };
 
 /// Maximum number of recorded departures; the oldest are dropped first.
@@ -24,6 +25,49 @@
     pub departures: IndexMap<Box<str>, Incarnation>,
     /// Store hosts that hold turns and charges.
     pub stores: StoreMap,
+    /// Requests that are suspected of crashing upstreams.
+    #[serde(deserialize_with = "suspects_or_none")]
+    pub suspects: Suspects,
+}
+
+/// Requests that are suspected of crashing upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspects {
+    registry: SuspectRegistry,
+    /// The suspects that followers get.
+    pub listed: SuspectList,
+}
+
+impl Default for Suspects {
+    fn default() -> Self {
+        let registry = SuspectRegistry::new(SuspectSettings::default());
+        let listed = SuspectList {
+            version: 0,
+            suspects: registry.clone(),
+        };
+        Self { registry, listed }
+    }
+}
+
+impl Suspects {
+    /// Applies a command. Returns whether it changed anything.
+    fn apply(&mut self, command: &SuspectCommand) -> bool {
+        let before = self.registry.clone();
+        self.registry.apply(command);
+        let listed = self.registry.listed();
+        if listed != self.listed.suspects {
+            self.listed.suspects = listed;
+            self.listed.version += 1;
+        }
+        self.registry != before
+    }
+}
+
+/// Reads the suspects of a snapshot; snapshots of earlier versions end before
+/// them.
+#[allow(clippy::unnecessary_wraps)] // The signature is that of `serde`.
+fn suspects_or_none<'de, D: Deserializer<'de>>(snapshot: D) -> Result<Suspects, D::Error> {
+    Ok(Suspects::deserialize(snapshot).unwrap_or_default())
 }
 
 impl ControlState {
@@ -79,6 +123,7 @@
             ControlCommand::PutTable(table) => self.put_table(table),
             ControlCommand::Depart(name, run) => self.depart(name, run),
             ControlCommand::Stores(changes) => self.change_stores(&changes),
+            ControlCommand::Suspects(command) => self.suspects.apply(&command),
         };
         self.version += u64::from(changed);
         changed
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -15,16 +15,16 @@
         store::{ReserveOutcome, TurnLookup},
     },
     bytes::{Bytes, BytesMut},
-    http::{HeaderMap, Request, Response, StatusCode, request, response},
+    http::{HeaderMap, Request, Response, StatusCode, header, request, response},
     http_body_util::{BodyExt as _, Full, Limited},
     hyper::body::Incoming,
-    quay_policy::NewProgram,
+    quay_policy::{NewProgram, RunEnd},
     quay_routes::{
         CallHead, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline, Route, TurnHead,
         UpstreamHead,
     },
     quay_turns::{Charge, ChargeStatus},
-    quay_types::{AttemptTag, ProgramTag, Time, Tokens, TurnId, UpstreamId},
+    quay_types::{AttemptTag, ContentDigest, ProgramTag, Time, Tokens, TurnId, UpstreamId},
     std::{cell::Cell, time::Duration},
     tokio::time::timeout,
 };
@@ -48,8 +48,13 @@
 pub struct InFlight<D: Dialect> {
     front: FrontHost<D>,
     upstream: SelectedUpstream,
+    /// Content of the request.
+    content: ContentDigest,
     /// `None` before the response and once the connection is back in the pool.
     lease: Option<Lease>,
+    /// Whether the upstream may have received the request and its end is not
+    /// recorded.
+    running: Cell<bool>,
     /// Whether the upstream may have received the request.
     offered: bool,
     started: Time,
@@ -80,7 +85,36 @@
 
     /// Records that data came from the upstream.
     pub fn record_activity(&self) {
-        self.last_activity.set(self.front.now());
+        let now = self.front.now();
+        self.last_activity.set(now);
+        let mut upstreams = self.front.upstreams();
+        upstreams.crashes().hear(now, self.upstream.run());
+    }
+
+    /// Records that the request is being sent.
+    fn begin_run(&mut self) {
+        self.offered = true;
+        self.running.set(true);
+        self.front.begin_run(&self.upstream, self.content);
+    }
+
+    /// Records how the run ended; later calls have no effect.
+    pub fn end_run(&self, end: RunEnd) {
+        if self.running.replace(false) {
+            self.front.end_run(&self.upstream, self.content, end);
+        }
+    }
+
+    /// Records that the run completed; `framed` tells whether the response shows
+    /// its own end. An upstream that ends closes the connection, which ends a
+    /// response without a length, too.
+    pub fn complete_run(&self, framed: bool) {
+        if framed {
+            self.end_run(RunEnd::Answered);
+            self.front.record_completed(self.content);
+        } else {
+            self.end_run(RunEnd::Abandoned);
+        }
     }
 
     /// Records a success; `duration` is the time per unit of work.
@@ -120,6 +154,7 @@
         if !self.recorded.get() && self.offered {
             self.record_abandoned();
         }
+        self.end_run(RunEnd::Abandoned);
         self.front.upstreams().record_end(now, self.upstream.id);
     }
 }
@@ -143,6 +178,7 @@
     front: &'a FrontHost<D>,
     head: &'a CallHead,
     parts: &'a request::Parts,
+    content: ContentDigest,
     route: &'a Route,
     arrived: Time,
     deadline: RequestDeadline,
@@ -196,9 +232,7 @@
     };
     if front.draining() {
         let close = http::HeaderValue::from_static("close");
-        response
-            .headers_mut()
-            .insert(http::header::CONNECTION, close);
+        response.headers_mut().insert(header::CONNECTION, close);
     }
     response
 }
@@ -231,11 +265,13 @@
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
     let limit = table.limits.body_bytes as usize;
     let body = read_body(front, body, limit, &deadline).await?;
+    let content = head.content(&parts.method, &parts.uri, &body);
     front.wait_for_service(service, deadline.at()).await;
     let call = Call {
         front,
         head,
         parts,
+        content,
         route,
         arrived,
         deadline,
@@ -244,6 +280,7 @@
         event_tokens,
         draw,
     };
+    call.check_quarantine(0)?;
     match &head.turn {
         Some(turn) if route.repeat.is_stream() => call.run_turn(turn, body).await,
         _ => call.run(body, None, None).await,
@@ -255,6 +292,11 @@
     ProgramTag::of(head.program.as_deref().unwrap_or(&head.id))
 }
 
+/// Whether the headers of a response tell where its body ends.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Reads the complete body of a request.
 async fn read_body<D: Dialect>(
     front: &FrontHost<D>,
@@ -415,6 +457,7 @@
             if left.is_zero() {
                 return Err(Refusal::TooLate);
             }
+            self.check_quarantine(attempts)?;
             let limit = self.attempt_limit(left, attempts);
             let outcome = self.attempt_one(&body, limit, &mut tried).await;
             match outcome {
@@ -454,7 +497,11 @@
                 AttemptResult::NoUpstream => return Err(Refusal::NoUpstream),
                 AttemptResult::Unknown(why) => {
                     attempts += 1;
-                    log::info!("event=attempt_lost id={} cause={why}", self.head.id);
+                    log::info!(
+                        "event=attempt_lost id={} content={} cause={why}",
+                        self.head.id,
+                        self.content
+                    );
                     meters::record_lost_attempt(why);
                     let idempotent = self.route.repeat == RepeatPolicy::Idempotent;
                     let time_over = self.deadline.remaining(self.front.now()).is_zero();
@@ -469,6 +516,24 @@
         }
     }
 
+    /// Refuses a request whose content is known to crash upstreams. With attempts
+    /// that may have run, the refusal does not say that it has not run.
+    fn check_quarantine(&self, attempts: u32) -> Result<(), Refusal> {
+        if !self.front.is_quarantined(self.content) {
+            return Ok(());
+        }
+        log::info!(
+            "event=call_quarantined id={} content={} attempts={attempts}",
+            self.head.id,
+            self.content
+        );
+        Err(if attempts > 0 {
+            Refusal::OutcomeUnknown
+        } else {
+            Refusal::Quarantined
+        })
+    }
+
     /// Time-out of the next attempt: an idempotent request divides the time
     /// left among its remaining attempts.
     fn attempt_limit(&self, left: Duration, attempts: u32) -> Duration {
@@ -502,7 +567,9 @@
         let mut in_flight = InFlight {
             front: self.front.clone(),
             upstream,
+            content: self.content,
             lease: None,
+            running: Cell::default(),
             offered: false,
             started: now,
             last_activity: Cell::new(now),
@@ -516,12 +583,14 @@
             Ok(Err(tried)) => {
                 if matches!(tried, AttemptResult::Unknown(_)) {
                     in_flight.record_failure();
+                    in_flight.end_run(RunEnd::Lost);
                 }
                 tried
             }
             Err(_) if !in_flight.offered => AttemptResult::NotRun,
             Err(_) => {
                 in_flight.record_failure();
+                in_flight.end_run(RunEnd::Lost);
                 AttemptResult::Unknown("upstream_silent")
             }
         }
@@ -550,14 +619,13 @@
                         self.head.id,
                         in_flight.upstream.name
                     );
-                    let now = self.front.now();
-                    self.front.upstreams().suspend(now, in_flight.upstream.id);
+                    self.front.record_unreachable(&in_flight.upstream, &err);
                     return Err(AttemptResult::NotRun);
                 }
             };
             let reused = lease.reused();
             let req = self.request(&in_flight.upstream, body);
-            in_flight.offered = true;
+            in_flight.begin_run();
             match lease.send(req).await {
                 Ok(response) => {
                     in_flight.lease = Some(lease);
@@ -566,6 +634,7 @@
                 }
                 Err(SendError::NotSent) => {
                     in_flight.offered = false;
+                    in_flight.end_run(RunEnd::Answered);
                     if !reused {
                         return Err(AttemptResult::NotRun);
                     }
@@ -613,6 +682,8 @@
         let not_run = answer.execution != Execution::Possible;
         if answer.execution == Execution::Misdirected {
             self.front.upstreams().suspend(now, in_flight.upstream.id);
+            in_flight.end_run(RunEnd::Answered);
+            self.front.record_ended(&in_flight.upstream);
         }
         // An upstream that was not meant is another one than the selected one.
         if answer.leaving && answer.execution != Execution::Misdirected {
@@ -625,6 +696,7 @@
         }
         if let Some(fault) = self.mismatch(&answer, not_run) {
             in_flight.record_failure();
+            in_flight.end_run(RunEnd::Answered);
             return AttemptResult::Unknown(fault);
         }
         if head.status.is_server_error() && !not_run {
@@ -636,14 +708,21 @@
         let body = timeout(limit, Limited::new(incoming, MAX_RESPONSE_BYTES).collect()).await;
         let body = match body {
             Ok(Ok(body)) => body.to_bytes(),
-            _ if not_run => return AttemptResult::NotRun,
+            _ if not_run => {
+                in_flight.end_run(RunEnd::Answered);
+                return AttemptResult::NotRun;
+            }
             _ => {
                 in_flight.record_failure();
+                in_flight.end_run(RunEnd::Lost);
                 return AttemptResult::Unknown("answer_cut");
             }
         };
         if head.status.is_success() {
             in_flight.record_success(in_flight.elapsed());
+            in_flight.complete_run(is_framed(&head.headers));
+        } else {
+            in_flight.end_run(RunEnd::Answered);
         }
         in_flight.return_connection(&head.headers);
         if not_run {
--- a/crates/sapphirequayd/src/gateway/front/connections.rs
+++ b/crates/sapphirequayd/src/gateway/front/connections.rs
@@ -8,9 +8,10 @@
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     indexmap::IndexMap,
+    quay_policy::CheckResult,
     quay_types::Time,
     socket2::SockRef,
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::RefCell, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::TcpStream,
         task::{AbortHandle, spawn_local},
@@ -106,6 +107,11 @@
                 });
             }
         }
+        self.connect(addr).await
+    }
+
+    /// Sets up a new connection.
+    async fn connect(&self, addr: SocketAddr) -> std::io::Result<Lease> {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
         let stream = connecting.await.map_err(std::io::Error::from)??;
         stream.set_nodelay(true)?;
@@ -128,6 +134,18 @@
         })
     }
 
+    /// Tells whether an upstream accepts connections, by setting up a new one,
+    /// which joins the pool.
+    pub async fn check(&self, addr: SocketAddr) -> CheckResult {
+        match self.connect(addr).await {
+            Ok(lease) => {
+                self.pool(lease, DEFAULT_IDLE_TIMEOUT);
+                CheckResult::Reachable
+            }
+            Err(err) => check_result(&err),
+        }
+    }
+
     /// Takes the most recently used idle connection.
     fn take(&self, addr: SocketAddr) -> Option<Idle> {
         self.idle.borrow_mut().get_mut(&addr)?.pop()
@@ -136,7 +154,11 @@
     /// Returns a connection to the pool after a complete response with the
     /// given headers, which tell whether and how long it may be reused.
     pub fn give_back(&self, lease: Lease, headers: &HeaderMap) {
-        let idle = idle_time(headers);
+        self.pool(lease, idle_time(headers));
+    }
+
+    /// Adds a connection to the pool that may be reused within `idle`.
+    fn pool(&self, lease: Lease, idle: Duration) {
         if idle.is_zero() || lease.sender.is_closed() {
             return;
         }
@@ -189,6 +211,17 @@
     }
 }
 
+/// What a failure to set up a connection says about the upstream.
+pub fn check_result(err: &std::io::Error) -> CheckResult {
+    match err.kind() {
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => CheckResult::Refused,
+        ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
+            CheckResult::TimedOut
+        }
+        _ => CheckResult::Unknown,
+    }
+}
+
 /// Time for which a connection may be reused after a response.
 fn idle_time(headers: &HeaderMap) -> Duration {
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -2,8 +2,12 @@
 
 use {
     super::{
-        call, connections::Connections, conversation_cache::ConversationCache,
-        startup_wait::StartupWait, upstreams::Upstreams,
+        call,
+        connections::{Connections, check_result},
+        conversation_cache::ConversationCache,
+        startup_wait::StartupWait,
+        suspects::FrontSuspects,
+        upstreams::{SelectedUpstream, Upstreams},
     },
     crate::{
         gateway::{
@@ -18,18 +22,21 @@
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
+    quay_policy::{CheckResult, RunEnd, SuspectEvent, UpstreamRun},
     quay_routes::{Dialect, RoutingTable},
-    quay_types::{ProgramTag, Time, TurnId},
+    quay_types::{ContentDigest, ProgramTag, Time, TurnId},
     rand::Rng as _,
     std::{
         cell::{Cell, RefCell, RefMut},
         convert::Infallible,
+        io,
         net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
     tokio::{
         net::TcpListener,
+        sync::Notify,
         task::spawn_local,
         time::{Instant, sleep, timeout_at},
     },
@@ -54,6 +61,13 @@
 /// apart, with a margin.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
 
+/// Time-out for a report of lost runs to the control group.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Delay before an upstream that lost a run is checked: a process that ends closes
+/// its connections one after the other, and the listening socket among them.
+const CHECK_DELAY: Duration = Duration::from_millis(50);
+
 /// Interval at which old load reports, unused conversations and idle
 /// connections are dropped and gauges are set.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(300);
@@ -83,6 +97,9 @@
     control: ControlClient,
     stores: StoreClient,
     upstreams: RefCell<Upstreams>,
+    suspects: RefCell<FrontSuspects>,
+    /// Notified when there are events of suspects to report.
+    report: Notify,
     connections: Connections,
     conversations: RefCell<ConversationCache>,
     table: RefCell<Option<Rc<RoutingTable>>>,
@@ -114,6 +131,8 @@
             control,
             stores,
             upstreams: RefCell::new(Upstreams::new(data_centre)),
+            suspects: RefCell::default(),
+            report: Notify::new(),
             connections: Connections::new(clock),
             conversations: RefCell::new(ConversationCache::new(chain_cache_bytes)),
             table: RefCell::default(),
@@ -130,6 +149,7 @@
     pub fn start(&self, callers: TcpListener, ready: TcpListener) {
         spawn_local(self.clone().follow_control());
         spawn_local(self.clone().run_maintenance());
+        spawn_local(self.clone().report_runs());
         spawn_local(self.0.stores.clone().probe_paths());
         let front = self.clone();
         spawn_local(async move {
@@ -248,6 +268,139 @@
             .put(now, key, conversation);
     }
 
+    // -----------------------------------------------------------------------
+    // Crashes of upstreams
+
+    /// Whether a request must not run, since its content crashes upstreams.
+    pub fn is_quarantined(&self, content: ContentDigest) -> bool {
+        let suspects = self.0.suspects.borrow();
+        suspects.is_quarantined(Self::unix_time(), content)
+    }
+
+    /// Time of the suspects, which processes share.
+    fn unix_time() -> Time {
+        Time::from_millis(Clock::wall_ms())
+    }
+
+    /// Records that a request is sent to an upstream.
+    pub fn begin_run(&self, upstream: &SelectedUpstream, content: ContentDigest) {
+        let now = self.now();
+        let mut upstreams = self.upstreams();
+        upstreams.crashes().begin(now, upstream.run(), content);
+    }
+
+    /// Records the end of a run, and checks the upstream if the run was lost.
+    pub fn end_run(&self, upstream: &SelectedUpstream, content: ContentDigest, end: RunEnd) {
+        let now = self.now();
+        let mut upstreams = self.upstreams();
+        upstreams.crashes().end(now, upstream.run(), content, end);
+        drop(upstreams);
+        if end != RunEnd::Answered {
+            self.check_upstreams();
+            self.record_lost_runs();
+        }
+    }
+
+    /// Records that a run completed, which shows that its content is harmless.
+    pub fn record_completed(&self, content: ContentDigest) {
+        if self.0.suspects.borrow().is_suspect(content) {
+            log::info!("event=suspect_cleared content={content}");
+            self.record_event(SuspectEvent::Completed(content));
+        }
+    }
+
+    /// Records that an incarnation of an upstream has ended.
+    pub fn record_ended(&self, upstream: &SelectedUpstream) {
+        let now = self.now();
+        self.upstreams().crashes().record_ended(now, upstream.run());
+        self.record_lost_runs();
+    }
+
+    /// Records that no connection to an upstream could be set up.
+    pub fn record_unreachable(&self, upstream: &SelectedUpstream, err: &io::Error) {
+        let now = self.now();
+        self.upstreams().suspend(now, upstream.id);
+        if check_result(err) == CheckResult::Refused {
+            self.record_ended(upstream);
+        }
+    }
+
+    /// Starts the checks of upstreams that are due.
+    fn check_upstreams(&self) {
+        let now = self.now();
+        let due = self.upstreams().due_checks(now);
+        for (run, addr) in due {
+            spawn_local(self.clone().check_upstream(run, addr));
+        }
+    }
+
+    async fn check_upstream(self, run: UpstreamRun, addr: SocketAddr) {
+        sleep(CHECK_DELAY).await;
+        let mut result = self.0.connections.check(addr).await;
+        let now = self.now();
+        if result == CheckResult::TimedOut && !self.control_is_fresh(now) {
+            // This front may be the one that is cut off.
+            result = CheckResult::Unknown;
+        }
+        log::info!(
+            "event=upstream_checked upstream={} run={} result={result:?}",
+            self.upstreams().name(run.0),
+            run.1
+        );
+        self.upstreams().crashes().record_check(now, run, result);
+        self.record_lost_runs();
+    }
+
+    /// Records the runs that were found to be lost by crashes.
+    fn record_lost_runs(&self) {
+        let events = self.upstreams().crashes().take_events();
+        for event in events {
+            if let SuspectEvent::RunsLost {
+                upstream,
+                incarnation,
+                runs,
+            } = &event
+            {
+                let runs: Vec<String> = runs.iter().map(ToString::to_string).collect();
+                let runs = runs.join(",");
+                let upstream = self.upstreams().name(*upstream);
+                log::info!(
+                    "event=upstream_crashed upstream={upstream} run={incarnation} lost={runs}"
+                );
+            }
+            self.record_event(event);
+        }
+    }
+
+    fn record_event(&self, event: SuspectEvent) {
+        let kept = self
+            .0
+            .suspects
+            .borrow_mut()
+            .record(Self::unix_time(), event);
+        if !kept {
+            log::warn!("event=report_dropped cause=\"too many wait for the control group\"");
+        }
+        self.0.report.notify_one();
+    }
+
+    /// Reports lost runs and cleared suspects to the control group, in a loop.
+    async fn report_runs(self) {
+        loop {
+            let events = self.0.suspects.borrow().next_report();
+            let Some(events) = events else {
+                self.0.report.notified().await;
+                continue;
+            };
+            let count = events.len();
+            let req = ControlRequest::ReportRuns(events);
+            match self.0.control.request(req, REPORT_TIMEOUT).await {
+                Some(ControlReply::Done) => self.0.suspects.borrow_mut().acknowledge(count),
+                _ => sleep(FOLLOW_RETRY_DELAY).await,
+            }
+        }
+    }
+
     // -----------------------------------------------------------------------
     // Tasks
 
@@ -273,6 +426,7 @@
             stores: self.0.stores.map_version(),
             directory: self.upstreams().next_request(self.0.reader),
             link: self.0.link,
+            suspects: self.0.suspects.borrow().version(),
         }
     }
 
@@ -284,7 +438,13 @@
         if let Some(stores) = update.stores {
             self.0.stores.set_map(stores);
         }
+        if let Some(list) = update.suspects {
+            log::info!("event=suspects_known version={}", list.version);
+            let mut suspects = self.0.suspects.borrow_mut();
+            suspects.set_list(Self::unix_time(), list);
+        }
         self.upstreams().apply_changes(now, update.directory);
+        self.record_lost_runs();
         if let Some(text) = update.table {
             self.apply_table(&text.document);
         }
@@ -320,6 +480,7 @@
             sleep(MAINTENANCE_INTERVAL).await;
             let now = self.now();
             self.upstreams().tick(now);
+            self.check_upstreams();
             self.0.conversations.borrow_mut().tick(now);
             self.0.connections.close_idle();
             let last_update = self.0.last_update.get();
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -9,6 +9,7 @@
 mod reservation;
 mod startup_wait;
 mod stream;
+mod suspects;
 mod upstream_outcome;
 mod upstreams;
 
@@ -17,6 +18,7 @@
     events::EventReader,
     host::FrontHost,
     startup_wait::StartupWait,
+    suspects::FrontSuspects,
     upstream_outcome::{StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome, upstream_outcome},
     upstreams::{SelectedUpstream, Upstreams},
 };
--- a/crates/sapphirequayd/src/gateway/front/refusal.rs
+++ b/crates/sapphirequayd/src/gateway/front/refusal.rs
@@ -59,6 +59,8 @@
     NoUpstream => "no_upstream", 503, Some(250);
     /// The service can't finish another program in time.
     Overloaded => "overloaded", 503, Some(250);
+    /// The request's content is known to crash upstreams.
+    Quarantined => "quarantined", 503, Some(600_000);
     /// Upstreams were unreachable or did not run the request.
     UpstreamsFull => "upstreams_full", 503, Some(120);
     /// The deadline passed before an upstream received the request.
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        call::InFlight,
+        call::{InFlight, is_framed},
         events::EventReader,
         host::FrontHost,
         reservation::Reservation,
@@ -16,6 +16,7 @@
     http::response,
     http_body_util::BodyExt as _,
     hyper::body::{Body as HttpBody, Frame, Incoming},
+    quay_policy::RunEnd,
     quay_routes::Dialect,
     quay_turns::{Record, TurnRecord},
     quay_types::{ProgramTag, Time, TurnId},
@@ -107,7 +108,7 @@
         let events = reader.events();
         let read = self.in_flight.elapsed();
         let read_ms = read.as_millis();
-        self.rate_upstream(end, &reader);
+        self.rate_upstream(end, &reader, is_framed(&headers));
         let end = match end {
             StreamEnd::Whole if reader.mid_event() => StreamEnd::Broken("upstream_ended_mid_event"),
             StreamEnd::Whole => self.store_turn(reader).await,
@@ -131,18 +132,28 @@
         );
     }
 
-    /// Records how the upstream performed.
-    fn rate_upstream(&self, end: StreamEnd, reader: &EventReader) {
+    /// Records how the upstream performed, and how the run ended.
+    fn rate_upstream(&self, end: StreamEnd, reader: &EventReader, framed: bool) {
         let events = reader.events();
         match upstream_outcome(end, events, reader.mid_event()) {
             UpstreamOutcome::Succeeded => {
                 let events = u32::try_from(events).unwrap_or(u32::MAX);
                 self.in_flight
                     .record_success(self.in_flight.elapsed() / events);
+                self.in_flight.complete_run(framed);
+            }
+            UpstreamOutcome::SucceededUntimed => {
+                self.in_flight.record_untimed_success();
+                self.in_flight.complete_run(framed);
+            }
+            UpstreamOutcome::Failed => {
+                self.in_flight.record_failure();
+                self.in_flight.end_run(RunEnd::Lost);
+            }
+            UpstreamOutcome::Abandoned => {
+                self.in_flight.record_abandoned();
+                self.in_flight.end_run(RunEnd::Abandoned);
             }
-            UpstreamOutcome::SucceededUntimed => self.in_flight.record_untimed_success(),
-            UpstreamOutcome::Failed => self.in_flight.record_failure(),
-            UpstreamOutcome::Abandoned => self.in_flight.record_abandoned(),
         }
     }
 
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -4,8 +4,8 @@
     indexmap::IndexMap,
     quay_members::{ChangesRequest, DirectoryView},
     quay_policy::{
-        ExpectedTime, LeavingUpstreams, NewProgram, NewProgramGate, RouteRequest, RouteSettings,
-        Router,
+        CheckResult, CrashDetector, ExpectedTime, LeavingUpstreams, NewProgram, NewProgramGate,
+        RouteRequest, RouteSettings, Router, UpstreamRun,
     },
     quay_routes::{CallHead, PromptPart, block_hashes, branch_ids, token_count},
     quay_types::{
@@ -39,6 +39,14 @@
     pub addr: SocketAddr,
 }
 
+impl SelectedUpstream {
+    /// Incarnation that was selected.
+    #[must_use]
+    pub const fn run(&self) -> UpstreamRun {
+        (self.id, self.incarnation)
+    }
+}
+
 /// Upstream listed in the directory.
 #[derive(Debug)]
 struct Known {
@@ -58,6 +66,7 @@
     view: DirectoryView,
     known: IndexMap<UpstreamId, Known>,
     leaving: LeavingUpstreams,
+    crashes: CrashDetector,
     /// Services whose calls have waited for upstreams.
     gates: IndexMap<ServiceId, NewProgramGate>,
 }
@@ -88,6 +97,7 @@
             view: DirectoryView::default(),
             known: IndexMap::new(),
             leaving: LeavingUpstreams::default(),
+            crashes: CrashDetector::default(),
             gates: IndexMap::new(),
         }
     }
@@ -140,6 +150,7 @@
                     announcement.addr,
                     announcement.state
                 );
+                self.record_replaced(now, id, announcement.addr);
                 let known = Known {
                     announcement,
                     in_flight: 0,
@@ -152,6 +163,19 @@
         }
     }
 
+    /// Records the end of the upstreams that a new incarnation of `id` at `addr`
+    /// replaces.
+    fn record_replaced(&mut self, now: Time, id: UpstreamId, addr: SocketAddr) {
+        let replaced = self
+            .known
+            .iter()
+            .filter(|(other, known)| **other == id || known.announcement.addr == addr);
+        for (other, known) in replaced {
+            self.crashes
+                .record_ended(now, (*other, known.announcement.incarnation));
+        }
+    }
+
     /// Passes an upstream to the router, with its reported load if there is one.
     fn update_router(&mut self, now: Time, id: UpstreamId, reported: Option<Load>) {
         let Some(known) = self.known.get_mut(&id) else {
@@ -195,8 +219,10 @@
         self.router.record_failure(now, id);
     }
 
-    /// Discards load reports older than `MAX_REPORT_AGE`.
+    /// Discards load reports older than `MAX_REPORT_AGE`, and runs whose loss can
+    /// no longer be attributed to a crash.
     pub fn tick(&mut self, now: Time) {
+        self.crashes.tick(now);
         let old: Vec<UpstreamId> = self
             .known
             .iter()
@@ -231,6 +257,37 @@
         }
     }
 
+    // -----------------------------------------------------------------------
+    // Crashes
+
+    /// Detector of crashes, which is told of each run on an upstream.
+    pub fn crashes(&mut self) -> &mut CrashDetector {
+        &mut self.crashes
+    }
+
+    /// Name of an upstream for logs; its id if the directory no longer lists it.
+    #[must_use]
+    pub fn name(&self, id: UpstreamId) -> Box<str> {
+        match self.known.get(&id) {
+            Some(known) => known.announcement.name.clone(),
+            None => id.to_string().into(),
+        }
+    }
+
+    /// Incarnations that must be checked now, with their addresses.
+    pub fn due_checks(&mut self, now: Time) -> Vec<(UpstreamRun, SocketAddr)> {
+        let mut due = Vec::new();
+        for run in self.crashes.due_checks(now) {
+            match self.known.get(&run.0) {
+                Some(known) if known.announcement.incarnation == run.1 => {
+                    due.push((run, known.announcement.addr));
+                }
+                _ => self.crashes.record_check(now, run, CheckResult::Unknown),
+            }
+        }
+        due
+    }
+
     // -----------------------------------------------------------------------
     // Admission
 
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -5,6 +5,7 @@
 
 use {
     quay_members::{Changes, ChangesRequest},
+    quay_policy::{SuspectCommand, SuspectEvent, SuspectRegistry},
     quay_quorum::Member,
     quay_turns::{Charge, Record, StoreAnnouncement, StoreChange, StoreMap, TurnRecord},
     quay_types::{Announcement, GroupId, Incarnation, ProgramTag, TurnId},
@@ -50,6 +51,9 @@
     Retire(Box<str>),
     /// Asks whether a store host is empty.
     Retired(Box<str>),
+    /// Runs that a front lost by crashes of upstreams, and runs of suspects that
+    /// completed.
+    ReportRuns(Box<[SuspectEvent]>),
 }
 
 /// State that a follower already has; the leader sends what differs from it.
@@ -63,6 +67,17 @@
     pub directory: ChangesRequest,
     /// Link address of the follower.
     pub link: SocketAddr,
+    /// Version of its list of suspects; 0 without one.
+    pub suspects: u64,
+}
+
+/// Requests that are suspected of crashing upstreams, as followers get them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectList {
+    /// Increases with each change of the list.
+    pub version: u64,
+    /// The suspects that followers must know.
+    pub suspects: SuspectRegistry,
 }
 
 /// A routing table as the operator sent it.
@@ -90,6 +105,8 @@
     pub controls: Vec<SocketAddr>,
     /// Link addresses of some other followers.
     pub followers: Vec<SocketAddr>,
+    /// The list of suspects, if the follower's differs.
+    pub suspects: Option<SuspectList>,
 }
 
 /// Reply of a control host.
@@ -126,6 +143,8 @@
     Depart(Box<str>, Incarnation),
     /// Changes the store map, in this order.
     Stores(Vec<StoreChange>),
+    /// Changes the requests that are suspected of crashing upstreams.
+    Suspects(SuspectCommand),
 }
 
 // ---------------------------------------------------------------------------
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -18,10 +18,13 @@
 pub use {
     control::{ControlState, MembershipInputs, next_membership_change},
     front::{
-        ConversationCache, EventReader, SelectedUpstream, StartupWait, StreamEnd,
+        ConversationCache, EventReader, FrontSuspects, SelectedUpstream, StartupWait, StreamEnd,
         UPSTREAM_DISCONNECTED, UpstreamOutcome, Upstreams, upstream_outcome,
     },
-    messages::{ControlCommand, GatewayRequest, StoreOp, StoreReply, StoreRequest, TableDocument},
+    messages::{
+        ControlCommand, GatewayRequest, StoreOp, StoreReply, StoreRequest, SuspectList,
+        TableDocument,
+    },
     run::run,
     store::{PathProbe, SlowMembers, StorePath},
 };
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -23,10 +23,11 @@
 
 pub use {
     gateway::{
-        ControlCommand, ControlState, ConversationCache, EventReader, GatewayRequest,
-        MembershipInputs, PathProbe, SelectedUpstream, SlowMembers, StartupWait, StoreOp,
-        StorePath, StoreReply, StoreRequest, StreamEnd, TableDocument, UPSTREAM_DISCONNECTED,
-        UpstreamOutcome, Upstreams, next_membership_change, run as run_gateway, upstream_outcome,
+        ControlCommand, ControlState, ConversationCache, EventReader, FrontSuspects,
+        GatewayRequest, MembershipInputs, PathProbe, SelectedUpstream, SlowMembers, StartupWait,
+        StoreOp, StorePath, StoreReply, StoreRequest, StreamEnd, SuspectList, TableDocument,
+        UPSTREAM_DISCONNECTED, UpstreamOutcome, Upstreams, next_membership_change,
+        run as run_gateway, upstream_outcome,
     },
     process::{
         Actor, BackupError, Clock, ControlClient, ControlError, ControlReply, ControlRequest,
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -1,5 +1,7 @@
 //! Gateway of separate processes that a test can kill, and a stub upstream.
 
+#![allow(dead_code)] // Each test file uses only some of the helpers.
+
 use {
     crate::ports::free_port,
     quay_link::{DevelopmentKeys, KeyFiles, LinkRole, Links},
@@ -144,6 +146,30 @@
         child.wait().expect("wait");
     }
 
+    /// Sends a signal, such as `STOP` or `CONT`, to a process.
+    pub fn signal(&self, role: Role, signal: &str) {
+        let child = self.children.iter().find(|(it, _)| *it == role);
+        let id = child.expect("a running process").1.id().to_string();
+        let sent = Command::new("kill").args(["-s", signal, &id]).status();
+        assert!(sent.expect("kill").success());
+    }
+
+    /// The control host that has logged last that it leads.
+    pub fn leader(&self) -> Option<Role> {
+        let led = (0..3).filter_map(|slot| {
+            let role = Role::Control(slot);
+            let log = self.folder.path().join(format!("{role:?}.log"));
+            let text = fs::read_to_string(log).ok()?;
+            let line = text
+                .lines()
+                .rfind(|line| line.contains("event=control_leads"))?;
+            Some((line.to_owned(), role))
+        });
+        // Lines begin with the time.
+        led.max_by(|(one, _), (other, _)| one.cmp(other))
+            .map(|(_, role)| role)
+    }
+
     /// Prints the last log lines of each process, for the report of a failure.
     fn print_logs(&self) {
         const LINES: usize = 60;
--- a/crates/sapphirequayd/tests/crashing_requests.rs
+++ b/crates/sapphirequayd/tests/crashing_requests.rs
@@ -4,7 +4,6 @@
 #[path = "common/crashing_upstream.rs"]
 mod crashing_upstream;
 #[path = "common/gateway.rs"]
-#[allow(dead_code)] // Other tests use the rest.
 mod gateway;
 #[path = "common/ports.rs"]
 mod ports;
@@ -226,6 +225,48 @@
     );
 }
 
+#[test]
+fn a_leader_that_dies_at_the_third_crash_does_not_hide_the_request() {
+    let mut site = Site::start();
+    site.add_upstreams(14, CrashMode::BeforeHead);
+    site.serve_harmless(0, "/order/8");
+    site.serve_harmless(1, "/order/8");
+    site.crash_upstreams("/order/8", 1_000);
+    let leader = site.gateway.leader().expect("a leader");
+    site.gateway.kill(leader);
+    thread::sleep(CONTACT_TIME);
+    let later = site.send_deadly_again("/order/8", 1_000);
+    assert!(
+        later <= MAX_LATER_RUNS,
+        "{later} more upstreams were crashed"
+    );
+}
+
+#[test]
+fn a_front_that_was_paused_during_the_crashes_learns_of_them() {
+    let mut site = Site::start();
+    site.add_upstreams(14, CrashMode::BeforeHead);
+    site.serve_harmless(0, "/order/9");
+    site.serve_harmless(1, "/order/9");
+    site.gateway.signal(Role::Front(1), "STOP");
+    while site.counts.deadly() < CRASHES {
+        site.announce_all();
+        site.call(0, "/order/9", DEADLY, 1_000);
+    }
+    site.gateway.signal(Role::Front(1), "CONT");
+    thread::sleep(CONTACT_TIME);
+    let before = site.counts.deadly();
+    for _ in 0..8 {
+        site.announce_all();
+        site.call(1, "/order/9", DEADLY, 1_000);
+    }
+    let later = site.counts.deadly() - before;
+    assert!(
+        later <= MAX_LATER_RUNS,
+        "{later} more upstreams were crashed"
+    );
+}
+
 #[test]
 fn a_request_whose_upstreams_only_break_off_is_not_refused() {
     let mut site = Site::start();
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -3,9 +3,12 @@
 use {
     bytes::Bytes,
     proptest::prelude::*,
+    quay_policy::{SuspectCommand, SuspectEvent},
     quay_quorum::{Member, Membership, MembershipChange, StateMachine as _},
     quay_turns::{StoreMember, StoreView},
-    quay_types::{Epoch, GroupId, Incarnation, LogIndex, NodeId, Time, TurnId},
+    quay_types::{
+        ContentDigest, Epoch, GroupId, Incarnation, LogIndex, NodeId, Time, TurnId, UpstreamId,
+    },
     sapphirequayd::{
         ControlCommand, ControlState, ConversationCache, EventReader, MembershipInputs, PathProbe,
         SlowMembers, StartupWait, StorePath, StreamEnd, TableDocument, UPSTREAM_DISCONNECTED,
@@ -158,6 +161,50 @@
     assert_eq!(held.as_deref(), Some(&b"seven"[..]));
 }
 
+fn lost_run(upstream: u64) -> ControlCommand {
+    ControlCommand::Suspects(SuspectCommand::Observed {
+        at: Time::ZERO,
+        events: [SuspectEvent::RunsLost {
+            upstream: UpstreamId(upstream),
+            incarnation: Incarnation(1),
+            runs: [ContentDigest::of(&[b"deadly"])].into(),
+        }]
+        .into(),
+    })
+}
+
+#[test]
+fn followers_get_a_new_list_of_suspects_only_if_it_differs() {
+    let mut state = ControlState::default();
+    let mut listed = Vec::new();
+    for upstream in [1, 1, 2, 2, 3] {
+        state.apply(LogIndex(1), Epoch(1), lost_run(upstream));
+        listed.push(state.suspects.listed.version);
+    }
+    assert_eq!(listed, [0, 0, 1, 1, 2]);
+    assert_eq!(state.version, 3);
+    let digest = ContentDigest::of(&[b"deadly"]);
+    let listed = &state.suspects.listed.suspects;
+    assert!(listed.is_quarantined(Time::ZERO, digest));
+}
+
+#[test]
+fn a_snapshot_of_a_version_without_suspects_is_read() {
+    let mut state = ControlState::default();
+    state.apply(LogIndex(1), Epoch(1), table(7, b"seven"));
+    let earlier = (
+        state.version,
+        &state.table,
+        &state.departures,
+        &state.stores,
+    );
+    let snapshot = postcard::to_stdvec(&earlier).expect("bytes");
+    assert_eq!(postcard::from_bytes(&snapshot), Ok(state.clone()));
+    state.apply(LogIndex(2), Epoch(1), lost_run(1));
+    let snapshot = postcard::to_stdvec(&state).expect("bytes");
+    assert_eq!(postcard::from_bytes(&snapshot), Ok(state));
+}
+
 fn member(node: u64, port: u16) -> Member {
     Member::new(NodeId(node), ([127, 0, 0, 1], port).into(), "dc")
 }
