--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -12,7 +12,7 @@
         process::{Child, Command},
         sync::{Arc, Mutex},
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tempfile::TempDir,
 };
@@ -280,8 +280,13 @@
     TruncatedEvent,
     /// Answers completely and says that it is leaving.
     Leaving,
+    /// Answers completely and names a limit of [`LIMIT_PER_S`].
+    Limited,
 }
 
+/// Requests in a second that a limited stub upstream takes from all hosts.
+pub const LIMIT_PER_S: u32 = 2;
+
 /// Stub upstream: streams two events for a chat request, or sends a short plain
 /// response.
 #[derive(Clone)]
@@ -290,6 +295,8 @@
     behaviour: Arc<Mutex<Behaviour>>,
     /// Bodies of the requests that were run.
     ran: Arc<Mutex<Vec<String>>>,
+    /// Times of the requests that were answered with the limit.
+    limited: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl StubUpstream {
@@ -299,6 +306,7 @@
             addr: listener.local_addr().expect("address"),
             behaviour: Arc::new(Mutex::new(Behaviour::Normal)),
             ran: Arc::default(),
+            limited: Arc::default(),
         };
         let shared = upstream.clone();
         thread::spawn(move || {
@@ -314,6 +322,10 @@
         *self.behaviour.lock().expect("lock") = behaviour;
     }
 
+    pub fn limited_requests(&self) -> Vec<Instant> {
+        self.limited.lock().expect("lock").clone()
+    }
+
     pub fn requests_run(&self) -> Vec<String> {
         self.ran.lock().expect("lock").clone()
     }
@@ -331,6 +343,10 @@
         );
         let common = match behaviour {
             Behaviour::Leaving => format!("{common}server-leaving: 1\r\n"),
+            Behaviour::Limited => {
+                self.limited.lock().expect("lock").push(Instant::now());
+                format!("{common}server-limit: {LIMIT_PER_S}.0\r\n")
+            }
             _ => common,
         };
         if behaviour == Behaviour::Overloaded {
