--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod leaving;
+mod limits;
 mod quota;
 mod retry;
 mod suspects;
@@ -10,6 +11,9 @@
 pub use {
     crashes::{CheckResult, CrashDetector, CrashSettings, RunEnd, UpstreamRun},
     leaving::LeavingUpstreams,
+    limits::{
+        LimitAllocator, LimitHolder, LimitSettings, PermitDemand, PermitGrant, PermitRequest,
+    },
     quota::{QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings},
     retry::{RetryBudgets, RetrySettings},
     suspects::{
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -31,7 +31,8 @@
         NewProgramGate, NewProgramSettings, Observation, Ticket, TicketId, Verdict,
     },
     guard::{
-        CheckResult, Clearance, CrashDetector, CrashSettings, LeavingUpstreams, QuotaAllocator,
+        CheckResult, Clearance, CrashDetector, CrashSettings, LeavingUpstreams, LimitAllocator,
+        LimitHolder, LimitSettings, PermitDemand, PermitGrant, PermitRequest, QuotaAllocator,
         QuotaHolder, QuotaLease, QuotaSettings, RetryBudgets, RetrySettings, RunEnd,
         SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings, UpstreamRun,
     },
--- a/crates/quay_routes/src/head.rs
+++ b/crates/quay_routes/src/head.rs
@@ -3,7 +3,7 @@
 use {
     crate::PromptPart,
     http::{Method, Uri},
-    quay_types::ContentDigest,
+    quay_types::{ContentDigest, RequestRate},
     std::{fmt, time::Duration},
 };
 
@@ -109,6 +109,9 @@
     pub load: Option<(u32, u32, u32)>,
     /// Whether the upstream says that it is leaving.
     pub leaving: bool,
+    /// Requests that the upstream takes from all hosts together, if it names a
+    /// limit.
+    pub limit: Option<RequestRate>,
     /// Whether the body has a content encoding that was not requested.
     pub encoded: bool,
 }
--- a/crates/quay_types/src/lib.rs
+++ b/crates/quay_types/src/lib.rs
@@ -20,6 +20,7 @@
 mod ids;
 mod ledger;
 mod permit;
+mod rate;
 mod time;
 
 pub use {
@@ -37,5 +38,6 @@
         ProgramStatus, Settle,
     },
     permit::{Outcome, Permit, PermitId, PermitStatus},
+    rate::RequestRate,
     time::Time,
 };
--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -262,6 +262,11 @@
                 .await
             }
             ControlRequest::ReportRuns(events) => self.record_runs(events).await,
+            ControlRequest::TakePermits(req) => {
+                let now = self.now();
+                self.as_leader(|leads| ControlReply::Permits(leads.limits.grant(now, &req)))
+                    .await
+            }
             ControlRequest::Retire(host) => self.retire(host).await,
             ControlRequest::Retired(host) => {
                 self.as_leader(|leads| {
--- a/crates/sapphirequayd/src/gateway/control/leader_state.rs
+++ b/crates/sapphirequayd/src/gateway/control/leader_state.rs
@@ -5,6 +5,7 @@
     crate::gateway::messages::{ControlCommand, ControlUpdate, FollowerState},
     indexmap::{IndexMap, IndexSet},
     quay_members::{Changes, Directory, Heartbeat, MembersReply, MembersSettings},
+    quay_policy::LimitAllocator,
     quay_quorum::{Member, Membership},
     quay_turns::{MembershipPlanner, MembershipSettings, StoreAnnouncement, StoreMap},
     quay_types::{Announcement, Incarnation, NodeId, Time, UpstreamId, UpstreamState},
@@ -51,6 +52,8 @@
     pub members: Membership,
     /// Time of each follower's latest poll, by the address of its link.
     followers: BTreeMap<SocketAddr, Time>,
+    /// Issues permits for limited upstreams.
+    pub limits: LimitAllocator,
 }
 
 impl LeaderState {
@@ -78,6 +81,7 @@
             silent_voters: IndexMap::new(),
             members: Membership::default(),
             followers: BTreeMap::new(),
+            limits: LimitAllocator::default(),
         }
     }
 
@@ -98,10 +102,11 @@
         now.since(self.confirmed) < MAX_STATE_AGE
     }
 
-    /// Expires upstreams without heartbeats, requests to join, and followers that
-    /// no longer poll.
+    /// Expires upstreams without heartbeats, requests to join, followers that no
+    /// longer poll, and limits for which no permits are asked.
     pub fn tick(&mut self, now: Time) {
         self.directory.tick(now);
+        self.limits.tick(now);
         self.join_requests
             .retain(|_, (_, heard)| now.since(*heard) < JOIN_REQUEST_TTL);
         self.followers
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -4,7 +4,7 @@
     super::{
         connections::{Lease, SendError},
         host::FrontHost,
-        refusal::Refusal,
+        refusal::{Refusal, Refused},
         reservation::Reservation,
         stream::{PendingTurn, StreamRelay},
         upstreams::SelectedUpstream,
@@ -214,7 +214,8 @@
             log::info!("event=call_answered id={} status={status} ms={ms}", head.id);
             response
         }
-        Err(refusal) => {
+        Err(refused) => {
+            let refusal = refused.reason;
             log::info!(
                 "event=call_refused id={} kind={} status={} ms={ms}",
                 head.id,
@@ -223,7 +224,7 @@
             );
             meters::record_call(refusal.status(), duration);
             meters::record_refusal(refusal.name());
-            let mut response = refusal.response(draw);
+            let mut response = refused.response(draw);
             front
                 .dialect()
                 .gateway_response_headers(&head, response.headers_mut());
@@ -245,7 +246,7 @@
     head: &CallHead,
     body: Incoming,
     draw: u64,
-) -> Result<Response<Body>, Refusal> {
+) -> Result<Response<Body>, Refused> {
     // The route's own time-out is unknown until there is a table.
     let caller_timeout = head.caller_timeout.unwrap_or(Duration::MAX);
     let table = front.wait_for_table(arrived + caller_timeout).await;
@@ -318,7 +319,7 @@
 
     /// Runs a turn of a program: reserves its tokens from the program's budget
     /// and puts the conversation before the turn's input.
-    async fn run_turn(&self, turn: &TurnHead, input: Bytes) -> Result<Response<Body>, Refusal> {
+    async fn run_turn(&self, turn: &TurnHead, input: Bytes) -> Result<Response<Body>, Refused> {
         let (reserved, history) = tokio::join!(self.reserve(turn), self.history(turn));
         let reservation = reserved?;
         let history = history?;
@@ -449,13 +450,13 @@
         body: Bytes,
         pending_turn: Option<PendingTurn>,
         reservation: Option<Reservation>,
-    ) -> Result<Response<Body>, Refusal> {
+    ) -> Result<Response<Body>, Refused> {
         let mut tried = Vec::new();
         let (mut attempts, mut not_run) = (0, 0);
         loop {
             let left = self.deadline.remaining(self.front.now());
             if left.is_zero() {
-                return Err(Refusal::TooLate);
+                return Err(Refusal::TooLate.into());
             }
             self.check_quarantine(attempts)?;
             let limit = self.attempt_limit(left, attempts);
@@ -489,12 +490,13 @@
                 AttemptResult::NotRun => {
                     not_run += 1;
                     if not_run >= MAX_NOT_RUN {
-                        return Err(Refusal::UpstreamsFull);
+                        return Err(Refusal::UpstreamsFull.into());
                     }
                 }
-                AttemptResult::NoUpstream if not_run > 0 => return Err(Refusal::UpstreamsFull),
-                AttemptResult::NoUpstream if attempts > 0 => return Err(Refusal::OutcomeUnknown),
-                AttemptResult::NoUpstream => return Err(Refusal::NoUpstream),
+                AttemptResult::NoUpstream if not_run == 0 && attempts > 0 => {
+                    return Err(Refusal::OutcomeUnknown.into());
+                }
+                AttemptResult::NoUpstream => return Err(self.no_upstream(not_run)),
                 AttemptResult::Unknown(why) => {
                     attempts += 1;
                     log::info!(
@@ -506,16 +508,38 @@
                     let idempotent = self.route.repeat == RepeatPolicy::Idempotent;
                     let time_over = self.deadline.remaining(self.front.now()).is_zero();
                     if time_over {
-                        return Err(Refusal::TimedOut);
+                        return Err(Refusal::TimedOut.into());
                     }
                     if !idempotent || attempts >= self.route.max_attempts {
-                        return Err(Refusal::OutcomeUnknown);
+                        return Err(Refusal::OutcomeUnknown.into());
                     }
                 }
             }
         }
     }
 
+    /// Refusal of a request for which no upstream is left. If that is since
+    /// upstreams are limited, the caller is to return when it is its turn, and
+    /// programs that have begun go before new ones.
+    fn no_upstream(&self, not_run: u32) -> Refused {
+        let now = self.front.now();
+        let mut upstreams = self.front.upstreams();
+        let retry_after = upstreams.return_delay(now, self.service);
+        if retry_after.is_some() {
+            let objective = self.route.objective;
+            upstreams.record_wait(now, self.service, objective, objective);
+        }
+        let reason = match retry_after {
+            Some(_) => Refusal::Limited,
+            None if not_run > 0 => Refusal::UpstreamsFull,
+            None => Refusal::NoUpstream,
+        };
+        Refused {
+            reason,
+            retry_after,
+        }
+    }
+
     /// Refuses a request whose content is known to crash upstreams. With attempts
     /// that may have run, the refusal does not say that it has not run.
     fn check_quarantine(&self, attempts: u32) -> Result<(), Refusal> {
@@ -545,6 +569,25 @@
         }
     }
 
+    /// Selects an upstream. If all are limited, asks for permits first.
+    async fn select_upstream(&self, tried: &[UpstreamId]) -> Option<SelectedUpstream> {
+        let select = || {
+            let now = self.front.now();
+            let pool = (self.service, self.route.sticky);
+            let mut upstreams = self.front.upstreams();
+            upstreams.select(now, pool, self.head, tried, self.draw)
+        };
+        let selected = select();
+        if selected.is_some() {
+            self.front.ask_for_permits();
+            return selected;
+        }
+        if !self.front.wait_for_permits(self.service).await {
+            return None;
+        }
+        select()
+    }
+
     /// Makes one attempt on one upstream.
     async fn attempt_one(
         &self,
@@ -552,17 +595,10 @@
         limit: Duration,
         tried: &mut Vec<UpstreamId>,
     ) -> AttemptResult<D> {
-        let now = self.front.now();
-        let upstream = self.front.upstreams().select(
-            now,
-            (self.service, self.route.sticky),
-            self.head,
-            tried,
-            self.draw,
-        );
-        let Some(upstream) = upstream else {
+        let Some(upstream) = self.select_upstream(tried).await else {
             return AttemptResult::NoUpstream;
         };
+        let now = self.front.now();
         tried.push(upstream.id);
         let mut in_flight = InFlight {
             front: self.front.clone(),
@@ -689,6 +725,12 @@
         if answer.leaving && answer.execution != Execution::Misdirected {
             self.front.upstreams().record_leaving(&in_flight.upstream);
         }
+        if answer.id.as_deref() == Some(&self.head.id) && answer.execution != Execution::Misdirected
+        {
+            let sent = in_flight.started;
+            let mut upstreams = self.front.upstreams();
+            upstreams.record_limit(now, &in_flight.upstream, sent, answer.limit);
+        }
         if let Some(load) = answer.load {
             self.front
                 .upstreams()
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -38,7 +38,7 @@
         net::TcpListener,
         sync::Notify,
         task::spawn_local,
-        time::{Instant, sleep, timeout_at},
+        time::{Instant, sleep, timeout, timeout_at},
     },
 };
 
@@ -68,6 +68,19 @@
 /// its connections one after the other, and the listening socket among them.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 
+/// Time-out for a request for permits to the control group.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest time for which a request waits for permits to arrive.
+const PERMIT_WAIT: Duration = Duration::from_millis(100);
+
+/// Least pause between two requests for permits.
+const MIN_PERMIT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Pause between two requests for permits for each front that asks for any, which
+/// bounds the requests that the leader gets.
+const PERMIT_PAUSE_PER_FRONT: Duration = Duration::from_millis(2);
+
 /// Interval at which old load reports, unused conversations and idle
 /// connections are dropped and gauges are set.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(300);
@@ -100,6 +113,12 @@
     suspects: RefCell<FrontSuspects>,
     /// Notified when there are events of suspects to report.
     report: Notify,
+    /// Notified when permits for limited upstreams may be wanted.
+    permits_wanted: Notify,
+    /// Notified when a reply to a request for permits has been applied.
+    permits_arrived: Notify,
+    /// Whether the next request for permits has to wait for its pause to end.
+    permits_paused: Cell<bool>,
     connections: Connections,
     conversations: RefCell<ConversationCache>,
     table: RefCell<Option<Rc<RoutingTable>>>,
@@ -133,6 +152,9 @@
             upstreams: RefCell::new(Upstreams::new(data_centre)),
             suspects: RefCell::default(),
             report: Notify::new(),
+            permits_wanted: Notify::new(),
+            permits_arrived: Notify::new(),
+            permits_paused: Cell::default(),
             connections: Connections::new(clock),
             conversations: RefCell::new(ConversationCache::new(chain_cache_bytes)),
             table: RefCell::default(),
@@ -150,6 +172,7 @@
         spawn_local(self.clone().follow_control());
         spawn_local(self.clone().run_maintenance());
         spawn_local(self.clone().report_runs());
+        spawn_local(self.clone().request_permits());
         spawn_local(self.0.stores.clone().probe_paths());
         let front = self.clone();
         spawn_local(async move {
@@ -401,6 +424,55 @@
         }
     }
 
+    // -----------------------------------------------------------------------
+    // Limited upstreams
+
+    /// Asks for the permits that are wanted, as soon as the pause between two
+    /// requests for permits allows.
+    pub fn ask_for_permits(&self) {
+        if !self.upstreams().limits().is_empty() {
+            self.0.permits_wanted.notify_one();
+        }
+    }
+
+    /// Waits for permits for a request of a service. Returns `false` at once if none
+    /// of its upstreams is limited, and during a pause: the reply before it left no
+    /// permit.
+    pub async fn wait_for_permits(&self, service: &str) -> bool {
+        if !self.upstreams().is_limited(service) || self.0.permits_paused.get() {
+            return false;
+        }
+        self.upstreams().want_permit(self.now(), service);
+        self.ask_for_permits();
+        timeout(PERMIT_WAIT, self.0.permits_arrived.notified())
+            .await
+            .is_ok()
+    }
+
+    /// Requests permits from the control group when they are wanted, in a loop.
+    async fn request_permits(self) {
+        loop {
+            self.0.permits_wanted.notified().await;
+            let sent = self.now();
+            let req = self.upstreams().limits().next_request(sent, self.0.reader);
+            let Some(req) = req else {
+                self.0.permits_arrived.notify_waiters();
+                continue;
+            };
+            let asked = ControlRequest::TakePermits(req.clone());
+            let reply = self.0.control.request(asked, PERMIT_TIMEOUT).await;
+            let now = self.now();
+            if let Some(ControlReply::Permits(grant)) = reply {
+                self.upstreams().limits().accept(now, sent, &req, &grant);
+            }
+            let holders = self.upstreams().limits().holders();
+            self.0.permits_paused.set(true);
+            self.0.permits_arrived.notify_waiters();
+            sleep(MIN_PERMIT_PAUSE.max(PERMIT_PAUSE_PER_FRONT * holders)).await;
+            self.0.permits_paused.set(false);
+        }
+    }
+
     // -----------------------------------------------------------------------
     // Tasks
 
--- a/crates/sapphirequayd/src/gateway/front/refusal.rs
+++ b/crates/sapphirequayd/src/gateway/front/refusal.rs
@@ -61,6 +61,8 @@
     Overloaded => "overloaded", 503, Some(250);
     /// The request's content is known to crash upstreams.
     Quarantined => "quarantined", 503, Some(600_000);
+    /// Upstreams take no more requests than they get already, by their limits.
+    Limited => "limited", 503, Some(250);
     /// Upstreams were unreachable or did not run the request.
     UpstreamsFull => "upstreams_full", 503, Some(120);
     /// The deadline passed before an upstream received the request.
@@ -72,11 +74,41 @@
 /// Jitter added to the retry delay, at most this percentage of it.
 const JITTER_PERCENT: u64 = 100;
 
+/// A refusal with the time after which the caller may retry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refused {
+    /// Reason of the refusal.
+    pub reason: Refusal,
+    /// Delay in place of that of the reason.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<Refusal> for Refused {
+    fn from(reason: Refusal) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+}
+
+impl Refused {
+    /// Creates the response; see [`Refusal::response`].
+    pub fn response(self, draw: u64) -> Response<Body> {
+        let wait = self.retry_after.or_else(|| self.reason.retry_after(draw));
+        self.reason.response_with(wait)
+    }
+}
+
 impl Refusal {
     /// Creates the response. The jitter comes from `draw`, a hash of the
     /// request id, so that callers refused at the same time do not retry at the
     /// same time.
     pub fn response(self, draw: u64) -> Response<Body> {
+        self.response_with(self.retry_after(draw))
+    }
+
+    fn response_with(self, retry_after: Option<Duration>) -> Response<Body> {
         let mut text = String::from("{\"error\":{\"kind\":\"");
         text.push_str(self.name());
         let _ = write!(text, "\",\"not_run\":{}}}}}", self.guarantees_not_run());
@@ -88,7 +120,7 @@
             header::CONTENT_TYPE,
             HeaderValue::from_static("application/json"),
         );
-        if let Some(wait) = self.retry_after(draw) {
+        if let Some(wait) = retry_after {
             let seconds = format!("{:.3}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 headers.insert(header::RETRY_AFTER, value);
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -4,13 +4,13 @@
     indexmap::IndexMap,
     quay_members::{ChangesRequest, DirectoryView},
     quay_policy::{
-        CheckResult, CrashDetector, ExpectedTime, LeavingUpstreams, NewProgram, NewProgramGate,
-        RouteRequest, RouteSettings, Router, UpstreamRun,
+        CheckResult, CrashDetector, ExpectedTime, LeavingUpstreams, LimitHolder, NewProgram,
+        NewProgramGate, RouteRequest, RouteSettings, Router, UpstreamRun,
     },
     quay_routes::{CallHead, PromptPart, block_hashes, branch_ids, token_count},
     quay_types::{
-        Announcement, CallTarget, DirectoryEntry, Incarnation, Load, ProgramId, ServiceId, Time,
-        Tokens, UpstreamId, UpstreamKind, UpstreamState,
+        Announcement, CallTarget, DirectoryEntry, Incarnation, Load, ProgramId, RequestRate,
+        ServiceId, Time, Tokens, UpstreamId, UpstreamKind, UpstreamState,
     },
     std::{net::SocketAddr, slice, time::Duration},
 };
@@ -66,6 +66,7 @@
     view: DirectoryView,
     known: IndexMap<UpstreamId, Known>,
     leaving: LeavingUpstreams,
+    limits: LimitHolder,
     crashes: CrashDetector,
     /// Services whose calls have waited for upstreams.
     gates: IndexMap<ServiceId, NewProgramGate>,
@@ -97,6 +98,7 @@
             view: DirectoryView::default(),
             known: IndexMap::new(),
             leaving: LeavingUpstreams::default(),
+            limits: LimitHolder::default(),
             crashes: CrashDetector::default(),
             gates: IndexMap::new(),
         }
@@ -288,6 +290,49 @@
         due
     }
 
+    // -----------------------------------------------------------------------
+    // Limits
+
+    /// Limits that upstreams have named.
+    pub fn limits(&mut self) -> &mut LimitHolder {
+        &mut self.limits
+    }
+
+    /// Records the limit that a response to a request sent at `sent` named, if any.
+    pub fn record_limit(
+        &mut self,
+        now: Time,
+        upstream: &SelectedUpstream,
+        sent: Time,
+        limit: Option<RequestRate>,
+    ) {
+        if self
+            .limits
+            .record_response(now, upstream.run(), sent, limit)
+        {
+            let per_s = limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+            log::info!(
+                "event=upstream_limit upstream={} run={} per_s={per_s}",
+                upstream.name,
+                upstream.incarnation
+            );
+        }
+    }
+
+    /// Whether any upstream of a service is limited.
+    #[must_use]
+    pub fn is_limited(&self, service: &str) -> bool {
+        self.serving(service).any(|run| self.limits.is_limited(run))
+    }
+
+    /// Time after which the caller of a refused request may return, if upstreams of
+    /// the service are limited.
+    pub fn return_delay(&mut self, now: Time, service: &str) -> Option<Duration> {
+        let runs: Vec<UpstreamRun> = self.serving(service).collect();
+        let service = ServiceId::of(service);
+        self.limits.return_delay(now, service, &runs)
+    }
+
     // -----------------------------------------------------------------------
     // Admission
 
@@ -315,25 +360,48 @@
     /// Whether any upstream in state `Serving` serves a service.
     #[must_use]
     pub fn serves(&self, service: &str) -> bool {
+        self.serving(service).next().is_some()
+    }
+
+    /// Upstreams in state `Serving` of a service that are not leaving.
+    fn serving(&self, service: &str) -> impl Iterator<Item = UpstreamRun> {
         let wanted = ServiceId::of(service);
-        self.known.iter().any(|(id, known)| {
+        self.known.iter().filter_map(move |(id, known)| {
             let Announcement {
                 incarnation,
                 kind,
                 state,
                 ..
             } = &known.announcement;
-            *state == UpstreamState::Serving
+            let serves = *state == UpstreamState::Serving
                 && !self.leaving.contains(*id, *incarnation)
-                && matches!(kind, UpstreamKind::Service { service } if *service == wanted)
+                && matches!(kind, UpstreamKind::Service { service } if *service == wanted);
+            serves.then_some((*id, *incarnation))
         })
     }
 
+    /// Upstreams of a service that are limited and for which there is no permit.
+    fn without_permit(&mut self, now: Time, service: &str) -> Vec<UpstreamRun> {
+        if self.limits.is_empty() {
+            return Vec::new();
+        }
+        let mut runs: Vec<UpstreamRun> = self.serving(service).collect();
+        runs.retain(|run| !self.limits.may_send(now, *run));
+        runs
+    }
+
+    /// Records that a request of a service waits for a permit.
+    pub fn want_permit(&mut self, now: Time, service: &str) {
+        let without = self.without_permit(now, service);
+        self.limits.want_permit(&without);
+    }
+
     /// Selects an upstream of a service and counts the request as in flight
     /// there.
     ///
     /// With `sticky`, an upstream that had the call's object lately is
-    /// preferred. Upstreams in `tried` and leaving ones are excluded. `draw`
+    /// preferred. Upstreams in `tried`, leaving ones, and limited ones for which
+    /// there is no permit are excluded. `draw`
     /// spreads requests over equally good upstreams.
     pub fn select(
         &mut self,
@@ -349,6 +417,8 @@
             .filter(|(id, it)| self.leaving.contains(**id, it.announcement.incarnation));
         let mut never: Vec<UpstreamId> = leaving.map(|(id, _)| *id).collect();
         never.extend_from_slice(tried);
+        let without_permit = self.without_permit(now, service);
+        never.extend(without_permit.iter().map(|(id, _)| *id));
         let suspended = self.known.iter().filter(|(_, it)| it.suspended_until > now);
         let mut excluded: Vec<UpstreamId> = suspended.map(|(id, _)| *id).collect();
         excluded.extend_from_slice(&never);
@@ -381,12 +451,15 @@
         })?;
         let known = self.known.get_mut(&choice.upstream)?;
         known.in_flight += 1;
-        Some(SelectedUpstream {
+        let selected = SelectedUpstream {
             id: choice.upstream,
             name: known.announcement.name.clone(),
             incarnation: known.announcement.incarnation,
             addr: choice.addr,
-        })
+        };
+        self.limits.use_permit(selected.run());
+        self.limits.want_permit(&without_permit);
+        Some(selected)
     }
 
     /// Removes a request that has ended from the count of an upstream.
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -5,7 +5,7 @@
 
 use {
     quay_members::{Changes, ChangesRequest},
-    quay_policy::{SuspectCommand, SuspectEvent, SuspectRegistry},
+    quay_policy::{PermitGrant, PermitRequest, SuspectCommand, SuspectEvent, SuspectRegistry},
     quay_quorum::Member,
     quay_turns::{Charge, Record, StoreAnnouncement, StoreChange, StoreMap, TurnRecord},
     quay_types::{Announcement, GroupId, Incarnation, ProgramTag, TurnId},
@@ -54,6 +54,8 @@
     /// Runs that a front lost by crashes of upstreams, and runs of suspects that
     /// completed.
     ReportRuns(Box<[SuspectEvent]>),
+    /// Asks for permits to send requests to limited upstreams.
+    TakePermits(PermitRequest),
 }
 
 /// State that a follower already has; the leader sends what differs from it.
@@ -132,6 +134,8 @@
     NotLeader(Option<SocketAddr>),
     /// No quorum was reached; the command may still be executed later.
     Unavailable,
+    /// Reply to [`ControlRequest::TakePermits`].
+    Permits(PermitGrant),
 }
 
 /// Command in the replicated log of the control group.
