--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        buffer_space::BufferShare,
         connections::{Lease, SendError},
         host::FrontHost,
         refusal::{Refusal, Refused},
@@ -33,9 +34,6 @@
 /// request is refused; counted separately from `max_attempts` of the route.
 const MAX_NOT_RUN: u32 = 3;
 
-/// Maximum size in bytes of a response that is buffered in memory.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
-
 /// Silence of an upstream before an abandoned request ends that counts as the
 /// upstream's failure; callers abandon a stream after 2 s of silence.
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
@@ -313,6 +311,23 @@
     }
 }
 
+/// Reads the complete body of a response, within a share of the front's memory.
+/// Returns `None` if it is incomplete or too large.
+async fn read_response(mut body: Incoming, share: &mut BufferShare) -> Option<Bytes> {
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        if !share.resize(read.len() + data.len()) {
+            log::warn!("event=response_too_large bytes={}", read.len());
+            return None;
+        }
+        read.extend_from_slice(&data);
+    }
+    Some(read.freeze())
+}
+
 impl<D: Dialect> Call<'_, D> {
     // -----------------------------------------------------------------------
     // Turns
@@ -747,9 +762,10 @@
         if self.route.repeat.is_stream() && head.status == StatusCode::OK && !not_run {
             return AttemptResult::Stream(Box::new(in_flight), Box::new(head), incoming);
         }
-        let body = timeout(limit, Limited::new(incoming, MAX_RESPONSE_BYTES).collect()).await;
+        let mut share = self.front.buffers().share();
+        let body = timeout(limit, read_response(incoming, &mut share)).await;
         let body = match body {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Some(body)) => body,
             _ if not_run => {
                 in_flight.end_run(RunEnd::Answered);
                 return AttemptResult::NotRun;
--- a/crates/sapphirequayd/src/gateway/front/connections.rs
+++ b/crates/sapphirequayd/src/gateway/front/connections.rs
@@ -11,8 +11,17 @@
     quay_policy::CheckResult,
     quay_types::Time,
     socket2::SockRef,
-    std::{cell::RefCell, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        io::{self, ErrorKind, IoSlice},
+        net::SocketAddr,
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll},
+        time::Duration,
+    },
     tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
         task::{AbortHandle, spawn_local},
         time::timeout,
@@ -34,6 +43,10 @@
 /// Maximum number of idle connections to one upstream.
 const MAX_IDLE_CONNECTIONS: usize = 12;
 
+/// Maximum size in bytes of what precedes the end of a response's head, including
+/// informational responses.
+const MAX_HEAD_BYTES: usize = 256 << 10;
+
 /// Body of a request to an upstream.
 type RequestBody = Full<Bytes>;
 
@@ -41,6 +54,7 @@
 #[derive(Debug)]
 struct Idle {
     sender: http1::SendRequest<RequestBody>,
+    head_limit: HeadLimit,
     task: CloseOnDrop,
     until: Time,
 }
@@ -57,6 +71,7 @@
 pub struct Lease {
     addr: SocketAddr,
     sender: http1::SendRequest<RequestBody>,
+    head_limit: HeadLimit,
     /// Whether the connection served an earlier request.
     reused: bool,
     task: CloseOnDrop,
@@ -96,12 +111,13 @@
     /// # Errors
     ///
     /// If no connection could be set up; nothing was sent in this case.
-    pub async fn lease(&self, addr: SocketAddr) -> std::io::Result<Lease> {
+    pub async fn lease(&self, addr: SocketAddr) -> io::Result<Lease> {
         while let Some(idle) = self.take(addr) {
             if idle.sender.is_ready() && idle.until > self.clock.now() {
                 return Ok(Lease {
                     addr,
                     sender: idle.sender,
+                    head_limit: idle.head_limit,
                     reused: true,
                     task: idle.task,
                 });
@@ -111,16 +127,21 @@
     }
 
     /// Sets up a new connection.
-    async fn connect(&self, addr: SocketAddr) -> std::io::Result<Lease> {
+    async fn connect(&self, addr: SocketAddr) -> io::Result<Lease> {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
-        let stream = connecting.await.map_err(std::io::Error::from)??;
+        let stream = connecting.await.map_err(io::Error::from)??;
         stream.set_nodelay(true)?;
         let socket = SockRef::from(&stream);
         if let Err(err) = socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT)) {
             log::debug!("event=user_timeout_unset cause={err}");
         }
+        let head_limit = HeadLimit::default();
+        let stream = LimitedStream {
+            stream,
+            limit: head_limit.clone(),
+        };
         let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, conn) = handshake.map_err(std::io::Error::other)?;
+        let (sender, conn) = handshake.map_err(io::Error::other)?;
         let task = spawn_local(async move {
             if let Err(err) = conn.await {
                 log::debug!("event=upstream_connection_ended addr={addr} cause={err}");
@@ -129,6 +150,7 @@
         Ok(Lease {
             addr,
             sender,
+            head_limit,
             reused: false,
             task: CloseOnDrop(task.abort_handle()),
         })
@@ -169,6 +191,7 @@
         }
         pooled.push(Idle {
             sender: lease.sender,
+            head_limit: lease.head_limit,
             task: lease.task,
             until: self.clock.now() + idle,
         });
@@ -201,7 +224,10 @@
         &mut self,
         req: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendError> {
-        match self.sender.try_send_request(req).await {
+        self.head_limit.begin();
+        let sent = self.sender.try_send_request(req).await;
+        self.head_limit.end();
+        match sent {
             Ok(response) => Ok(response),
             Err(mut err) => match err.take_message() {
                 Some(_) => Err(SendError::NotSent),
@@ -211,8 +237,82 @@
     }
 }
 
+// ---------------------------------------------------------------------------
+// Limit of the head
+
+/// Number of bytes that may still arrive before the end of a response's head;
+/// `None` while no head is awaited.
+#[derive(Debug, Clone, Default)]
+struct HeadLimit(Rc<Cell<Option<usize>>>);
+
+impl HeadLimit {
+    fn begin(&self) {
+        self.0.set(Some(MAX_HEAD_BYTES));
+    }
+
+    fn end(&self) {
+        self.0.set(None);
+    }
+}
+
+/// Stream of an upstream that fails once a response's head is too large.
+#[derive(Debug)]
+struct LimitedStream {
+    stream: TcpStream,
+    limit: HeadLimit,
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.limit.0.get() == Some(0) {
+            let err = io::Error::new(ErrorKind::InvalidData, "the head is too large");
+            return Poll::Ready(Err(err));
+        }
+        let filled = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = buf.filled().len() - filled;
+        let left = self.limit.0.get().map(|left| left.saturating_sub(read));
+        self.limit.0.set(left);
+        polled
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 /// What a failure to set up a connection says about the upstream.
-pub fn check_result(err: &std::io::Error) -> CheckResult {
+pub fn check_result(err: &io::Error) -> CheckResult {
     match err.kind() {
         ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => CheckResult::Refused,
         ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
--- a/crates/sapphirequayd/src/gateway/front/events.rs
+++ b/crates/sapphirequayd/src/gateway/front/events.rs
@@ -80,6 +80,12 @@
         self.events
     }
 
+    /// Number of bytes that the reader holds.
+    #[must_use]
+    pub const fn held_bytes(&self) -> usize {
+        self.line.len() + self.data.len() + self.collected.len()
+    }
+
     /// Whether the stream ends within an event.
     #[must_use]
     pub const fn mid_event(&self) -> bool {
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        buffer_space::BufferSpace,
         call,
         connections::{Connections, check_result},
         conversation_cache::ConversationCache,
@@ -120,6 +121,7 @@
     /// Whether the next request for permits has to wait for its pause to end.
     permits_paused: Cell<bool>,
     connections: Connections,
+    buffers: BufferSpace,
     conversations: RefCell<ConversationCache>,
     table: RefCell<Option<Rc<RoutingTable>>>,
     limits: ServerLimits,
@@ -156,6 +158,7 @@
             permits_arrived: Notify::new(),
             permits_paused: Cell::default(),
             connections: Connections::new(clock),
+            buffers: BufferSpace::default(),
             conversations: RefCell::new(ConversationCache::new(chain_cache_bytes)),
             table: RefCell::default(),
             limits: ServerLimits::default(),
@@ -268,6 +271,11 @@
         &self.0.connections
     }
 
+    /// Memory for responses that are held until they are complete.
+    pub fn buffers(&self) -> &BufferSpace {
+        &self.0.buffers
+    }
+
     /// Client of the stores.
     pub fn stores(&self) -> &StoreClient {
         &self.0.stores
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -1,5 +1,6 @@
 //! The front role: accepts callers' requests and forwards them to upstreams.
 
+mod buffer_space;
 mod call;
 mod connections;
 mod conversation_cache;
@@ -14,6 +15,7 @@
 mod upstreams;
 
 pub use {
+    buffer_space::{BufferShare, BufferSpace},
     conversation_cache::ConversationCache,
     events::EventReader,
     host::FrontHost,
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        buffer_space::BufferShare,
         call::{InFlight, is_framed},
         events::EventReader,
         host::FrontHost,
@@ -104,7 +105,11 @@
     /// Relays the stream, stores its turn and logs its end.
     async fn relay(mut self, headers: http::HeaderMap, mut body: Incoming, frames: FrameSender) {
         let mut reader = EventReader::new(self.pending_turn.is_some());
-        let end = self.relay_frames(&mut body, &mut reader, &frames).await;
+        // Held until the turn is stored.
+        let mut share = self.front.buffers().share();
+        let end = self
+            .relay_frames(&mut body, &mut reader, &mut share, &frames)
+            .await;
         let events = reader.events();
         let read = self.in_flight.elapsed();
         let read_ms = read.as_millis();
@@ -162,6 +167,7 @@
         &self,
         body: &mut Incoming,
         reader: &mut EventReader,
+        share: &mut BufferShare,
         frames: &FrameSender,
     ) -> StreamEnd {
         let left = self.ends.since(self.front.now());
@@ -186,6 +192,9 @@
             };
             self.in_flight.record_activity();
             reader.feed(&data);
+            if !share.resize(reader.held_bytes()) {
+                return StreamEnd::Broken("response_too_large");
+            }
             if let Some(reservation) = &self.reservation {
                 // An incomplete event counts as sent.
                 let events = reader.events() + u64::from(reader.mid_event());
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -18,8 +18,9 @@
 pub use {
     control::{ControlState, MembershipInputs, next_membership_change},
     front::{
-        ConversationCache, EventReader, FrontSuspects, SelectedUpstream, StartupWait, StreamEnd,
-        UPSTREAM_DISCONNECTED, UpstreamOutcome, Upstreams, upstream_outcome,
+        BufferShare, BufferSpace, ConversationCache, EventReader, FrontSuspects, SelectedUpstream,
+        StartupWait, StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome, Upstreams,
+        upstream_outcome,
     },
     messages::{
         ControlCommand, GatewayRequest, StoreOp, StoreReply, StoreRequest, SuspectList,
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -23,10 +23,10 @@
 
 pub use {
     gateway::{
-        ControlCommand, ControlState, ConversationCache, EventReader, FrontSuspects,
-        GatewayRequest, MembershipInputs, PathProbe, SelectedUpstream, SlowMembers, StartupWait,
-        StoreOp, StorePath, StoreReply, StoreRequest, StreamEnd, SuspectList, TableDocument,
-        UPSTREAM_DISCONNECTED, UpstreamOutcome, Upstreams, next_membership_change,
+        BufferShare, BufferSpace, ControlCommand, ControlState, ConversationCache, EventReader,
+        FrontSuspects, GatewayRequest, MembershipInputs, PathProbe, SelectedUpstream, SlowMembers,
+        StartupWait, StoreOp, StorePath, StoreReply, StoreRequest, StreamEnd, SuspectList,
+        TableDocument, UPSTREAM_DISCONNECTED, UpstreamOutcome, Upstreams, next_membership_change,
         run as run_gateway, upstream_outcome,
     },
     process::{
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -154,6 +154,16 @@
         assert!(sent.expect("kill").success());
     }
 
+    /// Largest amount of memory that a process has had so far, in bytes.
+    pub fn peak_memory(&self, role: Role) -> u64 {
+        let child = self.children.iter().find(|(it, _)| *it == role);
+        let id = child.expect("a running process").1.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).expect("status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kib.and_then(|kib| kib.parse::<u64>().ok()).expect("VmHWM") << 10
+    }
+
     /// The control host that has logged last that it leads.
     pub fn leader(&self) -> Option<Role> {
         let led = (0..3).filter_map(|slot| {
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -10,9 +10,9 @@
         ContentDigest, Epoch, GroupId, Incarnation, LogIndex, NodeId, Time, TurnId, UpstreamId,
     },
     sapphirequayd::{
-        ControlCommand, ControlState, ConversationCache, EventReader, MembershipInputs, PathProbe,
-        SlowMembers, StartupWait, StorePath, StreamEnd, TableDocument, UPSTREAM_DISCONNECTED,
-        UpstreamOutcome, next_membership_change, upstream_outcome,
+        BufferSpace, ControlCommand, ControlState, ConversationCache, EventReader,
+        MembershipInputs, PathProbe, SlowMembers, StartupWait, StorePath, StreamEnd, TableDocument,
+        UPSTREAM_DISCONNECTED, UpstreamOutcome, next_membership_change, upstream_outcome,
     },
 };
 
@@ -81,6 +81,33 @@
     }
 }
 
+// ---------------------------------------------------------------------------
+// Memory for responses
+
+#[test]
+fn responses_without_end_leave_memory_for_another_one() {
+    const STEP: usize = 64 << 10;
+    let space = BufferSpace::default();
+    let mut endless: Vec<_> = (0..30).map(|_| (space.share(), 0)).collect();
+    // Each grows until it gets no more.
+    let mut growing = true;
+    while growing {
+        growing = false;
+        for (share, held) in &mut endless {
+            if share.resize(*held + STEP) {
+                *held += STEP;
+                growing = true;
+            }
+        }
+    }
+    let mut other = space.share();
+    assert!(other.resize(100 << 10));
+    assert!(other.resize(0));
+    // A share that is dropped frees its memory.
+    drop(endless);
+    assert!(other.resize(8 << 20));
+}
+
 // ---------------------------------------------------------------------------
 // Conversations
 
