Answer 502 after any attempt that may have run

Seen: an idempotent call whose first upstream ran it and broke off, and whose second one was full, was answered 503 with "not_run": true, which promises that it never ran.

Cause: the refusal came from the last attempt; only two of five ways out looked at the attempts before.

Change: one place turns a refusal that promises "not run" into outcome_unknown if any attempt of the request may have run.

Result: a_repeated_call_that_may_have_run_is_not_answered_as_not_run failed before with 503 and passes.

--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -188,6 +188,8 @@
     /// Hash of the request id, used as the random number for routing and
     /// jitter.
     draw: u64,
+    /// Whether an attempt ended without telling whether the request has run.
+    may_have_run: Cell<bool>,
 }
 
 /// Serves one request.
@@ -278,8 +280,9 @@
         most_urgent: table.is_most_urgent(route, service),
         event_tokens,
         draw,
+        may_have_run: Cell::default(),
     };
-    call.check_quarantine(0)?;
+    call.check_quarantine()?;
     match &head.turn {
         Some(turn) if route.repeat.is_stream() => call.run_turn(turn, body).await,
         _ => call.run(body, None, None).await,
@@ -465,6 +468,24 @@
         body: Bytes,
         pending_turn: Option<PendingTurn>,
         reservation: Option<Reservation>,
+    ) -> Result<Response<Body>, Refused> {
+        let answered = self.try_upstreams(body, pending_turn, reservation).await;
+        answered.map_err(|refused| {
+            if self.may_have_run.get() && refused.reason.guarantees_not_run() {
+                Refusal::OutcomeUnknown.into()
+            } else {
+                refused
+            }
+        })
+    }
+
+    /// Makes attempts on upstreams until one is answered or none is left. A refusal
+    /// tells only about the last attempt.
+    async fn try_upstreams(
+        &self,
+        body: Bytes,
+        pending_turn: Option<PendingTurn>,
+        reservation: Option<Reservation>,
     ) -> Result<Response<Body>, Refused> {
         let mut tried = Vec::new();
         let (mut attempts, mut not_run) = (0, 0);
@@ -473,7 +494,7 @@
             if left.is_zero() {
                 return Err(Refusal::TooLate.into());
             }
-            self.check_quarantine(attempts)?;
+            self.check_quarantine()?;
             let limit = self.attempt_limit(left, attempts);
             let outcome = self.attempt_one(&body, limit, &mut tried).await;
             match outcome {
@@ -508,12 +529,10 @@
                         return Err(Refusal::UpstreamsFull.into());
                     }
                 }
-                AttemptResult::NoUpstream if not_run == 0 && attempts > 0 => {
-                    return Err(Refusal::OutcomeUnknown.into());
-                }
                 AttemptResult::NoUpstream => return Err(self.no_upstream(not_run)),
                 AttemptResult::Unknown(why) => {
                     attempts += 1;
+                    self.may_have_run.set(true);
                     log::info!(
                         "event=attempt_lost id={} content={} cause={why}",
                         self.head.id,
@@ -555,22 +574,17 @@
         }
     }
 
-    /// Refuses a request whose content is known to crash upstreams. With attempts
-    /// that may have run, the refusal does not say that it has not run.
-    fn check_quarantine(&self, attempts: u32) -> Result<(), Refusal> {
+    /// Refuses a request whose content is known to crash upstreams.
+    fn check_quarantine(&self) -> Result<(), Refusal> {
         if !self.front.is_quarantined(self.content) {
             return Ok(());
         }
         log::info!(
-            "event=call_quarantined id={} content={} attempts={attempts}",
+            "event=call_quarantined id={} content={}",
             self.head.id,
             self.content
         );
-        Err(if attempts > 0 {
-            Refusal::OutcomeUnknown
-        } else {
-            Refusal::Quarantined
-        })
+        Err(Refusal::Quarantined)
     }
 
     /// Time-out of the next attempt: an idempotent request divides the time
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -301,6 +301,27 @@
     }
 }
 
+#[test]
+fn a_repeated_call_that_may_have_run_is_not_answered_as_not_run() {
+    let (gateway, _llm, lossy) = start_gateway();
+    let front = gateway.fronts[0];
+    let full = StubUpstream::start();
+    announce(&gateway, "app-2", "app", &full);
+    wait_for("both upstreams are used", || {
+        let number = lossy.requests_run().len() + full.requests_run().len();
+        send(front, &call("read", &format!("warm-{number}")), "warm")?;
+        (!lossy.requests_run().is_empty() && !full.requests_run().is_empty()).then_some(())
+    });
+    lossy.set_behaviour(Behaviour::NoAnswer);
+    full.set_behaviour(Behaviour::Overloaded);
+    for number in 0..8 {
+        let before = lossy.requests_run().len();
+        let got = send(front, &call("read", &format!("r{number}")), "r").expect("answer");
+        let ran = lossy.requests_run().len() > before;
+        assert_eq!(got.status, if ran { 502 } else { 503 }, "{got:?}");
+    }
+}
+
 #[test]
 fn an_upstream_that_says_it_is_leaving_gets_no_further_calls() {
     let (gateway, llm, app) = start_gateway();
