Cut a stream that exceeds the tokens that its turn has reserved

Seen: an upstream that sends events without end takes a program over its token budget: ten events reach the caller where the turn asked for three.

Cause: the reservation was compared with the budget before the run only; what the upstream sent was counted and passed on.

Change: a stream ends as broken once it would exceed its reservation by more than one event, which may be rounded up.

Result: a_stream_with_more_tokens_than_its_turn_asked_for_is_cut failed before with ten events and passes.

--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -378,7 +378,8 @@
         let stores = self.front.stores();
         // Created before the reservation is written, so that dropping it
         // settles the reservation on every way out.
-        let reservation = Reservation::new(stores.clone(), program, attempt);
+        let reserved = own.tokens;
+        let reservation = Reservation::new(stores.clone(), program, attempt, reserved);
         let left = self.deadline.remaining(self.front.now());
         match stores.reserve(program, own, Tokens(budget), left).await {
             ReserveOutcome::Covered { others } => {
--- a/crates/sapphirequayd/src/gateway/front/reservation.rs
+++ b/crates/sapphirequayd/src/gateway/front/reservation.rs
@@ -19,6 +19,8 @@
     stores: StoreClient,
     program: ProgramTag,
     attempt: AttemptTag,
+    /// Number of tokens reserved.
+    reserved: Tokens,
     /// Number of tokens sent to the caller.
     used: Cell<u64>,
     settled: bool,
@@ -26,16 +28,27 @@
 
 impl Reservation {
     /// Creates a reservation with no tokens used.
-    pub const fn new(stores: StoreClient, program: ProgramTag, attempt: AttemptTag) -> Self {
+    pub const fn new(
+        stores: StoreClient,
+        program: ProgramTag,
+        attempt: AttemptTag,
+        reserved: Tokens,
+    ) -> Self {
         Self {
             stores,
             program,
             attempt,
+            reserved,
             used: Cell::new(0),
             settled: false,
         }
     }
 
+    /// Whether `tokens` exceed the reservation by more than `rounding`.
+    pub const fn is_exceeded_by(&self, tokens: u64, rounding: u64) -> bool {
+        tokens > self.reserved.0 + rounding
+    }
+
     /// Sets the total number of tokens sent to the caller.
     pub fn set_used(&self, tokens: u64) {
         self.used.set(tokens);
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -198,7 +198,12 @@
             if let Some(reservation) = &self.reservation {
                 // An incomplete event counts as sent.
                 let events = reader.events() + u64::from(reader.mid_event());
-                reservation.set_used(events * self.event_tokens);
+                let tokens = events * self.event_tokens;
+                // The last event may hold fewer tokens than it counts as.
+                if reservation.is_exceeded_by(tokens, self.event_tokens) {
+                    return StreamEnd::Broken("too_many_tokens");
+                }
+                reservation.set_used(tokens);
             }
             tokio::select! {
                 sent = frames.send(Ok(Frame::data(data))) => {
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -288,6 +288,8 @@
     WrongRequestId,
     /// Ends a stream within an event.
     TruncatedEvent,
+    /// Streams ten events and does not end the response.
+    TooManyEvents,
     /// Answers completely and says that it is leaving.
     Leaving,
     /// Answers completely and names a limit of [`LIMIT_PER_S`].
@@ -370,6 +372,20 @@
             return None;
         }
         let text = if head.starts_with("POST /chat/") {
+            if behaviour == Behaviour::TooManyEvents {
+                let event = "13\r\nid: 1\ndata: hello\n\n\r\n";
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{common}transfer-encoding: chunked\r\n\r\n"
+                );
+                stream.write_all(head.as_bytes()).ok()?;
+                for _ in 0..10 {
+                    stream.write_all(event.as_bytes()).ok()?;
+                    thread::sleep(Duration::from_millis(10));
+                }
+                // Waits until the front closes the connection.
+                let _ = stream.read(&mut [0]);
+                return None;
+            }
             let second = match behaviour {
                 Behaviour::TruncatedEvent => "id: 2\ndata: wo",
                 _ => "id: 2\ndata: world\n\n",
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -270,6 +270,22 @@
     assert_eq!(llm.requests_run().len(), ran);
 }
 
+#[test]
+fn a_stream_with_more_tokens_than_its_turn_asked_for_is_cut() {
+    let (gateway, llm, _app) = start_gateway();
+    let front = gateway.fronts[0];
+    run_turn(&gateway, front, &llm, ("warm", "", 1_000, "w"));
+    llm.set_behaviour(Behaviour::TooManyEvents);
+    // A turn asks for 30 tokens, and an event counts as 10.
+    let (long, got) = run_turn(&gateway, front, &llm, ("long", "", 1_000, "x"));
+    assert_eq!((got.status, got.complete), (200, false), "{got:?}");
+    let events = got.body.matches("data:").count();
+    assert!((3..=4).contains(&events), "{events} events");
+    llm.set_behaviour(Behaviour::Normal);
+    let (_, got) = run_turn(&gateway, front, &llm, ("next", &long, 1_000, "y"));
+    assert_eq!(got.status, 404, "{got:?}");
+}
+
 #[test]
 fn a_call_that_must_not_run_twice_runs_once_and_gets_an_accurate_status() {
     let (gateway, _llm, app) = start_gateway();
