Metrics of crashes and limits; any complete response clears a suspect

A response with a failure status shows, too, that the upstream survived the request, but only successes cleared a suspect. Counters of upstreams that ended under requests and of limited upstreams are on the metrics address, next to the refusals by kind (quarantined, limited).

--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -793,9 +793,11 @@
         };
         if head.status.is_success() {
             in_flight.record_success(in_flight.elapsed());
-            in_flight.complete_run(is_framed(&head.headers));
-        } else {
+        }
+        if not_run {
             in_flight.end_run(RunEnd::Answered);
+        } else {
+            in_flight.complete_run(is_framed(&head.headers));
         }
         in_flight.return_connection(&head.headers);
         if not_run {
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -395,6 +395,7 @@
                 let runs: Vec<String> = runs.iter().map(ToString::to_string).collect();
                 let runs = runs.join(",");
                 let upstream = self.upstreams().name(*upstream);
+                meters::record_upstream_crash();
                 log::info!(
                     "event=upstream_crashed upstream={upstream} run={incarnation} lost={runs}"
                 );
@@ -563,6 +564,7 @@
             self.check_upstreams();
             self.0.conversations.borrow_mut().tick(now);
             self.0.connections.close_idle();
+            meters::set_limited_upstreams(self.upstreams().limits().len());
             let last_update = self.0.last_update.get();
             meters::set_front(
                 self.0.limits.closing.open(),
--- a/crates/sapphirequayd/src/gateway/meters.rs
+++ b/crates/sapphirequayd/src/gateway/meters.rs
@@ -58,6 +58,17 @@
     counter!("sapphirequay_attempts_lost_total", "cause" => cause).increment(1);
 }
 
+/// Counts an upstream that ended while it ran requests of this front.
+pub fn record_upstream_crash() {
+    counter!("sapphirequay_upstream_crashes_total").increment(1);
+}
+
+/// Sets the number of upstreams that have named a limit to this front.
+#[allow(clippy::cast_precision_loss)]
+pub fn set_limited_upstreams(count: usize) {
+    gauge!("sapphirequay_limited_upstreams").set(count as f64);
+}
+
 /// Sets the gauges of a front. `control_age` is the time since the last update
 /// from the control group; `table` and `stores` are versions in use.
 #[allow(clippy::cast_precision_loss)]
