Split the front's host: crashes and permits in files of their own

Code is moved and renamed only (FrontSuspects to front_suspects.rs, UpstreamRun to quay_policy's guard module); tests pass unchanged.

--- a/crates/quay_policy/src/guard/crashes.rs
+++ b/crates/quay_policy/src/guard/crashes.rs
@@ -7,15 +7,13 @@
 //! incarnation or upstream is announced there, or another upstream answers there.
 
 use {
+    super::UpstreamRun,
     crate::SuspectEvent,
     indexmap::{IndexMap, IndexSet},
-    quay_types::{ContentDigest, Incarnation, Time, UpstreamId},
+    quay_types::{ContentDigest, Time},
     std::time::Duration,
 };
 
-/// Incarnation of an upstream.
-pub type UpstreamRun = (UpstreamId, Incarnation);
-
 /// Settings of crash detection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CrashSettings {
--- a/crates/quay_policy/src/guard/limits.rs
+++ b/crates/quay_policy/src/guard/limits.rs
@@ -8,8 +8,9 @@
 //! paused or cut off does not use old ones.
 
 use {
+    super::UpstreamRun,
     indexmap::IndexMap,
-    quay_types::{Incarnation, RequestRate, ServiceId, Time, UpstreamId},
+    quay_types::{RequestRate, ServiceId, Time},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -57,7 +58,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitDemand {
     /// Upstream and its incarnation.
-    pub upstream: (UpstreamId, Incarnation),
+    pub upstream: UpstreamRun,
     /// Limit that the upstream named to this entry.
     pub rate: RequestRate,
     /// Milliseconds since then.
@@ -139,7 +140,7 @@
 #[derive(Debug, Default)]
 pub struct LimitAllocator {
     cfg: LimitSettings,
-    upstreams: IndexMap<(UpstreamId, Incarnation), Allocation>,
+    upstreams: IndexMap<UpstreamRun, Allocation>,
     /// Time of the last request of each entry.
     holders: IndexMap<u64, Time>,
 }
@@ -241,7 +242,7 @@
     cfg: LimitSettings,
     /// Limited incarnations, oldest first. Kept after the directory has dropped an
     /// upstream, since it may list it again.
-    limited: IndexMap<(UpstreamId, Incarnation), Limited>,
+    limited: IndexMap<UpstreamRun, Limited>,
     /// Number of requests for which a permit is wanted, since the last request for
     /// permits.
     wanted: u32,
@@ -262,7 +263,7 @@
     pub fn record_response(
         &mut self,
         now: Time,
-        upstream: (UpstreamId, Incarnation),
+        upstream: UpstreamRun,
         sent: Time,
         limit: Option<RequestRate>,
     ) -> bool {
@@ -297,7 +298,7 @@
 
     /// Whether an upstream is limited.
     #[must_use]
-    pub fn is_limited(&self, upstream: (UpstreamId, Incarnation)) -> bool {
+    pub fn is_limited(&self, upstream: UpstreamRun) -> bool {
         self.limited.contains_key(&upstream)
     }
 
@@ -314,7 +315,7 @@
     }
 
     /// Whether a request may be sent to an upstream.
-    pub fn may_send(&mut self, now: Time, upstream: (UpstreamId, Incarnation)) -> bool {
+    pub fn may_send(&mut self, now: Time, upstream: UpstreamRun) -> bool {
         let shares = self.uses_shares(now);
         let (cfg, holders) = (self.cfg, self.holders);
         let Some(limited) = self.limited.get_mut(&upstream) else {
@@ -334,7 +335,7 @@
 
     /// Records that a permit is wanted for a request that could not be sent to any
     /// of `upstreams`. A request that is refused wants none: nothing would use it.
-    pub fn want_permit(&mut self, upstreams: &[(UpstreamId, Incarnation)]) {
+    pub fn want_permit(&mut self, upstreams: &[UpstreamRun]) {
         for upstream in upstreams {
             if let Some(limited) = self.limited.get_mut(upstream) {
                 limited.wanted = limited.wanted.saturating_add(1);
@@ -345,7 +346,7 @@
 
     /// Records that a request is sent to an upstream, after
     /// [`may_send`](Self::may_send) allowed it.
-    pub fn use_permit(&mut self, upstream: (UpstreamId, Incarnation)) {
+    pub fn use_permit(&mut self, upstream: UpstreamRun) {
         if let Some(limited) = self.limited.get_mut(&upstream) {
             if limited.permits > 0 {
                 limited.permits -= 1;
@@ -425,7 +426,7 @@
         &mut self,
         now: Time,
         service: ServiceId,
-        upstreams: &[(UpstreamId, Incarnation)],
+        upstreams: &[UpstreamRun],
     ) -> Option<Duration> {
         let limited = upstreams.iter().filter_map(|it| self.limited.get(it));
         let total = limited.map(|limited| limited.rate.max(MIN_RATE).0).sum();
--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -1,5 +1,6 @@
 //! Protection against overload and faults: retry budgets, account quotas,
-//! quarantine of requests that crash upstreams, and upstreams that leave.
+//! quarantine of requests that crash upstreams, upstreams that leave, and limits
+//! that upstreams name.
 
 mod crashes;
 mod leaving;
@@ -8,8 +9,10 @@
 mod retry;
 mod suspects;
 
+use quay_types::{Incarnation, UpstreamId};
+
 pub use {
-    crashes::{CheckResult, CrashDetector, CrashSettings, RunEnd, UpstreamRun},
+    crashes::{CheckResult, CrashDetector, CrashSettings, RunEnd},
     leaving::LeavingUpstreams,
     limits::{
         LimitAllocator, LimitHolder, LimitSettings, PermitDemand, PermitGrant, PermitRequest,
@@ -20,3 +23,6 @@
         Clearance, SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings,
     },
 };
+
+/// An upstream and one of its incarnations.
+pub type UpstreamRun = (UpstreamId, Incarnation);
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -1,14 +1,13 @@
 //! State and tasks of a front.
 
+mod crashes;
+mod permits;
+
 use {
     super::{
-        buffer_space::BufferSpace,
-        call,
-        connections::{Connections, check_result},
-        conversation_cache::ConversationCache,
-        startup_wait::StartupWait,
-        suspects::FrontSuspects,
-        upstreams::{SelectedUpstream, Upstreams},
+        buffer_space::BufferSpace, call, connections::Connections,
+        conversation_cache::ConversationCache, front_suspects::FrontSuspects,
+        startup_wait::StartupWait, upstreams::Upstreams,
     },
     crate::{
         gateway::{
@@ -23,14 +22,12 @@
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
-    quay_policy::{CheckResult, RunEnd, SuspectEvent, UpstreamRun},
     quay_routes::{Dialect, RoutingTable},
-    quay_types::{ContentDigest, ProgramTag, Time, TurnId},
+    quay_types::{ProgramTag, Time, TurnId},
     rand::Rng as _,
     std::{
         cell::{Cell, RefCell, RefMut},
         convert::Infallible,
-        io,
         net::SocketAddr,
         rc::Rc,
         time::Duration,
@@ -39,7 +36,7 @@
         net::TcpListener,
         sync::Notify,
         task::spawn_local,
-        time::{Instant, sleep, timeout, timeout_at},
+        time::{Instant, sleep, timeout_at},
     },
 };
 
@@ -62,26 +59,6 @@
 /// apart, with a margin.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
 
-/// Time-out for a report of lost runs to the control group.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Delay before an upstream that lost a run is checked: a process that ends closes
-/// its connections one after the other, and the listening socket among them.
-const CHECK_DELAY: Duration = Duration::from_millis(50);
-
-/// Time-out for a request for permits to the control group.
-const PERMIT_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Longest time for which a request waits for permits to arrive.
-const PERMIT_WAIT: Duration = Duration::from_millis(100);
-
-/// Least pause between two requests for permits.
-const MIN_PERMIT_PAUSE: Duration = Duration::from_millis(20);
-
-/// Pause between two requests for permits for each front that asks for any, which
-/// bounds the requests that the leader gets.
-const PERMIT_PAUSE_PER_FRONT: Duration = Duration::from_millis(2);
-
 /// Interval at which old load reports, unused conversations and idle
 /// connections are dropped and gauges are set.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(300);
@@ -299,189 +276,6 @@
             .put(now, key, conversation);
     }
 
-    // -----------------------------------------------------------------------
-    // Crashes of upstreams
-
-    /// Whether a request must not run, since its content crashes upstreams.
-    pub fn is_quarantined(&self, content: ContentDigest) -> bool {
-        let suspects = self.0.suspects.borrow();
-        suspects.is_quarantined(Self::unix_time(), content)
-    }
-
-    /// Time of the suspects, which processes share.
-    fn unix_time() -> Time {
-        Time::from_millis(Clock::wall_ms())
-    }
-
-    /// Records that a request is sent to an upstream.
-    pub fn begin_run(&self, upstream: &SelectedUpstream, content: ContentDigest) {
-        let now = self.now();
-        let mut upstreams = self.upstreams();
-        upstreams.crashes().begin(now, upstream.run(), content);
-    }
-
-    /// Records the end of a run, and checks the upstream if the run was lost.
-    pub fn end_run(&self, upstream: &SelectedUpstream, content: ContentDigest, end: RunEnd) {
-        let now = self.now();
-        let mut upstreams = self.upstreams();
-        upstreams.crashes().end(now, upstream.run(), content, end);
-        drop(upstreams);
-        if end != RunEnd::Answered {
-            self.check_upstreams();
-            self.record_lost_runs();
-        }
-    }
-
-    /// Records that a run completed, which shows that its content is harmless.
-    pub fn record_completed(&self, content: ContentDigest) {
-        if self.0.suspects.borrow().is_suspect(content) {
-            log::info!("event=suspect_cleared content={content}");
-            self.record_event(SuspectEvent::Completed(content));
-        }
-    }
-
-    /// Records that an incarnation of an upstream has ended.
-    pub fn record_ended(&self, upstream: &SelectedUpstream) {
-        let now = self.now();
-        self.upstreams().crashes().record_ended(now, upstream.run());
-        self.record_lost_runs();
-    }
-
-    /// Records that no connection to an upstream could be set up.
-    pub fn record_unreachable(&self, upstream: &SelectedUpstream, err: &io::Error) {
-        let now = self.now();
-        self.upstreams().suspend(now, upstream.id);
-        if check_result(err) == CheckResult::Refused {
-            self.record_ended(upstream);
-        }
-    }
-
-    /// Starts the checks of upstreams that are due.
-    fn check_upstreams(&self) {
-        let now = self.now();
-        let due = self.upstreams().due_checks(now);
-        for (run, addr) in due {
-            spawn_local(self.clone().check_upstream(run, addr));
-        }
-    }
-
-    async fn check_upstream(self, run: UpstreamRun, addr: SocketAddr) {
-        sleep(CHECK_DELAY).await;
-        let mut result = self.0.connections.check(addr).await;
-        let now = self.now();
-        if result == CheckResult::TimedOut && !self.control_is_fresh(now) {
-            // This front may be the one that is cut off.
-            result = CheckResult::Unknown;
-        }
-        log::info!(
-            "event=upstream_checked upstream={} run={} result={result:?}",
-            self.upstreams().name(run.0),
-            run.1
-        );
-        self.upstreams().crashes().record_check(now, run, result);
-        self.record_lost_runs();
-    }
-
-    /// Records the runs that were found to be lost by crashes.
-    fn record_lost_runs(&self) {
-        let events = self.upstreams().crashes().take_events();
-        for event in events {
-            if let SuspectEvent::RunsLost {
-                upstream,
-                incarnation,
-                runs,
-            } = &event
-            {
-                let runs: Vec<String> = runs.iter().map(ToString::to_string).collect();
-                let runs = runs.join(",");
-                let upstream = self.upstreams().name(*upstream);
-                meters::record_upstream_crash();
-                log::info!(
-                    "event=upstream_crashed upstream={upstream} run={incarnation} lost={runs}"
-                );
-            }
-            self.record_event(event);
-        }
-    }
-
-    fn record_event(&self, event: SuspectEvent) {
-        let kept = self
-            .0
-            .suspects
-            .borrow_mut()
-            .record(Self::unix_time(), event);
-        if !kept {
-            log::warn!("event=report_dropped cause=\"too many wait for the control group\"");
-        }
-        self.0.report.notify_one();
-    }
-
-    /// Reports lost runs and cleared suspects to the control group, in a loop.
-    async fn report_runs(self) {
-        loop {
-            let events = self.0.suspects.borrow().next_report();
-            let Some(events) = events else {
-                self.0.report.notified().await;
-                continue;
-            };
-            let count = events.len();
-            let req = ControlRequest::ReportRuns(events);
-            match self.0.control.request(req, REPORT_TIMEOUT).await {
-                Some(ControlReply::Done) => self.0.suspects.borrow_mut().acknowledge(count),
-                _ => sleep(FOLLOW_RETRY_DELAY).await,
-            }
-        }
-    }
-
-    // -----------------------------------------------------------------------
-    // Limited upstreams
-
-    /// Asks for the permits that are wanted, as soon as the pause between two
-    /// requests for permits allows.
-    pub fn ask_for_permits(&self) {
-        if !self.upstreams().limits().is_empty() {
-            self.0.permits_wanted.notify_one();
-        }
-    }
-
-    /// Waits for permits for a request of a service. Returns `false` at once if none
-    /// of its upstreams is limited, and during a pause: the reply before it left no
-    /// permit.
-    pub async fn wait_for_permits(&self, service: &str) -> bool {
-        if !self.upstreams().is_limited(service) || self.0.permits_paused.get() {
-            return false;
-        }
-        self.upstreams().want_permit(self.now(), service);
-        self.ask_for_permits();
-        timeout(PERMIT_WAIT, self.0.permits_arrived.notified())
-            .await
-            .is_ok()
-    }
-
-    /// Requests permits from the control group when they are wanted, in a loop.
-    async fn request_permits(self) {
-        loop {
-            self.0.permits_wanted.notified().await;
-            let sent = self.now();
-            let req = self.upstreams().limits().next_request(sent, self.0.reader);
-            let Some(req) = req else {
-                self.0.permits_arrived.notify_waiters();
-                continue;
-            };
-            let asked = ControlRequest::TakePermits(req.clone());
-            let reply = self.0.control.request(asked, PERMIT_TIMEOUT).await;
-            let now = self.now();
-            if let Some(ControlReply::Permits(grant)) = reply {
-                self.upstreams().limits().accept(now, sent, &req, &grant);
-            }
-            let holders = self.upstreams().limits().holders();
-            self.0.permits_paused.set(true);
-            self.0.permits_arrived.notify_waiters();
-            sleep(MIN_PERMIT_PAUSE.max(PERMIT_PAUSE_PER_FRONT * holders)).await;
-            self.0.permits_paused.set(false);
-        }
-    }
-
     // -----------------------------------------------------------------------
     // Tasks
 
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -5,12 +5,12 @@
 mod connections;
 mod conversation_cache;
 mod events;
+mod front_suspects;
 mod host;
 mod refusal;
 mod reservation;
 mod startup_wait;
 mod stream;
-mod suspects;
 mod upstream_outcome;
 mod upstreams;
 
@@ -18,9 +18,9 @@
     buffer_space::{BufferShare, BufferSpace},
     conversation_cache::ConversationCache,
     events::EventReader,
+    front_suspects::FrontSuspects,
     host::FrontHost,
     startup_wait::StartupWait,
-    suspects::FrontSuspects,
     upstream_outcome::{StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome, upstream_outcome},
     upstreams::{SelectedUpstream, Upstreams},
 };
