--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -2,7 +2,11 @@
 
 #![allow(dead_code)] // Each test file uses only some of the helpers.
 
+#[path = "process_logs.rs"]
+mod process_logs;
+
 use {
+    self::process_logs::print_logs,
     crate::ports::free_port,
     quay_link::{DevelopmentKeys, KeyFiles, LinkRole, Links},
     std::{
@@ -180,24 +184,6 @@
             .map(|(_, role)| role)
     }
 
-    /// Prints the last log lines of each process, for the report of a failure.
-    fn print_logs(&self) {
-        const LINES: usize = 60;
-        for entry in fs::read_dir(self.folder.path())
-            .into_iter()
-            .flatten()
-            .flatten()
-        {
-            let path = entry.path();
-            if path.extension().is_some_and(|it| it == "log") {
-                let text = fs::read_to_string(&path).unwrap_or_default();
-                let lines: Vec<&str> = text.lines().collect();
-                let from = lines.len().saturating_sub(LINES);
-                println!("--- {}\n{}", path.display(), lines[from..].join("\n"));
-            }
-        }
-    }
-
     /// Removes the data folder of a stopped store.
     pub fn wipe_store(&self, slot: usize) {
         fs::remove_dir_all(self.folder.path().join(format!("store-{slot}"))).expect("wiped");
@@ -211,7 +197,7 @@
             let _ = child.wait();
         }
         if thread::panicking() {
-            self.print_logs();
+            print_logs(self.folder.path());
         }
     }
 }
--- a/crates/sapphirequayd/tests/common/processes.rs
+++ b/crates/sapphirequayd/tests/common/processes.rs
@@ -1,13 +1,18 @@
 //! Daemons in separate processes that a test may kill.
 
+#[path = "process_logs.rs"]
+mod process_logs;
+
 use {
+    self::process_logs::print_logs,
     super::{document, free_port},
     quay_link::DevelopmentKeys,
     std::{
         fs,
         net::SocketAddr,
         path::Path,
-        process::{Child, Command, Stdio},
+        process::{Child, Command},
+        thread,
     },
     tempfile::TempDir,
 };
@@ -120,11 +125,16 @@
 
     /// Starts the process of a role.
     pub fn run(&mut self, role: Role) {
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.path().join(format!("{role:?}.log")))
+            .expect("log");
         let child = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"))
             .arg("--config")
             .arg(file(self.folder.path(), role))
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stdout(log.try_clone().expect("log"))
+            .stderr(log)
             .spawn()
             .expect("process");
         self.children.push((role, child));
@@ -153,5 +163,8 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        if thread::panicking() {
+            print_logs(self.folder.path());
+        }
     }
 }
