--- a/crates/quay_policy/tests/suspects.rs
+++ b/crates/quay_policy/tests/suspects.rs
@@ -246,6 +246,39 @@
     assert_eq!(quarantined(&suspects.listed(), Time::ZERO), [digest(2)]);
 }
 
+#[test]
+fn fresh_suspects_do_not_displace_one_with_more_strikes() {
+    let cfg = SuspectSettings::default();
+    let mut suspects = SuspectRegistry::new(cfg);
+    let at = Time::from_millis;
+    observe(&mut suspects, at(0), vec![lost(1, &[0])]);
+    observe(&mut suspects, at(1), vec![lost(2, &[0])]);
+    for number in 1..=cfg.max_suspects {
+        let upstream = u64::from(number) + 10;
+        observe(
+            &mut suspects,
+            at(2),
+            vec![lost(upstream, &[number as usize])],
+        );
+    }
+    observe(&mut suspects, at(3), vec![lost(3, &[0])]);
+    assert_eq!(quarantined(&suspects, at(3)), [digest(0)]);
+}
+
+#[test]
+fn crashes_of_an_upstream_that_does_not_tell_its_starts_add_up() {
+    let mut suspects = SuspectRegistry::new(SuspectSettings::default());
+    let at = |minute| Time::ZERO + Duration::from_mins(minute);
+    for minute in 0..3 {
+        assert_eq!(quarantined(&suspects, at(minute)), []);
+        // Two entries report the crash, one of them late.
+        observe(&mut suspects, at(minute), vec![lost(1, &[1])]);
+        let late = at(minute) + Duration::from_secs(4);
+        observe(&mut suspects, late, vec![lost(1, &[1])]);
+    }
+    assert_eq!(quarantined(&suspects, at(2)), [digest(1)]);
+}
+
 proptest! {
     /// The reports of all entries give the same quarantines in every order.
     #[test]
--- a/crates/sapphirequayd/tests/common/crashing_upstream.rs
+++ b/crates/sapphirequayd/tests/common/crashing_upstream.rs
@@ -34,13 +34,25 @@
     Silent,
     /// Closes only the connection of the request, and goes on running.
     BreaksOff,
+    /// Crashes before the head, but answers each third run of the deadly request
+    /// with this status.
+    FailsSome(u16),
+    /// Crashes before the head, [`LATE_CRASH_DELAY`] after it received the deadly
+    /// request.
+    Late,
 }
 
+/// Delay of [`CrashMode::Late`]: longer than a front accepts connections after
+/// SIGTERM, so that the request is the last one that it serves.
+pub const LATE_CRASH_DELAY: Duration = Duration::from_secs(4);
+
 /// Counts of all upstreams of a test.
 #[derive(Debug, Default)]
 pub struct Counts {
     /// Runs of the deadly request.
     pub deadly: AtomicUsize,
+    /// Runs of the deadly request that were answered.
+    pub failed: AtomicUsize,
     /// Runs of other requests.
     pub other: AtomicUsize,
 }
@@ -49,6 +61,11 @@
     pub fn deadly(&self) -> usize {
         self.deadly.load(Ordering::SeqCst)
     }
+
+    /// Upstreams that the deadly request crashed.
+    pub fn crashes(&self) -> usize {
+        self.deadly() - self.failed.load(Ordering::SeqCst)
+    }
 }
 
 /// One incarnation of an upstream. It keeps connections open for reuse.
@@ -153,10 +170,20 @@
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{common}transfer-encoding: chunked\r\n\r\n"
         );
         if body == DEADLY {
-            self.counts.deadly.fetch_add(1, Ordering::SeqCst);
+            let runs = 1 + self.counts.deadly.fetch_add(1, Ordering::SeqCst);
+            if let CrashMode::FailsSome(status) = self.mode
+                && runs.is_multiple_of(3)
+            {
+                self.counts.failed.fetch_add(1, Ordering::SeqCst);
+                let text = format!("HTTP/1.1 {status} Failed\r\n{common}content-length: 0\r\n\r\n");
+                return stream.write_all(text.as_bytes()).ok();
+            }
             if self.mode == CrashMode::MidStream {
                 let _ = stream.write_all(format!("{stream_head}{event}").as_bytes());
             }
+            if self.mode == CrashMode::Late {
+                thread::sleep(LATE_CRASH_DELAY);
+            }
             match self.mode {
                 CrashMode::BreaksOff => drop(stream.shutdown(Shutdown::Both)),
                 _ => self.crash(),
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -150,6 +150,14 @@
         child.wait().expect("wait");
     }
 
+    /// Ends a process with SIGTERM and waits for its end.
+    pub fn terminate(&mut self, role: Role) {
+        self.signal(role, "TERM");
+        let slot = self.children.iter().position(|(it, _)| *it == role);
+        let (_, mut child) = self.children.remove(slot.expect("a running process"));
+        child.wait().expect("wait");
+    }
+
     /// Sends a signal, such as `STOP` or `CONT`, to a process.
     pub fn signal(&self, role: Role, signal: &str) {
         let child = self.children.iter().find(|(it, _)| *it == role);
--- a/crates/sapphirequayd/tests/crashing_requests.rs
+++ b/crates/sapphirequayd/tests/crashing_requests.rs
@@ -38,6 +38,9 @@
 /// third crash.
 const MAX_LATER_RUNS: usize = 3;
 
+/// Time after which all fronts know what one of them has reported.
+const REPORT_TIME: Duration = Duration::from_millis(400);
+
 /// Harmless requests before the deadly one, several for each upstream and front.
 const WARM_CALLS: usize = 80;
 
@@ -148,6 +151,15 @@
         }
     }
 
+    /// Sends the deadly request through one of the fronts, and leaves the control
+    /// group time to pass on what the front saw.
+    fn send_deadly_and_wait(&mut self, path: &str) {
+        self.announce_all();
+        let front = self.sent % 2;
+        self.call(front, path, DEADLY, 1_000);
+        thread::sleep(REPORT_TIME);
+    }
+
     /// Sends the deadly request often and returns how many upstreams it reached.
     fn send_deadly_again(&mut self, path: &str, deadline_ms: u32) -> usize {
         let before = self.counts.deadly();
@@ -267,6 +279,63 @@
     );
 }
 
+#[test]
+fn an_error_response_does_not_clear_a_request_that_crashes_upstreams() {
+    for (status, path) in [(500, "/order/10"), (504, "/order/11")] {
+        let mut site = Site::start();
+        site.add_upstreams(20, CrashMode::FailsSome(status));
+        site.serve_harmless(0, path);
+        site.serve_harmless(1, path);
+        while site.counts.crashes() < CRASHES {
+            site.send_deadly_and_wait(path);
+        }
+        thread::sleep(CONTACT_TIME);
+        let before = site.counts.deadly();
+        for _ in 0..8 {
+            site.send_deadly_and_wait(path);
+        }
+        let later = site.counts.deadly() - before;
+        assert!(
+            later <= MAX_LATER_RUNS,
+            "{status}: the request reached {later} more upstreams"
+        );
+    }
+}
+
+#[test]
+fn a_front_that_is_shut_down_reports_the_crash_of_its_last_request() {
+    let mut site = Site::start();
+    site.add_upstreams(14, CrashMode::Late);
+    site.serve_harmless(0, "/order/12");
+    site.serve_harmless(1, "/order/12");
+    while site.counts.deadly() < CRASHES {
+        let before = site.counts.deadly();
+        let addr = site.gateway.fronts[0];
+        let head = format!(
+            "POST /order/12 HTTP/1.1\nHost: a.example\nX-Sapphirequay-Request-Id: last-{before}"
+        );
+        let caller = thread::spawn(move || send(addr, &head, DEADLY));
+        let began = Instant::now();
+        while site.counts.deadly() == before {
+            assert!(
+                began.elapsed() < WAIT_TIMEOUT,
+                "no upstream got the request"
+            );
+            thread::sleep(Duration::from_millis(10));
+        }
+        site.gateway.terminate(Role::Front(0));
+        caller.join().expect("caller");
+        site.gateway.run(Role::Front(0), false);
+        site.serve_harmless(0, "/order/12");
+    }
+    thread::sleep(CONTACT_TIME);
+    let later = site.send_deadly_again("/order/12", 6_000);
+    assert!(
+        later <= MAX_LATER_RUNS,
+        "{later} more upstreams were crashed"
+    );
+}
+
 #[test]
 fn a_request_whose_upstreams_only_break_off_is_not_refused() {
     let mut site = Site::start();
