--- a/crates/quay_policy/src/guard/crashes.rs
+++ b/crates/quay_policy/src/guard/crashes.rs
@@ -39,7 +39,11 @@
 /// How a run on an upstream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunEnd {
-    /// The upstream answered, or the request was not sent to it.
+    /// The upstream answered with success, which shows that the request is
+    /// harmless.
+    Completed,
+    /// The upstream answered otherwise, or the request was not sent to it. An
+    /// upstream that fails requests answers a deadly one, too.
     Answered,
     /// The connection broke, or the answer was incomplete.
     Lost,
@@ -47,6 +51,26 @@
     Abandoned,
 }
 
+impl RunEnd {
+    /// End of a run whose response was read to its end; `framed` tells whether the
+    /// response shows its own end. An upstream that ends closes the connection,
+    /// which ends a response without a length, too.
+    #[must_use]
+    pub const fn of_response(succeeded: bool, framed: bool) -> Self {
+        match (framed, succeeded) {
+            (true, true) => Self::Completed,
+            (true, false) => Self::Answered,
+            (false, _) => Self::Abandoned,
+        }
+    }
+
+    /// Whether the upstream has shown that it survived the run.
+    #[must_use]
+    pub const fn is_answer(self) -> bool {
+        matches!(self, Self::Completed | Self::Answered)
+    }
+}
+
 /// Result of an attempt to connect to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CheckResult {
@@ -120,7 +144,7 @@
             return;
         };
         let (began, _) = watched.running.swap_remove(index);
-        if end == RunEnd::Answered {
+        if end.is_answer() {
             return;
         }
         // An upstream that sent nothing since the request may have ended unseen.
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -103,18 +103,6 @@
         }
     }
 
-    /// Records that the run completed; `framed` tells whether the response shows
-    /// its own end. An upstream that ends closes the connection, which ends a
-    /// response without a length, too.
-    pub fn complete_run(&self, framed: bool) {
-        if framed {
-            self.end_run(RunEnd::Answered);
-            self.front.record_completed(self.content);
-        } else {
-            self.end_run(RunEnd::Abandoned);
-        }
-    }
-
     /// Records a success; `duration` is the time per unit of work.
     pub fn record_success(&self, duration: Duration) {
         self.recorded.set(true);
@@ -794,11 +782,11 @@
         if head.status.is_success() {
             in_flight.record_success(in_flight.elapsed());
         }
-        if not_run {
-            in_flight.end_run(RunEnd::Answered);
+        in_flight.end_run(if not_run {
+            RunEnd::Answered
         } else {
-            in_flight.complete_run(is_framed(&head.headers));
-        }
+            RunEnd::of_response(head.status.is_success(), is_framed(&head.headers))
+        });
         in_flight.return_connection(&head.headers);
         if not_run {
             return AttemptResult::NotRun;
--- a/crates/sapphirequayd/src/gateway/front/host/crashes.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/crashes.rs
@@ -44,20 +44,23 @@
         upstreams.crashes().begin(now, upstream.run(), content);
     }
 
-    /// Records the end of a run, and checks the upstream if the run was lost.
+    /// Records the end of a run: clears its content if it completed, and checks the
+    /// upstream if the run was lost.
     pub fn end_run(&self, upstream: &SelectedUpstream, content: ContentDigest, end: RunEnd) {
         let now = self.now();
         let mut upstreams = self.upstreams();
         upstreams.crashes().end(now, upstream.run(), content, end);
         drop(upstreams);
-        if end != RunEnd::Answered {
+        if end == RunEnd::Completed {
+            self.record_completed(content);
+        }
+        if !end.is_answer() {
             self.check_upstreams();
             self.record_lost_runs();
         }
     }
 
-    /// Records that a run completed, which shows that its content is harmless.
-    pub fn record_completed(&self, content: ContentDigest) {
+    fn record_completed(&self, content: ContentDigest) {
         if self.0.suspects.borrow().is_suspect(content) {
             log::info!("event=suspect_cleared content={content}");
             self.record_event(SuspectEvent::Completed(content));
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -145,11 +145,11 @@
                 let events = u32::try_from(events).unwrap_or(u32::MAX);
                 self.in_flight
                     .record_success(self.in_flight.elapsed() / events);
-                self.in_flight.complete_run(framed);
+                self.in_flight.end_run(RunEnd::of_response(true, framed));
             }
             UpstreamOutcome::SucceededUntimed => {
                 self.in_flight.record_untimed_success();
-                self.in_flight.complete_run(framed);
+                self.in_flight.end_run(RunEnd::of_response(true, framed));
             }
             UpstreamOutcome::Failed => {
                 self.in_flight.record_failure();
