--- a/crates/quay_policy/src/guard/suspects.rs
+++ b/crates/quay_policy/src/guard/suspects.rs
@@ -408,21 +408,20 @@
         })
     }
 
-    /// Removes suspects that were not seen for a long time, and the oldest ones
-    /// if there are too many.
+    /// Removes suspects that were not seen for a long time. If there are too many,
+    /// removes those with the fewest strikes, the oldest of them first.
     fn remove_stale(&mut self, now: Time) {
         let cfg = self.cfg;
         self.requests.retain(|_, suspect| {
             now.since(suspect.seen) < cfg.forget_after.max(suspect.quarantine_time(&cfg))
         });
         while self.requests.len() >= cfg.max_suspects as usize {
-            let not_quarantined = |suspect: &Suspect| suspect.strikes() < MAX_STRIKES;
-            let oldest = self
-                .requests
-                .values()
-                .position(not_quarantined)
-                .unwrap_or_default();
-            self.requests.shift_remove_index(oldest);
+            let rank = |(_, suspect): &(usize, &Suspect)| (suspect.strikes(), suspect.seen);
+            let least = self.requests.values().enumerate().min_by_key(rank);
+            let Some((index, _)) = least else {
+                return;
+            };
+            self.requests.swap_remove_index(index);
         }
     }
 }
