--- a/crates/quay_policy/src/guard/suspects.rs
+++ b/crates/quay_policy/src/guard/suspects.rs
@@ -33,6 +33,10 @@
 /// Strikes from which a suspect is listed to the entries.
 const LISTED_STRIKES: usize = 2;
 
+/// Time within which losses at one incarnation of an upstream count as one crash.
+/// An upstream that does not tell its starts has one incarnation for all crashes.
+const MERGE_TIME: Duration = Duration::from_secs(5);
+
 /// Maximum number of crashes that are recorded for a request.
 const MAX_CRASHES: usize = 8;
 
@@ -153,7 +157,7 @@
 }
 
 /// Crash of an upstream: the upstream, its incarnation, and the number of the
-/// crash within the incarnation.
+/// crash within the incarnation, which increases.
 type CrashId = (UpstreamId, Incarnation, u64);
 
 /// State of one suspect.
@@ -296,16 +300,32 @@
                 runs,
             } => {
                 self.remove_stale(at);
+                let crash = self.observed_crash(at, *upstream, *incarnation);
                 for digest in runs {
                     let suspect = self.requests.entry(*digest);
                     let suspect = suspect.or_insert_with(|| Suspect::new(at));
-                    suspect.add_crash(at, (*upstream, *incarnation, 0));
+                    suspect.add_crash(at, crash);
                 }
             }
             SuspectEvent::Completed(digest) => self.record_end(at, *digest, true),
         }
     }
 
+    /// The crash of an upstream that was observed at `at`: one that other entries
+    /// have reported, or a new one, numbered by its time in milliseconds.
+    fn observed_crash(&self, at: Time, upstream: UpstreamId, incarnation: Incarnation) -> CrashId {
+        let crashes = self.requests.values().flat_map(|suspect| &suspect.crashes);
+        let known = crashes
+            .filter(|(other, run, _)| (*other, *run) == (upstream, incarnation))
+            .find(|(.., number)| {
+                let reported = Time::from_millis(*number);
+                at.since(reported).max(reported.since(at)) < MERGE_TIME
+            });
+        known
+            .copied()
+            .unwrap_or((upstream, incarnation, at.as_millis()))
+    }
+
     fn record_crash(
         &mut self,
         at: Time,
