--- a/crates/quay_policy/src/guard/crashes.rs
+++ b/crates/quay_policy/src/guard/crashes.rs
@@ -178,6 +178,13 @@
         due.collect()
     }
 
+    /// Whether an upstream that lost a run is being checked, or is due to be.
+    #[must_use]
+    pub fn checks_pending(&self) -> bool {
+        let mut watched = self.watched.values();
+        watched.any(|it| it.checking.is_some() || (it.suspected && !it.ended))
+    }
+
     /// Records the result of a check.
     pub fn record_check(&mut self, now: Time, upstream: UpstreamRun, result: CheckResult) {
         let Some(watched) = self.watched.get_mut(&upstream) else {
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -68,9 +68,12 @@
 /// responses.
 const DRAIN_LINGER: Duration = Duration::from_millis(2_500);
 
-/// Part of the grace period reserved for the exit of the process.
+/// Part of the grace period reserved for last reports and the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
 
+/// Part of `EXIT_RESERVE` in which the front may still report crashes.
+const FLUSH_RESERVE: Duration = Duration::from_millis(500);
+
 /// Handle of a front; clones share its state.
 #[derive(Debug)]
 pub struct FrontHost<D>(Rc<Shared<D>>);
@@ -388,5 +391,6 @@
         } else {
             log::info!("event=drain_ended");
         }
+        self.flush_reports(ends + FLUSH_RESERVE).await;
     }
 }
--- a/crates/sapphirequayd/src/gateway/front/host/crashes.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/crashes.rs
@@ -15,7 +15,10 @@
     quay_routes::Dialect,
     quay_types::{ContentDigest, Time},
     std::{io, net::SocketAddr, time::Duration},
-    tokio::{task::spawn_local, time::sleep},
+    tokio::{
+        task::spawn_local,
+        time::{Instant, sleep, timeout_at},
+    },
 };
 
 /// Time-out for a report of lost runs to the control group.
@@ -25,6 +28,13 @@
 /// its connections one after the other, and the listening socket among them.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 
+/// Maximum time for which a front that shuts down waits for its reports: a check
+/// of an upstream, and two attempts to report.
+const FLUSH_TIME: Duration = Duration::from_millis(2_500);
+
+/// Interval at which the front looks whether its reports are acknowledged.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(10);
+
 impl<D: Dialect> FrontHost<D> {
     /// Whether a request must not run, since its content crashes upstreams.
     pub fn is_quarantined(&self, content: ContentDigest) -> bool {
@@ -143,6 +153,22 @@
         self.0.report.notify_one();
     }
 
+    /// Waits until the control group has acknowledged the crashes that this front
+    /// saw, at most for `FLUSH_TIME` and until `ends`.
+    pub(super) async fn flush_reports(&self, ends: Instant) {
+        let flushed = async {
+            while self.upstreams().crashes().checks_pending()
+                || self.0.suspects.borrow().next_report().is_some()
+            {
+                sleep(FLUSH_INTERVAL).await;
+            }
+        };
+        let ends = ends.min(Instant::now() + FLUSH_TIME);
+        if timeout_at(ends, flushed).await.is_err() {
+            log::warn!("event=report_dropped cause=\"the process ends\"");
+        }
+    }
+
     /// Reports lost runs and cleared suspects to the control group, in a loop.
     pub(super) async fn report_runs(self) {
         loop {
