--- /dev/null
+++ b/crates/sapphirequayd/tests/resumed_streams.rs
@@ -0,0 +1,311 @@
+//! Streams that callers take up again while upstreams of several software versions
+//! serve, over fronts, restarts and losses.
+
+#[path = "common/gateway.rs"]
+mod gateway;
+#[path = "common/ports.rs"]
+mod ports;
+#[path = "common/versioned_upstream.rs"]
+mod versioned_upstream;
+
+use {
+    gateway::{Gateway, Response, Role, send},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        thread,
+        time::{Duration, Instant, SystemTime},
+    },
+    versioned_upstream::{Switchboard, VersionedUpstream},
+};
+
+const TABLE: &str = r#"{"Version":1,"Routes":[
+{"Name":"plan","Host":"a.example","PathPrefix":"/plan/","Kind":"streaming","TimeoutMs":8000,"SloMs":250,"Priority":1,"Service":"llm","MaxAttempts":1,"Resumable":true,"Sticky":true}],
+"Services":[{"Name":"llm","MaxConns":100,"Engine":{"Slots":16,"StrideTokens":10}}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
+
+/// Streams that a test takes up again.
+const STREAMS: usize = 24;
+
+/// Time after which a wait fails. Generous, since no test asserts a speed.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(90);
+
+/// A gateway with upstreams of two versions.
+struct Site {
+    gateway: Gateway,
+    upstreams: Vec<VersionedUpstream>,
+    shared: Arc<Switchboard>,
+}
+
+/// A stream that broke off after its first event.
+#[derive(Debug, Clone)]
+struct Broken {
+    /// Id of the attempt that brought the event.
+    id: String,
+    program: String,
+    version: String,
+}
+
+fn unix_millis() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    u64::try_from(now.expect("time").as_millis()).expect("small")
+}
+
+/// Version of the upstream that sent the last event of a response.
+fn version_of(response: &Response) -> String {
+    let mut data = response.body.lines().rev();
+    let data = data.find_map(|line| line.strip_prefix("data: "));
+    data.expect("an event").to_owned()
+}
+
+/// Polls until `poll` is true.
+fn wait_until(what: &str, mut poll: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !poll() {
+        assert!(began.elapsed() < WAIT_TIMEOUT, "not in time: {what}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+impl Site {
+    /// Starts a gateway of three stores, with two upstreams of version 1 and four
+    /// of version 2.
+    fn start() -> Self {
+        let mut site = Self {
+            gateway: Gateway::start(3),
+            upstreams: Vec::new(),
+            shared: Arc::default(),
+        };
+        let head = "POST /sapphirequay/config/put HTTP/1.1\nHost: c";
+        wait_until("the table is accepted", || {
+            send(site.gateway.controls[0], head, TABLE).is_some_and(|got| got.status == 200)
+        });
+        // Starts in the past, as those of upstreams that have served for long.
+        let born = unix_millis() - 60_000;
+        for (name, version) in [
+            ("old-1", "v1"),
+            ("old-2", "v1"),
+            ("new-1", "v2"),
+            ("new-2", "v2"),
+            ("new-3", "v2"),
+            ("new-4", "v2"),
+        ] {
+            let upstream = VersionedUpstream::start(name, version, born, &site.shared);
+            site.upstreams.push(upstream);
+        }
+        site.announce();
+        for front in [0, 1] {
+            site.wait_for_versions(front, &["v1", "v2"]);
+        }
+        site
+    }
+
+    /// Sends a heartbeat of each upstream that runs.
+    fn announce(&self) {
+        static SEQUENCE: AtomicU64 = AtomicU64::new(1);
+        for upstream in self.upstreams.iter().filter(|it| !it.has_ended()) {
+            let sequence = SEQUENCE.fetch_add(1, Ordering::Relaxed);
+            let head = format!(
+                "POST /sapphirequay/instances/{}/heartbeat HTTP/1.1\nHost: c",
+                upstream.name
+            );
+            let body = format!(
+                r#"{{"Service":"llm","Address":"{}","Zone":"dc-1","Version":"{}","Slots":16,"State":"ready","Seq":{sequence},"born":{}}}"#,
+                upstream.addr, upstream.version, upstream.born
+            );
+            let mut controls = self.gateway.controls.iter();
+            let _ =
+                controls.find(|it| send(**it, &head, &body).is_some_and(|got| got.status == 200));
+        }
+    }
+
+    /// Sends a stream request of a program through a front.
+    fn call(&self, front: usize, id: &str, program: &str, more: &str) -> Option<Response> {
+        let head = format!(
+            "POST /plan/1 HTTP/1.1\nHost: a.example\nX-Sapphirequay-Request-Id: {id}\nX-Sapphirequay-Program-Id: {program}\n\
+             X-Sapphirequay-Token-Usage: 5,30\nX-Sapphirequay-Token-Budget: 1000\nX-Sapphirequay-Deadline-Ms: 4000{more}"
+        );
+        send(self.gateway.fronts[front], &head, "input")
+    }
+
+    /// Sends streams through a front until upstreams of all `versions` answer.
+    fn wait_for_versions(&self, front: usize, versions: &[&str]) {
+        let mut missing = versions.to_vec();
+        wait_until("upstreams of all versions answer", || {
+            self.announce();
+            let id = next_id("warm");
+            if let Some(got) = self.call(front, &id, &id, "")
+                && got.status == 200
+            {
+                let version = version_of(&got);
+                missing.retain(|it| *it != version);
+            }
+            missing.is_empty()
+        });
+    }
+
+    /// Begins streams through a front that break off after their first event.
+    fn begin_streams(&self, front: usize, count: usize) -> Vec<Broken> {
+        self.shared.set_breaks(true);
+        let mut streams = Vec::new();
+        while streams.len() < count {
+            if streams.len().is_multiple_of(4) {
+                self.announce();
+            }
+            let (id, program) = (next_id("begin"), next_id("program"));
+            let got = self.call(front, &id, &program, "").expect("response");
+            if got.status == 200 && !got.body.is_empty() {
+                assert!(!got.complete, "the stream must break off: {got:?}");
+                let version = version_of(&got);
+                streams.push(Broken {
+                    id,
+                    program,
+                    version,
+                });
+            }
+        }
+        self.shared.set_breaks(false);
+        streams
+    }
+
+    /// Takes up a stream again. Returns the id of the attempt and the response.
+    fn resume(&self, front: usize, stream: &Broken) -> (String, Option<Response>) {
+        let id = next_id("again");
+        let more = format!("\nResumes: {}\nLast-Event-Id: 1", stream.id);
+        let got = self.call(front, &id, &stream.program, &more);
+        (id, got)
+    }
+
+    /// Takes up streams again, and checks that none goes on at another version and
+    /// that a refused one has not run. Returns how many went on.
+    fn resume_all(&self, front: usize, streams: &[Broken]) -> usize {
+        let mut went_on = 0;
+        for (number, stream) in streams.iter().enumerate() {
+            if number.is_multiple_of(4) {
+                self.announce();
+            }
+            let (id, got) = self.resume(front, stream);
+            let got = got.expect("response");
+            if got.status == 200 {
+                assert_eq!(version_of(&got), stream.version, "{stream:?}");
+                went_on += 1;
+            } else {
+                assert_eq!(got.status, 503, "{got:?}");
+                assert!(!self.shared.has_run(&id), "{id} was refused and has run");
+            }
+        }
+        went_on
+    }
+
+    /// Takes up streams again, and checks that all go on at their version.
+    fn resume_everything(&self, front: usize, streams: &[Broken]) {
+        let mut left = streams.to_vec();
+        wait_until("all streams go on", || {
+            left.retain(|stream| self.resume_all(front, std::slice::from_ref(stream)) == 0);
+            left.is_empty()
+        });
+    }
+}
+
+/// An id that no other request has.
+fn next_id(prefix: &str) -> String {
+    static NUMBER: AtomicU64 = AtomicU64::new(1);
+    format!("{prefix}-{}", NUMBER.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Checks that streams of both versions are there.
+fn assert_mixed(streams: &[Broken]) {
+    for version in ["v1", "v2"] {
+        let of_version = streams.iter().filter(|it| it.version == version).count();
+        assert!(of_version > 0, "no stream began at {version}");
+    }
+}
+
+#[test]
+fn a_stream_goes_on_only_at_the_software_version_that_began_it() {
+    let site = Site::start();
+    let streams = site.begin_streams(0, STREAMS);
+    assert_mixed(&streams);
+    assert_eq!(site.resume_all(1, &streams), STREAMS);
+    // A third attempt names the first one, too.
+    assert_eq!(site.resume_all(0, &streams), STREAMS);
+}
+
+#[test]
+fn a_stream_goes_on_at_its_version_after_its_front_store_and_leader_are_gone() {
+    let mut site = Site::start();
+    let streams = site.begin_streams(0, STREAMS);
+    assert_mixed(&streams);
+    site.gateway.kill(Role::Front(0));
+    site.gateway.kill(Role::Store(0));
+    let leader = site.gateway.leader().expect("a leader");
+    site.gateway.kill(leader);
+    site.resume_everything(1, &streams);
+    site.gateway.run(Role::Front(0), false);
+    site.wait_for_versions(0, &["v1", "v2"]);
+    site.resume_everything(0, &streams);
+}
+
+#[test]
+fn a_stream_whose_version_is_gone_or_unknown_is_refused() {
+    let site = Site::start();
+    let mut streams = site.begin_streams(0, STREAMS);
+    assert_mixed(&streams);
+    for upstream in site.upstreams.iter().filter(|it| it.version == "v1") {
+        let head = format!(
+            "POST /sapphirequay/instances/{}/leave HTTP/1.1\nHost: c",
+            upstream.name
+        );
+        wait_until("the upstream leaves", || {
+            send(site.gateway.controls[0], &head, "").is_some_and(|got| got.status == 200)
+        });
+        upstream.end();
+    }
+    let of_new = streams.iter().filter(|it| it.version == "v2").count();
+    assert_eq!(site.resume_all(1, &streams), of_new);
+    for stream in &mut streams {
+        stream.id.push_str("-unknown");
+    }
+    assert_eq!(site.resume_all(1, &streams), 0);
+    site.wait_for_versions(1, &["v2"]);
+}
+
+#[test]
+fn a_stream_is_refused_while_no_store_can_tell_its_version() {
+    let mut site = Site::start();
+    let mut streams = site.begin_streams(0, STREAMS);
+    streams.truncate(4);
+    for slot in 0..3 {
+        site.gateway.kill(Role::Store(slot));
+    }
+    assert_eq!(site.resume_all(1, &streams), 0);
+}
+
+#[test]
+fn a_stream_does_not_go_on_at_an_upstream_that_restarted_at_another_version() {
+    let mut site = Site::start();
+    let streams = site.begin_streams(0, STREAMS);
+    assert_mixed(&streams);
+    // The upstreams of version 2 start again, as version 1, under their names.
+    for upstream in site.upstreams.iter_mut().filter(|it| it.version == "v2") {
+        upstream.end();
+        let again = (&*upstream.name.clone(), "v1", unix_millis() + 1_000);
+        *upstream = VersionedUpstream::start_at(upstream.addr, again, &site.shared);
+    }
+    site.announce();
+    thread::sleep(Duration::from_secs(1));
+    let of_old = streams.iter().filter(|it| it.version == "v1").count();
+    assert_eq!(site.resume_all(1, &streams), of_old);
+}
+
+#[test]
+fn a_stream_that_finds_the_upstreams_of_its_version_full_is_refused() {
+    let site = Site::start();
+    let streams = site.begin_streams(0, STREAMS);
+    site.shared.full.store(true, Ordering::SeqCst);
+    assert_eq!(site.resume_all(1, &streams[..4]), 0);
+    site.shared.full.store(false, Ordering::SeqCst);
+    site.resume_everything(1, &streams);
+}
