--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -1,27 +1,33 @@
 //! Protection against overload and faults: retry budgets, account quotas,
-//! quarantine of requests that crash upstreams, upstreams that leave, and limits
-//! that upstreams name.
+//! quarantine of requests that crash upstreams, limits that upstreams name, and
+//! which upstreams may take a request.
 
 mod crashes;
-mod leaving;
 mod limits;
 mod quota;
+mod retired_runs;
 mod retry;
+mod service_versions;
+mod stream_origin;
 mod suspects;
+mod upstream_filter;
 
 use quay_types::{Incarnation, UpstreamId};
 
 pub use {
     crashes::{CheckResult, CrashDetector, CrashSettings, RunEnd},
-    leaving::LeavingUpstreams,
     limits::{
         LimitAllocator, LimitHolder, LimitSettings, PermitDemand, PermitGrant, PermitRequest,
     },
     quota::{QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings},
+    retired_runs::RetiredRuns,
     retry::{RetryBudgets, RetrySettings},
+    service_versions::ServiceVersions,
+    stream_origin::StreamOrigin,
     suspects::{
         Clearance, SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings,
     },
+    upstream_filter::{Candidate, Demand, Eligibility, UpstreamFilter},
 };
 
 /// An upstream and one of its incarnations.
--- /dev/null
+++ b/crates/quay_policy/src/guard/stream_origin.rs
@@ -0,0 +1,51 @@
+//! Where a stream began, which decides where it may go on.
+
+use {
+    super::UpstreamRun,
+    quay_types::{Incarnation, SoftwareVersion, Time},
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Largest difference between the clocks of two machines. A stream that began
+/// closer than this to a restart of its upstream may have begun before or after it.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(2);
+
+/// Upstream that began a stream.
+///
+/// What two software versions write does not fit together, so a stream goes on only
+/// at the version that began it. The entry that passes on the first event records
+/// the origin under the id of the caller's attempt; without a record the version is
+/// unknown, and the stream goes on nowhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// Incarnation that the entry selected.
+    pub run: UpstreamRun,
+    /// Version that this incarnation had announced.
+    pub version: SoftwareVersion,
+    /// Unix time at which the request was sent.
+    pub sent: Time,
+}
+
+impl StreamOrigin {
+    /// Version at which the stream may go on; `None` if it is uncertain which
+    /// incarnation began it. `listed` is the upstream's incarnation in the directory
+    /// now, with its version.
+    ///
+    /// An upstream that starts again under its name may have answered before its new
+    /// incarnation was announced. Incarnations are numbered by their start as Unix
+    /// time in milliseconds.
+    #[must_use]
+    pub fn resumable_at(
+        &self,
+        listed: Option<(Incarnation, Option<SoftwareVersion>)>,
+    ) -> Option<SoftwareVersion> {
+        let (_, incarnation) = self.run;
+        let later = listed.filter(|(listed, _)| *listed > incarnation);
+        let certain = later.is_none_or(|(restarted, version)| {
+            let restarted = Time::from_millis(restarted.0);
+            version == Some(self.version) || self.sent + MAX_CLOCK_DIFFERENCE < restarted
+        });
+        certain.then_some(self.version)
+    }
+}
--- /dev/null
+++ b/crates/quay_policy/src/guard/upstream_filter.rs
@@ -0,0 +1,128 @@
+//! Which upstreams may take a request.
+
+use {
+    super::{LimitHolder, RetiredRuns, UpstreamRun},
+    indexmap::IndexMap,
+    quay_types::{SoftwareVersion, Time, UpstreamId},
+    std::time::Duration,
+};
+
+/// Time for which an unreachable upstream is not selected.
+const SUSPENSION: Duration = Duration::from_millis(500);
+
+/// Upstream in state `Serving` of the service that a request needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// Incarnation from the directory.
+    pub run: UpstreamRun,
+    /// Version that this incarnation has announced, if any.
+    pub version: Option<SoftwareVersion>,
+}
+
+/// What a request needs of an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Demand<'a> {
+    /// Upstreams that were tried already.
+    pub tried: &'a [UpstreamId],
+    /// Version that the upstream must have; `None` if any will do.
+    pub version: Option<SoftwareVersion>,
+}
+
+/// Whether an upstream may take a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Eligibility {
+    /// It may take the request.
+    Eligible,
+    /// It may take the request if no other upstream is eligible.
+    Suspended,
+    /// It may take the request with a permit, and there is none.
+    NoPermit,
+    /// It must not take the request.
+    Excluded,
+}
+
+/// Decides which upstreams may take a request, with what one entry has learned from
+/// its own requests.
+#[derive(Debug, Default)]
+pub struct UpstreamFilter {
+    leaving: RetiredRuns,
+    ended: RetiredRuns,
+    limits: LimitHolder,
+    /// Time until which each unreachable incarnation is suspended.
+    suspended: IndexMap<UpstreamRun, Time>,
+}
+
+impl UpstreamFilter {
+    // -----------------------------------------------------------------------
+    // Observations
+
+    /// Records that an upstream could not be reached, or that another one answered
+    /// in its place.
+    pub fn suspend(&mut self, now: Time, run: UpstreamRun) {
+        self.suspended.insert(run, now + SUSPENSION);
+    }
+
+    /// Records that an upstream said in a response that it is leaving. Returns
+    /// whether this was unknown.
+    pub fn record_leaving(&mut self, run: UpstreamRun) -> bool {
+        self.leaving.record(run)
+    }
+
+    /// Records that the process of an upstream has ended. One that answers under
+    /// the same name is another incarnation, whose version is unknown.
+    pub fn record_ended(&mut self, run: UpstreamRun) {
+        self.ended.record(run);
+    }
+
+    /// Limits that upstreams have named.
+    pub fn limits(&mut self) -> &mut LimitHolder {
+        &mut self.limits
+    }
+
+    /// Forgets suspensions that are over.
+    pub fn tick(&mut self, now: Time) {
+        self.suspended.retain(|_, until| *until > now);
+    }
+
+    // -----------------------------------------------------------------------
+    // Decisions
+
+    /// Whether an upstream can take requests of a demand now or soon.
+    #[must_use]
+    pub fn serves(&self, candidate: Candidate, demand: &Demand<'_>) -> bool {
+        !self.leaving.contains(candidate.run)
+            && !demand.tried.contains(&candidate.run.0)
+            && demand
+                .version
+                .is_none_or(|wanted| self.known_version(candidate) == Some(wanted))
+    }
+
+    /// Version of the process that answers for an upstream, if it is known.
+    #[must_use]
+    pub fn known_version(&self, candidate: Candidate) -> Option<SoftwareVersion> {
+        let ended = self.ended.contains(candidate.run);
+        candidate.version.filter(|_| !ended)
+    }
+
+    /// Whether an upstream may take a request now.
+    pub fn judge(&mut self, now: Time, candidate: Candidate, demand: &Demand<'_>) -> Eligibility {
+        if !self.serves(candidate, demand) {
+            return Eligibility::Excluded;
+        }
+        if !self.limits.may_send(now, candidate.run) {
+            return Eligibility::NoPermit;
+        }
+        let suspended = self.suspended.get(&candidate.run);
+        if suspended.is_some_and(|until| *until > now) {
+            Eligibility::Suspended
+        } else {
+            Eligibility::Eligible
+        }
+    }
+
+    /// Whether an upstream takes requests only with permits.
+    #[must_use]
+    pub fn is_limited(&self, run: UpstreamRun) -> bool {
+        self.limits.is_limited(run)
+    }
+}
--- a/crates/quay_policy/src/route/router.rs
+++ b/crates/quay_policy/src/route/router.rs
@@ -396,7 +396,7 @@
 fn is_eligible(announcement: &Announcement, target: CallTarget) -> bool {
     let serves = match (&announcement.kind, target) {
         (UpstreamKind::Engine { models }, CallTarget::Model(model)) => models.contains(&model),
-        (UpstreamKind::Service { service }, CallTarget::Service(wanted)) => *service == wanted,
+        (kind, CallTarget::Service(wanted)) => kind.service() == Some(wanted),
         _ => false,
     };
     serves && announcement.state == UpstreamState::Serving
--- a/crates/quay_routes/src/head.rs
+++ b/crates/quay_routes/src/head.rs
@@ -27,6 +27,8 @@
     pub prompt: Vec<PromptPart>,
     /// Object that the request concerns, if it names one.
     pub object: Option<Box<str>>,
+    /// Fields that are present only if the request takes up a stream again.
+    pub resumed: Option<ResumedHead>,
 }
 
 impl CallHead {
@@ -48,6 +50,14 @@
     }
 }
 
+/// Fields that are present only in a request that takes up a stream again.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ResumedHead {
+    /// Identifier of the attempt that brought the first event of the stream, if
+    /// the caller names it.
+    pub first_attempt: Option<Box<str>>,
+}
+
 /// Fields that are present only in a turn of a program.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TurnHead {
--- a/crates/quay_routes/src/lib.rs
+++ b/crates/quay_routes/src/lib.rs
@@ -33,7 +33,7 @@
 pub use {
     deadline::RequestDeadline,
     dialect::{Dialect, Forwarding},
-    head::{CallHead, Execution, HeadError, TurnHead, UpstreamHead},
+    head::{CallHead, Execution, HeadError, ResumedHead, TurnHead, UpstreamHead},
     operator::{OperatorCall, OperatorError, OperatorResponse},
     prompt::{BLOCK_TOKENS, PromptPart, block_hashes, branch_ids, token_count},
     table::{EdgeLimits, RepeatPolicy, Route, RoutingTable, Service, TableError, Target},
--- a/crates/quay_types/src/directory.rs
+++ b/crates/quay_types/src/directory.rs
@@ -1,7 +1,7 @@
 //! Messages that announce upstreams and distribute the directory to daemons.
 
 use {
-    crate::{Incarnation, ModelId, ServiceId, UpstreamId},
+    crate::{Incarnation, ModelId, ServiceId, SoftwareVersion, UpstreamId},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -19,6 +19,49 @@
         /// Service that the upstream provides.
         service: ServiceId,
     },
+    /// Plain service whose upstreams tell the version of their software.
+    VersionedService {
+        /// Service that the upstream provides.
+        service: ServiceId,
+        /// Version of the upstream's software.
+        version: SoftwareVersion,
+    },
+}
+
+impl UpstreamKind {
+    /// Service that the upstream provides, if it is a plain service.
+    #[must_use]
+    pub const fn service(&self) -> Option<ServiceId> {
+        match self {
+            Self::Engine { .. } => None,
+            Self::Service { service } | Self::VersionedService { service, .. } => Some(*service),
+        }
+    }
+
+    /// Version of the upstream's software, if it is told.
+    #[must_use]
+    pub const fn version(&self) -> Option<SoftwareVersion> {
+        match self {
+            Self::Engine { .. } | Self::Service { .. } => None,
+            Self::VersionedService { version, .. } => Some(*version),
+        }
+    }
+
+    /// Version for logs; `none` if it is not told.
+    #[must_use]
+    pub fn version_label(&self) -> Box<str> {
+        let version = self.version();
+        version.map_or_else(|| "none".into(), |it| it.to_string().into())
+    }
+
+    /// The same without the version.
+    #[must_use]
+    pub fn without_version(self) -> Self {
+        match self {
+            Self::VersionedService { service, .. } => Self::Service { service },
+            other => other,
+        }
+    }
 }
 
 /// Whether an upstream accepts new calls.
--- a/crates/quay_types/src/ids.rs
+++ b/crates/quay_types/src/ids.rs
@@ -65,6 +65,11 @@
     /// Upstream, by the name that its sidecar announces.
     UpstreamId, b"upstream"
 );
+hashed_name_id!(
+    /// Version of an upstream's software, by the name that the upstream announces.
+    /// Versions have no order.
+    SoftwareVersion, b"software version"
+);
 
 hashed_name_id!(
     /// Stored turn, by the number that its caller assigned.
--- a/crates/quay_types/src/lib.rs
+++ b/crates/quay_types/src/lib.rs
@@ -31,7 +31,7 @@
     ids::{
         AccountId, Attempt, AttemptTag, CallNumber, ConfigIndex, Epoch, FenceNumber, GroupId,
         Incarnation, LogIndex, ModelId, NodeId, ParseProgramIdError, ProgramId, ProgramTag,
-        RequestKey, ServiceId, Tokens, TurnId, UpstreamId,
+        RequestKey, ServiceId, SoftwareVersion, Tokens, TurnId, UpstreamId,
     },
     ledger::{
         Begin, BeginReply, CallRecord, LedgerReply, LedgerRequest, NewProgram, ProgramLimits,
--- a/crates/sapphirequayd/src/gateway/control/leader_state.rs
+++ b/crates/sapphirequayd/src/gateway/control/leader_state.rs
@@ -173,9 +173,10 @@
         let heard = unchanged && self.directory.heartbeat(now, &heartbeat) != MembersReply::Unknown;
         if !heard {
             log::info!(
-                "event=upstream_announced upstream={} run={} addr={} state={:?}",
+                "event=upstream_announced upstream={} run={} version={} addr={} state={:?}",
                 announcement.name,
                 announcement.incarnation,
+                announcement.kind.version_label(),
                 announcement.addr,
                 announcement.state
             );
@@ -201,7 +202,7 @@
     /// Update for a follower whose state is `mark`; `None` if it is up to date.
     pub fn update_for(&mut self, now: Time, mark: &FollowerState) -> Option<ControlUpdate> {
         self.followers.insert(mark.link, now);
-        let directory = self.directory.changes(now, &mark.directory);
+        let directory = self.directory_changes(now, mark);
         let held = self.state.table.as_ref();
         let revision = held.map_or(0, |table| table.revision);
         let table = held.filter(|_| revision > mark.revision).cloned();
@@ -231,13 +232,25 @@
             version: self.state.version,
             table: None,
             stores: None,
-            directory: self.directory.changes(now, &mark.directory),
+            directory: self.directory_changes(now, mark),
             controls: self.control_links(),
             followers: self.neighbours_of(mark.link),
             suspects: None,
         }
     }
 
+    /// Directory changes for a follower, without what it can't read.
+    fn directory_changes(&mut self, now: Time, mark: &FollowerState) -> Changes {
+        let mut changes = self.directory.changes(now, &mark.directory);
+        if !mark.reads_versions {
+            for entry in &mut changes.full {
+                let kind = entry.announcement.kind.clone();
+                entry.announcement.kind = kind.without_version();
+            }
+        }
+        changes
+    }
+
     /// The followers after `link` in the cyclic order of their addresses, so that
     /// each follower is listed to a few others, however many there are.
     fn neighbours_of(&self, link: SocketAddr) -> Vec<SocketAddr> {
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -8,7 +8,7 @@
         refusal::{Refusal, Refused},
         reservation::Reservation,
         stream::{PendingTurn, StreamRelay},
-        upstreams::SelectedUpstream,
+        upstreams::{Pool, SelectedUpstream},
     },
     crate::gateway::{
         http_server::{Body, full},
@@ -25,7 +25,9 @@
         UpstreamHead,
     },
     quay_turns::{Charge, ChargeStatus},
-    quay_types::{AttemptTag, ContentDigest, ProgramTag, Time, Tokens, TurnId, UpstreamId},
+    quay_types::{
+        AttemptTag, ContentDigest, ProgramTag, SoftwareVersion, Time, Tokens, TurnId, UpstreamId,
+    },
     std::{cell::Cell, time::Duration},
     tokio::time::timeout,
 };
@@ -71,9 +73,9 @@
         }
     }
 
-    /// Name of the upstream.
-    pub fn upstream_name(&self) -> &str {
-        &self.upstream.name
+    /// The upstream.
+    pub const fn upstream(&self) -> &SelectedUpstream {
+        &self.upstream
     }
 
     /// Time since the start of the attempt.
@@ -169,6 +171,8 @@
     arrived: Time,
     deadline: RequestDeadline,
     service: &'a str,
+    /// Version of the upstreams at which the stream must go on; `None` if it begins.
+    version: Option<SoftwareVersion>,
     /// Whether no other programs of the service are more urgent.
     most_urgent: bool,
     /// Number of tokens that an event of the service counts as.
@@ -255,7 +259,15 @@
     let limit = table.limits.body_bytes as usize;
     let body = read_body(front, body, limit, &deadline).await?;
     let content = head.content(&parts.method, &parts.uri, &body);
-    front.wait_for_service(service, deadline.at()).await;
+    let pool = Pool::of(service);
+    front.wait_for_service(&pool, deadline.at()).await;
+    let version = match &head.resumed {
+        Some(resumed) if route.repeat.is_stream() => {
+            let version = front.resumable_version(head, resumed, &pool, deadline.at());
+            Some(version.await?)
+        }
+        _ => None,
+    };
     let call = Call {
         front,
         head,
@@ -265,6 +277,7 @@
         arrived,
         deadline,
         service,
+        version,
         most_urgent: table.is_most_urgent(route, service),
         event_tokens,
         draw,
@@ -371,7 +384,8 @@
         let left = self.deadline.remaining(self.front.now());
         match stores.reserve(program, own, Tokens(budget), left).await {
             ReserveOutcome::Covered { others } => {
-                if others.0 == 0 && turn.prior.is_none() {
+                let begins = others.0 == 0 && turn.prior.is_none() && self.version.is_none();
+                if begins {
                     self.admit_program(program)?;
                 }
                 Ok(Some(reservation))
@@ -493,6 +507,7 @@
                     let queue_time = in_flight.started.since(self.arrived);
                     meters::record_stage(Stage::Wait, queue_time);
                     meters::record_stage(Stage::FirstResponse, first);
+                    self.record_stream_origin(&in_flight);
                     let now = self.front.now();
                     let objective = self.route.objective;
                     self.front
@@ -541,13 +556,31 @@
         }
     }
 
+    /// Records which upstream began the stream, if another may go on with it.
+    fn record_stream_origin(&self, in_flight: &InFlight<D>) {
+        if self.route.repeat == RepeatPolicy::ResumableStream && self.version.is_none() {
+            let (upstream, ago) = (&in_flight.upstream, in_flight.elapsed());
+            self.front
+                .record_stream_origin(self.head, self.route, upstream, ago);
+        }
+    }
+
+    /// Upstreams among which one is selected.
+    fn pool(&self) -> Pool<'_> {
+        Pool {
+            service: self.service,
+            sticky: self.route.sticky,
+            version: self.version,
+        }
+    }
+
     /// Refusal of a request for which no upstream is left. If that is since
     /// upstreams are limited, the caller is to return when it is its turn, and
     /// programs that have begun go before new ones.
     fn no_upstream(&self, not_run: u32) -> Refused {
         let now = self.front.now();
         let mut upstreams = self.front.upstreams();
-        let retry_after = upstreams.return_delay(now, self.service);
+        let retry_after = upstreams.return_delay(now, &self.pool());
         if retry_after.is_some() {
             let objective = self.route.objective;
             upstreams.record_wait(now, self.service, objective, objective);
@@ -589,18 +622,18 @@
 
     /// Selects an upstream. If all are limited, asks for permits first.
     async fn select_upstream(&self, tried: &[UpstreamId]) -> Option<SelectedUpstream> {
+        let pool = self.pool();
         let select = || {
             let now = self.front.now();
-            let pool = (self.service, self.route.sticky);
             let mut upstreams = self.front.upstreams();
-            upstreams.select(now, pool, self.head, tried, self.draw)
+            upstreams.select(now, &pool, self.head, tried, self.draw)
         };
         let selected = select();
         if selected.is_some() {
             self.front.ask_for_permits();
             return selected;
         }
-        if !self.front.wait_for_permits(self.service).await {
+        if !self.front.wait_for_permits(&pool).await {
             return None;
         }
         select()
@@ -735,7 +768,9 @@
         let now = self.front.now();
         let not_run = answer.execution != Execution::Possible;
         if answer.execution == Execution::Misdirected {
-            self.front.upstreams().suspend(now, in_flight.upstream.id);
+            self.front
+                .upstreams()
+                .suspend(now, in_flight.upstream.run());
             in_flight.end_run(RunEnd::Answered);
             self.front.record_ended(&in_flight.upstream);
         }
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -2,12 +2,17 @@
 
 mod crashes;
 mod permits;
+mod streams;
 
 use {
     super::{
-        buffer_space::BufferSpace, call, connections::Connections,
-        conversation_cache::ConversationCache, front_suspects::FrontSuspects,
-        startup_wait::StartupWait, upstreams::Upstreams,
+        buffer_space::BufferSpace,
+        call,
+        connections::Connections,
+        conversation_cache::ConversationCache,
+        front_suspects::FrontSuspects,
+        startup_wait::StartupWait,
+        upstreams::{Pool, Upstreams},
     },
     crate::{
         gateway::{
@@ -222,10 +227,10 @@
         startup.wait_for(ends, || self.now(), || self.table()).await
     }
 
-    /// Waits during the startup phase until an upstream serves a service, at
-    /// most until `ends`.
-    pub async fn wait_for_service(&self, service: &str, ends: Time) {
-        let look = || self.upstreams().serves(service).then_some(());
+    /// Waits during the startup phase until an upstream of a pool serves, at most
+    /// until `ends`.
+    pub async fn wait_for_service(&self, pool: &Pool<'_>, ends: Time) {
+        let look = || self.upstreams().serves(pool).then_some(());
         self.0.startup.wait_for(ends, || self.now(), look).await;
     }
 
@@ -305,6 +310,7 @@
             directory: self.upstreams().next_request(self.0.reader),
             link: self.0.link,
             suspects: self.0.suspects.borrow().version(),
+            reads_versions: true,
         }
     }
 
--- a/crates/sapphirequayd/src/gateway/front/host/crashes.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/crashes.rs
@@ -80,14 +80,14 @@
     /// Records that an incarnation of an upstream has ended.
     pub fn record_ended(&self, upstream: &SelectedUpstream) {
         let now = self.now();
-        self.upstreams().crashes().record_ended(now, upstream.run());
+        self.upstreams().record_ended(now, upstream.run());
         self.record_lost_runs();
     }
 
     /// Records that no connection to an upstream could be set up.
     pub fn record_unreachable(&self, upstream: &SelectedUpstream, err: &io::Error) {
         let now = self.now();
-        self.upstreams().suspend(now, upstream.id);
+        self.upstreams().suspend(now, upstream.run());
         if check_result(err) == CheckResult::Refused {
             self.record_ended(upstream);
         }
@@ -115,7 +115,7 @@
             self.upstreams().name(run.0),
             run.1
         );
-        self.upstreams().crashes().record_check(now, run, result);
+        self.upstreams().record_check(now, run, result);
         self.record_lost_runs();
     }
 
--- a/crates/sapphirequayd/src/gateway/front/host/permits.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/permits.rs
@@ -2,7 +2,10 @@
 
 use {
     super::FrontHost,
-    crate::gateway::messages::{ControlReply, ControlRequest},
+    crate::gateway::{
+        front::upstreams::Pool,
+        messages::{ControlReply, ControlRequest},
+    },
     quay_routes::Dialect,
     std::time::Duration,
     tokio::time::{sleep, timeout},
@@ -30,14 +33,14 @@
         }
     }
 
-    /// Waits for permits for a request of a service. Returns `false` at once if none
-    /// of its upstreams is limited, and during a pause: the reply before it left no
+    /// Waits for permits for a request. Returns `false` at once if no upstream of its
+    /// pool is limited, and during a pause: the reply before it left no
     /// permit.
-    pub async fn wait_for_permits(&self, service: &str) -> bool {
-        if !self.upstreams().is_limited(service) || self.0.permits_paused.get() {
+    pub async fn wait_for_permits(&self, pool: &Pool<'_>) -> bool {
+        if !self.upstreams().is_limited(pool) || self.0.permits_paused.get() {
             return false;
         }
-        self.upstreams().want_permit(self.now(), service);
+        self.upstreams().want_permit(self.now(), pool);
         self.ask_for_permits();
         timeout(PERMIT_WAIT, self.0.permits_arrived.notified())
             .await
--- /dev/null
+++ b/crates/sapphirequayd/src/gateway/front/host/streams.rs
@@ -0,0 +1,140 @@
+//! Streams that callers take up again: where they began, and at which version of the
+//! upstreams' software they may go on.
+
+use {
+    super::FrontHost,
+    crate::gateway::{
+        front::{
+            refusal::Refusal,
+            upstreams::{Pool, SelectedUpstream},
+        },
+        meters,
+        store::StreamLookup,
+    },
+    quay_routes::{CallHead, Dialect, ResumedHead, Route},
+    quay_types::{AttemptTag, ProgramTag, SoftwareVersion, Time},
+    std::time::Duration,
+    tokio::task::spawn_local,
+};
+
+/// Longest time for which a request waits for the origin of its stream.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Longest time for which the origin of a stream is offered to the stores.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Number of time-outs of the route for which the origin of a stream is kept: the
+/// stream's own, and some attempts to go on.
+const KEPT_TIMEOUTS: u32 = 4;
+
+/// Program whose stores keep the origin of the stream that `first_attempt` began.
+fn keeper_of(head: &CallHead, first_attempt: &str) -> ProgramTag {
+    ProgramTag::of(head.program.as_deref().unwrap_or(first_attempt))
+}
+
+impl<D: Dialect> FrontHost<D> {
+    /// Records which upstream began the stream of a request that was sent `ago`, so
+    /// that any front can tell where it may go on.
+    pub fn record_stream_origin(
+        &self,
+        head: &CallHead,
+        route: &Route,
+        upstream: &SelectedUpstream,
+        ago: Duration,
+    ) {
+        let now = Self::unix_time();
+        let sent = Time::ZERO + now.since(Time::ZERO).saturating_sub(ago);
+        let Some(origin) = self.upstreams().stream_origin(upstream, sent) else {
+            log::info!("event=stream_version_unknown id={}", head.id);
+            return;
+        };
+        let stores = self.stores().clone();
+        let (id, keeper) = (head.id.clone(), keeper_of(head, &head.id));
+        let keep = route.timeout * KEPT_TIMEOUTS;
+        spawn_local(async move {
+            let attempt = AttemptTag::of(&id);
+            if !stores
+                .record_stream(keeper, attempt, (origin, keep), RECORD_TIMEOUT)
+                .await
+            {
+                log::warn!("event=stream_origin_unrecorded id={id}");
+            }
+        });
+    }
+
+    /// Finds the version at which a stream may go on. If it is not certain, or no
+    /// upstream of it serves, the stream is refused.
+    pub async fn resumable_version(
+        &self,
+        head: &CallHead,
+        resumed: &ResumedHead,
+        pool: &Pool<'_>,
+        ends: Time,
+    ) -> Result<SoftwareVersion, Refusal> {
+        let found = match &resumed.first_attempt {
+            Some(first) => self.stream_version(head, first, ends).await,
+            None => self.only_version(pool.service),
+        };
+        let version = match found {
+            Ok(version) => version,
+            Err((refusal, cause)) => {
+                log_decision(head, resumed, None, cause);
+                return Err(refusal);
+            }
+        };
+        let pool = Pool {
+            version: Some(version),
+            ..*pool
+        };
+        self.wait_for_service(&pool, ends).await;
+        if !self.upstreams().serves(&pool) {
+            log_decision(head, resumed, Some(version), "version_gone");
+            return Err(Refusal::VersionGone);
+        }
+        log_decision(head, resumed, Some(version), "goes_on");
+        Ok(version)
+    }
+
+    /// Version of a stream whose first attempt the caller does not name.
+    fn only_version(&self, service: &str) -> Result<SoftwareVersion, (Refusal, &'static str)> {
+        let now = self.now();
+        let only = self.upstreams().only_version(now, service);
+        let only = only.filter(|_| self.control_is_fresh(now));
+        only.ok_or((Refusal::StreamUnknown, "first_attempt_not_named"))
+    }
+
+    /// Version of the stream that `first` began.
+    async fn stream_version(
+        &self,
+        head: &CallHead,
+        first: &str,
+        ends: Time,
+    ) -> Result<SoftwareVersion, (Refusal, &'static str)> {
+        let left = ends.since(self.now()).min(LOOKUP_TIMEOUT);
+        let (keeper, attempt) = (keeper_of(head, first), AttemptTag::of(first));
+        match self.stores().find_stream(keeper, attempt, left).await {
+            StreamLookup::Found(origin) => {
+                let version = self.upstreams().resumable_at(&origin);
+                version.ok_or((Refusal::StreamUnknown, "upstream_restarted"))
+            }
+            StreamLookup::Absent => Err((Refusal::StreamUnknown, "no_record")),
+            StreamLookup::Undetermined => Err((Refusal::StoresUnsure, "stores_unsure")),
+        }
+    }
+}
+
+/// Logs and counts the decision whether a stream goes on.
+fn log_decision(
+    head: &CallHead,
+    resumed: &ResumedHead,
+    version: Option<SoftwareVersion>,
+    decision: &'static str,
+) {
+    let version = version.map_or_else(|| "none".to_owned(), |it| it.to_string());
+    log::info!(
+        "event=resume_decided id={} first_attempt={} version={version} decision={decision}",
+        head.id,
+        resumed.first_attempt.as_deref().unwrap_or("none"),
+    );
+    meters::record_resumed_stream(decision);
+}
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -22,5 +22,5 @@
     host::FrontHost,
     startup_wait::StartupWait,
     upstream_outcome::{StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome, upstream_outcome},
-    upstreams::{SelectedUpstream, Upstreams},
+    upstreams::{Pool, SelectedUpstream, Upstreams},
 };
--- a/crates/sapphirequayd/src/gateway/front/refusal.rs
+++ b/crates/sapphirequayd/src/gateway/front/refusal.rs
@@ -57,6 +57,10 @@
     StoresUnsure => "stores_unsure", 503, Some(250);
     /// No upstream currently serves the route's service.
     NoUpstream => "no_upstream", 503, Some(250);
+    /// It is not certain which version of the upstreams' software began the stream.
+    StreamUnknown => "stream_unknown", 503, None;
+    /// No upstream serves at the version that began the stream.
+    VersionGone => "version_gone", 503, None;
     /// The service can't finish another program in time.
     Overloaded => "overloaded", 503, Some(250);
     /// The request's content is known to crash upstreams.
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -129,9 +129,10 @@
         meters::record_stage(Stage::Stream, read);
         meters::record_stage(Stage::Persist, storing);
         log::info!(
-            "event=stream_ended id={} upstream={} events={events} wait_ms={} first_ms={} read_ms={read_ms} keep_ms={keep_ms} end={end:?}",
+            "event=stream_ended id={} upstream={} run={} events={events} wait_ms={} first_ms={} read_ms={read_ms} keep_ms={keep_ms} end={end:?}",
             self.id,
-            self.in_flight.upstream_name(),
+            self.in_flight.upstream().name,
+            self.in_flight.upstream().incarnation,
             self.wait_ms,
             self.first_ms,
         );
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -4,20 +4,18 @@
     indexmap::IndexMap,
     quay_members::{ChangesRequest, DirectoryView},
     quay_policy::{
-        CheckResult, CrashDetector, ExpectedTime, LeavingUpstreams, LimitHolder, NewProgram,
-        NewProgramGate, RouteRequest, RouteSettings, Router, UpstreamRun,
+        Candidate, CheckResult, CrashDetector, Demand, Eligibility, ExpectedTime, LimitHolder,
+        NewProgram, NewProgramGate, RouteRequest, RouteSettings, Router, ServiceVersions,
+        StreamOrigin, UpstreamFilter, UpstreamRun,
     },
     quay_routes::{CallHead, PromptPart, block_hashes, branch_ids, token_count},
     quay_types::{
         Announcement, CallTarget, DirectoryEntry, Incarnation, Load, ProgramId, RequestRate,
-        ServiceId, Time, Tokens, UpstreamId, UpstreamKind, UpstreamState,
+        ServiceId, SoftwareVersion, Time, Tokens, UpstreamId, UpstreamState,
     },
     std::{net::SocketAddr, slice, time::Duration},
 };
 
-/// Time for which an unreachable upstream is not selected.
-const SUSPENSION: Duration = Duration::from_millis(500);
-
 /// Age after which a load report is discarded and the upstream is assumed to
 /// have as many requests as the others.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
@@ -35,10 +33,43 @@
     pub name: Box<str>,
     /// Incarnation from its announcement.
     pub incarnation: Incarnation,
+    /// Version that this incarnation has announced, if any.
+    pub version: Option<SoftwareVersion>,
     /// Address of the upstream.
     pub addr: SocketAddr,
 }
 
+/// Upstreams among which one is selected for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pool<'a> {
+    /// Service of the upstreams.
+    pub service: &'a str,
+    /// Whether an upstream that had the call's object lately is preferred.
+    pub sticky: bool,
+    /// Version that the upstreams must have; `None` if any will do.
+    pub version: Option<SoftwareVersion>,
+}
+
+impl<'a> Pool<'a> {
+    /// All upstreams of a service.
+    #[must_use]
+    pub const fn of(service: &'a str) -> Self {
+        Self {
+            service,
+            sticky: false,
+            version: None,
+        }
+    }
+
+    /// Demand of a request that was not sent to any upstream yet.
+    fn demand(&self) -> Demand<'static> {
+        Demand {
+            tried: &[],
+            version: self.version,
+        }
+    }
+}
+
 impl SelectedUpstream {
     /// Incarnation that was selected.
     #[must_use]
@@ -55,8 +86,31 @@
     in_flight: u32,
     /// Time of the last load report, if it still counts.
     reported: Option<Time>,
-    /// Time until which the upstream is not selected.
-    suspended_until: Time,
+}
+
+impl Known {
+    /// The upstream as a candidate for requests of a service, if it serves it.
+    fn candidate(&self, id: UpstreamId, service: ServiceId) -> Option<Candidate> {
+        let Announcement {
+            incarnation,
+            kind,
+            state,
+            ..
+        } = &self.announcement;
+        let serves = *state == UpstreamState::Serving && kind.service() == Some(service);
+        serves.then(|| Candidate {
+            run: (id, *incarnation),
+            version: kind.version(),
+        })
+    }
+}
+
+/// Upstreams of a service that may not take a request, or not before others.
+#[derive(Debug, Default)]
+struct Judged {
+    excluded: Vec<UpstreamId>,
+    without_permit: Vec<UpstreamRun>,
+    suspended: Vec<UpstreamId>,
 }
 
 /// Upstreams known to this front, with the router that selects among them.
@@ -65,8 +119,8 @@
     router: Router<ExpectedTime>,
     view: DirectoryView,
     known: IndexMap<UpstreamId, Known>,
-    leaving: LeavingUpstreams,
-    limits: LimitHolder,
+    filter: UpstreamFilter,
+    versions: ServiceVersions,
     crashes: CrashDetector,
     /// Services whose calls have waited for upstreams.
     gates: IndexMap<ServiceId, NewProgramGate>,
@@ -97,8 +151,8 @@
             router: Router::new(cfg, data_centre),
             view: DirectoryView::default(),
             known: IndexMap::new(),
-            leaving: LeavingUpstreams::default(),
-            limits: LimitHolder::default(),
+            filter: UpstreamFilter::default(),
+            versions: ServiceVersions::default(),
             crashes: CrashDetector::default(),
             gates: IndexMap::new(),
         }
@@ -133,6 +187,10 @@
 
     fn apply_entry(&mut self, now: Time, entry: &DirectoryEntry) {
         let id = entry.announcement.upstream();
+        let kind = &entry.announcement.kind;
+        if let Some(service) = kind.service() {
+            self.versions.record(now, service, kind.version());
+        }
         let announcement = Announcement {
             sequence: 0,
             load: Load::default(),
@@ -146,9 +204,10 @@
             }
             _ => {
                 log::info!(
-                    "event=upstream_known upstream={} run={} addr={} state={:?}",
+                    "event=upstream_known upstream={} run={} version={} addr={} state={:?}",
                     announcement.name,
                     announcement.incarnation,
+                    announcement.kind.version_label(),
                     announcement.addr,
                     announcement.state
                 );
@@ -157,7 +216,6 @@
                     announcement,
                     in_flight: 0,
                     reported: None,
-                    suspended_until: Time::ZERO,
                 };
                 self.known.insert(id, known);
                 self.update_router(now, id, None);
@@ -225,6 +283,8 @@
     /// no longer be attributed to a crash.
     pub fn tick(&mut self, now: Time) {
         self.crashes.tick(now);
+        self.filter.tick(now);
+        self.versions.tick(now);
         let old: Vec<UpstreamId> = self
             .known
             .iter()
@@ -241,16 +301,14 @@
     }
 
     /// Suspends an upstream that could not be reached.
-    pub fn suspend(&mut self, now: Time, id: UpstreamId) {
-        if let Some(known) = self.known.get_mut(&id) {
-            known.suspended_until = now + SUSPENSION;
-        }
+    pub fn suspend(&mut self, now: Time, run: UpstreamRun) {
+        self.filter.suspend(now, run);
     }
 
     /// Records that an upstream said in a response that it is leaving. It is not
     /// selected again in this incarnation.
     pub fn record_leaving(&mut self, upstream: &SelectedUpstream) {
-        if self.leaving.record(upstream.id, upstream.incarnation) {
+        if self.filter.record_leaving(upstream.run()) {
             log::info!(
                 "event=upstream_leaving upstream={} run={}",
                 upstream.name,
@@ -267,6 +325,20 @@
         &mut self.crashes
     }
 
+    /// Records that the process of an upstream has ended, and the runs that it lost.
+    pub fn record_ended(&mut self, now: Time, run: UpstreamRun) {
+        self.filter.record_ended(run);
+        self.crashes.record_ended(now, run);
+    }
+
+    /// Records the result of a check of an upstream that may have ended.
+    pub fn record_check(&mut self, now: Time, run: UpstreamRun, result: CheckResult) {
+        if result == CheckResult::Refused {
+            self.filter.record_ended(run);
+        }
+        self.crashes.record_check(now, run, result);
+    }
+
     /// Name of an upstream for logs; its id if the directory no longer lists it.
     #[must_use]
     pub fn name(&self, id: UpstreamId) -> Box<str> {
@@ -295,7 +367,7 @@
 
     /// Limits that upstreams have named.
     pub fn limits(&mut self) -> &mut LimitHolder {
-        &mut self.limits
+        self.filter.limits()
     }
 
     /// Records the limit that a response to a request sent at `sent` named, if any.
@@ -306,10 +378,8 @@
         sent: Time,
         limit: Option<RequestRate>,
     ) {
-        if self
-            .limits
-            .record_response(now, upstream.run(), sent, limit)
-        {
+        let limits = self.filter.limits();
+        if limits.record_response(now, upstream.run(), sent, limit) {
             let per_s = limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
             log::info!(
                 "event=upstream_limit upstream={} run={} per_s={per_s}",
@@ -319,18 +389,54 @@
         }
     }
 
-    /// Whether any upstream of a service is limited.
+    /// Whether any upstream of a pool is limited.
     #[must_use]
-    pub fn is_limited(&self, service: &str) -> bool {
-        self.serving(service).any(|run| self.limits.is_limited(run))
+    pub fn is_limited(&self, pool: &Pool<'_>) -> bool {
+        self.serving(pool).any(|run| self.filter.is_limited(run))
     }
 
     /// Time after which the caller of a refused request may return, if upstreams of
-    /// the service are limited.
-    pub fn return_delay(&mut self, now: Time, service: &str) -> Option<Duration> {
-        let runs: Vec<UpstreamRun> = self.serving(service).collect();
-        let service = ServiceId::of(service);
-        self.limits.return_delay(now, service, &runs)
+    /// the pool are limited.
+    pub fn return_delay(&mut self, now: Time, pool: &Pool<'_>) -> Option<Duration> {
+        let runs: Vec<UpstreamRun> = self.serving(pool).collect();
+        let service = ServiceId::of(pool.service);
+        self.limits().return_delay(now, service, &runs)
+    }
+
+    /// Records that a request waits for a permit for an upstream of a pool.
+    pub fn want_permit(&mut self, now: Time, pool: &Pool<'_>) {
+        let judged = self.judge(now, pool, &[]);
+        self.limits().want_permit(&judged.without_permit);
+    }
+
+    // -----------------------------------------------------------------------
+    // Streams
+
+    /// Origin of a stream that an upstream began, for a request sent at `sent`, a
+    /// Unix time. `None` if the version of the process that answered is unknown.
+    #[must_use]
+    pub fn stream_origin(&self, upstream: &SelectedUpstream, sent: Time) -> Option<StreamOrigin> {
+        let run = upstream.run();
+        let version = self.filter.known_version(Candidate {
+            run,
+            version: upstream.version,
+        });
+        version.map(|version| StreamOrigin { run, version, sent })
+    }
+
+    /// Version at which a stream may go on; `None` if it is uncertain.
+    #[must_use]
+    pub fn resumable_at(&self, origin: &StreamOrigin) -> Option<SoftwareVersion> {
+        let listed = self.known.get(&origin.run.0);
+        let listed = listed.map(|it| (it.announcement.incarnation, it.announcement.kind.version()));
+        origin.resumable_at(listed)
+    }
+
+    /// The version at which any stream of a service must have begun, if there is
+    /// only one.
+    #[must_use]
+    pub fn only_version(&self, now: Time, service: &str) -> Option<SoftwareVersion> {
+        self.versions.only_version(now, ServiceId::of(service))
     }
 
     // -----------------------------------------------------------------------
@@ -357,72 +463,61 @@
     // -----------------------------------------------------------------------
     // Selection
 
-    /// Whether any upstream in state `Serving` serves a service.
+    /// Whether any upstream of a pool serves.
     #[must_use]
-    pub fn serves(&self, service: &str) -> bool {
-        self.serving(service).next().is_some()
+    pub fn serves(&self, pool: &Pool<'_>) -> bool {
+        self.serving(pool).next().is_some()
     }
 
-    /// Upstreams in state `Serving` of a service that are not leaving.
-    fn serving(&self, service: &str) -> impl Iterator<Item = UpstreamRun> {
-        let wanted = ServiceId::of(service);
+    /// Upstreams of a pool that serve and are not leaving.
+    fn serving(&self, pool: &Pool<'_>) -> impl Iterator<Item = UpstreamRun> {
+        let (service, demand) = (ServiceId::of(pool.service), pool.demand());
         self.known.iter().filter_map(move |(id, known)| {
-            let Announcement {
-                incarnation,
-                kind,
-                state,
-                ..
-            } = &known.announcement;
-            let serves = *state == UpstreamState::Serving
-                && !self.leaving.contains(*id, *incarnation)
-                && matches!(kind, UpstreamKind::Service { service } if *service == wanted);
-            serves.then_some((*id, *incarnation))
+            let candidate = known.candidate(*id, service)?;
+            let serves = self.filter.serves(candidate, &demand);
+            serves.then_some(candidate.run)
         })
     }
 
-    /// Upstreams of a service that are limited and for which there is no permit.
-    fn without_permit(&mut self, now: Time, service: &str) -> Vec<UpstreamRun> {
-        if self.limits.is_empty() {
-            return Vec::new();
+    /// Judges the upstreams of a service for a request.
+    fn judge(&mut self, now: Time, pool: &Pool<'_>, tried: &[UpstreamId]) -> Judged {
+        let service = ServiceId::of(pool.service);
+        let demand = Demand {
+            tried,
+            ..pool.demand()
+        };
+        let mut judged = Judged::default();
+        for (id, known) in &self.known {
+            let Some(candidate) = known.candidate(*id, service) else {
+                continue;
+            };
+            match self.filter.judge(now, candidate, &demand) {
+                Eligibility::Eligible => {}
+                Eligibility::Suspended => judged.suspended.push(*id),
+                Eligibility::NoPermit => judged.without_permit.push(candidate.run),
+                Eligibility::Excluded => judged.excluded.push(*id),
+            }
         }
-        let mut runs: Vec<UpstreamRun> = self.serving(service).collect();
-        runs.retain(|run| !self.limits.may_send(now, *run));
-        runs
-    }
-
-    /// Records that a request of a service waits for a permit.
-    pub fn want_permit(&mut self, now: Time, service: &str) {
-        let without = self.without_permit(now, service);
-        self.limits.want_permit(&without);
+        judged
     }
 
-    /// Selects an upstream of a service and counts the request as in flight
-    /// there.
+    /// Selects an upstream of a pool and counts the request as in flight there.
     ///
-    /// With `sticky`, an upstream that had the call's object lately is
-    /// preferred. Upstreams in `tried`, leaving ones, and limited ones for which
-    /// there is no permit are excluded. `draw`
-    /// spreads requests over equally good upstreams.
+    /// [`UpstreamFilter`] decides which upstreams may take the request; those in
+    /// `tried` may not. `draw` spreads requests over equally good upstreams.
     pub fn select(
         &mut self,
         now: Time,
-        (service, sticky): (&str, bool),
+        pool: &Pool<'_>,
         head: &CallHead,
         tried: &[UpstreamId],
         draw: u64,
     ) -> Option<SelectedUpstream> {
-        let leaving = self
-            .known
-            .iter()
-            .filter(|(id, it)| self.leaving.contains(**id, it.announcement.incarnation));
-        let mut never: Vec<UpstreamId> = leaving.map(|(id, _)| *id).collect();
-        never.extend_from_slice(tried);
-        let without_permit = self.without_permit(now, service);
-        never.extend(without_permit.iter().map(|(id, _)| *id));
-        let suspended = self.known.iter().filter(|(_, it)| it.suspended_until > now);
-        let mut excluded: Vec<UpstreamId> = suspended.map(|(id, _)| *id).collect();
-        excluded.extend_from_slice(&never);
-        let object = head.object.as_deref().filter(|_| sticky);
+        let judged = self.judge(now, pool, tried);
+        let without_permit = judged.without_permit.iter().map(|(id, _)| *id);
+        let never: Vec<UpstreamId> = judged.excluded.into_iter().chain(without_permit).collect();
+        let excluded = [&*judged.suspended, &*never].concat();
+        let object = head.object.as_deref().filter(|_| pool.sticky);
         let object = object.filter(|_| head.prompt.is_empty());
         let object_part = object.map(|object| PromptPart {
             id: UpstreamId::of(object).0,
@@ -436,7 +531,7 @@
         let branches = branch_ids(prompt);
         let continues = head.turn.as_ref().is_some_and(|turn| turn.prior.is_some());
         let mut req = RouteRequest {
-            target: CallTarget::Service(ServiceId::of(service)),
+            target: CallTarget::Service(ServiceId::of(pool.service)),
             program: ProgramId::root(UpstreamId::of(program).0),
             has_history: continues || branches.len() > 1 || object.is_some(),
             conversations: &branches,
@@ -455,10 +550,12 @@
             id: choice.upstream,
             name: known.announcement.name.clone(),
             incarnation: known.announcement.incarnation,
+            version: known.announcement.kind.version(),
             addr: choice.addr,
         };
-        self.limits.use_permit(selected.run());
-        self.limits.want_permit(&without_permit);
+        let limits = self.filter.limits();
+        limits.use_permit(selected.run());
+        limits.want_permit(&judged.without_permit);
         Some(selected)
     }
 
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -5,11 +5,13 @@
 
 use {
     quay_members::{Changes, ChangesRequest},
-    quay_policy::{PermitGrant, PermitRequest, SuspectCommand, SuspectEvent, SuspectRegistry},
+    quay_policy::{
+        PermitGrant, PermitRequest, StreamOrigin, SuspectCommand, SuspectEvent, SuspectRegistry,
+    },
     quay_quorum::Member,
     quay_turns::{Charge, Record, StoreAnnouncement, StoreChange, StoreMap, TurnRecord},
-    quay_types::{Announcement, GroupId, Incarnation, ProgramTag, TurnId},
-    serde::{Deserialize, Serialize},
+    quay_types::{Announcement, AttemptTag, GroupId, Incarnation, ProgramTag, TurnId},
+    serde::{Deserialize, Deserializer, Serialize},
     std::net::SocketAddr,
 };
 
@@ -71,6 +73,16 @@
     pub link: SocketAddr,
     /// Version of its list of suspects; 0 without one.
     pub suspects: u64,
+    /// Whether it reads [`UpstreamKind::VersionedService`](quay_types::UpstreamKind);
+    /// followers of earlier versions end before this field.
+    #[serde(deserialize_with = "bool_or_false")]
+    pub reads_versions: bool,
+}
+
+/// Reads the last field of a message; messages of earlier versions end before it.
+#[allow(clippy::unnecessary_wraps)] // The signature is that of `serde`.
+fn bool_or_false<'de, D: Deserializer<'de>>(message: D) -> Result<bool, D::Error> {
+    Ok(bool::deserialize(message).unwrap_or_default())
 }
 
 /// Requests that are suspected of crashing upstreams, as followers get them.
@@ -189,6 +201,10 @@
         /// Sequence number of the last program that the requester knows.
         programs: u64,
     },
+    /// Remembers the origin of the stream that an attempt began, for some seconds.
+    RecordStream(AttemptTag, StreamOrigin, u32),
+    /// Returns the origin of the stream that an attempt began.
+    FindStream(AttemptTag),
 }
 
 /// Reply of a store host.
@@ -209,6 +225,8 @@
     Stale(u64),
     /// The store cannot serve the request now, or is not the addressed store.
     Refused,
+    /// Origin of a stream; `None` if the store does not know it.
+    Stream(Option<StreamOrigin>),
 }
 
 /// Part of the contents of a store.
--- a/crates/sapphirequayd/src/gateway/meters.rs
+++ b/crates/sapphirequayd/src/gateway/meters.rs
@@ -58,6 +58,11 @@
     counter!("sapphirequay_attempts_lost_total", "cause" => cause).increment(1);
 }
 
+/// Counts a request that takes up a stream, by what was decided.
+pub fn record_resumed_stream(decision: &'static str) {
+    counter!("sapphirequay_resumed_streams_total", "decision" => decision).increment(1);
+}
+
 /// Counts an upstream that ended while it ran requests of this front.
 pub fn record_upstream_crash() {
     counter!("sapphirequay_upstream_crashes_total").increment(1);
@@ -92,6 +97,12 @@
     histogram!("sapphirequay_store_sync_seconds").record(duration);
 }
 
+/// Sets the number of streams whose origin a store remembers.
+#[allow(clippy::cast_precision_loss)]
+pub fn set_stream_origins(count: usize) {
+    gauge!("sapphirequay_stream_origins").set(count as f64);
+}
+
 /// Sets the gauges of a store: its number of turns and whether its copy is
 /// complete.
 #[allow(clippy::cast_precision_loss)]
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -18,14 +18,14 @@
 pub use {
     control::{ControlState, MembershipInputs, next_membership_change},
     front::{
-        BufferShare, BufferSpace, ConversationCache, EventReader, FrontSuspects, SelectedUpstream,
-        StartupWait, StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome, Upstreams,
-        upstream_outcome,
+        BufferShare, BufferSpace, ConversationCache, EventReader, FrontSuspects, Pool,
+        SelectedUpstream, StartupWait, StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome,
+        Upstreams, upstream_outcome,
     },
     messages::{
-        ControlCommand, GatewayRequest, StoreOp, StoreReply, StoreRequest, SuspectList,
-        TableDocument,
+        ControlCommand, FollowerState, GatewayRequest, StoreOp, StoreReply, StoreRequest,
+        SuspectList, TableDocument,
     },
     run::run,
-    store::{PathProbe, SlowMembers, StorePath},
+    store::{PathProbe, SlowMembers, StorePath, StreamOrigins},
 };
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -15,11 +15,12 @@
     },
     indexmap::IndexMap,
     quay_link::{LinkError, LinkRole, Links},
+    quay_policy::StreamOrigin,
     quay_turns::{
         Charge, ChargeTally, ChargeVerdict, LookupTally, LookupVerdict, Record, StoreMap,
         StoreMember, StoreView, TurnRecord, WriteTally, WriteVerdict,
     },
-    quay_types::{GroupId, ProgramTag, Tokens, TurnId},
+    quay_types::{AttemptTag, GroupId, ProgramTag, Tokens, TurnId},
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         sync::mpsc,
@@ -72,6 +73,17 @@
     Undetermined,
 }
 
+/// Result of looking up the origin of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamLookup {
+    /// Origin of the stream.
+    Found(StreamOrigin),
+    /// No store knows the stream.
+    Absent,
+    /// Too few stores answered to decide.
+    Undetermined,
+}
+
 /// Client of the stores in the current map. Clones share the map and the path to
 /// the stores.
 #[derive(Debug, Clone)]
@@ -284,7 +296,9 @@
         let mut replies = GroupRequest::with_quorum(self, group, &view, op.clone());
         while tally.verdict() == WriteVerdict::Pending {
             match replies.next().await {
-                Some((identity, Some(StoreReply::Synced))) => tally.synced(identity),
+                Some((identity, Some(StoreReply::Synced | StoreReply::Stream(Some(_))))) => {
+                    tally.synced(identity);
+                }
                 Some((identity, _)) => tally.failed(identity),
                 None => return false,
             }
@@ -342,6 +356,59 @@
         }
     }
 
+    // -----------------------------------------------------------------------
+    // Streams
+
+    /// Has the stores remember the origin of the stream that an attempt began, for
+    /// the given time. Returns `false` if too few do within `limit`.
+    pub async fn record_stream(
+        &self,
+        keeper: ProgramTag,
+        attempt: AttemptTag,
+        (origin, keep): (StreamOrigin, Duration),
+        limit: Duration,
+    ) -> bool {
+        let keep_s = u32::try_from(keep.as_secs().max(1)).unwrap_or(u32::MAX);
+        let op = StoreOp::RecordStream(attempt, origin, keep_s);
+        let attempts = async {
+            let mut backoff = Backoff::default();
+            while !self.write_once(self.group_of(keeper), &op).await {
+                backoff.wait().await;
+            }
+        };
+        timeout(limit, attempts).await.is_ok()
+    }
+
+    /// Looks up the origin of the stream that an attempt began.
+    pub async fn find_stream(
+        &self,
+        keeper: ProgramTag,
+        attempt: AttemptTag,
+        limit: Duration,
+    ) -> StreamLookup {
+        let group = self.group_of(keeper);
+        let view = self.view(group);
+        let op = StoreOp::FindStream(attempt);
+        let mut replies = GroupRequest::with_all(self, group, &view, op);
+        let lookup = async {
+            let mut denials = 0;
+            while let Some((_, reply)) = replies.next().await {
+                match reply {
+                    Some(StoreReply::Stream(Some(origin))) => return StreamLookup::Found(origin),
+                    Some(StoreReply::Stream(None)) => denials += 1,
+                    _ => {}
+                }
+            }
+            if denials > 0 && denials == view.members.len() {
+                StreamLookup::Absent
+            } else {
+                StreamLookup::Undetermined
+            }
+        };
+        let found = timeout(limit, lookup).await;
+        found.unwrap_or(StreamLookup::Undetermined)
+    }
+
     // -----------------------------------------------------------------------
     // Reads
 
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -5,6 +5,7 @@
     super::{
         copy,
         files::{self, Files},
+        stream_origins::StreamOrigins,
     },
     crate::{
         gateway::{
@@ -78,6 +79,7 @@
     folder: Arc<Path>,
     announcement: Rc<RefCell<StoreAnnouncement>>,
     index: Rc<RefCell<StoreIndexes>>,
+    origins: Rc<RefCell<StreamOrigins>>,
     map: Rc<RefCell<StoreMap>>,
     /// Number of the segment that records are appended to.
     segment: Rc<Cell<u64>>,
@@ -125,6 +127,7 @@
             folder: folder.into(),
             announcement: Rc::new(RefCell::new(announcement)),
             index: Rc::new(RefCell::new(index)),
+            origins: Rc::default(),
             map: Rc::default(),
             segment: Rc::new(Cell::new(segment)),
             disk,
@@ -156,6 +159,10 @@
         if req.to != self.identity() {
             return StoreReply::Refused;
         }
+        // Origins never change, so that no view of the group is out of date.
+        if let Some(reply) = self.serve_origins(&req.op) {
+            return reply;
+        }
         let (admitted, seen, open) = {
             let held = self.group(req.group);
             (held.admit(req.epoch), held.epoch(), held.open_epoch())
@@ -173,6 +180,21 @@
         self.execute(req.group, req.op).await
     }
 
+    /// Answers a request for the origin of a stream; `None` for other requests.
+    fn serve_origins(&self, op: &StoreOp) -> Option<StoreReply> {
+        let now = self.now();
+        let mut origins = self.origins.borrow_mut();
+        match op {
+            StoreOp::RecordStream(attempt, origin, keep_s) => {
+                let keep = Duration::from_secs((*keep_s).into());
+                let held = origins.insert(now, *attempt, *origin, keep);
+                Some(StoreReply::Stream(Some(held)))
+            }
+            StoreOp::FindStream(attempt) => Some(StoreReply::Stream(origins.get(now, *attempt))),
+            _ => None,
+        }
+    }
+
     async fn execute(&self, group: GroupId, op: StoreOp) -> StoreReply {
         match op {
             StoreOp::Write(records) => {
@@ -193,6 +215,7 @@
             StoreOp::FenceEpoch => StoreReply::Synced,
             StoreOp::Fetch(turns) => self.fetch(group, &turns).await,
             StoreOp::List { turns, programs } => self.list(group, turns, programs),
+            StoreOp::RecordStream(..) | StoreOp::FindStream(_) => StoreReply::Refused,
         }
     }
 
@@ -377,6 +400,8 @@
         loop {
             sleep(EXPIRY_INTERVAL).await;
             let now = self.now();
+            self.origins.borrow_mut().expire(now);
+            meters::set_stream_origins(self.origins.borrow().len());
             {
                 let held = self.index.borrow();
                 meters::set_store(held.turn_count(), !held.whole_epochs().is_empty());
--- a/crates/sapphirequayd/src/gateway/store/mod.rs
+++ b/crates/sapphirequayd/src/gateway/store/mod.rs
@@ -6,10 +6,12 @@
 mod group_request;
 mod host;
 mod path;
+mod stream_origins;
 
 pub use {
-    client::{ReserveOutcome, StoreClient, TurnLookup},
+    client::{ReserveOutcome, StoreClient, StreamLookup, TurnLookup},
     group_request::SlowMembers,
     host::StoreHost,
     path::{PathProbe, StorePath},
+    stream_origins::StreamOrigins,
 };
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -24,10 +24,10 @@
 pub use {
     gateway::{
         BufferShare, BufferSpace, ControlCommand, ControlState, ConversationCache, EventReader,
-        FrontSuspects, GatewayRequest, MembershipInputs, PathProbe, SelectedUpstream, SlowMembers,
-        StartupWait, StoreOp, StorePath, StoreReply, StoreRequest, StreamEnd, SuspectList,
-        TableDocument, UPSTREAM_DISCONNECTED, UpstreamOutcome, Upstreams, next_membership_change,
-        run as run_gateway, upstream_outcome,
+        FollowerState, FrontSuspects, GatewayRequest, MembershipInputs, PathProbe, Pool,
+        SelectedUpstream, SlowMembers, StartupWait, StoreOp, StorePath, StoreReply, StoreRequest,
+        StreamEnd, StreamOrigins, SuspectList, TableDocument, UPSTREAM_DISCONNECTED,
+        UpstreamOutcome, Upstreams, next_membership_change, run as run_gateway, upstream_outcome,
     },
     process::{
         Actor, BackupError, Clock, ControlClient, ControlError, ControlReply, ControlRequest,
--- a/crates/sapphirequayd/tests/common/agent_load.rs
+++ b/crates/sapphirequayd/tests/common/agent_load.rs
@@ -9,7 +9,7 @@
     quay_types::{
         Announcement, Incarnation, Load, ServiceId, Time, UpstreamId, UpstreamKind, UpstreamState,
     },
-    sapphirequayd::Upstreams,
+    sapphirequayd::{Pool, Upstreams},
     std::{
         collections::{BTreeSet, HashMap},
         time::Duration,
@@ -17,6 +17,11 @@
 };
 
 const SERVICE: &str = "llm";
+
+const POOL: Pool<'_> = Pool {
+    sticky: true,
+    ..Pool::of(SERVICE)
+};
 const SLOTS: u32 = 8;
 /// Tokens of the prompt part that many programs share.
 const SHARED_TOKENS: u64 = 12_600;
@@ -251,7 +256,7 @@
             ],
             ..CallHead::default()
         };
-        let chosen = front.select(now, (SERVICE, true), &head, &[], draw);
+        let chosen = front.select(now, &POOL, &head, &[], draw);
         let chosen = chosen.expect("an upstream").id;
         let upstream = self.names.iter().position(|name| *name == chosen);
         let upstream = upstream.expect("a known upstream");
--- a/crates/sapphirequayd/tests/common/front_view.rs
+++ b/crates/sapphirequayd/tests/common/front_view.rs
@@ -6,12 +6,18 @@
     quay_types::{
         Announcement, Incarnation, Load, ServiceId, Time, UpstreamId, UpstreamKind, UpstreamState,
     },
-    sapphirequayd::{SelectedUpstream, Upstreams},
+    sapphirequayd::{Pool, SelectedUpstream, Upstreams},
 };
 
 /// Service of all upstreams.
 pub const SERVICE: &str = "llm";
 
+/// All upstreams.
+pub const POOL: Pool<'_> = Pool {
+    sticky: true,
+    ..Pool::of(SERVICE)
+};
+
 pub fn announcement(name: &str, incarnation: u64) -> Announcement {
     Announcement {
         name: name.into(),
@@ -59,7 +65,7 @@
     let mut chosen: Vec<SelectedUpstream> = Vec::new();
     for conversation in 0..100 {
         let head = turn(conversation);
-        if let Some(upstream) = front.select(now, (SERVICE, true), &head, tried, conversation) {
+        if let Some(upstream) = front.select(now, &POOL, &head, tried, conversation) {
             front.record_end(now, upstream.id);
             if !chosen.contains(&upstream) {
                 chosen.push(upstream);
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -3,17 +3,21 @@
 use {
     bytes::Bytes,
     proptest::prelude::*,
-    quay_policy::{SuspectCommand, SuspectEvent},
+    quay_members::ChangesRequest,
+    quay_policy::{StreamOrigin, SuspectCommand, SuspectEvent},
     quay_quorum::{Member, Membership, MembershipChange, StateMachine as _},
     quay_turns::{StoreMember, StoreView},
     quay_types::{
-        ContentDigest, Epoch, GroupId, Incarnation, LogIndex, NodeId, Time, TurnId, UpstreamId,
+        AttemptTag, ContentDigest, Epoch, GroupId, Incarnation, LogIndex, NodeId, ServiceId,
+        SoftwareVersion, Time, TurnId, UpstreamId, UpstreamKind,
     },
     sapphirequayd::{
-        BufferSpace, ControlCommand, ControlState, ConversationCache, EventReader,
-        MembershipInputs, PathProbe, SlowMembers, StartupWait, StorePath, StreamEnd, TableDocument,
-        UPSTREAM_DISCONNECTED, UpstreamOutcome, next_membership_change, upstream_outcome,
+        BufferSpace, ControlCommand, ControlState, ConversationCache, EventReader, FollowerState,
+        MembershipInputs, PathProbe, SlowMembers, StartupWait, StoreOp, StorePath, StoreReply,
+        StreamEnd, StreamOrigins, TableDocument, UPSTREAM_DISCONNECTED, UpstreamOutcome,
+        next_membership_change, upstream_outcome,
     },
+    std::time::Duration,
 };
 
 // ---------------------------------------------------------------------------
@@ -232,6 +236,105 @@
     assert_eq!(postcard::from_bytes(&snapshot), Ok(state));
 }
 
+// ---------------------------------------------------------------------------
+// Messages of earlier versions
+
+/// The state of a follower, as versions before software versions encode it.
+fn earlier_follower_state(state: &FollowerState) -> Vec<u8> {
+    let fields = (
+        state.revision,
+        state.stores,
+        &state.directory,
+        state.link,
+        state.suspects,
+    );
+    postcard::to_stdvec(&fields).expect("bytes")
+}
+
+#[test]
+fn the_state_of_an_earlier_follower_is_read_and_the_present_one_by_earlier_leaders() {
+    let state = FollowerState {
+        revision: 7,
+        stores: 3,
+        directory: ChangesRequest {
+            reader: 1,
+            run: 2,
+            announced: 3,
+            version: 4,
+            failure_reports: Box::default(),
+        },
+        link: ([127, 0, 0, 1], 9).into(),
+        suspects: 5,
+        reads_versions: true,
+    };
+    let earlier = FollowerState {
+        reads_versions: false,
+        ..state.clone()
+    };
+    let bytes = earlier_follower_state(&state);
+    assert_eq!(postcard::from_bytes(&bytes), Ok(earlier));
+    let present = postcard::to_stdvec(&state).expect("bytes");
+    assert!(present.starts_with(&bytes));
+    assert_eq!(postcard::from_bytes(&present), Ok(state));
+}
+
+#[test]
+fn requests_and_replies_of_earlier_stores_keep_their_numbers() {
+    let number = |op: &StoreOp| postcard::to_stdvec(op).expect("bytes")[0];
+    assert_eq!(number(&StoreOp::FenceEpoch), 3);
+    assert_eq!(number(&StoreOp::FindStream(AttemptTag(1))), 7);
+    let number = |reply: &StoreReply| postcard::to_stdvec(reply).expect("bytes")[0];
+    assert_eq!(number(&StoreReply::Refused), 6);
+    assert_eq!(number(&StoreReply::Stream(None)), 7);
+    let service = ServiceId(1);
+    let kind = postcard::to_stdvec(&UpstreamKind::Service { service });
+    assert_eq!(kind.expect("bytes")[0], 1);
+}
+
+// ---------------------------------------------------------------------------
+// Origins of streams
+
+fn origin(upstream: u64) -> StreamOrigin {
+    StreamOrigin {
+        run: (UpstreamId(upstream), Incarnation(1)),
+        version: SoftwareVersion::of("v1"),
+        sent: Time::ZERO,
+    }
+}
+
+#[test]
+fn the_first_origin_of_a_stream_is_kept_for_its_time() {
+    let mut origins = StreamOrigins::default();
+    let (attempt, keep) = (AttemptTag(1), Duration::from_secs(12));
+    let late = Time::ZERO + keep;
+    assert_eq!(origins.get(Time::ZERO, attempt), None);
+    origins.insert(Time::ZERO, attempt, origin(1), keep);
+    assert_eq!(
+        origins.insert(Time::ZERO, attempt, origin(2), keep),
+        origin(1)
+    );
+    assert_eq!(origins.get(Time::ZERO, attempt), Some(origin(1)));
+    assert_eq!(origins.get(late, attempt), None);
+    origins.expire(late);
+    assert!(origins.is_empty());
+}
+
+#[test]
+fn the_number_of_origins_is_bounded_and_the_oldest_are_dropped() {
+    let mut origins = StreamOrigins::default();
+    let keep = Duration::from_secs(12);
+    for attempt in 0..70_000 {
+        origins.insert(Time::ZERO, AttemptTag(attempt), origin(attempt), keep);
+    }
+    assert!(origins.len() <= 65_536);
+    assert_eq!(origins.get(Time::ZERO, AttemptTag(0)), None);
+    let last = AttemptTag(69_999);
+    assert_eq!(origins.get(Time::ZERO, last), Some(origin(69_999)));
+}
+
+// ---------------------------------------------------------------------------
+// Membership
+
 fn member(node: u64, port: u16) -> Member {
     Member::new(NodeId(node), ([127, 0, 0, 1], port).into(), "dc")
 }
@@ -307,7 +410,7 @@
 #[tokio::test]
 async fn a_front_that_has_just_started_waits_for_its_first_updates() {
     let now = std::cell::Cell::new(0);
-    let startup = StartupWait::new(Time::ZERO, std::time::Duration::from_mins(5));
+    let startup = StartupWait::new(Time::ZERO, Duration::from_mins(5));
     let table = std::cell::Cell::new(None);
     let lookups = std::cell::Cell::new(0);
     let lookup = || {
@@ -330,7 +433,7 @@
 #[tokio::test]
 async fn a_request_does_not_wait_after_the_start_period_or_its_deadline() {
     let now = std::cell::Cell::new(6_000);
-    let startup = StartupWait::new(Time::ZERO, std::time::Duration::from_secs(5));
+    let startup = StartupWait::new(Time::ZERO, Duration::from_secs(5));
     let lookup = || None::<u32>;
     let deadline = Time::from_millis(90_000);
     assert_eq!(
--- a/crates/sapphirequayd/tests/leaving_upstreams.rs
+++ b/crates/sapphirequayd/tests/leaving_upstreams.rs
@@ -5,7 +5,7 @@
 mod front_view;
 
 use {
-    front_view::{SERVICE, announcement, directory, select},
+    front_view::{POOL, announcement, directory, select},
     quay_types::{Incarnation, Time, UpstreamId},
     sapphirequayd::{SelectedUpstream, Upstreams},
 };
@@ -48,9 +48,9 @@
 #[test]
 fn a_suspended_upstream_is_preferred_to_a_leaving_one() {
     let (mut front, leaving, other) = front_before_a_leaving_upstream();
-    front.suspend(LATER, other);
+    front.suspend(LATER, (other, Incarnation(1)));
     assert_eq!(ids(&select(&mut front, LATER, &[])), [other]);
-    front.suspend(LATER, leaving.id);
+    front.suspend(LATER, leaving.run());
     assert_eq!(ids(&select(&mut front, LATER, &[])), [other]);
 }
 
@@ -59,9 +59,9 @@
     let (mut front, _, other) = front_before_a_leaving_upstream();
     let rest = select(&mut front, LATER, &[]);
     assert_eq!(ids(&rest), [other]);
-    assert!(front.serves(SERVICE));
+    assert!(front.serves(&POOL));
     front.record_leaving(&rest[0]);
-    assert!(!front.serves(SERVICE));
+    assert!(!front.serves(&POOL));
     assert_eq!(select(&mut front, LATER, &[]), []);
 }
 
--- a/crates/sapphirequayd/tests/limits_at_a_front.rs
+++ b/crates/sapphirequayd/tests/limits_at_a_front.rs
@@ -4,7 +4,7 @@
 mod front_view;
 
 use {
-    front_view::{SERVICE, announcement, directory, select},
+    front_view::{POOL, announcement, directory, select},
     quay_policy::LimitAllocator,
     quay_types::{Incarnation, RequestRate, Time, UpstreamId},
     sapphirequayd::{SelectedUpstream, Upstreams},
@@ -45,7 +45,7 @@
 #[test]
 fn a_suspended_upstream_is_preferred_to_a_limited_one_without_a_permit() {
     let (mut front, _, other) = front_with_a_limited_upstream();
-    front.suspend(LATER, other);
+    front.suspend(LATER, (other, Incarnation(1)));
     assert_eq!(ids(&select(&mut front, LATER, &[])), [other]);
 }
 
@@ -63,7 +63,7 @@
     let mut got = 0;
     for _ in 0..10 {
         let head = front_view::turn(1);
-        let chosen = front.select(LATER, (SERVICE, true), &head, &[other], 1);
+        let chosen = front.select(LATER, &POOL, &head, &[other], 1);
         got += usize::from(chosen.is_some_and(|it| it.id == limited.id));
     }
     assert_eq!(got, 2);
@@ -101,10 +101,10 @@
 #[test]
 fn a_refused_caller_returns_by_the_limit() {
     let (mut front, limited, other) = front_with_a_limited_upstream();
-    assert!(front.is_limited(SERVICE));
-    let delay = front.return_delay(LATER, SERVICE).expect("limited");
+    assert!(front.is_limited(&POOL));
+    let delay = front.return_delay(LATER, &POOL).expect("limited");
     assert_eq!(delay.as_millis(), 500);
     front.record_limit(LATER, &limited, Time::from_millis(2_000), None);
-    assert_eq!(front.return_delay(LATER, SERVICE), None);
+    assert_eq!(front.return_delay(LATER, &POOL), None);
     assert_eq!(select(&mut front, LATER, &[other]).len(), 1);
 }
--- a/crates/sapphirequayd/tests/objects.rs
+++ b/crates/sapphirequayd/tests/objects.rs
@@ -6,7 +6,7 @@
     quay_types::{
         Announcement, Incarnation, Load, ServiceId, Time, UpstreamId, UpstreamKind, UpstreamState,
     },
-    sapphirequayd::Upstreams,
+    sapphirequayd::{Pool, Upstreams},
     std::collections::BTreeSet,
 };
 
@@ -60,7 +60,11 @@
             object: Some(format!("{object}").into()),
             ..CallHead::default()
         };
-        let upstream = front.select(now, (SERVICE, sticky), &head, &[], object * 7 + call);
+        let pool = Pool {
+            sticky,
+            ..Pool::of(SERVICE)
+        };
+        let upstream = front.select(now, &pool, &head, &[], object * 7 + call);
         let upstream = upstream.expect("upstream").id;
         front.record_end(now, upstream);
         // The response reports an idle upstream.
--- a/crates/sapphirequayd/tests/resumed_streams.rs
+++ b/crates/sapphirequayd/tests/resumed_streams.rs
@@ -127,7 +127,7 @@
             "POST /plan/1 HTTP/1.1\nHost: a.example\nX-Sapphirequay-Request-Id: {id}\nX-Sapphirequay-Program-Id: {program}\n\
              X-Sapphirequay-Token-Usage: 5,30\nX-Sapphirequay-Token-Budget: 1000\nX-Sapphirequay-Deadline-Ms: 4000{more}"
         );
-        send(self.gateway.fronts[front], &head, "input")
+        send(self.gateway.fronts[front], &head, program)
     }
 
     /// Sends streams through a front until upstreams of all `versions` answer.
@@ -272,6 +272,31 @@
     site.wait_for_versions(1, &["v2"]);
 }
 
+#[test]
+fn a_stream_whose_first_attempt_is_not_named_is_refused_beside_a_second_version() {
+    let site = Site::start();
+    for stream in site.begin_streams(0, 4) {
+        let id = next_id("again");
+        let got = site.call(1, &id, &stream.program, "\nLast-Event-Id: 1");
+        assert_eq!(got.expect("response").status, 503);
+        assert!(!site.shared.has_run(&id), "{id} was refused and has run");
+    }
+}
+
+#[test]
+fn a_stream_goes_on_at_its_version_through_a_front_that_was_paused_meanwhile() {
+    let site = Site::start();
+    site.gateway.signal(Role::Front(1), "STOP");
+    let streams = site.begin_streams(0, STREAMS);
+    assert_mixed(&streams);
+    // One upstream of each version leaves unseen by the paused front.
+    for upstream in [&site.upstreams[0], &site.upstreams[2]] {
+        upstream.end();
+    }
+    site.gateway.signal(Role::Front(1), "CONT");
+    site.resume_everything(1, &streams);
+}
+
 #[test]
 fn a_stream_is_refused_while_no_store_can_tell_its_version() {
     let mut site = Site::start();
