--- a/crates/quay_policy/src/guard/retired_runs.rs
+++ b/crates/quay_policy/src/guard/leaving.rs
@@ -1,4 +1,4 @@
-//! Incarnations of upstreams that are known to be past.
+//! Upstreams that have said in a response that they are leaving.
 
 use {
     super::UpstreamRun,
@@ -9,18 +9,19 @@
 /// Maximum number of recorded upstreams; the oldest are dropped first.
 const MAX_RECORDED: usize = 4_096;
 
-/// Incarnations of upstreams that are leaving or have ended, as an entry has seen
-/// itself: one that is cut off from the directory learns of them only so.
+/// Upstreams that have said in a response that they are leaving. They receive no
+/// further calls, whatever the directory says: an entry that is cut off from it
+/// learns of the departure only here.
 #[derive(Debug, Default)]
-pub struct RetiredRuns {
-    /// Latest retired incarnation of each upstream. Kept after the directory has
+pub struct LeavingUpstreams {
+    /// Latest leaving incarnation of each upstream. Kept after the directory has
     /// dropped the upstream, since an old announcement may list it again.
     incarnations: IndexMap<UpstreamId, Incarnation>,
 }
 
-impl RetiredRuns {
-    /// Records that an incarnation of an upstream is leaving or has ended. Returns
-    /// whether this was unknown.
+impl LeavingUpstreams {
+    /// Records that an incarnation of an upstream is leaving. Returns whether this
+    /// was unknown.
     pub fn record(&mut self, run: UpstreamRun) -> bool {
         if self.contains(run) {
             return false;
@@ -34,10 +35,10 @@
         true
     }
 
-    /// Whether an incarnation of an upstream, or a later one, is recorded.
+    /// Whether an incarnation of an upstream, or a later one, is leaving.
     #[must_use]
     pub fn contains(&self, (id, incarnation): UpstreamRun) -> bool {
-        let retired = self.incarnations.get(&id);
-        retired.is_some_and(|retired| *retired >= incarnation)
+        let leaving = self.incarnations.get(&id);
+        leaving.is_some_and(|leaving| *leaving >= incarnation)
     }
 }
--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -3,9 +3,9 @@
 //! which upstreams may take a request.
 
 mod crashes;
+mod leaving;
 mod limits;
 mod quota;
-mod retired_runs;
 mod retry;
 mod service_versions;
 mod stream_origin;
@@ -16,11 +16,11 @@
 
 pub use {
     crashes::{CheckResult, CrashDetector, CrashSettings, RunEnd},
+    leaving::LeavingUpstreams,
     limits::{
         LimitAllocator, LimitHolder, LimitSettings, PermitDemand, PermitGrant, PermitRequest,
     },
     quota::{QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings},
-    retired_runs::RetiredRuns,
     retry::{RetryBudgets, RetrySettings},
     service_versions::ServiceVersions,
     stream_origin::StreamOrigin,
--- a/crates/quay_policy/src/guard/upstream_filter.rs
+++ b/crates/quay_policy/src/guard/upstream_filter.rs
@@ -1,7 +1,7 @@
 //! Which upstreams may take a request.
 
 use {
-    super::{LimitHolder, RetiredRuns, UpstreamRun},
+    super::{LeavingUpstreams, LimitHolder, UpstreamRun},
     indexmap::IndexMap,
     quay_types::{SoftwareVersion, Time, UpstreamId},
     std::time::Duration,
@@ -10,6 +10,11 @@
 /// Time for which an unreachable upstream is not selected.
 const SUSPENSION: Duration = Duration::from_millis(500);
 
+/// Time for which the version of an upstream that was seen to have ended is unknown. If
+/// it is back by then, its new incarnation has been announced; if the same one is still
+/// listed, the connection was refused for another reason.
+const ENDED_TIME: Duration = Duration::from_secs(10);
+
 /// Upstream in state `Serving` of the service that a request needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
@@ -45,8 +50,9 @@
 /// its own requests.
 #[derive(Debug, Default)]
 pub struct UpstreamFilter {
-    leaving: RetiredRuns,
-    ended: RetiredRuns,
+    leaving: LeavingUpstreams,
+    /// Time until which the version of each incarnation that has ended is unknown.
+    ended: IndexMap<UpstreamRun, Time>,
     limits: LimitHolder,
     /// Time until which each unreachable incarnation is suspended.
     suspended: IndexMap<UpstreamRun, Time>,
@@ -70,8 +76,8 @@
 
     /// Records that the process of an upstream has ended. One that answers under
     /// the same name is another incarnation, whose version is unknown.
-    pub fn record_ended(&mut self, run: UpstreamRun) {
-        self.ended.record(run);
+    pub fn record_ended(&mut self, now: Time, run: UpstreamRun) {
+        self.ended.insert(run, now + ENDED_TIME);
     }
 
     /// Limits that upstreams have named.
@@ -79,8 +85,9 @@
         &mut self.limits
     }
 
-    /// Forgets suspensions that are over.
+    /// Forgets what no longer holds.
     pub fn tick(&mut self, now: Time) {
+        self.ended.retain(|_, until| *until > now);
         self.suspended.retain(|_, until| *until > now);
     }
 
@@ -89,24 +96,25 @@
 
     /// Whether an upstream can take requests of a demand now or soon.
     #[must_use]
-    pub fn serves(&self, candidate: Candidate, demand: &Demand<'_>) -> bool {
+    pub fn serves(&self, now: Time, candidate: Candidate, demand: &Demand<'_>) -> bool {
         !self.leaving.contains(candidate.run)
             && !demand.tried.contains(&candidate.run.0)
             && demand
                 .version
-                .is_none_or(|wanted| self.known_version(candidate) == Some(wanted))
+                .is_none_or(|wanted| self.known_version(now, candidate) == Some(wanted))
     }
 
     /// Version of the process that answers for an upstream, if it is known.
     #[must_use]
-    pub fn known_version(&self, candidate: Candidate) -> Option<SoftwareVersion> {
-        let ended = self.ended.contains(candidate.run);
+    pub fn known_version(&self, now: Time, candidate: Candidate) -> Option<SoftwareVersion> {
+        let ended = self.ended.get(&candidate.run);
+        let ended = ended.is_some_and(|until| *until > now);
         candidate.version.filter(|_| !ended)
     }
 
     /// Whether an upstream may take a request now.
     pub fn judge(&mut self, now: Time, candidate: Candidate, demand: &Demand<'_>) -> Eligibility {
-        if !self.serves(candidate, demand) {
+        if !self.serves(now, candidate, demand) {
             return Eligibility::Excluded;
         }
         if !self.limits.may_send(now, candidate.run) {
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -32,8 +32,8 @@
     },
     guard::{
         Candidate, CheckResult, Clearance, CrashDetector, CrashSettings, Demand, Eligibility,
-        LimitAllocator, LimitHolder, LimitSettings, PermitDemand, PermitGrant, PermitRequest,
-        QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings, RetiredRuns, RetryBudgets,
+        LeavingUpstreams, LimitAllocator, LimitHolder, LimitSettings, PermitDemand, PermitGrant,
+        PermitRequest, QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings, RetryBudgets,
         RetrySettings, RunEnd, ServiceVersions, StreamOrigin, SuspectCommand, SuspectEvent,
         SuspectRegistry, SuspectReply, SuspectSettings, UpstreamFilter, UpstreamRun,
     },
--- a/crates/quay_policy/tests/stream_versions.rs
+++ b/crates/quay_policy/tests/stream_versions.rs
@@ -77,9 +77,9 @@
 #[test]
 fn the_version_of_an_upstream_that_has_ended_is_unknown_until_it_is_announced_again() {
     let mut filter = UpstreamFilter::default();
-    filter.record_ended(FIRST);
+    filter.record_ended(NOW, FIRST);
     let ended = candidate(FIRST, "v1");
-    assert_eq!(filter.known_version(ended), None);
+    assert_eq!(filter.known_version(NOW, ended), None);
     assert_eq!(filter.judge(NOW, ended, &at("v1")), Eligibility::Excluded);
     // A stream that begins may still try whatever answers there.
     assert_eq!(
@@ -101,7 +101,20 @@
     assert_eq!(filter.judge(NOW, first, &tried), Eligibility::Excluded);
     assert!(filter.record_leaving(FIRST));
     assert!(!filter.record_leaving(FIRST));
-    assert!(!filter.serves(first, &at("v1")));
+    assert!(!filter.serves(NOW, first, &at("v1")));
+}
+
+#[test]
+fn an_upstream_that_once_refused_a_connection_gets_streams_of_its_version_again() {
+    let mut filter = UpstreamFilter::default();
+    filter.record_ended(NOW, FIRST);
+    let first = candidate(FIRST, "v1");
+    let soon = NOW + Duration::from_secs(5);
+    assert_eq!(filter.judge(soon, first, &at("v1")), Eligibility::Excluded);
+    // Another incarnation would have been announced by now.
+    let later = NOW + Duration::from_secs(15);
+    assert_eq!(filter.judge(later, first, &at("v1")), Eligibility::Eligible);
+    assert_eq!(filter.known_version(later, first), Some(version("v1")));
 }
 
 // ---------------------------------------------------------------------------
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -230,7 +230,7 @@
     /// Waits during the startup phase until an upstream of a pool serves, at most
     /// until `ends`.
     pub async fn wait_for_service(&self, pool: &Pool<'_>, ends: Time) {
-        let look = || self.upstreams().serves(pool).then_some(());
+        let look = || self.upstreams().serves(self.now(), pool).then_some(());
         self.0.startup.wait_for(ends, || self.now(), look).await;
     }
 
--- a/crates/sapphirequayd/src/gateway/front/host/permits.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/permits.rs
@@ -37,7 +37,7 @@
     /// pool is limited, and during a pause: the reply before it left no
     /// permit.
     pub async fn wait_for_permits(&self, pool: &Pool<'_>) -> bool {
-        if !self.upstreams().is_limited(pool) || self.0.permits_paused.get() {
+        if !self.upstreams().is_limited(self.now(), pool) || self.0.permits_paused.get() {
             return false;
         }
         self.upstreams().want_permit(self.now(), pool);
--- a/crates/sapphirequayd/src/gateway/front/host/streams.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/streams.rs
@@ -42,9 +42,10 @@
         upstream: &SelectedUpstream,
         ago: Duration,
     ) {
-        let now = Self::unix_time();
-        let sent = Time::ZERO + now.since(Time::ZERO).saturating_sub(ago);
-        let Some(origin) = self.upstreams().stream_origin(upstream, sent) else {
+        let unix_time = Self::unix_time().since(Time::ZERO);
+        let sent = Time::ZERO + unix_time.saturating_sub(ago);
+        let origin = self.upstreams().stream_origin(self.now(), upstream, sent);
+        let Some(origin) = origin else {
             log::info!("event=stream_version_unknown id={}", head.id);
             return;
         };
@@ -87,7 +88,7 @@
             ..*pool
         };
         self.wait_for_service(&pool, ends).await;
-        if !self.upstreams().serves(&pool) {
+        if !self.upstreams().serves(self.now(), &pool) {
             log_decision(head, resumed, Some(version), "version_gone");
             return Err(Refusal::VersionGone);
         }
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -327,14 +327,14 @@
 
     /// Records that the process of an upstream has ended, and the runs that it lost.
     pub fn record_ended(&mut self, now: Time, run: UpstreamRun) {
-        self.filter.record_ended(run);
+        self.filter.record_ended(now, run);
         self.crashes.record_ended(now, run);
     }
 
     /// Records the result of a check of an upstream that may have ended.
     pub fn record_check(&mut self, now: Time, run: UpstreamRun, result: CheckResult) {
         if result == CheckResult::Refused {
-            self.filter.record_ended(run);
+            self.filter.record_ended(now, run);
         }
         self.crashes.record_check(now, run, result);
     }
@@ -391,14 +391,15 @@
 
     /// Whether any upstream of a pool is limited.
     #[must_use]
-    pub fn is_limited(&self, pool: &Pool<'_>) -> bool {
-        self.serving(pool).any(|run| self.filter.is_limited(run))
+    pub fn is_limited(&self, now: Time, pool: &Pool<'_>) -> bool {
+        self.serving(now, pool)
+            .any(|run| self.filter.is_limited(run))
     }
 
     /// Time after which the caller of a refused request may return, if upstreams of
     /// the pool are limited.
     pub fn return_delay(&mut self, now: Time, pool: &Pool<'_>) -> Option<Duration> {
-        let runs: Vec<UpstreamRun> = self.serving(pool).collect();
+        let runs: Vec<UpstreamRun> = self.serving(now, pool).collect();
         let service = ServiceId::of(pool.service);
         self.limits().return_delay(now, service, &runs)
     }
@@ -415,12 +416,18 @@
     /// Origin of a stream that an upstream began, for a request sent at `sent`, a
     /// Unix time. `None` if the version of the process that answered is unknown.
     #[must_use]
-    pub fn stream_origin(&self, upstream: &SelectedUpstream, sent: Time) -> Option<StreamOrigin> {
+    pub fn stream_origin(
+        &self,
+        now: Time,
+        upstream: &SelectedUpstream,
+        sent: Time,
+    ) -> Option<StreamOrigin> {
         let run = upstream.run();
-        let version = self.filter.known_version(Candidate {
+        let candidate = Candidate {
             run,
             version: upstream.version,
-        });
+        };
+        let version = self.filter.known_version(now, candidate);
         version.map(|version| StreamOrigin { run, version, sent })
     }
 
@@ -465,16 +472,16 @@
 
     /// Whether any upstream of a pool serves.
     #[must_use]
-    pub fn serves(&self, pool: &Pool<'_>) -> bool {
-        self.serving(pool).next().is_some()
+    pub fn serves(&self, now: Time, pool: &Pool<'_>) -> bool {
+        self.serving(now, pool).next().is_some()
     }
 
     /// Upstreams of a pool that serve and are not leaving.
-    fn serving(&self, pool: &Pool<'_>) -> impl Iterator<Item = UpstreamRun> {
+    fn serving(&self, now: Time, pool: &Pool<'_>) -> impl Iterator<Item = UpstreamRun> {
         let (service, demand) = (ServiceId::of(pool.service), pool.demand());
         self.known.iter().filter_map(move |(id, known)| {
             let candidate = known.candidate(*id, service)?;
-            let serves = self.filter.serves(candidate, &demand);
+            let serves = self.filter.serves(now, candidate, &demand);
             serves.then_some(candidate.run)
         })
     }
--- a/crates/sapphirequayd/tests/leaving_upstreams.rs
+++ b/crates/sapphirequayd/tests/leaving_upstreams.rs
@@ -59,9 +59,9 @@
     let (mut front, _, other) = front_before_a_leaving_upstream();
     let rest = select(&mut front, LATER, &[]);
     assert_eq!(ids(&rest), [other]);
-    assert!(front.serves(&POOL));
+    assert!(front.serves(LATER, &POOL));
     front.record_leaving(&rest[0]);
-    assert!(!front.serves(&POOL));
+    assert!(!front.serves(LATER, &POOL));
     assert_eq!(select(&mut front, LATER, &[]), []);
 }
 
--- a/crates/sapphirequayd/tests/limits_at_a_front.rs
+++ b/crates/sapphirequayd/tests/limits_at_a_front.rs
@@ -101,7 +101,7 @@
 #[test]
 fn a_refused_caller_returns_by_the_limit() {
     let (mut front, limited, other) = front_with_a_limited_upstream();
-    assert!(front.is_limited(&POOL));
+    assert!(front.is_limited(LATER, &POOL));
     let delay = front.return_delay(LATER, &POOL).expect("limited");
     assert_eq!(delay.as_millis(), 500);
     front.record_limit(LATER, &limited, Time::from_millis(2_000), None);
--- a/crates/sapphirequayd/tests/versions_at_a_front.rs
+++ b/crates/sapphirequayd/tests/versions_at_a_front.rs
@@ -69,7 +69,7 @@
     for chosen in select_at(&mut front, NOW, "v1") {
         assert_eq!(chosen.map(|it| it.id), Some(UpstreamId::of("old")));
     }
-    assert!(!front.serves(&pool("v3")));
+    assert!(!front.serves(NOW, &pool("v3")));
     assert_eq!(select_at(&mut front, NOW, "v3"), vec![None; 100]);
 }
 
@@ -89,7 +89,7 @@
     assert_eq!(select_at(&mut front, later, "v1"), vec![None; 100]);
     // Permits are wanted for the upstream of the version, and the caller returns by
     // its limit.
-    assert!(front.is_limited(&pool("v1")) && !front.is_limited(&pool("v2")));
+    assert!(front.is_limited(later, &pool("v1")) && !front.is_limited(later, &pool("v2")));
     front.want_permit(later, &pool("v1"));
     let req = front.limits().next_request(later, 7).expect("a request");
     assert_eq!(req.demands[0].upstream, old);
@@ -103,10 +103,10 @@
     let sent = Time::from_millis(2_000_000_000_000);
     let began = front.select(NOW, &pool("v1"), &turn(1), &[], 1);
     let began = began.expect("upstream");
-    let origin = front.stream_origin(&began, sent).expect("origin");
+    let origin = front.stream_origin(NOW, &began, sent).expect("origin");
     assert_eq!(front.resumable_at(&origin), Some(SoftwareVersion::of("v1")));
     front.record_ended(NOW, began.run());
-    assert_eq!(front.stream_origin(&began, sent), None);
+    assert_eq!(front.stream_origin(NOW, &began, sent), None);
     assert_eq!(select_at(&mut front, NOW, "v1"), vec![None; 100]);
     // It is back under its name, at another version, and began a second before the
     // stream was sent.
