Split front/call.rs: requests in flight and bodies in files of their own

No change in behaviour: crashing_requests, resumed_streams, gateway, callers and endless_responses pass.

--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        buffer_space::BufferShare,
-        connections::{Lease, SendError},
+        body_reader::{is_framed, read_body, read_response},
+        connections::SendError,
         host::FrontHost,
+        in_flight::InFlight,
         refusal::{Refusal, Refused},
         reservation::Reservation,
         stream::{PendingTurn, StreamRelay},
@@ -16,8 +17,8 @@
         store::{ReserveOutcome, TurnLookup},
     },
     bytes::{Bytes, BytesMut},
-    http::{HeaderMap, Request, Response, StatusCode, header, request, response},
-    http_body_util::{BodyExt as _, Full, Limited},
+    http::{Request, Response, StatusCode, header, request, response},
+    http_body_util::Full,
     hyper::body::Incoming,
     quay_policy::{NewProgram, RunEnd},
     quay_routes::{
@@ -36,117 +37,9 @@
 /// request is refused; counted separately from `max_attempts` of the route.
 const MAX_NOT_RUN: u32 = 3;
 
-/// Silence of an upstream before an abandoned request ends that counts as the
-/// upstream's failure; callers abandon a stream after 2 s of silence.
-const SILENCE_LIMIT: Duration = Duration::from_secs(1);
-
 /// Minimum time for one of several attempts of an idempotent request.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(150);
 
-/// Request in flight at an upstream; dropping it records the end of the
-/// request.
-pub struct InFlight<D: Dialect> {
-    front: FrontHost<D>,
-    upstream: SelectedUpstream,
-    /// Content of the request.
-    content: ContentDigest,
-    /// `None` before the response and once the connection is back in the pool.
-    lease: Option<Lease>,
-    /// Whether the upstream may have received the request and its end is not
-    /// recorded.
-    running: Cell<bool>,
-    /// Whether the upstream may have received the request.
-    offered: bool,
-    started: Time,
-    /// Time of the last data from the upstream, initially the start of the
-    /// attempt.
-    last_activity: Cell<Time>,
-    /// Whether the upstream's performance is recorded.
-    recorded: Cell<bool>,
-}
-
-impl<D: Dialect> InFlight<D> {
-    /// Returns the connection to the pool after a complete response.
-    pub fn return_connection(&mut self, headers: &HeaderMap) {
-        if let Some(lease) = self.lease.take() {
-            self.front.connections().give_back(lease, headers);
-        }
-    }
-
-    /// The upstream.
-    pub const fn upstream(&self) -> &SelectedUpstream {
-        &self.upstream
-    }
-
-    /// Time since the start of the attempt.
-    pub fn elapsed(&self) -> Duration {
-        self.front.now().since(self.started)
-    }
-
-    /// Records that data came from the upstream.
-    pub fn record_activity(&self) {
-        let now = self.front.now();
-        self.last_activity.set(now);
-        let mut upstreams = self.front.upstreams();
-        upstreams.crashes().hear(now, self.upstream.run());
-    }
-
-    /// Records that the request is being sent.
-    fn begin_run(&mut self) {
-        self.offered = true;
-        self.running.set(true);
-        self.front.begin_run(&self.upstream, self.content);
-    }
-
-    /// Records how the run ended; later calls have no effect.
-    pub fn end_run(&self, end: RunEnd) {
-        if self.running.replace(false) {
-            self.front.end_run(&self.upstream, self.content, end);
-        }
-    }
-
-    /// Records a success; `duration` is the time per unit of work.
-    pub fn record_success(&self, duration: Duration) {
-        self.recorded.set(true);
-        let now = self.front.now();
-        self.front
-            .upstreams()
-            .record_success(now, self.upstream.id, duration);
-    }
-
-    /// Records a success with too little data to measure the upstream's speed.
-    pub fn record_untimed_success(&self) {
-        self.recorded.set(true);
-    }
-
-    /// Records an abandoned request, as a failure if the upstream was silent
-    /// for `SILENCE_LIMIT`.
-    pub fn record_abandoned(&self) {
-        self.recorded.set(true);
-        if self.front.now().since(self.last_activity.get()) >= SILENCE_LIMIT {
-            self.record_failure();
-        }
-    }
-
-    /// Records that the upstream failed the request.
-    pub fn record_failure(&self) {
-        self.recorded.set(true);
-        let now = self.front.now();
-        self.front.upstreams().record_failure(now, self.upstream.id);
-    }
-}
-
-impl<D: Dialect> Drop for InFlight<D> {
-    fn drop(&mut self) {
-        let now = self.front.now();
-        if !self.recorded.get() && self.offered {
-            self.record_abandoned();
-        }
-        self.end_run(RunEnd::Abandoned);
-        self.front.upstreams().record_end(now, self.upstream.id);
-    }
-}
-
 /// Result of one attempt.
 enum AttemptResult<D: Dialect> {
     /// A stream to relay to the caller.
@@ -295,43 +188,6 @@
     ProgramTag::of(head.program.as_deref().unwrap_or(&head.id))
 }
 
-/// Whether the headers of a response tell where its body ends.
-pub fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
-/// Reads the complete body of a request.
-async fn read_body<D: Dialect>(
-    front: &FrontHost<D>,
-    body: Incoming,
-    limit: usize,
-    deadline: &RequestDeadline,
-) -> Result<Bytes, Refusal> {
-    let left = deadline.remaining(front.now());
-    match timeout(left, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => Err(Refusal::BodyMissing),
-    }
-}
-
-/// Reads the complete body of a response, within a share of the front's memory.
-/// Returns `None` if it is incomplete or too large.
-async fn read_response(mut body: Incoming, share: &mut BufferShare) -> Option<Bytes> {
-    let mut read = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else {
-            continue;
-        };
-        if !share.resize(read.len() + data.len()) {
-            log::warn!("event=response_too_large bytes={}", read.len());
-            return None;
-        }
-        read.extend_from_slice(&data);
-    }
-    Some(read.freeze())
-}
-
 impl<D: Dialect> Call<'_, D> {
     // -----------------------------------------------------------------------
     // Turns
@@ -504,7 +360,7 @@
                 AttemptResult::Complete(response) => return Ok(response),
                 AttemptResult::Stream(in_flight, head, incoming) => {
                     let first = in_flight.elapsed();
-                    let queue_time = in_flight.started.since(self.arrived);
+                    let queue_time = in_flight.started().since(self.arrived);
                     meters::record_stage(Stage::Wait, queue_time);
                     meters::record_stage(Stage::FirstResponse, first);
                     self.record_stream_origin(&in_flight);
@@ -559,7 +415,7 @@
     /// Records which upstream began the stream, if another may go on with it.
     fn record_stream_origin(&self, in_flight: &InFlight<D>) {
         if self.route.repeat == RepeatPolicy::ResumableStream && self.version.is_none() {
-            let (upstream, ago) = (&in_flight.upstream, in_flight.elapsed());
+            let (upstream, ago) = (in_flight.upstream(), in_flight.elapsed());
             self.front
                 .record_stream_origin(self.head, self.route, upstream, ago);
         }
@@ -649,19 +505,8 @@
         let Some(upstream) = self.select_upstream(tried).await else {
             return AttemptResult::NoUpstream;
         };
-        let now = self.front.now();
         tried.push(upstream.id);
-        let mut in_flight = InFlight {
-            front: self.front.clone(),
-            upstream,
-            content: self.content,
-            lease: None,
-            running: Cell::default(),
-            offered: false,
-            started: now,
-            last_activity: Cell::new(now),
-            recorded: Cell::default(),
-        };
+        let mut in_flight = InFlight::new(self.front, upstream, self.content);
         let exchange = self.exchange(&mut in_flight, body);
         match timeout(limit, exchange).await {
             Ok(Ok((head, incoming))) => {
@@ -674,7 +519,7 @@
                 }
                 tried
             }
-            Err(_) if !in_flight.offered => AttemptResult::NotRun,
+            Err(_) if !in_flight.offered() => AttemptResult::NotRun,
             Err(_) => {
                 in_flight.record_failure();
                 in_flight.end_run(RunEnd::Lost);
@@ -696,7 +541,7 @@
             let mut lease = match self
                 .front
                 .connections()
-                .lease(in_flight.upstream.addr)
+                .lease(in_flight.upstream().addr)
                 .await
             {
                 Ok(lease) => lease,
@@ -704,24 +549,22 @@
                     log::info!(
                         "event=upstream_unreachable id={} upstream={} cause=\"{err}\"",
                         self.head.id,
-                        in_flight.upstream.name
+                        in_flight.upstream().name
                     );
-                    self.front.record_unreachable(&in_flight.upstream, &err);
+                    self.front.record_unreachable(in_flight.upstream(), &err);
                     return Err(AttemptResult::NotRun);
                 }
             };
             let reused = lease.reused();
-            let req = self.request(&in_flight.upstream, body);
+            let req = self.request(in_flight.upstream(), body);
             in_flight.begin_run();
             match lease.send(req).await {
                 Ok(response) => {
-                    in_flight.lease = Some(lease);
-                    in_flight.record_activity();
+                    in_flight.begin_response(lease);
                     return Ok(response.into_parts());
                 }
                 Err(SendError::NotSent) => {
-                    in_flight.offered = false;
-                    in_flight.end_run(RunEnd::Answered);
+                    in_flight.cancel_run();
                     if !reused {
                         return Err(AttemptResult::NotRun);
                     }
@@ -730,7 +573,7 @@
                     log::info!(
                         "event=upstream_lost id={} upstream={} reused={reused} cause=\"{err}\"",
                         self.head.id,
-                        in_flight.upstream.name
+                        in_flight.upstream().name
                     );
                     return Err(AttemptResult::Unknown("connection_lost"));
                 }
@@ -770,24 +613,24 @@
         if answer.execution == Execution::Misdirected {
             self.front
                 .upstreams()
-                .suspend(now, in_flight.upstream.run());
+                .suspend(now, in_flight.upstream().run());
             in_flight.end_run(RunEnd::Answered);
-            self.front.record_ended(&in_flight.upstream);
+            self.front.record_ended(in_flight.upstream());
         }
         // An upstream that was not meant is another one than the selected one.
         if answer.leaving && answer.execution != Execution::Misdirected {
-            self.front.upstreams().record_leaving(&in_flight.upstream);
+            self.front.upstreams().record_leaving(in_flight.upstream());
         }
         if answer.id.as_deref() == Some(&self.head.id) && answer.execution != Execution::Misdirected
         {
-            let sent = in_flight.started;
+            let sent = in_flight.started();
             let mut upstreams = self.front.upstreams();
-            upstreams.record_limit(now, &in_flight.upstream, sent, answer.limit);
+            upstreams.record_limit(now, in_flight.upstream(), sent, answer.limit);
         }
         if let Some(load) = answer.load {
             self.front
                 .upstreams()
-                .apply_load_report(now, in_flight.upstream.id, load);
+                .apply_load_report(now, in_flight.upstream().id, load);
         }
         if let Some(fault) = self.mismatch(&answer, not_run) {
             in_flight.record_failure();
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -1,5 +1,6 @@
 //! The front role: accepts callers' requests and forwards them to upstreams.
 
+mod body_reader;
 mod buffer_space;
 mod call;
 mod connections;
@@ -7,6 +8,7 @@
 mod events;
 mod front_suspects;
 mod host;
+mod in_flight;
 mod refusal;
 mod reservation;
 mod startup_wait;
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -2,10 +2,11 @@
 
 use {
     super::{
+        body_reader::is_framed,
         buffer_space::BufferShare,
-        call::{InFlight, is_framed},
         events::EventReader,
         host::FrontHost,
+        in_flight::InFlight,
         reservation::Reservation,
         upstream_outcome::{StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome, upstream_outcome},
     },
