--- a/crates/quay_policy/src/guard/stream_origin.rs
+++ b/crates/quay_policy/src/guard/stream_origin.rs
@@ -2,7 +2,7 @@
 
 use {
     super::UpstreamRun,
-    quay_types::{Incarnation, SoftwareVersion, Time},
+    quay_types::{Incarnation, ServiceId, SoftwareVersion, Time},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -21,6 +21,8 @@
 pub struct StreamOrigin {
     /// Incarnation that the entry selected.
     pub run: UpstreamRun,
+    /// Service that it serves.
+    pub service: ServiceId,
     /// Version that this incarnation had announced.
     pub version: SoftwareVersion,
     /// Unix time at which the request was sent.
@@ -28,8 +30,8 @@
 }
 
 impl StreamOrigin {
-    /// Version at which the stream may go on; `None` if it is uncertain which
-    /// incarnation began it. `listed` is the upstream's incarnation in the directory
+    /// Version at which the stream may go on at `service`; `None` if it began at
+    /// another one, or if it is uncertain which incarnation began it. `listed` is the upstream's incarnation in the directory
     /// now, with its version.
     ///
     /// An upstream that starts again under its name may have answered before its new
@@ -38,6 +40,7 @@
     #[must_use]
     pub fn resumable_at(
         &self,
+        service: ServiceId,
         listed: Option<(Incarnation, Option<SoftwareVersion>)>,
     ) -> Option<SoftwareVersion> {
         let (_, incarnation) = self.run;
@@ -46,6 +49,6 @@
             let restarted = Time::from_millis(restarted.0);
             version == Some(self.version) || self.sent + MAX_CLOCK_DIFFERENCE < restarted
         });
-        certain.then_some(self.version)
+        (certain && service == self.service).then_some(self.version)
     }
 }
--- a/crates/quay_policy/tests/stream_versions.rs
+++ b/crates/quay_policy/tests/stream_versions.rs
@@ -9,6 +9,7 @@
 };
 
 const NOW: Time = Time::from_millis(10_000);
+const SERVICE: &str = "llm";
 const FIRST: UpstreamRun = (UpstreamId(1), Incarnation(1));
 
 fn version(name: &str) -> SoftwareVersion {
@@ -124,6 +125,7 @@
 fn origin(sent_ms: u64) -> StreamOrigin {
     StreamOrigin {
         run: (UpstreamId(1), Incarnation(1_000_000)),
+        service: ServiceId::of(SERVICE),
         version: version("v1"),
         sent: Time::from_millis(sent_ms),
     }
@@ -133,12 +135,21 @@
 fn a_stream_goes_on_at_the_version_of_its_incarnation() {
     let origin = origin(1_050_000);
     let own = Some(version("v1"));
-    assert_eq!(origin.resumable_at(None), own);
+    assert_eq!(origin.resumable_at(ServiceId::of(SERVICE), None), own);
     let same = (Incarnation(1_000_000), own);
-    assert_eq!(origin.resumable_at(Some(same)), own);
+    assert_eq!(origin.resumable_at(ServiceId::of(SERVICE), Some(same)), own);
     // A reader that was told late lists the incarnation before.
     let earlier = (Incarnation(900_000), Some(version("v0")));
-    assert_eq!(origin.resumable_at(Some(earlier)), own);
+    assert_eq!(
+        origin.resumable_at(ServiceId::of(SERVICE), Some(earlier)),
+        own
+    );
+}
+
+#[test]
+fn a_stream_does_not_go_on_at_another_service() {
+    let other = ServiceId::of("other");
+    assert_eq!(origin(1_050_000).resumable_at(other, None), None);
 }
 
 #[test]
@@ -146,10 +157,19 @@
     let own = Some(version("v1"));
     let restarted = |name| Some((Incarnation(1_060_000), Some(version(name))));
     for sent in [1_059_000, 1_060_000, 1_061_000] {
-        assert_eq!(origin(sent).resumable_at(restarted("v2")), None);
-        assert_eq!(origin(sent).resumable_at(restarted("v1")), own);
+        assert_eq!(
+            origin(sent).resumable_at(ServiceId::of(SERVICE), restarted("v2")),
+            None
+        );
+        assert_eq!(
+            origin(sent).resumable_at(ServiceId::of(SERVICE), restarted("v1")),
+            own
+        );
     }
-    assert_eq!(origin(1_050_000).resumable_at(restarted("v2")), own);
+    assert_eq!(
+        origin(1_050_000).resumable_at(ServiceId::of(SERVICE), restarted("v2")),
+        own
+    );
 }
 
 // ---------------------------------------------------------------------------
--- a/crates/quay_routes/src/head.rs
+++ b/crates/quay_routes/src/head.rs
@@ -32,6 +32,16 @@
 }
 
 impl CallHead {
+    /// Name of the program that the request belongs to. A request without one is a
+    /// program of its own, and shares it with the attempts that take up its stream.
+    #[must_use]
+    pub fn program_name(&self) -> &str {
+        let resumed = self.resumed.as_ref();
+        let first_attempt = resumed.and_then(|it| it.first_attempt.as_deref());
+        let program = self.program.as_deref().or(first_attempt);
+        program.unwrap_or(&self.id)
+    }
+
     /// Digest of the content of a request, by which it is recognized when it comes
     /// again under another id: method, host, path with query, prior turn and body.
     /// The caller is not part of it.
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -183,9 +183,9 @@
     }
 }
 
-/// Program of a request; a request without one is a program of its own.
+/// Program of a request.
 fn program_of(head: &CallHead) -> ProgramTag {
-    ProgramTag::of(head.program.as_deref().unwrap_or(&head.id))
+    ProgramTag::of(head.program_name())
 }
 
 impl<D: Dialect> Call<'_, D> {
@@ -417,7 +417,7 @@
         if self.route.repeat == RepeatPolicy::ResumableStream && self.version.is_none() {
             let (upstream, ago) = (in_flight.upstream(), in_flight.elapsed());
             self.front
-                .record_stream_origin(self.head, self.route, upstream, ago);
+                .record_stream_origin(self.head, self.route, &self.pool(), upstream, ago);
         }
     }
 
--- a/crates/sapphirequayd/src/gateway/front/host/streams.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/streams.rs
@@ -27,11 +27,6 @@
 /// stream's own, and some attempts to go on.
 const KEPT_TIMEOUTS: u32 = 4;
 
-/// Program whose stores keep the origin of the stream that `first_attempt` began.
-fn keeper_of(head: &CallHead, first_attempt: &str) -> ProgramTag {
-    ProgramTag::of(head.program.as_deref().unwrap_or(first_attempt))
-}
-
 impl<D: Dialect> FrontHost<D> {
     /// Records which upstream began the stream of a request that was sent `ago`, so
     /// that any front can tell where it may go on.
@@ -39,23 +34,26 @@
         &self,
         head: &CallHead,
         route: &Route,
+        pool: &Pool<'_>,
         upstream: &SelectedUpstream,
         ago: Duration,
     ) {
         let unix_time = Self::unix_time().since(Time::ZERO);
         let sent = Time::ZERO + unix_time.saturating_sub(ago);
-        let origin = self.upstreams().stream_origin(self.now(), upstream, sent);
+        let origin = self
+            .upstreams()
+            .stream_origin(self.now(), pool, upstream, sent);
         let Some(origin) = origin else {
             log::info!("event=stream_version_unknown id={}", head.id);
             return;
         };
         let stores = self.stores().clone();
-        let (id, keeper) = (head.id.clone(), keeper_of(head, &head.id));
+        let (id, program) = (head.id.clone(), ProgramTag::of(head.program_name()));
         let keep = route.timeout * KEPT_TIMEOUTS;
         spawn_local(async move {
             let attempt = AttemptTag::of(&id);
             if !stores
-                .record_stream(keeper, attempt, (origin, keep), RECORD_TIMEOUT)
+                .record_stream(program, attempt, (origin, keep), RECORD_TIMEOUT)
                 .await
             {
                 log::warn!("event=stream_origin_unrecorded id={id}");
@@ -73,7 +71,7 @@
         ends: Time,
     ) -> Result<SoftwareVersion, Refusal> {
         let found = match &resumed.first_attempt {
-            Some(first) => self.stream_version(head, first, ends).await,
+            Some(first) => self.stream_version(head, first, pool, ends).await,
             None => self.only_version(pool.service),
         };
         let version = match found {
@@ -109,14 +107,16 @@
         &self,
         head: &CallHead,
         first: &str,
+        pool: &Pool<'_>,
         ends: Time,
     ) -> Result<SoftwareVersion, (Refusal, &'static str)> {
         let left = ends.since(self.now()).min(LOOKUP_TIMEOUT);
-        let (keeper, attempt) = (keeper_of(head, first), AttemptTag::of(first));
-        match self.stores().find_stream(keeper, attempt, left).await {
+        let program = ProgramTag::of(head.program_name());
+        let attempt = AttemptTag::of(first);
+        match self.stores().find_stream(program, attempt, left).await {
             StreamLookup::Found(origin) => {
-                let version = self.upstreams().resumable_at(&origin);
-                version.ok_or((Refusal::StreamUnknown, "upstream_restarted"))
+                let version = self.upstreams().resumable_at(pool, &origin);
+                version.ok_or((Refusal::StreamUnknown, "uncertain"))
             }
             StreamLookup::Absent => Err((Refusal::StreamUnknown, "no_record")),
             StreamLookup::Undetermined => Err((Refusal::StoresUnsure, "stores_unsure")),
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -413,12 +413,14 @@
     // -----------------------------------------------------------------------
     // Streams
 
-    /// Origin of a stream that an upstream began, for a request sent at `sent`, a
-    /// Unix time. `None` if the version of the process that answered is unknown.
+    /// Origin of a stream that an upstream of a pool began, for a request sent at
+    /// `sent`, a Unix time. `None` if the version of the process that answered is
+    /// unknown.
     #[must_use]
     pub fn stream_origin(
         &self,
         now: Time,
+        pool: &Pool<'_>,
         upstream: &SelectedUpstream,
         sent: Time,
     ) -> Option<StreamOrigin> {
@@ -427,16 +429,21 @@
             run,
             version: upstream.version,
         };
-        let version = self.filter.known_version(now, candidate);
-        version.map(|version| StreamOrigin { run, version, sent })
+        let version = self.filter.known_version(now, candidate)?;
+        Some(StreamOrigin {
+            run,
+            service: ServiceId::of(pool.service),
+            version,
+            sent,
+        })
     }
 
-    /// Version at which a stream may go on; `None` if it is uncertain.
+    /// Version at which a stream may go on in a pool; `None` if it is uncertain.
     #[must_use]
-    pub fn resumable_at(&self, origin: &StreamOrigin) -> Option<SoftwareVersion> {
+    pub fn resumable_at(&self, pool: &Pool<'_>, origin: &StreamOrigin) -> Option<SoftwareVersion> {
         let listed = self.known.get(&origin.run.0);
         let listed = listed.map(|it| (it.announcement.incarnation, it.announcement.kind.version()));
-        origin.resumable_at(listed)
+        origin.resumable_at(ServiceId::of(pool.service), listed)
     }
 
     /// The version at which any stream of a service must have begun, if there is
@@ -533,8 +540,7 @@
         let prompt = object_part.as_ref().map_or(&*head.prompt, slice::from_ref);
         let blocks = block_hashes(prompt);
         // All fronts compute the same home for an object, or for a program.
-        let program = head.program.as_deref().unwrap_or(&head.id);
-        let program = object.unwrap_or(program);
+        let program = object.unwrap_or(head.program_name());
         let branches = branch_ids(prompt);
         let continues = head.turn.as_ref().is_some_and(|turn| turn.prior.is_some());
         let mut req = RouteRequest {
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -363,7 +363,7 @@
     /// the given time. Returns `false` if too few do within `limit`.
     pub async fn record_stream(
         &self,
-        keeper: ProgramTag,
+        program: ProgramTag,
         attempt: AttemptTag,
         (origin, keep): (StreamOrigin, Duration),
         limit: Duration,
@@ -372,7 +372,7 @@
         let op = StoreOp::RecordStream(attempt, origin, keep_s);
         let attempts = async {
             let mut backoff = Backoff::default();
-            while !self.write_once(self.group_of(keeper), &op).await {
+            while !self.write_once(self.group_of(program), &op).await {
                 backoff.wait().await;
             }
         };
@@ -382,11 +382,11 @@
     /// Looks up the origin of the stream that an attempt began.
     pub async fn find_stream(
         &self,
-        keeper: ProgramTag,
+        program: ProgramTag,
         attempt: AttemptTag,
         limit: Duration,
     ) -> StreamLookup {
-        let group = self.group_of(keeper);
+        let group = self.group_of(program);
         let view = self.view(group);
         let op = StoreOp::FindStream(attempt);
         let mut replies = GroupRequest::with_all(self, group, &view, op);
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -297,6 +297,7 @@
 fn origin(upstream: u64) -> StreamOrigin {
     StreamOrigin {
         run: (UpstreamId(upstream), Incarnation(1)),
+        service: ServiceId(1),
         version: SoftwareVersion::of("v1"),
         sent: Time::ZERO,
     }
--- a/crates/sapphirequayd/tests/resumed_streams.rs
+++ b/crates/sapphirequayd/tests/resumed_streams.rs
@@ -272,6 +272,28 @@
     site.wait_for_versions(1, &["v2"]);
 }
 
+#[test]
+fn a_stream_of_a_request_without_a_program_goes_on() {
+    let site = Site::start();
+    site.shared.set_breaks(true);
+    let send_without_program = |front: usize, id: &str, more: &str| {
+        let head = format!(
+            "POST /plan/1 HTTP/1.1\nHost: a.example\nX-Sapphirequay-Request-Id: {id}\nX-Sapphirequay-Deadline-Ms: 4000{more}"
+        );
+        send(site.gateway.fronts[front], &head, id).expect("response")
+    };
+    let began: Vec<(String, Response)> = (0..8)
+        .map(|_| next_id("begin"))
+        .map(|id| (id.clone(), send_without_program(0, &id, "")))
+        .collect();
+    site.shared.set_breaks(false);
+    for (id, got) in began {
+        let more = format!("\nResumes: {id}\nLast-Event-Id: 1");
+        let again = send_without_program(1, &next_id("again"), &more);
+        assert_eq!(version_of(&again), version_of(&got));
+    }
+}
+
 #[test]
 fn a_stream_whose_first_attempt_is_not_named_is_refused_beside_a_second_version() {
     let site = Site::start();
--- a/crates/sapphirequayd/tests/versions_at_a_front.rs
+++ b/crates/sapphirequayd/tests/versions_at_a_front.rs
@@ -103,14 +103,19 @@
     let sent = Time::from_millis(2_000_000_000_000);
     let began = front.select(NOW, &pool("v1"), &turn(1), &[], 1);
     let began = began.expect("upstream");
-    let origin = front.stream_origin(NOW, &began, sent).expect("origin");
-    assert_eq!(front.resumable_at(&origin), Some(SoftwareVersion::of("v1")));
+    let origin = front
+        .stream_origin(NOW, &POOL, &began, sent)
+        .expect("origin");
+    assert_eq!(
+        front.resumable_at(&POOL, &origin),
+        Some(SoftwareVersion::of("v1"))
+    );
     front.record_ended(NOW, began.run());
-    assert_eq!(front.stream_origin(NOW, &began, sent), None);
+    assert_eq!(front.stream_origin(NOW, &POOL, &began, sent), None);
     assert_eq!(select_at(&mut front, NOW, "v1"), vec![None; 100]);
     // It is back under its name, at another version, and began a second before the
     // stream was sent.
     let changes = directory(&[at_version("old", 1_999_999_999_000, "v2")], &mut front, 2);
     front.apply_changes(NOW, changes);
-    assert_eq!(front.resumable_at(&origin), None);
+    assert_eq!(front.resumable_at(&POOL, &origin), None);
 }
