--- a/crates/quay_policy/src/guard/stream_origin.rs
+++ b/crates/quay_policy/src/guard/stream_origin.rs
@@ -31,8 +31,8 @@
 
 impl StreamOrigin {
     /// Version at which the stream may go on at `service`; `None` if it began at
-    /// another one, or if it is uncertain which incarnation began it. `listed` is the upstream's incarnation in the directory
-    /// now, with its version.
+    /// another one, or if it is uncertain which incarnation began it. `listed` is the
+    /// upstream's incarnation in the directory now, with its version.
     ///
     /// An upstream that starts again under its name may have answered before its new
     /// incarnation was announced. Incarnations are numbered by their start as Unix
--- a/crates/sapphirequayd/src/gateway/front/host/streams.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/streams.rs
@@ -49,7 +49,7 @@
         };
         let stores = self.stores().clone();
         let (id, program) = (head.id.clone(), ProgramTag::of(head.program_name()));
-        let keep = route.timeout * KEPT_TIMEOUTS;
+        let keep = route.timeout.saturating_mul(KEPT_TIMEOUTS);
         spawn_local(async move {
             let attempt = AttemptTag::of(&id);
             if !stores
