--- a/crates/quay_policy/src/guard/limits.rs
+++ b/crates/quay_policy/src/guard/limits.rs
@@ -6,12 +6,17 @@
 //! requests, since the even share of one of many entries would be far below one
 //! request a second. They are valid for a short time, so that an entry that was
 //! paused or cut off does not use old ones.
+//!
+//! A request that is bound to some of the upstreams, since it goes on with a stream of
+//! their software version, has no other way out if these are limited. So half of what
+//! an upstream accumulates is kept for bound requests; without any, that half is full
+//! and all that comes in goes to the others.
 
 use {
     super::UpstreamRun,
     indexmap::IndexMap,
     quay_types::{RequestRate, ServiceId, Time},
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Deserializer, Serialize},
     std::time::Duration,
 };
 
@@ -76,6 +81,16 @@
     pub demands: Box<[PermitDemand]>,
     /// Number of permits for all upstreams together.
     pub total: u32,
+    /// Whether the requests are bound to these upstreams; entries of earlier versions
+    /// end before this field.
+    #[serde(deserialize_with = "bool_or_false")]
+    pub bound: bool,
+}
+
+/// Reads the last field of a message; messages of earlier versions end before it.
+#[allow(clippy::unnecessary_wraps)] // The signature is that of `serde`.
+fn bool_or_false<'de, D: Deserializer<'de>>(message: D) -> Result<bool, D::Error> {
+    Ok(bool::deserialize(message).unwrap_or_default())
 }
 
 /// Permits of an entry.
@@ -104,12 +119,13 @@
     }
 
     /// Adds what accumulated since the last call, up to what accumulates in
-    /// `burst`, but at least up to one request.
-    fn fill(&mut self, now: Time, rate: RequestRate, burst: Duration) {
+    /// `burst`, but at least up to one request. Returns that limit.
+    fn fill(&mut self, now: Time, rate: RequestRate, burst: Duration) -> u64 {
         let added = rate.billionths_in(now.since(self.updated));
         let capacity = rate.billionths_in(burst).max(ONE_REQUEST);
         self.level = self.level.saturating_add(added).min(capacity);
         self.updated = now;
+        capacity
     }
 
     /// Takes one request, if there is one.
@@ -152,7 +168,7 @@
         self.holders.insert(req.holder, now);
         let holders = u32::try_from(self.holders.len()).unwrap_or(u32::MAX);
         let available = req.demands.iter().map(|demand| {
-            let available = self.available(now, demand);
+            let available = self.available(now, demand, req.bound);
             // No entry takes more than its share of what has accumulated.
             let share = (available / u64::from(holders)).max(1).min(available);
             share.min(demand.wanted.into())
@@ -185,9 +201,9 @@
         }
     }
 
-    /// Number of requests that an upstream takes now. Adopts the limit that the
-    /// upstream named last.
-    fn available(&mut self, now: Time, demand: &PermitDemand) -> u64 {
+    /// Number of requests, bound ones or others, that an upstream takes now. Adopts
+    /// the limit that the upstream named last.
+    fn available(&mut self, now: Time, demand: &PermitDemand, bound: bool) -> u64 {
         let age = Duration::from_millis(demand.age_ms.into());
         let named = Time::ZERO + now.since(Time::ZERO).saturating_sub(age);
         let allocation = self
@@ -200,12 +216,17 @@
                 demanded: now,
             });
         let rate = allocation.rate.max(MIN_RATE);
-        allocation.bucket.fill(now, rate, self.cfg.burst_time);
+        let capacity = allocation.bucket.fill(now, rate, self.cfg.burst_time);
         allocation.demanded = now;
         if named >= allocation.named {
             (allocation.rate, allocation.named) = (demand.rate, named);
         }
-        allocation.bucket.level / ONE_REQUEST
+        let kept = if bound {
+            0
+        } else {
+            capacity / ONE_REQUEST / 2 * ONE_REQUEST
+        };
+        allocation.bucket.level.saturating_sub(kept) / ONE_REQUEST
     }
 
     /// Forgets entries and upstreams without recent requests.
@@ -227,15 +248,45 @@
     /// Time of the last response that named the limit.
     named: Time,
     permits: u32,
+    /// Number of these permits that were issued for bound requests.
+    bound_permits: u32,
     /// Time until which the permits are valid.
     valid_until: Time,
     /// Number of requests that could have been sent there with a permit, since the
     /// last request for permits.
-    wanted: u32,
+    wanted: Wanted,
     /// Even share of the limit, used while the allocator does not reply.
     share: Bucket,
 }
 
+/// Permits that are wanted, since the last request for them.
+#[derive(Debug, Default)]
+struct Wanted {
+    /// For requests that are bound to some upstreams.
+    bound: u32,
+    /// For other requests.
+    other: u32,
+}
+
+impl Wanted {
+    const fn of(&mut self, bound: bool) -> &mut u32 {
+        if bound {
+            &mut self.bound
+        } else {
+            &mut self.other
+        }
+    }
+
+    const fn add(&mut self, bound: bool) {
+        let wanted = self.of(bound);
+        *wanted = wanted.saturating_add(1);
+    }
+
+    const fn take(&mut self, bound: bool) -> u32 {
+        std::mem::replace(self.of(bound), 0)
+    }
+}
+
 /// Limited upstreams as one entry knows them.
 #[derive(Debug, Default)]
 pub struct LimitHolder {
@@ -245,7 +296,7 @@
     limited: IndexMap<UpstreamRun, Limited>,
     /// Number of requests for which a permit is wanted, since the last request for
     /// permits.
-    wanted: u32,
+    wanted: Wanted,
     /// Number of entries that share the limits; 0 if the allocator never replied.
     holders: u32,
     /// Time of the first request for permits since the last reply.
@@ -278,8 +329,9 @@
                     rate,
                     named: now,
                     permits: 0,
+                    bound_permits: 0,
                     valid_until: now,
-                    wanted: 0,
+                    wanted: Wanted::default(),
                     share: Bucket::empty(now),
                 };
                 self.limited.insert(upstream, limited);
@@ -314,15 +366,16 @@
         self.limited.is_empty()
     }
 
-    /// Whether a request may be sent to an upstream.
-    pub fn may_send(&mut self, now: Time, upstream: UpstreamRun) -> bool {
+    /// Whether a request may be sent to an upstream; `bound` tells whether it is bound
+    /// to some upstreams.
+    pub fn may_send(&mut self, now: Time, upstream: UpstreamRun, bound: bool) -> bool {
         let shares = self.uses_shares(now);
         let (cfg, holders) = (self.cfg, self.holders);
         let Some(limited) = self.limited.get_mut(&upstream) else {
             return true;
         };
         if limited.valid_until <= now {
-            limited.permits = 0;
+            (limited.permits, limited.bound_permits) = (0, 0);
         }
         if shares {
             let share = RequestRate(limited.rate.max(MIN_RATE).0 / u64::from(holders.max(1)));
@@ -330,26 +383,31 @@
         } else {
             limited.share = Bucket::empty(now);
         }
-        limited.permits > 0 || limited.share.level >= ONE_REQUEST
+        let kept = if bound { 0 } else { limited.bound_permits };
+        limited.permits > kept || limited.share.level >= ONE_REQUEST
     }
 
     /// Records that a permit is wanted for a request that could not be sent to any
     /// of `upstreams`. A request that is refused wants none: nothing would use it.
-    pub fn want_permit(&mut self, upstreams: &[UpstreamRun]) {
+    pub fn want_permit(&mut self, upstreams: &[UpstreamRun], bound: bool) {
         for upstream in upstreams {
             if let Some(limited) = self.limited.get_mut(upstream) {
-                limited.wanted = limited.wanted.saturating_add(1);
+                limited.wanted.add(bound);
             }
         }
-        self.wanted = self.wanted.saturating_add(u32::from(!upstreams.is_empty()));
+        if !upstreams.is_empty() {
+            self.wanted.add(bound);
+        }
     }
 
     /// Records that a request is sent to an upstream, after
     /// [`may_send`](Self::may_send) allowed it.
-    pub fn use_permit(&mut self, upstream: UpstreamRun) {
+    pub fn use_permit(&mut self, upstream: UpstreamRun, bound: bool) {
         if let Some(limited) = self.limited.get_mut(&upstream) {
             if limited.permits > 0 {
                 limited.permits -= 1;
+                let used = u32::from(bound);
+                limited.bound_permits = limited.bound_permits.saturating_sub(used);
             } else {
                 limited.share.take();
             }
@@ -363,8 +421,9 @@
         self.holders > 0 && unanswered.is_some_and(|time| time >= self.cfg.share_after)
     }
 
-    /// The next request for permits; `None` if none are wanted.
-    pub fn next_request(&mut self, now: Time, holder: u64) -> Option<PermitRequest> {
+    /// The next request for permits, for bound requests or for others; `None` if none
+    /// are wanted.
+    pub fn next_request(&mut self, now: Time, holder: u64, bound: bool) -> Option<PermitRequest> {
         let permit_time = self.cfg.permit_time;
         let demands = self.limited.iter_mut().filter_map(|(upstream, limited)| {
             // More permits than the upstream takes in that time would expire.
@@ -373,7 +432,7 @@
                 .billionths_in(permit_time)
                 .div_ceil(ONE_REQUEST);
             let useful = u32::try_from(useful).unwrap_or(u32::MAX).max(1);
-            let wanted = std::mem::take(&mut limited.wanted).min(useful);
+            let wanted = limited.wanted.take(bound).min(useful);
             let age = now.since(limited.named).as_millis();
             (wanted > 0).then(|| PermitDemand {
                 upstream: *upstream,
@@ -383,7 +442,7 @@
             })
         });
         let demands: Box<[_]> = demands.collect();
-        let total = std::mem::take(&mut self.wanted);
+        let total = self.wanted.take(bound);
         if demands.is_empty() {
             return None;
         }
@@ -392,6 +451,7 @@
             holder,
             demands,
             total,
+            bound,
         })
     }
 
@@ -405,9 +465,10 @@
                 && *permits > 0
             {
                 if limited.valid_until <= now {
-                    limited.permits = 0;
+                    (limited.permits, limited.bound_permits) = (0, 0);
                 }
                 limited.permits += permits;
+                limited.bound_permits += if req.bound { *permits } else { 0 };
                 limited.valid_until = valid_until;
             }
         }
--- a/crates/quay_policy/src/guard/upstream_filter.rs
+++ b/crates/quay_policy/src/guard/upstream_filter.rs
@@ -117,7 +117,10 @@
         if !self.serves(now, candidate, demand) {
             return Eligibility::Excluded;
         }
-        if !self.limits.may_send(now, candidate.run) {
+        if !self
+            .limits
+            .may_send(now, candidate.run, demand.version.is_some())
+        {
             return Eligibility::NoPermit;
         }
         let suspended = self.suspended.get(&candidate.run);
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -486,7 +486,7 @@
         };
         let selected = select();
         if selected.is_some() {
-            self.front.ask_for_permits();
+            self.front.ask_for_permits(&pool);
             return selected;
         }
         if !self.front.wait_for_permits(&pool).await {
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -5,6 +5,7 @@
 mod streams;
 
 use {
+    self::permits::PermitSignals,
     super::{
         buffer_space::BufferSpace,
         call,
@@ -99,12 +100,10 @@
     suspects: RefCell<FrontSuspects>,
     /// Notified when there are events of suspects to report.
     report: Notify,
-    /// Notified when permits for limited upstreams may be wanted.
-    permits_wanted: Notify,
-    /// Notified when a reply to a request for permits has been applied.
-    permits_arrived: Notify,
-    /// Whether the next request for permits has to wait for its pause to end.
-    permits_paused: Cell<bool>,
+    /// Permits for limited upstreams.
+    permits: PermitSignals,
+    /// The same for requests that are bound to some upstreams of a service.
+    bound_permits: PermitSignals,
     connections: Connections,
     buffers: BufferSpace,
     conversations: RefCell<ConversationCache>,
@@ -139,9 +138,8 @@
             upstreams: RefCell::new(Upstreams::new(data_centre)),
             suspects: RefCell::default(),
             report: Notify::new(),
-            permits_wanted: Notify::new(),
-            permits_arrived: Notify::new(),
-            permits_paused: Cell::default(),
+            permits: PermitSignals::default(),
+            bound_permits: PermitSignals::default(),
             connections: Connections::new(clock),
             buffers: BufferSpace::default(),
             conversations: RefCell::new(ConversationCache::new(chain_cache_bytes)),
@@ -160,7 +158,8 @@
         spawn_local(self.clone().follow_control());
         spawn_local(self.clone().run_maintenance());
         spawn_local(self.clone().report_runs());
-        spawn_local(self.clone().request_permits());
+        spawn_local(self.clone().request_permits(false));
+        spawn_local(self.clone().request_permits(true));
         spawn_local(self.0.stores.clone().probe_paths());
         let front = self.clone();
         spawn_local(async move {
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// Whether requests are bound to some of the service's upstreams.
+    #[must_use]
+    pub const fn is_bound(&self) -> bool {
+        self.version.is_some()
+    }
+
     /// Demand of a request that was not sent to any upstream yet.
     fn demand(&self) -> Demand<'static> {
         Demand {
@@ -407,7 +413,8 @@
     /// Records that a request waits for a permit for an upstream of a pool.
     pub fn want_permit(&mut self, now: Time, pool: &Pool<'_>) {
         let judged = self.judge(now, pool, &[]);
-        self.limits().want_permit(&judged.without_permit);
+        self.limits()
+            .want_permit(&judged.without_permit, pool.is_bound());
     }
 
     // -----------------------------------------------------------------------
@@ -567,8 +574,11 @@
             addr: choice.addr,
         };
         let limits = self.filter.limits();
-        limits.use_permit(selected.run());
-        limits.want_permit(&judged.without_permit);
+        limits.use_permit(selected.run(), pool.is_bound());
+        if !pool.is_bound() {
+            // Permits for bound requests are used by these only.
+            limits.want_permit(&judged.without_permit, false);
+        }
         Some(selected)
     }
 
