--- a/crates/sapphirequayd/tests/resumed_streams.rs
+++ b/crates/sapphirequayd/tests/resumed_streams.rs
@@ -67,7 +67,7 @@
     let began = Instant::now();
     while !poll() {
         assert!(began.elapsed() < WAIT_TIMEOUT, "not in time: {what}");
-        thread::sleep(Duration::from_millis(50));
+        thread::sleep(Duration::from_millis(5));
     }
 }
 
@@ -152,10 +152,8 @@
     fn begin_streams(&self, front: usize, count: usize) -> Vec<Broken> {
         self.shared.set_breaks(true);
         let mut streams = Vec::new();
-        while streams.len() < count {
-            if streams.len().is_multiple_of(4) {
-                self.announce();
-            }
+        wait_until("the streams begin", || {
+            self.announce();
             let (id, program) = (next_id("begin"), next_id("program"));
             let got = self.call(front, &id, &program, "").expect("response");
             if got.status == 200 && !got.body.is_empty() {
@@ -167,7 +165,8 @@
                     version,
                 });
             }
-        }
+            streams.len() == count
+        });
         self.shared.set_breaks(false);
         streams
     }
@@ -184,10 +183,8 @@
     /// that a refused one has not run. Returns how many went on.
     fn resume_all(&self, front: usize, streams: &[Broken]) -> usize {
         let mut went_on = 0;
-        for (number, stream) in streams.iter().enumerate() {
-            if number.is_multiple_of(4) {
-                self.announce();
-            }
+        for stream in streams {
+            self.announce();
             let (id, got) = self.resume(front, stream);
             let got = got.expect("response");
             if got.status == 200 {
