--- a/crates/quay_policy/src/guard/limits.rs
+++ b/crates/quay_policy/src/guard/limits.rs
@@ -16,7 +16,7 @@
     super::UpstreamRun,
     indexmap::IndexMap,
     quay_types::{RequestRate, ServiceId, Time},
-    serde::{Deserialize, Deserializer, Serialize},
+    serde::{Deserialize, Serialize},
     std::time::Duration,
 };
 
@@ -83,16 +83,10 @@
     pub total: u32,
     /// Whether the requests are bound to these upstreams; entries of earlier versions
     /// end before this field.
-    #[serde(deserialize_with = "bool_or_false")]
+    #[serde(deserialize_with = "quay_types::last_field::or_default")]
     pub bound: bool,
 }
 
-/// Reads the last field of a message; messages of earlier versions end before it.
-#[allow(clippy::unnecessary_wraps)] // The signature is that of `serde`.
-fn bool_or_false<'de, D: Deserializer<'de>>(message: D) -> Result<bool, D::Error> {
-    Ok(bool::deserialize(message).unwrap_or_default())
-}
-
 /// Permits of an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitGrant {
--- a/crates/quay_types/src/lib.rs
+++ b/crates/quay_types/src/lib.rs
@@ -18,6 +18,7 @@
 mod directory;
 mod error;
 mod ids;
+pub mod last_field;
 mod ledger;
 mod permit;
 mod rate;
--- a/crates/sapphirequayd/src/gateway/control/state.rs
+++ b/crates/sapphirequayd/src/gateway/control/state.rs
@@ -7,7 +7,7 @@
     quay_quorum::StateMachine,
     quay_turns::{StoreChange, StoreMap},
     quay_types::{Epoch, Incarnation, LogIndex},
-    serde::{Deserialize, Deserializer, Serialize},
+    serde::{Deserialize, Serialize},
 };
 
 /// Maximum number of recorded departures; the oldest are dropped first.
@@ -25,8 +25,9 @@
     pub departures: IndexMap<Box<str>, Incarnation>,
     /// Store hosts that hold turns and charges.
     pub stores: StoreMap,
-    /// Requests that are suspected of crashing upstreams.
-    #[serde(deserialize_with = "suspects_or_none")]
+    /// Requests that are suspected of crashing upstreams; snapshots of earlier
+    /// versions end before them.
+    #[serde(deserialize_with = "quay_types::last_field::or_default")]
     pub suspects: Suspects,
 }
 
@@ -63,13 +64,6 @@
     }
 }
 
-/// Reads the suspects of a snapshot; snapshots of earlier versions end before
-/// them.
-#[allow(clippy::unnecessary_wraps)] // The signature is that of `serde`.
-fn suspects_or_none<'de, D: Deserializer<'de>>(snapshot: D) -> Result<Suspects, D::Error> {
-    Ok(Suspects::deserialize(snapshot).unwrap_or_default())
-}
-
 impl ControlState {
     /// Replaces the routing table if `table` has a higher revision.
     fn put_table(&mut self, table: TableDocument) -> bool {
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -11,7 +11,7 @@
     quay_quorum::Member,
     quay_turns::{Charge, Record, StoreAnnouncement, StoreChange, StoreMap, TurnRecord},
     quay_types::{Announcement, AttemptTag, GroupId, Incarnation, ProgramTag, TurnId},
-    serde::{Deserialize, Deserializer, Serialize},
+    serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
 
@@ -75,16 +75,10 @@
     pub suspects: u64,
     /// Whether it reads [`UpstreamKind::VersionedService`](quay_types::UpstreamKind);
     /// followers of earlier versions end before this field.
-    #[serde(deserialize_with = "bool_or_false")]
+    #[serde(deserialize_with = "quay_types::last_field::or_default")]
     pub reads_versions: bool,
 }
 
-/// Reads the last field of a message; messages of earlier versions end before it.
-#[allow(clippy::unnecessary_wraps)] // The signature is that of `serde`.
-fn bool_or_false<'de, D: Deserializer<'de>>(message: D) -> Result<bool, D::Error> {
-    Ok(bool::deserialize(message).unwrap_or_default())
-}
-
 /// Requests that are suspected of crashing upstreams, as followers get them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectList {
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -280,10 +280,16 @@
     /// Writes records of a program, with retries until they are durable. Returns
     /// `false` if they are not durable within `limit`.
     pub async fn write(&self, program: ProgramTag, records: Vec<Record>, limit: Duration) -> bool {
-        let op = StoreOp::Write(records);
+        self.write_until(program, &StoreOp::Write(records), limit)
+            .await
+    }
+
+    /// Repeats an operation until a write quorum of a program's group has executed it.
+    /// Returns `false` if that takes longer than `limit`.
+    async fn write_until(&self, program: ProgramTag, op: &StoreOp, limit: Duration) -> bool {
         let attempts = async {
             let mut backoff = Backoff::default();
-            while !self.write_once(self.group_of(program), &op).await {
+            while !self.write_once(self.group_of(program), op).await {
                 backoff.wait().await;
             }
         };
@@ -370,13 +376,7 @@
     ) -> bool {
         let keep_s = u32::try_from(keep.as_secs().max(1)).unwrap_or(u32::MAX);
         let op = StoreOp::RecordStream(attempt, origin, keep_s);
-        let attempts = async {
-            let mut backoff = Backoff::default();
-            while !self.write_once(self.group_of(program), &op).await {
-                backoff.wait().await;
-            }
-        };
-        timeout(limit, attempts).await.is_ok()
+        self.write_until(program, &op, limit).await
     }
 
     /// Looks up the origin of the stream that an attempt began.
