--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -27,7 +27,7 @@
     suspects::{
         Clearance, SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings,
     },
-    upstream_filter::{Candidate, Demand, Eligibility, UpstreamFilter},
+    upstream_filter::{Candidate, Eligibility, Requirements, UpstreamFilter},
 };
 
 /// An upstream and one of its incarnations.
--- a/crates/quay_policy/src/guard/service_versions.rs
+++ b/crates/quay_policy/src/guard/service_versions.rs
@@ -8,7 +8,7 @@
 
 /// Time after which a version that is no longer listed is forgotten: longer than a
 /// stream and the attempts to take it up again.
-const KEPT: Duration = Duration::from_mins(1);
+const KEEP_TIME: Duration = Duration::from_mins(1);
 
 /// Versions of the upstreams of each service that an entry has seen lately.
 ///
@@ -31,7 +31,7 @@
     #[must_use]
     pub fn only_version(&self, now: Time, service: ServiceId) -> Option<SoftwareVersion> {
         let seen = self.seen.iter();
-        let seen = seen.filter(|((other, _), at)| *other == service && now.since(**at) < KEPT);
+        let seen = seen.filter(|((other, _), at)| *other == service && now.since(**at) < KEEP_TIME);
         let mut versions = seen.map(|((_, version), _)| *version);
         let only = versions.next()??;
         versions.next().is_none().then_some(only)
@@ -39,6 +39,6 @@
 
     /// Forgets versions that were not listed for long.
     pub fn tick(&mut self, now: Time) {
-        self.seen.retain(|_, at| now.since(*at) < KEPT);
+        self.seen.retain(|_, at| now.since(*at) < KEEP_TIME);
     }
 }
--- a/crates/quay_policy/src/guard/upstream_filter.rs
+++ b/crates/quay_policy/src/guard/upstream_filter.rs
@@ -26,7 +26,7 @@
 
 /// What a request needs of an upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Demand<'a> {
+pub struct Requirements<'a> {
     /// Upstreams that were tried already.
     pub tried: &'a [UpstreamId],
     /// Version that the upstream must have; `None` if any will do.
@@ -94,12 +94,12 @@
     // -----------------------------------------------------------------------
     // Decisions
 
-    /// Whether an upstream can take requests of a demand now or soon.
+    /// Whether an upstream can take a request now or soon.
     #[must_use]
-    pub fn serves(&self, now: Time, candidate: Candidate, demand: &Demand<'_>) -> bool {
+    pub fn serves(&self, now: Time, candidate: Candidate, required: &Requirements<'_>) -> bool {
         !self.leaving.contains(candidate.run)
-            && !demand.tried.contains(&candidate.run.0)
-            && demand
+            && !required.tried.contains(&candidate.run.0)
+            && required
                 .version
                 .is_none_or(|wanted| self.known_version(now, candidate) == Some(wanted))
     }
@@ -113,13 +113,18 @@
     }
 
     /// Whether an upstream may take a request now.
-    pub fn judge(&mut self, now: Time, candidate: Candidate, demand: &Demand<'_>) -> Eligibility {
-        if !self.serves(now, candidate, demand) {
+    pub fn judge(
+        &mut self,
+        now: Time,
+        candidate: Candidate,
+        required: &Requirements<'_>,
+    ) -> Eligibility {
+        if !self.serves(now, candidate, required) {
             return Eligibility::Excluded;
         }
         if !self
             .limits
-            .may_send(now, candidate.run, demand.version.is_some())
+            .may_send(now, candidate.run, required.version.is_some())
         {
             return Eligibility::NoPermit;
         }
--- a/crates/quay_policy/tests/stream_versions.rs
+++ b/crates/quay_policy/tests/stream_versions.rs
@@ -2,7 +2,8 @@
 
 use {
     quay_policy::{
-        Candidate, Demand, Eligibility, ServiceVersions, StreamOrigin, UpstreamFilter, UpstreamRun,
+        Candidate, Eligibility, Requirements, ServiceVersions, StreamOrigin, UpstreamFilter,
+        UpstreamRun,
     },
     quay_types::{Incarnation, RequestRate, ServiceId, SoftwareVersion, Time, UpstreamId},
     std::time::Duration,
@@ -23,11 +24,11 @@
     }
 }
 
-/// Demand of a stream that goes on at a version.
-fn at(name: &str) -> Demand<'static> {
-    Demand {
+/// Requirements of a stream that goes on at a version.
+fn at(name: &str) -> Requirements<'static> {
+    Requirements {
         version: Some(version(name)),
-        ..Demand::default()
+        ..Requirements::default()
     }
 }
 
@@ -41,7 +42,7 @@
     assert_eq!(filter.judge(NOW, old, &at("v1")), Eligibility::Eligible);
     assert_eq!(filter.judge(NOW, old, &at("v2")), Eligibility::Excluded);
     assert_eq!(
-        filter.judge(NOW, old, &Demand::default()),
+        filter.judge(NOW, old, &Requirements::default()),
         Eligibility::Eligible
     );
     let silent = Candidate {
@@ -84,7 +85,7 @@
     assert_eq!(filter.judge(NOW, ended, &at("v1")), Eligibility::Excluded);
     // A stream that begins may still try whatever answers there.
     assert_eq!(
-        filter.judge(NOW, ended, &Demand::default()),
+        filter.judge(NOW, ended, &Requirements::default()),
         Eligibility::Eligible
     );
     let next = candidate((FIRST.0, Incarnation(2)), "v1");
@@ -95,7 +96,7 @@
 fn tried_and_leaving_upstreams_are_excluded() {
     let mut filter = UpstreamFilter::default();
     let first = candidate(FIRST, "v1");
-    let tried = Demand {
+    let tried = Requirements {
         tried: &[FIRST.0],
         ..at("v1")
     };
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -4,8 +4,8 @@
     indexmap::IndexMap,
     quay_members::{ChangesRequest, DirectoryView},
     quay_policy::{
-        Candidate, CheckResult, CrashDetector, Demand, Eligibility, ExpectedTime, LimitHolder,
-        NewProgram, NewProgramGate, RouteRequest, RouteSettings, Router, ServiceVersions,
+        Candidate, CheckResult, CrashDetector, Eligibility, ExpectedTime, LimitHolder, NewProgram,
+        NewProgramGate, Requirements, RouteRequest, RouteSettings, Router, ServiceVersions,
         StreamOrigin, UpstreamFilter, UpstreamRun,
     },
     quay_routes::{CallHead, PromptPart, block_hashes, branch_ids, token_count},
@@ -67,9 +67,9 @@
         self.version.is_some()
     }
 
-    /// Demand of a request that was not sent to any upstream yet.
-    fn demand(&self) -> Demand<'static> {
-        Demand {
+    /// Requirements of a request that was not sent to any upstream yet.
+    fn requirements(&self) -> Requirements<'static> {
+        Requirements {
             tried: &[],
             version: self.version,
         }
@@ -492,10 +492,10 @@
 
     /// Upstreams of a pool that serve and are not leaving.
     fn serving(&self, now: Time, pool: &Pool<'_>) -> impl Iterator<Item = UpstreamRun> {
-        let (service, demand) = (ServiceId::of(pool.service), pool.demand());
+        let (service, required) = (ServiceId::of(pool.service), pool.requirements());
         self.known.iter().filter_map(move |(id, known)| {
             let candidate = known.candidate(*id, service)?;
-            let serves = self.filter.serves(now, candidate, &demand);
+            let serves = self.filter.serves(now, candidate, &required);
             serves.then_some(candidate.run)
         })
     }
@@ -503,16 +503,16 @@
     /// Judges the upstreams of a service for a request.
     fn judge(&mut self, now: Time, pool: &Pool<'_>, tried: &[UpstreamId]) -> Judged {
         let service = ServiceId::of(pool.service);
-        let demand = Demand {
+        let required = Requirements {
             tried,
-            ..pool.demand()
+            ..pool.requirements()
         };
         let mut judged = Judged::default();
         for (id, known) in &self.known {
             let Some(candidate) = known.candidate(*id, service) else {
                 continue;
             };
-            match self.filter.judge(now, candidate, &demand) {
+            match self.filter.judge(now, candidate, &required) {
                 Eligibility::Eligible => {}
                 Eligibility::Suspended => judged.suspended.push(*id),
                 Eligibility::NoPermit => judged.without_permit.push(candidate.run),
