--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -7,7 +7,7 @@
 
 use {
     self::process_logs::print_logs,
-    crate::ports::free_port,
+    crate::ports::{free_port, start_process},
     quay_link::{DevelopmentKeys, KeyFiles, LinkRole, Links},
     std::{
         fs::{self, OpenOptions},
@@ -125,13 +125,10 @@
             .append(true)
             .open(folder.join(format!("{role:?}.log")))
             .expect("log");
-        let child = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"))
-            .arg("--config")
-            .arg(file)
-            .stdout(log.try_clone().expect("log"))
-            .stderr(log)
-            .spawn()
-            .expect("process");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"));
+        let command = command.arg("--config").arg(file);
+        let command = command.stdout(log.try_clone().expect("log")).stderr(log);
+        let child = start_process(command).expect("process");
         self.children.push((role, child));
     }
 
@@ -162,8 +159,10 @@
     pub fn signal(&self, role: Role, signal: &str) {
         let child = self.children.iter().find(|(it, _)| *it == role);
         let id = child.expect("a running process").1.id().to_string();
-        let sent = Command::new("kill").args(["-s", signal, &id]).status();
-        assert!(sent.expect("kill").success());
+        let mut kill = Command::new("kill");
+        let sent = start_process(kill.args(["-s", signal, &id]));
+        let status = sent.expect("kill").wait();
+        assert!(status.expect("kill").success());
     }
 
     /// Largest amount of memory that a process has had so far, in bytes.
--- a/crates/sapphirequayd/tests/common/mod.rs
+++ b/crates/sapphirequayd/tests/common/mod.rs
@@ -14,7 +14,7 @@
 pub use {
     cluster::{Cluster, TestRequest, field, kind},
     counting_service::CountingService,
-    ports::free_port,
+    ports::{free_port, start_process},
     processes::{Processes, Role},
 };
 
--- a/crates/sapphirequayd/tests/common/processes.rs
+++ b/crates/sapphirequayd/tests/common/processes.rs
@@ -5,7 +5,7 @@
 
 use {
     self::process_logs::print_logs,
-    super::{document, free_port},
+    super::{document, free_port, start_process},
     quay_link::DevelopmentKeys,
     std::{
         fs,
@@ -130,13 +130,10 @@
             .append(true)
             .open(self.folder.path().join(format!("{role:?}.log")))
             .expect("log");
-        let child = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"))
-            .arg("--config")
-            .arg(file(self.folder.path(), role))
-            .stdout(log.try_clone().expect("log"))
-            .stderr(log)
-            .spawn()
-            .expect("process");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"));
+        let command = command.arg("--config").arg(file(self.folder.path(), role));
+        let command = command.stdout(log.try_clone().expect("log")).stderr(log);
+        let child = start_process(command).expect("process");
         self.children.push((role, child));
     }
 
--- a/crates/sapphirequayd/tests/ledger_hosts.rs
+++ b/crates/sapphirequayd/tests/ledger_hosts.rs
@@ -5,7 +5,7 @@
 mod ports;
 
 use {
-    ports::free_port,
+    ports::{free_port, start_process},
     quay_link::{DevelopmentKeys, LinkRole, Links},
     quay_types::{GroupId, LogIndex, NodeId},
     sapphirequayd::{LinkRequest, QuorumReply, QuorumRequest},
@@ -36,13 +36,13 @@
 }
 
 fn run(dir: &Path, slot: usize) -> Process {
-    let child = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"))
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"));
+    let command = command
         .arg("--config")
         .arg(dir.join(format!("{slot}.toml")))
         .stdout(Stdio::null())
-        .stderr(Stdio::null())
-        .spawn();
-    Process(child.expect("process"))
+        .stderr(Stdio::null());
+    Process(start_process(command).expect("process"))
 }
 
 fn write_settings(dir: &Path, addrs: &[SocketAddr]) {
--- a/crates/sapphirequayd/tests/processes.rs
+++ b/crates/sapphirequayd/tests/processes.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{KEY, completion, engine, free_port, post, streamed_text, wait_for},
+    common::{KEY, completion, engine, free_port, post, start_process, streamed_text, wait_for},
     quay_link::DevelopmentKeys,
     quay_standin::{Engine, EngineSettings},
     std::{
@@ -30,19 +30,17 @@
             log.display()
         );
         fs::write(&file, head).expect("settings");
-        let child = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"))
-            .arg("--config")
-            .arg(&file)
-            .spawn();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"));
+        let child = start_process(command.arg("--config").arg(&file));
         Self(child.expect("process"))
     }
 
     /// Sends SIGTERM.
     fn terminate(&self) {
-        let sent = Command::new("/bin/kill")
-            .arg(self.0.id().to_string())
-            .status();
-        assert!(sent.expect("kill").success());
+        let mut kill = Command::new("/bin/kill");
+        let sent = start_process(kill.arg(self.0.id().to_string()));
+        let status = sent.expect("kill").wait();
+        assert!(status.expect("kill").success());
     }
 
     /// Waits until the process exits.
