--- a/crates/quay_policy/src/guard/service_versions.rs
+++ b/crates/quay_policy/src/guard/service_versions.rs
@@ -6,8 +6,7 @@
     std::time::Duration,
 };
 
-/// Time after which a version that is no longer listed is forgotten: longer than a
-/// stream and the attempts to take it up again.
+/// Time for which a version that is no longer listed counts.
 const KEEP_TIME: Duration = Duration::from_mins(1);
 
 /// Versions of the upstreams of each service that an entry has seen lately.
--- a/crates/quay_policy/src/guard/suspects.rs
+++ b/crates/quay_policy/src/guard/suspects.rs
@@ -33,8 +33,8 @@
 /// Strikes from which a suspect is listed to the entries.
 const LISTED_STRIKES: usize = 2;
 
-/// Time within which losses at one incarnation of an upstream count as one crash.
-/// An upstream that does not tell its starts has one incarnation for all crashes.
+/// Time within which losses at one incarnation of an upstream count as one crash: an
+/// upstream that does not tell its start time has only one.
 const MERGE_TIME: Duration = Duration::from_secs(5);
 
 /// Maximum number of crashes that are recorded for a request.
--- a/crates/quay_policy/src/guard/upstream_filter.rs
+++ b/crates/quay_policy/src/guard/upstream_filter.rs
@@ -10,9 +10,8 @@
 /// Time for which an unreachable upstream is not selected.
 const SUSPENSION: Duration = Duration::from_millis(500);
 
-/// Time for which the version of an upstream that was seen to have ended is unknown. If
-/// it is back by then, its new incarnation has been announced; if the same one is still
-/// listed, the connection was refused for another reason.
+/// Time for which the version of an upstream that refused a connection is unknown. If it
+/// is listed in the same incarnation afterwards, it has not ended.
 const ENDED_TIME: Duration = Duration::from_secs(10);
 
 /// Upstream in state `Serving` of the service that a request needs.
--- a/crates/sapphirequayd/src/gateway/front/host/crashes.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/crashes.rs
@@ -28,11 +28,10 @@
 /// its connections one after the other, and the listening socket among them.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 
-/// Maximum time for which a front that shuts down waits for its reports: a check
-/// of an upstream, and two attempts to report.
+/// Maximum time for which a front that shuts down waits for its reports.
 const FLUSH_TIME: Duration = Duration::from_millis(2_500);
 
-/// Interval at which the front looks whether its reports are acknowledged.
+/// Interval between two checks for unacknowledged reports at shutdown.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(10);
 
 impl<D: Dialect> FrontHost<D> {
--- a/crates/sapphirequayd/src/gateway/front/host/streams.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/streams.rs
@@ -23,8 +23,7 @@
 /// Longest time for which the origin of a stream is offered to the stores.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Number of time-outs of the route for which the origin of a stream is kept: the
-/// stream's own, and some attempts to go on.
+/// Time for which the origin of a stream is kept, as a multiple of the route's time-out.
 const KEPT_TIMEOUTS: u32 = 4;
 
 impl<D: Dialect> FrontHost<D> {
--- a/crates/sapphirequayd/tests/common/versioned_upstream.rs
+++ b/crates/sapphirequayd/tests/common/versioned_upstream.rs
@@ -17,9 +17,9 @@
     },
 };
 
-/// What the upstreams of a test do and have done.
+/// State that all upstreams of a test share.
 #[derive(Debug, Default)]
-pub struct Switchboard {
+pub struct SharedState {
     /// Whether new streams break off after their first event.
     pub breaks: AtomicBool,
     /// Whether new streams go silent after their first event.
@@ -30,7 +30,7 @@
     ran: Mutex<Vec<String>>,
 }
 
-impl Switchboard {
+impl SharedState {
     pub fn set_breaks(&self, breaks: bool) {
         self.breaks.store(breaks, Ordering::SeqCst);
     }
@@ -49,20 +49,20 @@
     pub addr: SocketAddr,
     /// Start as Unix time in milliseconds, as told in heartbeats.
     pub born: u64,
-    shared: Arc<Switchboard>,
+    shared: Arc<SharedState>,
     ended: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl VersionedUpstream {
-    pub fn start(name: &str, version: &str, born: u64, shared: &Arc<Switchboard>) -> Self {
+    pub fn start(name: &str, version: &str, born: u64, shared: &Arc<SharedState>) -> Self {
         Self::start_at(free_port(), (name, version, born), shared)
     }
 
     pub fn start_at(
         addr: SocketAddr,
         (name, version, born): (&str, &str, u64),
-        shared: &Arc<Switchboard>,
+        shared: &Arc<SharedState>,
     ) -> Self {
         let upstream = Self {
             name: name.into(),
--- a/crates/sapphirequayd/tests/resumed_streams.rs
+++ b/crates/sapphirequayd/tests/resumed_streams.rs
@@ -20,7 +20,7 @@
         thread,
         time::{Duration, Instant, SystemTime},
     },
-    versioned_upstream::{Switchboard, VersionedUpstream},
+    versioned_upstream::{SharedState, VersionedUpstream},
 };
 
 const TABLE: &str = r#"{"Version":1,"Routes":[
@@ -38,7 +38,7 @@
 struct Site {
     gateway: Gateway,
     upstreams: Vec<VersionedUpstream>,
-    shared: Arc<Switchboard>,
+    shared: Arc<SharedState>,
 }
 
 /// A stream that broke off after its first event.
@@ -249,8 +249,7 @@
     streams.into_iter().partition(|it| it.version == "v1")
 }
 
-/// Checks that streams of both versions are there.
-fn assert_mixed(streams: &[Broken]) {
+fn assert_both_versions(streams: &[Broken]) {
     for version in ["v1", "v2"] {
         let of_version = streams.iter().filter(|it| it.version == version).count();
         assert!(of_version > 0, "no stream began at {version}");
@@ -261,7 +260,7 @@
 fn a_stream_goes_on_only_at_the_software_version_that_began_it() {
     let site = Site::start();
     let streams = site.begin_streams(0, STREAMS);
-    assert_mixed(&streams);
+    assert_both_versions(&streams);
     site.resume_everything(1, &streams);
     // A third attempt names the first one, too.
     site.resume_everything(0, &streams);
@@ -271,7 +270,7 @@
 fn a_stream_goes_on_at_its_version_after_its_front_store_and_leader_are_gone() {
     let mut site = Site::start();
     let streams = site.begin_streams(0, STREAMS);
-    assert_mixed(&streams);
+    assert_both_versions(&streams);
     // The stores know all of them by now.
     site.resume_everything(1, &streams);
     site.gateway.kill(Role::Front(0));
@@ -298,7 +297,7 @@
         .collect();
     site.gateway.kill(Role::Front(0));
     site.shared.holds.store(false, Ordering::SeqCst);
-    assert_mixed(&streams);
+    assert_both_versions(&streams);
     site.resume_all(1, &streams);
 }
 
@@ -306,7 +305,7 @@
 fn a_stream_whose_version_is_gone_or_unknown_is_refused() {
     let site = Site::start();
     let streams = site.begin_streams(0, STREAMS);
-    assert_mixed(&streams);
+    assert_both_versions(&streams);
     for upstream in site.upstreams.iter().filter(|it| it.version == "v1") {
         let head = format!(
             "POST /sapphirequay/instances/{}/leave HTTP/1.1\nHost: c",
@@ -369,7 +368,7 @@
     let site = Site::start();
     site.gateway.signal(Role::Front(1), "STOP");
     let streams = site.begin_streams(0, STREAMS);
-    assert_mixed(&streams);
+    assert_both_versions(&streams);
     // One upstream of each version leaves unseen by the paused front.
     for upstream in [&site.upstreams[0], &site.upstreams[2]] {
         upstream.end();
@@ -393,7 +392,7 @@
 fn a_stream_does_not_go_on_at_an_upstream_that_restarted_at_another_version() {
     let mut site = Site::start();
     let streams = site.begin_streams(0, STREAMS);
-    assert_mixed(&streams);
+    assert_both_versions(&streams);
     // The upstreams of version 2 start again, as version 1, under their names.
     for upstream in site.upstreams.iter_mut().filter(|it| it.version == "v2") {
         upstream.end();
