--- a/crates/quay_policy/src/guard/crashes.rs
+++ b/crates/quay_policy/src/guard/crashes.rs
@@ -2,9 +2,13 @@
 //!
 //! A broken connection is no crash: connections are reset, links are cut, callers
 //! leave, and upstreams break off single responses. A run counts as lost by a
-//! crash only if there is evidence that the incarnation has ended at about the
-//! time of the loss: no connection to its address can be set up, another
-//! incarnation or upstream is announced there, or another upstream answers there.
+//! crash only if there is evidence that the incarnation has ended: no connection
+//! to its address can be set up, another incarnation or upstream is announced
+//! there, or another upstream answers there.
+//!
+//! A connection that can be set up proves nothing, since a successor may have
+//! taken over the address. Its first heartbeat may come seconds later, so a loss
+//! stays open until there is evidence that the incarnation has ended or lives on.
 
 use {
     super::UpstreamRun,
@@ -18,7 +22,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CrashSettings {
     /// Time after the loss of a run within which evidence counts that the upstream
-    /// has ended.
+    /// has ended: a restart, and the delay of its successor's first heartbeat.
     pub evidence_window: Duration,
     /// Silence of an upstream that is running requests after which it is checked.
     pub max_silence: Duration,
@@ -29,7 +33,7 @@
 impl Default for CrashSettings {
     fn default() -> Self {
         Self {
-            evidence_window: Duration::from_secs(3),
+            evidence_window: Duration::from_secs(15),
             max_silence: Duration::from_secs(1),
             max_lost: 256,
         }
@@ -89,7 +93,8 @@
 struct Watched {
     /// Requests in progress, with the times at which they were sent.
     running: Vec<(Time, ContentDigest)>,
-    /// Runs that were lost or abandoned lately.
+    /// Runs that were lost or abandoned while it is open whether the incarnation
+    /// has ended; at most [`CrashSettings::max_lost`].
     lost: Vec<(Time, ContentDigest)>,
     /// Whether a run was lost since the last check.
     suspected: bool,
@@ -133,6 +138,17 @@
         }
     }
 
+    /// Records a response to a request that was sent at `sent`, on a connection that
+    /// was set up at `connected`. An incarnation that accepted the connection before a
+    /// loss and answers a request sent after it has survived the loss.
+    pub fn record_answer(&mut self, upstream: UpstreamRun, connected: Time, sent: Time) {
+        if let Some(watched) = self.watched.get_mut(&upstream) {
+            watched
+                .lost
+                .retain(|(at, _)| *at <= connected || sent <= *at);
+        }
+    }
+
     /// Records the end of a run.
     pub fn end(&mut self, now: Time, upstream: UpstreamRun, digest: ContentDigest, end: RunEnd) {
         let cfg = self.cfg;
--- a/crates/quay_policy/src/guard/upstream_filter.rs
+++ b/crates/quay_policy/src/guard/upstream_filter.rs
@@ -10,9 +10,10 @@
 /// Time for which an unreachable upstream is not selected.
 const SUSPENSION: Duration = Duration::from_millis(500);
 
-/// Time for which the version of an upstream that refused a connection is unknown. If it
-/// is listed in the same incarnation afterwards, it has not ended.
-const ENDED_TIME: Duration = Duration::from_secs(10);
+/// Time for which the version of an upstream that refused a connection is unknown: a
+/// restart, and the delay of the first heartbeat, which may come 10 s late. If the
+/// upstream is listed in the same incarnation afterwards, it has not ended.
+const ENDED_TIME: Duration = Duration::from_secs(15);
 
 /// Upstream in state `Serving` of the service that a request needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/quay_policy/tests/crashes.rs
+++ b/crates/quay_policy/tests/crashes.rs
@@ -52,19 +52,62 @@
     assert!(late[0].1.contains(&digest(4)), "{late:?}");
 }
 
-#[test]
-fn a_reachable_upstream_lost_nothing_by_a_crash() {
+/// A detector whose first upstream lost requests 1 and 2 and accepts connections.
+fn detector_with_losses() -> CrashDetector {
     let mut detector = detector();
     for number in [1, 2] {
         detector.end(at(100), FIRST, digest(number), RunEnd::Lost);
         assert_eq!(detector.due_checks(at(100)), [FIRST]);
         detector.record_check(at(150), FIRST, CheckResult::Reachable);
     }
-    detector.tick(at(4_000));
+    detector
+}
+
+/// Guards against a crash that is cleared because its successor is announced late.
+#[test]
+fn a_successor_that_is_announced_seconds_late_is_evidence_of_a_crash() {
+    for late in [4_000, 7_000, 10_000] {
+        let mut detector = detector_with_losses();
+        for ms in (300..late).step_by(300) {
+            detector.tick(at(ms));
+        }
+        detector.record_ended(at(late), FIRST);
+        let runs = vec![digest(1), digest(2)];
+        assert_eq!(lost(&mut detector), [(FIRST.0, runs)], "{late} ms late");
+    }
+}
+
+/// Guards against strikes for requests whose upstream lived on after the loss.
+#[test]
+fn an_upstream_that_answers_on_a_connection_from_before_the_loss_has_not_crashed() {
+    let mut detector = detector_with_losses();
+    detector.record_answer(FIRST, at(50), at(200));
     detector.record_ended(at(4_000), FIRST);
     assert_eq!(lost(&mut detector), []);
 }
 
+/// Guards against taking a successor's answer, or one on its way, for a sign of life.
+#[test]
+fn an_answer_on_a_new_connection_or_to_an_earlier_request_is_no_sign_of_life() {
+    let runs = vec![digest(1), digest(2)];
+    for (connected, sent) in [(150, 200), (50, 90)] {
+        let mut detector = detector_with_losses();
+        detector.record_answer(FIRST, at(connected), at(sent));
+        detector.record_ended(at(4_000), FIRST);
+        assert_eq!(lost(&mut detector), [(FIRST.0, runs.clone())]);
+    }
+}
+
+/// Guards against strikes for losses long before the end of the upstream, and against
+/// cases that are kept without end.
+#[test]
+fn a_loss_is_not_attributed_to_a_crash_after_the_latest_announcement_of_a_successor() {
+    let mut detector = detector_with_losses();
+    detector.tick(at(20_000));
+    detector.record_ended(at(20_000), FIRST);
+    assert_eq!(lost(&mut detector), []);
+}
+
 #[test]
 fn a_restart_at_the_same_address_is_seen_by_the_next_incarnation() {
     let mut detector = detector();
--- a/crates/quay_policy/tests/stream_versions.rs
+++ b/crates/quay_policy/tests/stream_versions.rs
@@ -119,6 +119,20 @@
     assert_eq!(filter.known_version(later, first), Some(version("v1")));
 }
 
+/// Guards against streams at the version of a process that has ended, while the
+/// heartbeat of its successor is late.
+#[test]
+fn the_version_stays_unknown_while_a_successor_may_still_be_announced() {
+    let mut filter = UpstreamFilter::default();
+    filter.record_ended(NOW, FIRST);
+    let first = candidate(FIRST, "v1");
+    for late in [4, 10, 12] {
+        let now = NOW + Duration::from_secs(late);
+        filter.tick(now);
+        assert_eq!(filter.known_version(now, first), None, "after {late} s");
+    }
+}
+
 // ---------------------------------------------------------------------------
 // Origins
 
--- a/crates/sapphirequayd/src/gateway/front/connections.rs
+++ b/crates/sapphirequayd/src/gateway/front/connections.rs
@@ -55,6 +55,8 @@
 struct Idle {
     sender: http1::SendRequest<RequestBody>,
     head_limit: HeadLimit,
+    /// Time at which the connection was set up.
+    connected: Time,
     task: CloseOnDrop,
     until: Time,
 }
@@ -72,6 +74,8 @@
     addr: SocketAddr,
     sender: http1::SendRequest<RequestBody>,
     head_limit: HeadLimit,
+    /// Time at which the connection was set up.
+    connected: Time,
     /// Whether the connection served an earlier request.
     reused: bool,
     task: CloseOnDrop,
@@ -118,6 +122,7 @@
                     addr,
                     sender: idle.sender,
                     head_limit: idle.head_limit,
+                    connected: idle.connected,
                     reused: true,
                     task: idle.task,
                 });
@@ -151,6 +156,7 @@
             addr,
             sender,
             head_limit,
+            connected: self.clock.now(),
             reused: false,
             task: CloseOnDrop(task.abort_handle()),
         })
@@ -192,6 +198,7 @@
         pooled.push(Idle {
             sender: lease.sender,
             head_limit: lease.head_limit,
+            connected: lease.connected,
             task: lease.task,
             until: self.clock.now() + idle,
         });
@@ -209,6 +216,11 @@
 }
 
 impl Lease {
+    /// Time at which the connection was set up.
+    pub const fn connected(&self) -> Time {
+        self.connected
+    }
+
     /// Whether the connection served an earlier request.
     pub const fn reused(&self) -> bool {
         self.reused
--- a/crates/sapphirequayd/src/gateway/front/in_flight.rs
+++ b/crates/sapphirequayd/src/gateway/front/in_flight.rs
@@ -103,8 +103,14 @@
     /// Records that the response began on a connection, which is held until the
     /// response is complete.
     pub fn begin_response(&mut self, lease: Lease) {
+        let connected = lease.connected();
         self.lease = Some(lease);
         self.record_activity();
+        let mut upstreams = self.front.upstreams();
+        let run = self.upstream.run();
+        upstreams
+            .crashes()
+            .record_answer(run, connected, self.started);
     }
 
     /// Records how the run ended; later calls have no effect.
--- a/crates/sapphirequayd/tests/crashing_requests.rs
+++ b/crates/sapphirequayd/tests/crashing_requests.rs
@@ -53,6 +53,12 @@
     upstreams: Vec<CrashingUpstream>,
     counts: Arc<Counts>,
     sent: usize,
+    /// Time after which an upstream that took over an address sends its first
+    /// heartbeat.
+    heartbeat_delay: Duration,
+    /// Upstreams that took over an address and have sent no heartbeat, with the times
+    /// at which they were found.
+    unannounced: Vec<(Instant, CrashingUpstream)>,
 }
 
 impl Site {
@@ -69,6 +75,8 @@
             upstreams: Vec::new(),
             counts: Arc::default(),
             sent: 0,
+            heartbeat_delay: Duration::ZERO,
+            unannounced: Vec::new(),
         }
     }
 
@@ -89,8 +97,13 @@
             .upstreams
             .iter()
             .filter_map(|it| it.successor.lock().expect("lock").take());
-        let successors: Vec<CrashingUpstream> = successors.collect();
-        self.upstreams.extend(successors);
+        let found = successors.map(|it| (Instant::now(), it));
+        self.unannounced.extend(found);
+        let delay = self.heartbeat_delay;
+        let due = self
+            .unannounced
+            .extract_if(.., |(found, _)| found.elapsed() >= delay);
+        self.upstreams.extend(due.map(|(_, upstream)| upstream));
         for upstream in self.upstreams.iter().filter(|it| !it.ended()) {
             let sequence = SEQUENCE.fetch_add(1, Ordering::Relaxed);
             let head = format!(
@@ -206,6 +219,29 @@
     play(&mut site, CrashMode::Silent, "/order/5", 2_500);
 }
 
+/// Guards against crashes that are not counted since the upstream at the same address
+/// sends its first heartbeat late.
+#[test]
+fn crashes_are_counted_although_the_heartbeats_of_the_successors_come_late() {
+    let mut site = Site::start();
+    site.heartbeat_delay = Duration::from_secs(6);
+    site.add_upstreams(14, CrashMode::Replaced);
+    for front in [0, 1] {
+        site.serve_harmless(front, "/order/13");
+    }
+    site.crash_upstreams("/order/13", 1_000);
+    let began = Instant::now();
+    while began.elapsed() < site.heartbeat_delay + CONTACT_TIME {
+        site.announce_all();
+        thread::sleep(Duration::from_millis(300));
+    }
+    let later = site.send_deadly_again("/order/13", 1_000);
+    assert!(
+        later <= MAX_LATER_RUNS,
+        "{later} more upstreams were crashed"
+    );
+}
+
 #[test]
 fn a_quarantine_holds_over_restarts_of_all_fronts_and_control_hosts() {
     let mut site = Site::start();
