Tests: wait until the log writer has written its lines

LogWriter::flush waits 300 ms at most, and the test read the output after it whether or not the lines were written, so it depended on when the thread of the writer was scheduled. flush now returns whether the lines are written, and the test repeats it until they are; what it compares is unchanged.

25 runs of the old test beside 14 busy loops did not fail, so the cause is read from the code and the output of the one failure.

--- a/crates/sapphirequayd/src/process/log_writer.rs
+++ b/crates/sapphirequayd/src/process/log_writer.rs
@@ -109,12 +109,12 @@
         }
     }
 
-    /// Waits until the queued lines are written, but at most `FLUSH_TIMEOUT`.
-    pub fn flush(&self) {
+    /// Waits until the queued lines are written, but at most `FLUSH_TIMEOUT`. Returns
+    /// whether they are.
+    pub fn flush(&self) -> bool {
         let (done, written) = sync_channel(1);
-        if self.jobs.try_send(Job::Flush(done)).is_ok() {
-            let _ = written.recv_timeout(FLUSH_TIMEOUT);
-        }
+        let queued = self.jobs.try_send(Job::Flush(done)).is_ok();
+        queued && written.recv_timeout(FLUSH_TIMEOUT).is_ok()
     }
 
     fn queue(&self, line: String) {
--- a/crates/sapphirequayd/tests/log_lines.rs
+++ b/crates/sapphirequayd/tests/log_lines.rs
@@ -72,7 +72,8 @@
     // by a report of the lines dropped before.
     write_line(&writer, 1, "time=t1 event=busy id=10");
     write_line(&writer, 2, "event=busy id=11");
-    writer.flush();
+    // The thread of the writer may start later than one flush waits.
+    while !writer.flush() {}
     assert_eq!(
         captured.text(),
         "event=busy id=0\nevent=busy id=1\nevent=busy id=2\nevent=rare id=1\nno event at all\n\
