Types for client accounts and the fourth figure of an upstream's load

Cause: the routing table had no accounts, so keys of callers were forwarded to upstreams and a configuration in which two accounts share a key was acknowledged; the fourth figure of an upstream's load was dropped.

Change: quay_routes::AccountTable beside the routes, with digests of keys that are compared in constant time and not shown by Debug; its check rejects shared keys and names. CallHead::credential, ForwardedAccount and UpstreamLoad say what the adapter reads and writes. Nothing uses them yet.

--- a/crates/quay_routes/src/dialect.rs
+++ b/crates/quay_routes/src/dialect.rs
@@ -16,6 +16,20 @@
     pub upstream: &'a str,
     /// Time remaining until the request's deadline.
     pub time_left: Duration,
+    /// Account of the caller.
+    pub account: ForwardedAccount<'a>,
+}
+
+/// What an upstream is told of the caller's account.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ForwardedAccount<'a> {
+    /// There are no accounts; what the caller sent is forwarded unchanged.
+    #[default]
+    Unchanged,
+    /// The request has no account. Neither a key nor a name is forwarded.
+    Anonymous,
+    /// Name of the account, which replaces what the caller sent. No key is forwarded.
+    Named(&'a str),
 }
 
 /// Translates between a platform's HTTP messages and this product's types.
--- a/crates/quay_routes/src/head.rs
+++ b/crates/quay_routes/src/head.rs
@@ -1,7 +1,7 @@
 //! Parsed heads of requests and of upstreams' responses.
 
 use {
-    crate::PromptPart,
+    crate::{KeyDigest, PromptPart},
     http::{Method, Uri},
     quay_types::{ContentDigest, RequestRate},
     std::{fmt, time::Duration},
@@ -29,6 +29,20 @@
     pub object: Option<Box<str>>,
     /// Fields that are present only if the request takes up a stream again.
     pub resumed: Option<ResumedHead>,
+    /// Key with which the caller identifies its account.
+    pub credential: Credential,
+}
+
+/// Key that a request carries.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Credential {
+    /// The request carries none.
+    #[default]
+    Missing,
+    /// The request carries something that is no key.
+    Malformed,
+    /// Digest of the key.
+    Key(KeyDigest),
 }
 
 impl CallHead {
@@ -115,6 +129,20 @@
     Misdirected,
 }
 
+/// Load that an upstream reports of itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UpstreamLoad {
+    /// Number of requests running.
+    pub running: u32,
+    /// Number of requests waiting.
+    pub queued: u32,
+    /// Number of requests that can run concurrently.
+    pub slots: u32,
+    /// Time that work takes at this moment, in percent of the usual; `None` if the
+    /// upstream does not say.
+    pub slowdown: Option<u32>,
+}
+
 /// Parsed head of an upstream's response.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct UpstreamHead {
@@ -125,8 +153,8 @@
     /// Whether the response carries a seal, which shows that its bytes come
     /// from the upstream itself.
     pub sealed: bool,
-    /// Requests running at the upstream, requests queued there, and its slots.
-    pub load: Option<(u32, u32, u32)>,
+    /// Load that the upstream reports.
+    pub load: Option<UpstreamLoad>,
     /// Whether the upstream says that it is leaving.
     pub leaving: bool,
     /// Requests that the upstream takes from all hosts together, if it names a
--- a/crates/quay_routes/src/lib.rs
+++ b/crates/quay_routes/src/lib.rs
@@ -23,6 +23,7 @@
 //! assert_eq!(&*found.targets[0].service, "orders");
 //! ```
 
+mod account;
 mod deadline;
 mod dialect;
 mod head;
@@ -31,9 +32,13 @@
 mod table;
 
 pub use {
+    account::{Account, AccountTable, KeyDigest, Quota},
     deadline::RequestDeadline,
-    dialect::{Dialect, Forwarding},
-    head::{CallHead, Execution, HeadError, ResumedHead, TurnHead, UpstreamHead},
+    dialect::{Dialect, ForwardedAccount, Forwarding},
+    head::{
+        CallHead, Credential, Execution, HeadError, ResumedHead, TurnHead, UpstreamHead,
+        UpstreamLoad,
+    },
     operator::{OperatorCall, OperatorError, OperatorResponse},
     prompt::{BLOCK_TOKENS, PromptPart, block_hashes, branch_ids, token_count},
     table::{EdgeLimits, RepeatPolicy, Route, RoutingTable, Service, TableError, Target},
--- a/crates/quay_routes/src/table.rs
+++ b/crates/quay_routes/src/table.rs
@@ -1,6 +1,7 @@
 //! Routing tables.
 
 use {
+    crate::AccountTable,
     serde::{Deserialize, Serialize},
     std::{collections::HashSet, fmt, time::Duration},
 };
@@ -74,6 +75,8 @@
     /// Whether an upstream is faster with an object or a prompt that it had
     /// lately.
     pub sticky: bool,
+    /// Whether requests need no key although there are accounts.
+    pub public: bool,
 }
 
 impl Route {
@@ -147,6 +150,8 @@
     pub services: Vec<Service>,
     /// Limits on callers' requests and connections.
     pub limits: EdgeLimits,
+    /// Client accounts; empty if requests need no key.
+    pub accounts: AccountTable,
 }
 
 /// Reason for which a routing table is rejected.
@@ -172,6 +177,13 @@
     ZeroWeight(Box<str>),
     /// The timeout of the named route is 0.
     ZeroTimeout(Box<str>),
+    /// An account's name is empty, or two accounts have this name.
+    AccountName(Box<str>),
+    /// Two accounts share a key, which errors do not show.
+    SharedKey {
+        /// Names of the two accounts.
+        accounts: [Box<str>; 2],
+    },
 }
 
 impl fmt::Display for TableError {
@@ -188,6 +200,11 @@
                 write!(f, "two routes have host {host:?} and prefix {prefix:?}")
             }
             Self::ZeroWeight(route) => write!(f, "the weights of route {route:?} add up to 0"),
+            Self::AccountName(name) if name.is_empty() => f.write_str("an account has no name"),
+            Self::AccountName(name) => write!(f, "two accounts have the name {name:?}"),
+            Self::SharedKey { accounts: [a, b] } => {
+                write!(f, "accounts {a:?} and {b:?} share a key")
+            }
             Self::ZeroTimeout(route) => write!(f, "the timeout of route {route:?} is 0"),
         }
     }
@@ -226,7 +243,7 @@
                 return Err(TableError::ZeroTimeout(route.name.clone()));
             }
         }
-        Ok(())
+        self.accounts.check()
     }
 
     /// Finds the route of a request: the one with the longest matching path
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -22,8 +22,8 @@
     hyper::body::Incoming,
     quay_policy::{NewProgram, RunEnd},
     quay_routes::{
-        CallHead, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline, Route, TurnHead,
-        UpstreamHead,
+        CallHead, Dialect, Execution, ForwardedAccount, Forwarding, RepeatPolicy, RequestDeadline,
+        Route, TurnHead, UpstreamHead,
     },
     quay_turns::{Charge, ChargeStatus},
     quay_types::{
@@ -586,6 +586,7 @@
         let forwarding = Forwarding {
             upstream: &upstream.name,
             time_left: self.deadline.remaining(self.front.now()),
+            account: ForwardedAccount::Unchanged,
         };
         let headers = self
             .front
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -8,7 +8,7 @@
         NewProgramGate, Requirements, RouteRequest, RouteSettings, Router, ServiceVersions,
         StreamOrigin, UpstreamFilter, UpstreamRun,
     },
-    quay_routes::{CallHead, PromptPart, block_hashes, branch_ids, token_count},
+    quay_routes::{CallHead, PromptPart, UpstreamLoad, block_hashes, branch_ids, token_count},
     quay_types::{
         Announcement, CallTarget, DirectoryEntry, Incarnation, Load, ProgramId, RequestRate,
         ServiceId, SoftwareVersion, Time, Tokens, UpstreamId, UpstreamState,
@@ -258,17 +258,11 @@
         }
     }
 
-    /// Applies an upstream's load report: running requests, waiting requests,
-    /// slots.
-    pub fn apply_load_report(
-        &mut self,
-        now: Time,
-        id: UpstreamId,
-        (running, waiting, _): (u32, u32, u32),
-    ) {
+    /// Applies an upstream's load report.
+    pub fn apply_load_report(&mut self, now: Time, id: UpstreamId, reported: UpstreamLoad) {
         let load = Load {
-            running,
-            queued: waiting,
+            running: reported.running,
+            queued: reported.queued,
             ..Load::default()
         };
         self.update_router(now, id, Some(load));
--- a/crates/sapphirequayd/tests/common/agent_load.rs
+++ b/crates/sapphirequayd/tests/common/agent_load.rs
@@ -4,7 +4,7 @@
 use {
     quay_members::{Directory, MembersSettings},
     quay_policy::NewProgram,
-    quay_routes::{BLOCK_TOKENS, CallHead, PromptPart, TurnHead, block_hashes},
+    quay_routes::{BLOCK_TOKENS, CallHead, PromptPart, TurnHead, UpstreamLoad, block_hashes},
     quay_standin::model::{EngineModel, Job, JobEvent, JobId, ModelSettings},
     quay_types::{
         Announcement, Incarnation, Load, ServiceId, Time, UpstreamId, UpstreamKind, UpstreamState,
@@ -288,11 +288,13 @@
                 let front = &mut self.fronts[in_flight.front];
                 let wait = now.since(in_flight.sent);
                 front.record_wait(now, SERVICE, wait, OBJECTIVE);
-                front.apply_load_report(
-                    now,
-                    self.names[engine],
-                    (load.running, load.waiting, SLOTS),
-                );
+                let reported = UpstreamLoad {
+                    running: load.running,
+                    queued: load.waiting,
+                    slots: SLOTS,
+                    slowdown: None,
+                };
+                front.apply_load_report(now, self.names[engine], reported);
             }
             JobEvent::Done { job, .. } => self.end_turn(now, job),
             _ => {}
--- a/crates/sapphirequayd/tests/objects.rs
+++ b/crates/sapphirequayd/tests/objects.rs
@@ -2,7 +2,7 @@
 
 use {
     quay_members::{Directory, MembersSettings},
-    quay_routes::CallHead,
+    quay_routes::{CallHead, UpstreamLoad},
     quay_types::{
         Announcement, Incarnation, Load, ServiceId, Time, UpstreamId, UpstreamKind, UpstreamState,
     },
@@ -29,6 +29,15 @@
     }
 }
 
+fn load(running: u32, queued: u32) -> UpstreamLoad {
+    UpstreamLoad {
+        running,
+        queued,
+        slots: SLOTS,
+        slowdown: None,
+    }
+}
+
 /// Fronts that know the same three upstreams.
 fn fronts() -> Vec<Upstreams> {
     let mut directory = Directory::new(Time::ZERO, 1, MembersSettings::default());
@@ -68,7 +77,7 @@
         let upstream = upstream.expect("upstream").id;
         front.record_end(now, upstream);
         // The response reports an idle upstream.
-        front.apply_load_report(now, upstream, (0, 0, SLOTS));
+        front.apply_load_report(now, upstream, load(0, 0));
         chosen.insert(upstream);
     }
     chosen
@@ -95,12 +104,12 @@
         let chosen = upstreams_of(&mut fronts, now, object, true);
         let home = *chosen.first().expect("upstream");
         for front in &mut fronts {
-            front.apply_load_report(now, home, (SLOTS, 12, SLOTS));
+            front.apply_load_report(now, home, load(SLOTS, 12));
         }
         let chosen = upstreams_of(&mut fronts, now, object, true);
         assert!(!chosen.contains(&home), "object {object}");
         for front in &mut fronts {
-            front.apply_load_report(now, home, (0, 0, SLOTS));
+            front.apply_load_report(now, home, load(0, 0));
         }
     }
 }
