Memory as a limit: the decision, without a network

Cause: a front bounds only responses that it holds until they are complete, by 16 MB; bodies of requests, streams to slow callers and connections are not counted, so a front of 88 MB can pass its limit and be killed.

Change: quay_policy::MemoryBudget divides one byte budget among classes, callers and accounts, names what is evicted or disconnected first, and says when a stream is read on. UpstreamShares bounds the tokens in flight to an upstream. Nothing uses them yet.

--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod admit;
 mod guard;
+mod memory;
 mod placement;
 mod policy;
 mod program_blocks;
@@ -37,6 +38,10 @@
         RetryBudgets, RetrySettings, RunEnd, ServiceVersions, StreamOrigin, SuspectCommand,
         SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings, UpstreamFilter, UpstreamRun,
     },
+    memory::{
+        CallerConnection, MemoryBudget, MemoryClass, MemoryDecision, MemoryHolder, MemorySettings,
+        Shortage, SlowReader, UpstreamShares,
+    },
     placement::{Move, Placement, PlacementSettings, PlacementView},
     policy::{Policy, PolicySettings},
     program_blocks::ProgramBlocks,
--- /dev/null
+++ b/crates/quay_policy/src/memory/mod.rs
@@ -0,0 +1,12 @@
+//! Memory as a limit: one byte budget of a host, divided among classes of data,
+//! callers and accounts.
+
+mod budget;
+mod callers;
+mod upstream_shares;
+
+pub use {
+    budget::{MemoryBudget, MemoryClass, MemoryDecision, MemorySettings, Shortage},
+    callers::{CallerConnection, MemoryHolder, SlowReader},
+    upstream_shares::UpstreamShares,
+};
