Memory as a limit: a front serves within the budget of its settings

Cause: bodies of requests, buffered frames of streams and whole responses were held for slow callers and upstreams without a common bound.

Bodies reserve their declared length before they are read and are refused as no_memory (503, not run) without room; a chunked body reserves what arrives. Frames and responses count until hyper has written them. A stream is paused for a slow caller, and the slowest caller is disconnected with a reset when more than half of the budget is used.

--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -12,6 +12,7 @@
         upstreams::{Pool, SelectedUpstream},
     },
     crate::gateway::{
+        host_memory::MemoryGuard,
         http_server::{Body, full},
         meters::{self, Stage},
         store::{ReserveOutcome, TurnLookup},
@@ -20,10 +21,10 @@
     http::{Request, Response, StatusCode, header, request, response},
     http_body_util::Full,
     hyper::body::Incoming,
-    quay_policy::{NewProgram, RunEnd},
+    quay_policy::{MemoryClass, MemoryHolder, NewProgram, RunEnd},
     quay_routes::{
-        CallHead, Dialect, Execution, ForwardedAccount, Forwarding, RepeatPolicy, RequestDeadline,
-        Route, TurnHead, UpstreamHead,
+        Account, CallHead, Credential, Dialect, Execution, ForwardedAccount, Forwarding,
+        RepeatPolicy, RequestDeadline, Route, RoutingTable, TurnHead, UpstreamHead,
     },
     quay_turns::{Charge, ChargeStatus},
     quay_types::{
@@ -73,6 +74,8 @@
     /// Hash of the request id, used as the random number for routing and
     /// jitter.
     draw: u64,
+    /// Caller for which memory is held.
+    holder: Option<MemoryHolder>,
     /// Whether an attempt ended without telling whether the request has run.
     may_have_run: Cell<bool>,
 }
@@ -150,7 +153,8 @@
     let known = table.service(service);
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
     let limit = table.limits.body_bytes as usize;
-    let body = read_body(front, body, limit, &deadline).await?;
+    let holder = memory_holder(parts, head, &table);
+    let body = read_body(front, body, limit, &deadline, holder).await?;
     let content = head.content(&parts.method, &parts.uri, &body);
     let pool = Pool::of(service);
     front.wait_for_service(&pool, deadline.at()).await;
@@ -174,6 +178,7 @@
         most_urgent: table.is_most_urgent(route, service),
         event_tokens,
         draw,
+        holder,
         may_have_run: Cell::default(),
     };
     call.check_quarantine()?;
@@ -183,6 +188,22 @@
     }
 }
 
+/// Caller for which the memory of a request is held.
+fn memory_holder(
+    parts: &request::Parts,
+    head: &CallHead,
+    table: &RoutingTable,
+) -> Option<MemoryHolder> {
+    let account = match &head.credential {
+        Credential::Key(key) => table.accounts.find(key).map(Account::id),
+        Credential::Missing | Credential::Malformed => None,
+    };
+    Some(MemoryHolder {
+        connection: *parts.extensions.get()?,
+        account,
+    })
+}
+
 /// Program of a request.
 fn program_of(head: &CallHead) -> ProgramTag {
     ProgramTag::of(head.program_name())
@@ -204,10 +225,11 @@
         let body = if history.is_empty() {
             input.clone()
         } else {
+            let guard = self.reserve_memory(history.len() + input.len())?;
             let mut body = BytesMut::with_capacity(history.len() + input.len());
             body.extend_from_slice(&history);
             body.extend_from_slice(&input);
-            body.freeze()
+            guard.attach(body.freeze())
         };
         let pending_turn = PendingTurn {
             id: TurnId::of(&self.head.id),
@@ -220,6 +242,13 @@
         self.run(body, Some(pending_turn), reservation).await
     }
 
+    /// Reserves memory for what the request sends to an upstream.
+    fn reserve_memory(&self, bytes: usize) -> Result<MemoryGuard, Refusal> {
+        let memory = self.front.memory();
+        let reserved = memory.reserve(MemoryClass::Requests, self.holder, bytes);
+        reserved.map_err(|_| Refusal::NoMemory)
+    }
+
     /// Reserves the maximum tokens of the turn from the program's budget.
     async fn reserve(&self, turn: &TurnHead) -> Result<Option<Reservation>, Refusal> {
         let (Some(budget), Some(program)) = (turn.budget, &self.head.program) else {
@@ -300,14 +329,24 @@
             .await
         {
             TurnLookup::Found(turns) => {
-                let mut history = BytesMut::new();
+                let lens = turns.iter().map(|it| it.input.len() + it.output.len());
+                let len = lens.sum();
+                let memory = self.front.memory();
+                let cacheable = memory.reserve(MemoryClass::Conversations, None, len);
+                let (guard, caches) = match cacheable {
+                    Ok(guard) => (guard, true),
+                    Err(_) => (self.reserve_memory(len)?, false),
+                };
+                let mut history = BytesMut::with_capacity(len);
                 for turn in turns {
                     history.extend_from_slice(&turn.input);
                     history.extend_from_slice(&turn.output);
                 }
-                let history = history.freeze();
-                self.front
-                    .cache_conversation(program_of(self.head), id, history.clone());
+                let history = guard.attach(history.freeze());
+                if caches {
+                    let program = program_of(self.head);
+                    self.front.cache_conversation(program, id, history.clone());
+                }
                 Ok(history)
             }
             TurnLookup::Absent => {
@@ -376,6 +415,7 @@
                         pending_turn,
                         reservation,
                         event_tokens: self.event_tokens,
+                        holder: self.holder,
                         ends: self.deadline.at(),
                         wait_ms: queue_time.as_millis(),
                         first_ms: first.as_millis(),
@@ -644,7 +684,7 @@
         if self.route.repeat.is_stream() && head.status == StatusCode::OK && !not_run {
             return AttemptResult::Stream(Box::new(in_flight), Box::new(head), incoming);
         }
-        let mut share = self.front.buffers().share();
+        let mut share = self.front.buffers().share_for(self.holder);
         let body = timeout(limit, read_response(incoming, &mut share)).await;
         let body = match body {
             Ok(Some(body)) => body,
@@ -670,7 +710,7 @@
         if not_run {
             return AttemptResult::NotRun;
         }
-        AttemptResult::Complete(self.response(&head, full(body)))
+        AttemptResult::Complete(self.response(&head, full(share.deliver(body))))
     }
 
     /// Returns why a response is invalid for this request, if so.
--- a/crates/sapphirequayd/src/gateway/front/connections.rs
+++ b/crates/sapphirequayd/src/gateway/front/connections.rs
@@ -47,6 +47,10 @@
 /// informational responses.
 const MAX_HEAD_BYTES: usize = 256 << 10;
 
+/// Bytes that one read takes on a host with a memory budget. `hyper` sizes the buffer
+/// of a connection by the reads before, up to 400 kB, which are not counted.
+const MAX_READ_BYTES: usize = 16 << 10;
+
 /// Body of a request to an upstream.
 type RequestBody = Full<Bytes>;
 
@@ -65,6 +69,8 @@
 #[derive(Debug, Clone)]
 pub struct Connections {
     clock: Clock,
+    /// Bytes that one read takes.
+    max_read: usize,
     idle: Rc<RefCell<IndexMap<SocketAddr, Vec<Idle>>>>,
 }
 
@@ -102,10 +108,16 @@
 }
 
 impl Connections {
-    /// Creates an empty pool.
-    pub fn new(clock: Clock) -> Self {
+    /// Creates an empty pool. `has_budget` tells whether the memory of the host is
+    /// limited.
+    pub fn new(clock: Clock, has_budget: bool) -> Self {
         Self {
             clock,
+            max_read: if has_budget {
+                MAX_READ_BYTES
+            } else {
+                usize::MAX
+            },
             idle: Rc::default(),
         }
     }
@@ -144,6 +156,7 @@
         let stream = LimitedStream {
             stream,
             limit: head_limit.clone(),
+            max_read: self.max_read,
         };
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, conn) = handshake.map_err(io::Error::other)?;
@@ -272,6 +285,7 @@
 struct LimitedStream {
     stream: TcpStream,
     limit: HeadLimit,
+    max_read: usize,
 }
 
 impl AsyncRead for LimitedStream {
@@ -285,7 +299,15 @@
             return Poll::Ready(Err(err));
         }
         let filled = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let polled = if buf.remaining() <= self.max_read {
+            Pin::new(&mut self.stream).poll_read(cx, buf)
+        } else {
+            let mut part = ReadBuf::new(buf.initialize_unfilled_to(self.max_read));
+            let polled = Pin::new(&mut self.stream).poll_read(cx, &mut part);
+            let read = part.filled().len();
+            buf.advance(read);
+            polled
+        };
         let read = buf.filled().len() - filled;
         let left = self.limit.0.get().map(|left| left.saturating_sub(read));
         self.limit.0.set(left);
--- a/crates/sapphirequayd/src/gateway/front/conversation_cache.rs
+++ b/crates/sapphirequayd/src/gateway/front/conversation_cache.rs
@@ -21,7 +21,7 @@
 pub type ConversationKey = (GroupId, TurnId);
 
 /// LRU cache of conversations.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct ConversationCache {
     max_bytes: usize,
     bytes: usize,
@@ -72,6 +72,14 @@
         }
     }
 
+    /// Evicts the oldest conversations until at least `bytes` are evicted or none is
+    /// left. Returns the size of those that are left.
+    pub fn evict(&mut self, bytes: u64) -> u64 {
+        let target = (self.bytes as u64).saturating_sub(bytes);
+        while self.bytes as u64 > target && self.evict_oldest() {}
+        self.bytes as u64
+    }
+
     fn evict_oldest(&mut self) -> bool {
         let oldest = self.entries.shift_remove_index(0);
         let bytes = oldest.as_ref().map(|(_, entry)| entry.conversation.len());
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -10,8 +10,8 @@
         buffer_space::BufferSpace,
         call,
         connections::Connections,
-        conversation_cache::ConversationCache,
         front_suspects::FrontSuspects,
+        memory::FrontMemory,
         startup_wait::StartupWait,
         upstreams::{Pool, Upstreams},
     },
@@ -106,7 +106,7 @@
     bound_permits: PermitSignals,
     connections: Connections,
     buffers: BufferSpace,
-    conversations: RefCell<ConversationCache>,
+    memory: FrontMemory,
     table: RefCell<Option<Rc<RoutingTable>>>,
     limits: ServerLimits,
     startup: StartupWait,
@@ -127,7 +127,7 @@
         data_centre: &str,
         control: ControlClient,
         stores: StoreClient,
-        chain_cache_bytes: usize,
+        memory: FrontMemory,
         link: SocketAddr,
     ) -> Self {
         Self(Rc::new(Shared {
@@ -140,11 +140,14 @@
             report: Notify::new(),
             permits: PermitSignals::default(),
             bound_permits: PermitSignals::default(),
-            connections: Connections::new(clock),
-            buffers: BufferSpace::default(),
-            conversations: RefCell::new(ConversationCache::new(chain_cache_bytes)),
+            connections: Connections::new(clock, memory.is_limited()),
+            buffers: BufferSpace::new(memory.clone()),
             table: RefCell::default(),
-            limits: ServerLimits::default(),
+            limits: ServerLimits {
+                memory: memory.host().clone(),
+                ..ServerLimits::default()
+            },
+            memory,
             startup: StartupWait::new(clock.now(), STARTUP_TIME),
             last_update: Cell::default(),
             draining: Cell::default(),
@@ -260,6 +263,11 @@
         &self.0.buffers
     }
 
+    /// Memory of the front.
+    pub fn memory(&self) -> &FrontMemory {
+        &self.0.memory
+    }
+
     /// Client of the stores.
     pub fn stores(&self) -> &StoreClient {
         &self.0.stores
@@ -270,17 +278,22 @@
     pub fn cached_conversation(&self, program: ProgramTag, turn: TurnId) -> Option<Bytes> {
         let key = (self.0.stores.group_of(program), turn);
         let now = self.now();
-        self.0.conversations.borrow_mut().get(now, key)
+        self.0.memory.cached(now, key)
+    }
+
+    /// Caches the conversation up to a turn that a program can continue from, if there
+    /// is room.
+    pub fn cache_if_room(&self, program: ProgramTag, turn: TurnId, conversation: Bytes) {
+        let key = (self.0.stores.group_of(program), turn);
+        self.0.memory.cache_if_room(self.now(), key, conversation);
     }
 
-    /// Caches the conversation up to a turn that a program can continue from.
+    /// Caches the conversation up to a turn that a program can continue from, whose
+    /// memory is counted already.
     pub fn cache_conversation(&self, program: ProgramTag, turn: TurnId, conversation: Bytes) {
         let key = (self.0.stores.group_of(program), turn);
         let now = self.now();
-        self.0
-            .conversations
-            .borrow_mut()
-            .put(now, key, conversation);
+        self.0.memory.cache(now, key, conversation);
     }
 
     // -----------------------------------------------------------------------
@@ -364,7 +377,7 @@
             let now = self.now();
             self.upstreams().tick(now);
             self.check_upstreams();
-            self.0.conversations.borrow_mut().tick(now);
+            self.0.memory.tick(now);
             self.0.connections.close_idle();
             meters::set_limited_upstreams(self.upstreams().limits().len());
             let last_update = self.0.last_update.get();
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -9,6 +9,7 @@
 mod front_suspects;
 mod host;
 mod in_flight;
+mod memory;
 mod refusal;
 mod reservation;
 mod startup_wait;
@@ -22,6 +23,7 @@
     events::EventReader,
     front_suspects::FrontSuspects,
     host::FrontHost,
+    memory::FrontMemory,
     startup_wait::StartupWait,
     upstream_outcome::{StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome, upstream_outcome},
     upstreams::{Pool, SelectedUpstream, Upstreams},
--- a/crates/sapphirequayd/src/gateway/front/refusal.rs
+++ b/crates/sapphirequayd/src/gateway/front/refusal.rs
@@ -61,6 +61,8 @@
     StreamUnknown => "stream_unknown", 503, None;
     /// No upstream serves at the version that began the stream.
     VersionGone => "version_gone", 503, None;
+    /// The front has no memory for the request.
+    NoMemory => "no_memory", 503, Some(250);
     /// The service can't finish another program in time.
     Overloaded => "overloaded", 503, Some(250);
     /// The request's content is known to crash upstreams.
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -18,24 +18,31 @@
     http::response,
     http_body_util::BodyExt as _,
     hyper::body::{Body as HttpBody, Frame, Incoming},
-    quay_policy::RunEnd,
+    quay_policy::{MemoryHolder, RunEnd},
     quay_routes::Dialect,
     quay_turns::{Record, TurnRecord},
     quay_types::{ProgramTag, Time, TurnId},
     std::{
         pin::Pin,
+        sync::Arc,
         task::{Context, Poll},
         time::Duration,
     },
     tokio::{
-        sync::mpsc,
+        sync::{Notify, mpsc},
         time::{sleep, timeout},
     },
 };
 
-/// Number of frames buffered for a caller that reads slowly.
+/// Number of frames buffered for a caller that reads slowly, without a memory budget.
 const MAX_BUFFERED_FRAMES: usize = 16;
 
+/// The same with a budget, which bounds the bytes.
+const MAX_BUDGETED_FRAMES: usize = 1_024;
+
+/// Time after which a paused stream looks again whether memory is still short.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Sender of the frames of a response body.
 type FrameSender = mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>;
 
@@ -86,6 +93,8 @@
     pub reservation: Option<Reservation>,
     /// Number of tokens that an event counts as.
     pub event_tokens: u64,
+    /// Caller for which the stream's memory is held.
+    pub holder: Option<MemoryHolder>,
     /// Time at which the stream is aborted.
     pub ends: Time,
     /// Milliseconds from the request's arrival until it was sent.
@@ -97,7 +106,12 @@
 impl<D: Dialect> StreamRelay<D> {
     /// Starts the relay task and returns the response body that it fills.
     pub fn start(self, head: &response::Parts, body: Incoming) -> Body {
-        let (tx, rx) = mpsc::channel(MAX_BUFFERED_FRAMES);
+        let max_frames = if self.front.memory().is_limited() {
+            MAX_BUDGETED_FRAMES
+        } else {
+            MAX_BUFFERED_FRAMES
+        };
+        let (tx, rx) = mpsc::channel(max_frames);
         let headers = head.headers.clone();
         tokio::task::spawn_local(async move { self.relay(headers, body, tx).await });
         RelayedBody(rx).boxed_unsync()
@@ -107,7 +121,7 @@
     async fn relay(mut self, headers: http::HeaderMap, mut body: Incoming, frames: FrameSender) {
         let mut reader = EventReader::new(self.pending_turn.is_some());
         // Held until the turn is stored.
-        let mut share = self.front.buffers().share();
+        let mut share = self.front.buffers().share_for(self.holder);
         let end = self
             .relay_frames(&mut body, &mut reader, &mut share, &frames)
             .await;
@@ -175,7 +189,17 @@
         let left = self.ends.since(self.front.now());
         let ends = sleep(left);
         tokio::pin!(ends);
+        let taken = Arc::new(Notify::new());
         loop {
+            // A stream whose caller reads slowly is not read on from its upstream.
+            while !self.front.memory().host().may_read_on(self.holder) {
+                tokio::select! {
+                    () = taken.notified() => {}
+                    () = sleep(PAUSE_CHECK_INTERVAL) => {}
+                    () = frames.closed() => return StreamEnd::CallerGone,
+                    () = &mut ends => return StreamEnd::Broken("time_over"),
+                }
+            }
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = frames.closed() => return StreamEnd::CallerGone,
@@ -207,6 +231,8 @@
                 }
                 reservation.set_used(tokens);
             }
+            let memory = self.front.memory().host();
+            let data = memory.hold_frame(self.holder, data, &taken);
             tokio::select! {
                 sent = frames.send(Ok(Frame::data(data))) => {
                     if sent.is_err() {
@@ -251,7 +277,7 @@
         conversation.extend_from_slice(&pending_turn.history);
         conversation.extend_from_slice(&pending_turn.input);
         conversation.extend_from_slice(&output);
-        self.front.cache_conversation(
+        self.front.cache_if_room(
             pending_turn.program,
             pending_turn.id,
             Bytes::from(conversation),
--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -1,13 +1,19 @@
 //! HTTP/1 server: accepts connections and serves their requests.
 
 use {
+    super::host_memory::{HostMemory, OpenConnection},
     bytes::Bytes,
     http::{Request, Response},
     http_body_util::{BodyExt as _, Full, combinators::UnsyncBoxBody},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{cell::Cell, convert::Infallible, fmt, future::Future, rc::Rc, time::Duration},
-    tokio::{net::TcpListener, sync::Notify, task::spawn_local},
+    socket2::SockRef,
+    std::{cell::Cell, convert::Infallible, fmt, future::Future, pin::Pin, rc::Rc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Notify,
+        task::spawn_local,
+    },
 };
 
 /// Reason why a response body was aborted before its end.
@@ -43,6 +49,9 @@
     pub idle: Rc<Cell<Duration>>,
     /// Closes connections gracefully, between two responses.
     pub closing: Rc<ConnectionDrain>,
+    /// Budget in which the connections count. Each request has the number of its
+    /// connection as an extension if there is one.
+    pub memory: HostMemory,
 }
 
 impl Default for ServerLimits {
@@ -51,6 +60,7 @@
             head_bytes: Rc::new(Cell::new(32 << 10)),
             idle: Rc::new(Cell::new(Duration::from_secs(30))),
             closing: Rc::default(),
+            memory: HostMemory::default(),
         }
     }
 }
@@ -122,30 +132,44 @@
         let handler = handler.clone();
         // Boxed, so that idle connections hold no memory for a request's
         // future.
-        let service = service_fn(move |req| Box::pin(handler(req)));
+        let open = limits.memory.open_connection();
+        let id = open.as_ref().map(OpenConnection::id);
+        let service = service_fn(move |mut req: Request<Incoming>| {
+            if let Some(id) = id {
+                req.extensions_mut().insert(id);
+            }
+            Box::pin(handler(req))
+        });
         let conn = builder.serve_connection(TokioIo::new(stream), service);
-        spawn_local(drive_connection(conn, Rc::clone(&limits.closing)));
+        spawn_local(drive_connection(conn, Rc::clone(&limits.closing), open));
     }
 }
 
-/// Drives one connection until it is closed.
+/// Drives one connection until it is closed, or ended for want of memory.
 async fn drive_connection<S>(
-    conn: http1::Connection<TokioIo<tokio::net::TcpStream>, S>,
+    mut conn: http1::Connection<TokioIo<TcpStream>, S>,
     closing: Rc<ConnectionDrain>,
+    open: Option<OpenConnection>,
 ) where
     S: hyper::service::HttpService<Incoming, ResBody = Body>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     closing.open.set(closing.open.get() + 1);
-    tokio::pin!(conn);
     let mut shutting_down = closing.begun.get();
     if shutting_down {
-        conn.as_mut().graceful_shutdown();
+        Pin::new(&mut conn).graceful_shutdown();
     }
+    let ended_early = async {
+        match &open {
+            Some(open) => open.ended().await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::pin!(ended_early);
     loop {
         let notified = closing.begin_notify.notified();
         tokio::select! {
-            ended = conn.as_mut() => {
+            ended = Pin::new(&mut conn) => {
                 if let Err(err) = ended {
                     log::debug!("event=caller_connection_ended cause={err}");
                 }
@@ -153,10 +177,27 @@
             }
             () = notified, if !shutting_down => {
                 shutting_down = true;
-                conn.as_mut().graceful_shutdown();
+                Pin::new(&mut conn).graceful_shutdown();
+            }
+            () = &mut ended_early => {
+                reset(conn);
+                break;
             }
         }
     }
     closing.open.set(closing.open.get() - 1);
     closing.closed_notify.notify_waiters();
 }
+
+/// Closes a connection with a reset: the caller sees that a response without a
+/// length is incomplete, and the system frees what it has buffered.
+fn reset<S>(conn: http1::Connection<TokioIo<TcpStream>, S>)
+where
+    S: hyper::service::HttpService<Incoming, ResBody = Body>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let stream = conn.into_parts().io.into_inner();
+    if let Err(err) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("event=linger_unset cause={err}");
+    }
+}
--- a/crates/sapphirequayd/src/gateway/meters.rs
+++ b/crates/sapphirequayd/src/gateway/meters.rs
@@ -3,6 +3,7 @@
 
 use {
     metrics::{counter, gauge, histogram},
+    quay_policy::{MemoryClass, Shortage},
     std::time::Duration,
 };
 
@@ -85,6 +86,28 @@
     gauge!("sapphirequay_stores_version").set(stores as f64);
 }
 
+/// Counts a reservation of memory that was refused, by the share that is full.
+pub fn record_memory_refusal(class: MemoryClass, shortage: Shortage) {
+    let share = match shortage {
+        Shortage::Caller => "caller",
+        Shortage::Account => "account",
+        Shortage::Host => "host",
+    };
+    counter!("sapphirequay_memory_refusals_total", "class" => class.name(), "share" => share)
+        .increment(1);
+}
+
+/// Counts a slow reader that was disconnected since memory was short.
+pub fn record_reader_disconnected() {
+    counter!("sapphirequay_readers_disconnected_total").increment(1);
+}
+
+/// Sets the bytes in use of a class of memory.
+#[allow(clippy::cast_precision_loss)]
+pub fn set_memory(class: MemoryClass, bytes: u64) {
+    gauge!("sapphirequay_memory_bytes", "class" => class.name()).set(bytes as f64);
+}
+
 /// Sets the gauge that tells whether this control host is the leader.
 pub fn set_leader(leads: bool) {
     gauge!("sapphirequay_leads").set(f64::from(u8::from(leads)));
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod control;
 mod control_client;
 mod front;
+mod host_memory;
 mod http_server;
 mod messages;
 mod meters;
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -5,7 +5,8 @@
         GatewayRequest,
         control::ControlHost,
         control_client::ControlClient,
-        front::FrontHost,
+        front::{FrontHost, FrontMemory},
+        host_memory::HostMemory,
         store::{StoreClient, StoreHost},
     },
     crate::{
@@ -194,13 +195,14 @@
 ) -> Result<FrontHost<D>, GatewayError> {
     let data_centre = &settings.process.data_centre;
     let stores = StoreClient::new(base.links, data_centre, base.clock);
+    let memory = front_memory(front, base.clock);
     let host = FrontHost::new(
         dialect,
         base.clock,
         data_centre,
         base.control,
         stores.clone(),
-        front.chain_cache_bytes,
+        memory,
         settings.link.listen,
     );
     let callers = TcpListener::bind(front.listen).await;
@@ -217,6 +219,20 @@
     Ok(host)
 }
 
+/// Memory of a front by its settings.
+fn front_memory(front: &FrontSettings, clock: Clock) -> FrontMemory {
+    match front.budget_bytes() {
+        Some(budget) => {
+            log::info!("event=memory_budget bytes={budget}");
+            // At most 3/8, so that the cache alone does not make memory short.
+            let cache = usize::try_from(budget / 8 * 3).unwrap_or(usize::MAX);
+            let cache = front.chain_cache_bytes.min(cache);
+            FrontMemory::new(HostMemory::new(clock, budget), cache)
+        }
+        None => FrontMemory::new(HostMemory::default(), front.chain_cache_bytes),
+    }
+}
+
 /// Relays a request of another front to a store.
 fn serve_front(stores: &StoreClient, incoming: Incoming) {
     match incoming.first.decode() {
--- a/crates/sapphirequayd/src/settings/check.rs
+++ b/crates/sapphirequayd/src/settings/check.rs
@@ -70,6 +70,7 @@
             let message = "[front], [control] and [store] can't be combined with each other or with other roles";
             problems.push(Problem::new("", "", message));
         }
+        problems.extend(self.front.as_ref().and_then(|front| front.check().err()));
         match &self.gateway {
             Some(seeds) => problems.extend(seeds.check().err()),
             None => problems.push(Problem::new("gateway", "seeds", "the table is required")),
--- a/crates/sapphirequayd/src/settings/gateway.rs
+++ b/crates/sapphirequayd/src/settings/gateway.rs
@@ -69,6 +69,44 @@
     /// Size of the in-memory cache of stored turns, in bytes.
     #[serde(default = "chain_cache_bytes")]
     pub chain_cache_bytes: usize,
+    /// Memory above which the platform kills the process, in MB (10^6 bytes). If it is
+    /// 0 or absent, only some buffers are bounded.
+    #[serde(default)]
+    pub memory_mb: f64,
+}
+
+/// Memory in bytes of a front that serves nothing, about.
+const REST_BYTES: u64 = 20_000_000;
+
+/// Least value of [`FrontSettings::memory_mb`] other than 0.
+const MIN_MEMORY_MB: f64 = 40.0;
+
+impl FrontSettings {
+    /// Bytes that requests, responses, conversations and connections may take.
+    ///
+    /// It is half of what the process leaves free. The other half is for what isn't
+    /// counted: a buffer and its copy while it grows or is joined with others, the
+    /// buffers of connections to upstreams, and what the allocator does not return.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn budget_bytes(&self) -> Option<u64> {
+        let limit = (self.memory_mb * 1e6) as u64;
+        (limit > 0).then(|| limit.saturating_sub(REST_BYTES) / 2)
+    }
+
+    /// Checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the problem and its key.
+    pub fn check(&self) -> Result<(), Problem> {
+        let valid = self.memory_mb == 0.0 || self.memory_mb >= MIN_MEMORY_MB;
+        if !valid {
+            let message = format!("must be 0 or at least {MIN_MEMORY_MB}");
+            return Err(Problem::new("front", "memory_mb", message));
+        }
+        Ok(())
+    }
 }
 
 /// Default of [`FrontSettings::chain_cache_bytes`]: an eighth of the memory of
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -44,11 +44,18 @@
     pub store_links: Vec<SocketAddr>,
     children: Vec<(Role, Child)>,
     folder: TempDir,
+    /// Settings added to the table of each front.
+    front_settings: String,
 }
 
 impl Gateway {
     /// Starts a gateway with `stores` stores.
     pub fn start(stores: usize) -> Self {
+        Self::start_with(stores, "")
+    }
+
+    /// Starts a gateway with settings added to the table of each front.
+    pub fn start_with(stores: usize, front_settings: &str) -> Self {
         let folder = TempDir::new().expect("folder");
         let made = DevelopmentKeys::generate().expect("keys");
         let nobody: [&str; 0] = [];
@@ -63,6 +70,7 @@
             store_links: (0..stores).map(|_| free_port()).collect(),
             children: Vec::new(),
             folder,
+            front_settings: front_settings.to_owned(),
         };
         for slot in 0..3 {
             gateway.run(Role::Control(slot), true);
@@ -102,9 +110,10 @@
             Role::Front(slot) => (
                 self.front_links[slot],
                 format!(
-                    "[front]\nlisten = \"{}\"\nready = \"{}\"\n",
+                    "[front]\nlisten = \"{}\"\nready = \"{}\"\n{}\n",
                     self.fronts[slot],
-                    free_port()
+                    free_port(),
+                    self.front_settings
                 ),
             ),
         };
@@ -233,7 +242,7 @@
     parse(&String::from_utf8(got).ok()?)
 }
 
-fn parse(text: &str) -> Option<Response> {
+pub fn parse(text: &str) -> Option<Response> {
     let (head, rest) = text.split_once("\r\n\r\n")?;
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let chunked = head.to_lowercase().contains("transfer-encoding: chunked");
