The front determines the account of a request

Cause: the front ignored keys: every request was served without one, keys were forwarded to upstreams, and a caller could name any account in X-Sapphirequay-Tenant.

Change: AccountTable::identify decides who sends a request from the route, the key and the age of the accounts; the front asks it once the route is known and before the body is read. A private route without a valid key is refused with 401, or with 503 if the front may be out of date. Call::caller holds the account (id, name, priority), and upstreams get its name and no key. The age counts from the request for an update, because a front that was paused reads replies from before the pause.

--- a/crates/quay_routes/src/lib.rs
+++ b/crates/quay_routes/src/lib.rs
@@ -23,6 +23,7 @@
 //! assert_eq!(&*found.targets[0].service, "orders");
 //! ```
 
+mod access;
 mod account;
 mod deadline;
 mod dialect;
@@ -32,6 +33,7 @@
 mod table;
 
 pub use {
+    access::{Caller, CallerAccount, KeyPolicy, KeyRefusal},
     account::{Account, AccountTable, KeyDigest, Quota},
     deadline::RequestDeadline,
     dialect::{Dialect, ForwardedAccount, Forwarding},
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -22,8 +22,8 @@
     hyper::body::Incoming,
     quay_policy::{NewProgram, RunEnd},
     quay_routes::{
-        CallHead, Dialect, Execution, ForwardedAccount, Forwarding, RepeatPolicy, RequestDeadline,
-        Route, TurnHead, UpstreamHead,
+        CallHead, Caller, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline, Route,
+        TurnHead, UpstreamHead,
     },
     quay_turns::{Charge, ChargeStatus},
     quay_types::{
@@ -59,6 +59,8 @@
     front: &'a FrontHost<D>,
     head: &'a CallHead,
     parts: &'a request::Parts,
+    /// Who sends the request; holds the account, if there is one.
+    caller: Caller<'a>,
     content: ContentDigest,
     route: &'a Route,
     arrived: Time,
@@ -143,6 +145,7 @@
         Refusal::NoTable
     };
     let route = route.ok_or(unknown)?;
+    let caller = front.identify(head, route, &table)?;
     let deadline = RequestDeadline::new(arrived, head.caller_timeout, route.timeout);
     let service = route
         .target(program_of(head).0)
@@ -165,6 +168,7 @@
         front,
         head,
         parts,
+        caller,
         content,
         route,
         arrived,
@@ -586,7 +590,7 @@
         let forwarding = Forwarding {
             upstream: &upstream.name,
             time_left: self.deadline.remaining(self.front.now()),
-            account: ForwardedAccount::Unchanged,
+            account: self.caller.forwarded(),
         };
         let headers = self
             .front
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -54,7 +54,7 @@
 
 /// Age of the last control update after which the front's state may be out of
 /// date: less than the 2 s within which a change must be in force.
-const MAX_CONTROL_AGE: Duration = Duration::from_millis(1_500);
+pub const MAX_CONTROL_AGE: Duration = Duration::from_millis(1_500);
 
 /// Age of the last control update after which the front reports itself not
 /// ready: longer than a restart of all control hosts with an election (2.0 s).
@@ -112,6 +112,9 @@
     startup: StartupWait,
     /// Time of the last update from the control group.
     last_update: Cell<Option<Time>>,
+    /// Time at which the newest update that the front has was asked for. The update is
+    /// not older, however late it was read.
+    last_confirmed: Cell<Option<Time>>,
     draining: Cell<bool>,
     /// Random identity of this front in requests for directory changes.
     reader: u64,
@@ -147,6 +150,7 @@
             limits: ServerLimits::default(),
             startup: StartupWait::new(clock.now(), STARTUP_TIME),
             last_update: Cell::default(),
+            last_confirmed: Cell::default(),
             draining: Cell::default(),
             reader: rand::rng().next_u64(),
             link,
@@ -240,6 +244,14 @@
         last_update.is_some_and(|at| now.since(at) < MAX_CONTROL_AGE)
     }
 
+    /// Time since the configuration that the front has was last known to be in force;
+    /// `None` if it never was. A front that was paused reads replies from before the
+    /// pause, so this counts from the request and not from the reply.
+    pub fn control_age(&self) -> Option<Duration> {
+        let confirmed = self.0.last_confirmed.get()?;
+        Some(self.now().since(confirmed))
+    }
+
     /// Whether the front is shutting down.
     pub fn draining(&self) -> bool {
         self.0.draining.get()
@@ -290,13 +302,17 @@
     async fn follow_control(self) {
         loop {
             let follower_state = self.follower_state();
+            let asked = self.now();
             let reply = self
                 .0
                 .control
                 .request(ControlRequest::Follow(follower_state), FOLLOW_TIMEOUT)
                 .await;
             match reply {
-                Some(ControlReply::Update(update)) => self.apply_update(*update),
+                Some(ControlReply::Update(update)) => {
+                    self.0.last_confirmed.set(Some(asked));
+                    self.apply_update(*update);
+                }
                 _ => sleep(FOLLOW_RETRY_DELAY).await,
             }
         }
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -3,6 +3,7 @@
 mod body_reader;
 mod buffer_space;
 mod call;
+mod caller;
 mod connections;
 mod conversation_cache;
 mod events;
--- a/crates/sapphirequayd/src/gateway/front/refusal.rs
+++ b/crates/sapphirequayd/src/gateway/front/refusal.rs
@@ -12,7 +12,7 @@
     ($( $(#[$doc:meta])* $kind:ident => $name:literal, $status:literal, $retry_ms:expr; )*) => {
         /// Reason why a front answers a request itself.
         ///
-        /// Statuses 402, 404, 408, 429 and 503 guarantee that the request has
+        /// Statuses 401, 402, 404, 408, 429 and 503 guarantee that the request has
         /// not run and never will; 502 and 504 guarantee nothing.
         #[derive(Debug, Clone, Copy, PartialEq, Eq)]
         pub enum Refusal { $( $(#[$doc])* $kind, )* }
@@ -39,6 +39,12 @@
 refusals! {
     /// The head of the request is invalid.
     BadHead => "bad_head", 400, None;
+    /// The route requires a key and the request carries none.
+    KeyMissing => "key_missing", 401, None;
+    /// The request's authorization is not one key.
+    KeyMalformed => "key_malformed", 401, None;
+    /// No account has the request's key.
+    KeyUnknown => "key_unknown", 401, None;
     /// The program's budget does not cover the turn.
     BudgetSpent => "budget_spent", 402, None;
     /// No route matches the host and path.
@@ -53,6 +59,10 @@
     OutcomeUnknown => "outcome_unknown", 502, None;
     /// There is no routing table yet, or it may be out of date.
     NoTable => "no_table", 503, Some(300);
+    /// The front does not know the request's key, but may be out of date.
+    KeysOutdated => "keys_outdated", 503, Some(300);
+    /// The front has been out of contact for so long that the key may be revoked.
+    KeysExpired => "keys_expired", 503, Some(300);
     /// The stores gave no conclusive answer in time.
     StoresUnsure => "stores_unsure", 503, Some(250);
     /// No upstream currently serves the route's service.
@@ -124,6 +134,10 @@
             header::CONTENT_TYPE,
             HeaderValue::from_static("application/json"),
         );
+        if self.status() == StatusCode::UNAUTHORIZED {
+            let scheme = HeaderValue::from_static("Bearer");
+            headers.insert(header::WWW_AUTHENTICATE, scheme);
+        }
         if let Some(wait) = retry_after {
             let seconds = format!("{:.3}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
