State, priorities and waiting requests belong to an account

Cause: turns, programs, budgets, stream origins and quarantined contents were keyed by the caller's names alone, so two accounts with the same names shared them. Priorities came from the route only, a request that waited ran on although its key was removed meanwhile, and a front out of contact served every known key.

Change: CallIds derives all identifiers from the head and the account; without an account they are the same as before. Caller::priority precedes the route's in is_most_urgent and in the admission of new programs.

--- a/crates/quay_routes/src/access.rs
+++ b/crates/quay_routes/src/access.rs
@@ -1,7 +1,7 @@
 //! Decision which account a request belongs to, or why it is refused.
 
 use {
-    crate::{Account, AccountTable, Credential, ForwardedAccount},
+    crate::{Account, AccountTable, CallHead, CallIds, Credential, ForwardedAccount, Route},
     quay_types::AccountId,
     std::{fmt, time::Duration},
 };
@@ -48,6 +48,19 @@
         }
     }
 
+    /// Priority of the caller's requests on a route.
+    #[must_use]
+    pub fn priority(&self, route: &Route) -> u32 {
+        let own = self.account().and_then(|account| account.priority);
+        own.unwrap_or(route.priority)
+    }
+
+    /// Identifiers of the state that a request of the caller refers to.
+    #[must_use]
+    pub fn ids<'h>(&self, head: &'h CallHead) -> CallIds<'h> {
+        CallIds::new(head, self.account().map(|account| account.id))
+    }
+
     /// What an upstream is told of the caller.
     #[must_use]
     pub const fn forwarded(&self) -> ForwardedAccount<'a> {
--- a/crates/quay_routes/src/account.rs
+++ b/crates/quay_routes/src/account.rs
@@ -77,6 +77,13 @@
     pub fn id(&self) -> AccountId {
         AccountId::of(&self.name)
     }
+
+    /// Whether the account has a key. Compares with all of its keys, so that response
+    /// times do not tell which one it is.
+    fn holds(&self, key: &KeyDigest) -> bool {
+        let equal = self.keys.iter().map(|held| held == key);
+        equal.fold(false, |found, equal| found | equal)
+    }
 }
 
 /// The accounts of one version of the configuration.
@@ -88,6 +95,10 @@
     /// Positions in `accounts` by the start of each key's digest. Digests that start
     /// alike share an entry.
     by_key: IndexMap<u64, Box<[u32]>>,
+    /// Highest priority of an account that has one of its own.
+    top_priority: Option<u32>,
+    /// Whether an account has no priority of its own.
+    has_default_priority: bool,
 }
 
 impl AccountTable {
@@ -102,7 +113,12 @@
                 *holders = [&**holders, &[at]].concat().into();
             }
         }
-        Self { accounts, by_key }
+        Self {
+            top_priority: accounts.iter().filter_map(|it| it.priority).min(),
+            has_default_priority: accounts.iter().any(|it| it.priority.is_none()),
+            accounts,
+            by_key,
+        }
     }
 
     /// Whether there are no accounts.
@@ -121,7 +137,18 @@
     pub fn find(&self, key: &KeyDigest) -> Option<&Account> {
         let holders = self.by_key.get(&key.index())?.iter();
         let mut accounts = holders.filter_map(|at| self.accounts.get(*at as usize));
-        accounts.find(|account| account.keys.contains(key))
+        accounts.find(|account| account.holds(key))
+    }
+
+    /// Highest priority that a request of an account can have on a route that is not
+    /// public, given the route's own priority.
+    #[must_use]
+    pub fn highest_priority(&self, of_route: u32) -> u32 {
+        match self.top_priority {
+            Some(top) if self.has_default_priority => top.min(of_route),
+            Some(top) => top,
+            None => of_route,
+        }
     }
 
     /// Validates the table.
--- a/crates/quay_routes/src/head.rs
+++ b/crates/quay_routes/src/head.rs
@@ -58,7 +58,8 @@
 
     /// Digest of the content of a request, by which it is recognized when it comes
     /// again under another id: method, host, path with query, prior turn and body.
-    /// The caller is not part of it.
+    /// The caller is not part of it; [`CallIds::content`](crate::CallIds::content)
+    /// adds its account.
     #[must_use]
     pub fn content(&self, method: &Method, uri: &Uri, body: &[u8]) -> ContentDigest {
         let path = uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/quay_routes/src/lib.rs
+++ b/crates/quay_routes/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod access;
 mod account;
+mod call_ids;
 mod deadline;
 mod dialect;
 mod head;
@@ -35,6 +36,7 @@
 pub use {
     access::{Caller, CallerAccount, KeyPolicy, KeyRefusal},
     account::{Account, AccountTable, KeyDigest, Quota},
+    call_ids::CallIds,
     deadline::RequestDeadline,
     dialect::{Dialect, ForwardedAccount, Forwarding},
     head::{
--- a/crates/quay_routes/src/table.rs
+++ b/crates/quay_routes/src/table.rs
@@ -256,13 +256,21 @@
         matching.max_by_key(|route| route.prefix.len())
     }
 
-    /// Whether no stream of the named service has a route with a higher priority
-    /// than `route`.
+    /// Whether no stream of the named service can have a higher priority than
+    /// `priority`. The priority of an account replaces that of a route which is not
+    /// public.
     #[must_use]
-    pub fn is_most_urgent(&self, route: &Route, service: &str) -> bool {
+    pub fn is_most_urgent(&self, priority: u32, service: &str) -> bool {
         let streams = self.routes.iter().filter(|it| it.repeat.is_stream());
         let mut rivals = streams.filter(|it| it.targets.iter().any(|to| &*to.service == service));
-        rivals.all(|rival| rival.priority >= route.priority)
+        rivals.all(|rival| {
+            let highest = if rival.public {
+                rival.priority
+            } else {
+                self.accounts.highest_priority(rival.priority)
+            };
+            highest >= priority
+        })
     }
 
     /// Finds a service by its name.
--- a/crates/quay_types/src/ids.rs
+++ b/crates/quay_types/src/ids.rs
@@ -71,15 +71,35 @@
     SoftwareVersion, b"software version"
 );
 
-hashed_name_id!(
+/// Declares an id that is the hash of a name which a caller assigned.
+macro_rules! owned_name_id {
+    ($(#[$doc:meta])* $name:ident, $domain:literal) => {
+        hashed_name_id!($(#[$doc])* $name, $domain);
+
+        impl $name {
+            /// Id of `name` among the names that an account assigned; without an
+            /// account, the same as [`of`](Self::of).
+            #[must_use]
+            pub fn owned(account: Option<AccountId>, name: &str) -> Self {
+                let Some(account) = account else {
+                    return Self::of(name);
+                };
+                let parts: [&[u8]; 3] = [$domain, &account.0.to_le_bytes(), name.as_bytes()];
+                Self(ContentDigest::of(&parts).to_u64())
+            }
+        }
+    };
+}
+
+owned_name_id!(
     /// Stored turn, by the number that its caller assigned.
     TurnId, b"turn"
 );
-hashed_name_id!(
+owned_name_id!(
     /// Program with a stored budget, by the name that its caller assigned.
     ProgramTag, b"program"
 );
-hashed_name_id!(
+owned_name_id!(
     /// Attempt of a caller, by the number that the caller assigned.
     AttemptTag, b"attempt"
 );
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -22,12 +22,12 @@
     hyper::body::Incoming,
     quay_policy::{NewProgram, RunEnd},
     quay_routes::{
-        CallHead, Caller, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline, Route,
-        TurnHead, UpstreamHead,
+        CallHead, CallIds, Caller, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline,
+        Route, TurnHead, UpstreamHead,
     },
     quay_turns::{Charge, ChargeStatus},
     quay_types::{
-        AttemptTag, ContentDigest, ProgramTag, SoftwareVersion, Time, Tokens, TurnId, UpstreamId,
+        AttemptTag, ContentDigest, ProgramTag, SoftwareVersion, Time, Tokens, UpstreamId,
     },
     std::{cell::Cell, time::Duration},
     tokio::time::timeout,
@@ -61,6 +61,10 @@
     parts: &'a request::Parts,
     /// Who sends the request; holds the account, if there is one.
     caller: Caller<'a>,
+    /// Identifiers of the state that the request refers to.
+    ids: CallIds<'a>,
+    /// Revision of the accounts by which the caller was last determined.
+    checked: Cell<u64>,
     content: ContentDigest,
     route: &'a Route,
     arrived: Time,
@@ -146,20 +150,19 @@
     };
     let route = route.ok_or(unknown)?;
     let caller = front.identify(head, route, &table)?;
+    let ids = caller.ids(head);
     let deadline = RequestDeadline::new(arrived, head.caller_timeout, route.timeout);
-    let service = route
-        .target(program_of(head).0)
-        .ok_or(Refusal::NoUpstream)?;
+    let service = route.target(ids.program().0).ok_or(Refusal::NoUpstream)?;
     let known = table.service(service);
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
     let limit = table.limits.body_bytes as usize;
     let body = read_body(front, body, limit, &deadline).await?;
-    let content = head.content(&parts.method, &parts.uri, &body);
+    let content = ids.content(&parts.method, &parts.uri, &body);
     let pool = Pool::of(service);
     front.wait_for_service(&pool, deadline.at()).await;
     let version = match &head.resumed {
         Some(resumed) if route.repeat.is_stream() => {
-            let version = front.resumable_version(head, resumed, &pool, deadline.at());
+            let version = front.resumable_version(&ids, resumed, &pool, deadline.at());
             Some(version.await?)
         }
         _ => None,
@@ -169,13 +172,15 @@
         head,
         parts,
         caller,
+        ids,
+        checked: Cell::new(table.revision),
         content,
         route,
         arrived,
         deadline,
         service,
         version,
-        most_urgent: table.is_most_urgent(route, service),
+        most_urgent: table.is_most_urgent(caller.priority(route), service),
         event_tokens,
         draw,
         may_have_run: Cell::default(),
@@ -187,11 +192,6 @@
     }
 }
 
-/// Program of a request.
-fn program_of(head: &CallHead) -> ProgramTag {
-    ProgramTag::of(head.program_name())
-}
-
 impl<D: Dialect> Call<'_, D> {
     // -----------------------------------------------------------------------
     // Turns
@@ -214,9 +214,12 @@
             body.freeze()
         };
         let pending_turn = PendingTurn {
-            id: TurnId::of(&self.head.id),
-            program: program_of(self.head),
-            prior: turn.prior.as_deref().map(TurnId::of),
+            id: self.ids.turn(),
+            program: self.ids.program(),
+            prior: turn
+                .prior
+                .as_deref()
+                .map(|prior| self.ids.turn_named(prior)),
             retention,
             history,
             input,
@@ -226,11 +229,10 @@
 
     /// Reserves the maximum tokens of the turn from the program's budget.
     async fn reserve(&self, turn: &TurnHead) -> Result<Option<Reservation>, Refusal> {
-        let (Some(budget), Some(program)) = (turn.budget, &self.head.program) else {
+        let (Some(budget), Some(program)) = (turn.budget, self.ids.budget()) else {
             return Ok(None);
         };
-        let program = ProgramTag::of(program);
-        let attempt = AttemptTag::of(&self.head.id);
+        let attempt = self.ids.attempt();
         let own = Charge {
             attempt,
             standing: ChargeStatus::Reserved,
@@ -282,7 +284,7 @@
             self.head.id,
             wait.as_millis(),
             self.route.objective.as_millis(),
-            self.route.priority,
+            self.caller.priority(self.route),
         );
         Err(Refusal::Overloaded)
     }
@@ -292,17 +294,12 @@
         let (Some(prior), Some(_)) = (&turn.prior, self.route.retention) else {
             return Ok(Bytes::new());
         };
-        let id = TurnId::of(prior);
-        if let Some(history) = self.front.cached_conversation(program_of(self.head), id) {
+        let (program, id) = (self.ids.program(), self.ids.turn_named(prior));
+        if let Some(history) = self.front.cached_conversation(program, id) {
             return Ok(history);
         }
         let left = self.deadline.remaining(self.front.now());
-        match self
-            .front
-            .stores()
-            .lookup_turns(program_of(self.head), id, left)
-            .await
-        {
+        match self.front.stores().lookup_turns(program, id, left).await {
             TurnLookup::Found(turns) => {
                 let mut history = BytesMut::new();
                 for turn in turns {
@@ -310,8 +307,7 @@
                     history.extend_from_slice(&turn.output);
                 }
                 let history = history.freeze();
-                self.front
-                    .cache_conversation(program_of(self.head), id, history.clone());
+                self.front.cache_conversation(program, id, history.clone());
                 Ok(history)
             }
             TurnLookup::Absent => {
@@ -357,6 +353,8 @@
             if left.is_zero() {
                 return Err(Refusal::TooLate.into());
             }
+            let (front, checked) = (self.front, &self.checked);
+            front.check_caller(self.head, self.route, &self.caller, checked)?;
             self.check_quarantine()?;
             let limit = self.attempt_limit(left, attempts);
             let outcome = self.attempt_one(&body, limit, &mut tried).await;
@@ -421,7 +419,7 @@
         if self.route.repeat == RepeatPolicy::ResumableStream && self.version.is_none() {
             let (upstream, ago) = (in_flight.upstream(), in_flight.elapsed());
             self.front
-                .record_stream_origin(self.head, self.route, &self.pool(), upstream, ago);
+                .record_stream_origin(&self.ids, self.route, &self.pool(), upstream, ago);
         }
     }
 
--- a/crates/sapphirequayd/src/gateway/front/caller.rs
+++ b/crates/sapphirequayd/src/gateway/front/caller.rs
@@ -6,6 +6,7 @@
         refusal::Refusal,
     },
     quay_routes::{CallHead, Caller, Dialect, KeyPolicy, KeyRefusal, Route, RoutingTable},
+    std::cell::Cell,
 };
 
 impl From<KeyRefusal> for Refusal {
@@ -30,7 +31,7 @@
     ) -> Result<Caller<'a>, Refusal> {
         let policy = KeyPolicy {
             max_age: MAX_CONTROL_AGE,
-            revoke_after: None,
+            revoke_after: self.revoke_after(),
         };
         let age = self.control_age();
         let accounts = &table.accounts;
@@ -46,4 +47,36 @@
             refusal.into()
         })
     }
+
+    /// Determines the caller of a waiting request again if the accounts have changed
+    /// since revision `checked`, or if their age alone can make its key invalid.
+    pub fn check_caller(
+        &self,
+        head: &CallHead,
+        route: &Route,
+        caller: &Caller<'_>,
+        checked: &Cell<u64>,
+    ) -> Result<(), Refusal> {
+        let Some(table) = self.table() else {
+            return Ok(());
+        };
+        let expires = self.revoke_after().is_some() && caller.account().is_some();
+        if checked.replace(table.revision) == table.revision && !expires {
+            return Ok(());
+        }
+        let route = table.find(&head.host, &head.path).unwrap_or(route);
+        let now = self.identify(head, route, &table)?;
+        if caller.may_run_as(&now) {
+            return Ok(());
+        }
+        let name = |caller: &Caller<'_>| caller.account().map(|it| it.name.to_owned());
+        log::info!(
+            "event=account_changed id={} was={:?} is={:?} revision={}",
+            head.id,
+            name(caller),
+            name(&now),
+            table.revision,
+        );
+        Err(Refusal::AccountChanged)
+    }
 }
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -24,6 +24,7 @@
             store::StoreClient,
         },
         process::Clock,
+        settings::FrontSettings,
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode},
@@ -115,6 +116,8 @@
     /// Time at which the newest update that the front has was asked for. The update is
     /// not older, however late it was read.
     last_confirmed: Cell<Option<Time>>,
+    /// Time without an update after which keys are refused, if they are.
+    revoke_after: Option<Duration>,
     draining: Cell<bool>,
     /// Random identity of this front in requests for directory changes.
     reader: u64,
@@ -130,7 +133,7 @@
         data_centre: &str,
         control: ControlClient,
         stores: StoreClient,
-        chain_cache_bytes: usize,
+        settings: &FrontSettings,
         link: SocketAddr,
     ) -> Self {
         Self(Rc::new(Shared {
@@ -145,12 +148,13 @@
             bound_permits: PermitSignals::default(),
             connections: Connections::new(clock),
             buffers: BufferSpace::default(),
-            conversations: RefCell::new(ConversationCache::new(chain_cache_bytes)),
+            conversations: RefCell::new(ConversationCache::new(settings.chain_cache_bytes)),
             table: RefCell::default(),
             limits: ServerLimits::default(),
             startup: StartupWait::new(clock.now(), STARTUP_TIME),
             last_update: Cell::default(),
             last_confirmed: Cell::default(),
+            revoke_after: settings.revoke_after(),
             draining: Cell::default(),
             reader: rand::rng().next_u64(),
             link,
@@ -252,6 +256,11 @@
         Some(self.now().since(confirmed))
     }
 
+    /// Time without an update after which keys are refused; `None` if they never are.
+    pub fn revoke_after(&self) -> Option<Duration> {
+        self.0.revoke_after
+    }
+
     /// Whether the front is shutting down.
     pub fn draining(&self) -> bool {
         self.0.draining.get()
@@ -363,9 +372,10 @@
             return;
         }
         log::info!(
-            "event=table_in_force revision={} routes={}",
+            "event=table_in_force revision={} routes={} accounts={}",
             table.revision,
-            table.routes.len()
+            table.routes.len(),
+            table.accounts.iter().count()
         );
         let limits = &self.0.limits;
         limits.head_bytes.set(table.limits.head_bytes as usize);
--- a/crates/sapphirequayd/src/gateway/front/host/streams.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/streams.rs
@@ -11,8 +11,8 @@
         meters,
         store::StreamLookup,
     },
-    quay_routes::{CallHead, Dialect, ResumedHead, Route},
-    quay_types::{AttemptTag, ProgramTag, SoftwareVersion, Time},
+    quay_routes::{CallHead, CallIds, Dialect, ResumedHead, Route},
+    quay_types::{SoftwareVersion, Time},
     std::time::Duration,
     tokio::task::spawn_local,
 };
@@ -31,7 +31,7 @@
     /// that any front can tell where it may go on.
     pub fn record_stream_origin(
         &self,
-        head: &CallHead,
+        ids: &CallIds<'_>,
         route: &Route,
         pool: &Pool<'_>,
         upstream: &SelectedUpstream,
@@ -43,14 +43,13 @@
             .upstreams()
             .stream_origin(self.now(), pool, upstream, sent);
         let Some(origin) = origin else {
-            log::info!("event=stream_version_unknown id={}", head.id);
+            log::info!("event=stream_version_unknown id={}", ids.head().id);
             return;
         };
         let stores = self.stores().clone();
-        let (id, program) = (head.id.clone(), ProgramTag::of(head.program_name()));
+        let (id, program, attempt) = (ids.head().id.clone(), ids.program(), ids.attempt());
         let keep = route.timeout.saturating_mul(KEPT_TIMEOUTS);
         spawn_local(async move {
-            let attempt = AttemptTag::of(&id);
             if !stores
                 .record_stream(program, attempt, (origin, keep), RECORD_TIMEOUT)
                 .await
@@ -64,13 +63,14 @@
     /// upstream of it serves, the stream is refused.
     pub async fn resumable_version(
         &self,
-        head: &CallHead,
+        ids: &CallIds<'_>,
         resumed: &ResumedHead,
         pool: &Pool<'_>,
         ends: Time,
     ) -> Result<SoftwareVersion, Refusal> {
+        let head = ids.head();
         let found = match &resumed.first_attempt {
-            Some(first) => self.stream_version(head, first, pool, ends).await,
+            Some(first) => self.stream_version(ids, first, pool, ends).await,
             None => self.only_version(pool.service),
         };
         let version = match found {
@@ -104,14 +104,13 @@
     /// Version of the stream that `first` began.
     async fn stream_version(
         &self,
-        head: &CallHead,
+        ids: &CallIds<'_>,
         first: &str,
         pool: &Pool<'_>,
         ends: Time,
     ) -> Result<SoftwareVersion, (Refusal, &'static str)> {
         let left = ends.since(self.now()).min(LOOKUP_TIMEOUT);
-        let program = ProgramTag::of(head.program_name());
-        let attempt = AttemptTag::of(first);
+        let (program, attempt) = (ids.program(), ids.attempt_named(first));
         match self.stores().find_stream(program, attempt, left).await {
             StreamLookup::Found(origin) => {
                 let version = self.upstreams().resumable_at(pool, &origin);
--- a/crates/sapphirequayd/src/gateway/front/refusal.rs
+++ b/crates/sapphirequayd/src/gateway/front/refusal.rs
@@ -63,6 +63,8 @@
     KeysOutdated => "keys_outdated", 503, Some(300);
     /// The front has been out of contact for so long that the key may be revoked.
     KeysExpired => "keys_expired", 503, Some(300);
+    /// The key of a waiting request belongs to another account now.
+    AccountChanged => "account_changed", 503, Some(100);
     /// The stores gave no conclusive answer in time.
     StoresUnsure => "stores_unsure", 503, Some(250);
     /// No upstream currently serves the route's service.
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -200,7 +200,7 @@
         data_centre,
         base.control,
         stores.clone(),
-        front.chain_cache_bytes,
+        front,
         settings.link.listen,
     );
     let callers = TcpListener::bind(front.listen).await;
--- a/crates/sapphirequayd/src/settings/gateway.rs
+++ b/crates/sapphirequayd/src/settings/gateway.rs
@@ -3,7 +3,7 @@
 use {
     crate::settings::Problem,
     serde::Deserialize,
-    std::{net::SocketAddr, path::PathBuf},
+    std::{net::SocketAddr, path::PathBuf, time::Duration},
 };
 
 /// Settings shared by all roles of a gateway.
@@ -69,6 +69,29 @@
     /// Size of the in-memory cache of stored turns, in bytes.
     #[serde(default = "chain_cache_bytes")]
     pub chain_cache_bytes: usize,
+    /// Whether keys of accounts are refused once the front has been out of contact
+    /// with the control group for `revoke_ms`.
+    #[serde(default)]
+    pub strict_revoke: bool,
+    /// Time without an update from the control group after which a key may have been
+    /// revoked, in milliseconds.
+    #[serde(default = "revoke_ms")]
+    pub revoke_ms: u64,
+}
+
+impl FrontSettings {
+    /// Time without an update after which keys are refused; `None` if they never are.
+    #[must_use]
+    pub fn revoke_after(&self) -> Option<Duration> {
+        let limit = Duration::from_millis(self.revoke_ms);
+        self.strict_revoke.then_some(limit)
+    }
+}
+
+/// Default of [`FrontSettings::revoke_ms`]: the time within which deployments want a
+/// removed key to be refused.
+const fn revoke_ms() -> u64 {
+    5_000
 }
 
 /// Default of [`FrontSettings::chain_cache_bytes`]: an eighth of the memory of
