--- a/crates/quay_routes/src/operator.rs
+++ b/crates/quay_routes/src/operator.rs
@@ -56,7 +56,7 @@
 impl std::error::Error for OperatorError {}
 
 /// Response of a control host to an administrative call.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub enum OperatorResponse {
     /// The call was carried out, now or earlier.
     Done,
@@ -74,3 +74,18 @@
     /// retry.
     Unavailable,
 }
+
+impl fmt::Debug for OperatorResponse {
+    /// Shows the length of a routing table only, as it holds keys of accounts.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Done => f.write_str("Done"),
+            Self::Table(document) => write!(f, "Table({} bytes)", document.len()),
+            Self::Retired(done) => write!(f, "Retired({done})"),
+            Self::Unknown(name) => write!(f, "Unknown({name:?})"),
+            Self::Invalid(reason) => write!(f, "Invalid({reason:?})"),
+            Self::TooFew => f.write_str("TooFew"),
+            Self::Unavailable => f.write_str("Unavailable"),
+        }
+    }
+}
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -12,7 +12,7 @@
     quay_turns::{Charge, Record, StoreAnnouncement, StoreChange, StoreMap, TurnRecord},
     quay_types::{Announcement, AttemptTag, GroupId, Incarnation, ProgramTag, TurnId},
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{fmt, net::SocketAddr},
 };
 
 /// First message of a stream; exactly one reply follows.
@@ -89,7 +89,7 @@
 }
 
 /// A routing table as the operator sent it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableDocument {
     /// Revision of the table.
     pub revision: u64,
@@ -98,6 +98,14 @@
     pub document: Box<[u8]>,
 }
 
+impl fmt::Debug for TableDocument {
+    /// Shows the document's length only, as it holds keys of accounts.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (revision, bytes) = (self.revision, self.document.len());
+        write!(f, "TableDocument({revision}, {bytes} bytes)")
+    }
+}
+
 /// Update from the control leader to a follower.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlUpdate {
