Log lines name the account, and tests of accounts with real processes

Cause: no line said for which account a request ran, by which revision and how old the front's knowledge was; nothing tested accounts in a gateway of processes.

The check of a response against its request moved from call.rs to upstream_outcome.rs unchanged. The stub upstream keeps the heads of requests, and Gateway can add lines to [front].

--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -9,6 +9,7 @@
         refusal::{Refusal, Refused},
         reservation::Reservation,
         stream::{PendingTurn, StreamRelay},
+        upstream_outcome::mismatch,
         upstreams::{Pool, SelectedUpstream},
     },
     crate::gateway::{
@@ -23,13 +24,16 @@
     quay_policy::{NewProgram, RunEnd},
     quay_routes::{
         CallHead, CallIds, Caller, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline,
-        Route, TurnHead, UpstreamHead,
+        Route, TurnHead,
     },
     quay_turns::{Charge, ChargeStatus},
     quay_types::{
         AttemptTag, ContentDigest, ProgramTag, SoftwareVersion, Time, Tokens, UpstreamId,
     },
-    std::{cell::Cell, time::Duration},
+    std::{
+        cell::{Cell, OnceCell},
+        time::Duration,
+    },
     tokio::time::timeout,
 };
 
@@ -95,20 +99,25 @@
         }
     };
     let draw = AttemptTag::of(&head.id).0;
-    let answered = route_request(&front, arrived, &parts, &head, body, draw).await;
+    let account = OnceCell::new();
+    let answered = route_request(&front, arrived, &parts, &head, body, &account).await;
+    let account = account.get().map_or("", String::as_str);
     let duration = front.now().since(arrived);
     let ms = duration.as_millis();
     let mut response = match answered {
         Ok(response) => {
             let status = response.status().as_u16();
             meters::record_call(status, duration);
-            log::info!("event=call_answered id={} status={status} ms={ms}", head.id);
+            log::info!(
+                "event=call_answered id={} status={status} ms={ms}{account}",
+                head.id
+            );
             response
         }
         Err(refused) => {
             let refusal = refused.reason;
             log::info!(
-                "event=call_refused id={} kind={} status={} ms={ms}",
+                "event=call_refused id={} kind={} status={} ms={ms}{account}",
                 head.id,
                 refusal.name(),
                 refusal.status()
@@ -129,14 +138,15 @@
     response
 }
 
-/// Finds the route of a request and runs the request on an upstream.
+/// Finds the route and the account of a request and runs the request on an upstream.
+/// `account` is set to what log lines say of the account.
 async fn route_request<D: Dialect>(
     front: &FrontHost<D>,
     arrived: Time,
     parts: &request::Parts,
     head: &CallHead,
     body: Incoming,
-    draw: u64,
+    account: &OnceCell<String>,
 ) -> Result<Response<Body>, Refused> {
     // The route's own time-out is unknown until there is a table.
     let caller_timeout = head.caller_timeout.unwrap_or(Duration::MAX);
@@ -150,6 +160,7 @@
     };
     let route = route.ok_or(unknown)?;
     let caller = front.identify(head, route, &table)?;
+    let _ = account.set(front.describe_caller(&caller, &table));
     let ids = caller.ids(head);
     let deadline = RequestDeadline::new(arrived, head.caller_timeout, route.timeout);
     let service = route.target(ids.program().0).ok_or(Refusal::NoUpstream)?;
@@ -182,7 +193,7 @@
         version,
         most_urgent: table.is_most_urgent(caller.priority(route), service),
         event_tokens,
-        draw,
+        draw: AttemptTag::of(&head.id).0,
         may_have_run: Cell::default(),
     };
     call.check_quarantine()?;
@@ -635,7 +646,7 @@
                 .upstreams()
                 .apply_load_report(now, in_flight.upstream().id, load);
         }
-        if let Some(fault) = self.mismatch(&answer, not_run) {
+        if let Some(fault) = mismatch(&self.head.id, &answer, not_run) {
             in_flight.record_failure();
             in_flight.end_run(RunEnd::Answered);
             return AttemptResult::Unknown(fault);
@@ -675,19 +686,6 @@
         AttemptResult::Complete(self.response(&head, full(body)))
     }
 
-    /// Returns why a response is invalid for this request, if so.
-    fn mismatch(&self, answer: &UpstreamHead, not_run: bool) -> Option<&'static str> {
-        if answer.id.as_deref().is_some_and(|id| id != &*self.head.id) {
-            Some("answer_to_another")
-        } else if answer.id.is_none() && !not_run {
-            Some("answer_to_nobody")
-        } else if answer.encoded {
-            Some("answer_encoded")
-        } else {
-            None
-        }
-    }
-
     /// Creates the response that is sent to the caller.
     fn response(&self, head: &response::Parts, body: Body) -> Response<Body> {
         let mut response = Response::new(body);
--- a/crates/sapphirequayd/src/gateway/front/caller.rs
+++ b/crates/sapphirequayd/src/gateway/front/caller.rs
@@ -38,16 +38,33 @@
         let caller = accounts.identify(route.public, &head.credential, age, &policy);
         caller.map_err(|refusal| {
             log::info!(
-                "event=key_refused id={} route={:?} cause=\"{refusal}\" revision={} control_age_ms={}",
+                "event=key_refused id={} route={:?} cause=\"{refusal}\" {}",
                 head.id,
                 route.name,
-                table.revision,
-                age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX)),
+                self.describe_state(table),
             );
             refusal.into()
         })
     }
 
+    /// Revision of the accounts and time since they were last known to be in force.
+    fn describe_state(&self, table: &RoutingTable) -> String {
+        let age = self.control_age().map(|age| age.as_millis().to_string());
+        let age = age.as_deref().unwrap_or("none");
+        format!("revision={} control_age_ms={age}", table.revision)
+    }
+
+    /// Fields of log lines about a request's caller, each after a space; empty if there
+    /// are no accounts.
+    pub fn describe_caller(&self, caller: &Caller<'_>, table: &RoutingTable) -> String {
+        let state = || self.describe_state(table);
+        match caller {
+            Caller::Unrestricted => String::new(),
+            Caller::Anonymous => format!(" account=none {}", state()),
+            Caller::Account(account) => format!(" account={:?} {}", account.name, state()),
+        }
+    }
+
     /// Determines the caller of a waiting request again if the accounts have changed
     /// since revision `checked`, or if their age alone can make its key invalid.
     pub fn check_caller(
@@ -71,11 +88,11 @@
         }
         let name = |caller: &Caller<'_>| caller.account().map(|it| it.name.to_owned());
         log::info!(
-            "event=account_changed id={} was={:?} is={:?} revision={}",
+            "event=account_changed id={} was={:?} is={:?} {}",
             head.id,
             name(caller),
             name(&now),
-            table.revision,
+            self.describe_state(&table),
         );
         Err(Refusal::AccountChanged)
     }
--- a/crates/sapphirequayd/src/gateway/front/upstream_outcome.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstream_outcome.rs
@@ -1,4 +1,6 @@
-//! Rating of an upstream by the end of a stream.
+//! Rating of an upstream by its responses and by the end of a stream.
+
+use quay_routes::UpstreamHead;
 
 /// Minimum number of events for measuring an upstream's time per event: before
 /// the first event the prompt is prefilled, which takes as long as some events.
@@ -45,3 +47,16 @@
         StreamEnd::Broken(_) | StreamEnd::CallerGone => UpstreamOutcome::Abandoned,
     }
 }
+
+/// Returns why a response is invalid for the request `id`, if it is.
+pub fn mismatch(id: &str, answer: &UpstreamHead, not_run: bool) -> Option<&'static str> {
+    if answer.id.as_deref().is_some_and(|other| other != id) {
+        Some("answer_to_another")
+    } else if answer.id.is_none() && !not_run {
+        Some("answer_to_nobody")
+    } else if answer.encoded {
+        Some("answer_encoded")
+    } else {
+        None
+    }
+}
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -42,6 +42,8 @@
     pub front_links: Vec<SocketAddr>,
     /// Link addresses of stores.
     pub store_links: Vec<SocketAddr>,
+    /// Lines for `[front]` of the fronts that are started next.
+    pub front_settings: String,
     children: Vec<(Role, Child)>,
     folder: TempDir,
 }
@@ -61,6 +63,7 @@
             control_links: (0..3).map(|_| free_port()).collect(),
             front_links: (0..2).map(|_| free_port()).collect(),
             store_links: (0..stores).map(|_| free_port()).collect(),
+            front_settings: String::new(),
             children: Vec::new(),
             folder,
         };
@@ -102,9 +105,10 @@
             Role::Front(slot) => (
                 self.front_links[slot],
                 format!(
-                    "[front]\nlisten = \"{}\"\nready = \"{}\"\n",
+                    "[front]\nlisten = \"{}\"\nready = \"{}\"\n{}",
                     self.fronts[slot],
-                    free_port()
+                    free_port(),
+                    self.front_settings
                 ),
             ),
         };
@@ -191,6 +195,14 @@
             .map(|(_, role)| role)
     }
 
+    /// What all processes have logged.
+    pub fn logs(&self) -> String {
+        let files = fs::read_dir(self.folder.path()).expect("folder").flatten();
+        let logs = files.filter(|file| file.file_name().to_string_lossy().ends_with(".log"));
+        logs.map(|log| fs::read_to_string(log.path()).expect("log"))
+            .collect()
+    }
+
     /// Removes the data folder of a stopped store.
     pub fn wipe_store(&self, slot: usize) {
         fs::remove_dir_all(self.folder.path().join(format!("store-{slot}"))).expect("wiped");
@@ -300,6 +312,8 @@
     behaviour: Arc<Mutex<Behaviour>>,
     /// Bodies of the requests that were run.
     ran: Arc<Mutex<Vec<String>>>,
+    /// Heads of these requests.
+    heads: Arc<Mutex<Vec<String>>>,
     /// Times of the requests that were answered with the limit.
     limited: Arc<Mutex<Vec<Instant>>>,
 }
@@ -311,6 +325,7 @@
             addr: listener.local_addr().expect("address"),
             behaviour: Arc::new(Mutex::new(Behaviour::Normal)),
             ran: Arc::default(),
+            heads: Arc::default(),
             limited: Arc::default(),
         };
         let shared = upstream.clone();
@@ -335,6 +350,10 @@
         self.ran.lock().expect("lock").clone()
     }
 
+    pub fn request_heads(&self) -> Vec<String> {
+        self.heads.lock().expect("lock").clone()
+    }
+
     /// Answers one request and closes the connection.
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
         let (head, body) = read_request(&mut stream)?;
@@ -361,6 +380,7 @@
             return stream.write_all(text.as_bytes()).ok();
         }
         self.ran.lock().expect("lock").push(body);
+        self.heads.lock().expect("lock").push(head.clone());
         if behaviour == Behaviour::NoAnswer {
             return None;
         }
--- a/crates/sapphirequayd/tests/settings.rs
+++ b/crates/sapphirequayd/tests/settings.rs
@@ -108,3 +108,31 @@
     };
     assert_eq!(settings.process, process);
 }
+
+/// Guards against a template whose settings differ for deployments without bounds for
+/// revocation, or are invalid for deployments with them.
+#[test]
+fn the_template_sets_strict_revocation_only_where_a_deployment_has_it() {
+    let template = include_str!("../../../deploy/settings.template");
+    let (before, rest) = template
+        .split_once("{{#Bounds.StrictRevoke}}")
+        .expect("section");
+    let (section, after) = rest
+        .split_once("{{/Bounds.StrictRevoke}}")
+        .expect("section");
+    assert!(before.ends_with("\nready = \"{{Listen.Ready}}\""));
+    assert!(after.starts_with("\n{{/Listen.Front}}\n"));
+    let filled = section
+        .replace("{{Bounds.StrictRevoke}}", "true")
+        .replace("{{Bounds.RevokeMs}}", "5000");
+    assert!(!filled.contains("{{"));
+    let dir = folder();
+    let gateway = |section: &str| {
+        let front = format!(
+            "[front]\nlisten = \"127.0.0.1:8080\"\nready = \"127.0.0.1:8081\"{section}\n[gateway]\nseeds = [\"127.0.0.1:7200\"]"
+        );
+        VALID.replace("[entry]\nlisten = \"127.0.0.1:8080\"", &front)
+    };
+    assert_eq!(check(dir.path(), &gateway("")), (0, String::new()));
+    assert_eq!(check(dir.path(), &gateway(&filled)), (0, String::new()));
+}
