--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -9,6 +9,7 @@
         refusal::{Refusal, Refused},
         reservation::Reservation,
         stream::{PendingTurn, StreamRelay},
+        upstream_outcome::mismatch,
         upstreams::{Pool, SelectedUpstream},
     },
     crate::gateway::{
@@ -22,14 +23,17 @@
     hyper::body::Incoming,
     quay_policy::{NewProgram, RunEnd},
     quay_routes::{
-        CallHead, Dialect, Execution, ForwardedAccount, Forwarding, RepeatPolicy, RequestDeadline,
-        Route, TurnHead, UpstreamHead,
+        CallHead, CallIds, Caller, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline,
+        Route, TurnHead,
     },
     quay_turns::{Charge, ChargeStatus},
     quay_types::{
-        AttemptTag, ContentDigest, ProgramTag, SoftwareVersion, Time, Tokens, TurnId, UpstreamId,
+        AttemptTag, ContentDigest, ProgramTag, SoftwareVersion, Time, Tokens, UpstreamId,
+    },
+    std::{
+        cell::{Cell, OnceCell},
+        time::Duration,
     },
-    std::{cell::Cell, time::Duration},
     tokio::time::timeout,
 };
 
@@ -59,6 +63,12 @@
     front: &'a FrontHost<D>,
     head: &'a CallHead,
     parts: &'a request::Parts,
+    /// Who sends the request; holds the account, if there is one.
+    caller: Caller<'a>,
+    /// Identifiers of the state that the request refers to.
+    ids: CallIds<'a>,
+    /// Revision of the accounts by which the caller was last determined.
+    checked: Cell<u64>,
     content: ContentDigest,
     route: &'a Route,
     arrived: Time,
@@ -89,20 +99,25 @@
         }
     };
     let draw = AttemptTag::of(&head.id).0;
-    let answered = route_request(&front, arrived, &parts, &head, body, draw).await;
+    let account = OnceCell::new();
+    let answered = route_request(&front, arrived, &parts, &head, body, &account).await;
+    let account = account.get().map_or("", String::as_str);
     let duration = front.now().since(arrived);
     let ms = duration.as_millis();
     let mut response = match answered {
         Ok(response) => {
             let status = response.status().as_u16();
             meters::record_call(status, duration);
-            log::info!("event=call_answered id={} status={status} ms={ms}", head.id);
+            log::info!(
+                "event=call_answered id={} status={status} ms={ms}{account}",
+                head.id
+            );
             response
         }
         Err(refused) => {
             let refusal = refused.reason;
             log::info!(
-                "event=call_refused id={} kind={} status={} ms={ms}",
+                "event=call_refused id={} kind={} status={} ms={ms}{account}",
                 head.id,
                 refusal.name(),
                 refusal.status()
@@ -123,14 +138,15 @@
     response
 }
 
-/// Finds the route of a request and runs the request on an upstream.
+/// Finds the route and the account of a request and runs the request on an upstream.
+/// `account` is set to what log lines say of the account.
 async fn route_request<D: Dialect>(
     front: &FrontHost<D>,
     arrived: Time,
     parts: &request::Parts,
     head: &CallHead,
     body: Incoming,
-    draw: u64,
+    account: &OnceCell<String>,
 ) -> Result<Response<Body>, Refused> {
     // The route's own time-out is unknown until there is a table.
     let caller_timeout = head.caller_timeout.unwrap_or(Duration::MAX);
@@ -143,20 +159,21 @@
         Refusal::NoTable
     };
     let route = route.ok_or(unknown)?;
+    let caller = front.identify(head, route, &table)?;
+    let _ = account.set(front.describe_caller(&caller, &table));
+    let ids = caller.ids(head);
     let deadline = RequestDeadline::new(arrived, head.caller_timeout, route.timeout);
-    let service = route
-        .target(program_of(head).0)
-        .ok_or(Refusal::NoUpstream)?;
+    let service = route.target(ids.program().0).ok_or(Refusal::NoUpstream)?;
     let known = table.service(service);
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
     let limit = table.limits.body_bytes as usize;
     let body = read_body(front, body, limit, &deadline).await?;
-    let content = head.content(&parts.method, &parts.uri, &body);
+    let content = ids.content(&parts.method, &parts.uri, &body);
     let pool = Pool::of(service);
     front.wait_for_service(&pool, deadline.at()).await;
     let version = match &head.resumed {
         Some(resumed) if route.repeat.is_stream() => {
-            let version = front.resumable_version(head, resumed, &pool, deadline.at());
+            let version = front.resumable_version(&ids, resumed, &pool, deadline.at());
             Some(version.await?)
         }
         _ => None,
@@ -165,15 +182,18 @@
         front,
         head,
         parts,
+        caller,
+        ids,
+        checked: Cell::new(table.revision),
         content,
         route,
         arrived,
         deadline,
         service,
         version,
-        most_urgent: table.is_most_urgent(route, service),
+        most_urgent: table.is_most_urgent(caller.priority(route), service),
         event_tokens,
-        draw,
+        draw: AttemptTag::of(&head.id).0,
         may_have_run: Cell::default(),
     };
     call.check_quarantine()?;
@@ -183,11 +203,6 @@
     }
 }
 
-/// Program of a request.
-fn program_of(head: &CallHead) -> ProgramTag {
-    ProgramTag::of(head.program_name())
-}
-
 impl<D: Dialect> Call<'_, D> {
     // -----------------------------------------------------------------------
     // Turns
@@ -210,9 +225,12 @@
             body.freeze()
         };
         let pending_turn = PendingTurn {
-            id: TurnId::of(&self.head.id),
-            program: program_of(self.head),
-            prior: turn.prior.as_deref().map(TurnId::of),
+            id: self.ids.turn(),
+            program: self.ids.program(),
+            prior: turn
+                .prior
+                .as_deref()
+                .map(|prior| self.ids.turn_named(prior)),
             retention,
             history,
             input,
@@ -222,11 +240,10 @@
 
     /// Reserves the maximum tokens of the turn from the program's budget.
     async fn reserve(&self, turn: &TurnHead) -> Result<Option<Reservation>, Refusal> {
-        let (Some(budget), Some(program)) = (turn.budget, &self.head.program) else {
+        let (Some(budget), Some(program)) = (turn.budget, self.ids.budget()) else {
             return Ok(None);
         };
-        let program = ProgramTag::of(program);
-        let attempt = AttemptTag::of(&self.head.id);
+        let attempt = self.ids.attempt();
         let own = Charge {
             attempt,
             standing: ChargeStatus::Reserved,
@@ -278,7 +295,7 @@
             self.head.id,
             wait.as_millis(),
             self.route.objective.as_millis(),
-            self.route.priority,
+            self.caller.priority(self.route),
         );
         Err(Refusal::Overloaded)
     }
@@ -288,17 +305,12 @@
         let (Some(prior), Some(_)) = (&turn.prior, self.route.retention) else {
             return Ok(Bytes::new());
         };
-        let id = TurnId::of(prior);
-        if let Some(history) = self.front.cached_conversation(program_of(self.head), id) {
+        let (program, id) = (self.ids.program(), self.ids.turn_named(prior));
+        if let Some(history) = self.front.cached_conversation(program, id) {
             return Ok(history);
         }
         let left = self.deadline.remaining(self.front.now());
-        match self
-            .front
-            .stores()
-            .lookup_turns(program_of(self.head), id, left)
-            .await
-        {
+        match self.front.stores().lookup_turns(program, id, left).await {
             TurnLookup::Found(turns) => {
                 let mut history = BytesMut::new();
                 for turn in turns {
@@ -306,8 +318,7 @@
                     history.extend_from_slice(&turn.output);
                 }
                 let history = history.freeze();
-                self.front
-                    .cache_conversation(program_of(self.head), id, history.clone());
+                self.front.cache_conversation(program, id, history.clone());
                 Ok(history)
             }
             TurnLookup::Absent => {
@@ -353,6 +364,8 @@
             if left.is_zero() {
                 return Err(Refusal::TooLate.into());
             }
+            let (front, checked) = (self.front, &self.checked);
+            front.check_caller(self.head, self.route, &self.caller, checked)?;
             self.check_quarantine()?;
             let limit = self.attempt_limit(left, attempts);
             let outcome = self.attempt_one(&body, limit, &mut tried).await;
@@ -417,7 +430,7 @@
         if self.route.repeat == RepeatPolicy::ResumableStream && self.version.is_none() {
             let (upstream, ago) = (in_flight.upstream(), in_flight.elapsed());
             self.front
-                .record_stream_origin(self.head, self.route, &self.pool(), upstream, ago);
+                .record_stream_origin(&self.ids, self.route, &self.pool(), upstream, ago);
         }
     }
 
@@ -586,7 +599,7 @@
         let forwarding = Forwarding {
             upstream: &upstream.name,
             time_left: self.deadline.remaining(self.front.now()),
-            account: ForwardedAccount::Unchanged,
+            account: self.caller.forwarded(),
         };
         let headers = self
             .front
@@ -633,7 +646,7 @@
                 .upstreams()
                 .apply_load_report(now, in_flight.upstream().id, load);
         }
-        if let Some(fault) = self.mismatch(&answer, not_run) {
+        if let Some(fault) = mismatch(&self.head.id, &answer, not_run) {
             in_flight.record_failure();
             in_flight.end_run(RunEnd::Answered);
             return AttemptResult::Unknown(fault);
@@ -673,19 +686,6 @@
         AttemptResult::Complete(self.response(&head, full(body)))
     }
 
-    /// Returns why a response is invalid for this request, if so.
-    fn mismatch(&self, answer: &UpstreamHead, not_run: bool) -> Option<&'static str> {
-        if answer.id.as_deref().is_some_and(|id| id != &*self.head.id) {
-            Some("answer_to_another")
-        } else if answer.id.is_none() && !not_run {
-            Some("answer_to_nobody")
-        } else if answer.encoded {
-            Some("answer_encoded")
-        } else {
-            None
-        }
-    }
-
     /// Creates the response that is sent to the caller.
     fn response(&self, head: &response::Parts, body: Body) -> Response<Body> {
         let mut response = Response::new(body);
