Date the confirmation of the control leader's state from the request

Cause: a control host that was paused between a confirmed read and its reply took the old state for current for up to 0.6 s after it woke up. Found by reading; with accounts, a removed key would count for as long.

Change: the state counts as confirmed at the time of the request.

--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -178,9 +178,11 @@
     async fn confirm_periodically(self) {
         loop {
             let known = self.leading.borrow().as_ref().map(|it| it.state.version);
+            // The state is known to be current as of the request: a host that is paused
+            // before it reads the reply must not take the reply for new.
+            let asked = self.now();
             let read = self.read(known).await;
-            let now = self.now();
-            self.process_read(now, read);
+            self.process_read(asked, read);
             let _ = timeout(CONFIRM_INTERVAL, self.state_changed.notified()).await;
         }
     }
