--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -40,7 +40,7 @@
     },
     memory::{
         CallerConnection, MemoryBudget, MemoryClass, MemoryDecision, MemoryHolder, MemorySettings,
-        Shortage, SlowReader, UpstreamShares,
+        Shortage, SlowReader,
     },
     placement::{Move, Placement, PlacementSettings, PlacementView},
     policy::{Policy, PolicySettings},
--- a/crates/quay_policy/src/memory/mod.rs
+++ b/crates/quay_policy/src/memory/mod.rs
@@ -3,10 +3,8 @@
 
 mod budget;
 mod callers;
-mod upstream_shares;
 
 pub use {
     budget::{MemoryBudget, MemoryClass, MemoryDecision, MemorySettings, Shortage},
     callers::{CallerConnection, MemoryHolder, SlowReader},
-    upstream_shares::UpstreamShares,
 };
--- a/crates/quay_routes/src/lib.rs
+++ b/crates/quay_routes/src/lib.rs
@@ -23,7 +23,9 @@
 //! assert_eq!(&*found.targets[0].service, "orders");
 //! ```
 
+mod access;
 mod account;
+mod call_ids;
 mod deadline;
 mod dialect;
 mod head;
@@ -32,7 +34,9 @@
 mod table;
 
 pub use {
+    access::{Caller, CallerAccount, KeyPolicy, KeyRefusal},
     account::{Account, AccountTable, KeyDigest, Quota},
+    call_ids::CallIds,
     deadline::RequestDeadline,
     dialect::{Dialect, ForwardedAccount, Forwarding},
     head::{
--- a/crates/sapphirequayd/src/gateway/front/in_flight.rs
+++ b/crates/sapphirequayd/src/gateway/front/in_flight.rs
@@ -1,11 +1,7 @@
 //! Request in flight at an upstream.
 
 use {
-    super::{
-        connections::Lease,
-        host::FrontHost,
-        upstreams::{MemoryNeed, SelectedUpstream},
-    },
+    super::{connections::Lease, host::FrontHost, upstreams::SelectedUpstream},
     http::HeaderMap,
     quay_policy::RunEnd,
     quay_routes::Dialect,
@@ -24,8 +20,6 @@
     upstream: SelectedUpstream,
     /// Content of the request.
     content: ContentDigest,
-    /// Memory that the request needs at the upstream.
-    need: MemoryNeed,
     /// `None` before the response and once the connection is back in the pool.
     lease: Option<Lease>,
     /// Whether the upstream may have received the request and its end is not
@@ -43,19 +37,12 @@
 
 impl<D: Dialect> InFlight<D> {
     /// Creates an attempt that begins now.
-    pub fn new(
-        front: &FrontHost<D>,
-        upstream: SelectedUpstream,
-        content: ContentDigest,
-        need: MemoryNeed,
-    ) -> Self {
+    pub fn new(front: &FrontHost<D>, upstream: SelectedUpstream, content: ContentDigest) -> Self {
         let now = front.now();
-        front.upstreams().shares().begin(upstream.id, need.tokens);
         Self {
             front: front.clone(),
             upstream,
             content,
-            need,
             lease: None,
             running: Cell::default(),
             offered: false,
@@ -173,6 +160,5 @@
         self.end_run(RunEnd::Abandoned);
         let mut upstreams = self.front.upstreams();
         upstreams.record_end(now, self.upstream.id);
-        upstreams.shares().end(self.upstream.id, self.need.tokens);
     }
 }
--- a/crates/sapphirequayd/src/gateway/front/memory.rs
+++ b/crates/sapphirequayd/src/gateway/front/memory.rs
@@ -5,13 +5,16 @@
         conversation_cache::{ConversationCache, ConversationKey},
         refusal::Refusal,
     },
-    crate::gateway::host_memory::{HostMemory, MemoryGuard},
+    crate::{
+        gateway::host_memory::{HostMemory, MemoryGuard},
+        process::Clock,
+        settings::FrontSettings,
+    },
     bytes::{Bytes, BytesMut},
     http::request,
     quay_policy::{MemoryClass, MemoryHolder, Shortage},
-    quay_routes::{Account, CallHead, Credential, RoutingTable},
     quay_turns::TurnRecord,
-    quay_types::Time,
+    quay_types::{AccountId, Time},
     std::{cell::RefCell, rc::Rc},
 };
 
@@ -23,6 +26,21 @@
 }
 
 impl FrontMemory {
+    /// Creates the memory of a front by its settings.
+    #[must_use]
+    pub fn of(settings: &FrontSettings, clock: Clock) -> Self {
+        let Some(budget) = settings.budget_bytes() else {
+            return Self::new(HostMemory::default(), settings.chain_cache_bytes);
+        };
+        log::info!("event=memory_budget bytes={budget}");
+        // At most 3/8, so that the cache alone does not make memory short.
+        let cache = usize::try_from(budget / 8 * 3).unwrap_or(usize::MAX);
+        Self::new(
+            HostMemory::new(clock, budget),
+            settings.chain_cache_bytes.min(cache),
+        )
+    }
+
     /// Creates the memory of a front with a cache of at most `cache_bytes`.
     #[must_use]
     pub fn new(host: HostMemory, cache_bytes: usize) -> Self {
@@ -129,15 +147,7 @@
 }
 
 /// Caller for which the memory of a request is held; `None` without a budget.
-pub fn holder_of(
-    parts: &request::Parts,
-    head: &CallHead,
-    table: &RoutingTable,
-) -> Option<MemoryHolder> {
-    let account = match &head.credential {
-        Credential::Key(key) => table.accounts.find(key).map(Account::id),
-        Credential::Missing | Credential::Malformed => None,
-    };
+pub fn holder_of(parts: &request::Parts, account: Option<AccountId>) -> Option<MemoryHolder> {
     Some(MemoryHolder {
         connection: *parts.extensions.get()?,
         account,
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -3,6 +3,7 @@
 mod body_reader;
 mod buffer_space;
 mod call;
+mod caller;
 mod connections;
 mod conversation_cache;
 mod events;
@@ -23,7 +24,6 @@
     events::EventReader,
     front_suspects::FrontSuspects,
     host::FrontHost,
-    memory::FrontMemory,
     startup_wait::StartupWait,
     upstream_outcome::{StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome, upstream_outcome},
     upstreams::{Pool, SelectedUpstream, Upstreams},
--- a/crates/sapphirequayd/src/settings/gateway.rs
+++ b/crates/sapphirequayd/src/settings/gateway.rs
@@ -3,7 +3,7 @@
 use {
     crate::settings::Problem,
     serde::Deserialize,
-    std::{net::SocketAddr, path::PathBuf},
+    std::{net::SocketAddr, path::PathBuf, time::Duration},
 };
 
 /// Settings shared by all roles of a gateway.
@@ -73,6 +73,14 @@
     /// 0 or absent, only some buffers are bounded.
     #[serde(default)]
     pub memory_mb: f64,
+    /// Whether keys of accounts are refused once the front has been out of contact
+    /// with the control group for `revoke_ms`.
+    #[serde(default)]
+    pub strict_revoke: bool,
+    /// Time without an update from the control group after which a key may have been
+    /// revoked, in milliseconds.
+    #[serde(default = "revoke_ms")]
+    pub revoke_ms: u64,
 }
 
 /// Memory in bytes of a front that serves nothing, about.
@@ -94,6 +102,13 @@
         (limit > 0).then(|| limit.saturating_sub(REST_BYTES) / 2)
     }
 
+    /// Time without an update after which keys are refused; `None` if they never are.
+    #[must_use]
+    pub fn revoke_after(&self) -> Option<Duration> {
+        let limit = Duration::from_millis(self.revoke_ms);
+        self.strict_revoke.then_some(limit)
+    }
+
     /// Checks the settings.
     ///
     /// # Errors
@@ -109,6 +124,12 @@
     }
 }
 
+/// Default of [`FrontSettings::revoke_ms`]: the time within which deployments want a
+/// removed key to be refused.
+const fn revoke_ms() -> u64 {
+    5_000
+}
+
 /// Default of [`FrontSettings::chain_cache_bytes`]: an eighth of the memory of
 /// the smallest front in the deployments' tables (110 MB).
 const fn chain_cache_bytes() -> usize {
