--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -6,6 +6,7 @@
         connections::SendError,
         host::FrontHost,
         in_flight::InFlight,
+        memory,
         refusal::{Refusal, Refused},
         reservation::Reservation,
         stream::{PendingTurn, StreamRelay},
@@ -17,11 +18,11 @@
         meters::{self, Stage},
         store::{ReserveOutcome, TurnLookup},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http::{Request, Response, StatusCode, header, request, response},
     http_body_util::Full,
     hyper::body::Incoming,
-    quay_policy::{NewProgram, RunEnd},
+    quay_policy::{MemoryHolder, NewProgram, RunEnd},
     quay_routes::{
         CallHead, CallIds, Caller, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline,
         Route, TurnHead,
@@ -83,6 +84,8 @@
     /// Hash of the request id, used as the random number for routing and
     /// jitter.
     draw: u64,
+    /// Caller for which memory is held.
+    holder: Option<MemoryHolder>,
     /// Whether an attempt ended without telling whether the request has run.
     may_have_run: Cell<bool>,
 }
@@ -167,7 +170,8 @@
     let known = table.service(service);
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
     let limit = table.limits.body_bytes as usize;
-    let body = read_body(front, body, limit, &deadline).await?;
+    let holder = memory::holder_of(parts, caller.account().map(|account| account.id));
+    let body = read_body(front, body, limit, &deadline, holder).await?;
     let content = ids.content(&parts.method, &parts.uri, &body);
     let pool = Pool::of(service);
     front.wait_for_service(&pool, deadline.at()).await;
@@ -194,6 +198,7 @@
         most_urgent: table.is_most_urgent(caller.priority(route), service),
         event_tokens,
         draw: AttemptTag::of(&head.id).0,
+        holder,
         may_have_run: Cell::default(),
     };
     call.check_quarantine()?;
@@ -219,10 +224,8 @@
         let body = if history.is_empty() {
             input.clone()
         } else {
-            let mut body = BytesMut::with_capacity(history.len() + input.len());
-            body.extend_from_slice(&history);
-            body.extend_from_slice(&input);
-            body.freeze()
+            let memory = self.front.memory();
+            memory.join_request(self.holder, &[&history, &input])?
         };
         let pending_turn = PendingTurn {
             id: self.ids.turn(),
@@ -311,16 +314,7 @@
         }
         let left = self.deadline.remaining(self.front.now());
         match self.front.stores().lookup_turns(program, id, left).await {
-            TurnLookup::Found(turns) => {
-                let mut history = BytesMut::new();
-                for turn in turns {
-                    history.extend_from_slice(&turn.input);
-                    history.extend_from_slice(&turn.output);
-                }
-                let history = history.freeze();
-                self.front.cache_conversation(program, id, history.clone());
-                Ok(history)
-            }
+            TurnLookup::Found(turns) => self.front.join_history(program, id, &turns, self.holder),
             TurnLookup::Absent => {
                 log::info!("event=turn_absent id={} prior={prior}", self.head.id);
                 Err(Refusal::NoTurn)
@@ -389,6 +383,7 @@
                         pending_turn,
                         reservation,
                         event_tokens: self.event_tokens,
+                        holder: self.holder,
                         ends: self.deadline.at(),
                         wait_ms: queue_time.as_millis(),
                         first_ms: first.as_millis(),
@@ -657,7 +652,7 @@
         if self.route.repeat.is_stream() && head.status == StatusCode::OK && !not_run {
             return AttemptResult::Stream(Box::new(in_flight), Box::new(head), incoming);
         }
-        let mut share = self.front.buffers().share();
+        let mut share = self.front.buffers().share_for(self.holder);
         let body = timeout(limit, read_response(incoming, &mut share)).await;
         let body = match body {
             Ok(Some(body)) => body,
@@ -683,7 +678,7 @@
         if not_run {
             return AttemptResult::NotRun;
         }
-        AttemptResult::Complete(self.response(&head, full(body)))
+        AttemptResult::Complete(self.response(&head, full(share.deliver(body))))
     }
 
     /// Creates the response that is sent to the caller.
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -10,8 +10,9 @@
         buffer_space::BufferSpace,
         call,
         connections::Connections,
-        conversation_cache::ConversationCache,
         front_suspects::FrontSuspects,
+        memory::FrontMemory,
+        refusal::Refusal,
         startup_wait::StartupWait,
         upstreams::{Pool, Upstreams},
     },
@@ -29,7 +30,9 @@
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
+    quay_policy::MemoryHolder,
     quay_routes::{Dialect, RoutingTable},
+    quay_turns::TurnRecord,
     quay_types::{ProgramTag, Time, TurnId},
     rand::Rng as _,
     std::{
@@ -107,7 +110,7 @@
     bound_permits: PermitSignals,
     connections: Connections,
     buffers: BufferSpace,
-    conversations: RefCell<ConversationCache>,
+    memory: FrontMemory,
     table: RefCell<Option<Rc<RoutingTable>>>,
     limits: ServerLimits,
     startup: StartupWait,
@@ -136,6 +139,7 @@
         settings: &FrontSettings,
         link: SocketAddr,
     ) -> Self {
+        let memory = FrontMemory::of(settings, clock);
         Self(Rc::new(Shared {
             dialect,
             clock,
@@ -146,11 +150,14 @@
             report: Notify::new(),
             permits: PermitSignals::default(),
             bound_permits: PermitSignals::default(),
-            connections: Connections::new(clock),
-            buffers: BufferSpace::default(),
-            conversations: RefCell::new(ConversationCache::new(settings.chain_cache_bytes)),
+            connections: Connections::new(clock, memory.is_limited()),
+            buffers: BufferSpace::new(memory.clone()),
             table: RefCell::default(),
-            limits: ServerLimits::default(),
+            limits: ServerLimits {
+                memory: memory.host().clone(),
+                ..ServerLimits::default()
+            },
+            memory,
             startup: StartupWait::new(clock.now(), STARTUP_TIME),
             last_update: Cell::default(),
             last_confirmed: Cell::default(),
@@ -281,6 +288,11 @@
         &self.0.buffers
     }
 
+    /// Memory of the front.
+    pub fn memory(&self) -> &FrontMemory {
+        &self.0.memory
+    }
+
     /// Client of the stores.
     pub fn stores(&self) -> &StoreClient {
         &self.0.stores
@@ -291,17 +303,30 @@
     pub fn cached_conversation(&self, program: ProgramTag, turn: TurnId) -> Option<Bytes> {
         let key = (self.0.stores.group_of(program), turn);
         let now = self.now();
-        self.0.conversations.borrow_mut().get(now, key)
+        self.0.memory.cached(now, key)
     }
 
-    /// Caches the conversation up to a turn that a program can continue from.
-    pub fn cache_conversation(&self, program: ProgramTag, turn: TurnId, conversation: Bytes) {
+    /// Caches the conversation up to a turn that a program can continue from, if there
+    /// is room.
+    pub fn cache_if_room(&self, program: ProgramTag, turn: TurnId, conversation: Bytes) {
         let key = (self.0.stores.group_of(program), turn);
-        let now = self.now();
-        self.0
-            .conversations
-            .borrow_mut()
-            .put(now, key, conversation);
+        self.0.memory.cache_if_room(self.now(), key, conversation);
+    }
+
+    /// Joins the turns of the conversation up to a turn, and caches it if there is room.
+    pub fn join_history(
+        &self,
+        program: ProgramTag,
+        turn: TurnId,
+        turns: &[TurnRecord],
+        holder: Option<MemoryHolder>,
+    ) -> Result<Bytes, Refusal> {
+        let (conversation, cacheable) = self.0.memory.join_history(holder, turns)?;
+        if cacheable {
+            let key = (self.0.stores.group_of(program), turn);
+            self.0.memory.cache(self.now(), key, conversation.clone());
+        }
+        Ok(conversation)
     }
 
     // -----------------------------------------------------------------------
@@ -390,7 +415,7 @@
             let now = self.now();
             self.upstreams().tick(now);
             self.check_upstreams();
-            self.0.conversations.borrow_mut().tick(now);
+            self.0.memory.tick(now);
             self.0.connections.close_idle();
             meters::set_limited_upstreams(self.upstreams().limits().len());
             let last_update = self.0.last_update.get();
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -10,6 +10,7 @@
 mod front_suspects;
 mod host;
 mod in_flight;
+mod memory;
 mod refusal;
 mod reservation;
 mod startup_wait;
--- a/crates/sapphirequayd/tests/settings.rs
+++ b/crates/sapphirequayd/tests/settings.rs
@@ -121,7 +121,10 @@
         .split_once("{{/Bounds.StrictRevoke}}")
         .expect("section");
     assert!(before.ends_with("\nready = \"{{Listen.Ready}}\""));
-    assert!(after.starts_with("\n{{/Listen.Front}}\n"));
+    // What follows is a section of its own, rendered where there is a memory limit.
+    let (memory, rest) = after.split_once("{{/Limits.MemoryMb}}").expect("section");
+    assert!(memory.starts_with("{{#Limits.MemoryMb}}\n"));
+    assert!(rest.starts_with("\n{{/Listen.Front}}\n"));
     let filled = section
         .replace("{{Bounds.StrictRevoke}}", "true")
         .replace("{{Bounds.RevokeMs}}", "5000");
