Decision on accounts' quotas over all fronts, without a network

Limits on the requests of an account need one bound over all fronts. The control leader keeps a token bucket for each account and hands its tokens out as permits; permits that a front holds still count as part of the bucket.

--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -3,6 +3,7 @@
 //! which upstreams may take a request.
 
 mod crashes;
+mod fleet_quota;
 mod leaving;
 mod limits;
 mod quota;
@@ -16,6 +17,10 @@
 
 pub use {
     crashes::{CheckResult, CrashDetector, CrashSettings, RunEnd},
+    fleet_quota::{
+        AccountLimit, FleetQuotaAllocator, FleetQuotaHolder, FleetQuotaSettings, Permission,
+        QuotaGrant, QuotaReply, QuotaReport, QuotaRequest, QuotaUse, QuotaView,
+    },
     leaving::LeavingUpstreams,
     limits::{
         LimitAllocator, LimitHolder, LimitSettings, PermitDemand, PermitGrant, PermitRequest,
