--- /dev/null
+++ b/crates/sapphirequayd/src/gateway/front/caller.rs
@@ -0,0 +1,82 @@
+//! Which account a request belongs to, by the accounts that the front knows.
+
+use {
+    super::{
+        host::{FrontHost, MAX_CONTROL_AGE},
+        refusal::Refusal,
+    },
+    quay_routes::{CallHead, Caller, Dialect, KeyPolicy, KeyRefusal, Route, RoutingTable},
+    std::cell::Cell,
+};
+
+impl From<KeyRefusal> for Refusal {
+    fn from(refusal: KeyRefusal) -> Self {
+        match refusal {
+            KeyRefusal::Missing => Self::KeyMissing,
+            KeyRefusal::Malformed => Self::KeyMalformed,
+            KeyRefusal::Unknown => Self::KeyUnknown,
+            KeyRefusal::Outdated => Self::KeysOutdated,
+            KeyRefusal::Expired => Self::KeysExpired,
+        }
+    }
+}
+
+impl<D: Dialect> FrontHost<D> {
+    /// Decides who sends a request on a route of a table.
+    pub fn identify<'a>(
+        &self,
+        head: &CallHead,
+        route: &Route,
+        table: &'a RoutingTable,
+    ) -> Result<Caller<'a>, Refusal> {
+        let policy = KeyPolicy {
+            max_age: MAX_CONTROL_AGE,
+            revoke_after: self.revoke_after(),
+        };
+        let age = self.control_age();
+        let accounts = &table.accounts;
+        let caller = accounts.identify(route.public, &head.credential, age, &policy);
+        caller.map_err(|refusal| {
+            log::info!(
+                "event=key_refused id={} route={:?} cause=\"{refusal}\" revision={} control_age_ms={}",
+                head.id,
+                route.name,
+                table.revision,
+                age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX)),
+            );
+            refusal.into()
+        })
+    }
+
+    /// Determines the caller of a waiting request again if the accounts have changed
+    /// since revision `checked`, or if their age alone can make its key invalid.
+    pub fn check_caller(
+        &self,
+        head: &CallHead,
+        route: &Route,
+        caller: &Caller<'_>,
+        checked: &Cell<u64>,
+    ) -> Result<(), Refusal> {
+        let Some(table) = self.table() else {
+            return Ok(());
+        };
+        let expires = self.revoke_after().is_some() && caller.account().is_some();
+        if checked.replace(table.revision) == table.revision && !expires {
+            return Ok(());
+        }
+        let route = table.find(&head.host, &head.path).unwrap_or(route);
+        let now = self.identify(head, route, &table)?;
+        if caller.may_run_as(&now) {
+            return Ok(());
+        }
+        let name = |caller: &Caller<'_>| caller.account().map(|it| it.name.to_owned());
+        log::info!(
+            "event=account_changed id={} was={:?} is={:?} revision={}",
+            head.id,
+            name(caller),
+            name(&now),
+            table.revision,
+        );
+        Err(Refusal::AccountChanged)
+    }
+}
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -24,6 +24,7 @@
             store::StoreClient,
         },
         process::Clock,
+        settings::FrontSettings,
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode},
@@ -54,7 +55,7 @@
 
 /// Age of the last control update after which the front's state may be out of
 /// date: less than the 2 s within which a change must be in force.
-const MAX_CONTROL_AGE: Duration = Duration::from_millis(1_500);
+pub const MAX_CONTROL_AGE: Duration = Duration::from_millis(1_500);
 
 /// Age of the last control update after which the front reports itself not
 /// ready: longer than a restart of all control hosts with an election (2.0 s).
@@ -112,6 +113,11 @@
     startup: StartupWait,
     /// Time of the last update from the control group.
     last_update: Cell<Option<Time>>,
+    /// Time at which the newest update that the front has was asked for. The update is
+    /// not older, however late it was read.
+    last_confirmed: Cell<Option<Time>>,
+    /// Time without an update after which keys are refused, if they are.
+    revoke_after: Option<Duration>,
     draining: Cell<bool>,
     /// Random identity of this front in requests for directory changes.
     reader: u64,
@@ -127,7 +133,7 @@
         data_centre: &str,
         control: ControlClient,
         stores: StoreClient,
-        chain_cache_bytes: usize,
+        settings: &FrontSettings,
         link: SocketAddr,
     ) -> Self {
         Self(Rc::new(Shared {
@@ -142,11 +148,13 @@
             bound_permits: PermitSignals::default(),
             connections: Connections::new(clock),
             buffers: BufferSpace::default(),
-            conversations: RefCell::new(ConversationCache::new(chain_cache_bytes)),
+            conversations: RefCell::new(ConversationCache::new(settings.chain_cache_bytes)),
             table: RefCell::default(),
             limits: ServerLimits::default(),
             startup: StartupWait::new(clock.now(), STARTUP_TIME),
             last_update: Cell::default(),
+            last_confirmed: Cell::default(),
+            revoke_after: settings.revoke_after(),
             draining: Cell::default(),
             reader: rand::rng().next_u64(),
             link,
@@ -240,6 +248,19 @@
         last_update.is_some_and(|at| now.since(at) < MAX_CONTROL_AGE)
     }
 
+    /// Time since the configuration that the front has was last known to be in force;
+    /// `None` if it never was. A front that was paused reads replies from before the
+    /// pause, so this counts from the request and not from the reply.
+    pub fn control_age(&self) -> Option<Duration> {
+        let confirmed = self.0.last_confirmed.get()?;
+        Some(self.now().since(confirmed))
+    }
+
+    /// Time without an update after which keys are refused; `None` if they never are.
+    pub fn revoke_after(&self) -> Option<Duration> {
+        self.0.revoke_after
+    }
+
     /// Whether the front is shutting down.
     pub fn draining(&self) -> bool {
         self.0.draining.get()
@@ -290,13 +311,17 @@
     async fn follow_control(self) {
         loop {
             let follower_state = self.follower_state();
+            let asked = self.now();
             let reply = self
                 .0
                 .control
                 .request(ControlRequest::Follow(follower_state), FOLLOW_TIMEOUT)
                 .await;
             match reply {
-                Some(ControlReply::Update(update)) => self.apply_update(*update),
+                Some(ControlReply::Update(update)) => {
+                    self.0.last_confirmed.set(Some(asked));
+                    self.apply_update(*update);
+                }
                 _ => sleep(FOLLOW_RETRY_DELAY).await,
             }
         }
@@ -347,9 +372,10 @@
             return;
         }
         log::info!(
-            "event=table_in_force revision={} routes={}",
+            "event=table_in_force revision={} routes={} accounts={}",
             table.revision,
-            table.routes.len()
+            table.routes.len(),
+            table.accounts.iter().count()
         );
         let limits = &self.0.limits;
         limits.head_bytes.set(table.limits.head_bytes as usize);
