--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -170,7 +170,7 @@
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
     let limit = table.limits.body_bytes as usize;
     if let Some(account) = caller.account() {
-        front.check_quota(account.id, draw)?;
+        front.check_quota(account.id, AttemptTag::of(&head.id).0)?;
     }
     let body = read_body(front, body, limit, &deadline).await?;
     let content = ids.content(&parts.method, &parts.uri, &body);
