--- a/crates/sapphirequay/src/main.rs
+++ b/crates/sapphirequay/src/main.rs
@@ -13,6 +13,7 @@
 mod members;
 mod operator;
 mod quarantine;
+mod quotas;
 mod section_file;
 mod stand_in;
 
@@ -47,6 +48,8 @@
     Members(members::MembersArgs),
     #[options(help = "list and clear quarantined request content")]
     Quarantine(quarantine::QuarantineArgs),
+    #[options(help = "list the limits of accounts and their use in a gateway")]
+    Quotas(quotas::QuotasArgs),
     #[options(help = "remove the drain mark of an upstream")]
     Undrain(drain::DrainArgs),
     #[options(help = "show and change the members of a replicated group")]
@@ -118,6 +121,7 @@
         Some(Command::Demo(_)) => demo::run(),
         Some(Command::Drain(args)) => drain::run(&args, true),
         Some(Command::Members(args)) => members::run(&args),
+        Some(Command::Quotas(args)) => quotas::run(&args),
         Some(Command::Quarantine(args)) => quarantine::run(args),
         Some(Command::Undrain(args)) => drain::run(&args, false),
         Some(Command::Experiment(args)) => experiment::run(args),
--- a/crates/sapphirequayd/src/gateway/control/api.rs
+++ b/crates/sapphirequayd/src/gateway/control/api.rs
@@ -7,7 +7,7 @@
         messages::{ControlReply, ControlRequest, TableDocument},
     },
     bytes::Bytes,
-    http::{Request, Response, StatusCode},
+    http::{Method, Request, Response, StatusCode},
     http_body_util::{BodyExt as _, Limited},
     hyper::body::Incoming,
     quay_routes::{Dialect, OperatorCall, OperatorError, OperatorResponse},
@@ -21,6 +21,9 @@
 /// one second.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(850);
 
+/// Path of the accounts' limits and their use, which `sapphirequay quotas` reads.
+const QUOTAS_PATH: &str = "/quotas";
+
 /// Serves HTTP requests until the process ends.
 pub async fn serve<D: Dialect>(host: ControlHost<D>, listener: tokio::net::TcpListener) {
     let handler = move |req| {
@@ -32,6 +35,9 @@
 
 /// Handles one HTTP request.
 async fn handle<D: Dialect>(host: &ControlHost<D>, req: Request<Incoming>) -> Response<Body> {
+    if req.method() == Method::GET && req.uri().path() == QUOTAS_PATH {
+        return show_quotas(host).await;
+    }
     let (head, body) = req.into_parts();
     let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
@@ -64,6 +70,34 @@
     response
 }
 
+/// Lists the limits of accounts and their use, one line each.
+async fn show_quotas<D: Dialect>(host: &ControlHost<D>) -> Response<Body> {
+    let Some(ControlReply::Quotas(rows)) = ask_leader(host, ControlRequest::ShowQuotas).await
+    else {
+        return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let lines = rows.iter().map(|row| {
+        format!(
+            "account={:?} rate={} burst={} free={} held={} used={} program_length={}\n",
+            row.account, row.rate, row.burst, row.free, row.held, row.used, row.program_length
+        )
+    });
+    Response::new(full(Bytes::from(lines.collect::<String>())))
+}
+
+/// Executes a request on this host if it leads, or on the leader otherwise.
+async fn ask_leader<D: Dialect>(
+    host: &ControlHost<D>,
+    req: ControlRequest,
+) -> Option<ControlReply> {
+    match host.serve(req.clone()).await {
+        ControlReply::NotLeader(_) | ControlReply::Unavailable => {
+            host.client.request(req, LEADER_TIMEOUT).await
+        }
+        reply => Some(reply),
+    }
+}
+
 /// Executes a call on this host if it leads, or on the leader otherwise.
 async fn execute<D: Dialect>(
     host: &ControlHost<D>,
@@ -89,12 +123,7 @@
         OperatorCall::RetireStore { host, .. } => (ControlRequest::Retire(host.clone()), host),
         OperatorCall::RetireProgress { host } => (ControlRequest::Retired(host.clone()), host),
     };
-    let reply = match host.serve(req.clone()).await {
-        ControlReply::NotLeader(_) | ControlReply::Unavailable => {
-            host.client.request(req, LEADER_TIMEOUT).await
-        }
-        reply => Some(reply),
-    };
+    let reply = ask_leader(host, req).await;
     operator_response_for(reply, what)
 }
 
--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -241,6 +241,8 @@
                     limits.len()
                 );
                 leads.quotas.set_limits(now, text.revision, limits);
+                let names = table.accounts.iter().map(|it| (it.id(), it.name.clone()));
+                leads.account_names = names.collect();
             }
             Err(fault) => {
                 log::error!("event=account_limits_unreadable cause=\"{fault}\"");
@@ -310,6 +312,10 @@
                 self.as_leader(|leads| ControlReply::Quota(leads.quotas.grant(now, &req)))
                     .await
             }
+            ControlRequest::ShowQuotas => {
+                self.as_leader(|leads| ControlReply::Quotas(leads.quota_rows()))
+                    .await
+            }
             ControlRequest::Retire(host) => self.retire(host).await,
             ControlRequest::Retired(host) => {
                 self.as_leader(|leads| {
--- a/crates/sapphirequayd/src/gateway/control/leader_state.rs
+++ b/crates/sapphirequayd/src/gateway/control/leader_state.rs
@@ -2,13 +2,13 @@
 
 use {
     super::state::ControlState,
-    crate::gateway::messages::{ControlCommand, ControlUpdate, FollowerState},
+    crate::gateway::messages::{ControlCommand, ControlUpdate, FollowerState, QuotaRow},
     indexmap::{IndexMap, IndexSet},
     quay_members::{Changes, Directory, Heartbeat, MembersReply, MembersSettings},
     quay_policy::{FleetQuotaAllocator, FleetQuotaSettings, LimitAllocator},
     quay_quorum::{Member, Membership},
     quay_turns::{MembershipPlanner, MembershipSettings, StoreAnnouncement, StoreMap},
-    quay_types::{Announcement, Incarnation, NodeId, Time, UpstreamId, UpstreamState},
+    quay_types::{AccountId, Announcement, Incarnation, NodeId, Time, UpstreamId, UpstreamState},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -56,6 +56,8 @@
     pub limits: LimitAllocator,
     /// Issues permits for accounts with a limit.
     pub quotas: FleetQuotaAllocator,
+    /// Names of these accounts.
+    pub account_names: IndexMap<AccountId, Box<str>>,
 }
 
 impl LeaderState {
@@ -91,6 +93,7 @@
             followers: BTreeMap::new(),
             limits: LimitAllocator::default(),
             quotas: FleetQuotaAllocator::new(now, run, quotas),
+            account_names: IndexMap::new(),
         }
     }
 
@@ -123,6 +126,24 @@
             .retain(|_, heard| now.since(*heard) < FOLLOWER_TTL);
     }
 
+    /// Limits of accounts and their use.
+    pub fn quota_rows(&self) -> Box<[QuotaRow]> {
+        let rows = self.quotas.reports().map(|it| QuotaRow {
+            account: self
+                .account_names
+                .get(&it.account)
+                .cloned()
+                .unwrap_or_default(),
+            rate: it.limit.rate,
+            burst: it.limit.burst,
+            free: it.free,
+            held: it.held,
+            used: it.used,
+            program_length: it.program_length,
+        });
+        rows.collect()
+    }
+
     // -----------------------------------------------------------------------
     // Upstreams
 
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -170,7 +170,7 @@
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
     let limit = table.limits.body_bytes as usize;
     if let Some(account) = caller.account() {
-        front.check_quota(account.id, AttemptTag::of(&head.id).0)?;
+        front.check_quota(account, AttemptTag::of(&head.id).0)?;
     }
     let body = read_body(front, body, limit, &deadline).await?;
     let content = ids.content(&parts.method, &parts.uri, &body);
@@ -448,7 +448,7 @@
             return Ok(None);
         };
         let (begins, ends) = (self.begins.get(), self.deadline.at());
-        let permit = self.front.quota_permit(account.id, begins, ends, self.draw);
+        let permit = self.front.quota_permit(account, begins, ends, self.draw);
         permit.await
     }
 
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -8,6 +8,7 @@
 use {
     self::{permits::PermitSignals, quotas::QuotaSignals},
     super::{
+        account_meters::AccountMeters,
         buffer_space::BufferSpace,
         call,
         connections::Connections,
@@ -112,6 +113,7 @@
     /// Permits for the requests of accounts with a limit.
     quotas: RefCell<FleetQuotaHolder>,
     quota_signals: QuotaSignals,
+    account_meters: RefCell<AccountMeters>,
     connections: Connections,
     buffers: BufferSpace,
     conversations: RefCell<ConversationCache>,
@@ -159,6 +161,7 @@
             bound_permits: PermitSignals::default(),
             quotas: RefCell::new(quotas),
             quota_signals: QuotaSignals::default(),
+            account_meters: RefCell::default(),
             connections: Connections::new(clock),
             buffers: BufferSpace::default(),
             conversations: RefCell::new(ConversationCache::new(settings.chain_cache_bytes)),
@@ -412,6 +415,7 @@
             self.check_upstreams();
             self.0.conversations.borrow_mut().tick(now);
             self.0.connections.close_idle();
+            self.0.account_meters.borrow_mut().select(now);
             meters::set_limited_upstreams(self.upstreams().limits().len());
             let last_update = self.0.last_update.get();
             meters::set_front(
--- a/crates/sapphirequayd/src/gateway/front/host/quotas.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/quotas.rs
@@ -8,7 +8,7 @@
         messages::{ControlReply, ControlRequest},
     },
     quay_policy::{FleetQuotaHolder, Permission, QuotaView},
-    quay_routes::{Dialect, RoutingTable},
+    quay_routes::{CallerAccount, Dialect, RoutingTable},
     quay_types::{AccountId, Time},
     std::{cell::Cell, time::Duration},
     tokio::{
@@ -103,15 +103,37 @@
 impl<D: Dialect> FrontHost<D> {
     /// Refuses a request if its account is so far over its limit that no request of it
     /// would get a permit.
-    pub fn check_quota(&self, account: AccountId, draw: u64) -> Result<(), Refused> {
-        let saturated = self.0.quotas.borrow().saturated(self.now(), account, false);
-        saturated.map_or(Ok(()), |wait| Err(quota_exceeded(wait, draw)))
+    pub fn check_quota(&self, account: &CallerAccount<'_>, draw: u64) -> Result<(), Refused> {
+        let quotas = self.0.quotas.borrow();
+        let Some(wait) = quotas.saturated(self.now(), account.id, false) else {
+            return Ok(());
+        };
+        self.0
+            .account_meters
+            .borrow_mut()
+            .record(account.name, true);
+        Err(quota_exceeded(wait, draw))
     }
 
     /// Takes a permit for a request of an account, for which it may wait until
     /// `ends`; `begins` says that the request begins a program. Returns `None` if the
     /// account has no limit.
     pub async fn quota_permit(
+        &self,
+        account: &CallerAccount<'_>,
+        begins: bool,
+        ends: Time,
+        draw: u64,
+    ) -> Result<Option<QuotaPermit<D>>, Refused> {
+        let permit = self.take_permit(account.id, begins, ends, draw).await;
+        if !matches!(permit, Ok(None)) {
+            let mut meters = self.0.account_meters.borrow_mut();
+            meters.record(account.name, permit.is_err());
+        }
+        permit
+    }
+
+    async fn take_permit(
         &self,
         account: AccountId,
         begins: bool,
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -1,5 +1,6 @@
 //! The front role: accepts callers' requests and forwards them to upstreams.
 
+mod account_meters;
 mod body_reader;
 mod buffer_space;
 mod call;
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -11,7 +11,7 @@
     },
     quay_quorum::Member,
     quay_turns::{Charge, Record, StoreAnnouncement, StoreChange, StoreMap, TurnRecord},
-    quay_types::{Announcement, AttemptTag, GroupId, Incarnation, ProgramTag, TurnId},
+    quay_types::{Announcement, AttemptTag, GroupId, Incarnation, ProgramTag, RequestRate, TurnId},
     serde::{Deserialize, Serialize},
     std::{fmt, net::SocketAddr},
 };
@@ -61,6 +61,8 @@
     TakePermits(PermitRequest),
     /// Reports the use of accounts' limits and asks for permits.
     TakeQuota(QuotaRequest),
+    /// Reads the limits of accounts and their use.
+    ShowQuotas,
 }
 
 /// State that a follower already has; the leader sends what differs from it.
@@ -155,6 +157,27 @@
     Permits(PermitGrant),
     /// Reply to [`ControlRequest::TakeQuota`].
     Quota(QuotaReply),
+    /// Reply to [`ControlRequest::ShowQuotas`].
+    Quotas(Box<[QuotaRow]>),
+}
+
+/// Limit of an account and its use, for operators.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaRow {
+    /// Name of the account.
+    pub account: Box<str>,
+    /// Rate of its limit.
+    pub rate: RequestRate,
+    /// Requests that may exceed the rate.
+    pub burst: u64,
+    /// Requests for which there is room now.
+    pub free: i64,
+    /// Permits that fronts hold.
+    pub held: i64,
+    /// Requests sent since the present leader began.
+    pub used: u64,
+    /// Requests that a program of the account is expected to make.
+    pub program_length: u64,
 }
 
 /// Command in the replicated log of the control group.
--- a/crates/sapphirequayd/src/gateway/meters.rs
+++ b/crates/sapphirequayd/src/gateway/meters.rs
@@ -1,5 +1,5 @@
-//! Metrics of a gateway. Labels take only values from a fixed set in the code,
-//! which bounds the number of time series.
+//! Metrics of a gateway. Labels take only values from a fixed set in the code, or a
+//! bounded number of accounts' names, which bounds the number of time series.
 
 use {
     metrics::{counter, gauge, histogram},
@@ -48,6 +48,13 @@
     counter!("sapphirequay_refusals_total", "kind" => kind).increment(1);
 }
 
+/// Counts a request of an account with a limit, by whether it got a permit.
+pub fn record_account(account: &str, outcome: &'static str) {
+    let account = account.to_owned();
+    counter!("sapphirequay_account_requests_total", "account" => account, "outcome" => outcome)
+        .increment(1);
+}
+
 /// Records the duration of a stage of a request.
 pub fn record_stage(stage: Stage, duration: Duration) {
     histogram!("sapphirequay_stage_seconds", "stage" => stage.name()).record(duration);
--- a/crates/sapphirequayd/tests/account_quotas.rs
+++ b/crates/sapphirequayd/tests/account_quotas.rs
@@ -50,17 +50,28 @@
     });
 }
 
-fn announce(gateway: &Gateway, app: &StubUpstream) {
+/// Announces the upstream several times in the time of its lease, for a minute.
+fn keep_announced(controls: Vec<SocketAddr>, app: &StubUpstream) {
+    let app = app.addr;
+    thread::spawn(move || {
+        for _ in 0..60 {
+            announce(&controls, app);
+            thread::sleep(Duration::from_secs(1));
+        }
+    });
+}
+
+fn announce(controls: &[SocketAddr], app: SocketAddr) {
     let head = "POST /sapphirequay/instances/app-1/heartbeat HTTP/1.1\nHost: c";
     let body = format!(
         r#"{{"Service":"app","Address":"{}","Zone":"dc-1","Version":"v1","Slots":16,"State":"ready","Seq":{},"born":5}}"#,
-        app.addr,
+        app,
         NEXT.fetch_add(1, Ordering::Relaxed)
     );
     wait_for("the heartbeat is accepted", || {
         let accepted =
             |addr: &SocketAddr| send(*addr, head, &body).is_some_and(|it| it.status == 200);
-        gateway.controls.iter().any(accepted).then_some(())
+        controls.iter().any(accepted).then_some(())
     });
 }
 
@@ -125,7 +136,7 @@
     let mut gateway = Gateway::start(1);
     let app = StubUpstream::start();
     put_table(&gateway, 3, 6);
-    announce(&gateway, &app);
+    keep_announced(gateway.controls.clone(), &app);
     for front in &gateway.fronts {
         wait_for("the front serves", || {
             let got = read(*front, "sk-free")?;
@@ -146,7 +157,6 @@
         assert_eq!(got.status, 200, "{got:?}");
     }
 
-    announce(&gateway, &app);
     let leader = gateway.leader().expect("a leader");
     gateway.kill(leader);
     let ran = load_both(&gateway, Duration::from_secs(7));
@@ -158,9 +168,7 @@
     assert!(most <= 58 && ran.len() >= 15, "{most} of {}", ran.len());
 
     put_table(&gateway, 4, 1);
-    announce(&gateway, &app);
     let _ = load_both(&gateway, Duration::from_millis(7_500));
-    announce(&gateway, &app);
     let ran = load_both(&gateway, Duration::from_secs(6));
     let most = most_in_window(&ran);
     println!(
