--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -2,11 +2,13 @@
 
 mod crashes;
 mod permits;
+mod quotas;
 mod streams;
 
 use {
-    self::permits::PermitSignals,
+    self::{permits::PermitSignals, quotas::QuotaSignals},
     super::{
+        account_meters::AccountMeters,
         buffer_space::BufferSpace,
         call,
         connections::Connections,
@@ -30,10 +32,10 @@
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
-    quay_policy::MemoryHolder,
+    quay_policy::{FleetQuotaHolder, FleetQuotaSettings, MemoryHolder},
     quay_routes::{Dialect, RoutingTable},
     quay_turns::TurnRecord,
-    quay_types::{ProgramTag, Time, TurnId},
+    quay_types::{AttemptTag, ProgramTag, Time, TurnId},
     rand::Rng as _,
     std::{
         cell::{Cell, RefCell, RefMut},
@@ -50,6 +52,8 @@
     },
 };
 
+pub use self::quotas::QuotaPermit;
+
 /// Time-out for an update from the control group.
 const FOLLOW_TIMEOUT: Duration = Duration::from_millis(1_600);
 
@@ -108,6 +112,10 @@
     permits: PermitSignals,
     /// The same for requests that are bound to some upstreams of a service.
     bound_permits: PermitSignals,
+    /// Permits for the requests of accounts with a limit.
+    quotas: RefCell<FleetQuotaHolder>,
+    quota_signals: QuotaSignals,
+    account_meters: RefCell<AccountMeters>,
     connections: Connections,
     buffers: BufferSpace,
     memory: FrontMemory,
@@ -140,6 +148,10 @@
         link: SocketAddr,
     ) -> Self {
         let memory = FrontMemory::of(settings, clock);
+        let reader = rand::rng().next_u64();
+        // A front that restarts takes the place of its earlier run.
+        let front = AttemptTag::of(&link.to_string()).0;
+        let quotas = FleetQuotaHolder::new(front, reader, FleetQuotaSettings::default());
         Self(Rc::new(Shared {
             dialect,
             clock,
@@ -150,6 +162,9 @@
             report: Notify::new(),
             permits: PermitSignals::default(),
             bound_permits: PermitSignals::default(),
+            quotas: RefCell::new(quotas),
+            quota_signals: QuotaSignals::default(),
+            account_meters: RefCell::default(),
             connections: Connections::new(clock, memory.is_limited()),
             buffers: BufferSpace::new(memory.clone()),
             table: RefCell::default(),
@@ -163,11 +178,16 @@
             last_confirmed: Cell::default(),
             revoke_after: settings.revoke_after(),
             draining: Cell::default(),
-            reader: rand::rng().next_u64(),
+            reader,
             link,
         }))
     }
 
+    /// Sets the bounds of accounts' limits, before the front starts.
+    pub fn set_quotas(&self, quotas: FleetQuotaSettings) {
+        self.0.quotas.borrow_mut().set_settings(quotas);
+    }
+
     /// Starts the front's tasks.
     pub fn start(&self, callers: TcpListener, ready: TcpListener) {
         spawn_local(self.clone().follow_control());
@@ -175,6 +195,7 @@
         spawn_local(self.clone().report_runs());
         spawn_local(self.clone().request_permits(false));
         spawn_local(self.clone().request_permits(true));
+        spawn_local(self.clone().request_quotas());
         spawn_local(self.0.stores.clone().probe_paths());
         let front = self.clone();
         spawn_local(async move {
@@ -405,6 +426,7 @@
         let limits = &self.0.limits;
         limits.head_bytes.set(table.limits.head_bytes as usize);
         limits.idle.set(table.limits.idle_timeout);
+        self.set_account_limits(&table);
         self.0.table.replace(Some(Rc::new(table)));
     }
 
@@ -417,6 +439,7 @@
             self.check_upstreams();
             self.0.memory.tick(now);
             self.0.connections.close_idle();
+            self.0.account_meters.borrow_mut().select(now);
             meters::set_limited_upstreams(self.upstreams().limits().len());
             let last_update = self.0.last_update.get();
             meters::set_front(
@@ -447,6 +470,7 @@
         } else {
             log::info!("event=drain_ended");
         }
+        self.leave_quotas().await;
         self.flush_reports(ends + FLUSH_RESERVE).await;
     }
 }
