--- a/crates/sapphirequayd/tests/settings.rs
+++ b/crates/sapphirequayd/tests/settings.rs
@@ -136,3 +136,26 @@
     assert_eq!(check(dir.path(), &gateway("")), (0, String::new()));
     assert_eq!(check(dir.path(), &gateway(&filled)), (0, String::new()));
 }
+
+/// Guards against a template whose settings differ for deployments without bounds for
+/// quotas, or are invalid for deployments with them.
+#[test]
+fn the_template_sets_bounds_of_quotas_only_where_a_deployment_has_them() {
+    let template = include_str!("../../../deploy/settings.template");
+    let (before, rest) = template
+        .split_once("{{#Bounds.QuotaWindowS}}")
+        .expect("section");
+    let (section, after) = rest
+        .split_once("{{/Bounds.QuotaWindowS}}")
+        .expect("section");
+    assert!(before.ends_with("{{/Listen.Control}}{{/Listen.Front}}"));
+    assert_eq!(after, "\n");
+    let filled = section
+        .replace("{{Bounds.QuotaWindowS}}", "5")
+        .replace("{{Bounds.QuotaExcess}}", "0.1")
+        .replace("{{Bounds.QuotaSlack}}", "20");
+    assert!(!filled.contains("{{"));
+    let dir = folder();
+    let text = format!("{VALID}\n{filled}\n");
+    assert_eq!(check(dir.path(), &text), (0, String::new()));
+}
