Allow accounts bursts of three quarters of the headroom

Change: the bucket holds the burst and three quarters of the headroom, and what new programs commit counts once the bucket is half empty.

--- a/crates/quay_policy/src/guard/fleet_quota/allocator.rs
+++ b/crates/quay_policy/src/guard/fleet_quota/allocator.rs
@@ -550,7 +550,7 @@
             let most = i64::from(req.wanted_new).min(share(self.level - reserve));
             while permits_new < most
                 && (self.commitable - permits_new * charge > 0
-                    || self.level - permits_new * ONE_REQUEST >= capacity / 4 * 3)
+                    || self.level - permits_new * ONE_REQUEST >= capacity / 2)
             {
                 permits_new += 1;
             }
--- a/crates/quay_policy/src/guard/fleet_quota/mod.rs
+++ b/crates/quay_policy/src/guard/fleet_quota/mod.rs
@@ -100,11 +100,11 @@
             .saturating_add(i64::from(cfg.slack) * ONE_REQUEST)
     }
 
-    /// Capacity of the account's bucket. Half of the headroom makes up for permits
+    /// Capacity of the account's bucket. Most of the headroom makes up for permits
     /// that fronts hold without using them; the rest covers a change of the leader
     /// and what fronts without contact save up.
     fn capacity(self, cfg: &FleetQuotaSettings) -> i64 {
-        self.burst().saturating_add(self.headroom(cfg) / 2)
+        self.burst().saturating_add(self.headroom(cfg) / 4 * 3)
     }
 
     /// Requests, in billionths, that one of `fronts` may save up of its share while it
