--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -10,6 +10,7 @@
     crate::ports::{free_port, start_process},
     quay_link::{DevelopmentKeys, KeyFiles, LinkRole, Links},
     std::{
+        env,
         fs::{self, OpenOptions},
         io::{Read, Write as _},
         net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
@@ -125,7 +126,10 @@
             .append(true)
             .open(folder.join(format!("{role:?}.log")))
             .expect("log");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"));
+        // Benchmarks compare daemons of several versions.
+        let daemon = env::var_os("SAPPHIREQUAYD");
+        let daemon = daemon.unwrap_or_else(|| env!("CARGO_BIN_EXE_sapphirequayd").into());
+        let mut command = Command::new(daemon);
         let command = command.arg("--config").arg(file);
         let command = command.stdout(log.try_clone().expect("log")).stderr(log);
         let child = start_process(command).expect("process");
@@ -165,10 +169,15 @@
         assert!(status.expect("kill").success());
     }
 
+    /// Operating system's id of a process.
+    pub fn process_id(&self, role: Role) -> u32 {
+        let child = self.children.iter().find(|(it, _)| *it == role);
+        child.expect("a running process").1.id()
+    }
+
     /// Largest amount of memory that a process has had so far, in bytes.
     pub fn peak_memory(&self, role: Role) -> u64 {
-        let child = self.children.iter().find(|(it, _)| *it == role);
-        let id = child.expect("a running process").1.id();
+        let id = self.process_id(role);
         let status = fs::read_to_string(format!("/proc/{id}/status")).expect("status");
         let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
