Calls between hosts share one QUIC stream instead of one each

Cause: each request to a store or control host took a stream, three tasks at either end and a FIN each way. Change: quay_link::calls carries requests and replies with ids on one stream for each pair of hosts; its writer sends all that is queued in one write, and hosts serve calls in one task. Bodies over 16 KiB have streams of their own. Negotiated by ALPN, so that hosts of the previous version ask and are asked as before.

--- a/crates/quay_link/src/endpoint.rs
+++ b/crates/quay_link/src/endpoint.rs
@@ -12,9 +12,17 @@
     std::{net::Ipv4Addr, sync::Arc, time::Duration},
 };
 
-/// ALPN protocol identifier negotiated in the TLS handshake.
+/// ALPN protocol identifier of peers that open a stream for each request.
 const ALPN: &[u8] = b"sapphirequay/1";
 
+/// ALPN protocol identifier of peers that also take calls. It is negotiated only if
+/// both ends know it, so that hosts of the previous version are asked as before.
+pub(crate) const ALPN_CALLS: &[u8] = b"sapphirequay/2";
+
+/// Maximum number of replies that a peer sends at the same time on streams of their
+/// own; further ones wait.
+const MAX_REPLY_STREAMS: u32 = 8;
+
 /// Initial RTT estimate of a new connection. A lost first packet is
 /// retransmitted after three times this value.
 const INITIAL_RTT: Duration = Duration::from_millis(40);
@@ -73,7 +81,8 @@
     transport.congestion_controller_factory(Arc::new(congestion));
     transport.keep_alive_interval(keep_alive);
     transport.max_concurrent_bidi_streams(VarInt::from_u32(settings.max_streams));
-    transport.max_concurrent_uni_streams(VarInt::from_u32(0));
+    let reply_streams = keep_alive.map_or(0, |_| MAX_REPLY_STREAMS);
+    transport.max_concurrent_uni_streams(VarInt::from_u32(reply_streams));
     Ok(Arc::new(transport))
 }
 
@@ -97,7 +106,7 @@
     .with_root_certificates(root_store(identity)?)
     .with_client_auth_cert(identity.chain.clone(), identity.key.clone_key())
     .map_err(|err| keys_error(&err))?;
-    tls.alpn_protocols = vec![ALPN.to_vec()];
+    tls.alpn_protocols = vec![ALPN_CALLS.to_vec(), ALPN.to_vec()];
     let quic = QuicClientConfig::try_from(tls).map_err(|err| keys_error(&err))?;
     let mut config = ClientConfig::new(Arc::new(quic));
     config.transport_config(transport_config(settings, Some(settings.keep_alive))?);
@@ -119,7 +128,8 @@
         .with_client_cert_verifier(verifier)
         .with_single_cert(identity.chain.clone(), identity.key.clone_key())
         .map_err(|err| keys_error(&err))?;
-    tls.alpn_protocols = vec![ALPN.to_vec()];
+    let calls = settings.calls.as_ref().map(|_| ALPN_CALLS.to_vec());
+    tls.alpn_protocols = calls.into_iter().chain([ALPN.to_vec()]).collect();
     let quic = QuicServerConfig::try_from(tls).map_err(|err| keys_error(&err))?;
     let mut config = ServerConfig::with_crypto(Arc::new(quic));
     config.transport_config(transport_config(settings, None)?);
--- a/crates/quay_link/src/frame.rs
+++ b/crates/quay_link/src/frame.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::LinkError,
+    bytes::Bytes,
     serde::{Serialize, de::DeserializeOwned},
 };
 
@@ -13,7 +14,7 @@
 
 /// Body of one received frame, not yet decoded.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Frame(pub(crate) Box<[u8]>);
+pub struct Frame(pub(crate) Bytes);
 
 impl Frame {
     /// Decodes the value.
--- a/crates/quay_link/src/lib.rs
+++ b/crates/quay_link/src/lib.rs
@@ -1,5 +1,6 @@
-//! Links between sapphirequay processes: QUIC with mutual TLS, one stream per
-//! request, and frames encoded by `postcard`.
+//! Links between sapphirequay processes: QUIC with mutual TLS and frames encoded by
+//! `postcard`. A request has a stream of its own, or is a call that shares one with
+//! others.
 //!
 //! Network I/O runs on a dedicated thread by default. Other threads use blocking
 //! [`LinkStream`]s, so that callers of this crate need no asynchronous code.
@@ -27,6 +28,7 @@
 //! assert_eq!(stream.recv::<usize>().expect("reply"), 5);
 //! ```
 
+mod calls;
 mod endpoint;
 mod error;
 mod frame;
@@ -37,6 +39,7 @@
 mod transfer;
 
 pub use {
+    calls::IncomingCall,
     error::LinkError,
     frame::{Frame, MAX_FRAME_BYTES},
     identity::{Identity, LinkRole},
--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -2,15 +2,16 @@
 
 use {
     crate::{
-        Frame, Identity, LinkError, LinkRole, LinkStream,
-        endpoint::{bind, client_config, server_config},
+        Frame, Identity, IncomingCall, LinkError, LinkRole, LinkStream,
+        calls::{CALL_STREAM_PREFIX, CallStream, serve_calls},
+        endpoint::{ALPN_CALLS, bind, client_config, server_config},
         frame,
         identity::{Holder, certificate_holder},
-        transfer::{read_frame, spawn_transfer},
+        transfer::{read_body, read_prefix, spawn_transfer},
     },
-    quinn::{Connection, Endpoint, VarInt},
+    quinn::{Connection, Endpoint, VarInt, crypto::rustls::HandshakeData},
     rustls::pki_types::CertificateDer,
-    serde::Serialize,
+    serde::{Serialize, de::DeserializeOwned},
     std::{
         collections::HashMap,
         net::SocketAddr,
@@ -48,6 +49,9 @@
     /// connection; further ones wait. Each takes memory on every connection,
     /// whether it is open or not.
     pub max_streams: u32,
+    /// Where calls of peers are queued; `None` if the endpoint takes none. Peers that
+    /// have too many calls wait while it is full.
+    pub calls: Option<mpsc::Sender<IncomingCall>>,
 }
 
 impl LinkSettings {
@@ -62,6 +66,7 @@
             keep_alive: Duration::from_secs(1),
             receive_timeout: Duration::from_secs(5),
             max_streams: 1_024,
+            calls: None,
         }
     }
 }
@@ -89,10 +94,18 @@
     reply: oneshot::Sender<Result<LinkStream, LinkError>>,
 }
 
+/// Call stream to a peer; `None` if the peer takes no calls.
+type OpenedCalls = Result<Option<Arc<CallStream>>, LinkError>;
+
+/// Call streams by peer address and role.
+type CallStreams = Arc<Mutex<HashMap<(SocketAddr, LinkRole), Arc<CallStream>>>>;
+
 /// Command to the link thread.
 enum Command {
     /// Open a stream.
     Open(OpenRequest),
+    /// Open the call stream to a peer.
+    OpenCalls(SocketAddr, LinkRole, oneshot::Sender<OpenedCalls>),
     /// Use another identity for new connections.
     Reload(Identity, std_mpsc::SyncSender<Result<(), LinkError>>),
 }
@@ -102,6 +115,8 @@
 pub struct Links {
     commands: mpsc::UnboundedSender<Command>,
     local_addr: Option<SocketAddr>,
+    /// Call streams that are open, or were when they were last used.
+    calls: CallStreams,
 }
 
 impl Links {
@@ -125,6 +140,7 @@
         Ok(Self {
             commands,
             local_addr,
+            calls: CallStreams::default(),
         })
     }
 
@@ -145,6 +161,7 @@
         Ok(Self {
             commands,
             local_addr,
+            calls: CallStreams::default(),
         })
     }
 
@@ -195,6 +212,49 @@
         opened.await.map_err(|_| LinkError::Stopped)?
     }
 
+    /// Sends a request to a peer and waits for its one reply. The peer's certificate
+    /// must contain `role`. Requests that are under way at the same time share a stream
+    /// if the peer takes calls, and have a stream each otherwise. There is no time-out
+    /// for the reply while the peer is connected; dropping the future forgets the
+    /// request.
+    ///
+    /// # Errors
+    ///
+    /// As [`Links::open`] and [`LinkStream::recv`].
+    pub async fn call<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        role: LinkRole,
+        req: &impl Serialize,
+    ) -> Result<T, LinkError> {
+        if let Some(calls) = self.call_stream(addr, role).await?
+            && let Some(reply) = calls.call(req).await?
+        {
+            return reply.decode();
+        }
+        let mut stream = self.open_async(addr, role, req).await?;
+        stream.recv_async().await
+    }
+
+    /// Returns the call stream to a peer; `None` if the peer takes no calls.
+    async fn call_stream(&self, addr: SocketAddr, role: LinkRole) -> OpenedCalls {
+        let open = lock(&self.calls).get(&(addr, role)).cloned();
+        if let Some(open) = open.filter(|calls| !calls.is_closed()) {
+            return Ok(Some(open));
+        }
+        let (reply, opened) = oneshot::channel();
+        self.commands
+            .send(Command::OpenCalls(addr, role, reply))
+            .map_err(|_| LinkError::Stopped)?;
+        let opened = opened.await.map_err(|_| LinkError::Stopped)??;
+        let mut calls = lock(&self.calls);
+        calls.retain(|_, calls| !calls.is_closed());
+        if let Some(opened) = &opened {
+            calls.insert((addr, role), Arc::clone(opened));
+        }
+        Ok(opened)
+    }
+
     /// Queues a request to open a stream; its result arrives on the receiver.
     fn request_open(
         &self,
@@ -276,6 +336,7 @@
             endpoint.clone(),
             Arc::new(accept),
             settings.receive_timeout,
+            settings.calls.clone(),
         ));
     }
     serve_commands(endpoint.clone(), settings, queue).await;
@@ -289,6 +350,8 @@
 #[derive(Debug, Default)]
 struct PeerState {
     connection: Option<Connection>,
+    /// Call stream of `connection`, once opened.
+    calls: Option<Arc<CallStream>>,
     /// Time at which the last connection attempt failed; `None` after a success.
     failed_at: Option<Instant>,
 }
@@ -300,9 +363,8 @@
 /// Connection states, shared by all tasks that open streams.
 type Connections = Arc<Mutex<PeerStates>>;
 
-/// Locks the connection states.
-fn lock_peers(connections: &Connections) -> MutexGuard<'_, PeerStates> {
-    connections.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Opens streams and reloads keys until all handles are dropped.
@@ -323,16 +385,36 @@
                     settings.receive_timeout,
                 ));
             }
+            Command::OpenCalls(addr, role, reply) => {
+                let connections = Arc::clone(&connections);
+                tokio::spawn(serve_open_calls(
+                    endpoint.clone(),
+                    connections,
+                    (addr, role),
+                    reply,
+                ));
+            }
             Command::Reload(identity, reply) => {
                 let reloaded = reload(&mut endpoint, &mut settings, identity);
                 // Connections that use the old keys close with their last stream.
-                connections = Connections::default();
+                let old = std::mem::take(&mut connections);
+                tokio::spawn(retire_calls(old));
                 let _ = reply.send(reloaded);
             }
         }
     }
 }
 
+/// Ends the call streams of connections once their calls are answered.
+async fn retire_calls(connections: Connections) {
+    let peers: Vec<_> = lock(&connections).values().cloned().collect();
+    for peer in peers {
+        if let Some(calls) = &peer.lock().await.calls {
+            calls.retire();
+        }
+    }
+}
+
 /// Replaces the identity for new connections; keeps the old identity if the new
 /// one is invalid.
 fn reload(
@@ -371,7 +453,7 @@
         first,
         mut reply,
     } = open;
-    let peer = Arc::clone(lock_peers(&connections).entry((addr, role)).or_default());
+    let peer = Arc::clone(lock(&connections).entry((addr, role)).or_default());
     let mut peer = tokio::select! {
         peer = peer.lock() => peer,
         () = reply.closed() => return,
@@ -391,6 +473,46 @@
     }
 }
 
+/// Opens the call stream to a peer, or returns the one that is open.
+async fn serve_open_calls(
+    endpoint: Endpoint,
+    connections: Connections,
+    (addr, role): (SocketAddr, LinkRole),
+    mut reply: oneshot::Sender<OpenedCalls>,
+) {
+    let peer = Arc::clone(lock(&connections).entry((addr, role)).or_default());
+    let mut peer = tokio::select! {
+        peer = peer.lock() => peer,
+        () = reply.closed() => return,
+    };
+    if reply.is_closed() {
+        return;
+    }
+    // Continues when the requester gives up, as in `serve_open`.
+    let opened = async {
+        let connection = get_or_connect(&endpoint, &mut peer, addr, role).await?;
+        if !takes_calls(&connection) {
+            return Ok(None);
+        }
+        if let Some(calls) = peer.calls.as_ref().filter(|calls| !calls.is_closed()) {
+            return Ok(Some(Arc::clone(calls)));
+        }
+        let calls = CallStream::open(&connection).await?;
+        peer.calls = Some(Arc::clone(&calls));
+        Ok(Some(calls))
+    };
+    let opened = opened.await;
+    let _ = reply.send(opened);
+}
+
+/// Whether both ends of a connection know call streams.
+fn takes_calls(connection: &Connection) -> bool {
+    connection
+        .handshake_data()
+        .and_then(|data| data.downcast::<HandshakeData>().ok())
+        .is_some_and(|data| data.protocol.as_deref() == Some(ALPN_CALLS))
+}
+
 /// Returns the open connection to a peer, or establishes a new one.
 async fn get_or_connect(
     endpoint: &Endpoint,
@@ -459,12 +581,13 @@
     endpoint: Endpoint,
     accept: Arc<impl Fn(Incoming) + Send + Sync + 'static>,
     receive_timeout: Duration,
+    calls: Option<mpsc::Sender<IncomingCall>>,
 ) {
     while let Some(incoming) = endpoint.accept().await {
-        let accept = Arc::clone(&accept);
+        let (accept, calls) = (Arc::clone(&accept), calls.clone());
         tokio::spawn(async move {
             match incoming.await {
-                Ok(connection) => accept_streams(connection, accept, receive_timeout).await,
+                Ok(connection) => accept_streams(connection, accept, receive_timeout, calls).await,
                 Err(err) => log::debug!("event=link_refused cause={err:?}"),
             }
         });
@@ -486,23 +609,37 @@
     connection: Connection,
     accept: Arc<impl Fn(Incoming) + Send + Sync + 'static>,
     receive_timeout: Duration,
+    calls: Option<mpsc::Sender<IncomingCall>>,
 ) {
     let holder = peer_holder(&connection);
     let addr = connection.remote_address();
     while let Ok((send, mut recv)) = connection.accept_bi().await {
         let accept = Arc::clone(&accept);
         let holder = holder.clone();
+        let (connection, calls) = (connection.clone(), calls.clone());
         tokio::spawn(async move {
-            match tokio::time::timeout(receive_timeout, read_frame(&mut recv)).await {
-                Ok(Ok(first)) => accept(Incoming {
+            let first = async {
+                let prefix = read_prefix(&mut recv).await?;
+                if prefix == CALL_STREAM_PREFIX && calls.is_some() {
+                    return Ok(None);
+                }
+                read_body(&mut recv, prefix).await.map(Some)
+            };
+            let first = tokio::time::timeout(receive_timeout, first).await;
+            match (first, calls) {
+                (Ok(Ok(Some(first))), _) => accept(Incoming {
                     roles: holder.roles,
                     holder: holder.name,
                     addr,
                     first,
                     stream: spawn_transfer(send, recv, receive_timeout),
                 }),
-                Ok(Err(err)) => log::debug!("event=link_first_frame peer={addr} cause={err:?}"),
-                Err(_) => log::debug!("event=link_first_frame peer={addr} cause=silent"),
+                (Ok(Ok(None)), Some(calls)) => serve_calls(connection, send, recv, calls).await,
+                (Ok(Ok(None)), None) => {}
+                (Ok(Err(err)), _) => {
+                    log::debug!("event=link_first_frame peer={addr} cause={err:?}");
+                }
+                (Err(_), _) => log::debug!("event=link_first_frame peer={addr} cause=silent"),
             }
         });
     }
--- a/crates/quay_link/src/transfer.rs
+++ b/crates/quay_link/src/transfer.rs
@@ -69,8 +69,24 @@
 
 /// Reads one frame.
 pub(crate) async fn read_frame(recv: &mut RecvStream) -> Result<Frame, LinkError> {
+    let prefix = read_prefix(recv).await?;
+    read_body(recv, prefix).await
+}
+
+/// Reads a length prefix.
+pub(crate) async fn read_prefix(
+    recv: &mut RecvStream,
+) -> Result<[u8; frame::LENGTH_PREFIX_BYTES], LinkError> {
     let mut prefix = [0; frame::LENGTH_PREFIX_BYTES];
     read_exact(recv, &mut prefix).await?;
+    Ok(prefix)
+}
+
+/// Reads the body of a frame after its length prefix.
+pub(crate) async fn read_body(
+    recv: &mut RecvStream,
+    prefix: [u8; frame::LENGTH_PREFIX_BYTES],
+) -> Result<Frame, LinkError> {
     let mut body = vec![0; frame::body_bytes(prefix)?];
     read_exact(recv, &mut body).await?;
     Ok(Frame(body.into()))
--- /dev/null
+++ b/crates/quay_link/tests/calls.rs
@@ -0,0 +1,194 @@
+//! Tests of calls, which share a stream between two hosts.
+
+use {
+    quay_link::{
+        DevelopmentKeys, Incoming, IncomingCall, LinkError, LinkRole, LinkSettings, Links,
+    },
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        time::Duration,
+    },
+    tokio::{sync::mpsc, task::JoinSet},
+};
+
+/// Time-out that ends no test before the failure it guards against is seen.
+const NEVER: Duration = Duration::from_hours(1);
+
+struct Pair {
+    keys: DevelopmentKeys,
+    client: Links,
+    server: Links,
+    addr: SocketAddr,
+    calls: mpsc::Receiver<IncomingCall>,
+    streams: mpsc::UnboundedReceiver<Incoming>,
+}
+
+impl Pair {
+    /// Starts two hosts. Without `takes_calls` the server is of the previous version.
+    fn start(takes_calls: bool) -> Self {
+        let keys = DevelopmentKeys::generate().expect("keys");
+        let settings = |role| LinkSettings {
+            idle_timeout: NEVER,
+            receive_timeout: NEVER,
+            ..LinkSettings::new(keys.identity(role).expect("identity"))
+        };
+        let (calls_tx, calls) = mpsc::channel(1_000);
+        let (streams_tx, streams) = mpsc::unbounded_channel();
+        let server = LinkSettings {
+            listen: Some((Ipv4Addr::LOCALHOST, 0).into()),
+            calls: takes_calls.then_some(calls_tx),
+            ..settings(LinkRole::Ledger)
+        };
+        let server = Links::start_on_runtime(server, move |incoming| {
+            let _ = streams_tx.send(incoming);
+        });
+        let server = server.expect("server");
+        let client = Links::start_on_runtime(settings(LinkRole::Entry), drop).expect("client");
+        Self {
+            addr: server.local_addr().expect("address"),
+            keys,
+            client,
+            server,
+            calls,
+            streams,
+        }
+    }
+
+    /// Starts a call whose request is `bytes` times its number.
+    fn call(
+        &self,
+        number: u32,
+        bytes: usize,
+    ) -> impl Future<Output = Result<Vec<u32>, LinkError>> + use<> {
+        let (client, addr) = (self.client.clone(), self.addr);
+        async move {
+            let req = vec![number; bytes];
+            client.call(addr, LinkRole::Ledger, &req).await
+        }
+    }
+}
+
+fn echo(call: IncomingCall) {
+    let req: Vec<u32> = call.request.decode().expect("request");
+    call.reply(&req).expect("reply");
+}
+
+/// Frames that end anywhere in a packet, and replies beside the stream, must reach
+/// the caller of their request whole.
+#[tokio::test]
+async fn concurrent_calls_of_all_sizes_get_their_own_replies() {
+    let mut pair = Pair::start(true);
+    let mut sent = JoinSet::new();
+    for number in 0..36 {
+        let bytes = [0, 1, 300, 4_000, 9_000, 16_381, 16_382, 16_383, 20_000][number as usize % 9];
+        let call = pair.call(number % 100, bytes);
+        sent.spawn(async move { (number % 100, bytes, call.await) });
+    }
+    let mut done = 0;
+
+    while done < 36 {
+        tokio::select! {
+            Some(call) = pair.calls.recv() => echo(call),
+            Some(mut incoming) = pair.streams.recv() => {
+                tokio::spawn(async move {
+                    let req: Vec<u32> = incoming.first.decode().expect("request");
+                    incoming.stream.send_async(&req).await.expect("reply");
+                    let _ = incoming.stream.recv_async::<u32>().await;
+                });
+            }
+            Some(call) = sent.join_next() => {
+                let (number, bytes, reply) = call.expect("task");
+                assert_eq!(reply.expect("reply"), vec![number; bytes]);
+                done += 1;
+            }
+        }
+    }
+}
+
+/// One slow request must not hold up those that follow it.
+#[tokio::test]
+async fn a_slow_reply_does_not_delay_quick_ones() {
+    let mut pair = Pair::start(true);
+    let slow = tokio::spawn(pair.call(7, 1));
+    let slow_call = pair.calls.recv().await.expect("call");
+    for number in 0..20 {
+        let quick = tokio::spawn(pair.call(number, 2));
+        echo(pair.calls.recv().await.expect("call"));
+        let reply = quick.await.expect("task").expect("reply");
+        assert_eq!(reply, vec![number; 2]);
+    }
+    // A large reply leaves the stream free, too.
+    slow_call.reply(&vec![7_u32; 1 << 20]).expect("reply");
+    let reply = slow.await.expect("task").expect("reply");
+    assert_eq!(reply, vec![7; 1 << 20]);
+}
+
+/// Pending calls must not wait for their time-outs once the link is broken.
+#[tokio::test]
+async fn pending_calls_fail_when_the_link_breaks() {
+    let mut pair = Pair::start(true);
+    let mut pending = JoinSet::new();
+    let mut unanswered = Vec::new();
+    for number in 0..20 {
+        pending.spawn(pair.call(number, 1));
+        unanswered.push(pair.calls.recv().await.expect("call"));
+    }
+    drop(pair.server);
+    while let Some(call) = pending.join_next().await {
+        let reply = call.expect("task");
+        assert!(matches!(reply, Err(LinkError::Broken(_))), "{reply:?}");
+    }
+}
+
+/// A request that the role does not serve must fail at once.
+#[tokio::test]
+async fn a_call_that_is_dropped_fails() {
+    let mut pair = Pair::start(true);
+    let call = tokio::spawn(pair.call(1, 1));
+    drop(pair.calls.recv().await);
+    let reply = call.await.expect("task");
+    assert!(matches!(reply, Err(LinkError::Finished)), "{reply:?}");
+}
+
+/// New keys must not cut off calls that were begun with the old ones.
+#[tokio::test]
+async fn calls_are_answered_after_the_keys_have_changed() {
+    let mut pair = Pair::start(true);
+    let before = tokio::spawn(pair.call(1, 1));
+    let call = pair.calls.recv().await.expect("call");
+    let identity = pair.keys.identity(LinkRole::Entry).expect("identity");
+    let client = pair.client.clone();
+    let reloaded = tokio::task::spawn_blocking(move || client.reload(identity));
+    reloaded.await.expect("task").expect("reload");
+    let after = tokio::spawn(pair.call(2, 1));
+    echo(pair.calls.recv().await.expect("call"));
+    echo(call);
+    assert_eq!(before.await.expect("task").expect("reply"), [1]);
+    assert_eq!(after.await.expect("task").expect("reply"), [2]);
+}
+
+/// During a restart of all hosts one after another, a host must be able to ask one
+/// of the previous version.
+#[tokio::test]
+async fn a_peer_that_takes_no_calls_is_asked_on_a_stream_for_each_request() {
+    let mut pair = Pair::start(false);
+    for number in 0..3 {
+        let call = tokio::spawn(pair.call(number, 1));
+        let incoming = pair.streams.recv().await.expect("stream");
+        let req: Vec<u32> = incoming.first.decode().expect("request");
+        incoming.stream.send_async(&req).await.expect("reply");
+        assert_eq!(call.await.expect("task").expect("reply"), [number]);
+    }
+    assert!(pair.calls.try_recv().is_err());
+}
+
+/// A host of the previous version must be able to ask one of this version.
+#[tokio::test]
+async fn a_host_that_takes_calls_is_also_asked_on_streams() {
+    let mut pair = Pair::start(true);
+    let opened = pair.client.open_async(pair.addr, LinkRole::Ledger, &5_u32);
+    let mut stream = opened.await.expect("stream");
+    let incoming = pair.streams.recv().await.expect("stream");
+    incoming.stream.send_async(&6_u32).await.expect("reply");
+    assert_eq!(stream.recv_async::<u32>().await.expect("reply"), 6);
+}
--- a/crates/sapphirequayd/benches/request_cost.rs
+++ b/crates/sapphirequayd/benches/request_cost.rs
@@ -1,8 +1,9 @@
 //! Measures the processor time and wake-ups that a request costs the fronts and the
 //! stores of a gateway, each summed over its processes.
 //!
-//! `SAPPHIREQUAYD` names another daemon to measure, `STORES` the number of stores
-//! (3), `CLIENTS` the number of concurrent callers (16), and `SECONDS` the duration
+//! `SAPPHIREQUAYD` names another daemon to measure, `SAPPHIREQUAYD_STORE` another one
+//! for the stores, `STORES` the number of stores
+//! (3), `CLIENTS` the number of concurrent callers (16), and `MEASURED_S` the duration
 //! of each measurement (5).
 
 #[path = "../tests/common/gateway.rs"]
@@ -264,7 +265,7 @@
 
 fn main() {
     let (stores, clients) = (setting("STORES", 3), setting("CLIENTS", 16));
-    let seconds = Duration::from_secs(setting("SECONDS", 5) as u64);
+    let seconds = Duration::from_secs(setting("MEASURED_S", 5) as u64);
     let gateway = Gateway::start(stores);
     put(
         gateway.controls[0],
--- a/crates/sapphirequayd/src/gateway/control_client.rs
+++ b/crates/sapphirequayd/src/gateway/control_client.rs
@@ -6,7 +6,7 @@
         messages::{ControlReply, ControlRequest},
     },
     crate::wire::LinkRequest,
-    quay_link::{LinkError, LinkRole, LinkStream, Links},
+    quay_link::{LinkError, LinkRole, Links},
     serde::{Serialize, de::DeserializeOwned},
     std::{
         cell::{Cell, RefCell},
@@ -38,11 +38,7 @@
     req: &impl Serialize,
     within: Duration,
 ) -> Result<T, LinkError> {
-    let roundtrip = async {
-        let mut stream: LinkStream = links.open_async(addr, role, req).await?;
-        stream.recv_async().await
-    };
-    let answer = timeout(within, roundtrip).await;
+    let answer = timeout(within, links.call(addr, role, req)).await;
     answer.unwrap_or(Err(LinkError::Silent))
 }
 
--- /dev/null
+++ b/crates/sapphirequayd/src/gateway/incoming_calls.rs
@@ -0,0 +1,81 @@
+//! Serves the requests of other hosts, on streams of their own and as calls.
+
+use {
+    crate::wire::LinkRequest,
+    futures_util::{StreamExt as _, stream::FuturesUnordered},
+    quay_link::{Incoming, IncomingCall, LinkError},
+    serde::Serialize,
+    std::net::SocketAddr,
+    tokio::{sync::mpsc, task::spawn_local},
+};
+
+/// Maximum number of calls served at the same time; further ones wait on their
+/// links. More than the long polls of the largest deployment.
+const MAX_CALLS: usize = 4_096;
+
+/// Request of another host.
+#[derive(Debug)]
+pub enum Asked {
+    /// On a stream of its own, as hosts of the previous version ask.
+    Stream(Incoming),
+    /// As a call.
+    Call(IncomingCall),
+}
+
+impl Asked {
+    /// Decodes the request.
+    pub fn decode(&self) -> Result<LinkRequest, LinkError> {
+        match self {
+            Self::Stream(incoming) => incoming.first.decode(),
+            Self::Call(call) => call.request.decode(),
+        }
+    }
+
+    /// Address of the host.
+    pub const fn addr(&self) -> SocketAddr {
+        match self {
+            Self::Stream(incoming) => incoming.addr,
+            Self::Call(call) => call.addr,
+        }
+    }
+
+    /// Sends the reply; the host may have given up.
+    pub async fn reply(self, reply: &impl Serialize) {
+        let sent = match self {
+            Self::Stream(incoming) => incoming.stream.send_async(reply).await,
+            Self::Call(call) => call.reply(reply),
+        };
+        if let Err(err) = sent {
+            log::debug!("event=link_reply_unsent cause={err:?}");
+        }
+    }
+}
+
+/// Requests of other hosts.
+#[derive(Debug)]
+pub struct IncomingRequests {
+    /// Requests on streams of their own.
+    pub streams: mpsc::UnboundedReceiver<Incoming>,
+    /// Calls.
+    pub calls: mpsc::Receiver<IncomingCall>,
+}
+
+impl IncomingRequests {
+    /// Serves requests until the links stop. Calls are served concurrently in this
+    /// task.
+    pub async fn serve<F: Future<Output = ()> + 'static>(mut self, serve: impl Fn(Asked) -> F) {
+        let mut running = FuturesUnordered::new();
+        loop {
+            tokio::select! {
+                Some(call) = self.calls.recv(), if running.len() < MAX_CALLS => {
+                    running.push(serve(Asked::Call(call)));
+                }
+                Some(()) = running.next() => {}
+                Some(incoming) = self.streams.recv() => {
+                    spawn_local(serve(Asked::Stream(incoming)));
+                }
+                else => return,
+            }
+        }
+    }
+}
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod control_client;
 mod front;
 mod http_server;
+mod incoming_calls;
 mod messages;
 mod meters;
 mod run;
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -6,6 +6,7 @@
         control::ControlHost,
         control_client::ControlClient,
         front::FrontHost,
+        incoming_calls::{Asked, IncomingRequests},
         store::{StoreClient, StoreHost},
     },
     crate::{
@@ -17,7 +18,7 @@
         },
         wire::LinkRequest,
     },
-    quay_link::{Identity, Incoming, LinkError, LinkRole, LinkSettings, Links},
+    quay_link::{Identity, LinkError, LinkRole, LinkSettings, Links},
     quay_quorum::Member,
     quay_routes::Dialect,
     quay_turns::StoreAnnouncement,
@@ -27,6 +28,7 @@
         fmt, io,
         net::SocketAddr,
         path::{Path, PathBuf},
+        rc::Rc,
         thread,
         time::{Duration, SystemTime},
     },
@@ -52,6 +54,9 @@
 /// wait within their time-outs.
 const LINK_MAX_STREAMS: u32 = 56;
 
+/// Maximum number of calls of other hosts that wait to be read.
+const LINK_QUEUED_CALLS: usize = 256;
+
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -118,7 +123,7 @@
 struct HostContext {
     clock: Clock,
     links: Links,
-    incoming: mpsc::UnboundedReceiver<Incoming>,
+    incoming: IncomingRequests,
     control: ControlClient,
 }
 
@@ -130,12 +135,14 @@
     lifecycle: &Lifecycle,
 ) -> Result<(), GatewayError> {
     let seeds = settings.gateway.clone().unwrap_or_default();
-    let (tx, incoming) = mpsc::unbounded_channel();
+    let (tx, streams) = mpsc::unbounded_channel();
+    let (calls_tx, calls) = mpsc::channel(LINK_QUEUED_CALLS);
     let link_settings = LinkSettings {
         listen: Some(settings.link.listen),
         idle_timeout: LINK_IDLE_TIMEOUT,
         keep_alive: LINK_KEEP_ALIVE,
         max_streams: LINK_MAX_STREAMS,
+        calls: Some(calls_tx),
         ..LinkSettings::new(identity)
     };
     let links = Links::start_on_runtime(link_settings, move |incoming| {
@@ -146,7 +153,7 @@
     let base = HostContext {
         clock: Clock::start(),
         links,
-        incoming,
+        incoming: IncomingRequests { streams, calls },
         control: control.clone(),
     };
     spawn_local(watch_settings(path.into(), control));
@@ -189,7 +196,7 @@
 async fn start_front<D: Dialect>(
     settings: &Settings,
     front: &FrontSettings,
-    mut base: HostContext,
+    base: HostContext,
     dialect: D,
 ) -> Result<FrontHost<D>, GatewayError> {
     let data_centre = &settings.process.data_centre;
@@ -209,25 +216,21 @@
         callers.map_err(io("front address"))?,
         ready.map_err(io("readiness address"))?,
     );
-    spawn_local(async move {
-        while let Some(incoming) = base.incoming.recv().await {
-            serve_front(&stores, incoming);
-        }
-    });
+    spawn_local(
+        base.incoming
+            .serve(move |asked| serve_front(stores.clone(), asked)),
+    );
     Ok(host)
 }
 
 /// Relays a request of another front to a store.
-fn serve_front(stores: &StoreClient, incoming: Incoming) {
-    match incoming.first.decode() {
+async fn serve_front(stores: StoreClient, asked: Asked) {
+    match asked.decode() {
         Ok(LinkRequest::Gateway(GatewayRequest::Relay(addr, req))) => {
-            let stores = stores.clone();
-            spawn_local(async move {
-                let reply = stores.forward(addr, req).await;
-                let _ = incoming.stream.send_async(&reply).await;
-            });
+            let reply = stores.forward(addr, req).await;
+            asked.reply(&reply).await;
         }
-        unsupported => log_unsupported(incoming.addr, unsupported),
+        unsupported => log_unsupported(asked.addr(), unsupported),
     }
 }
 
@@ -235,7 +238,7 @@
     settings: &Settings,
     control: &ControlSettings,
     seeds: &GatewaySettings,
-    mut base: HostContext,
+    base: HostContext,
     dialect: D,
 ) -> Result<(), GatewayError> {
     let ledger = group_settings(settings, control, seeds);
@@ -265,11 +268,9 @@
         .set_nonblocking(true)
         .map_err(io("control API address"))?;
     host.start(listener).map_err(io("control API address"))?;
-    spawn_local(async move {
-        while let Some(incoming) = base.incoming.recv().await {
-            serve_control(&host, &groups, incoming);
-        }
-    });
+    let groups = Rc::new(groups);
+    let serve = move |asked| serve_control(host.clone(), Rc::clone(&groups), asked);
+    spawn_local(base.incoming.serve(serve));
     Ok(())
 }
 
@@ -300,18 +301,17 @@
     ledger
 }
 
-/// Serves an incoming stream of a control host.
-fn serve_control<D: Dialect>(host: &ControlHost<D>, groups: &GroupHost, mut incoming: Incoming) {
-    match incoming.first.decode() {
-        Ok(LinkRequest::Gateway(GatewayRequest::Control(req))) => {
-            let host = host.clone();
-            spawn_local(async move {
-                let reply = host.serve(req).await;
-                let _ = incoming.stream.send_async(&reply).await;
-            });
+/// Serves a request to a control host.
+async fn serve_control<D: Dialect>(host: ControlHost<D>, groups: Rc<GroupHost>, asked: Asked) {
+    match (asked.decode(), asked) {
+        (Ok(LinkRequest::Gateway(GatewayRequest::Control(req))), asked) => {
+            let reply = host.serve(req).await;
+            asked.reply(&reply).await;
         }
-        Ok(LinkRequest::Quorum(req)) if incoming.roles.contains(&LinkRole::Ledger) => {
-            let groups = groups.clone();
+        (Ok(LinkRequest::Quorum(req)), Asked::Stream(mut incoming))
+            if incoming.roles.contains(&LinkRole::Ledger) =>
+        {
+            let groups = GroupHost::clone(&groups);
             let served = thread::Builder::new()
                 .name("peer-stream".into())
                 .spawn(move || groups.serve(req, &mut incoming));
@@ -319,7 +319,7 @@
                 log::error!("event=peer_thread_failed cause={err}");
             }
         }
-        unsupported => log_unsupported(incoming.addr, unsupported),
+        (unsupported, asked) => log_unsupported(asked.addr(), unsupported),
     }
 }
 
@@ -327,7 +327,7 @@
     settings: &Settings,
     store: &StoreSettings,
     seeds: &GatewaySettings,
-    mut base: HostContext,
+    base: HostContext,
 ) -> Result<(), GatewayError> {
     let announcement = StoreAnnouncement {
         host: settings.process.name.clone(),
@@ -348,29 +348,25 @@
     )
     .map_err(io("data directory"))?;
     host.start();
-    spawn_local(async move {
-        while let Some(incoming) = base.incoming.recv().await {
-            serve_store(&host, incoming);
-        }
-    });
+    spawn_local(
+        base.incoming
+            .serve(move |asked| serve_store(host.clone(), asked)),
+    );
     Ok(())
 }
 
-/// Serves an incoming stream of a store host.
-fn serve_store(host: &StoreHost, incoming: Incoming) {
-    match incoming.first.decode() {
+/// Serves a request to a store host.
+async fn serve_store(host: StoreHost, asked: Asked) {
+    match asked.decode() {
         Ok(LinkRequest::Gateway(GatewayRequest::Store(req))) => {
-            let host = host.clone();
-            spawn_local(async move {
-                let reply = host.serve(req).await;
-                let _ = incoming.stream.send_async(&reply).await;
-            });
+            let reply = host.serve(req).await;
+            asked.reply(&reply).await;
         }
-        unsupported => log_unsupported(incoming.addr, unsupported),
+        unsupported => log_unsupported(asked.addr(), unsupported),
     }
 }
 
-/// Logs an incoming stream that the role does not serve.
+/// Logs a request that the role does not serve.
 fn log_unsupported(peer: SocketAddr, first: Result<LinkRequest, LinkError>) {
     match first {
         Ok(_) => log::warn!("event=link_request_refused peer={peer}"),
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -126,8 +126,12 @@
             .append(true)
             .open(folder.join(format!("{role:?}.log")))
             .expect("log");
-        // Benchmarks compare daemons of several versions.
-        let daemon = env::var_os("SAPPHIREQUAYD");
+        // Benchmarks compare daemons of several versions, also in one gateway.
+        let own = match role {
+            Role::Store(_) => env::var_os("SAPPHIREQUAYD_STORE"),
+            _ => None,
+        };
+        let daemon = own.or_else(|| env::var_os("SAPPHIREQUAYD"));
         let daemon = daemon.unwrap_or_else(|| env!("CARGO_BIN_EXE_sapphirequayd").into());
         let mut command = Command::new(daemon);
         let command = command.arg("--config").arg(file);
