--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -4,11 +4,13 @@
     super::{
         body_reader::{is_framed, read_body, read_response},
         connections::SendError,
-        host::FrontHost,
+        host::{FrontHost, QuotaPermit},
         in_flight::InFlight,
+        memory,
         refusal::{Refusal, Refused},
         reservation::Reservation,
         stream::{PendingTurn, StreamRelay},
+        upstream_outcome::mismatch,
         upstreams::{Pool, SelectedUpstream},
     },
     crate::gateway::{
@@ -16,20 +18,23 @@
         meters::{self, Stage},
         store::{ReserveOutcome, TurnLookup},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http::{Request, Response, StatusCode, header, request, response},
     http_body_util::Full,
     hyper::body::Incoming,
-    quay_policy::{NewProgram, RunEnd},
+    quay_policy::{MemoryHolder, NewProgram, RunEnd},
     quay_routes::{
-        CallHead, Dialect, Execution, ForwardedAccount, Forwarding, RepeatPolicy, RequestDeadline,
-        Route, TurnHead, UpstreamHead,
+        CallHead, CallIds, Caller, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline,
+        Route, TurnHead,
     },
     quay_turns::{Charge, ChargeStatus},
     quay_types::{
-        AttemptTag, ContentDigest, ProgramTag, SoftwareVersion, Time, Tokens, TurnId, UpstreamId,
+        AttemptTag, ContentDigest, ProgramTag, SoftwareVersion, Time, Tokens, UpstreamId,
+    },
+    std::{
+        cell::{Cell, OnceCell},
+        time::Duration,
     },
-    std::{cell::Cell, time::Duration},
     tokio::time::timeout,
 };
 
@@ -59,6 +64,12 @@
     front: &'a FrontHost<D>,
     head: &'a CallHead,
     parts: &'a request::Parts,
+    /// Who sends the request; holds the account, if there is one.
+    caller: Caller<'a>,
+    /// Identifiers of the state that the request refers to.
+    ids: CallIds<'a>,
+    /// Revision of the accounts by which the caller was last determined.
+    checked: Cell<u64>,
     content: ContentDigest,
     route: &'a Route,
     arrived: Time,
@@ -73,8 +84,12 @@
     /// Hash of the request id, used as the random number for routing and
     /// jitter.
     draw: u64,
+    /// Caller for which memory is held.
+    holder: Option<MemoryHolder>,
     /// Whether an attempt ended without telling whether the request has run.
     may_have_run: Cell<bool>,
+    /// Whether the request begins a program.
+    begins: Cell<bool>,
 }
 
 /// Serves one request.
@@ -89,20 +104,25 @@
         }
     };
     let draw = AttemptTag::of(&head.id).0;
-    let answered = route_request(&front, arrived, &parts, &head, body, draw).await;
+    let account = OnceCell::new();
+    let answered = route_request(&front, arrived, &parts, &head, body, &account).await;
+    let account = account.get().map_or("", String::as_str);
     let duration = front.now().since(arrived);
     let ms = duration.as_millis();
     let mut response = match answered {
         Ok(response) => {
             let status = response.status().as_u16();
             meters::record_call(status, duration);
-            log::info!("event=call_answered id={} status={status} ms={ms}", head.id);
+            log::info!(
+                "event=call_answered id={} status={status} ms={ms}{account}",
+                head.id
+            );
             response
         }
         Err(refused) => {
             let refusal = refused.reason;
             log::info!(
-                "event=call_refused id={} kind={} status={} ms={ms}",
+                "event=call_refused id={} kind={} status={} ms={ms}{account}",
                 head.id,
                 refusal.name(),
                 refusal.status()
@@ -123,14 +143,15 @@
     response
 }
 
-/// Finds the route of a request and runs the request on an upstream.
+/// Finds the route and the account of a request and runs the request on an upstream.
+/// `account` is set to what log lines say of the account.
 async fn route_request<D: Dialect>(
     front: &FrontHost<D>,
     arrived: Time,
     parts: &request::Parts,
     head: &CallHead,
     body: Incoming,
-    draw: u64,
+    account: &OnceCell<String>,
 ) -> Result<Response<Body>, Refused> {
     // The route's own time-out is unknown until there is a table.
     let caller_timeout = head.caller_timeout.unwrap_or(Duration::MAX);
@@ -143,20 +164,25 @@
         Refusal::NoTable
     };
     let route = route.ok_or(unknown)?;
+    let caller = front.identify(head, route, &table)?;
+    let _ = account.set(front.describe_caller(&caller, &table));
+    let ids = caller.ids(head);
     let deadline = RequestDeadline::new(arrived, head.caller_timeout, route.timeout);
-    let service = route
-        .target(program_of(head).0)
-        .ok_or(Refusal::NoUpstream)?;
+    let service = route.target(ids.program().0).ok_or(Refusal::NoUpstream)?;
     let known = table.service(service);
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
     let limit = table.limits.body_bytes as usize;
-    let body = read_body(front, body, limit, &deadline).await?;
-    let content = head.content(&parts.method, &parts.uri, &body);
+    if let Some(account) = caller.account() {
+        front.check_quota(account, AttemptTag::of(&head.id).0)?;
+    }
+    let holder = memory::holder_of(parts, caller.account().map(|account| account.id));
+    let body = read_body(front, body, limit, &deadline, holder).await?;
+    let content = ids.content(&parts.method, &parts.uri, &body);
     let pool = Pool::of(service);
     front.wait_for_service(&pool, deadline.at()).await;
     let version = match &head.resumed {
         Some(resumed) if route.repeat.is_stream() => {
-            let version = front.resumable_version(head, resumed, &pool, deadline.at());
+            let version = front.resumable_version(&ids, resumed, &pool, deadline.at());
             Some(version.await?)
         }
         _ => None,
@@ -165,16 +191,21 @@
         front,
         head,
         parts,
+        caller,
+        ids,
+        checked: Cell::new(table.revision),
         content,
         route,
         arrived,
         deadline,
         service,
         version,
-        most_urgent: table.is_most_urgent(route, service),
+        most_urgent: table.is_most_urgent(caller.priority(route), service),
         event_tokens,
-        draw,
+        draw: AttemptTag::of(&head.id).0,
+        holder,
         may_have_run: Cell::default(),
+        begins: Cell::default(),
     };
     call.check_quarantine()?;
     match &head.turn {
@@ -183,11 +214,6 @@
     }
 }
 
-/// Program of a request.
-fn program_of(head: &CallHead) -> ProgramTag {
-    ProgramTag::of(head.program_name())
-}
-
 impl<D: Dialect> Call<'_, D> {
     // -----------------------------------------------------------------------
     // Turns
@@ -204,15 +230,16 @@
         let body = if history.is_empty() {
             input.clone()
         } else {
-            let mut body = BytesMut::with_capacity(history.len() + input.len());
-            body.extend_from_slice(&history);
-            body.extend_from_slice(&input);
-            body.freeze()
+            let memory = self.front.memory();
+            memory.join_request(self.holder, &[&history, &input])?
         };
         let pending_turn = PendingTurn {
-            id: TurnId::of(&self.head.id),
-            program: program_of(self.head),
-            prior: turn.prior.as_deref().map(TurnId::of),
+            id: self.ids.turn(),
+            program: self.ids.program(),
+            prior: turn
+                .prior
+                .as_deref()
+                .map(|prior| self.ids.turn_named(prior)),
             retention,
             history,
             input,
@@ -222,11 +249,11 @@
 
     /// Reserves the maximum tokens of the turn from the program's budget.
     async fn reserve(&self, turn: &TurnHead) -> Result<Option<Reservation>, Refusal> {
-        let (Some(budget), Some(program)) = (turn.budget, &self.head.program) else {
+        let (Some(budget), Some(program)) = (turn.budget, self.ids.budget()) else {
+            self.begins.set(turn.prior.is_none());
             return Ok(None);
         };
-        let program = ProgramTag::of(program);
-        let attempt = AttemptTag::of(&self.head.id);
+        let attempt = self.ids.attempt();
         let own = Charge {
             attempt,
             standing: ChargeStatus::Reserved,
@@ -241,6 +268,7 @@
         match stores.reserve(program, own, Tokens(budget), left).await {
             ReserveOutcome::Covered { others } => {
                 let begins = others.0 == 0 && turn.prior.is_none() && self.version.is_none();
+                self.begins.set(begins);
                 if begins {
                     self.admit_program(program)?;
                 }
@@ -278,7 +306,7 @@
             self.head.id,
             wait.as_millis(),
             self.route.objective.as_millis(),
-            self.route.priority,
+            self.caller.priority(self.route),
         );
         Err(Refusal::Overloaded)
     }
@@ -288,28 +316,13 @@
         let (Some(prior), Some(_)) = (&turn.prior, self.route.retention) else {
             return Ok(Bytes::new());
         };
-        let id = TurnId::of(prior);
-        if let Some(history) = self.front.cached_conversation(program_of(self.head), id) {
+        let (program, id) = (self.ids.program(), self.ids.turn_named(prior));
+        if let Some(history) = self.front.cached_conversation(program, id) {
             return Ok(history);
         }
         let left = self.deadline.remaining(self.front.now());
-        match self
-            .front
-            .stores()
-            .lookup_turns(program_of(self.head), id, left)
-            .await
-        {
-            TurnLookup::Found(turns) => {
-                let mut history = BytesMut::new();
-                for turn in turns {
-                    history.extend_from_slice(&turn.input);
-                    history.extend_from_slice(&turn.output);
-                }
-                let history = history.freeze();
-                self.front
-                    .cache_conversation(program_of(self.head), id, history.clone());
-                Ok(history)
-            }
+        match self.front.stores().lookup_turns(program, id, left).await {
+            TurnLookup::Found(turns) => self.front.join_history(program, id, &turns, self.holder),
             TurnLookup::Absent => {
                 log::info!("event=turn_absent id={} prior={prior}", self.head.id);
                 Err(Refusal::NoTurn)
@@ -346,6 +359,7 @@
         pending_turn: Option<PendingTurn>,
         reservation: Option<Reservation>,
     ) -> Result<Response<Body>, Refused> {
+        let quota = self.quota_permit().await?;
         let mut tried = Vec::new();
         let (mut attempts, mut not_run) = (0, 0);
         loop {
@@ -353,9 +367,19 @@
             if left.is_zero() {
                 return Err(Refusal::TooLate.into());
             }
+            let (front, checked) = (self.front, &self.checked);
+            front.check_caller(self.head, self.route, &self.caller, checked)?;
             self.check_quarantine()?;
             let limit = self.attempt_limit(left, attempts);
-            let outcome = self.attempt_one(&body, limit, &mut tried).await;
+            let outcome = self
+                .attempt_one(&body, limit, &mut tried, quota.as_ref())
+                .await;
+            if let Some(quota) = &quota
+                && matches!(outcome, AttemptResult::NotRun)
+                && !self.may_have_run.get()
+            {
+                quota.unspend();
+            }
             match outcome {
                 AttemptResult::Complete(response) => return Ok(response),
                 AttemptResult::Stream(in_flight, head, incoming) => {
@@ -376,6 +400,7 @@
                         pending_turn,
                         reservation,
                         event_tokens: self.event_tokens,
+                        holder: self.holder,
                         ends: self.deadline.at(),
                         wait_ms: queue_time.as_millis(),
                         first_ms: first.as_millis(),
@@ -412,12 +437,22 @@
         }
     }
 
+    /// Takes a permit if the account has a limit.
+    async fn quota_permit(&self) -> Result<Option<QuotaPermit<D>>, Refused> {
+        let Some(account) = self.caller.account() else {
+            return Ok(None);
+        };
+        let (begins, ends) = (self.begins.get(), self.deadline.at());
+        let permit = self.front.quota_permit(account, begins, ends, self.draw);
+        permit.await
+    }
+
     /// Records which upstream began the stream, if another may go on with it.
     fn record_stream_origin(&self, in_flight: &InFlight<D>) {
         if self.route.repeat == RepeatPolicy::ResumableStream && self.version.is_none() {
             let (upstream, ago) = (in_flight.upstream(), in_flight.elapsed());
             self.front
-                .record_stream_origin(self.head, self.route, &self.pool(), upstream, ago);
+                .record_stream_origin(&self.ids, self.route, &self.pool(), upstream, ago);
         }
     }
 
@@ -501,13 +536,14 @@
         body: &Bytes,
         limit: Duration,
         tried: &mut Vec<UpstreamId>,
+        quota: Option<&QuotaPermit<D>>,
     ) -> AttemptResult<D> {
         let Some(upstream) = self.select_upstream(tried).await else {
             return AttemptResult::NoUpstream;
         };
         tried.push(upstream.id);
         let mut in_flight = InFlight::new(self.front, upstream, self.content);
-        let exchange = self.exchange(&mut in_flight, body);
+        let exchange = self.exchange(&mut in_flight, body, quota);
         match timeout(limit, exchange).await {
             Ok(Ok((head, incoming))) => {
                 self.handle_response(in_flight, head, incoming, limit).await
@@ -536,6 +572,7 @@
         &self,
         in_flight: &mut InFlight<D>,
         body: &Bytes,
+        quota: Option<&QuotaPermit<D>>,
     ) -> Result<(response::Parts, Incoming), AttemptResult<D>> {
         loop {
             let mut lease = match self
@@ -557,6 +594,9 @@
             };
             let reused = lease.reused();
             let req = self.request(in_flight.upstream(), body);
+            if let Some(quota) = quota {
+                quota.spend();
+            }
             in_flight.begin_run();
             match lease.send(req).await {
                 Ok(response) => {
@@ -586,7 +626,7 @@
         let forwarding = Forwarding {
             upstream: &upstream.name,
             time_left: self.deadline.remaining(self.front.now()),
-            account: ForwardedAccount::Unchanged,
+            account: self.caller.forwarded(),
         };
         let headers = self
             .front
@@ -633,7 +673,7 @@
                 .upstreams()
                 .apply_load_report(now, in_flight.upstream().id, load);
         }
-        if let Some(fault) = self.mismatch(&answer, not_run) {
+        if let Some(fault) = mismatch(&self.head.id, &answer, not_run) {
             in_flight.record_failure();
             in_flight.end_run(RunEnd::Answered);
             return AttemptResult::Unknown(fault);
@@ -644,7 +684,7 @@
         if self.route.repeat.is_stream() && head.status == StatusCode::OK && !not_run {
             return AttemptResult::Stream(Box::new(in_flight), Box::new(head), incoming);
         }
-        let mut share = self.front.buffers().share();
+        let mut share = self.front.buffers().share_for(self.holder);
         let body = timeout(limit, read_response(incoming, &mut share)).await;
         let body = match body {
             Ok(Some(body)) => body,
@@ -670,20 +710,7 @@
         if not_run {
             return AttemptResult::NotRun;
         }
-        AttemptResult::Complete(self.response(&head, full(body)))
-    }
-
-    /// Returns why a response is invalid for this request, if so.
-    fn mismatch(&self, answer: &UpstreamHead, not_run: bool) -> Option<&'static str> {
-        if answer.id.as_deref().is_some_and(|id| id != &*self.head.id) {
-            Some("answer_to_another")
-        } else if answer.id.is_none() && !not_run {
-            Some("answer_to_nobody")
-        } else if answer.encoded {
-            Some("answer_encoded")
-        } else {
-            None
-        }
+        AttemptResult::Complete(self.response(&head, full(share.deliver(body))))
     }
 
     /// Creates the response that is sent to the caller.
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -2,16 +2,19 @@
 
 mod crashes;
 mod permits;
+mod quotas;
 mod streams;
 
 use {
-    self::permits::PermitSignals,
+    self::{permits::PermitSignals, quotas::QuotaSignals},
     super::{
+        account_meters::AccountMeters,
         buffer_space::BufferSpace,
         call,
         connections::Connections,
-        conversation_cache::ConversationCache,
         front_suspects::FrontSuspects,
+        memory::FrontMemory,
+        refusal::Refusal,
         startup_wait::StartupWait,
         upstreams::{Pool, Upstreams},
     },
@@ -24,12 +27,15 @@
             store::StoreClient,
         },
         process::Clock,
+        settings::FrontSettings,
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
+    quay_policy::{FleetQuotaHolder, FleetQuotaSettings, MemoryHolder},
     quay_routes::{Dialect, RoutingTable},
-    quay_types::{ProgramTag, Time, TurnId},
+    quay_turns::TurnRecord,
+    quay_types::{AttemptTag, ProgramTag, Time, TurnId},
     rand::Rng as _,
     std::{
         cell::{Cell, RefCell, RefMut},
@@ -46,6 +52,8 @@
     },
 };
 
+pub use self::quotas::QuotaPermit;
+
 /// Time-out for an update from the control group.
 const FOLLOW_TIMEOUT: Duration = Duration::from_millis(1_600);
 
@@ -54,7 +62,7 @@
 
 /// Age of the last control update after which the front's state may be out of
 /// date: less than the 2 s within which a change must be in force.
-const MAX_CONTROL_AGE: Duration = Duration::from_millis(1_500);
+pub const MAX_CONTROL_AGE: Duration = Duration::from_millis(1_500);
 
 /// Age of the last control update after which the front reports itself not
 /// ready: longer than a restart of all control hosts with an election (2.0 s).
@@ -104,14 +112,23 @@
     permits: PermitSignals,
     /// The same for requests that are bound to some upstreams of a service.
     bound_permits: PermitSignals,
+    /// Permits for the requests of accounts with a limit.
+    quotas: RefCell<FleetQuotaHolder>,
+    quota_signals: QuotaSignals,
+    account_meters: RefCell<AccountMeters>,
     connections: Connections,
     buffers: BufferSpace,
-    conversations: RefCell<ConversationCache>,
+    memory: FrontMemory,
     table: RefCell<Option<Rc<RoutingTable>>>,
     limits: ServerLimits,
     startup: StartupWait,
     /// Time of the last update from the control group.
     last_update: Cell<Option<Time>>,
+    /// Time at which the newest update that the front has was asked for. The update is
+    /// not older, however late it was read.
+    last_confirmed: Cell<Option<Time>>,
+    /// Time without an update after which keys are refused, if they are.
+    revoke_after: Option<Duration>,
     draining: Cell<bool>,
     /// Random identity of this front in requests for directory changes.
     reader: u64,
@@ -127,9 +144,14 @@
         data_centre: &str,
         control: ControlClient,
         stores: StoreClient,
-        chain_cache_bytes: usize,
+        settings: &FrontSettings,
         link: SocketAddr,
     ) -> Self {
+        let memory = FrontMemory::of(settings, clock);
+        let reader = rand::rng().next_u64();
+        // A front that restarts takes the place of its earlier run.
+        let front = AttemptTag::of(&link.to_string()).0;
+        let quotas = FleetQuotaHolder::new(front, reader, FleetQuotaSettings::default());
         Self(Rc::new(Shared {
             dialect,
             clock,
@@ -140,19 +162,32 @@
             report: Notify::new(),
             permits: PermitSignals::default(),
             bound_permits: PermitSignals::default(),
-            connections: Connections::new(clock),
-            buffers: BufferSpace::default(),
-            conversations: RefCell::new(ConversationCache::new(chain_cache_bytes)),
+            quotas: RefCell::new(quotas),
+            quota_signals: QuotaSignals::default(),
+            account_meters: RefCell::default(),
+            connections: Connections::new(clock, memory.is_limited()),
+            buffers: BufferSpace::new(memory.clone()),
             table: RefCell::default(),
-            limits: ServerLimits::default(),
+            limits: ServerLimits {
+                memory: memory.host().clone(),
+                ..ServerLimits::default()
+            },
+            memory,
             startup: StartupWait::new(clock.now(), STARTUP_TIME),
             last_update: Cell::default(),
+            last_confirmed: Cell::default(),
+            revoke_after: settings.revoke_after(),
             draining: Cell::default(),
-            reader: rand::rng().next_u64(),
+            reader,
             link,
         }))
     }
 
+    /// Sets the bounds of accounts' limits, before the front starts.
+    pub fn set_quotas(&self, quotas: FleetQuotaSettings) {
+        self.0.quotas.borrow_mut().set_settings(quotas);
+    }
+
     /// Starts the front's tasks.
     pub fn start(&self, callers: TcpListener, ready: TcpListener) {
         spawn_local(self.clone().follow_control());
@@ -160,6 +195,7 @@
         spawn_local(self.clone().report_runs());
         spawn_local(self.clone().request_permits(false));
         spawn_local(self.clone().request_permits(true));
+        spawn_local(self.clone().request_quotas());
         spawn_local(self.0.stores.clone().probe_paths());
         let front = self.clone();
         spawn_local(async move {
@@ -240,6 +276,19 @@
         last_update.is_some_and(|at| now.since(at) < MAX_CONTROL_AGE)
     }
 
+    /// Time since the configuration that the front has was last known to be in force;
+    /// `None` if it never was. A front that was paused reads replies from before the
+    /// pause, so this counts from the request and not from the reply.
+    pub fn control_age(&self) -> Option<Duration> {
+        let confirmed = self.0.last_confirmed.get()?;
+        Some(self.now().since(confirmed))
+    }
+
+    /// Time without an update after which keys are refused; `None` if they never are.
+    pub fn revoke_after(&self) -> Option<Duration> {
+        self.0.revoke_after
+    }
+
     /// Whether the front is shutting down.
     pub fn draining(&self) -> bool {
         self.0.draining.get()
@@ -260,6 +309,11 @@
         &self.0.buffers
     }
 
+    /// Memory of the front.
+    pub fn memory(&self) -> &FrontMemory {
+        &self.0.memory
+    }
+
     /// Client of the stores.
     pub fn stores(&self) -> &StoreClient {
         &self.0.stores
@@ -270,17 +324,30 @@
     pub fn cached_conversation(&self, program: ProgramTag, turn: TurnId) -> Option<Bytes> {
         let key = (self.0.stores.group_of(program), turn);
         let now = self.now();
-        self.0.conversations.borrow_mut().get(now, key)
+        self.0.memory.cached(now, key)
     }
 
-    /// Caches the conversation up to a turn that a program can continue from.
-    pub fn cache_conversation(&self, program: ProgramTag, turn: TurnId, conversation: Bytes) {
+    /// Caches the conversation up to a turn that a program can continue from, if there
+    /// is room.
+    pub fn cache_if_room(&self, program: ProgramTag, turn: TurnId, conversation: Bytes) {
         let key = (self.0.stores.group_of(program), turn);
-        let now = self.now();
-        self.0
-            .conversations
-            .borrow_mut()
-            .put(now, key, conversation);
+        self.0.memory.cache_if_room(self.now(), key, conversation);
+    }
+
+    /// Joins the turns of the conversation up to a turn, and caches it if there is room.
+    pub fn join_history(
+        &self,
+        program: ProgramTag,
+        turn: TurnId,
+        turns: &[TurnRecord],
+        holder: Option<MemoryHolder>,
+    ) -> Result<Bytes, Refusal> {
+        let (conversation, cacheable) = self.0.memory.join_history(holder, turns)?;
+        if cacheable {
+            let key = (self.0.stores.group_of(program), turn);
+            self.0.memory.cache(self.now(), key, conversation.clone());
+        }
+        Ok(conversation)
     }
 
     // -----------------------------------------------------------------------
@@ -290,13 +357,17 @@
     async fn follow_control(self) {
         loop {
             let follower_state = self.follower_state();
+            let asked = self.now();
             let reply = self
                 .0
                 .control
                 .request(ControlRequest::Follow(follower_state), FOLLOW_TIMEOUT)
                 .await;
             match reply {
-                Some(ControlReply::Update(update)) => self.apply_update(*update),
+                Some(ControlReply::Update(update)) => {
+                    self.0.last_confirmed.set(Some(asked));
+                    self.apply_update(*update);
+                }
                 _ => sleep(FOLLOW_RETRY_DELAY).await,
             }
         }
@@ -347,13 +418,15 @@
             return;
         }
         log::info!(
-            "event=table_in_force revision={} routes={}",
+            "event=table_in_force revision={} routes={} accounts={}",
             table.revision,
-            table.routes.len()
+            table.routes.len(),
+            table.accounts.iter().count()
         );
         let limits = &self.0.limits;
         limits.head_bytes.set(table.limits.head_bytes as usize);
         limits.idle.set(table.limits.idle_timeout);
+        self.set_account_limits(&table);
         self.0.table.replace(Some(Rc::new(table)));
     }
 
@@ -364,8 +437,9 @@
             let now = self.now();
             self.upstreams().tick(now);
             self.check_upstreams();
-            self.0.conversations.borrow_mut().tick(now);
+            self.0.memory.tick(now);
             self.0.connections.close_idle();
+            self.0.account_meters.borrow_mut().select(now);
             meters::set_limited_upstreams(self.upstreams().limits().len());
             let last_update = self.0.last_update.get();
             meters::set_front(
@@ -396,6 +470,7 @@
         } else {
             log::info!("event=drain_ended");
         }
+        self.leave_quotas().await;
         self.flush_reports(ends + FLUSH_RESERVE).await;
     }
 }
--- a/crates/sapphirequayd/src/gateway/front/in_flight.rs
+++ b/crates/sapphirequayd/src/gateway/front/in_flight.rs
@@ -158,6 +158,7 @@
             self.record_abandoned();
         }
         self.end_run(RunEnd::Abandoned);
-        self.front.upstreams().record_end(now, self.upstream.id);
+        let mut upstreams = self.front.upstreams();
+        upstreams.record_end(now, self.upstream.id);
     }
 }
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -207,9 +207,10 @@
         data_centre,
         base.control,
         stores.clone(),
-        front.chain_cache_bytes,
+        front,
         settings.link.listen,
     );
+    host.set_quotas(settings.quota.settings());
     let callers = TcpListener::bind(front.listen).await;
     let ready = TcpListener::bind(front.ready).await;
     host.start(
@@ -261,7 +262,8 @@
         group,
         own,
         seeds.losses,
-    );
+    )
+    .with_quotas(settings.quota.settings());
     let listener =
         std::net::TcpListener::bind(control.listen).map_err(io("control API address"))?;
     listener
--- a/crates/sapphirequayd/src/settings/gateway.rs
+++ b/crates/sapphirequayd/src/settings/gateway.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::settings::Problem,
+    quay_policy::FleetQuotaSettings,
     serde::Deserialize,
-    std::{net::SocketAddr, path::PathBuf},
+    std::{net::SocketAddr, path::PathBuf, time::Duration},
 };
 
 /// Settings shared by all roles of a gateway.
@@ -69,6 +70,65 @@
     /// Size of the in-memory cache of stored turns, in bytes.
     #[serde(default = "chain_cache_bytes")]
     pub chain_cache_bytes: usize,
+    /// Memory above which the platform kills the process, in MB (10^6 bytes). If it is
+    /// 0 or absent, only some buffers are bounded.
+    #[serde(default)]
+    pub memory_mb: f64,
+    /// Whether keys of accounts are refused once the front has been out of contact
+    /// with the control group for `revoke_ms`.
+    #[serde(default)]
+    pub strict_revoke: bool,
+    /// Time without an update from the control group after which a key may have been
+    /// revoked, in milliseconds.
+    #[serde(default = "revoke_ms")]
+    pub revoke_ms: u64,
+}
+
+/// Memory in bytes of a front that serves nothing, about.
+const REST_BYTES: u64 = 20_000_000;
+
+/// Least value of [`FrontSettings::memory_mb`] other than 0.
+const MIN_MEMORY_MB: f64 = 40.0;
+
+impl FrontSettings {
+    /// Bytes that requests, responses, conversations and connections may take.
+    ///
+    /// It is half of what the process leaves free. The other half is for what isn't
+    /// counted: a buffer and its copy while it grows or is joined with others, the
+    /// buffers of connections to upstreams, and what the allocator does not return.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn budget_bytes(&self) -> Option<u64> {
+        let limit = (self.memory_mb * 1e6) as u64;
+        (limit > 0).then(|| limit.saturating_sub(REST_BYTES) / 2)
+    }
+
+    /// Time without an update after which keys are refused; `None` if they never are.
+    #[must_use]
+    pub fn revoke_after(&self) -> Option<Duration> {
+        let limit = Duration::from_millis(self.revoke_ms);
+        self.strict_revoke.then_some(limit)
+    }
+
+    /// Checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the problem and its key.
+    pub fn check(&self) -> Result<(), Problem> {
+        let valid = self.memory_mb == 0.0 || self.memory_mb >= MIN_MEMORY_MB;
+        if !valid {
+            let message = format!("must be 0 or at least {MIN_MEMORY_MB}");
+            return Err(Problem::new("front", "memory_mb", message));
+        }
+        Ok(())
+    }
+}
+
+/// Default of [`FrontSettings::revoke_ms`]: the time within which deployments want a
+/// removed key to be refused.
+const fn revoke_ms() -> u64 {
+    5_000
 }
 
 /// Default of [`FrontSettings::chain_cache_bytes`]: an eighth of the memory of
@@ -104,3 +164,42 @@
 const fn segment_bytes() -> u64 {
     8 << 20
 }
+
+/// Bounds of accounts' limits: in any window, the requests of an account exceed
+/// those of its rate and burst by at most `excess` of them and `slack` more.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct QuotaTable {
+    /// Length of the window, in seconds.
+    pub window_s: f64,
+    /// Part of the limit that may be exceeded.
+    pub excess: f64,
+    /// Number of requests that may exceed it besides.
+    pub slack: u32,
+}
+
+impl Default for QuotaTable {
+    fn default() -> Self {
+        Self {
+            window_s: 5.0,
+            excess: 0.1,
+            slack: 20,
+        }
+    }
+}
+
+impl QuotaTable {
+    /// Settings of the decision.
+    #[must_use]
+    pub fn settings(&self) -> FleetQuotaSettings {
+        let window = Duration::try_from_secs_f64(self.window_s).unwrap_or_default();
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Bounded here.
+        let excess = (self.excess.clamp(0.0, 1.0) * 1e3) as u32;
+        FleetQuotaSettings {
+            window,
+            excess,
+            slack: self.slack,
+            ..FleetQuotaSettings::default()
+        }
+    }
+}
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -43,6 +43,8 @@
     pub front_links: Vec<SocketAddr>,
     /// Link addresses of stores.
     pub store_links: Vec<SocketAddr>,
+    /// Lines for `[front]` of the fronts that are started next.
+    pub front_settings: String,
     children: Vec<(Role, Child)>,
     folder: TempDir,
 }
@@ -50,6 +52,11 @@
 impl Gateway {
     /// Starts a gateway with `stores` stores.
     pub fn start(stores: usize) -> Self {
+        Self::start_with(stores, "")
+    }
+
+    /// Starts a gateway with settings added to the table of each front.
+    pub fn start_with(stores: usize, front_settings: &str) -> Self {
         let folder = TempDir::new().expect("folder");
         let made = DevelopmentKeys::generate().expect("keys");
         let nobody: [&str; 0] = [];
@@ -64,6 +71,7 @@
             store_links: (0..stores).map(|_| free_port()).collect(),
             children: Vec::new(),
             folder,
+            front_settings: front_settings.to_owned(),
         };
         for slot in 0..3 {
             gateway.run(Role::Control(slot), true);
@@ -103,9 +111,10 @@
             Role::Front(slot) => (
                 self.front_links[slot],
                 format!(
-                    "[front]\nlisten = \"{}\"\nready = \"{}\"\n",
+                    "[front]\nlisten = \"{}\"\nready = \"{}\"\n{}\n",
                     self.fronts[slot],
-                    free_port()
+                    free_port(),
+                    self.front_settings
                 ),
             ),
         };
@@ -204,6 +213,14 @@
             .map(|(_, role)| role)
     }
 
+    /// What all processes have logged.
+    pub fn logs(&self) -> String {
+        let files = fs::read_dir(self.folder.path()).expect("folder").flatten();
+        let logs = files.filter(|file| file.file_name().to_string_lossy().ends_with(".log"));
+        logs.map(|log| fs::read_to_string(log.path()).expect("log"))
+            .collect()
+    }
+
     /// Removes the data folder of a stopped store.
     pub fn wipe_store(&self, slot: usize) {
         fs::remove_dir_all(self.folder.path().join(format!("store-{slot}"))).expect("wiped");
@@ -246,7 +263,7 @@
     parse(&String::from_utf8(got).ok()?)
 }
 
-fn parse(text: &str) -> Option<Response> {
+pub fn parse(text: &str) -> Option<Response> {
     let (head, rest) = text.split_once("\r\n\r\n")?;
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let chunked = head.to_lowercase().contains("transfer-encoding: chunked");
@@ -313,6 +330,8 @@
     behaviour: Arc<Mutex<Behaviour>>,
     /// Bodies of the requests that were run.
     ran: Arc<Mutex<Vec<String>>>,
+    /// Heads of these requests.
+    heads: Arc<Mutex<Vec<String>>>,
     /// Times of the requests that were answered with the limit.
     limited: Arc<Mutex<Vec<Instant>>>,
 }
@@ -324,6 +343,7 @@
             addr: listener.local_addr().expect("address"),
             behaviour: Arc::new(Mutex::new(Behaviour::Normal)),
             ran: Arc::default(),
+            heads: Arc::default(),
             limited: Arc::default(),
         };
         let shared = upstream.clone();
@@ -348,6 +368,10 @@
         self.ran.lock().expect("lock").clone()
     }
 
+    pub fn request_heads(&self) -> Vec<String> {
+        self.heads.lock().expect("lock").clone()
+    }
+
     /// Answers one request and closes the connection.
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
         let (head, body) = read_request(&mut stream)?;
@@ -374,6 +398,7 @@
             return stream.write_all(text.as_bytes()).ok();
         }
         self.ran.lock().expect("lock").push(body);
+        self.heads.lock().expect("lock").push(head.clone());
         if behaviour == Behaviour::NoAnswer {
             return None;
         }
