--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod front;
 mod host_memory;
 mod http_server;
+mod incoming_calls;
 mod messages;
 mod meters;
 mod run;
