Learn the speeds of upstreams and place by expected time

Cause: the front held the engine speeds of one deployment (368 tokens/ms, 0.76 ms a step, 260 tokens a response), treated all upstreams of a service as equally fast, and dropped the slowdown that upstreams report.

Change: quay_policy::route::speed learns the speed of each service and upstream from the times of complete responses, and holds the reported slowdown with its age. The cost of an upstream uses them, with the wait for a slot in time and an allowance for requests of other fronts that no report shows. Upstreams within 5 % of the lowest cost that hold as much of the prompt are equally good. A slow caller's time is not counted as the upstream's. SelectedUpstream compares by incarnation, since it now also holds what is expected of the prompt.

Tests: AgentLoad takes the paces of its engines and passes the times of responses to the fronts, as the daemon does; the existing assertions are unchanged.

--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -42,7 +42,7 @@
     program_blocks::ProgramBlocks,
     retain::{Retention, RetentionAction, RetentionSettings},
     route::{
-        ExpectedTime, FeedState, LeastLoad, LongestPrefix, PrefixIndex, RouteChoice, RouteRequest,
-        RouteSettings, Router, Score, Slot, UpstreamView,
+        ExpectedTime, FeedState, LeastLoad, LongestPrefix, PrefixIndex, ResponseTimes, RouteChoice,
+        RouteRequest, RouteSettings, Router, Score, Slot, Speed, UpstreamView,
     },
 };
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -23,12 +23,13 @@
     quay_turns::{Record, TurnRecord},
     quay_types::{ProgramTag, Time, TurnId},
     std::{
+        cell::Cell,
         pin::Pin,
         task::{Context, Poll},
         time::Duration,
     },
     tokio::{
-        sync::mpsc,
+        sync::mpsc::{self, error::TrySendError},
         time::{sleep, timeout},
     },
 };
@@ -92,6 +93,10 @@
     pub wait_ms: u128,
     /// Milliseconds from then until the head of the upstream's response.
     pub first_ms: u128,
+    /// Time until the first complete event, once there is one.
+    pub first_event: Cell<Option<Duration>>,
+    /// Time that the stream has waited for the caller to read.
+    pub caller_wait: Cell<Duration>,
 }
 
 impl<D: Dialect> StreamRelay<D> {
@@ -145,8 +150,11 @@
         match upstream_outcome(end, events, reader.mid_event()) {
             UpstreamOutcome::Succeeded => {
                 let events = u32::try_from(events).unwrap_or(u32::MAX);
+                let took = self.in_flight.elapsed();
+                let first = self.first_event.get().unwrap_or(took);
+                let rest = took.saturating_sub(first + self.caller_wait.get());
                 self.in_flight
-                    .record_success(self.in_flight.elapsed() / events);
+                    .record_success(took / events, first, rest, events);
                 self.in_flight.end_run(RunEnd::of_response(true, framed));
             }
             UpstreamOutcome::SucceededUntimed => {
@@ -194,6 +202,9 @@
             };
             self.in_flight.record_activity();
             reader.feed(&data);
+            if self.first_event.get().is_none() && reader.events() > 0 {
+                self.first_event.set(Some(self.in_flight.elapsed()));
+            }
             if !share.resize(reader.held_bytes()) {
                 return StreamEnd::Broken("response_too_large");
             }
@@ -207,14 +218,22 @@
                 }
                 reservation.set_used(tokens);
             }
+            let frame = match frames.try_send(Ok(Frame::data(data))) {
+                Ok(()) => continue,
+                Err(TrySendError::Closed(_)) => return StreamEnd::CallerGone,
+                Err(TrySendError::Full(frame)) => frame,
+            };
+            let full_since = self.front.now();
             tokio::select! {
-                sent = frames.send(Ok(Frame::data(data))) => {
+                sent = frames.send(frame) => {
                     if sent.is_err() {
                         return StreamEnd::CallerGone;
                     }
                 }
                 () = &mut ends => return StreamEnd::Broken("time_over"),
             }
+            let waited = self.front.now().since(full_since);
+            self.caller_wait.set(self.caller_wait.get() + waited);
         }
     }
 
