Measure a front's own delay (HostDelay)

Cause: a front had no figure of how long its tasks wait to run, so a later admission decision could not tell a saturated host.

Change: quay_policy::HostDelay holds how late timers fired in the last 3 s; the front's maintenance task records one sample each 300 ms, and the gauge sapphirequay_host_delay_seconds shows the median.

Measured: tests/host_delay.rs, and gateway, gateway_parts, whole_path, processes, resumed_streams, endless_responses and front_load of sapphirequayd pass.

--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod admit;
 mod guard;
+mod host_delay;
 mod placement;
 mod policy;
 mod program_blocks;
@@ -37,6 +38,7 @@
         RetryBudgets, RetrySettings, RunEnd, ServiceVersions, StreamOrigin, SuspectCommand,
         SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings, UpstreamFilter, UpstreamRun,
     },
+    host_delay::{HostDelay, MeasuredDelay},
     placement::{Move, Placement, PlacementSettings, PlacementView},
     policy::{Policy, PolicySettings},
     program_blocks::ProgramBlocks,
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -28,6 +28,7 @@
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
+    quay_policy::{HostDelay, MeasuredDelay},
     quay_routes::{Dialect, RoutingTable},
     quay_types::{ProgramTag, Time, TurnId},
     rand::Rng as _,
@@ -113,6 +114,8 @@
     /// Time of the last update from the control group.
     last_update: Cell<Option<Time>>,
     draining: Cell<bool>,
+    /// How late this front's timers fire.
+    delay: RefCell<HostDelay>,
     /// Random identity of this front in requests for directory changes.
     reader: u64,
     /// Link address of this front.
@@ -148,6 +151,7 @@
             startup: StartupWait::new(clock.now(), STARTUP_TIME),
             last_update: Cell::default(),
             draining: Cell::default(),
+            delay: RefCell::default(),
             reader: rand::rng().next_u64(),
             link,
         }))
@@ -245,6 +249,11 @@
         self.0.draining.get()
     }
 
+    /// Delay of this host; `None` if it is unknown.
+    pub fn delay(&self) -> Option<MeasuredDelay> {
+        self.0.delay.borrow().measured(self.now())
+    }
+
     /// Upstreams known to the front.
     pub fn upstreams(&self) -> RefMut<'_, Upstreams> {
         self.0.upstreams.borrow_mut()
@@ -360,12 +369,15 @@
     /// Drops outdated state and sets the gauges, in a loop.
     async fn run_maintenance(self) {
         loop {
+            let due = self.now() + MAINTENANCE_INTERVAL;
             sleep(MAINTENANCE_INTERVAL).await;
             let now = self.now();
+            self.0.delay.borrow_mut().record(now, due);
             self.upstreams().tick(now);
             self.check_upstreams();
             self.0.conversations.borrow_mut().tick(now);
             self.0.connections.close_idle();
+            meters::set_host_delay(self.delay());
             meters::set_limited_upstreams(self.upstreams().limits().len());
             let last_update = self.0.last_update.get();
             meters::set_front(
