--- a/crates/sapphirequayd/src/gateway/control/leader_state.rs
+++ b/crates/sapphirequayd/src/gateway/control/leader_state.rs
@@ -2,13 +2,13 @@
 
 use {
     super::state::ControlState,
-    crate::gateway::messages::{ControlCommand, ControlUpdate, FollowerState},
+    crate::gateway::messages::{ControlCommand, ControlUpdate, FollowerState, QuotaRow},
     indexmap::{IndexMap, IndexSet},
     quay_members::{Changes, Directory, Heartbeat, MembersReply, MembersSettings},
-    quay_policy::LimitAllocator,
+    quay_policy::{FleetQuotaAllocator, FleetQuotaSettings, LimitAllocator},
     quay_quorum::{Member, Membership},
     quay_turns::{MembershipPlanner, MembershipSettings, StoreAnnouncement, StoreMap},
-    quay_types::{Announcement, Incarnation, NodeId, Time, UpstreamId, UpstreamState},
+    quay_types::{AccountId, Announcement, Incarnation, NodeId, Time, UpstreamId, UpstreamState},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -54,12 +54,22 @@
     followers: BTreeMap<SocketAddr, Time>,
     /// Issues permits for limited upstreams.
     pub limits: LimitAllocator,
+    /// Issues permits for accounts with a limit.
+    pub quotas: FleetQuotaAllocator,
+    /// Names of these accounts.
+    pub account_names: IndexMap<AccountId, Box<str>>,
 }
 
 impl LeaderState {
     /// Creates the state of a new leader. `run` must differ from that of earlier
     /// leaders.
-    pub fn new(now: Time, run: u64, state: ControlState, losses: usize) -> Self {
+    pub fn new(
+        now: Time,
+        run: u64,
+        state: ControlState,
+        losses: usize,
+        quotas: FleetQuotaSettings,
+    ) -> Self {
         let members = MembersSettings {
             // Upstreams in the deployments send heartbeats every 1.2 s, sometimes
             // several seconds late.
@@ -82,6 +92,8 @@
             members: Membership::default(),
             followers: BTreeMap::new(),
             limits: LimitAllocator::default(),
+            quotas: FleetQuotaAllocator::new(now, run, quotas),
+            account_names: IndexMap::new(),
         }
     }
 
@@ -107,12 +119,31 @@
     pub fn tick(&mut self, now: Time) {
         self.directory.tick(now);
         self.limits.tick(now);
+        self.quotas.tick(now);
         self.join_requests
             .retain(|_, (_, heard)| now.since(*heard) < JOIN_REQUEST_TTL);
         self.followers
             .retain(|_, heard| now.since(*heard) < FOLLOWER_TTL);
     }
 
+    /// Limits of accounts and their use.
+    pub fn quota_rows(&self) -> Box<[QuotaRow]> {
+        let rows = self.quotas.reports().map(|it| QuotaRow {
+            account: self
+                .account_names
+                .get(&it.account)
+                .cloned()
+                .unwrap_or_default(),
+            rate: it.limit.rate,
+            burst: it.limit.burst,
+            free: it.free,
+            held: it.held,
+            used: it.used,
+            program_length: it.program_length,
+        });
+        rows.collect()
+    }
+
     // -----------------------------------------------------------------------
     // Upstreams
 
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -18,25 +18,35 @@
     http::response,
     http_body_util::BodyExt as _,
     hyper::body::{Body as HttpBody, Frame, Incoming},
-    quay_policy::RunEnd,
+    quay_policy::{MemoryHolder, RunEnd},
     quay_routes::Dialect,
     quay_turns::{Record, TurnRecord},
     quay_types::{ProgramTag, Time, TurnId},
     std::{
         cell::Cell,
         pin::Pin,
+        sync::Arc,
         task::{Context, Poll},
         time::Duration,
     },
     tokio::{
-        sync::mpsc::{self, error::TrySendError},
+        sync::{
+            Notify,
+            mpsc::{self, error::TrySendError},
+        },
         time::{sleep, timeout},
     },
 };
 
-/// Number of frames buffered for a caller that reads slowly.
+/// Number of frames buffered for a caller that reads slowly, without a memory budget.
 const MAX_BUFFERED_FRAMES: usize = 16;
 
+/// The same with a budget, which bounds the bytes.
+const MAX_BUDGETED_FRAMES: usize = 1_024;
+
+/// Time after which a paused stream looks again whether memory is still short.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Sender of the frames of a response body.
 type FrameSender = mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>;
 
@@ -87,6 +97,8 @@
     pub reservation: Option<Reservation>,
     /// Number of tokens that an event counts as.
     pub event_tokens: u64,
+    /// Caller for which the stream's memory is held.
+    pub holder: Option<MemoryHolder>,
     /// Time at which the stream is aborted.
     pub ends: Time,
     /// Milliseconds from the request's arrival until it was sent.
@@ -102,7 +114,12 @@
 impl<D: Dialect> StreamRelay<D> {
     /// Starts the relay task and returns the response body that it fills.
     pub fn start(self, head: &response::Parts, body: Incoming) -> Body {
-        let (tx, rx) = mpsc::channel(MAX_BUFFERED_FRAMES);
+        let max_frames = if self.front.memory().is_limited() {
+            MAX_BUDGETED_FRAMES
+        } else {
+            MAX_BUFFERED_FRAMES
+        };
+        let (tx, rx) = mpsc::channel(max_frames);
         let headers = head.headers.clone();
         tokio::task::spawn_local(async move { self.relay(headers, body, tx).await });
         RelayedBody(rx).boxed_unsync()
@@ -112,7 +129,7 @@
     async fn relay(mut self, headers: http::HeaderMap, mut body: Incoming, frames: FrameSender) {
         let mut reader = EventReader::new(self.pending_turn.is_some());
         // Held until the turn is stored.
-        let mut share = self.front.buffers().share();
+        let mut share = self.front.buffers().share_for(self.holder);
         let end = self
             .relay_frames(&mut body, &mut reader, &mut share, &frames)
             .await;
@@ -183,7 +200,21 @@
         let left = self.ends.since(self.front.now());
         let ends = sleep(left);
         tokio::pin!(ends);
+        let taken = Arc::new(Notify::new());
         loop {
+            // A stream whose caller reads slowly is not read on from its upstream.
+            if !self.front.memory().host().may_read_on(self.holder) {
+                let paused = self.front.now();
+                while !self.front.memory().host().may_read_on(self.holder) {
+                    tokio::select! {
+                        () = taken.notified() => {}
+                        () = sleep(PAUSE_CHECK_INTERVAL) => {}
+                        () = frames.closed() => return StreamEnd::CallerGone,
+                        () = &mut ends => return StreamEnd::Broken("time_over"),
+                    }
+                }
+                self.add_caller_wait(paused);
+            }
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = frames.closed() => return StreamEnd::CallerGone,
@@ -218,6 +249,8 @@
                 }
                 reservation.set_used(tokens);
             }
+            let memory = self.front.memory().host();
+            let data = memory.hold_frame(self.holder, data, &taken);
             let frame = match frames.try_send(Ok(Frame::data(data))) {
                 Ok(()) => continue,
                 Err(TrySendError::Closed(_)) => return StreamEnd::CallerGone,
@@ -232,11 +265,16 @@
                 }
                 () = &mut ends => return StreamEnd::Broken("time_over"),
             }
-            let waited = self.front.now().since(full_since);
-            self.caller_wait.set(self.caller_wait.get() + waited);
+            self.add_caller_wait(full_since);
         }
     }
 
+    /// Adds the time since `began` to the time spent waiting for the caller.
+    fn add_caller_wait(&self, began: Time) {
+        let waited = self.front.now().since(began);
+        self.caller_wait.set(self.caller_wait.get() + waited);
+    }
+
     /// Stores the turn durably, and settles its charge, before the caller sees the
     /// end of the stream.
     async fn store_turn(&mut self, reader: EventReader) -> StreamEnd {
@@ -270,7 +308,7 @@
         conversation.extend_from_slice(&pending_turn.history);
         conversation.extend_from_slice(&pending_turn.input);
         conversation.extend_from_slice(&output);
-        self.front.cache_conversation(
+        self.front.cache_if_room(
             pending_turn.program,
             pending_turn.id,
             Bytes::from(conversation),
--- a/crates/sapphirequayd/src/gateway/meters.rs
+++ b/crates/sapphirequayd/src/gateway/meters.rs
@@ -1,9 +1,9 @@
-//! Metrics of a gateway. Labels take only values from a fixed set in the code,
-//! which bounds the number of time series.
+//! Metrics of a gateway. Labels take only values from a fixed set in the code, or a
+//! bounded number of accounts' names, which bounds the number of time series.
 
 use {
     metrics::{counter, gauge, histogram},
-    quay_policy::MeasuredDelay,
+    quay_policy::{MeasuredDelay, MemoryClass, Shortage},
     std::time::Duration,
 };
 
@@ -49,6 +49,13 @@
     counter!("sapphirequay_refusals_total", "kind" => kind).increment(1);
 }
 
+/// Counts a request of an account with a limit, by whether it got a permit.
+pub fn record_account(account: &str, outcome: &'static str) {
+    let account = account.to_owned();
+    counter!("sapphirequay_account_requests_total", "account" => account, "outcome" => outcome)
+        .increment(1);
+}
+
 /// Records the duration of a stage of a request.
 pub fn record_stage(stage: Stage, duration: Duration) {
     histogram!("sapphirequay_stage_seconds", "stage" => stage.name()).record(duration);
@@ -92,6 +99,28 @@
     gauge!("sapphirequay_stores_version").set(stores as f64);
 }
 
+/// Counts a reservation of memory that was refused, by the share that is full.
+pub fn record_memory_refusal(class: MemoryClass, shortage: Shortage) {
+    let share = match shortage {
+        Shortage::Caller => "caller",
+        Shortage::Account => "account",
+        Shortage::Host => "host",
+    };
+    counter!("sapphirequay_memory_refusals_total", "class" => class.name(), "share" => share)
+        .increment(1);
+}
+
+/// Counts a slow reader that was disconnected since memory was short.
+pub fn record_reader_disconnected() {
+    counter!("sapphirequay_readers_disconnected_total").increment(1);
+}
+
+/// Sets the bytes in use of a class of memory.
+#[allow(clippy::cast_precision_loss)]
+pub fn set_memory(class: MemoryClass, bytes: u64) {
+    gauge!("sapphirequay_memory_bytes", "class" => class.name()).set(bytes as f64);
+}
+
 /// Sets the gauge that tells whether this control host is the leader.
 pub fn set_leader(leads: bool) {
     gauge!("sapphirequay_leads").set(f64::from(u8::from(leads)));
