--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod admit;
 mod guard;
+mod host_delay;
 mod memory;
 mod placement;
 mod policy;
@@ -40,6 +41,7 @@
         RetrySettings, RunEnd, ServiceVersions, StreamOrigin, SuspectCommand, SuspectEvent,
         SuspectRegistry, SuspectReply, SuspectSettings, UpstreamFilter, UpstreamRun,
     },
+    host_delay::{HostDelay, MeasuredDelay},
     memory::{
         CallerConnection, MemoryBudget, MemoryClass, MemoryDecision, MemoryHolder, MemorySettings,
         Shortage, SlowReader,
@@ -49,7 +51,7 @@
     program_blocks::ProgramBlocks,
     retain::{Retention, RetentionAction, RetentionSettings},
     route::{
-        ExpectedTime, FeedState, LeastLoad, LongestPrefix, PrefixIndex, RouteChoice, RouteRequest,
-        RouteSettings, Router, Score, Slot, UpstreamView,
+        ExpectedTime, FeedState, LeastLoad, LongestPrefix, PrefixIndex, ResponseTimes, RouteChoice,
+        RouteRequest, RouteSettings, Router, Score, Slot, Speed, UpstreamView,
     },
 };
