Take back the learned speeds of upstreams (5420168)

More requests go to other data centres, and fewer programs are served in time; why is not traced.

Change: reverts the merge.

--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -19,7 +19,6 @@
 
 mod admit;
 mod guard;
-mod host_delay;
 mod memory;
 mod placement;
 mod policy;
@@ -41,7 +40,6 @@
         RetrySettings, RunEnd, ServiceVersions, StreamOrigin, SuspectCommand, SuspectEvent,
         SuspectRegistry, SuspectReply, SuspectSettings, UpstreamFilter, UpstreamRun,
     },
-    host_delay::{HostDelay, MeasuredDelay},
     memory::{
         CallerConnection, MemoryBudget, MemoryClass, MemoryDecision, MemoryHolder, MemorySettings,
         Shortage, SlowReader,
@@ -51,7 +49,7 @@
     program_blocks::ProgramBlocks,
     retain::{Retention, RetentionAction, RetentionSettings},
     route::{
-        ExpectedTime, FeedState, LeastLoad, LongestPrefix, PrefixIndex, ResponseTimes, RouteChoice,
-        RouteRequest, RouteSettings, Router, Score, Slot, Speed, UpstreamView,
+        ExpectedTime, FeedState, LeastLoad, LongestPrefix, PrefixIndex, RouteChoice, RouteRequest,
+        RouteSettings, Router, Score, Slot, UpstreamView,
     },
 };
--- a/crates/quay_policy/src/route/load.rs
+++ b/crates/quay_policy/src/route/load.rs
@@ -18,8 +18,6 @@
     /// Calls sent, with the tokens that each makes the upstream prefill; oldest
     /// first.
     sent: VecDeque<(Time, u64)>,
-    /// Number of calls that the upstream says it runs concurrently; 0 if unknown.
-    slots: u32,
     /// Sum of the tokens in `sent`.
     prefill: u64,
     /// Calls ended; oldest first.
@@ -45,16 +43,6 @@
         self.ended.drain(..known);
     }
 
-    /// Stores the number of calls that the upstream runs concurrently.
-    pub(super) fn set_slots(&mut self, slots: u32) {
-        self.slots = slots;
-    }
-
-    /// Number of calls that the upstream runs concurrently; 0 if unknown.
-    pub(super) const fn slots(&self) -> u32 {
-        self.slots
-    }
-
     /// Replaces the report by the number of this process's calls in flight.
     pub(super) fn expire(&mut self, now: Time, in_flight: u32) {
         let load = Load {
--- a/crates/quay_policy/src/route/mod.rs
+++ b/crates/quay_policy/src/route/mod.rs
@@ -7,7 +7,6 @@
 mod router;
 mod score;
 mod settings;
-mod speed;
 
 /// Denominator of weights, factors and rates in thousandths.
 const PER_MILLE: u64 = 1_000;
@@ -17,5 +16,4 @@
     router::{RouteChoice, RouteRequest, Router},
     score::{ExpectedTime, LeastLoad, LongestPrefix, Score, UpstreamView},
     settings::RouteSettings,
-    speed::{ResponseTimes, Speed},
 };
--- a/crates/quay_policy/src/route/router.rs
+++ b/crates/quay_policy/src/route/router.rs
@@ -7,13 +7,12 @@
         load::LoadEstimate,
         prefix_index::MAX_SLOTS,
         rating::{PeerRating, typical},
-        speed::{ServiceSpeed, UpstreamSpeed},
     },
-    crate::{PrefixIndex, ResponseTimes, RouteSettings, Score, Slot, Speed, UpstreamView},
+    crate::{PrefixIndex, RouteSettings, Score, Slot, UpstreamView},
     indexmap::IndexMap,
     quay_types::{
-        Announcement, CallTarget, Incarnation, ProgramId, ServiceId, Time, Tokens, UpstreamId,
-        UpstreamKind, UpstreamState,
+        Announcement, CallTarget, Incarnation, ProgramId, Time, Tokens, UpstreamId, UpstreamKind,
+        UpstreamState,
     },
     std::{marker::PhantomData, net::SocketAddr, time::Duration},
 };
@@ -62,22 +61,11 @@
     announcement: Announcement,
     load: LoadEstimate,
     rating: PeerRating,
-    speed: UpstreamSpeed,
     last_heard: Time,
     slot: Slot,
     remote: bool,
 }
 
-/// Upstream considered for a call.
-#[derive(Debug, Clone, Copy)]
-struct Candidate {
-    cost: u64,
-    /// Prompt tokens that it does not hold.
-    uncached: u64,
-    /// Position of the upstream.
-    at: usize,
-}
-
 /// Routing state of one entry, with `S` as the cost function.
 #[derive(Debug)]
 pub struct Router<S> {
@@ -89,14 +77,12 @@
     used_slots: u16,
     index: PrefixIndex,
     conversations: Conversations,
-    /// Speeds of the services whose responses have been measured.
-    speeds: IndexMap<ServiceId, ServiceSpeed>,
     /// Blocks held by each slot for the current call.
     depths: Vec<u32>,
     /// Upstreams eligible for the current call, by position.
     eligible: Vec<usize>,
     /// Costs of the upstreams considered for the current call, by position.
-    costs: Vec<Candidate>,
+    costs: Vec<(u64, usize)>,
     /// Mean call durations of the upstreams eligible for the current call.
     means: Vec<Duration>,
     score: PhantomData<S>,
@@ -113,7 +99,6 @@
             used_slots: 0,
             index: PrefixIndex::new(cfg.max_index_blocks),
             conversations: Conversations::new(cfg.max_conversations),
-            speeds: IndexMap::new(),
             depths: Vec::new(),
             eligible: Vec::new(),
             costs: Vec::new(),
@@ -163,7 +148,6 @@
             if known.announcement.incarnation != announcement.incarnation {
                 known.load = LoadEstimate::default();
                 known.rating = PeerRating::default();
-                known.speed = UpstreamSpeed::default();
                 self.index.clear_slot(known.slot);
             }
             known.load.report(made - age, announcement.load);
@@ -180,7 +164,6 @@
             announcement: announcement.clone(),
             load,
             rating: PeerRating::default(),
-            speed: UpstreamSpeed::default(),
             last_heard: made,
             slot,
             remote,
@@ -213,12 +196,6 @@
         for id in unlisted {
             self.remove(id);
         }
-        let upstreams = &self.upstreams;
-        let serves = |service: &ServiceId, upstream: &Upstream| {
-            upstream.announcement.kind.service() == Some(*service)
-        };
-        self.speeds
-            .retain(|service, _| upstreams.values().any(|it| serves(service, it)));
     }
 
     /// Records that a call sent to an upstream has ended there.
@@ -235,47 +212,6 @@
         }
     }
 
-    /// Records what an upstream reports beside its load: the number of calls that
-    /// it runs concurrently, and its current slowdown in percent.
-    pub fn record_report(&mut self, at: Time, id: UpstreamId, slots: u32, slowdown: Option<u32>) {
-        if let Some(upstream) = self.upstreams.get_mut(&id) {
-            upstream.load.set_slots(slots);
-            upstream.speed.report(at, slowdown);
-        }
-    }
-
-    /// Records the times of a complete response of a service's upstream; the
-    /// call must not have been recorded as ended.
-    pub fn record_response(&mut self, now: Time, id: UpstreamId, times: &ResponseTimes) {
-        let Some(upstream) = self.upstreams.get_mut(&id) else {
-            return;
-        };
-        let Some(service) = upstream.announcement.kind.service() else {
-            return;
-        };
-        let service = self.speeds.entry(service).or_insert_with(ServiceSpeed::new);
-        let now_running = upstream.load.load(true, 0).running;
-        let slots = upstream.load.slots();
-        let (running, queued) = times.load.unwrap_or((now_running, 0));
-        let others = now_running.midpoint(running).saturating_sub(1);
-        let waited = queued > 0 || (slots > 0 && running >= slots);
-        let speed = &mut upstream.speed;
-        speed.record(&self.cfg, service, now, times, (others, waited));
-    }
-
-    /// Learned speed of a service; `None` before enough responses.
-    #[must_use]
-    pub fn service_speed(&self, service: ServiceId) -> Option<Speed> {
-        self.speeds.get(&service)?.speed()
-    }
-
-    /// Time of work at an upstream at this moment compared with its service's
-    /// mean, in thousandths.
-    #[must_use]
-    pub fn pace(&self, now: Time, id: UpstreamId) -> Option<u64> {
-        Some(self.upstreams.get(&id)?.speed.pace(&self.cfg, now))
-    }
-
     /// Records that an upstream lost or corrupted a call.
     pub fn record_failure(&mut self, now: Time, id: UpstreamId) {
         if let Some(upstream) = self.upstreams.get_mut(&id) {
@@ -325,16 +261,12 @@
         if self.costs.is_empty() {
             self.compute_costs(now, req, true);
         }
-        let best = *self.costs.iter().min_by_key(|it| (it.cost, it.at))?;
+        let best = self.costs.iter().map(|(cost, _)| *cost).min()?;
         let spread = u64::try_from(self.cfg.spread.as_micros()).unwrap_or(u64::MAX);
-        let share = best.cost / PER_MILLE * u64::from(self.cfg.spread_permille);
-        let good = |it: &&Candidate| {
-            let excess = it.cost - best.cost;
-            excess <= spread || (excess <= share && it.uncached <= best.uncached)
-        };
+        let good = |(cost, _): &&(u64, usize)| *cost <= best.saturating_add(spread);
         let count = self.costs.iter().filter(good).count() as u64;
         let nth = usize::try_from(draw % count.max(1)).unwrap_or_default();
-        let at = self.costs.iter().filter(good).nth(nth)?.at;
+        let at = self.costs.iter().filter(good).nth(nth)?.1;
         self.send(now, req, at)
     }
 
@@ -350,13 +282,7 @@
         let typical = self.typical();
         let typical_calls = self.typical_calls();
         let previous = self.previous_upstream(req);
-        let speed = match req.target {
-            CallTarget::Service(service) => self.service_speed(service),
-            CallTarget::Model(_) => None,
-        };
         let home = previous.is_none().then(|| self.home(req)).flatten();
-        let some_hold =
-            previous.is_some() || home.is_some() || self.depths.iter().any(|it| *it > 0);
         for at in self.eligible.iter().copied() {
             let Some((id, upstream)) = self.upstreams.get_index(at) else {
                 continue;
@@ -385,22 +311,9 @@
                     .is_none_or(|age| age > self.cfg.stale_after),
                 remote: upstream.remote,
                 uncached_tokens: req.prompt.0.saturating_sub(held),
-                // A measured pace tells how slow the upstream is.
-                slowdown: {
-                    let typical = typical.filter(|_| !upstream.speed.is_measured());
-                    upstream.rating.factor(&self.cfg, now, typical)
-                },
-                speed,
-                pace: Some(upstream.speed.pace(&self.cfg, now)),
-                slots: upstream.load.slots(),
-                typical_calls,
-                some_hold,
+                slowdown: upstream.rating.factor(&self.cfg, now, typical),
             };
-            self.costs.push(Candidate {
-                cost: S::cost(&self.cfg, &view),
-                uncached: view.uncached_tokens,
-                at,
-            });
+            self.costs.push((S::cost(&self.cfg, &view), at));
         }
     }
 
@@ -458,7 +371,6 @@
         let missing = req.prompt.0.saturating_sub(u64::from(held) * BLOCK_TOKENS);
         upstream.load.sent(now, missing);
         upstream.rating.sent(now);
-        upstream.speed.sent(now);
         let choice = RouteChoice {
             upstream: *id,
             incarnation: upstream.announcement.incarnation,
--- a/crates/quay_policy/src/route/settings.rs
+++ b/crates/quay_policy/src/route/settings.rs
@@ -24,19 +24,6 @@
     /// Upstreams whose cost exceeds the lowest by at most this much are equally
     /// good.
     pub spread: Duration,
-    /// The same, in thousandths of the lowest cost, for upstreams that hold as much
-    /// of the prompt as the one with the lowest cost.
-    pub spread_permille: u32,
-    /// Wait at a full upstream for calls of other entries that no report shows
-    /// yet, where the number of slots is known, in thousandths of an answer; with free slots it is less by the fourth
-    /// power of their use.
-    pub unseen_wait: u64,
-    /// Weight of a slowdown that was reported just now, in thousandths: a slow
-    /// phase ends before many of the responses that begin in it.
-    pub slowdown_weight: u32,
-    /// Age from which a reported slowdown has no weight; it loses weight evenly
-    /// until then.
-    pub slowdown_fade: Duration,
     /// Weight of a program's home upstream when the prefix index has no entry
     /// for the program's blocks, in thousandths of a known prefix.
     pub home_weight: u64,
@@ -83,10 +70,6 @@
             token_gap_us: 20_000,
             correct_load: true,
             spread: Duration::from_millis(20),
-            spread_permille: 0,
-            unseen_wait: 2_500,
-            slowdown_weight: 400,
-            slowdown_fade: Duration::from_millis(600),
             home_weight: 1_000,
             remote_cost: Duration::from_millis(3),
             stale_after: Duration::from_secs(3),
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -286,8 +286,6 @@
                         ends: self.deadline.at(),
                         wait_ms: queue_time.as_millis(),
                         first_ms: first.as_millis(),
-                        first_event: Cell::default(),
-                        caller_wait: Cell::default(),
                     };
                     let body = relay.start(&head, incoming);
                     return Ok(self.response(&head, body));
@@ -553,7 +551,9 @@
             upstreams.record_limit(now, in_flight.upstream(), sent, answer.limit);
         }
         if let Some(load) = answer.load {
-            in_flight.record_load(load);
+            self.front
+                .upstreams()
+                .apply_load_report(now, in_flight.upstream().id, load);
         }
         if let Some(fault) = mismatch(&self.head.id, &answer, not_run) {
             in_flight.record_failure();
@@ -581,8 +581,7 @@
             }
         };
         if head.status.is_success() {
-            let took = in_flight.elapsed();
-            in_flight.record_success(took, took, Duration::ZERO, 1);
+            in_flight.record_success(in_flight.elapsed());
         }
         in_flight.end_run(if not_run {
             RunEnd::Answered
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -32,7 +32,7 @@
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
-    quay_policy::{FleetQuotaHolder, FleetQuotaSettings, HostDelay, MeasuredDelay, MemoryHolder},
+    quay_policy::{FleetQuotaHolder, FleetQuotaSettings, MemoryHolder},
     quay_routes::{Dialect, RoutingTable},
     quay_turns::TurnRecord,
     quay_types::{AttemptTag, ProgramTag, Time, TurnId},
@@ -130,8 +130,6 @@
     /// Time without an update after which keys are refused, if they are.
     revoke_after: Option<Duration>,
     draining: Cell<bool>,
-    /// How late this front's timers fire.
-    delay: RefCell<HostDelay>,
     /// Random identity of this front in requests for directory changes.
     reader: u64,
     /// Link address of this front.
@@ -180,7 +178,6 @@
             last_confirmed: Cell::default(),
             revoke_after: settings.revoke_after(),
             draining: Cell::default(),
-            delay: RefCell::default(),
             reader,
             link,
         }))
@@ -297,11 +294,6 @@
         self.0.draining.get()
     }
 
-    /// Delay of this host; `None` if it is unknown.
-    pub fn delay(&self) -> Option<MeasuredDelay> {
-        self.0.delay.borrow().measured(self.now())
-    }
-
     /// Upstreams known to the front.
     pub fn upstreams(&self) -> RefMut<'_, Upstreams> {
         self.0.upstreams.borrow_mut()
@@ -441,15 +433,12 @@
     /// Drops outdated state and sets the gauges, in a loop.
     async fn run_maintenance(self) {
         loop {
-            let due = self.now() + MAINTENANCE_INTERVAL;
             sleep(MAINTENANCE_INTERVAL).await;
             let now = self.now();
-            self.0.delay.borrow_mut().record(now, due);
             self.upstreams().tick(now);
             self.check_upstreams();
             self.0.memory.tick(now);
             self.0.connections.close_idle();
-            meters::set_host_delay(self.delay());
             self.0.account_meters.borrow_mut().select(now);
             meters::set_limited_upstreams(self.upstreams().limits().len());
             let last_update = self.0.last_update.get();
--- a/crates/sapphirequayd/src/gateway/front/in_flight.rs
+++ b/crates/sapphirequayd/src/gateway/front/in_flight.rs
@@ -3,8 +3,8 @@
 use {
     super::{connections::Lease, host::FrontHost, upstreams::SelectedUpstream},
     http::HeaderMap,
-    quay_policy::{ResponseTimes, RunEnd},
-    quay_routes::{Dialect, UpstreamLoad},
+    quay_policy::RunEnd,
+    quay_routes::Dialect,
     quay_types::{ContentDigest, Time},
     std::{cell::Cell, time::Duration},
 };
@@ -31,9 +31,6 @@
     /// Time of the last data from the upstream, initially the start of the
     /// attempt.
     last_activity: Cell<Time>,
-    /// Requests running and waiting at the upstream when the response began, if
-    /// it says.
-    load: Cell<Option<(u32, u32)>>,
     /// Whether the upstream's performance is recorded.
     recorded: Cell<bool>,
 }
@@ -51,7 +48,6 @@
             offered: false,
             started: now,
             last_activity: Cell::new(now),
-            load: Cell::default(),
             recorded: Cell::default(),
         }
     }
@@ -91,14 +87,6 @@
         upstreams.crashes().hear(now, self.upstream.run());
     }
 
-    /// Records the load that the upstream reported with the response.
-    pub fn record_load(&self, load: UpstreamLoad) {
-        self.load.set(Some((load.running, load.queued)));
-        let now = self.front.now();
-        let mut upstreams = self.front.upstreams();
-        upstreams.apply_load_report(now, self.upstream.id, load);
-    }
-
     /// Records that the request is being sent.
     pub fn begin_run(&mut self) {
         self.offered = true;
@@ -132,22 +120,13 @@
         }
     }
 
-    /// Records a success. `duration` is the time per unit of work, `first` the
-    /// time until the first event, `rest` the time from then to the last one.
-    pub fn record_success(&self, duration: Duration, first: Duration, rest: Duration, events: u32) {
+    /// Records a success; `duration` is the time per unit of work.
+    pub fn record_success(&self, duration: Duration) {
         self.recorded.set(true);
         let now = self.front.now();
-        let times = ResponseTimes {
-            uncached_tokens: self.upstream.uncached_tokens,
-            holds_beginning: self.upstream.holds_beginning,
-            first,
-            rest,
-            events,
-            load: self.load.get(),
-        };
-        let mut upstreams = self.front.upstreams();
-        upstreams.record_success(now, self.upstream.id, duration);
-        upstreams.record_response(now, self.upstream.id, &times);
+        self.front
+            .upstreams()
+            .record_success(now, self.upstream.id, duration);
     }
 
     /// Records a success with too little data to measure the upstream's speed.
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -23,17 +23,13 @@
     quay_turns::{Record, TurnRecord},
     quay_types::{ProgramTag, Time, TurnId},
     std::{
-        cell::Cell,
         pin::Pin,
         sync::Arc,
         task::{Context, Poll},
         time::Duration,
     },
     tokio::{
-        sync::{
-            Notify,
-            mpsc::{self, error::TrySendError},
-        },
+        sync::{Notify, mpsc},
         time::{sleep, timeout},
     },
 };
@@ -105,10 +101,6 @@
     pub wait_ms: u128,
     /// Milliseconds from then until the head of the upstream's response.
     pub first_ms: u128,
-    /// Time until the first complete event, once there is one.
-    pub first_event: Cell<Option<Duration>>,
-    /// Time that the stream has waited for the caller to read.
-    pub caller_wait: Cell<Duration>,
 }
 
 impl<D: Dialect> StreamRelay<D> {
@@ -167,11 +159,8 @@
         match upstream_outcome(end, events, reader.mid_event()) {
             UpstreamOutcome::Succeeded => {
                 let events = u32::try_from(events).unwrap_or(u32::MAX);
-                let took = self.in_flight.elapsed();
-                let first = self.first_event.get().unwrap_or(took);
-                let rest = took.saturating_sub(first + self.caller_wait.get());
                 self.in_flight
-                    .record_success(took / events, first, rest, events);
+                    .record_success(self.in_flight.elapsed() / events);
                 self.in_flight.end_run(RunEnd::of_response(true, framed));
             }
             UpstreamOutcome::SucceededUntimed => {
@@ -203,17 +192,13 @@
         let taken = Arc::new(Notify::new());
         loop {
             // A stream whose caller reads slowly is not read on from its upstream.
-            if !self.front.memory().host().may_read_on(self.holder) {
-                let paused = self.front.now();
-                while !self.front.memory().host().may_read_on(self.holder) {
-                    tokio::select! {
-                        () = taken.notified() => {}
-                        () = sleep(PAUSE_CHECK_INTERVAL) => {}
-                        () = frames.closed() => return StreamEnd::CallerGone,
-                        () = &mut ends => return StreamEnd::Broken("time_over"),
-                    }
+            while !self.front.memory().host().may_read_on(self.holder) {
+                tokio::select! {
+                    () = taken.notified() => {}
+                    () = sleep(PAUSE_CHECK_INTERVAL) => {}
+                    () = frames.closed() => return StreamEnd::CallerGone,
+                    () = &mut ends => return StreamEnd::Broken("time_over"),
                 }
-                self.add_caller_wait(paused);
             }
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -233,9 +218,6 @@
             };
             self.in_flight.record_activity();
             reader.feed(&data);
-            if self.first_event.get().is_none() && reader.events() > 0 {
-                self.first_event.set(Some(self.in_flight.elapsed()));
-            }
             if !share.resize(reader.held_bytes()) {
                 return StreamEnd::Broken("response_too_large");
             }
@@ -251,30 +233,17 @@
             }
             let memory = self.front.memory().host();
             let data = memory.hold_frame(self.holder, data, &taken);
-            let frame = match frames.try_send(Ok(Frame::data(data))) {
-                Ok(()) => continue,
-                Err(TrySendError::Closed(_)) => return StreamEnd::CallerGone,
-                Err(TrySendError::Full(frame)) => frame,
-            };
-            let full_since = self.front.now();
             tokio::select! {
-                sent = frames.send(frame) => {
+                sent = frames.send(Ok(Frame::data(data))) => {
                     if sent.is_err() {
                         return StreamEnd::CallerGone;
                     }
                 }
                 () = &mut ends => return StreamEnd::Broken("time_over"),
             }
-            self.add_caller_wait(full_since);
         }
     }
 
-    /// Adds the time since `began` to the time spent waiting for the caller.
-    fn add_caller_wait(&self, began: Time) {
-        let waited = self.front.now().since(began);
-        self.caller_wait.set(self.caller_wait.get() + waited);
-    }
-
     /// Stores the turn durably, and settles its charge, before the caller sees the
     /// end of the stream.
     async fn store_turn(&mut self, reader: EventReader) -> StreamEnd {
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -5,12 +5,10 @@
     quay_members::{ChangesRequest, DirectoryView},
     quay_policy::{
         Candidate, CheckResult, CrashDetector, Eligibility, ExpectedTime, LimitHolder, NewProgram,
-        NewProgramGate, Requirements, ResponseTimes, RouteRequest, RouteSettings, Router,
-        ServiceVersions, StreamOrigin, UpstreamFilter, UpstreamRun,
-    },
-    quay_routes::{
-        BLOCK_TOKENS, CallHead, PromptPart, UpstreamLoad, block_hashes, branch_ids, token_count,
+        NewProgramGate, Requirements, RouteRequest, RouteSettings, Router, ServiceVersions,
+        StreamOrigin, UpstreamFilter, UpstreamRun,
     },
+    quay_routes::{CallHead, PromptPart, UpstreamLoad, block_hashes, branch_ids, token_count},
     quay_types::{
         Announcement, CallTarget, DirectoryEntry, Incarnation, Load, ProgramId, RequestRate,
         ServiceId, SoftwareVersion, Time, Tokens, UpstreamId, UpstreamState,
@@ -26,13 +24,8 @@
 /// not prefill: some milliseconds, so that a busy upstream is left for another.
 const OBJECT_TOKENS: u64 = 2_048;
 
-/// Upstreams whose cost exceeds the lowest by at most this share, in
-/// thousandths, are equally good: fronts that have the same reports take
-/// different ones.
-const SPREAD_PERMILLE: u32 = 50;
-
 /// Upstream selected for a request.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SelectedUpstream {
     /// Identifier of the upstream.
     pub id: UpstreamId,
@@ -44,21 +37,8 @@
     pub version: Option<SoftwareVersion>,
     /// Address of the upstream.
     pub addr: SocketAddr,
-    /// Prompt tokens that the upstream is expected not to hold.
-    pub uncached_tokens: u64,
-    /// Whether the upstream is expected to hold the beginning of the prompt.
-    pub holds_beginning: bool,
-}
-
-impl PartialEq for SelectedUpstream {
-    /// Selections of the same incarnation are equal.
-    fn eq(&self, other: &Self) -> bool {
-        self.run() == other.run()
-    }
 }
 
-impl Eq for SelectedUpstream {}
-
 /// Upstreams among which one is selected for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Pool<'a> {
@@ -157,12 +137,16 @@
     #[must_use]
     pub fn new(data_centre: &str) -> Self {
         let cfg = RouteSettings {
+            // Speeds of the engines in the deployments' tables: 368 tokens are
+            // prefilled per ms, a step takes 0.76 ms plus 0.03 ms per running
+            // request, a response has about 260 tokens.
+            prefill_us: 3,
             // A prefill delays each running request by the prefill's duration.
             prefix_per_running: 1_000,
-            // Speeds are learned, so that only a share of the cost has a meaning
-            // on all deployments.
-            spread: Duration::ZERO,
-            spread_permille: SPREAD_PERMILLE,
+            per_running_us: 30,
+            answer_tokens: 260,
+            token_gap_us: 760,
+            spread: Duration::from_millis(1),
             // Expiry is left to the directory, which has its own leases.
             silent_after: Duration::from_hours(1),
             stale_after: Duration::from_hours(1),
@@ -282,19 +266,6 @@
             ..Load::default()
         };
         self.update_router(now, id, Some(load));
-        self.router
-            .record_report(now, id, reported.slots, reported.slowdown);
-    }
-
-    /// Records the times of a complete response, before the end of its request.
-    pub fn record_response(&mut self, now: Time, id: UpstreamId, times: &ResponseTimes) {
-        self.router.record_response(now, id, times);
-    }
-
-    /// Router that selects among the upstreams.
-    #[must_use]
-    pub const fn router(&self) -> &Router<ExpectedTime> {
-        &self.router
     }
 
     /// Records a successful request; `duration` is the time per unit of work:
@@ -587,7 +558,6 @@
             req.tried = &never;
             self.router.pick(now, &req, draw)
         })?;
-        let cached = u64::from(choice.cached_blocks) * BLOCK_TOKENS;
         let known = self.known.get_mut(&choice.upstream)?;
         known.in_flight += 1;
         let selected = SelectedUpstream {
@@ -596,13 +566,6 @@
             incarnation: known.announcement.incarnation,
             version: known.announcement.kind.version(),
             addr: choice.addr,
-            holds_beginning: cached > 0,
-            // The part of an object stands for no prompt.
-            uncached_tokens: if object.is_some() {
-                0
-            } else {
-                req.prompt.0.saturating_sub(cached)
-            },
         };
         let limits = self.filter.limits();
         limits.use_permit(selected.run(), pool.is_bound());
--- a/crates/sapphirequayd/src/gateway/meters.rs
+++ b/crates/sapphirequayd/src/gateway/meters.rs
@@ -3,7 +3,7 @@
 
 use {
     metrics::{counter, gauge, histogram},
-    quay_policy::{MeasuredDelay, MemoryClass, Shortage},
+    quay_policy::{MemoryClass, Shortage},
     std::time::Duration,
 };
 
@@ -82,12 +82,6 @@
     gauge!("sapphirequay_limited_upstreams").set(count as f64);
 }
 
-/// Sets how late this front's timers typically fire, if it is known.
-pub fn set_host_delay(delay: Option<MeasuredDelay>) {
-    let typical = delay.map_or(0.0, |it| it.typical.as_secs_f64());
-    gauge!("sapphirequay_host_delay_seconds").set(typical);
-}
-
 /// Sets the gauges of a front. `control_age` is the time since the last update
 /// from the control group; `table` and `stores` are versions in use.
 #[allow(clippy::cast_precision_loss)]
