Refuse new programs for reported queues and for the host's own delay

Cause: only waits that are over were counted, so fronts began programs while the queues of a burst grew; a front that reads requests late refused nothing. Change: ProgramAdmission decides from the mean wait, fresh load reports and the lateness of the maintenance timer, each with its age; unknown or old inputs do not refuse. Log lines and a counter name the cause.

--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -27,8 +27,10 @@
 
 pub use {
     admit::{
-        AdaptiveLimit, Admission, AdmissionSettings, ConcurrencyLimit, FixedLimit, NewProgram,
-        NewProgramGate, NewProgramSettings, Observation, Ticket, TicketId, Verdict,
+        AdaptiveLimit, Admission, AdmissionSettings, ConcurrencyLimit, FixedLimit, Measured,
+        NewProgram, NewProgramGate, NewProgramSettings, Observation, ProgramAdmission,
+        ProgramAdmissionSettings, ProgramRefusal, RecentDelays, RefusalCause, SlotUse, Ticket,
+        TicketId, Verdict,
     },
     guard::{
         Candidate, CheckResult, Clearance, CrashDetector, CrashSettings, Eligibility,
--- a/crates/quay_policy/tests/admission.rs
+++ b/crates/quay_policy/tests/admission.rs
@@ -4,9 +4,9 @@
     proptest::prelude::*,
     quay_policy::{
         AdaptiveLimit, Admission, AdmissionSettings, FixedLimit, NewProgram, NewProgramGate,
-        Observation, Ticket, TicketId, Verdict,
+        Observation, ProgramAdmission, RecentDelays, SlotUse, Ticket, TicketId, Verdict,
     },
-    quay_types::{AccountId, ErrorKind, Time, Tokens},
+    quay_types::{AccountId, ErrorKind, Time, Tokens, UpstreamId},
     std::time::Duration,
 };
 
@@ -347,3 +347,40 @@
     gate.record_wait(Time::ZERO, Duration::from_secs(1), Duration::ZERO);
     assert_eq!(gate.expected_wait(Time::ZERO), before);
 }
+
+/// Whether a new program is refused at `now`, after upstreams have reported `requests` of
+/// 10 slots and the host was late by `delays`, both at time zero.
+fn refuses(now: Time, reports: u64, requests: u32, delays: &[u64]) -> bool {
+    let mut admission = ProgramAdmission::default();
+    for id in 0..reports {
+        let slot_use = SlotUse {
+            requests,
+            slots: 10,
+        };
+        admission.record_slot_use(Time::ZERO, UpstreamId(id), slot_use);
+    }
+    let mut host_delays = RecentDelays::default();
+    for delay in delays {
+        host_delays.record(Time::ZERO, Duration::from_millis(*delay));
+    }
+    let program = NewProgram {
+        objective: OBJECTIVE,
+        most_urgent: false,
+        draw: 0,
+    };
+    admission.refuse(now, &program, &host_delays).is_some()
+}
+
+/// Guards against refusals for inputs that are missing, old or not lasting, and while
+/// there is room.
+#[test]
+fn only_fresh_queues_and_lasting_delays_refuse_new_programs() {
+    let now = Time::from_millis(400);
+    assert!(refuses(now, 4, 11, &[]) && refuses(now, 0, 0, &[150, 150]));
+    assert!(!refuses(now, 4, 10, &[]), "room");
+    assert!(!refuses(now, 3, 11, &[]), "few reports");
+    assert!(!refuses(Time::from_millis(500), 4, 11, &[]), "old reports");
+    assert!(!refuses(now, 0, 0, &[150]), "one measurement");
+    assert!(!refuses(now, 0, 0, &[0, 2_000]), "a pause");
+    assert!(!refuses(Time::from_millis(2_000), 0, 0, &[150, 150]), "old");
+}
--- a/crates/quay_routes/src/head.rs
+++ b/crates/quay_routes/src/head.rs
@@ -3,7 +3,7 @@
 use {
     crate::{KeyDigest, PromptPart},
     http::{Method, Uri},
-    quay_types::{ContentDigest, RequestRate},
+    quay_types::{ContentDigest, RequestRate, Tokens},
     std::{fmt, time::Duration},
 };
 
@@ -21,6 +21,12 @@
     pub caller_timeout: Option<Duration>,
     /// Program that the request belongs to, if any.
     pub program: Option<Box<str>>,
+    /// Time, counted from the arrival of the request, in which the program should be
+    /// finished.
+    pub program_time_left: Option<Duration>,
+    /// The caller's estimate of the tokens that the request generates: right in the
+    /// median, often far off.
+    pub length_hint: Option<Tokens>,
     /// Fields that are present only in a turn of a program.
     pub turn: Option<TurnHead>,
     /// Parts of the prompt, in order.
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -203,6 +203,11 @@
     }
 }
 
+/// A value in a log line.
+fn or_unknown(value: Option<impl ToString>) -> String {
+    value.map_or_else(|| "unknown".to_owned(), |value| value.to_string())
+}
+
 impl<D: Dialect> Call<'_, D> {
     // -----------------------------------------------------------------------
     // Turns
@@ -287,16 +292,21 @@
             .front
             .upstreams()
             .refuse_program(now, self.service, &new);
-        let Some(wait) = refused else {
+        let Some(refused) = refused else {
             return Ok(());
         };
         log::info!(
-            "event=program_refused id={} program={program} expected_wait_ms={} objective_ms={} priority={}",
+            "event=program_refused id={} program={program} cause={} expected_wait_ms={} slot_use_per_mille={} host_delay_ms={} time_left_ms={} objective_ms={} priority={}",
             self.head.id,
-            wait.as_millis(),
+            refused.cause,
+            refused.expected_wait.as_millis(),
+            or_unknown(refused.slot_use),
+            or_unknown(refused.host_delay.map(|it| it.as_millis())),
+            or_unknown(self.head.program_time_left.map(|it| it.as_millis())),
             self.route.objective.as_millis(),
             self.caller.priority(self.route),
         );
+        meters::record_program_refusal(refused.cause.name());
         Err(Refusal::Overloaded)
     }
 
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -386,8 +386,10 @@
     /// Drops outdated state and sets the gauges, in a loop.
     async fn run_maintenance(self) {
         loop {
+            let due = self.now() + MAINTENANCE_INTERVAL;
             sleep(MAINTENANCE_INTERVAL).await;
             let now = self.now();
+            self.upstreams().record_host_delay(now, now.since(due));
             self.upstreams().tick(now);
             self.check_upstreams();
             self.0.conversations.borrow_mut().tick(now);
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -5,13 +5,13 @@
     quay_members::{ChangesRequest, DirectoryView},
     quay_policy::{
         Candidate, CheckResult, CrashDetector, Eligibility, ExpectedTime, LimitHolder, NewProgram,
-        NewProgramGate, Requirements, RouteRequest, RouteSettings, Router, ServiceVersions,
-        StreamOrigin, UpstreamFilter, UpstreamRun,
+        ProgramAdmission, ProgramRefusal, RecentDelays, Requirements, RouteRequest, RouteSettings,
+        Router, ServiceVersions, SlotUse, StreamOrigin, UpstreamFilter, UpstreamRun,
     },
     quay_routes::{CallHead, PromptPart, UpstreamLoad, block_hashes, branch_ids, token_count},
     quay_types::{
         Announcement, CallTarget, DirectoryEntry, Incarnation, Load, ProgramId, RequestRate,
-        ServiceId, SoftwareVersion, Time, Tokens, UpstreamId, UpstreamState,
+        ServiceId, SoftwareVersion, Time, Tokens, UpstreamId, UpstreamKind, UpstreamState,
     },
     std::{net::SocketAddr, slice, time::Duration},
 };
@@ -128,8 +128,10 @@
     filter: UpstreamFilter,
     versions: ServiceVersions,
     crashes: CrashDetector,
-    /// Services whose calls have waited for upstreams.
-    gates: IndexMap<ServiceId, NewProgramGate>,
+    /// Decisions on new programs, by service.
+    admissions: IndexMap<ServiceId, ProgramAdmission>,
+    /// How late this host does what is due.
+    host_delays: RecentDelays,
 }
 
 impl Upstreams {
@@ -160,7 +162,8 @@
             filter: UpstreamFilter::default(),
             versions: ServiceVersions::default(),
             crashes: CrashDetector::default(),
-            gates: IndexMap::new(),
+            admissions: IndexMap::new(),
+            host_delays: RecentDelays::default(),
         }
     }
 
@@ -266,6 +269,15 @@
             ..Load::default()
         };
         self.update_router(now, id, Some(load));
+        let kind = self.known.get(&id).map(|known| &known.announcement.kind);
+        if let Some(service) = kind.and_then(UpstreamKind::service) {
+            let slot_use = SlotUse {
+                requests: reported.running.saturating_add(reported.queued),
+                slots: reported.slots,
+            };
+            let admission = self.admissions.entry(service).or_default();
+            admission.record_slot_use(now, id, slot_use);
+        }
     }
 
     /// Records a successful request; `duration` is the time per unit of work:
@@ -285,6 +297,9 @@
         self.crashes.tick(now);
         self.filter.tick(now);
         self.versions.tick(now);
+        for admission in self.admissions.values_mut() {
+            admission.tick(now);
+        }
         let old: Vec<UpstreamId> = self
             .known
             .iter()
@@ -459,20 +474,25 @@
 
     /// Records how long a request waited for the head of its response.
     pub fn record_wait(&mut self, now: Time, service: &str, wait: Duration, objective: Duration) {
-        let gate = self.gates.entry(ServiceId::of(service)).or_default();
-        gate.record_wait(now, wait, objective);
+        let admission = self.admissions.entry(ServiceId::of(service)).or_default();
+        admission.record_wait(now, wait, objective);
     }
 
-    /// Returns the expected wait if a new program is refused for it.
+    /// Records how late this host does what is due.
+    pub const fn record_host_delay(&mut self, now: Time, delay: Duration) {
+        self.host_delays.record(now, delay);
+    }
+
+    /// Returns why a new program is refused, if it is.
     #[must_use]
     pub fn refuse_program(
-        &self,
+        &mut self,
         now: Time,
         service: &str,
         program: &NewProgram,
-    ) -> Option<Duration> {
-        let gate = self.gates.get(&ServiceId::of(service))?;
-        gate.refuses(now, program).then(|| gate.expected_wait(now))
+    ) -> Option<ProgramRefusal> {
+        let admission = self.admissions.entry(ServiceId::of(service)).or_default();
+        admission.refuse(now, program, &self.host_delays)
     }
 
     // -----------------------------------------------------------------------
--- a/crates/sapphirequayd/src/gateway/meters.rs
+++ b/crates/sapphirequayd/src/gateway/meters.rs
@@ -48,6 +48,11 @@
     counter!("sapphirequay_refusals_total", "kind" => kind).increment(1);
 }
 
+/// Counts a new program that the front refused, by the fact that decided.
+pub fn record_program_refusal(cause: &'static str) {
+    counter!("sapphirequay_program_refusals_total", "cause" => cause).increment(1);
+}
+
 /// Records the duration of a stage of a request.
 pub fn record_stage(stage: Stage, duration: Duration) {
     histogram!("sapphirequay_stage_seconds", "stage" => stage.name()).record(duration);
--- a/crates/sapphirequayd/tests/common/agent_load.rs
+++ b/crates/sapphirequayd/tests/common/agent_load.rs
@@ -11,7 +11,7 @@
     },
     sapphirequayd::{Pool, Upstreams},
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeSet, HashMap, VecDeque},
         time::Duration,
     },
 };
@@ -22,7 +22,6 @@
     sticky: true,
     ..Pool::of(SERVICE)
 };
-const SLOTS: u32 = 8;
 /// Tokens of the prompt part that many programs share.
 const SHARED_TOKENS: u64 = 12_600;
 /// Number of different shared parts.
@@ -52,6 +51,28 @@
     /// Rate of the burst in per cent of the normal rate.
     pub burst_percent: u64,
     pub seed: u64,
+    /// Slots of an engine.
+    pub slots: u32,
+    /// Number of times that a caller repeats a refused request.
+    pub repeats: u32,
+    /// Time that a front needs to read and relay a turn; a quarter of it if it refuses.
+    pub front_time: Duration,
+}
+
+impl AgentLoad {
+    /// A load without repeats, before fronts of unbounded speed.
+    pub const PLAIN: Self = Self {
+        fronts: 1,
+        upstreams: 1,
+        programs_per_second: 1,
+        seconds: 1,
+        burst: (0, 0),
+        burst_percent: 100,
+        seed: 1,
+        slots: 8,
+        repeats: 0,
+        front_time: Duration::ZERO,
+    };
 }
 
 /// What the caller of one program got.
@@ -74,6 +95,7 @@
     shared: u64,
     session_tokens: u64,
     front: usize,
+    attempts: u32,
 }
 
 struct InFlight {
@@ -86,12 +108,17 @@
 struct Run<'a> {
     load: &'a AgentLoad,
     draws: u64,
+    /// State of the generator of arrivals, if callers repeat: decisions of the
+    /// fronts do not change the load then.
+    arrival_draws: u64,
     fronts: Vec<Upstreams>,
     engines: Vec<EngineModel>,
     names: Vec<UpstreamId>,
     programs: Vec<Program>,
     /// Programs whose next turn is due, by time and number of the program.
     due: BTreeSet<(Time, usize)>,
+    /// Requests that each front has not read yet, and when it reads the next.
+    unread: Vec<(VecDeque<(Time, usize)>, Time)>,
     in_flight: HashMap<JobId, InFlight>,
     next_job: u64,
     results: Vec<ProgramResult>,
@@ -124,7 +151,7 @@
     fn new(load: &'a AgentLoad) -> Self {
         let settings = ModelSettings {
             kv_blocks: 2_945,
-            max_batch: SLOTS,
+            max_batch: load.slots,
             step_base: STEP,
             step_per_job: STEP_PER_JOB,
             step_per_block: Duration::ZERO,
@@ -150,11 +177,13 @@
         Self {
             load,
             draws: load.seed,
+            arrival_draws: load.seed ^ 0x5eed,
             fronts: fronts.collect(),
             engines: names.iter().map(|_| EngineModel::new(settings)).collect(),
             names,
             programs: Vec::new(),
             due: BTreeSet::new(),
+            unread: vec![(VecDeque::new(), Time::ZERO); load.fronts],
             in_flight: HashMap::new(),
             next_job: 0,
             results: Vec::new(),
@@ -164,12 +193,19 @@
     fn step(&mut self, now_ms: u64) {
         let now = Time::from_millis(now_ms);
         if now_ms < self.load.seconds * 1_000 {
+            let separate = self.load.repeats > 0;
+            if separate {
+                std::mem::swap(&mut self.draws, &mut self.arrival_draws);
+            }
             let (from, until) = self.load.burst;
             let burst = (from * 1_000..until * 1_000).contains(&now_ms);
             let percent = if burst { self.load.burst_percent } else { 100 };
             if self.draw() % 100_000 < self.load.programs_per_second * percent {
                 self.begin_program(now);
             }
+            if separate {
+                std::mem::swap(&mut self.draws, &mut self.arrival_draws);
+            }
         }
         for at in 0..self.engines.len() {
             self.engines[at].advance(now);
@@ -182,10 +218,27 @@
                 break;
             }
             self.due.pop_first();
-            self.send_turn(now, program);
+            if self.draw().is_multiple_of(MOVING_TURNS) {
+                self.programs[program].front = self.draw_index(self.load.fronts);
+            }
+            let front = self.programs[program].front;
+            self.unread[front].0.push_back((now, program));
+        }
+        for front in 0..self.unread.len() {
+            while self.unread[front].1 <= now
+                && let Some((arrived, program)) = self.unread[front].0.pop_front()
+            {
+                let sent = self.send_turn(now, program);
+                let time = self.load.front_time / if sent { 1 } else { 4 };
+                let (_, free) = &mut self.unread[front];
+                *free = (*free).max(arrived) + time;
+            }
         }
         if now_ms.is_multiple_of(TICK_MS) {
-            for front in &mut self.fronts {
+            for (front, (unread, free)) in self.fronts.iter_mut().zip(&self.unread) {
+                let waiting = u32::try_from(unread.len()).unwrap_or(u32::MAX);
+                let delay = free.since(now) + self.load.front_time * waiting;
+                front.record_host_delay(now, delay);
                 front.tick(now);
             }
         }
@@ -208,6 +261,7 @@
             shared: self.draw() % SHARED_PARTS,
             session_tokens: 0,
             front: self.draw_index(self.load.fronts),
+            attempts: 0,
         };
         self.programs.push(program);
         self.due.insert((now, self.programs.len() - 1));
@@ -219,24 +273,33 @@
         u32::try_from(events).unwrap_or_default() * EVENT_TOKENS
     }
 
-    fn send_turn(&mut self, now: Time, number: usize) {
-        if self.draw().is_multiple_of(MOVING_TURNS) {
-            self.programs[number].front = self.draw_index(self.load.fronts);
-        }
+    /// Sends the next turn of a program to an upstream; `false` if the front refuses it.
+    fn send_turn(&mut self, now: Time, number: usize) -> bool {
         let draw = self.draw();
         let program = &mut self.programs[number];
         let new = NewProgram {
             objective: OBJECTIVE,
             most_urgent: false,
-            draw,
+            draw: if self.load.repeats > 0 {
+                // The same for all attempts of a program.
+                UpstreamId::of(&format!("program-{number}")).0
+            } else {
+                draw
+            },
         };
         let front = &mut self.fronts[program.front];
         if program.next == 0 && front.refuse_program(now, SERVICE, &new).is_some() {
+            program.attempts += 1;
+            let delay = Duration::from_millis(250 + draw % 251);
+            if program.attempts <= self.load.repeats && delay <= program.deadline.since(now) / 3 {
+                self.due.insert((now + delay, number));
+                return false;
+            }
             self.results.push(ProgramResult {
-                begun: now,
+                begun: program.begun,
                 in_time: false,
             });
-            return;
+            return false;
         }
         let turn = &program.turns[program.next];
         program.session_tokens += turn.input;
@@ -276,6 +339,7 @@
         };
         self.in_flight.insert(job.id, in_flight);
         assert!(self.engines[upstream].submit(now, job));
+        true
     }
 
     fn handle(&mut self, now: Time, engine: usize, event: JobEvent) {
@@ -291,7 +355,7 @@
                 let reported = UpstreamLoad {
                     running: load.running,
                     queued: load.waiting,
-                    slots: SLOTS,
+                    slots: self.load.slots,
                     slowdown: None,
                 };
                 front.apply_load_report(now, self.names[engine], reported);
