--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod admit;
 mod guard;
+mod memory;
 mod placement;
 mod policy;
 mod program_blocks;
@@ -33,18 +34,24 @@
         TicketId, Verdict,
     },
     guard::{
-        Candidate, CheckResult, Clearance, CrashDetector, CrashSettings, Eligibility,
-        LeavingUpstreams, LimitAllocator, LimitHolder, LimitSettings, PermitDemand, PermitGrant,
-        PermitRequest, QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings, Requirements,
-        RetryBudgets, RetrySettings, RunEnd, ServiceVersions, StreamOrigin, SuspectCommand,
-        SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings, UpstreamFilter, UpstreamRun,
+        AccountLimit, Candidate, CheckResult, Clearance, CrashDetector, CrashSettings, Eligibility,
+        FleetQuotaAllocator, FleetQuotaHolder, FleetQuotaSettings, LeavingUpstreams,
+        LimitAllocator, LimitHolder, LimitSettings, Permission, PermitDemand, PermitGrant,
+        PermitRequest, QuotaAllocator, QuotaGrant, QuotaHolder, QuotaLease, QuotaReply,
+        QuotaReport, QuotaRequest, QuotaSettings, QuotaUse, QuotaView, Requirements, RetryBudgets,
+        RetrySettings, RunEnd, ServiceVersions, StreamOrigin, SuspectCommand, SuspectEvent,
+        SuspectRegistry, SuspectReply, SuspectSettings, UpstreamFilter, UpstreamRun,
+    },
+    memory::{
+        CallerConnection, MemoryBudget, MemoryClass, MemoryDecision, MemoryHolder, MemorySettings,
+        Shortage, SlowReader,
     },
     placement::{Move, Placement, PlacementSettings, PlacementView},
     policy::{Policy, PolicySettings},
     program_blocks::ProgramBlocks,
     retain::{Retention, RetentionAction, RetentionSettings},
     route::{
-        ExpectedTime, FeedState, LeastLoad, LongestPrefix, PrefixIndex, RouteChoice, RouteRequest,
-        RouteSettings, Router, Score, Slot, UpstreamView,
+        ExpectedTime, FeedState, LeastLoad, LongestPrefix, PrefixIndex, ResponseTimes, RouteChoice,
+        RouteRequest, RouteSettings, Router, Score, Slot, Speed, UpstreamView,
     },
 };
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -4,8 +4,9 @@
     super::{
         body_reader::{is_framed, read_body, read_response},
         connections::SendError,
-        host::FrontHost,
+        host::{FrontHost, QuotaPermit},
         in_flight::InFlight,
+        memory,
         refusal::{Refusal, Refused},
         reservation::Reservation,
         stream::{PendingTurn, StreamRelay},
@@ -17,11 +18,11 @@
         meters::{self, Stage},
         store::{ReserveOutcome, TurnLookup},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http::{Request, Response, StatusCode, header, request, response},
     http_body_util::Full,
     hyper::body::Incoming,
-    quay_policy::{NewProgram, RunEnd},
+    quay_policy::{MemoryHolder, NewProgram, RunEnd},
     quay_routes::{
         CallHead, CallIds, Caller, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline,
         Route, TurnHead,
@@ -83,8 +84,12 @@
     /// Hash of the request id, used as the random number for routing and
     /// jitter.
     draw: u64,
+    /// Caller for which memory is held.
+    holder: Option<MemoryHolder>,
     /// Whether an attempt ended without telling whether the request has run.
     may_have_run: Cell<bool>,
+    /// Whether the request begins a program.
+    begins: Cell<bool>,
 }
 
 /// Serves one request.
@@ -167,7 +172,11 @@
     let known = table.service(service);
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
     let limit = table.limits.body_bytes as usize;
-    let body = read_body(front, body, limit, &deadline).await?;
+    if let Some(account) = caller.account() {
+        front.check_quota(account, AttemptTag::of(&head.id).0)?;
+    }
+    let holder = memory::holder_of(parts, caller.account().map(|account| account.id));
+    let body = read_body(front, body, limit, &deadline, holder).await?;
     let content = ids.content(&parts.method, &parts.uri, &body);
     let pool = Pool::of(service);
     front.wait_for_service(&pool, deadline.at()).await;
@@ -194,7 +203,9 @@
         most_urgent: table.is_most_urgent(caller.priority(route), service),
         event_tokens,
         draw: AttemptTag::of(&head.id).0,
+        holder,
         may_have_run: Cell::default(),
+        begins: Cell::default(),
     };
     call.check_quarantine()?;
     match &head.turn {
@@ -224,10 +235,8 @@
         let body = if history.is_empty() {
             input.clone()
         } else {
-            let mut body = BytesMut::with_capacity(history.len() + input.len());
-            body.extend_from_slice(&history);
-            body.extend_from_slice(&input);
-            body.freeze()
+            let memory = self.front.memory();
+            memory.join_request(self.holder, &[&history, &input])?
         };
         let pending_turn = PendingTurn {
             id: self.ids.turn(),
@@ -246,6 +255,7 @@
     /// Reserves the maximum tokens of the turn from the program's budget.
     async fn reserve(&self, turn: &TurnHead) -> Result<Option<Reservation>, Refusal> {
         let (Some(budget), Some(program)) = (turn.budget, self.ids.budget()) else {
+            self.begins.set(turn.prior.is_none());
             return Ok(None);
         };
         let attempt = self.ids.attempt();
@@ -263,6 +273,7 @@
         match stores.reserve(program, own, Tokens(budget), left).await {
             ReserveOutcome::Covered { others } => {
                 let begins = others.0 == 0 && turn.prior.is_none() && self.version.is_none();
+                self.begins.set(begins);
                 if begins {
                     self.admit_program(program)?;
                 }
@@ -321,16 +332,7 @@
         }
         let left = self.deadline.remaining(self.front.now());
         match self.front.stores().lookup_turns(program, id, left).await {
-            TurnLookup::Found(turns) => {
-                let mut history = BytesMut::new();
-                for turn in turns {
-                    history.extend_from_slice(&turn.input);
-                    history.extend_from_slice(&turn.output);
-                }
-                let history = history.freeze();
-                self.front.cache_conversation(program, id, history.clone());
-                Ok(history)
-            }
+            TurnLookup::Found(turns) => self.front.join_history(program, id, &turns, self.holder),
             TurnLookup::Absent => {
                 log::info!("event=turn_absent id={} prior={prior}", self.head.id);
                 Err(Refusal::NoTurn)
@@ -367,6 +369,7 @@
         pending_turn: Option<PendingTurn>,
         reservation: Option<Reservation>,
     ) -> Result<Response<Body>, Refused> {
+        let quota = self.quota_permit().await?;
         let mut tried = Vec::new();
         let (mut attempts, mut not_run) = (0, 0);
         loop {
@@ -378,7 +381,15 @@
             front.check_caller(self.head, self.route, &self.caller, checked)?;
             self.check_quarantine()?;
             let limit = self.attempt_limit(left, attempts);
-            let outcome = self.attempt_one(&body, limit, &mut tried).await;
+            let outcome = self
+                .attempt_one(&body, limit, &mut tried, quota.as_ref())
+                .await;
+            if let Some(quota) = &quota
+                && matches!(outcome, AttemptResult::NotRun)
+                && !self.may_have_run.get()
+            {
+                quota.unspend();
+            }
             match outcome {
                 AttemptResult::Complete(response) => return Ok(response),
                 AttemptResult::Stream(in_flight, head, incoming) => {
@@ -399,9 +410,12 @@
                         pending_turn,
                         reservation,
                         event_tokens: self.event_tokens,
+                        holder: self.holder,
                         ends: self.deadline.at(),
                         wait_ms: queue_time.as_millis(),
                         first_ms: first.as_millis(),
+                        first_event: Cell::default(),
+                        caller_wait: Cell::default(),
                     };
                     let body = relay.start(&head, incoming);
                     return Ok(self.response(&head, body));
@@ -435,6 +449,16 @@
         }
     }
 
+    /// Takes a permit if the account has a limit.
+    async fn quota_permit(&self) -> Result<Option<QuotaPermit<D>>, Refused> {
+        let Some(account) = self.caller.account() else {
+            return Ok(None);
+        };
+        let (begins, ends) = (self.begins.get(), self.deadline.at());
+        let permit = self.front.quota_permit(account, begins, ends, self.draw);
+        permit.await
+    }
+
     /// Records which upstream began the stream, if another may go on with it.
     fn record_stream_origin(&self, in_flight: &InFlight<D>) {
         if self.route.repeat == RepeatPolicy::ResumableStream && self.version.is_none() {
@@ -524,13 +548,14 @@
         body: &Bytes,
         limit: Duration,
         tried: &mut Vec<UpstreamId>,
+        quota: Option<&QuotaPermit<D>>,
     ) -> AttemptResult<D> {
         let Some(upstream) = self.select_upstream(tried).await else {
             return AttemptResult::NoUpstream;
         };
         tried.push(upstream.id);
         let mut in_flight = InFlight::new(self.front, upstream, self.content);
-        let exchange = self.exchange(&mut in_flight, body);
+        let exchange = self.exchange(&mut in_flight, body, quota);
         match timeout(limit, exchange).await {
             Ok(Ok((head, incoming))) => {
                 self.handle_response(in_flight, head, incoming, limit).await
@@ -559,6 +584,7 @@
         &self,
         in_flight: &mut InFlight<D>,
         body: &Bytes,
+        quota: Option<&QuotaPermit<D>>,
     ) -> Result<(response::Parts, Incoming), AttemptResult<D>> {
         loop {
             let mut lease = match self
@@ -580,6 +606,9 @@
             };
             let reused = lease.reused();
             let req = self.request(in_flight.upstream(), body);
+            if let Some(quota) = quota {
+                quota.spend();
+            }
             in_flight.begin_run();
             match lease.send(req).await {
                 Ok(response) => {
@@ -652,9 +681,7 @@
             upstreams.record_limit(now, in_flight.upstream(), sent, answer.limit);
         }
         if let Some(load) = answer.load {
-            self.front
-                .upstreams()
-                .apply_load_report(now, in_flight.upstream().id, load);
+            in_flight.record_load(load);
         }
         if let Some(fault) = mismatch(&self.head.id, &answer, not_run) {
             in_flight.record_failure();
@@ -667,7 +694,7 @@
         if self.route.repeat.is_stream() && head.status == StatusCode::OK && !not_run {
             return AttemptResult::Stream(Box::new(in_flight), Box::new(head), incoming);
         }
-        let mut share = self.front.buffers().share();
+        let mut share = self.front.buffers().share_for(self.holder);
         let body = timeout(limit, read_response(incoming, &mut share)).await;
         let body = match body {
             Ok(Some(body)) => body,
@@ -682,7 +709,8 @@
             }
         };
         if head.status.is_success() {
-            in_flight.record_success(in_flight.elapsed());
+            let took = in_flight.elapsed();
+            in_flight.record_success(took, took, Duration::ZERO, 1);
         }
         in_flight.end_run(if not_run {
             RunEnd::Answered
@@ -693,7 +721,7 @@
         if not_run {
             return AttemptResult::NotRun;
         }
-        AttemptResult::Complete(self.response(&head, full(body)))
+        AttemptResult::Complete(self.response(&head, full(share.deliver(body))))
     }
 
     /// Creates the response that is sent to the caller.
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -1,5 +1,6 @@
 //! The front role: accepts callers' requests and forwards them to upstreams.
 
+mod account_meters;
 mod body_reader;
 mod buffer_space;
 mod call;
@@ -10,6 +11,7 @@
 mod front_suspects;
 mod host;
 mod in_flight;
+mod memory;
 mod refusal;
 mod reservation;
 mod startup_wait;
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -6,11 +6,12 @@
 use {
     quay_members::{Changes, ChangesRequest},
     quay_policy::{
-        PermitGrant, PermitRequest, StreamOrigin, SuspectCommand, SuspectEvent, SuspectRegistry,
+        PermitGrant, PermitRequest, QuotaReply, QuotaRequest, StreamOrigin, SuspectCommand,
+        SuspectEvent, SuspectRegistry,
     },
     quay_quorum::Member,
     quay_turns::{Charge, Record, StoreAnnouncement, StoreChange, StoreMap, TurnRecord},
-    quay_types::{Announcement, AttemptTag, GroupId, Incarnation, ProgramTag, TurnId},
+    quay_types::{Announcement, AttemptTag, GroupId, Incarnation, ProgramTag, RequestRate, TurnId},
     serde::{Deserialize, Serialize},
     std::{fmt, net::SocketAddr},
 };
@@ -58,6 +59,10 @@
     ReportRuns(Box<[SuspectEvent]>),
     /// Asks for permits to send requests to limited upstreams.
     TakePermits(PermitRequest),
+    /// Reports the use of accounts' limits and asks for permits.
+    TakeQuota(QuotaRequest),
+    /// Reads the limits of accounts and their use.
+    ShowQuotas,
 }
 
 /// State that a follower already has; the leader sends what differs from it.
@@ -150,6 +155,29 @@
     Unavailable,
     /// Reply to [`ControlRequest::TakePermits`].
     Permits(PermitGrant),
+    /// Reply to [`ControlRequest::TakeQuota`].
+    Quota(QuotaReply),
+    /// Reply to [`ControlRequest::ShowQuotas`].
+    Quotas(Box<[QuotaRow]>),
+}
+
+/// Limit of an account and its use, for operators.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaRow {
+    /// Name of the account.
+    pub account: Box<str>,
+    /// Rate of its limit.
+    pub rate: RequestRate,
+    /// Requests that may exceed the rate.
+    pub burst: u64,
+    /// Requests for which there is room now.
+    pub free: i64,
+    /// Permits that fronts hold.
+    pub held: i64,
+    /// Requests sent since the present leader began.
+    pub used: u64,
+    /// Requests that a program of the account is expected to make.
+    pub program_length: u64,
 }
 
 /// Command in the replicated log of the control group.
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -10,6 +10,7 @@
     crate::ports::{free_port, start_process},
     quay_link::{DevelopmentKeys, KeyFiles, LinkRole, Links},
     std::{
+        env,
         fs::{self, OpenOptions},
         io::{Read, Write as _},
         net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
@@ -51,6 +52,11 @@
 impl Gateway {
     /// Starts a gateway with `stores` stores.
     pub fn start(stores: usize) -> Self {
+        Self::start_with(stores, "")
+    }
+
+    /// Starts a gateway with settings added to the table of each front.
+    pub fn start_with(stores: usize, front_settings: &str) -> Self {
         let folder = TempDir::new().expect("folder");
         let made = DevelopmentKeys::generate().expect("keys");
         let nobody: [&str; 0] = [];
@@ -63,9 +69,9 @@
             control_links: (0..3).map(|_| free_port()).collect(),
             front_links: (0..2).map(|_| free_port()).collect(),
             store_links: (0..stores).map(|_| free_port()).collect(),
-            front_settings: String::new(),
             children: Vec::new(),
             folder,
+            front_settings: front_settings.to_owned(),
         };
         for slot in 0..3 {
             gateway.run(Role::Control(slot), true);
@@ -105,7 +111,7 @@
             Role::Front(slot) => (
                 self.front_links[slot],
                 format!(
-                    "[front]\nlisten = \"{}\"\nready = \"{}\"\n{}",
+                    "[front]\nlisten = \"{}\"\nready = \"{}\"\n{}\n",
                     self.fronts[slot],
                     free_port(),
                     self.front_settings
@@ -129,7 +135,14 @@
             .append(true)
             .open(folder.join(format!("{role:?}.log")))
             .expect("log");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"));
+        // Benchmarks compare daemons of several versions, also in one gateway.
+        let own = match role {
+            Role::Store(_) => env::var_os("SAPPHIREQUAYD_STORE"),
+            _ => None,
+        };
+        let daemon = own.or_else(|| env::var_os("SAPPHIREQUAYD"));
+        let daemon = daemon.unwrap_or_else(|| env!("CARGO_BIN_EXE_sapphirequayd").into());
+        let mut command = Command::new(daemon);
         let command = command.arg("--config").arg(file);
         let command = command.stdout(log.try_clone().expect("log")).stderr(log);
         let child = start_process(command).expect("process");
@@ -169,10 +182,15 @@
         assert!(status.expect("kill").success());
     }
 
+    /// Operating system's id of a process.
+    pub fn process_id(&self, role: Role) -> u32 {
+        let child = self.children.iter().find(|(it, _)| *it == role);
+        child.expect("a running process").1.id()
+    }
+
     /// Largest amount of memory that a process has had so far, in bytes.
     pub fn peak_memory(&self, role: Role) -> u64 {
-        let child = self.children.iter().find(|(it, _)| *it == role);
-        let id = child.expect("a running process").1.id();
+        let id = self.process_id(role);
         let status = fs::read_to_string(format!("/proc/{id}/status")).expect("status");
         let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
@@ -245,7 +263,7 @@
     parse(&String::from_utf8(got).ok()?)
 }
 
-fn parse(text: &str) -> Option<Response> {
+pub fn parse(text: &str) -> Option<Response> {
     let (head, rest) = text.split_once("\r\n\r\n")?;
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let chunked = head.to_lowercase().contains("transfer-encoding: chunked");
