--- a/crates/quay_link/tests/calls.rs
+++ b/crates/quay_link/tests/calls.rs
@@ -8,7 +8,7 @@
         net::{Ipv4Addr, SocketAddr},
         time::Duration,
     },
-    tokio::{sync::mpsc, task::JoinSet},
+    tokio::{sync::mpsc, task::JoinSet, time::timeout},
 };
 
 /// Time-out that ends no test before the failure it guards against is seen.
@@ -73,20 +73,17 @@
     call.reply(&req).expect("reply");
 }
 
-/// Frames that end anywhere in a packet, and replies beside the stream, must reach
-/// the caller of their request whole.
-#[tokio::test]
-async fn concurrent_calls_of_all_sizes_get_their_own_replies() {
+/// Sends `count` calls at once, with bodies of `sizes` bytes in turn, and checks that each
+/// gets its own reply.
+async fn exchange_at_once(count: u32, sizes: &[usize]) {
     let mut pair = Pair::start(true);
     let mut sent = JoinSet::new();
-    for number in 0..36 {
-        let bytes = [0, 1, 300, 4_000, 9_000, 16_381, 16_382, 16_383, 20_000][number as usize % 9];
+    for (number, bytes) in (0..count).zip(sizes.iter().cycle().copied()) {
         let call = pair.call(number % 100, bytes);
         sent.spawn(async move { (number % 100, bytes, call.await) });
     }
     let mut done = 0;
-
-    while done < 36 {
+    while done < count {
         tokio::select! {
             Some(call) = pair.calls.recv() => echo(call),
             Some(mut incoming) = pair.streams.recv() => {
@@ -105,6 +102,22 @@
     }
 }
 
+/// Frames that end anywhere in a packet, and replies beside the stream, must reach
+/// the caller of their request whole.
+#[tokio::test]
+async fn concurrent_calls_of_all_sizes_get_their_own_replies() {
+    let sizes = [0, 1, 300, 4_000, 9_000, 16_381, 16_382, 16_383, 20_000];
+    exchange_at_once(36, &sizes).await;
+}
+
+/// Guards against a pair of hosts that stalls while hundreds of large requests are sent.
+#[tokio::test]
+async fn hundreds_of_large_calls_at_once_are_answered() {
+    let sizes = [0, 1, 300, 4_000, 9_000, 16_381, 16_383, 30_000, 60_000];
+    let exchanged = timeout(Duration::from_mins(1), exchange_at_once(270, &sizes));
+    exchanged.await.expect("all calls are answered");
+}
+
 /// One slow request must not hold up those that follow it.
 #[tokio::test]
 async fn a_slow_reply_does_not_delay_quick_ones() {
