--- a/crates/quay_members/src/directory.rs
+++ b/crates/quay_members/src/directory.rs
@@ -6,7 +6,7 @@
         MembersSettings, Slot, Suspicion, entry::Entry,
     },
     indexmap::{IndexMap, IndexSet},
-    quay_types::{Announcement, Incarnation, Load, Time, UpstreamId, UpstreamState},
+    quay_types::{Announcement, Incarnation, Load, Time, UpstreamId, UpstreamKind, UpstreamState},
     std::collections::VecDeque,
 };
 
@@ -246,6 +246,12 @@
         }
     }
 
+    /// Kinds of all upstreams.
+    pub fn kinds(&self) -> impl Iterator<Item = &UpstreamKind> {
+        let entries = self.slots.values().filter_map(|slot| self.entry(*slot));
+        entries.map(|entry| &entry.announcement.kind)
+    }
+
     /// Lists all upstreams, for operators.
     #[must_use]
     pub fn members(&self, now: Time) -> Vec<MemberStatus> {
--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod limits;
 mod quota;
+mod resume;
 mod retry;
 mod service_versions;
 mod stream_origin;
@@ -26,8 +27,9 @@
         LimitAllocator, LimitHolder, LimitSettings, PermitDemand, PermitGrant, PermitRequest,
     },
     quota::{QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings},
+    resume::{OriginLookup, RecordedOrigin, ResumeFacts, ResumeRefusal},
     retry::{RetryBudgets, RetrySettings},
-    service_versions::ServiceVersions,
+    service_versions::{ServiceVersion, ServiceVersions, VersionRegistry, VersionsSeen},
     stream_origin::StreamOrigin,
     suspects::{
         Clearance, SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings,
--- /dev/null
+++ b/crates/quay_policy/src/guard/resume.rs
@@ -0,0 +1,137 @@
+//! Whether a stream that a caller takes up again may go on, and at which version.
+
+use {
+    super::StreamOrigin,
+    quay_types::{Incarnation, ServiceId, SoftwareVersion},
+};
+
+/// What the stores know of the run that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RecordedOrigin {
+    /// Where it ran.
+    Found(StreamOrigin),
+    /// Runs of the same content began at several versions or services.
+    Conflicting,
+    /// Nothing: the run was not recorded, or its record was lost.
+    Absent,
+    /// Too few stores answered.
+    Undetermined,
+}
+
+/// Collects what the stores know of the runs of one content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OriginLookup {
+    /// Number of answers that meets every write quorum.
+    quorum: usize,
+    answers: usize,
+    found: Option<StreamOrigin>,
+    conflicts: bool,
+}
+
+impl OriginLookup {
+    /// Creates a look-up that needs the answers of `quorum` stores.
+    #[must_use]
+    pub const fn new(quorum: usize) -> Self {
+        Self {
+            quorum,
+            answers: 0,
+            found: None,
+            conflicts: false,
+        }
+    }
+
+    /// Adds the answer of a store.
+    pub fn add(&mut self, origins: &[StreamOrigin]) {
+        self.answers += 1;
+        for origin in origins {
+            let key = |it: &StreamOrigin| (it.service, it.version);
+            match &mut self.found {
+                Some(found) if key(found) != key(origin) => self.conflicts = true,
+                Some(found) if found.sent >= origin.sent => {}
+                found => *found = Some(*origin),
+            }
+        }
+    }
+
+    /// What the answers say together.
+    #[must_use]
+    pub const fn result(&self) -> RecordedOrigin {
+        match self.found {
+            _ if self.conflicts => RecordedOrigin::Conflicting,
+            _ if self.quorum == 0 || self.answers < self.quorum => RecordedOrigin::Undetermined,
+            Some(origin) => RecordedOrigin::Found(origin),
+            None => RecordedOrigin::Absent,
+        }
+    }
+}
+
+/// What an entry knows of a stream that a caller takes up again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResumeFacts {
+    /// Service at which the stream would go on.
+    pub service: ServiceId,
+    /// Whether the caller names the attempt that began the stream. Otherwise the
+    /// content of the request identifies it.
+    pub named: bool,
+    /// Record of that run.
+    pub recorded: RecordedOrigin,
+    /// The recorded upstream's incarnation in the directory now, with its version.
+    pub listed: Option<(Incarnation, Option<SoftwareVersion>)>,
+    /// The version of all upstreams of the service, if there was no other one for longer
+    /// than any stream lasts, and the entry is told of changes.
+    pub only_version: Option<SoftwareVersion>,
+}
+
+/// Reason for which a stream does not go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResumeRefusal {
+    /// It is uncertain which incarnation of the recorded upstream began it.
+    Uncertain,
+    /// It may have begun at several versions.
+    Conflicting,
+    /// The run that the caller names is not recorded.
+    NoRecord,
+    /// Neither is the run recorded, nor is there only one version.
+    NotNamed,
+    /// Too few stores answered.
+    StoresUnsure,
+}
+
+impl ResumeRefusal {
+    /// Name for logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Uncertain => "uncertain",
+            Self::Conflicting => "conflicting_records",
+            Self::NoRecord => "no_record",
+            Self::NotNamed => "first_attempt_not_named",
+            Self::StoresUnsure => "stores_unsure",
+        }
+    }
+}
+
+impl ResumeFacts {
+    /// Decides at which version the stream goes on.
+    ///
+    /// A record decides. Without one the stream goes on only where every stream of the
+    /// service has begun at the same version, and only if the caller names no attempt: a
+    /// named attempt without a record may be one of another service.
+    ///
+    /// # Errors
+    ///
+    /// If the version is uncertain; the stream must not go on.
+    pub fn decide(&self) -> Result<SoftwareVersion, ResumeRefusal> {
+        match self.recorded {
+            RecordedOrigin::Found(origin) => origin
+                .resumable_at(self.service, self.listed)
+                .ok_or(ResumeRefusal::Uncertain),
+            RecordedOrigin::Conflicting => Err(ResumeRefusal::Conflicting),
+            RecordedOrigin::Absent if self.named => Err(ResumeRefusal::NoRecord),
+            RecordedOrigin::Undetermined if self.named => Err(ResumeRefusal::StoresUnsure),
+            RecordedOrigin::Absent | RecordedOrigin::Undetermined => {
+                self.only_version.ok_or(ResumeRefusal::NotNamed)
+            }
+        }
+    }
+}
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -34,11 +34,13 @@
     guard::{
         AccountLimit, Candidate, CheckResult, Clearance, CrashDetector, CrashSettings, Eligibility,
         FleetQuotaAllocator, FleetQuotaHolder, FleetQuotaSettings, LeavingUpstreams,
-        LimitAllocator, LimitHolder, LimitSettings, Permission, PermitDemand, PermitGrant,
-        PermitRequest, QuotaAllocator, QuotaGrant, QuotaHolder, QuotaLease, QuotaReply,
-        QuotaReport, QuotaRequest, QuotaSettings, QuotaUse, QuotaView, Requirements, RetryBudgets,
-        RetrySettings, RunEnd, ServiceVersions, StreamOrigin, SuspectCommand, SuspectEvent,
+        LimitAllocator, LimitHolder, LimitSettings, OriginLookup, Permission, PermitDemand,
+        PermitGrant, PermitRequest, QuotaAllocator, QuotaGrant, QuotaHolder, QuotaLease,
+        QuotaReply, QuotaReport, QuotaRequest, QuotaSettings, QuotaUse, QuotaView, RecordedOrigin,
+        Requirements, ResumeFacts, ResumeRefusal, RetryBudgets, RetrySettings, RunEnd,
+        ServiceVersion, ServiceVersions, StreamOrigin, SuspectCommand, SuspectEvent,
         SuspectRegistry, SuspectReply, SuspectSettings, UpstreamFilter, UpstreamRun,
+        VersionRegistry, VersionsSeen,
     },
     memory::{
         CallerConnection, MemoryBudget, MemoryClass, MemoryDecision, MemoryHolder, MemorySettings,
--- a/crates/quay_policy/tests/stream_versions.rs
+++ b/crates/quay_policy/tests/stream_versions.rs
@@ -2,8 +2,8 @@
 
 use {
     quay_policy::{
-        Candidate, Eligibility, Requirements, ServiceVersions, StreamOrigin, UpstreamFilter,
-        UpstreamRun,
+        Candidate, Eligibility, OriginLookup, RecordedOrigin, Requirements, ResumeFacts,
+        ResumeRefusal, StreamOrigin, UpstreamFilter, UpstreamRun, VersionRegistry, VersionsSeen,
     },
     quay_types::{Incarnation, RequestRate, ServiceId, SoftwareVersion, Time, UpstreamId},
     std::time::Duration,
@@ -190,21 +190,158 @@
 // ---------------------------------------------------------------------------
 // Versions of a service
 
+/// Observation of versions of the service at a second.
+fn seen(second: u64, names: &[&str]) -> VersionsSeen {
+    let service = ServiceId::of(SERVICE);
+    VersionsSeen {
+        at: Time::ZERO + Duration::from_secs(second),
+        listed: names
+            .iter()
+            .map(|it| (service, Some(version(it))))
+            .collect(),
+        whole: true,
+    }
+}
+
+fn only(registry: &VersionRegistry) -> Option<SoftwareVersion> {
+    registry.list().only_version(ServiceId::of(SERVICE))
+}
+
 #[test]
 fn a_service_has_one_version_until_another_is_listed_and_again_a_minute_later() {
-    let mut versions = ServiceVersions::default();
-    let (service, other) = (ServiceId::of("llm"), ServiceId::of("app"));
-    let at = |seconds| Time::ZERO + Duration::from_secs(seconds);
-    assert_eq!(versions.only_version(at(0), service), None);
-    versions.record(at(0), service, Some(version("v1")));
-    versions.record(at(0), other, Some(version("v9")));
-    assert_eq!(versions.only_version(at(0), service), Some(version("v1")));
-    versions.record(at(1), service, Some(version("v2")));
-    assert_eq!(versions.only_version(at(1), service), None);
-    versions.record(at(59), service, Some(version("v2")));
-    assert_eq!(versions.only_version(at(59), service), None);
-    versions.tick(at(61));
-    assert_eq!(versions.only_version(at(61), service), Some(version("v2")));
-    versions.record(at(62), service, None);
-    assert_eq!(versions.only_version(at(62), service), None);
+    let mut registry = VersionRegistry::default();
+    registry.begin();
+    assert_eq!(only(&registry), None);
+    registry.record(&seen(100, &["v1"]));
+    let mut other = seen(100, &["v9"]);
+    other.listed[0].0 = ServiceId::of("app");
+    registry.record(&other);
+    assert_eq!(only(&registry), Some(version("v1")));
+    registry.record(&seen(101, &["v1", "v2"]));
+    assert_eq!(only(&registry), None);
+    registry.record(&seen(160, &["v2"]));
+    assert_eq!(only(&registry), None);
+    assert!(registry.record(&seen(161, &["v2"])));
+    assert_eq!(only(&registry), Some(version("v2")));
+    let mut silent = seen(162, &["v2"]);
+    silent.listed[0].1 = None;
+    registry.record(&silent);
+    assert_eq!(only(&registry), None);
+}
+
+#[test]
+fn a_registry_that_began_while_streams_ran_is_complete_after_a_minute() {
+    let mut registry = VersionRegistry::default();
+    registry.record(&seen(100, &["v1"]));
+    assert_eq!(only(&registry), None);
+    registry.record(&seen(159, &["v1"]));
+    assert_eq!(only(&registry), None);
+    registry.record(&seen(160, &["v1"]));
+    assert_eq!(only(&registry), Some(version("v1")));
+}
+
+#[test]
+fn a_leader_that_has_just_started_forgets_no_version() {
+    let mut registry = VersionRegistry::default();
+    registry.begin();
+    registry.record(&seen(100, &["v1", "v2"]));
+    // Only upstreams of version 2 have announced themselves since.
+    let early = VersionsSeen {
+        whole: false,
+        ..seen(500, &["v2"])
+    };
+    registry.record(&early);
+    assert_eq!(only(&registry), None);
+}
+
+#[test]
+fn times_are_recorded_now_and_then_and_versions_that_are_gone_at_once() {
+    let mut registry = VersionRegistry::default();
+    registry.begin();
+    assert!(registry.needs(&seen(100, &["v1"])));
+    registry.record(&seen(100, &["v1", "v2"]));
+    let revision = registry.list().revision;
+    assert!(!registry.needs(&seen(110, &["v1", "v2"])));
+    assert!(registry.needs(&seen(120, &["v1", "v2"])));
+    registry.record(&seen(120, &["v1"]));
+    // Entries need not know the times.
+    assert_eq!(registry.list().revision, revision);
+    registry.record(&seen(140, &["v1"]));
+    registry.record(&seen(159, &["v1"]));
+    assert!(!registry.needs(&seen(159, &["v1"])));
+    assert!(registry.needs(&seen(160, &["v1"])));
+}
+
+// ---------------------------------------------------------------------------
+// Decisions
+
+/// Facts of a stream whose attempt is not named, at a service with one version.
+fn facts(recorded: RecordedOrigin) -> ResumeFacts {
+    ResumeFacts {
+        service: ServiceId::of(SERVICE),
+        named: false,
+        recorded,
+        listed: None,
+        only_version: Some(version("v2")),
+    }
+}
+
+#[test]
+fn a_record_goes_before_the_only_version() {
+    let recorded = RecordedOrigin::Found(origin(1_050_000));
+    assert_eq!(facts(recorded).decide(), Ok(version("v1")));
+    let restarted = ResumeFacts {
+        listed: Some((Incarnation(1_050_000), Some(version("v2")))),
+        ..facts(recorded)
+    };
+    assert_eq!(restarted.decide(), Err(ResumeRefusal::Uncertain));
+    let conflicting = facts(RecordedOrigin::Conflicting);
+    assert_eq!(conflicting.decide(), Err(ResumeRefusal::Conflicting));
+}
+
+#[test]
+fn without_a_record_only_an_unnamed_stream_goes_on_at_the_only_version() {
+    for (recorded, refusal) in [
+        (RecordedOrigin::Absent, ResumeRefusal::NoRecord),
+        (RecordedOrigin::Undetermined, ResumeRefusal::StoresUnsure),
+    ] {
+        assert_eq!(facts(recorded).decide(), Ok(version("v2")));
+        let several = ResumeFacts {
+            only_version: None,
+            ..facts(recorded)
+        };
+        assert_eq!(several.decide(), Err(ResumeRefusal::NotNamed));
+        let named = ResumeFacts {
+            named: true,
+            ..facts(recorded)
+        };
+        assert_eq!(named.decide(), Err(refusal));
+    }
+}
+
+#[test]
+fn stores_that_know_other_versions_of_a_content_make_its_origin_uncertain() {
+    let (old, new) = (
+        origin(1),
+        StreamOrigin {
+            version: version("v2"),
+            ..origin(2)
+        },
+    );
+    let ask = |answers: &[&[StreamOrigin]]| {
+        let mut lookup = OriginLookup::new(2);
+        for origins in answers {
+            lookup.add(origins);
+        }
+        lookup.result()
+    };
+    assert_eq!(ask(&[&[old]]), RecordedOrigin::Undetermined);
+    assert_eq!(ask(&[&[], &[]]), RecordedOrigin::Absent);
+    assert_eq!(ask(&[&[old], &[]]), RecordedOrigin::Found(old));
+    assert_eq!(
+        ask(&[&[old], &[origin(3)]]),
+        RecordedOrigin::Found(origin(3))
+    );
+    assert_eq!(ask(&[&[old], &[new]]), RecordedOrigin::Conflicting);
+    assert_eq!(ask(&[&[old, new]]), RecordedOrigin::Conflicting);
 }
--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -388,9 +388,15 @@
         {
             return reply;
         }
+        if let Err(reply) = self.record_versions(Some(&announcement)).await {
+            return reply;
+        }
         let now = self.now();
         let updates = Rc::clone(&self.updates);
         self.as_leader(|leads| {
+            if !leads.is_version_recorded(&announcement) {
+                return ControlReply::Unavailable;
+            }
             leads.announce(now, announcement);
             updates.notify_waiters();
             ControlReply::Done
@@ -398,6 +404,33 @@
         .await
     }
 
+    /// Replicates the software versions that are listed, with that of an upstream which
+    /// is to be listed, unless this leader knows that they are recorded.
+    async fn record_versions(&self, more: Option<&Announcement>) -> Result<(), ControlReply> {
+        let (now, at) = (self.now(), Time::from_millis(Clock::wall_ms()));
+        let needed = {
+            let leading = self.leading.borrow();
+            let leads = leading.as_ref();
+            leads.and_then(|leads| {
+                let recorded = more.is_some_and(|it| leads.is_version_recorded(it));
+                if recorded {
+                    return None;
+                }
+                let known = leads.state.version;
+                Some((leads.versions_command(now, at, more)?, known))
+            })
+        };
+        let Some((command, known)) = needed else {
+            return Ok(());
+        };
+        self.propose(command).await?;
+        // Fronts get the versions before the upstream is listed.
+        let asked = self.now();
+        let read = self.read(Some(known)).await;
+        self.process_read(asked, read);
+        Ok(())
+    }
+
     /// Replicates a front's report of runs. The time is this host's own, so that
     /// one clock orders the reports of all fronts.
     async fn record_runs(&self, events: Box<[SuspectEvent]>) -> ControlReply {
@@ -482,6 +515,9 @@
                 } else if status.leads {
                     self.change_members(&status).await;
                     self.change_stores().await;
+                    if let Err(reply) = self.record_versions(None).await {
+                        log::warn!("event=versions_unrecorded cause={reply:?}");
+                    }
                 }
             }
             sleep(MEMBERSHIP_INTERVAL).await;
--- a/crates/sapphirequayd/src/gateway/control/leader_state.rs
+++ b/crates/sapphirequayd/src/gateway/control/leader_state.rs
@@ -5,7 +5,9 @@
     crate::gateway::messages::{ControlCommand, ControlUpdate, FollowerState, QuotaRow},
     indexmap::{IndexMap, IndexSet},
     quay_members::{Changes, Directory, Heartbeat, MembersReply, MembersSettings},
-    quay_policy::{FleetQuotaAllocator, FleetQuotaSettings, LimitAllocator},
+    quay_policy::{
+        FleetQuotaAllocator, FleetQuotaSettings, LimitAllocator, ServiceVersion, VersionsSeen,
+    },
     quay_quorum::{Member, Membership},
     quay_turns::{MembershipPlanner, MembershipSettings, StoreAnnouncement, StoreMap},
     quay_types::{AccountId, Announcement, Incarnation, NodeId, Time, UpstreamId, UpstreamState},
@@ -20,6 +22,10 @@
 /// Maximum age of a confirmed state that is served to followers.
 const MAX_STATE_AGE: Duration = Duration::from_millis(600);
 
+/// Time from the start of a leader until it forgets versions that are not listed. Before
+/// it fronts may still use upstreams whose heartbeats have not reached the leader.
+const FORGET_DELAY: Duration = Duration::from_mins(1);
+
 /// Time after which a request to join expires.
 const JOIN_REQUEST_TTL: Duration = Duration::from_secs(2);
 
@@ -39,6 +45,8 @@
     pub state: ControlState,
     /// Time of that confirmation.
     confirmed: Time,
+    /// Time at which this host began to lead.
+    began: Time,
     directory: Directory,
     /// Latest announcement of each upstream.
     announced: IndexMap<UpstreamId, Announcement>,
@@ -84,6 +92,7 @@
         Self {
             state,
             confirmed: now,
+            began: now,
             directory: Directory::new(now, run, members),
             announced: IndexMap::new(),
             store_planner: MembershipPlanner::new(store_settings, now),
@@ -147,6 +156,33 @@
     // -----------------------------------------------------------------------
     // Upstreams
 
+    /// Command that records the software versions that are listed, with that of an
+    /// upstream which is to be listed; `None` if they are recorded. `at` is the Unix time.
+    pub fn versions_command(
+        &self,
+        now: Time,
+        at: Time,
+        more: Option<&Announcement>,
+    ) -> Option<ControlCommand> {
+        let kinds = self.directory.kinds().chain(more.map(|it| &it.kind));
+        let listed = kinds.filter_map(|kind| Some((kind.service()?, kind.version())));
+        let listed: IndexSet<ServiceVersion> = listed.collect();
+        let seen = VersionsSeen {
+            at,
+            listed: listed.into_iter().collect(),
+            whole: now.since(self.began) >= FORGET_DELAY,
+        };
+        let needed = self.state.versions.needs(&seen);
+        needed.then_some(ControlCommand::Versions(seen))
+    }
+
+    /// Whether an upstream with this version may be listed.
+    pub fn is_version_recorded(&self, announcement: &Announcement) -> bool {
+        let kind = &announcement.kind;
+        let version = kind.service().map(|service| (service, kind.version()));
+        version.is_none_or(|it| self.state.versions.contains(it))
+    }
+
     /// Command that records the departure of an upstream, if the announcement
     /// says that this run leaves and no departure of this or a later run is
     /// recorded.
@@ -241,7 +277,10 @@
         let stores = (stores.version != mark.stores).then(|| stores.clone());
         let listed = &self.state.suspects.listed;
         let suspects = (listed.version != mark.suspects).then(|| listed.clone());
-        let nothing = table.is_none() && stores.is_none() && suspects.is_none();
+        let versions = self.state.versions.list();
+        let versions = (versions.revision != mark.versions).then(|| versions.clone());
+        let nothing =
+            table.is_none() && stores.is_none() && suspects.is_none() && versions.is_none();
         if nothing && is_empty(&directory) {
             return None;
         }
@@ -253,6 +292,7 @@
             controls: self.control_links(),
             followers: self.neighbours_of(mark.link),
             suspects,
+            versions,
         })
     }
 
@@ -267,6 +307,7 @@
             controls: self.control_links(),
             followers: self.neighbours_of(mark.link),
             suspects: None,
+            versions: None,
         }
     }
 
--- a/crates/sapphirequayd/src/gateway/control/state.rs
+++ b/crates/sapphirequayd/src/gateway/control/state.rs
@@ -3,7 +3,7 @@
 use {
     crate::gateway::messages::{ControlCommand, SuspectList, TableDocument},
     indexmap::IndexMap,
-    quay_policy::{SuspectCommand, SuspectRegistry, SuspectSettings},
+    quay_policy::{SuspectCommand, SuspectRegistry, SuspectSettings, VersionRegistry},
     quay_quorum::StateMachine,
     quay_turns::{StoreChange, StoreMap},
     quay_types::{Epoch, Incarnation, LogIndex},
@@ -29,6 +29,9 @@
     /// versions end before them.
     #[serde(deserialize_with = "quay_types::last_field::or_default")]
     pub suspects: Suspects,
+    /// Software versions of all services; snapshots of earlier versions end before them.
+    #[serde(deserialize_with = "quay_types::last_field::or_default")]
+    pub versions: VersionRegistry,
 }
 
 /// Requests that are suspected of crashing upstreams.
@@ -69,6 +72,10 @@
     fn put_table(&mut self, table: TableDocument) -> bool {
         let held = self.table.as_ref().map_or(0, |held| held.revision);
         let newer = self.table.is_none() || table.revision > held;
+        if self.table.is_none() {
+            // Without a table no stream can have begun.
+            self.versions.begin();
+        }
         if newer {
             self.table = Some(table);
         }
@@ -118,6 +125,7 @@
             ControlCommand::Depart(name, run) => self.depart(name, run),
             ControlCommand::Stores(changes) => self.change_stores(&changes),
             ControlCommand::Suspects(command) => self.suspects.apply(&command),
+            ControlCommand::Versions(seen) => self.versions.record(&seen),
         };
         self.version += u64::from(changed);
         changed
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -33,7 +33,7 @@
         cell::{Cell, OnceCell},
         time::Duration,
     },
-    tokio::time::timeout,
+    tokio::{sync::oneshot, time::timeout},
 };
 
 /// Number of attempts that end without the request being run after which the
@@ -180,7 +180,8 @@
     front.wait_for_service(&pool, deadline.at()).await;
     let version = match &head.resumed {
         Some(resumed) if route.repeat.is_stream() => {
-            let version = front.resumable_version(&ids, resumed, &pool, deadline.at());
+            let request = (resumed, content);
+            let version = front.resumable_version(&ids, request, &pool, deadline.at());
             Some(version.await?)
         }
         _ => None,
@@ -269,7 +270,7 @@
                     let queue_time = in_flight.started().since(self.arrived);
                     meters::record_stage(Stage::Wait, queue_time);
                     meters::record_stage(Stage::FirstResponse, first);
-                    self.record_stream_origin(&in_flight);
+                    let recorded = self.record_stream_origin(&in_flight);
                     let now = self.front.now();
                     let objective = self.route.objective;
                     self.front
@@ -283,6 +284,7 @@
                         reservation,
                         event_tokens: self.event_tokens,
                         holder: self.holder,
+                        recorded,
                         ends: self.deadline.at(),
                         wait_ms: queue_time.as_millis(),
                         first_ms: first.as_millis(),
@@ -330,12 +332,15 @@
     }
 
     /// Records which upstream began the stream, if another may go on with it.
-    fn record_stream_origin(&self, in_flight: &InFlight<D>) {
-        if self.route.repeat == RepeatPolicy::ResumableStream && self.version.is_none() {
-            let (upstream, ago) = (in_flight.upstream(), in_flight.elapsed());
-            self.front
-                .record_stream_origin(&self.ids, self.route, &self.pool(), upstream, ago);
+    /// Returns the end of the recording if the first event must wait for it.
+    fn record_stream_origin(&self, in_flight: &InFlight<D>) -> Option<oneshot::Receiver<()>> {
+        if self.route.repeat != RepeatPolicy::ResumableStream || self.version.is_some() {
+            return None;
         }
+        let (upstream, ago) = (in_flight.upstream(), in_flight.elapsed());
+        let request = (self.route, self.content);
+        self.front
+            .record_stream_origin(&self.ids, request, &self.pool(), upstream, ago)
     }
 
     /// Upstreams among which one is selected.
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -374,13 +374,15 @@
     }
 
     fn follower_state(&self) -> FollowerState {
+        let mut upstreams = self.upstreams();
         FollowerState {
             revision: self.table().map_or(0, |table| table.revision),
             stores: self.0.stores.map_version(),
-            directory: self.upstreams().next_request(self.0.reader),
+            directory: upstreams.next_request(self.0.reader),
             link: self.0.link,
             suspects: self.0.suspects.borrow().version(),
             reads_versions: true,
+            versions: upstreams.versions_revision(),
         }
     }
 
@@ -397,6 +399,15 @@
             let mut suspects = self.0.suspects.borrow_mut();
             suspects.set_list(Self::unix_time(), list);
         }
+        if let Some(versions) = update.versions {
+            log::info!(
+                "event=versions_known revision={} complete={} versions={}",
+                versions.revision,
+                versions.complete,
+                versions.listed.len()
+            );
+            self.upstreams().set_versions(versions);
+        }
         self.upstreams().apply_changes(now, update.directory);
         self.record_lost_runs();
         if let Some(text) = update.table {
--- a/crates/sapphirequayd/src/gateway/front/host/streams.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/streams.rs
@@ -9,12 +9,12 @@
             upstreams::{Pool, SelectedUpstream},
         },
         meters,
-        store::StreamLookup,
     },
+    quay_policy::{RecordedOrigin, ResumeRefusal},
     quay_routes::{CallHead, CallIds, Dialect, ResumedHead, Route},
-    quay_types::{SoftwareVersion, Time},
+    quay_types::{ContentDigest, SoftwareVersion, Time},
     std::time::Duration,
-    tokio::task::spawn_local,
+    tokio::{sync::oneshot, task::spawn_local},
 };
 
 /// Longest time for which a request waits for the origin of its stream.
@@ -29,14 +29,18 @@
 impl<D: Dialect> FrontHost<D> {
     /// Records which upstream began the stream of a request that was sent `ago`, so
     /// that any front can tell where it may go on.
+    ///
+    /// Returns the end of the recording if the first event must wait for it: streams of
+    /// the content may have begun at another version before, and their record would be
+    /// taken for that of this stream.
     pub fn record_stream_origin(
         &self,
         ids: &CallIds<'_>,
-        route: &Route,
+        (route, content): (&Route, ContentDigest),
         pool: &Pool<'_>,
         upstream: &SelectedUpstream,
         ago: Duration,
-    ) {
+    ) -> Option<oneshot::Receiver<()>> {
         let unix_time = Self::unix_time().since(Time::ZERO);
         let sent = Time::ZERO + unix_time.saturating_sub(ago);
         let origin = self
@@ -44,19 +48,26 @@
             .stream_origin(self.now(), pool, upstream, sent);
         let Some(origin) = origin else {
             log::info!("event=stream_version_unknown id={}", ids.head().id);
-            return;
+            return None;
         };
         let stores = self.stores().clone();
         let (id, program, attempt) = (ids.head().id.clone(), ids.program(), ids.attempt());
+        // Without a program the records of two attempts are in different groups.
+        let content = ids.budget().map(|_| content);
         let keep = route.timeout.saturating_mul(KEPT_TIMEOUTS);
+        let (tx, rx) = oneshot::channel();
         spawn_local(async move {
             if !stores
-                .record_stream(program, attempt, (origin, keep), RECORD_TIMEOUT)
+                .record_stream(program, (attempt, content), (origin, keep), RECORD_TIMEOUT)
                 .await
             {
                 log::warn!("event=stream_origin_unrecorded id={id}");
             }
+            let _ = tx.send(());
         });
+        self.upstreams()
+            .has_several_versions(pool.service)
+            .then_some(rx)
     }
 
     /// Finds the version at which a stream may go on. If it is not certain, or no
@@ -64,20 +75,32 @@
     pub async fn resumable_version(
         &self,
         ids: &CallIds<'_>,
-        resumed: &ResumedHead,
+        (resumed, content): (&ResumedHead, ContentDigest),
         pool: &Pool<'_>,
         ends: Time,
     ) -> Result<SoftwareVersion, Refusal> {
         let head = ids.head();
-        let found = match &resumed.first_attempt {
-            Some(first) => self.stream_version(ids, first, pool, ends).await,
-            None => self.only_version(pool.service),
+        let left = ends.since(self.now()).min(LOOKUP_TIMEOUT);
+        let program = ids.program();
+        let recorded = match &resumed.first_attempt {
+            Some(first) => {
+                let attempt = ids.attempt_named(first);
+                self.stores().find_stream(program, attempt, left).await
+            }
+            None if ids.budget().is_some() => {
+                self.stores().find_content(program, content, left).await
+            }
+            None => RecordedOrigin::Absent,
         };
-        let version = match found {
+        let version = match self.decide_version(pool, resumed, recorded) {
             Ok(version) => version,
-            Err((refusal, cause)) => {
-                log_decision(head, resumed, None, cause);
-                return Err(refusal);
+            Err(cause) => {
+                log_decision(head, resumed, None, cause.name());
+                meters::record_resumed_stream(cause.name());
+                return Err(match cause {
+                    ResumeRefusal::StoresUnsure => Refusal::StoresUnsure,
+                    _ => Refusal::StreamUnknown,
+                });
             }
         };
         let pool = Pool {
@@ -85,44 +108,30 @@
             ..*pool
         };
         self.wait_for_service(&pool, ends).await;
-        if !self.upstreams().serves(self.now(), &pool) {
-            log_decision(head, resumed, Some(version), "version_gone");
-            return Err(Refusal::VersionGone);
-        }
-        log_decision(head, resumed, Some(version), "goes_on");
-        Ok(version)
-    }
-
-    /// Version of a stream whose first attempt the caller does not name.
-    fn only_version(&self, service: &str) -> Result<SoftwareVersion, (Refusal, &'static str)> {
-        let now = self.now();
-        let only = self.upstreams().only_version(now, service);
-        let only = only.filter(|_| self.control_is_fresh(now));
-        only.ok_or((Refusal::StreamUnknown, "first_attempt_not_named"))
+        let serves = self.upstreams().serves(self.now(), &pool);
+        let decision = if serves { "goes_on" } else { "version_gone" };
+        log_decision(head, resumed, Some(version), decision);
+        meters::record_resumed_stream(decision);
+        serves.then_some(version).ok_or(Refusal::VersionGone)
     }
 
-    /// Version of the stream that `first` began.
-    async fn stream_version(
+    /// Decides by what the stores have recorded and by what this front knows.
+    fn decide_version(
         &self,
-        ids: &CallIds<'_>,
-        first: &str,
         pool: &Pool<'_>,
-        ends: Time,
-    ) -> Result<SoftwareVersion, (Refusal, &'static str)> {
-        let left = ends.since(self.now()).min(LOOKUP_TIMEOUT);
-        let (program, attempt) = (ids.program(), ids.attempt_named(first));
-        match self.stores().find_stream(program, attempt, left).await {
-            StreamLookup::Found(origin) => {
-                let version = self.upstreams().resumable_at(pool, &origin);
-                version.ok_or((Refusal::StreamUnknown, "uncertain"))
-            }
-            StreamLookup::Absent => Err((Refusal::StreamUnknown, "no_record")),
-            StreamLookup::Undetermined => Err((Refusal::StoresUnsure, "stores_unsure")),
+        resumed: &ResumedHead,
+        recorded: RecordedOrigin,
+    ) -> Result<SoftwareVersion, ResumeRefusal> {
+        let named = resumed.first_attempt.is_some();
+        let mut facts = self.upstreams().resume_facts(pool, named, recorded);
+        if !self.control_is_fresh(self.now()) {
+            facts.only_version = None;
         }
+        facts.decide()
     }
 }
 
-/// Logs and counts the decision whether a stream goes on.
+/// Logs the decision whether a stream goes on.
 fn log_decision(
     head: &CallHead,
     resumed: &ResumedHead,
@@ -135,5 +144,4 @@
         head.id,
         resumed.first_attempt.as_deref().unwrap_or("none"),
     );
-    meters::record_resumed_stream(decision);
 }
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -29,7 +29,7 @@
         time::Duration,
     },
     tokio::{
-        sync::{Notify, mpsc},
+        sync::{Notify, mpsc, oneshot},
         time::{sleep, timeout},
     },
 };
@@ -43,6 +43,9 @@
 /// Time after which a paused stream looks again whether memory is still short.
 const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Longest time for which the first event waits until the stream's origin is recorded.
+const MAX_RECORD_WAIT: Duration = Duration::from_millis(100);
+
 /// Sender of the frames of a response body.
 type FrameSender = mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>;
 
@@ -95,6 +98,8 @@
     pub event_tokens: u64,
     /// Caller for which the stream's memory is held.
     pub holder: Option<MemoryHolder>,
+    /// End of the recording of the stream's origin, if the first event waits for it.
+    pub recorded: Option<oneshot::Receiver<()>>,
     /// Time at which the stream is aborted.
     pub ends: Time,
     /// Milliseconds from the request's arrival until it was sent.
@@ -122,6 +127,9 @@
         let mut reader = EventReader::new(self.pending_turn.is_some());
         // Held until the turn is stored.
         let mut share = self.front.buffers().share_for(self.holder);
+        if let Some(recorded) = self.recorded.take() {
+            let _ = timeout(MAX_RECORD_WAIT, recorded).await;
+        }
         let end = self
             .relay_frames(&mut body, &mut reader, &mut share, &frames)
             .await;
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -5,8 +5,8 @@
     quay_members::{ChangesRequest, DirectoryView},
     quay_policy::{
         Candidate, CheckResult, CrashDetector, Eligibility, ExpectedTime, LimitHolder, NewProgram,
-        NewProgramGate, Requirements, RouteRequest, RouteSettings, Router, ServiceVersions,
-        StreamOrigin, UpstreamFilter, UpstreamRun,
+        NewProgramGate, RecordedOrigin, Requirements, ResumeFacts, RouteRequest, RouteSettings,
+        Router, ServiceVersions, StreamOrigin, UpstreamFilter, UpstreamRun,
     },
     quay_routes::{CallHead, PromptPart, UpstreamLoad, block_hashes, branch_ids, token_count},
     quay_types::{
@@ -193,10 +193,6 @@
 
     fn apply_entry(&mut self, now: Time, entry: &DirectoryEntry) {
         let id = entry.announcement.upstream();
-        let kind = &entry.announcement.kind;
-        if let Some(service) = kind.service() {
-            self.versions.record(now, service, kind.version());
-        }
         let announcement = Announcement {
             sequence: 0,
             load: Load::default(),
@@ -284,7 +280,6 @@
     pub fn tick(&mut self, now: Time) {
         self.crashes.tick(now);
         self.filter.tick(now);
-        self.versions.tick(now);
         let old: Vec<UpstreamId> = self
             .known
             .iter()
@@ -439,19 +434,51 @@
         })
     }
 
-    /// Version at which a stream may go on in a pool; `None` if it is uncertain.
+    /// Revision of the list of versions; 0 without one.
+    #[must_use]
+    pub fn versions_revision(&self) -> u64 {
+        self.versions.revision
+    }
+
+    /// Replaces the list of versions.
+    pub fn set_versions(&mut self, versions: ServiceVersions) {
+        self.versions = versions;
+    }
+
+    /// What this front knows of a stream that goes on in a pool, whose origin the stores
+    /// know as `recorded`.
     #[must_use]
-    pub fn resumable_at(&self, pool: &Pool<'_>, origin: &StreamOrigin) -> Option<SoftwareVersion> {
-        let listed = self.known.get(&origin.run.0);
+    pub fn resume_facts(
+        &self,
+        pool: &Pool<'_>,
+        named: bool,
+        recorded: RecordedOrigin,
+    ) -> ResumeFacts {
+        let service = ServiceId::of(pool.service);
+        let listed = match recorded {
+            RecordedOrigin::Found(origin) => self.known.get(&origin.run.0),
+            _ => None,
+        };
         let listed = listed.map(|it| (it.announcement.incarnation, it.announcement.kind.version()));
-        origin.resumable_at(ServiceId::of(pool.service), listed)
+        let only = self.versions.only_version(service);
+        // An upstream may be listed that the list of versions does not have yet.
+        let known = self.known.values().map(|it| &it.announcement.kind);
+        let mut known = known.filter(|kind| kind.service() == Some(service));
+        ResumeFacts {
+            service,
+            named,
+            recorded,
+            listed,
+            only_version: only.filter(|_| known.all(|kind| kind.version() == only)),
+        }
     }
 
-    /// The version at which any stream of a service must have begun, if there is
-    /// only one.
+    /// Whether streams of a service may have begun at several versions.
     #[must_use]
-    pub fn only_version(&self, now: Time, service: &str) -> Option<SoftwareVersion> {
-        self.versions.only_version(now, ServiceId::of(service))
+    pub fn has_several_versions(&self, service: &str) -> bool {
+        let service = ServiceId::of(service);
+        let versions = self.versions.listed.iter();
+        versions.filter(|(other, _)| *other == service).count() > 1
     }
 
     // -----------------------------------------------------------------------
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -6,12 +6,15 @@
 use {
     quay_members::{Changes, ChangesRequest},
     quay_policy::{
-        PermitGrant, PermitRequest, QuotaReply, QuotaRequest, StreamOrigin, SuspectCommand,
-        SuspectEvent, SuspectRegistry,
+        PermitGrant, PermitRequest, QuotaReply, QuotaRequest, ServiceVersions, StreamOrigin,
+        SuspectCommand, SuspectEvent, SuspectRegistry, VersionsSeen,
     },
     quay_quorum::Member,
     quay_turns::{Charge, Record, StoreAnnouncement, StoreChange, StoreMap, TurnRecord},
-    quay_types::{Announcement, AttemptTag, GroupId, Incarnation, ProgramTag, RequestRate, TurnId},
+    quay_types::{
+        Announcement, AttemptTag, ContentDigest, GroupId, Incarnation, ProgramTag, RequestRate,
+        TurnId,
+    },
     serde::{Deserialize, Serialize},
     std::{fmt, net::SocketAddr},
 };
@@ -82,6 +85,10 @@
     /// followers of earlier versions end before this field.
     #[serde(deserialize_with = "quay_types::last_field::or_default")]
     pub reads_versions: bool,
+    /// Revision of its list of versions; 0 without one, and for followers of earlier
+    /// versions, which end before this field.
+    #[serde(deserialize_with = "quay_types::last_field::or_default")]
+    pub versions: u64,
 }
 
 /// Requests that are suspected of crashing upstreams, as followers get them.
@@ -128,6 +135,10 @@
     pub followers: Vec<SocketAddr>,
     /// The list of suspects, if the follower's differs.
     pub suspects: Option<SuspectList>,
+    /// The versions of all services, if the follower's list differs; leaders of earlier
+    /// versions end before this field.
+    #[serde(deserialize_with = "quay_types::last_field::or_default")]
+    pub versions: Option<ServiceVersions>,
 }
 
 /// Reply of a control host.
@@ -191,6 +202,8 @@
     Stores(Vec<StoreChange>),
     /// Changes the requests that are suspected of crashing upstreams.
     Suspects(SuspectCommand),
+    /// Records the versions of services that are listed.
+    Versions(VersionsSeen),
 }
 
 // ---------------------------------------------------------------------------
@@ -231,10 +244,18 @@
         /// Sequence number of the last program that the requester knows.
         programs: u64,
     },
-    /// Remembers the origin of the stream that an attempt began, for some seconds.
-    RecordStream(AttemptTag, StreamOrigin, u32),
+    /// Remembers the origin of the stream that an attempt began, for some seconds, also
+    /// under its content.
+    RecordStream(
+        AttemptTag,
+        StreamOrigin,
+        u32,
+        #[serde(deserialize_with = "quay_types::last_field::or_default")] Option<ContentDigest>,
+    ),
     /// Returns the origin of the stream that an attempt began.
     FindStream(AttemptTag),
+    /// Returns the origins of the streams of a content, one for each version.
+    FindContent(ContentDigest),
 }
 
 /// Reply of a store host.
@@ -257,6 +278,8 @@
     Refused,
     /// Origin of a stream; `None` if the store does not know it.
     Stream(Option<StreamOrigin>),
+    /// Reply to [`StoreOp::FindContent`].
+    Streams(Box<[StreamOrigin]>),
 }
 
 /// Part of the contents of a store.
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -15,12 +15,12 @@
     },
     indexmap::IndexMap,
     quay_link::{LinkError, LinkRole, Links},
-    quay_policy::StreamOrigin,
+    quay_policy::{OriginLookup, RecordedOrigin, StreamOrigin},
     quay_turns::{
         Charge, ChargeTally, ChargeVerdict, LookupTally, LookupVerdict, Record, StoreMap,
         StoreMember, StoreView, TurnRecord, WriteTally, WriteVerdict,
     },
-    quay_types::{AttemptTag, GroupId, ProgramTag, Tokens, TurnId},
+    quay_types::{AttemptTag, ContentDigest, GroupId, ProgramTag, Tokens, TurnId},
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         sync::mpsc,
@@ -73,17 +73,6 @@
     Undetermined,
 }
 
-/// Result of looking up the origin of a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StreamLookup {
-    /// Origin of the stream.
-    Found(StreamOrigin),
-    /// No store knows the stream.
-    Absent,
-    /// Too few stores answered to decide.
-    Undetermined,
-}
-
 /// Client of the stores in the current map. Clones share the map and the path to
 /// the stores.
 #[derive(Debug, Clone)]
@@ -366,16 +355,17 @@
     // Streams
 
     /// Has the stores remember the origin of the stream that an attempt began, for
-    /// the given time. Returns `false` if too few do within `limit`.
+    /// the given time, also under its content if there is one. Returns `false` if too
+    /// few do within `limit`.
     pub async fn record_stream(
         &self,
         program: ProgramTag,
-        attempt: AttemptTag,
+        (attempt, content): (AttemptTag, Option<ContentDigest>),
         (origin, keep): (StreamOrigin, Duration),
         limit: Duration,
     ) -> bool {
         let keep_s = u32::try_from(keep.as_secs().max(1)).unwrap_or(u32::MAX);
-        let op = StoreOp::RecordStream(attempt, origin, keep_s);
+        let op = StoreOp::RecordStream(attempt, origin, keep_s, content);
         self.write_until(program, &op, limit).await
     }
 
@@ -385,7 +375,7 @@
         program: ProgramTag,
         attempt: AttemptTag,
         limit: Duration,
-    ) -> StreamLookup {
+    ) -> RecordedOrigin {
         let group = self.group_of(program);
         let view = self.view(group);
         let op = StoreOp::FindStream(attempt);
@@ -394,19 +384,44 @@
             let mut denials = 0;
             while let Some((_, reply)) = replies.next().await {
                 match reply {
-                    Some(StoreReply::Stream(Some(origin))) => return StreamLookup::Found(origin),
+                    Some(StoreReply::Stream(Some(origin))) => return RecordedOrigin::Found(origin),
                     Some(StoreReply::Stream(None)) => denials += 1,
                     _ => {}
                 }
             }
             if denials > 0 && denials == view.members.len() {
-                StreamLookup::Absent
+                RecordedOrigin::Absent
             } else {
-                StreamLookup::Undetermined
+                RecordedOrigin::Undetermined
             }
         };
         let found = timeout(limit, lookup).await;
-        found.unwrap_or(StreamLookup::Undetermined)
+        found.unwrap_or(RecordedOrigin::Undetermined)
+    }
+
+    /// Looks up the origin of the streams of a content, as far as all stores that answer
+    /// within `limit` agree.
+    pub async fn find_content(
+        &self,
+        program: ProgramTag,
+        content: ContentDigest,
+        limit: Duration,
+    ) -> RecordedOrigin {
+        let group = self.group_of(program);
+        let view = self.view(group);
+        let op = StoreOp::FindContent(content);
+        let mut replies = GroupRequest::with_all(self, group, &view, op);
+        let mut lookup = OriginLookup::new(view.read_quorum());
+        let collect = async {
+            while let Some((_, reply)) = replies.next().await {
+                if let Some(StoreReply::Streams(origins)) = reply {
+                    lookup.add(&origins);
+                }
+            }
+        };
+        // What arrived until then decides.
+        let _ = timeout(limit, collect).await;
+        lookup.result()
     }
 
     // -----------------------------------------------------------------------
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -185,12 +185,18 @@
         let now = self.now();
         let mut origins = self.origins.borrow_mut();
         match op {
-            StoreOp::RecordStream(attempt, origin, keep_s) => {
+            StoreOp::RecordStream(attempt, origin, keep_s, content) => {
                 let keep = Duration::from_secs((*keep_s).into());
+                if let Some(content) = content {
+                    origins.insert_content(now, *content, *origin, keep);
+                }
                 let held = origins.insert(now, *attempt, *origin, keep);
                 Some(StoreReply::Stream(Some(held)))
             }
             StoreOp::FindStream(attempt) => Some(StoreReply::Stream(origins.get(now, *attempt))),
+            StoreOp::FindContent(content) => Some(StoreReply::Streams(
+                origins.of_content(now, *content).into(),
+            )),
             _ => None,
         }
     }
@@ -215,7 +221,9 @@
             StoreOp::FenceEpoch => StoreReply::Synced,
             StoreOp::Fetch(turns) => self.fetch(group, &turns).await,
             StoreOp::List { turns, programs } => self.list(group, turns, programs),
-            StoreOp::RecordStream(..) | StoreOp::FindStream(_) => StoreReply::Refused,
+            StoreOp::RecordStream(..) | StoreOp::FindStream(_) | StoreOp::FindContent(_) => {
+                StoreReply::Refused
+            }
         }
     }
 
--- a/crates/sapphirequayd/src/gateway/store/mod.rs
+++ b/crates/sapphirequayd/src/gateway/store/mod.rs
@@ -9,7 +9,7 @@
 mod stream_origins;
 
 pub use {
-    client::{ReserveOutcome, StoreClient, StreamLookup, TurnLookup},
+    client::{ReserveOutcome, StoreClient, TurnLookup},
     group_request::SlowMembers,
     host::StoreHost,
     path::{PathProbe, StorePath},
--- a/crates/sapphirequayd/src/gateway/store/stream_origins.rs
+++ b/crates/sapphirequayd/src/gateway/store/stream_origins.rs
@@ -3,7 +3,7 @@
 use {
     indexmap::IndexMap,
     quay_policy::StreamOrigin,
-    quay_types::{AttemptTag, Time},
+    quay_types::{AttemptTag, ContentDigest, Time},
     std::time::Duration,
 };
 
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
     held: IndexMap<AttemptTag, (StreamOrigin, Time)>,
+    /// Origins by the content of their requests, one for each service and version.
+    contents: IndexMap<ContentDigest, (Vec<StreamOrigin>, Time)>,
 }
 
 impl StreamOrigins {
@@ -36,6 +38,35 @@
         origin
     }
 
+    /// Adds an origin under the content of its request, which is kept for `keep`. Of
+    /// several origins of one service and version the last is kept.
+    pub fn insert_content(
+        &mut self,
+        now: Time,
+        content: ContentDigest,
+        origin: StreamOrigin,
+        keep: Duration,
+    ) {
+        if self.contents.len() >= MAX_ORIGINS {
+            self.contents.drain(..DROPPED_TOGETHER);
+        }
+        let (origins, expires) = self.contents.entry(content).or_default();
+        if *expires <= now {
+            origins.clear();
+        }
+        origins.retain(|it| (it.service, it.version) != (origin.service, origin.version));
+        origins.push(origin);
+        *expires = now + keep;
+    }
+
+    /// Origins of the streams of a content, one for each service and version.
+    #[must_use]
+    pub fn of_content(&self, now: Time, content: ContentDigest) -> &[StreamOrigin] {
+        let held = self.contents.get(&content);
+        held.filter(|(_, expires)| *expires > now)
+            .map_or(&[], |(origins, _)| origins)
+    }
+
     /// Origin of the stream that an attempt began, if it is known.
     #[must_use]
     pub fn get(&self, now: Time, attempt: AttemptTag) -> Option<StreamOrigin> {
@@ -52,11 +83,12 @@
     /// Whether there are no origins.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
+        self.held.is_empty() && self.contents.is_empty()
     }
 
     /// Removes the origins that are no longer kept.
     pub fn expire(&mut self, now: Time) {
         self.held.retain(|_, (_, expires)| *expires > now);
+        self.contents.retain(|_, (_, expires)| *expires > now);
     }
 }
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -4,7 +4,7 @@
     bytes::Bytes,
     proptest::prelude::*,
     quay_members::ChangesRequest,
-    quay_policy::{PermitRequest, StreamOrigin, SuspectCommand, SuspectEvent},
+    quay_policy::{PermitRequest, StreamOrigin, SuspectCommand, SuspectEvent, VersionRegistry},
     quay_quorum::{Member, Membership, MembershipChange, StateMachine as _},
     quay_turns::{StoreMember, StoreView},
     quay_types::{
@@ -230,7 +230,12 @@
         &state.stores,
     );
     let snapshot = postcard::to_stdvec(&earlier).expect("bytes");
-    assert_eq!(postcard::from_bytes(&snapshot), Ok(state.clone()));
+    let read = ControlState {
+        // Streams may have begun at versions that are not recorded.
+        versions: VersionRegistry::default(),
+        ..state.clone()
+    };
+    assert_eq!(postcard::from_bytes(&snapshot), Ok(read));
     state.apply(LogIndex(2), Epoch(1), lost_run(1));
     let snapshot = postcard::to_stdvec(&state).expect("bytes");
     assert_eq!(postcard::from_bytes(&snapshot), Ok(state));
@@ -266,9 +271,11 @@
         link: ([127, 0, 0, 1], 9).into(),
         suspects: 5,
         reads_versions: true,
+        versions: 6,
     };
     let earlier = FollowerState {
         reads_versions: false,
+        versions: 0,
         ..state.clone()
     };
     let bytes = earlier_follower_state(&state);
@@ -296,6 +303,7 @@
     let number = |op: &StoreOp| postcard::to_stdvec(op).expect("bytes")[0];
     assert_eq!(number(&StoreOp::FenceEpoch), 3);
     assert_eq!(number(&StoreOp::FindStream(AttemptTag(1))), 7);
+    assert_eq!(number(&StoreOp::FindContent(ContentDigest::ZERO)), 8);
     let number = |reply: &StoreReply| postcard::to_stdvec(reply).expect("bytes")[0];
     assert_eq!(number(&StoreReply::Refused), 6);
     assert_eq!(number(&StoreReply::Stream(None)), 7);
@@ -333,6 +341,29 @@
     assert!(origins.is_empty());
 }
 
+#[test]
+fn a_content_has_an_origin_for_each_version_and_its_record_is_read_by_earlier_stores() {
+    let mut origins = StreamOrigins::default();
+    let (content, keep) = (ContentDigest::ZERO, Duration::from_secs(12));
+    let newer = StreamOrigin {
+        version: SoftwareVersion::of("v2"),
+        ..origin(2)
+    };
+    assert_eq!(origins.of_content(Time::ZERO, content), []);
+    for origin in [origin(1), newer, origin(3)] {
+        origins.insert_content(Time::ZERO, content, origin, keep);
+    }
+    assert_eq!(origins.of_content(Time::ZERO, content), [newer, origin(3)]);
+    assert_eq!(origins.of_content(Time::ZERO + keep, content), []);
+    let op = StoreOp::RecordStream(AttemptTag(1), newer, 12, Some(content));
+    let earlier = StoreOp::RecordStream(AttemptTag(1), newer, 12, None);
+    let bytes = postcard::to_stdvec(&earlier).expect("bytes");
+    let without_content = &bytes[..bytes.len() - 1];
+    assert_eq!(postcard::from_bytes(without_content), Ok(earlier));
+    let bytes = postcard::to_stdvec(&op).expect("bytes");
+    assert!(bytes.starts_with(without_content));
+}
+
 #[test]
 fn the_number_of_origins_is_bounded_and_the_oldest_are_dropped() {
     let mut origins = StreamOrigins::default();
--- a/crates/sapphirequayd/tests/resumed_streams.rs
+++ b/crates/sapphirequayd/tests/resumed_streams.rs
@@ -10,6 +10,7 @@
 
 use {
     gateway::{Gateway, Response, Role, send},
+    indexmap::IndexSet,
     std::{
         io::{Read as _, Write as _},
         net::{SocketAddr, TcpStream},
@@ -39,6 +40,17 @@
     gateway: Gateway,
     upstreams: Vec<VersionedUpstream>,
     shared: Arc<SharedState>,
+    /// Version of the upstreams whose heartbeats are late.
+    silent: &'static str,
+}
+
+/// How a caller identifies the stream that it takes up again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Identified {
+    /// By the attempt that began it.
+    ByAttempt,
+    /// By nothing but the request itself.
+    ByContent,
 }
 
 /// A stream that broke off after its first event.
@@ -75,10 +87,23 @@
     /// Starts a gateway of three stores, with two upstreams of version 1 and four
     /// of version 2.
     fn start() -> Self {
+        Self::start_with(&[
+            ("old-1", "v1"),
+            ("old-2", "v1"),
+            ("new-1", "v2"),
+            ("new-2", "v2"),
+            ("new-3", "v2"),
+            ("new-4", "v2"),
+        ])
+    }
+
+    /// Starts a gateway of three stores, with upstreams of the given names and versions.
+    fn start_with(upstreams: &[(&str, &str)]) -> Self {
         let mut site = Self {
             gateway: Gateway::start(3),
             upstreams: Vec::new(),
             shared: Arc::default(),
+            silent: "",
         };
         let head = "POST /sapphirequay/config/put HTTP/1.1\nHost: c";
         wait_until("the table is accepted", || {
@@ -86,28 +111,40 @@
         });
         // Starts in the past, as those of upstreams that have served for long.
         let born = unix_millis() - 60_000;
-        for (name, version) in [
-            ("old-1", "v1"),
-            ("old-2", "v1"),
-            ("new-1", "v2"),
-            ("new-2", "v2"),
-            ("new-3", "v2"),
-            ("new-4", "v2"),
-        ] {
+        for (name, version) in upstreams {
             let upstream = VersionedUpstream::start(name, version, born, &site.shared);
             site.upstreams.push(upstream);
         }
         site.announce();
+        let versions: IndexSet<&str> = upstreams.iter().map(|(_, version)| *version).collect();
+        let versions: Vec<&str> = versions.into_iter().collect();
         for front in [0, 1] {
-            site.wait_for_versions(front, &["v1", "v2"]);
+            site.wait_for_versions(front, &versions);
         }
         site
     }
 
-    /// Sends a heartbeat of each upstream that runs.
+    /// Restarts all fronts and control hosts, and the stores if they are to lose what they
+    /// hold in memory, at the same moment.
+    fn restart_all(&mut self, with_stores: bool) {
+        let mut roles = vec![Role::Front(0), Role::Front(1)];
+        roles.extend((0..3).map(Role::Control));
+        if with_stores {
+            roles.extend((0..3).map(Role::Store));
+        }
+        for role in &roles {
+            self.gateway.kill(*role);
+        }
+        for role in roles {
+            self.gateway.run(role, false);
+        }
+    }
+
+    /// Sends a heartbeat of each upstream that runs and is not silent.
     fn announce(&self) {
         static SEQUENCE: AtomicU64 = AtomicU64::new(1);
-        for upstream in self.upstreams.iter().filter(|it| !it.has_ended()) {
+        let announced = |it: &&VersionedUpstream| !it.has_ended() && self.silent != it.version;
+        for upstream in self.upstreams.iter().filter(announced) {
             let sequence = SEQUENCE.fetch_add(1, Ordering::Relaxed);
             let head = format!(
                 "POST /sapphirequay/instances/{}/heartbeat HTTP/1.1\nHost: c",
@@ -172,9 +209,17 @@
     }
 
     /// Takes up a stream again. Returns the id of the attempt and the response.
-    fn resume(&self, front: usize, stream: &Broken) -> (String, Option<Response>) {
+    fn resume(
+        &self,
+        front: usize,
+        stream: &Broken,
+        identified: Identified,
+    ) -> (String, Option<Response>) {
         let id = next_id("again");
-        let more = format!("\nResumes: {}\nLast-Event-Id: 1", stream.id);
+        let more = match identified {
+            Identified::ByAttempt => format!("\nResumes: {}\nLast-Event-Id: 1", stream.id),
+            Identified::ByContent => "\nLast-Event-Id: 1".to_owned(),
+        };
         let got = self.call(front, &id, &stream.program, &more);
         (id, got)
     }
@@ -182,10 +227,14 @@
     /// Takes up streams again, and checks that none goes on at another version and
     /// that a refused one has not run. Returns how many went on.
     fn resume_all(&self, front: usize, streams: &[Broken]) -> usize {
+        self.resume_by(Identified::ByAttempt, front, streams)
+    }
+
+    fn resume_by(&self, identified: Identified, front: usize, streams: &[Broken]) -> usize {
         let mut went_on = 0;
         for stream in streams {
             self.announce();
-            let (id, got) = self.resume(front, stream);
+            let (id, got) = self.resume(front, stream, identified);
             let got = got.expect("response");
             if got.status == 200 {
                 assert_eq!(version_of(&got), stream.version, "{stream:?}");
@@ -353,11 +402,17 @@
 }
 
 #[test]
-fn a_stream_whose_first_attempt_is_not_named_is_refused_beside_a_second_version() {
+fn a_stream_of_an_unknown_content_is_refused_beside_a_second_version() {
     let site = Site::start();
     for stream in site.begin_streams(0, 4) {
+        // The content of a request includes its path.
         let id = next_id("again");
-        let got = site.call(1, &id, &stream.program, "\nLast-Event-Id: 1");
+        let head = format!(
+            "POST /plan/other HTTP/1.1\nHost: a.example\nX-Sapphirequay-Request-Id: {id}\nX-Sapphirequay-Program-Id: {}\n\
+             X-Sapphirequay-Deadline-Ms: 4000\nLast-Event-Id: 1",
+            stream.program
+        );
+        let got = send(site.gateway.fronts[1], &head, &stream.program);
         assert_eq!(got.expect("response").status, 503);
         assert!(!site.shared.has_run(&id), "{id} was refused and has run");
     }
@@ -415,3 +470,70 @@
     site.shared.full.store(false, Ordering::SeqCst);
     site.resume_everything(1, &streams);
 }
+
+#[test]
+fn a_stream_is_identified_by_its_content_if_its_attempt_is_not_named() {
+    let site = Site::start();
+    let streams = site.begin_streams(0, STREAMS);
+    assert_both_versions(&streams);
+    // The stores know all of them by now.
+    site.resume_everything(1, &streams);
+    assert_eq!(site.resume_by(Identified::ByContent, 1, &streams), STREAMS);
+    assert_eq!(site.resume_by(Identified::ByContent, 0, &streams), STREAMS);
+}
+
+#[test]
+fn no_stream_goes_on_at_another_version_after_all_fronts_and_control_hosts_restart() {
+    for leaves in [true, false] {
+        let mut site = Site::start();
+        let streams = site.begin_streams(0, STREAMS);
+        assert_both_versions(&streams);
+        site.resume_everything(1, &streams);
+        let (of_old, of_new) = by_version(streams);
+        for upstream in site.upstreams.iter().filter(|it| it.version == "v1") {
+            if leaves {
+                upstream.end();
+            }
+        }
+        // The heartbeats of version 1 come late, or never.
+        site.silent = "v1";
+        site.restart_all(false);
+        site.wait_for_versions(0, &["v2"]);
+        for identified in [Identified::ByContent, Identified::ByAttempt] {
+            assert_eq!(site.resume_by(identified, 0, &of_old), 0);
+            let went_on = site.resume_by(identified, 0, &of_new);
+            assert!(went_on * 2 >= of_new.len(), "{went_on} of {}", of_new.len());
+        }
+        if !leaves {
+            site.silent = "";
+            site.wait_for_versions(0, &["v1"]);
+            let went_on = site.resume_by(Identified::ByContent, 0, &of_old);
+            assert!(went_on * 2 >= of_old.len(), "{went_on} of {}", of_old.len());
+        }
+    }
+}
+
+#[test]
+fn no_stream_goes_on_at_another_version_after_the_stores_lost_its_origin() {
+    let mut site = Site::start();
+    let streams = site.begin_streams(0, STREAMS);
+    assert_both_versions(&streams);
+    for upstream in site.upstreams.iter().filter(|it| it.version == "v1") {
+        upstream.end();
+    }
+    site.restart_all(true);
+    site.wait_for_versions(0, &["v2"]);
+    for identified in [Identified::ByContent, Identified::ByAttempt] {
+        assert_eq!(site.resume_by(identified, 0, &streams), 0);
+    }
+}
+
+#[test]
+fn streams_of_the_only_version_go_on_after_everything_restarts() {
+    let mut site = Site::start_with(&[("new-1", "v2"), ("new-2", "v2")]);
+    let streams = site.begin_streams(0, STREAMS);
+    site.restart_all(true);
+    site.wait_for_versions(1, &["v2"]);
+    let went_on = site.resume_by(Identified::ByContent, 1, &streams);
+    assert!(went_on * 2 >= STREAMS, "{went_on} of {STREAMS}");
+}
--- a/crates/sapphirequayd/tests/versions_at_a_front.rs
+++ b/crates/sapphirequayd/tests/versions_at_a_front.rs
@@ -5,7 +5,7 @@
 
 use {
     front_view::{POOL, SERVICE, announcement, directory, select, turn},
-    quay_policy::LimitAllocator,
+    quay_policy::{LimitAllocator, RecordedOrigin, ResumeRefusal},
     quay_types::{
         Announcement, Incarnation, RequestRate, ServiceId, SoftwareVersion, Time, UpstreamId,
         UpstreamKind,
@@ -110,9 +110,10 @@
     let origin = front
         .stream_origin(NOW, &POOL, &began, sent)
         .expect("origin");
+    let recorded = RecordedOrigin::Found(origin);
     assert_eq!(
-        front.resumable_at(&POOL, &origin),
-        Some(SoftwareVersion::of("v1"))
+        front.resume_facts(&POOL, true, recorded).decide(),
+        Ok(SoftwareVersion::of("v1"))
     );
     front.record_ended(NOW, began.run());
     assert_eq!(front.stream_origin(NOW, &POOL, &began, sent), None);
@@ -121,7 +122,10 @@
     // stream was sent.
     let changes = directory(&[at_version("old", 1_999_999_999_000, "v2")], &mut front, 2);
     front.apply_changes(NOW, changes);
-    assert_eq!(front.resumable_at(&POOL, &origin), None);
+    assert_eq!(
+        front.resume_facts(&POOL, true, recorded).decide(),
+        Err(ResumeRefusal::Uncertain)
+    );
 }
 
 // ---------------------------------------------------------------------------
