Begin programs where their prompt lies; simulate gateways; switches

Every upstream meets every beginning, and a program began anywhere, so that a front that did not see its first turns sent the next ones to a home where nothing was kept. Reading delays all running requests of an upstream.

Change: a program begins at its home, which all fronts compute alike. Where the beginnings in use would take more than two fifths of an upstream's memory, each has its homes at a half or a quarter of the upstreams, unless a quarter of the calls use it. The size of the memory is the one that the routing table names.

Mechanisms of a front are settings of [front.decisions] now, checked and documented, so that each can be switched off. 'sapphirequay experiment gateway' simulates callers, fronts with the code of the daemon, and upstreams, under bursts, outages and frozen fronts.

--- a/crates/quay_experiment/src/capacity/policy.rs
+++ b/crates/quay_experiment/src/capacity/policy.rs
@@ -58,6 +58,7 @@
             turn += 1;
             let blocks: Vec<u64> = (0..BLOCKS).map(|depth| (turn % 64) << 32 | depth).collect();
             let req = RouteRequest {
+                beginning: None,
                 target: CallTarget::Model(ModelId(0)),
                 program: ProgramId::root(turn % 64),
                 has_history: true,
--- a/crates/quay_experiment/src/lib.rs
+++ b/crates/quay_experiment/src/lib.rs
@@ -1,5 +1,5 @@
 //! Experiments with the decision logic: comparison of policies with baselines,
-//! fault injection that checks the system's promises, and measurements for
+//! a simulated gateway under bursts and outages, fault injection that checks the system's promises, and measurements for
 //! capacity planning.
 //!
 //! All random choices derive from a seed, so the same seed prints the same bytes;
@@ -15,4 +15,5 @@
 
 pub mod capacity;
 pub mod faults;
+pub mod gateway;
 pub mod policy;
--- a/crates/quay_experiment/src/policy/calls.rs
+++ b/crates/quay_experiment/src/policy/calls.rs
@@ -225,6 +225,7 @@
         let spec = &self.specs[self.calls[call].program];
         let open = &mut self.calls[call];
         let req = RouteRequest {
+            beginning: None,
             target: CallTarget::Model(MODEL),
             program: spec.id,
             has_history: true,
--- a/crates/quay_policy/benches/decisions.rs
+++ b/crates/quay_policy/benches/decisions.rs
@@ -74,6 +74,7 @@
                 let program = turn % 64;
                 let blocks = &prompts[usize::try_from(program).unwrap_or_default()];
                 let req = RouteRequest {
+                    beginning: None,
                     target: CallTarget::Model(ModelId(0)),
                     program: ProgramId::root(program),
                     has_history: true,
--- a/crates/quay_policy/src/admit/new_programs.rs
+++ b/crates/quay_policy/src/admit/new_programs.rs
@@ -57,6 +57,15 @@
 }
 
 impl NewProgramGate {
+    /// Creates a gate that has seen no calls.
+    #[must_use]
+    pub fn new(cfg: NewProgramSettings) -> Self {
+        Self {
+            cfg,
+            ..Self::default()
+        }
+    }
+
     /// Records how long a call waited for the first part of its response.
     ///
     /// A wait counts as at most `objective`, the latency objective of the call,
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -51,7 +51,7 @@
     program_blocks::ProgramBlocks,
     retain::{Retention, RetentionAction, RetentionSettings},
     route::{
-        ExpectedTime, FeedState, LeastLoad, LongestPrefix, PrefixIndex, RouteChoice, RouteRequest,
-        RouteSettings, Router, Score, Slot, UpstreamView,
+        ExpectedTime, FeedState, LeastLoad, LongestPrefix, PrefixIndex, PromptBeginning,
+        RouteChoice, RouteRequest, RouteSettings, Router, Score, Slot, UpstreamView,
     },
 };
--- a/crates/quay_policy/src/route/conversations.rs
+++ b/crates/quay_policy/src/route/conversations.rs
@@ -31,17 +31,20 @@
 }
 
 impl Conversations {
-    /// Creates an empty map of at most `max` conversations.
+    /// Creates an empty map of at most `max` conversations; 0 records none.
     pub(super) fn new(max: usize) -> Self {
         Self {
             calls: IndexMap::new(),
-            max: max.max(1),
+            max,
             hand: 0,
         }
     }
 
     /// Records the upstream that runs a call of a conversation.
     pub(super) fn put(&mut self, conversation: u64, call: LastCall) {
+        if self.max == 0 {
+            return;
+        }
         if self.calls.len() >= self.max && !self.calls.contains_key(&conversation) {
             self.hand = (self.hand + 1) % self.max;
             self.calls.swap_remove_index(self.hand);
--- a/crates/quay_policy/src/route/mod.rs
+++ b/crates/quay_policy/src/route/mod.rs
@@ -1,5 +1,6 @@
 //! Selects an upstream for a call.
 
+mod beginnings;
 mod conversations;
 mod load;
 mod prefix_index;
@@ -12,6 +13,7 @@
 const PER_MILLE: u64 = 1_000;
 
 pub use {
+    beginnings::PromptBeginning,
     prefix_index::{FeedState, PrefixIndex, Slot},
     router::{RouteChoice, RouteRequest, Router},
     score::{ExpectedTime, LeastLoad, LongestPrefix, Score, UpstreamView},
--- a/crates/quay_policy/src/route/rating.rs
+++ b/crates/quay_policy/src/route/rating.rs
@@ -81,7 +81,7 @@
     /// Factor on the cost of a call, in thousandths, where calls to peers take
     /// `typical`.
     pub(super) fn factor(&self, cfg: &RouteSettings, now: Time, typical: Option<Duration>) -> u64 {
-        if now.since(self.last_activity) >= cfg.probe_interval {
+        if !cfg.rate_peers || now.since(self.last_activity) >= cfg.probe_interval {
             return PER_MILLE;
         }
         let ratio = match (self.mean(), typical) {
--- a/crates/quay_policy/src/route/router.rs
+++ b/crates/quay_policy/src/route/router.rs
@@ -3,12 +3,13 @@
 use {
     super::{
         PER_MILLE,
+        beginnings::Beginnings,
         conversations::{Conversations, LastCall},
         load::LoadEstimate,
         prefix_index::MAX_SLOTS,
         rating::{PeerRating, typical},
     },
-    crate::{PrefixIndex, RouteSettings, Score, Slot, UpstreamView},
+    crate::{PrefixIndex, PromptBeginning, RouteSettings, Score, Slot, UpstreamView},
     indexmap::IndexMap,
     quay_types::{
         Announcement, CallTarget, Incarnation, ProgramId, Time, Tokens, UpstreamId, UpstreamKind,
@@ -37,6 +38,9 @@
     pub prompt: Tokens,
     /// Chained hashes of the prompt's blocks.
     pub blocks: &'a [u64],
+    /// Beginning of the prompt that other prompts share, if there is one and the size
+    /// of the upstreams' memory is known.
+    pub beginning: Option<PromptBeginning>,
     /// Upstreams that have already refused or lost the call.
     pub tried: &'a [UpstreamId],
 }
@@ -77,6 +81,7 @@
     used_slots: u16,
     index: PrefixIndex,
     conversations: Conversations,
+    beginnings: Beginnings,
     /// Blocks held by each slot for the current call.
     depths: Vec<u32>,
     /// Upstreams eligible for the current call, by position.
@@ -99,6 +104,7 @@
             used_slots: 0,
             index: PrefixIndex::new(cfg.max_index_blocks),
             conversations: Conversations::new(cfg.max_conversations),
+            beginnings: Beginnings::default(),
             depths: Vec::new(),
             eligible: Vec::new(),
             costs: Vec::new(),
@@ -251,7 +257,7 @@
     /// the same one.
     pub fn pick(&mut self, now: Time, req: &RouteRequest<'_>, draw: u64) -> Option<RouteChoice> {
         let slots = usize::from(self.used_slots);
-        if S::USES_PREFIX_INDEX && self.cfg.prefix_weight > 0 {
+        if S::USES_PREFIX_INDEX && self.cfg.prefix_weight > 0 && self.cfg.max_index_blocks > 0 {
             self.index.lookup(req.blocks, &mut self.depths, slots);
         } else {
             self.depths.clear();
@@ -353,7 +359,8 @@
     /// All entries compute the same home by rendezvous hashing, because entries
     /// share no state and any of them may receive a program's calls.
     fn home(&self, req: &RouteRequest<'_>) -> Option<UpstreamId> {
-        if !S::USES_PREFIX_INDEX || self.cfg.home_weight == 0 || !req.has_history {
+        let applies = req.has_history || self.cfg.begin_at_home;
+        if !S::USES_PREFIX_INDEX || self.cfg.home_weight == 0 || !applies {
             return None;
         }
         let program = mix(req.program.root);
@@ -361,7 +368,15 @@
             .eligible
             .iter()
             .filter_map(|at| self.upstreams.get_index(*at));
-        ids.map(|(id, _)| *id).max_by_key(|id| mix(id.0 ^ program))
+        let mut ids: Vec<UpstreamId> = ids.map(|(id, _)| *id).collect();
+        if let Some(beginning) = &req.beginning {
+            let count = self.beginnings.homes(beginning, ids.len());
+            if (1..ids.len()).contains(&count) {
+                ids.select_nth_unstable_by_key(count - 1, |id| mix(id.0 ^ beginning.id));
+                ids.truncate(count);
+            }
+        }
+        ids.into_iter().max_by_key(|id| mix(id.0 ^ program))
     }
 
     /// Records the call as sent to the upstream at position `at`.
@@ -377,6 +392,12 @@
             addr: upstream.announcement.addr,
             cached_blocks: held,
         };
+        if let Some(beginning) = &req.beginning
+            && self.cfg.beginnings_share > 0
+        {
+            let share = self.cfg.beginnings_share;
+            self.beginnings.record(beginning, share);
+        }
         if S::USES_PREFIX_INDEX {
             self.index.record_sent(upstream.slot, req.blocks);
             if let Some(conversation) = req.conversations.first() {
--- a/crates/quay_policy/src/route/settings.rs
+++ b/crates/quay_policy/src/route/settings.rs
@@ -27,6 +27,14 @@
     /// Weight of a program's home upstream when the prefix index has no entry
     /// for the program's blocks, in thousandths of a known prefix.
     pub home_weight: u64,
+    /// Part of an upstream's memory that shared beginnings of prompts may take, in
+    /// thousandths; 0 disables the limit. Where all of them take more, each has its homes
+    /// at a part of the upstreams only, whose memory holds it for longer.
+    pub beginnings_share: u64,
+    /// Whether a program's first call prefers its home as well.
+    pub begin_at_home: bool,
+    /// Whether upstreams are rated against their peers.
+    pub rate_peers: bool,
     /// Additional cost of an upstream in another data centre.
     pub remote_cost: Duration,
     /// Age above which a load report counts as stale.
@@ -40,9 +48,10 @@
     pub kv_full_permille: u16,
     /// Additional cost of an upstream whose KV memory is full.
     pub kv_full_cost: Duration,
-    /// Maximum number of blocks in the prefix index.
+    /// Maximum number of blocks in the prefix index; 0 disables it.
     pub max_index_blocks: usize,
-    /// Maximum number of conversations whose latest upstream is recorded.
+    /// Maximum number of conversations whose latest upstream is recorded; 0 disables
+    /// their preference.
     pub max_conversations: usize,
     /// Call duration, in thousandths of the peers' duration, from which an
     /// upstream counts as slow: more than a fully loaded engine takes compared
@@ -71,6 +80,9 @@
             correct_load: true,
             spread: Duration::from_millis(20),
             home_weight: 1_000,
+            beginnings_share: 0,
+            begin_at_home: false,
+            rate_peers: true,
             remote_cost: Duration::from_millis(3),
             stale_after: Duration::from_secs(3),
             silent_after: Duration::from_secs(6),
--- a/crates/quay_policy/tests/routing.rs
+++ b/crates/quay_policy/tests/routing.rs
@@ -3,7 +3,8 @@
 use {
     proptest::prelude::*,
     quay_policy::{
-        ExpectedTime, FeedState, PrefixIndex, RouteRequest, RouteSettings, Router, Slot,
+        ExpectedTime, FeedState, PrefixIndex, PromptBeginning, RouteRequest, RouteSettings, Router,
+        Slot,
     },
     quay_types::{
         Announcement, CallTarget, Incarnation, Load, ModelId, ProgramId, Time, Tokens, UpstreamId,
@@ -43,6 +44,7 @@
 
 fn request(root: u64, blocks: &[u64]) -> RouteRequest<'_> {
     RouteRequest {
+        beginning: None,
         target: CallTarget::Model(MODEL),
         program: ProgramId::root(root),
         has_history: false,
@@ -142,6 +144,90 @@
     );
 }
 
+/// Routers of two fronts that both have sent a call of each beginning.
+fn fronts_with_beginnings(
+    cfg: RouteSettings,
+    beginnings: &[PromptBeginning],
+) -> [Router<ExpectedTime>; 2] {
+    [0, 1].map(|front| {
+        let mut router = Router::new(cfg, "a");
+        for number in 0..16 {
+            router.apply_announcement(Time::ZERO, &announcement(number, 1, Load::default()));
+        }
+        for (call, beginning) in (0..2_048).zip(beginnings.iter().cycle()) {
+            let sent = pick_home(&mut router, call * 2 + front, *beginning);
+            router.record_end(Time::ZERO, sent);
+        }
+        router
+    })
+}
+
+/// Upstream at which the first call of a program goes.
+fn pick_home(
+    router: &mut Router<ExpectedTime>,
+    program: u64,
+    beginning: PromptBeginning,
+) -> UpstreamId {
+    let own = (0..20).map(|block| (1 << 40) + program * 32 + block);
+    let blocks = (0..200)
+        .map(|block| (beginning.id << 32) + block)
+        .chain(own);
+    let blocks: Vec<u64> = blocks.collect();
+    let req = RouteRequest {
+        beginning: Some(beginning),
+        ..request(program, &blocks)
+    };
+    router
+        .pick(Time::ZERO, &req, program)
+        .expect("upstream")
+        .upstream
+}
+
+/// Upstreams at which new programs of a beginning begin, the same at both fronts.
+fn homes(fronts: &mut [Router<ExpectedTime>; 2], beginning: PromptBeginning) -> usize {
+    let mut used = indexmap::IndexSet::new();
+    for program in 1_000_000..1_000_100 {
+        let [one, other] = fronts.each_mut().map(|front| {
+            let home = pick_home(front, program, beginning);
+            front.record_end(Time::ZERO, home);
+            home
+        });
+        assert_eq!(one, other, "program {program}");
+        used.insert(one);
+    }
+    used.len()
+}
+
+#[test]
+fn fronts_begin_a_program_at_the_same_upstream_and_keep_beginnings_apart() {
+    let cfg = RouteSettings {
+        begin_at_home: true,
+        beginnings_share: 400,
+        correct_load: false,
+        ..RouteSettings::default()
+    };
+    let beginnings = |count: u64, memory: u64| -> Vec<PromptBeginning> {
+        let beginning = |id| PromptBeginning {
+            id,
+            tokens: Tokens(12_800),
+            memory: Tokens(memory),
+        };
+        (1..=count).map(beginning).collect()
+    };
+    // All of them fit into two fifths of the memory of one upstream, or half do, or a
+    // quarter does; or there are too few to keep them apart.
+    for (count, memory, expected) in [
+        (16, 600_000, 16),
+        (16, 300_000, 8),
+        (64, 600_000, 4),
+        (2, 20_000, 16),
+    ] {
+        let all = beginnings(count, memory);
+        let mut fronts = fronts_with_beginnings(cfg, &all);
+        assert_eq!(homes(&mut fronts, all[0]), expected, "{count} in {memory}");
+    }
+}
+
 #[test]
 fn a_silent_upstream_is_used_only_as_a_last_resort() {
     let mut router = router(2);
--- a/crates/quay_routes/src/table.rs
+++ b/crates/quay_routes/src/table.rs
@@ -112,6 +112,8 @@
     /// Number of tokens that one event of a stream represents; 0 for a service
     /// that does not stream tokens.
     pub event_tokens: u32,
+    /// Size of an upstream's memory for prompts, in tokens; 0 if unknown.
+    pub memory_tokens: u64,
 }
 
 /// Limits on callers' requests and connections.
--- a/crates/sapphirequay/src/experiment/mod.rs
+++ b/crates/sapphirequay/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod commits;
 mod faults;
+mod gateway;
 mod policy;
 mod spread;
 
@@ -26,6 +27,8 @@
     Commits(commits::CommitsArgs),
     #[options(help = "check the promises under seeded fault injection")]
     Faults(faults::FaultsArgs),
+    #[options(help = "simulate a gateway under bursts and outages")]
+    Gateway(gateway::GatewayArgs),
     #[options(help = "compare scheduling policies on a simulated engine")]
     Policy(policy::PolicyArgs),
     #[options(help = "simulate how configuration and directory spread to the daemons")]
@@ -38,6 +41,7 @@
         Some(ExperimentCommand::Capacity(args)) => capacity::run(&args),
         Some(ExperimentCommand::Commits(args)) => commits::run(&args),
         Some(ExperimentCommand::Faults(args)) => faults::run(&args),
+        Some(ExperimentCommand::Gateway(args)) => gateway::run(&args),
         Some(ExperimentCommand::Policy(args)) => policy::run(&args),
         Some(ExperimentCommand::Spread(args)) => spread::run(&args),
         None => Err("missing subcommand: name of an experiment; see --help".into()),
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -79,6 +79,8 @@
     most_urgent: bool,
     /// Number of tokens that an event of the service counts as.
     event_tokens: u64,
+    /// Size of the memory for prompts of an upstream of the service; 0 if unknown.
+    memory_tokens: u64,
     /// Hash of the request id, used as the random number for routing and
     /// jitter.
     draw: u64,
@@ -169,6 +171,7 @@
     let service = route.target(ids.program().0).ok_or(Refusal::NoUpstream)?;
     let known = table.service(service);
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
+    let memory_tokens = known.map_or(0, |service| service.memory_tokens);
     let limit = table.limits.body_bytes as usize;
     if let Some(account) = caller.account() {
         front.check_quota(account, AttemptTag::of(&head.id).0)?;
@@ -201,6 +204,7 @@
         version,
         most_urgent: table.is_most_urgent(caller.priority(route), service),
         event_tokens,
+        memory_tokens,
         draw: AttemptTag::of(&head.id).0,
         holder,
         may_have_run: Cell::default(),
@@ -349,6 +353,7 @@
             service: self.service,
             sticky: self.route.sticky,
             version: self.version,
+            memory_tokens: self.memory_tokens,
         }
     }
 
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -157,7 +157,7 @@
             clock,
             control,
             stores,
-            upstreams: RefCell::new(Upstreams::new(data_centre)),
+            upstreams: RefCell::new(Upstreams::with_decisions(data_centre, settings.decisions)),
             suspects: RefCell::default(),
             report: Notify::new(),
             permits: PermitSignals::default(),
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -1,11 +1,12 @@
 //! Selection of the upstream for a request.
 
 use {
+    crate::settings::DecisionTable,
     indexmap::IndexMap,
     quay_members::{ChangesRequest, DirectoryView},
     quay_policy::{
         Candidate, CheckResult, CrashDetector, Eligibility, ExpectedTime, LimitHolder, NewProgram,
-        NewProgramGate, RecordedOrigin, Requirements, ResumeFacts, RouteRequest, RouteSettings,
+        NewProgramGate, PromptBeginning, RecordedOrigin, Requirements, ResumeFacts, RouteRequest,
         Router, ServiceVersions, StreamOrigin, UpstreamFilter, UpstreamRun,
     },
     quay_routes::{CallHead, PromptPart, UpstreamLoad, block_hashes, branch_ids, token_count},
@@ -16,10 +17,6 @@
     std::{net::SocketAddr, slice, time::Duration},
 };
 
-/// Age after which a load report is discarded and the upstream is assumed to
-/// have as many requests as the others.
-const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
-
 /// Advantage of the upstream that had an object lately, in tokens that it need
 /// not prefill: some milliseconds, so that a busy upstream is left for another.
 const OBJECT_TOKENS: u64 = 2_048;
@@ -48,6 +45,8 @@
     pub sticky: bool,
     /// Version that the upstreams must have; `None` if any will do.
     pub version: Option<SoftwareVersion>,
+    /// Size of an upstream's memory for prompts, in tokens; 0 if unknown.
+    pub memory_tokens: u64,
 }
 
 impl<'a> Pool<'a> {
@@ -58,6 +57,7 @@
             service,
             sticky: false,
             version: None,
+            memory_tokens: 0,
         }
     }
 
@@ -67,6 +67,16 @@
         self.version.is_some()
     }
 
+    /// The shared beginning of a prompt: its first part, if others follow.
+    fn beginning_of(&self, prompt: &[PromptPart]) -> Option<PromptBeginning> {
+        let first = prompt.first().filter(|_| prompt.len() > 1)?;
+        (self.memory_tokens > 0).then_some(PromptBeginning {
+            id: first.id,
+            tokens: Tokens(first.tokens),
+            memory: Tokens(self.memory_tokens),
+        })
+    }
+
     /// Requirements of a request that was not sent to any upstream yet.
     fn requirements(&self) -> Requirements<'static> {
         Requirements {
@@ -130,37 +140,28 @@
     crashes: CrashDetector,
     /// Services whose calls have waited for upstreams.
     gates: IndexMap<ServiceId, NewProgramGate>,
+    cfg: DecisionTable,
 }
 
 impl Upstreams {
     /// Creates an empty set. `data_centre` is the front's own.
     #[must_use]
     pub fn new(data_centre: &str) -> Self {
-        let cfg = RouteSettings {
-            // Speeds of the engines in the deployments' tables: 368 tokens are
-            // prefilled per ms, a step takes 0.76 ms plus 0.03 ms per running
-            // request, a response has about 260 tokens.
-            prefill_us: 3,
-            // A prefill delays each running request by the prefill's duration.
-            prefix_per_running: 1_000,
-            per_running_us: 30,
-            answer_tokens: 260,
-            token_gap_us: 760,
-            spread: Duration::from_millis(1),
-            // Expiry is left to the directory, which has its own leases.
-            silent_after: Duration::from_hours(1),
-            stale_after: Duration::from_hours(1),
-            stale_cost: Duration::ZERO,
-            ..RouteSettings::default()
-        };
+        Self::with_decisions(data_centre, DecisionTable::default())
+    }
+
+    /// Creates an empty set whose selection uses some of the mechanisms only.
+    #[must_use]
+    pub fn with_decisions(data_centre: &str, cfg: DecisionTable) -> Self {
         Self {
-            router: Router::new(cfg, data_centre),
+            router: Router::new(cfg.routes(), data_centre),
             view: DirectoryView::default(),
             known: IndexMap::new(),
             filter: UpstreamFilter::default(),
             versions: ServiceVersions::default(),
             crashes: CrashDetector::default(),
             gates: IndexMap::new(),
+            cfg,
         }
     }
 
@@ -275,7 +276,7 @@
         self.router.record_failure(now, id);
     }
 
-    /// Discards load reports older than `MAX_REPORT_AGE`, and runs whose loss can
+    /// Discards load reports that have expired, and runs whose loss can
     /// no longer be attributed to a crash.
     pub fn tick(&mut self, now: Time) {
         self.crashes.tick(now);
@@ -286,7 +287,7 @@
             .filter(|(_, known)| {
                 known
                     .reported
-                    .is_some_and(|at| now.since(at) > MAX_REPORT_AGE)
+                    .is_some_and(|at| now.since(at) > self.cfg.report_expiry())
             })
             .map(|(id, _)| *id)
             .collect();
@@ -486,7 +487,9 @@
 
     /// Records how long a request waited for the head of its response.
     pub fn record_wait(&mut self, now: Time, service: &str, wait: Duration, objective: Duration) {
-        let gate = self.gates.entry(ServiceId::of(service)).or_default();
+        let cfg = self.cfg.new_programs();
+        let gate = self.gates.entry(ServiceId::of(service));
+        let gate = gate.or_insert_with(|| NewProgramGate::new(cfg));
         gate.record_wait(now, wait, objective);
     }
 
@@ -498,6 +501,9 @@
         service: &str,
         program: &NewProgram,
     ) -> Option<Duration> {
+        if !self.cfg.new_program_gate {
+            return None;
+        }
         let gate = self.gates.get(&ServiceId::of(service))?;
         gate.refuses(now, program).then(|| gate.expected_wait(now))
     }
@@ -577,6 +583,7 @@
             has_history: continues || branches.len() > 1 || object.is_some(),
             conversations: &branches,
             prompt: Tokens(token_count(prompt)),
+            beginning: pool.beginning_of(&head.prompt),
             blocks: &blocks,
             tried: &excluded,
         };
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -42,9 +42,10 @@
         UpstreamEvent, Usage,
     },
     settings::{
-        ControlSettings, DEFAULT_SETTINGS, EntrySettings, FrontSettings, GatewaySettings, KvTable,
-        LedgerSettings, LinkTableSettings, LogLevel, LogSettings, PeerSettings, PolicyTable,
-        Problem, ProcessSettings, Settings, SettingsError, SidecarSettings, StoreSettings,
+        ControlSettings, DEFAULT_SETTINGS, DecisionTable, EntrySettings, FrontSettings,
+        GatewaySettings, KvTable, LedgerSettings, LinkTableSettings, LogLevel, LogSettings,
+        PeerSettings, PolicyTable, Problem, ProcessSettings, Settings, SettingsError,
+        SidecarSettings, StoreSettings,
     },
     wire::LinkRequest,
 };
--- a/crates/sapphirequayd/src/process/router.rs
+++ b/crates/sapphirequayd/src/process/router.rs
@@ -141,6 +141,7 @@
             }
         }
         let route = RouteRequest {
+            beginning: None,
             target: req.target,
             program: req.program,
             has_history: req.has_history,
--- a/crates/sapphirequayd/src/settings/gateway.rs
+++ b/crates/sapphirequayd/src/settings/gateway.rs
@@ -1,7 +1,7 @@
 //! Settings of a gateway's roles: fronts, control hosts and store hosts.
 
 use {
-    crate::settings::Problem,
+    crate::settings::{DecisionTable, Problem},
     quay_policy::FleetQuotaSettings,
     serde::Deserialize,
     std::{net::SocketAddr, path::PathBuf, time::Duration},
@@ -82,6 +82,9 @@
     /// revoked, in milliseconds.
     #[serde(default = "revoke_ms")]
     pub revoke_ms: u64,
+    /// Mechanisms that take part in the front's decisions.
+    #[serde(default)]
+    pub decisions: DecisionTable,
 }
 
 /// Memory in bytes of a front that serves nothing, about.
@@ -121,7 +124,7 @@
             let message = format!("must be 0 or at least {MIN_MEMORY_MB}");
             return Err(Problem::new("front", "memory_mb", message));
         }
-        Ok(())
+        self.decisions.check()
     }
 }
 
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! Settings of one process, parsed from TOML.
 
 mod check;
+mod decisions;
 mod entry;
 mod gateway;
 mod ledger;
@@ -12,6 +13,7 @@
 mod sidecar;
 
 pub use {
+    decisions::DecisionTable,
     entry::EntrySettings,
     gateway::{ControlSettings, FrontSettings, GatewaySettings, QuotaTable, StoreSettings},
     ledger::{LedgerSettings, PeerSettings},
--- a/crates/sapphirequayd/tests/settings.rs
+++ b/crates/sapphirequayd/tests/settings.rs
@@ -2,7 +2,9 @@
 
 use {
     quay_link::DevelopmentKeys,
-    sapphirequayd::{DEFAULT_SETTINGS, EntrySettings, LogSettings, ProcessSettings, Settings},
+    sapphirequayd::{
+        DEFAULT_SETTINGS, DecisionTable, EntrySettings, LogSettings, ProcessSettings, Settings,
+    },
     std::{fs, path::Path, process::Command},
 };
 
@@ -140,6 +142,20 @@
     assert_eq!(check(dir.path(), &gateway(&filled)), (0, String::new()));
 }
 
+#[test]
+fn mechanisms_of_a_front_are_checked_and_documented_with_their_defaults() {
+    let problem = |text: &str| DecisionTable::parse(text).map_err(|it| it.to_string());
+    insta::assert_snapshot!(problem("refuse_from = 600").expect_err("a problem"), @"[front.decisions] refuse_from: must be less than refuse_all");
+    insta::assert_snapshot!(problem("beginnings_share = 2000").expect_err("a problem"), @"[front.decisions] beginnings_share: must be at most 1000");
+    let documented = DEFAULT_SETTINGS
+        .split_once("[front.decisions]\n")
+        .expect("table")
+        .1;
+    let lines = documented.lines().map_while(|line| line.strip_prefix("# "));
+    let text: Vec<&str> = lines.collect();
+    assert_eq!(problem(&text.join("\n")), Ok(DecisionTable::default()));
+}
+
 /// Guards against a template whose settings differ for deployments without bounds for
 /// quotas, or are invalid for deployments with them.
 #[test]
