--- a/crates/sapphirequayd/src/settings/decisions.rs
+++ b/crates/sapphirequayd/src/settings/decisions.rs
@@ -20,7 +20,9 @@
     pub refuse_from: u64,
     /// Wait from which all new programs are refused, in the same unit.
     pub refuse_all: u64,
-    /// Keeps the calls of a conversation at the upstream that ran the last one.
+    /// Keeps the calls of a conversation at the upstream that ran the last one. Only the
+    /// front that sent it knows that upstream; without it all fronts send the next call
+    /// to the program's home.
     pub conversations: bool,
     /// Prefers upstreams that were sent a prompt with the same beginning.
     pub prefix_index: bool,
@@ -49,7 +51,7 @@
             new_program_gate: true,
             refuse_from: 250,
             refuse_all: 500,
-            conversations: true,
+            conversations: false,
             prefix_index: true,
             homes: true,
             begin_at_home: true,
