--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -2,6 +2,7 @@
 
 mod chain;
 mod seeds;
+mod timeout;
 
 use {
     crate::{
@@ -31,6 +32,7 @@
     match case {
         "chain" => chain::run(record, trouble),
         "seeds" => seeds::run(record, trouble),
+        "timeout" => timeout::run(record, trouble),
         _ => Err(format!("there is no case {case:?}")),
     }
 }
@@ -90,6 +92,8 @@
             ("i-a1", "huvo11a", "zone-a", true),
             ("i-b1", "huvo11a", "zone-b", true),
             ("i-a2", "wuno96b", "zone-a", false),
+            ("i-b2", "wuno96b", "zone-b", false),
+            ("i-c2", "wuno96b", "zone-c", false),
         ] {
             let controls = site.deployment.controls();
             let worker = (id, service, zone);
@@ -159,16 +163,16 @@
     }
 
     /// Sends a request that may run once at most, to an application worker.
-    fn order(&self, front: SocketAddr, id: &str) -> Message {
+    fn order(&self, front: SocketAddr, id: &str, deadline_ms: u32) -> Message {
         let headers = [
             ("Host", "ficu95.example".to_owned()),
             ("X-Sapphirequay-Request-Id", id.to_owned()),
-            ("X-Sapphirequay-Deadline-Ms", "1500".to_owned()),
+            ("X-Sapphirequay-Deadline-Ms", deadline_ms.to_string()),
             ("Connection", "close".to_owned()),
         ];
         self.record
             .line(format!("client sends order {id} to {front}"));
-        let limit = Duration::from_secs(2);
+        let limit = Duration::from_millis(deadline_ms.into());
         let answer = http::call(front, "POST /pule252/4b", &headers, b"order", limit);
         let answer = answer.unwrap_or_default();
         self.record.line(format!(
--- a/review/harness/cases/seeds.rs
+++ b/review/harness/cases/seeds.rs
@@ -65,7 +65,7 @@
     let mut served = 0;
     for number in 0..REQUESTS {
         let id = format!("{}-{number}", when.replace(' ', "-"));
-        let answer = site.order(site.front(number), &id);
+        let answer = site.order(site.front(number), &id, 1_500);
         let sealed = answer.header("x-sapphirequay-response-seal").is_some();
         served += usize::from(answer.status() == 200 && sealed && answer.complete);
         thread::sleep(Duration::from_millis(50));
--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -19,6 +19,9 @@
 /// Number of events of a stream.
 pub const EVENTS: usize = 4;
 
+/// Work of a slow request: 120 ms, eight times as long.
+const SLOW: Duration = Duration::from_millis(960);
+
 /// A request that a worker ran.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -41,6 +44,10 @@
     seq: Arc<AtomicU64>,
     running: Arc<AtomicU64>,
     ended: Arc<AtomicBool>,
+    /// Whether two of five requests are slow and hang in the middle of their answers.
+    grey: Arc<AtomicBool>,
+    /// Requests since the start.
+    count: Arc<AtomicU64>,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
 }
@@ -66,6 +73,8 @@
             seq: Arc::default(),
             running: Arc::default(),
             ended: Arc::default(),
+            grey: Arc::default(),
+            count: Arc::default(),
             runs: Arc::clone(runs),
             record: record.clone(),
         };
@@ -81,6 +90,11 @@
         Ok(worker)
     }
 
+    /// Makes two of five requests slow, and hang in the middle of their answers.
+    pub fn turn_grey(&self) {
+        self.grey.store(true, Ordering::Relaxed);
+    }
+
     /// Sends heartbeats every 1.2 s, to the next daemon after a failure.
     fn beat(&self, controls: &[SocketAddr]) {
         let mut at = 0;
@@ -175,8 +189,19 @@
             "HTTP/1.1 200 OK\r\nX-Sapphirequay-Request-Id: {id}\r\nX-Sapphirequay-Response-Seal: {seal}\r\n{common}"
         );
         if !self.streams {
-            thread::sleep(Duration::from_millis(10));
             let body = format!("done {id}");
+            let count = self.count.fetch_add(1, Ordering::Relaxed);
+            if self.grey.load(Ordering::Relaxed) && count % 5 < 2 {
+                thread::sleep(SLOW);
+                let text = format!("{head}Content-Length: {}\r\n\r\ndo", body.len());
+                out.write_all(text.as_bytes())?;
+                self.record
+                    .line(format!("worker {}: hangs in the answer to {id}", self.id));
+                // The connection stays open until the front closes it.
+                let _ = io::Read::read(out, &mut [0]);
+                return Err(io::Error::other("the answer hangs"));
+            }
+            thread::sleep(Duration::from_millis(10));
             let text = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
             return out.write_all(text.as_bytes());
         }
