Review case 2: control hosts that lost their disks can't rejoin the group

Shows: with seeds that are no members of the control group, two disks lost one after the other take the acknowledged configuration with them (CONFIG).

--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -1,6 +1,8 @@
 //! The scripts of the cases.
 
 mod chain;
+mod disks;
+mod large;
 mod seeds;
 mod timeout;
 
@@ -31,6 +33,8 @@
 pub fn run(case: &str, record: &Record, trouble: bool) -> Result<Outcome, String> {
     match case {
         "chain" => chain::run(record, trouble),
+        "disks" => disks::run(record, trouble),
+        "large" => large::run(record, trouble),
         "seeds" => seeds::run(record, trouble),
         "timeout" => timeout::run(record, trouble),
         _ => Err(format!("there is no case {case:?}")),
@@ -120,6 +124,7 @@
         (program, id, previous): (&str, &str, Option<&str>),
         input: &[u8],
     ) -> Message {
+        let tokens = (input.len() / 4).max(1_460);
         let mut headers = vec![
             ("Host", "ficu95.example".to_owned()),
             ("X-Sapphirequay-Request-Id", id.to_owned()),
@@ -127,11 +132,11 @@
             ("X-Sapphirequay-Session-Id", format!("s-{program}")),
             ("X-Sapphirequay-Program-Deadline-Ms", "60000".to_owned()),
             ("X-Sapphirequay-Token-Budget", "100000".to_owned()),
-            ("X-Sapphirequay-Token-Usage", "1460,248".to_owned()),
+            ("X-Sapphirequay-Token-Usage", format!("{tokens},248")),
             ("X-Sapphirequay-Model", "m".to_owned()),
             (
                 "X-Sapphirequay-Prompt-Prefix",
-                format!("5c1e07a2:800,{}:660", hex(program)),
+                format!("5c1e07a2:800,{}:{}", hex(program), tokens - 800),
             ),
             ("X-Sapphirequay-Deadline-Ms", "3000".to_owned()),
             ("Connection", "close".to_owned()),
--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -199,6 +199,15 @@
         Ok(())
     }
 
+    /// Largest amount of memory that a machine's process has had so far, in kB.
+    pub fn peak_memory(&self, name: &str) -> u64 {
+        let id = self.node(name).child.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let size = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        size.and_then(|size| size.parse().ok()).unwrap_or(0)
+    }
+
     /// Removes the content of a stopped machine's disk.
     pub fn wipe(&self, name: &str) -> io::Result<()> {
         self.record.line(format!("the disk of {name} is lost"));
