--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -118,53 +118,8 @@
     }
 
     /// Sends one turn. `previous` is the request that it continues from.
-    fn turn(
-        &self,
-        front: SocketAddr,
-        (program, id, previous): (&str, &str, Option<&str>),
-        input: &[u8],
-    ) -> Message {
-        let tokens = (input.len() / 4).max(1_460);
-        let mut headers = vec![
-            ("Host", "ficu95.example".to_owned()),
-            ("X-Sapphirequay-Request-Id", id.to_owned()),
-            ("X-Sapphirequay-Program-Id", program.to_owned()),
-            ("X-Sapphirequay-Session-Id", format!("s-{program}")),
-            ("X-Sapphirequay-Program-Deadline-Ms", "60000".to_owned()),
-            ("X-Sapphirequay-Token-Budget", "100000".to_owned()),
-            ("X-Sapphirequay-Token-Usage", format!("{tokens},248")),
-            ("X-Sapphirequay-Model", "m".to_owned()),
-            (
-                "X-Sapphirequay-Prompt-Prefix",
-                format!("5c1e07a2:800,{}:{}", hex(program), tokens - 800),
-            ),
-            ("X-Sapphirequay-Deadline-Ms", "3000".to_owned()),
-            ("Connection", "close".to_owned()),
-        ];
-        if let Some(previous) = previous {
-            headers.push(("X-Sapphirequay-Previous-Turn", previous.to_owned()));
-        }
-        self.record.line(format!(
-            "client sends turn {id} of program {program} to {front}, previous turn {}",
-            previous.unwrap_or("none")
-        ));
-        let limit = Duration::from_secs(4);
-        let answer = http::call(front, "POST /lohu930/2f", &headers, input, limit);
-        let answer = answer.unwrap_or_default();
-        self.record.line(format!(
-            "client gets {} for turn {id}, seal {}, whole {}, {}",
-            answer.status(),
-            answer
-                .header("x-sapphirequay-response-seal")
-                .unwrap_or("none"),
-            answer.complete,
-            if answer.status() == 200 {
-                format!("{} bytes", answer.body.len())
-            } else {
-                String::from_utf8_lossy(&answer.body).into_owned()
-            }
-        ));
-        answer
+    fn turn(&self, front: SocketAddr, turn: (&str, &str, Option<&str>), input: &[u8]) -> Message {
+        send_turn(&self.record, front, turn, input)
     }
 
     /// Sends a request that may run once at most, to an application worker.
@@ -213,6 +168,56 @@
     }
 }
 
+/// Sends one turn. `previous` is the request that it continues from.
+fn send_turn(
+    record: &Record,
+    front: SocketAddr,
+    (program, id, previous): (&str, &str, Option<&str>),
+    input: &[u8],
+) -> Message {
+    let tokens = (input.len() / 4).max(1_460);
+    let mut headers = vec![
+        ("Host", "ficu95.example".to_owned()),
+        ("X-Sapphirequay-Request-Id", id.to_owned()),
+        ("X-Sapphirequay-Program-Id", program.to_owned()),
+        ("X-Sapphirequay-Session-Id", format!("s-{program}")),
+        ("X-Sapphirequay-Program-Deadline-Ms", "60000".to_owned()),
+        ("X-Sapphirequay-Token-Budget", "100000".to_owned()),
+        ("X-Sapphirequay-Token-Usage", format!("{tokens},248")),
+        ("X-Sapphirequay-Model", "m".to_owned()),
+        (
+            "X-Sapphirequay-Prompt-Prefix",
+            format!("5c1e07a2:800,{}:{}", hex(program), tokens - 800),
+        ),
+        ("X-Sapphirequay-Deadline-Ms", "3000".to_owned()),
+        ("Connection", "close".to_owned()),
+    ];
+    if let Some(previous) = previous {
+        headers.push(("X-Sapphirequay-Previous-Turn", previous.to_owned()));
+    }
+    record.line(format!(
+        "client sends turn {id} of program {program} to {front}, previous turn {}",
+        previous.unwrap_or("none")
+    ));
+    let limit = Duration::from_secs(4);
+    let answer = http::call(front, "POST /lohu930/2f", &headers, input, limit);
+    let answer = answer.unwrap_or_default();
+    record.line(format!(
+        "client gets {} for turn {id}, seal {}, whole {}, {}",
+        answer.status(),
+        answer
+            .header("x-sapphirequay-response-seal")
+            .unwrap_or("none"),
+        answer.complete,
+        if answer.status() == 200 {
+            format!("{} bytes", answer.body.len())
+        } else {
+            String::from_utf8_lossy(&answer.body).into_owned()
+        }
+    ));
+    answer
+}
+
 /// A name as hexadecimal digits, for the parts of a prompt.
 fn hex(name: &str) -> String {
     let sum = name.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |sum, byte| {
--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -199,11 +199,14 @@
         Ok(())
     }
 
-    /// Largest amount of memory that a machine's process has had so far, in kB.
-    pub fn peak_memory(&self, name: &str) -> u64 {
-        let id = self.node(name).child.as_ref().map_or(0, Child::id);
-        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    /// Amount of memory that a machine's process has now, in kB; 0 if it doesn't run.
+    pub fn memory(&self, name: &str) -> u64 {
+        let Some(child) = &self.node(name).child else {
+            return 0;
+        };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
         let size = line.and_then(|line| line.trim().strip_suffix(" kB"));
         size.and_then(|size| size.parse().ok()).unwrap_or(0)
     }
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -48,11 +48,6 @@
             let _ = file.write_all(line.as_bytes());
         }
     }
-
-    /// Seconds since the start.
-    pub fn now(&self) -> f64 {
-        self.began.elapsed().as_secs_f64()
-    }
 }
 
 fn main() {
--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -25,10 +25,7 @@
 /// A request that a worker ran.
 #[derive(Debug, Clone)]
 pub struct Run {
-    pub at: f64,
-    pub worker: String,
     pub request: String,
-    pub target: String,
     pub body: Vec<u8>,
 }
 
@@ -169,10 +166,7 @@
             ));
             if let Ok(mut runs) = self.runs.lock() {
                 runs.push(Run {
-                    at: self.record.now(),
-                    worker: self.id.clone(),
                     request: id.to_owned(),
-                    target,
                     body: req.body.clone(),
                 });
             }
