--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -8,11 +8,34 @@
         net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
         path::PathBuf,
         process::{Child, Command, Stdio, id},
+        sync::Mutex,
         thread,
         time::{Duration, Instant},
     },
 };
 
+/// Process ids of the daemons that run, for [`end_all`].
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all daemons that run, for a script that takes too long.
+pub fn end_all() {
+    let running = RUNNING.lock().map(|it| it.clone()).unwrap_or_default();
+    for id in running {
+        let _ = Command::new("kill")
+            .args(["-s", "KILL", &id.to_string()])
+            .status();
+    }
+}
+
+/// Kills a daemon and waits for its end.
+fn end(child: &mut Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    if let Ok(mut running) = RUNNING.lock() {
+        running.retain(|id| *id != child.id());
+    }
+}
+
 /// Program of the deploy file.
 const DAEMON: &str = "target/release/sapphirequayd";
 
@@ -157,6 +180,9 @@
         let mut command = Command::new(DAEMON);
         let command = command.arg("--config").arg(&file).stdin(Stdio::null());
         let child = command.stdout(log.try_clone()?).stderr(log).spawn()?;
+        if let Ok(mut running) = RUNNING.lock() {
+            running.push(child.id());
+        }
         self.record.line(format!("start {name}"));
         let node = self.nodes.iter_mut().find(|node| node.name == name);
         node.expect("a machine of this name").child = Some(child);
@@ -184,8 +210,7 @@
         self.record.line(format!("SIGKILL {name}"));
         let node = self.nodes.iter_mut().find(|node| node.name == name);
         if let Some(mut child) = node.and_then(|node| node.child.take()) {
-            let _ = child.kill();
-            let _ = child.wait();
+            end(&mut child);
         }
     }
 
@@ -283,8 +308,7 @@
     fn drop(&mut self) {
         for node in &mut self.nodes {
             if let Some(child) = &mut node.child {
-                let _ = child.kill();
-                let _ = child.wait();
+                end(child);
             }
         }
         if env::var_os("KEEP_LOGS").is_none() {
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -16,9 +16,13 @@
     path::Path,
     process::exit,
     sync::{Arc, Mutex},
-    time::Instant,
+    thread,
+    time::{Duration, Instant},
 };
 
+/// Time after which a script ends all that it started.
+const TIME_LIMIT: Duration = Duration::from_secs(115);
+
 /// Result of a case.
 pub enum Outcome {
     Held,
@@ -65,6 +69,13 @@
         }
     };
     record.line(format!("case {case}, disruption {trouble}"));
+    let watched = record.clone();
+    thread::spawn(move || {
+        thread::sleep(TIME_LIMIT);
+        watched.line("the case could not run: it took too long");
+        deployment::end_all();
+        exit(2);
+    });
     let code = match cases::run(case, &record, trouble) {
         Ok(Outcome::Held) => {
             record.line("the rule held");
