Make room in review/ for the cases of a new review

The harness can now stop a machine with SIGTERM, and its ports differ from each other for sure.

No behaviour of the product changes. Shown by: review/build.sh builds.

--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -1,9 +1,12 @@
 //! The scripts of the cases.
 
+mod catchup;
 mod chain;
 mod disks;
+mod expiry;
 mod large;
 mod seeds;
+mod snapshot;
 mod timeout;
 
 use {
@@ -34,7 +37,10 @@
     match case {
         "chain" => chain::run(record, trouble),
         "disks" => disks::run(record, trouble),
+        "expiry" => expiry::run(record, trouble),
+        "catchup" => catchup::run(record, trouble),
         "large" => large::run(record, trouble),
+        "snapshot" => snapshot::run(record, trouble),
         "seeds" => seeds::run(record, trouble),
         "timeout" => timeout::run(record, trouble),
         _ => Err(format!("there is no case {case:?}")),
--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -81,13 +81,14 @@
     pub fn create(record: &Record) -> io::Result<Self> {
         let folder = env::temp_dir().join(format!("sapphirequay-review-{}", id()));
         fs::create_dir_all(&folder)?;
+        let [link, monitor, listen, ready] = free_ports()?;
         Ok(Self {
             nodes: Vec::new(),
             ports: Ports {
-                link: free_port()?,
-                monitor: free_port()?,
-                listen: free_port()?,
-                ready: free_port()?,
+                link,
+                monitor,
+                listen,
+                ready,
             },
             folder,
             record: record.clone(),
@@ -214,6 +215,21 @@
         }
     }
 
+    /// Stops a machine's process with SIGTERM and waits for its end.
+    pub fn stop(&mut self, name: &str) -> io::Result<()> {
+        self.signal(name, "TERM")?;
+        let node = self.nodes.iter_mut().find(|node| node.name == name);
+        let Some(mut child) = node.and_then(|node| node.child.take()) else {
+            return Ok(());
+        };
+        let ends = Instant::now() + Duration::from_secs(8);
+        while Instant::now() < ends && child.try_wait()?.is_none() {
+            thread::sleep(Duration::from_millis(20));
+        }
+        end(&mut child);
+        Ok(())
+    }
+
     /// Sends a signal such as STOP, CONT or TERM to a machine's process.
     pub fn signal(&self, name: &str, signal: &str) -> io::Result<()> {
         self.record.line(format!("SIG{signal} {name}"));
@@ -317,14 +333,23 @@
     }
 }
 
-/// A port that is free for TCP and UDP.
-fn free_port() -> io::Result<u16> {
-    for _ in 0..100 {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let port = listener.local_addr()?.port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
-            return Ok(port);
+/// Different ports that are free for TCP and UDP.
+fn free_ports<const N: usize>() -> io::Result<[u16; N]> {
+    let mut held = Vec::new();
+    let mut ports = [0; N];
+    for port in &mut ports {
+        for _ in 0..100 {
+            let listener = TcpListener::bind("127.0.0.1:0")?;
+            let free = listener.local_addr()?.port();
+            held.push(listener);
+            if UdpSocket::bind(("127.0.0.1", free)).is_ok() {
+                *port = free;
+                break;
+            }
         }
     }
-    Err(io::Error::other("no free port"))
+    if ports.contains(&0) {
+        return Err(io::Error::other("no free port"));
+    }
+    Ok(ports)
 }
