Links: a restarted process resets the connections of its predecessor

The reset key is derived from the private key so that the successor can reset such connections. But the QUIC library answers with a reset only if the connection ID carries its own signature, whose key was drawn at random at each start.

The key of connection IDs is now derived from the private key as well.

--- a/crates/quay_link/src/endpoint.rs
+++ b/crates/quay_link/src/endpoint.rs
@@ -8,6 +8,7 @@
         congestion::CubicConfig,
         crypto::rustls::{QuicClientConfig, QuicServerConfig},
     },
+    quinn_proto::HashedConnectionIdGenerator,
     rustls::{RootCertStore, server::WebPkiClientVerifier},
     std::{net::Ipv4Addr, sync::Arc, time::Duration},
 };
@@ -50,18 +51,29 @@
 }
 
 /// Settings shared by all connections of an endpoint. The stateless reset key
-/// is derived from the private key, so that a restarted process can reset the
-/// connections that peers still hold to its predecessor.
+/// and the key of connection IDs are derived from the private key, so that a
+/// restarted process recognises and resets the connections that peers still hold
+/// to its predecessor.
 fn endpoint_config(settings: &LinkSettings) -> Result<EndpointConfig, LinkError> {
     let secret = settings.identity.key.secret_der();
     let key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, secret);
+    let cid_key = connection_id_key(&key);
     let mut config = EndpointConfig::new(Arc::new(key));
+    config.cid_generator(move || Box::new(HashedConnectionIdGenerator::from_key(cid_key)));
     config
         .max_udp_payload_size(MAX_DATAGRAM_BYTES)
         .map_err(|err| keys_error(&err))?;
     Ok(config)
 }
 
+/// Key with which connection IDs are signed. Packets whose connection ID has another
+/// signature are dropped without a reset.
+fn connection_id_key(key: &ring::hmac::Key) -> u64 {
+    let tag = ring::hmac::sign(key, b"connection ids");
+    let bytes = tag.as_ref().iter().take(8);
+    bytes.fold(0, |key, byte| key << 8 | u64::from(*byte))
+}
+
 /// Time-outs and limits of a connection. Only the end that opened it sends
 /// keep-alive packets.
 fn transport_config(
