--- a/crates/quay_quorum/src/action.rs
+++ b/crates/quay_quorum/src/action.rs
@@ -49,6 +49,10 @@
     /// A snapshot of this replica's own state up to this index is synced to
     /// disk, so that earlier entries may be compacted.
     SnapshotSaved(LogIndex),
+    /// The snapshot that [`Action::SendSnapshot`] requested for this peer is queued;
+    /// messages that the replica sends to the peer from now on arrive after it, if it
+    /// arrives at all.
+    SnapshotQueued(NodeId),
 }
 
 /// A write to disk. The entries replace all persisted entries from the index of
@@ -95,7 +99,7 @@
         message: Message,
     },
     /// Send the latest persisted snapshot as [`Message::Snapshot`] of this
-    /// term.
+    /// term, then pass [`Input::SnapshotQueued`].
     SendSnapshot {
         /// Receiver.
         to: NodeId,
--- a/crates/quay_quorum/src/check/simulation.rs
+++ b/crates/quay_quorum/src/check/simulation.rs
@@ -56,6 +56,7 @@
                 max_batch_bytes: 128,
                 max_in_flight: 3,
                 snapshot_resend: Duration::from_millis(400),
+                snapshot_ack: Duration::from_millis(100),
                 ..Settings::default()
             },
         }
@@ -368,6 +369,7 @@
                 let (meta, state) = self.hosts[&node].latest_snapshot();
                 let data = state.encode();
                 self.send(node, to, &Message::Snapshot { term, meta, data });
+                self.input(node, Input::SnapshotQueued(to))?;
             }
             Action::Restore {
                 persist_id,
--- a/crates/quay_quorum/src/progress.rs
+++ b/crates/quay_quorum/src/progress.rs
@@ -1,6 +1,9 @@
 //! Replication progress of one peer, tracked by the leader.
 
-use quay_types::{LogIndex, Time};
+use {
+    crate::Settings,
+    quay_types::{LogIndex, Time},
+};
 
 /// Mode in which entries are sent to a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -10,8 +13,52 @@
     Probe,
     /// Several messages in flight.
     Pipeline,
-    /// A snapshot was sent at the given time and is not acknowledged yet.
-    Snapshot(Time),
+    /// A snapshot is on its way and not acknowledged yet.
+    Snapshot(SnapshotTransfer),
+}
+
+/// A snapshot that a peer has not acknowledged yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SnapshotTransfer {
+    /// Time at which sending was requested.
+    requested: Time,
+    /// Latest heartbeat round at the time at which the snapshot was queued for the
+    /// peer; `None` before. Later rounds are queued behind it.
+    queued_at_round: Option<u64>,
+    /// Time at which the peer answered a later round: messages arrive in order, so
+    /// the snapshot has arrived by then or is lost.
+    overtaken: Option<Time>,
+}
+
+impl SnapshotTransfer {
+    /// Creates the transfer of a snapshot that is not queued yet.
+    pub const fn new(now: Time) -> Self {
+        Self {
+            requested: now,
+            queued_at_round: None,
+            overtaken: None,
+        }
+    }
+
+    /// Records that the snapshot was queued for the peer, behind heartbeat `round`.
+    pub const fn record_queued(&mut self, round: u64) {
+        self.queued_at_round = Some(round);
+    }
+
+    /// Records that the peer answered heartbeat `round`.
+    fn record_round(&mut self, now: Time, round: u64) {
+        if self.overtaken.is_none() && self.queued_at_round.is_some_and(|queued| queued < round) {
+            self.overtaken = Some(now);
+        }
+    }
+
+    /// Whether the snapshot counts as lost.
+    pub fn is_overdue(&self, now: Time, cfg: &Settings) -> bool {
+        now.since(self.requested) >= cfg.snapshot_resend
+            || self
+                .overtaken
+                .is_some_and(|at| now.since(at) >= cfg.snapshot_ack)
+    }
 }
 
 /// Replication progress of one peer.
@@ -48,6 +95,14 @@
         }
     }
 
+    /// Records that the peer answered a heartbeat round.
+    pub fn record_round(&mut self, round: u64, now: Time) {
+        self.round = self.round.max(round);
+        if let Sending::Snapshot(transfer) = &mut self.sending {
+            transfer.record_round(now, round);
+        }
+    }
+
     /// Records that the peer has persisted the entries up to `index`.
     pub fn record_match(&mut self, index: LogIndex, now: Time) {
         self.in_flight = self.in_flight.saturating_sub(1);
--- a/crates/quay_quorum/src/replica/leader.rs
+++ b/crates/quay_quorum/src/replica/leader.rs
@@ -5,7 +5,7 @@
     super::{Replica, Role},
     crate::{
         Action, AppendOutcome, Message, Position,
-        progress::{Progress, Sending},
+        progress::{Progress, Sending, SnapshotTransfer},
     },
     quay_types::{LogIndex, NodeId, Time},
 };
@@ -74,7 +74,7 @@
         while self.may_send(&progress) {
             let before = LogIndex(progress.next.0 - 1);
             let Some(term) = self.log.term(before) else {
-                progress.sending = Sending::Snapshot(now);
+                progress.sending = Sending::Snapshot(SnapshotTransfer::new(now));
                 let term = self.hard_state.term;
                 self.out.push(Action::SendSnapshot { to: peer, term });
                 break;
@@ -102,16 +102,13 @@
 
     /// Restarts sending if messages were not acknowledged in time.
     fn restart_if_overdue(&self, now: Time, progress: &mut Progress) {
-        let limit = match progress.sending {
-            Sending::Snapshot(_) => self.cfg.snapshot_resend,
-            Sending::Probe | Sending::Pipeline => self.cfg.resend,
-        };
-        let since = match progress.sending {
-            Sending::Snapshot(at) => at,
-            Sending::Probe | Sending::Pipeline => progress.last_activity,
+        let overdue = match progress.sending {
+            Sending::Snapshot(transfer) => transfer.is_overdue(now, &self.cfg),
+            Sending::Probe | Sending::Pipeline => {
+                progress.in_flight > 0 && now.since(progress.last_activity) >= self.cfg.resend
+            }
         };
-        let waiting = progress.in_flight > 0 || matches!(progress.sending, Sending::Snapshot(_));
-        if waiting && now.since(since) >= limit {
+        if overdue {
             progress.restart_from(LogIndex(progress.matched.0 + 1));
         }
     }
@@ -161,10 +158,20 @@
         let Some(progress) = self.record_answer(now, from) else {
             return;
         };
-        progress.round = progress.round.max(round);
+        progress.record_round(round, now);
         self.confirm_reads();
     }
 
+    /// Records that a snapshot was queued for a peer.
+    pub(super) fn on_snapshot_queued(&mut self, peer: NodeId) {
+        let round = self.leader_state.round;
+        if let Some(progress) = self.leader_state.progress.get_mut(&peer)
+            && let Sending::Snapshot(transfer) = &mut progress.sending
+        {
+            transfer.record_queued(round);
+        }
+    }
+
     /// Commits the entries that a quorum has persisted. Steps down once the
     /// removal of this replica from the group is committed.
     pub(super) fn advance_commit(&mut self, now: Time) {
--- a/crates/quay_quorum/src/replica/mod.rs
+++ b/crates/quay_quorum/src/replica/mod.rs
@@ -309,6 +309,7 @@
             Input::ChangeMembership { tag, change } => self.change(now, tag, &change),
             Input::Persisted(persist_id) => self.on_persisted(now, persist_id),
             Input::SnapshotSaved(index) => self.on_snapshot_saved(index),
+            Input::SnapshotQueued(peer) => self.on_snapshot_queued(peer),
         }
         mem::take(&mut self.out)
     }
--- a/crates/quay_quorum/src/settings.rs
+++ b/crates/quay_quorum/src/settings.rs
@@ -36,8 +36,12 @@
     pub quorum_timeout: Duration,
     /// Time after which unacknowledged entries are sent again.
     pub resend: Duration,
-    /// Time after which an unacknowledged snapshot is sent again.
+    /// Time after which an unacknowledged snapshot is sent again, whatever the
+    /// peer answers.
     pub snapshot_resend: Duration,
+    /// Time for which a snapshot may stay unacknowledged after the peer has answered
+    /// a message that was sent later; covers the write to the peer's disk.
+    pub snapshot_ack: Duration,
     /// Maximum size of the entries in one message, in bytes. A larger single
     /// entry is sent alone.
     pub max_batch_bytes: usize,
@@ -62,6 +66,7 @@
             quorum_timeout: Duration::from_millis(350),
             resend: Duration::from_millis(300),
             snapshot_resend: Duration::from_secs(10),
+            snapshot_ack: Duration::from_secs(1),
             max_batch_bytes: 256 << 10,
             max_in_flight: 8,
             keep_entries: 4_096,
--- a/crates/quay_quorum/tests/replica.rs
+++ b/crates/quay_quorum/tests/replica.rs
@@ -263,3 +263,99 @@
     let four = Membership::from_voters([1, 2, 3, 4].map(|node| member(node, &format!("{node}"))));
     assert_eq!(placement_advice(&four), [PlacementAdvice::EvenVoters(4)]);
 }
+
+/// A leader whose entries are compacted, with a follower that has answered everything
+/// so far.
+fn leader_with_compacted_log() -> (Replica, Time) {
+    let cfg = Settings {
+        keep_entries: 0,
+        ..Settings::default()
+    };
+    let mut replica = Replica::bootstrap(NodeId(1), three_voters(), cfg, 1, Time::ZERO);
+    let now = replica.deadline();
+    step(&mut replica, now, Input::Tick);
+    let (term, granted) = (Epoch(1), true);
+    let pre_vote = Message::PreVoteReply { term, granted };
+    step(&mut replica, now, message(2, pre_vote));
+    step(
+        &mut replica,
+        now,
+        message(2, Message::VoteReply { term, granted }),
+    );
+    let outcome = quay_quorum::AppendOutcome::Matched(LogIndex(1));
+    let matched = Message::AppendReply { term, outcome };
+    step(&mut replica, now, message(2, matched));
+    step(&mut replica, now, Input::SnapshotSaved(LogIndex(1)));
+    assert_eq!(replica.compacted_through().index, LogIndex(1));
+    (replica, now)
+}
+
+/// The latest heartbeat round that was sent to a peer.
+fn round_sent(actions: &[Action], peer: u64) -> Option<u64> {
+    actions.iter().rev().find_map(|action| match action {
+        Action::Send {
+            to,
+            message: Message::Heartbeat { round, .. },
+        } if *to == NodeId(peer) => Some(*round),
+        _ => None,
+    })
+}
+
+fn sends_snapshot(actions: &[Action], peer: u64) -> bool {
+    let sends = |it: &Action| matches!(it, Action::SendSnapshot { to, .. } if *to == NodeId(peer));
+    actions.iter().any(sends)
+}
+
+/// Lets `span` pass, in which both followers answer all heartbeats at once. Returns
+/// whether a snapshot was sent to follower 3.
+fn run_heartbeats(replica: &mut Replica, now: &mut Time, span: Duration) -> bool {
+    let (end, term) = (*now + span, Epoch(1));
+    let mut sent = false;
+    while *now < end {
+        *now = *now + Duration::from_millis(20);
+        let actions = step(replica, *now, Input::Tick);
+        sent |= sends_snapshot(&actions, 3);
+        for peer in [2, 3] {
+            if let Some(round) = round_sent(&actions, peer) {
+                let reply = Message::HeartbeatReply { term, round };
+                let actions = step(replica, *now, message(peer, reply));
+                sent |= sends_snapshot(&actions, 3);
+            }
+        }
+    }
+    sent
+}
+
+/// Guards against a follower that gets neither entries nor a snapshot for 10 s after one
+/// was lost on a connection that its restart had broken (review, case 1).
+#[test]
+fn a_lost_snapshot_is_sent_again_once_later_messages_arrive() {
+    let (mut replica, mut now) = leader_with_compacted_log();
+    let outcome = quay_quorum::AppendOutcome::Rejected {
+        prev: LogIndex(1),
+        hint: LogIndex(0),
+    };
+    let term = Epoch(1);
+    let rejected = Message::AppendReply { term, outcome };
+    let actions = step(&mut replica, now, message(3, rejected));
+    assert!(sends_snapshot(&actions, 3), "{actions:?}");
+    let cfg = Settings::default();
+    let soon = cfg.snapshot_ack * 2;
+    assert!(
+        !run_heartbeats(&mut replica, &mut now, soon),
+        "heartbeats that may be ahead of the snapshot show nothing"
+    );
+    step(&mut replica, now, Input::SnapshotQueued(NodeId(3)));
+    assert!(
+        run_heartbeats(&mut replica, &mut now, soon),
+        "the snapshot is lost: later messages arrived and it was not acknowledged"
+    );
+    step(&mut replica, now, Input::SnapshotQueued(NodeId(3)));
+    let outcome = quay_quorum::AppendOutcome::Matched(LogIndex(1));
+    let matched = Message::AppendReply { term, outcome };
+    step(&mut replica, now, message(3, matched));
+    assert!(
+        !run_heartbeats(&mut replica, &mut now, soon),
+        "an acknowledged snapshot is not sent again"
+    );
+}
--- a/crates/sapphirequayd/src/process/group/host.rs
+++ b/crates/sapphirequayd/src/process/group/host.rs
@@ -313,10 +313,7 @@
     mailbox: Mailbox<GroupMsg<M>>,
 ) -> io::Result<()> {
     let run = move || {
-        worker.run(&jobs, |saved| {
-            let event = saved.map_or(GroupEvent::SnapshotFailed, GroupEvent::SnapshotSaved);
-            mailbox.send(GroupMsg::Event(event));
-        });
+        worker.run(&jobs, |event| mailbox.send(GroupMsg::Event(event)));
     };
     let name = format!("snapshot-{group}");
     thread::Builder::new().name(name).spawn(run).map(drop)
--- a/crates/sapphirequayd/src/process/group/mod.rs
+++ b/crates/sapphirequayd/src/process/group/mod.rs
@@ -98,6 +98,8 @@
     Persisted(PersistId),
     /// A snapshot of the state after this entry is synced to disk.
     SnapshotSaved(LogIndex),
+    /// A snapshot is in this peer's send queue.
+    SnapshotQueued(NodeId),
     /// A snapshot could not be saved, so the log is not compacted.
     SnapshotFailed,
     /// A write to the log failed, so the contents of the disk are unknown; holds
--- a/crates/sapphirequayd/src/process/group/replicated.rs
+++ b/crates/sapphirequayd/src/process/group/replicated.rs
@@ -398,6 +398,7 @@
                 self.since_snapshot.saving = false;
                 self.step(now, Input::SnapshotSaved(index));
             }
+            GroupEvent::SnapshotQueued(to) => self.step(now, Input::SnapshotQueued(to)),
             GroupEvent::SnapshotFailed => self.since_snapshot.saving = false,
             GroupEvent::DiskFailed(cause) => self.fail(&cause),
         }
--- a/crates/sapphirequayd/src/process/group/snapshots.rs
+++ b/crates/sapphirequayd/src/process/group/snapshots.rs
@@ -1,10 +1,10 @@
 //! Thread that saves snapshots and sends them to peers.
 
 use {
-    super::{disk::DiskJob, peers::Peers, storage},
+    super::{GroupEvent, disk::DiskJob, peers::Peers, storage},
     quay_log::{DiskFolder, LogError, save_snapshot},
     quay_quorum::{Message, SnapshotMeta},
-    quay_types::{Epoch, LogIndex, NodeId},
+    quay_types::{Epoch, NodeId},
     serde::Serialize,
     std::sync::mpsc::{Receiver, Sender},
 };
@@ -35,13 +35,8 @@
 }
 
 impl SnapshotWorker {
-    /// Runs jobs until the last sender is dropped. Calls `saved` after each save
-    /// with the snapshot's index, or with `None` if the save failed.
-    pub fn run<S: Serialize>(
-        &self,
-        jobs: &Receiver<SnapshotJob<S>>,
-        saved: impl Fn(Option<LogIndex>),
-    ) {
+    /// Runs jobs until the last sender is dropped, and reports their outcomes.
+    pub fn run<S: Serialize>(&self, jobs: &Receiver<SnapshotJob<S>>, report: impl Fn(GroupEvent)) {
         while let Ok(job) = jobs.recv() {
             match job {
                 SnapshotJob::Save(meta, state) => {
@@ -50,9 +45,16 @@
                     if let Err(err) = &done {
                         log::error!("event=snapshot_failed index={index} cause={err:?}");
                     }
-                    saved(done.ok().map(|()| index));
+                    report(match done {
+                        Ok(()) => GroupEvent::SnapshotSaved(index),
+                        Err(_) => GroupEvent::SnapshotFailed,
+                    });
+                }
+                SnapshotJob::Send { to, term } => {
+                    if self.send(to, term) {
+                        report(GroupEvent::SnapshotQueued(to));
+                    }
                 }
-                SnapshotJob::Send { to, term } => self.send(to, term),
             }
         }
     }
@@ -66,8 +68,8 @@
         Ok(())
     }
 
-    /// Sends the latest snapshot to a peer.
-    fn send(&self, to: NodeId, term: Epoch) {
+    /// Queues the latest snapshot for a peer. Returns `false` if there is none.
+    fn send(&self, to: NodeId, term: Epoch) -> bool {
         match storage::latest_snapshot(&self.folder) {
             Ok(Some(storage::StoredSnapshot { meta, data })) => {
                 let index = meta.position.index;
@@ -76,9 +78,11 @@
                     data.len()
                 );
                 self.peers.send(to, Message::Snapshot { term, meta, data });
+                return true;
             }
             Ok(None) => log::error!("event=snapshot_missing peer={to}"),
             Err(err) => log::error!("event=snapshot_unreadable peer={to} cause={err:?}"),
         }
+        false
     }
 }
