Control group: a voter stays until its successor has caught up

The planner now gets the learners that have nearly all entries from the leader's status, and removes a voter only for one of these.

Both new tests failed with the check taken out and pass with it.

--- a/crates/quay_quorum/src/replica/mod.rs
+++ b/crates/quay_quorum/src/replica/mod.rs
@@ -60,6 +60,9 @@
     pub last: Position,
     /// Latest membership, committed or not.
     pub members: Membership,
+    /// Other members that have persisted all but at most `Settings::max_promotion_lag`
+    /// entries; empty unless the replica leads.
+    pub caught_up: Vec<NodeId>,
 }
 
 /// A message that may be sent only after a write is synced.
@@ -216,6 +219,7 @@
             commit: self.commit,
             last: self.log.last(),
             members: self.log.members().1.clone(),
+            caught_up: self.caught_up_members(),
         }
     }
 
--- a/crates/quay_quorum/src/replica/requests.rs
+++ b/crates/quay_quorum/src/replica/requests.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{PendingRead, Replica, Role},
-    crate::{Action, Entry, MembershipChange, Mutation, Payload, Position, Refusal},
+    crate::{
+        Action, Entry, MembershipChange, Mutation, Payload, Position, Refusal, progress::Progress,
+    },
     quay_types::{LogIndex, NodeId, Time},
 };
 
@@ -105,13 +107,22 @@
     /// Whether a learner is reachable and lacks at most
     /// `Settings::max_promotion_lag` entries.
     fn caught_up(&self, now: Time, node: NodeId) -> bool {
-        self.leader_state
-            .progress
-            .get(&node)
-            .is_some_and(|progress| {
-                let lag = self.log.last().index.0.saturating_sub(progress.matched.0);
-                lag <= self.cfg.max_promotion_lag
-                    && now.since(progress.last_heard) < self.cfg.election
-            })
+        let progress = self.leader_state.progress.get(&node);
+        progress.is_some_and(|progress| {
+            self.lacks_few_entries(progress) && now.since(progress.last_heard) < self.cfg.election
+        })
+    }
+
+    /// Whether a peer lacks at most `Settings::max_promotion_lag` entries.
+    fn lacks_few_entries(&self, progress: &Progress) -> bool {
+        let lag = self.log.last().index.0.saturating_sub(progress.matched.0);
+        lag <= self.cfg.max_promotion_lag
+    }
+
+    /// Peers that lack at most `Settings::max_promotion_lag` entries.
+    pub(super) fn caught_up_members(&self) -> Vec<NodeId> {
+        let peers = self.leader_state.progress.iter();
+        let peers = peers.filter(|(_, progress)| self.lacks_few_entries(progress));
+        peers.map(|(node, _)| *node).collect()
     }
 }
--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -550,6 +550,7 @@
         let view = MembershipInputs {
             members: &status.members,
             joining: &joining,
+            caught_up: &status.caught_up,
             silent: &silent,
             voters: 2 * self.losses + 1,
         };
--- a/crates/sapphirequayd/src/gateway/control/leader_state.rs
+++ b/crates/sapphirequayd/src/gateway/control/leader_state.rs
@@ -340,8 +340,11 @@
     // -----------------------------------------------------------------------
     // Membership
 
-    /// Records a replica's request to join.
+    /// Records a replica's request to join, in place of an earlier replica at its
+    /// address.
     pub fn record_join_request(&mut self, now: Time, member: Member) {
+        self.join_requests
+            .retain(|_, (other, _)| other.node == member.node || other.addr != member.addr);
         self.join_requests.insert(member.node, (member, now));
     }
 
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -388,12 +388,25 @@
     Membership::from_voters([member(1, 1), member(2, 2), member(3, 3)])
 }
 
-/// Applies membership changes until none is due.
-fn apply_changes(mut members: Membership, joining: &[Member], silent: &[NodeId]) -> Membership {
+/// Applies membership changes until none is due. All learners catch up at once.
+fn apply_changes(members: Membership, joining: &[Member], silent: &[NodeId]) -> Membership {
+    let all: Vec<NodeId> = joining.iter().map(|it| it.node).collect();
+    apply_changes_with(members, joining, silent, &all)
+}
+
+/// Applies membership changes until none is due; `caught_up` names the learners that have
+/// caught up.
+fn apply_changes_with(
+    mut members: Membership,
+    joining: &[Member],
+    silent: &[NodeId],
+    caught_up: &[NodeId],
+) -> Membership {
     for _ in 0..9 {
         let view = MembershipInputs {
             members: &members,
             joining,
+            caught_up,
             silent,
             voters: 3,
         };
@@ -428,6 +441,35 @@
     assert_eq!(voters(&members), [1, 3, 9]);
 }
 
+/// Guards against a voter that is removed while its successor holds nothing yet: with the
+/// next lost disk the configuration is gone (review, case 1).
+#[test]
+fn a_voter_stays_until_its_successor_has_caught_up() {
+    let returned = member(9, 2);
+    let spare = member(8, 8);
+    for (joining, silent) in [(&returned, vec![]), (&spare, vec![NodeId(2)])] {
+        let joining = std::slice::from_ref(joining);
+        let members = apply_changes_with(three_voters(), joining, &silent, &[]);
+        assert_eq!(voters(&members), [1, 2, 3]);
+        assert_eq!(members.learners, joining);
+        let caught_up = [joining[0].node];
+        let members = apply_changes_with(members, joining, &silent, &caught_up);
+        assert_eq!(voters(&members).len(), 3);
+        assert!(members.is_voter(joining[0].node) && !members.is_voter(NodeId(2)));
+    }
+}
+
+/// Guards against two lost disks of which the second host waits until the first one has
+/// caught up.
+#[test]
+fn two_replicas_that_lost_their_disks_catch_up_at_the_same_time() {
+    let joining = [member(8, 2), member(9, 3)];
+    let members = apply_changes_with(three_voters(), &joining, &[], &[]);
+    assert_eq!(members.learners, joining);
+    let members = apply_changes(members, &joining, &[]);
+    assert_eq!(voters(&members), [1, 8, 9]);
+}
+
 #[test]
 fn a_learner_that_no_longer_asks_to_join_is_removed() {
     let mut members = three_voters();
@@ -435,6 +477,7 @@
     let view = MembershipInputs {
         members: &members,
         joining: &[],
+        caught_up: &[],
         silent: &[],
         voters: 3,
     };
