Control hosts outside the group lead to it

Control hosts were added and named as the only seeds.

Only members knew the group. A host outside it answered the requests of other processes with no leader, although its client knew one, and after a restart it knew nobody. Now every control host names the leader that it has found, learns the members with its request to join and keeps them on disk, and control hosts tell the seeds outside the group where it is. A member that was removed while it was away asks to join after a second without a leader. Stores ask for the members.

--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -6,6 +6,7 @@
         api,
         leader_state::LeaderState,
         membership::{MembershipInputs, next_membership_change},
+        saved_hosts::SavedHosts,
         state::{ControlState, IfChangedSince},
     },
     crate::{
@@ -13,8 +14,8 @@
             account_limits,
             control_client::{ControlClient, exchange},
             messages::{
-                ControlCommand, ControlReply, ControlRequest, FollowerState, GatewayRequest,
-                TableDocument,
+                ControlCommand, ControlHosts, ControlReply, ControlRequest, FollowerState,
+                GatewayRequest, TableDocument,
             },
             meters,
         },
@@ -28,7 +29,12 @@
     quay_turns::StoreChange,
     quay_types::{Announcement, NodeId, Time},
     rand::Rng as _,
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         sync::Notify,
         task::{spawn_blocking, spawn_local},
@@ -50,6 +56,16 @@
 /// over to another host after one second.
 const QUORUM_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time without a leader after which a member asks whether it was removed: several
+/// elections.
+const NO_LEADER_LIMIT: Duration = Duration::from_secs(1);
+
+/// Interval at which seeds outside the control group are told where it is.
+const INTRODUCE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Interval at which changes of the known control hosts are saved.
+const SAVE_HOSTS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time without an answer after which a joining replica may replace a voter.
 const VOTER_SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
@@ -77,6 +93,10 @@
     updates: Rc<Notify>,
     /// Notified when the state has changed and must be read at once.
     state_changed: Rc<Notify>,
+    /// Whether this replica is no member of the control group, as far as it can tell.
+    outside: Rc<Cell<bool>>,
+    /// Control hosts that were known when the process ended last.
+    saved_hosts: SavedHosts,
 }
 
 impl<D: Clone> Clone for ControlHost<D> {
@@ -93,6 +113,8 @@
             leading: Rc::clone(&self.leading),
             updates: Rc::clone(&self.updates),
             state_changed: Rc::clone(&self.state_changed),
+            outside: Rc::clone(&self.outside),
+            saved_hosts: self.saved_hosts.clone(),
         }
     }
 }
@@ -121,6 +143,8 @@
             leading: Rc::default(),
             updates: Rc::default(),
             state_changed: Rc::default(),
+            outside: Rc::default(),
+            saved_hosts: SavedHosts::default(),
         }
     }
 
@@ -129,12 +153,24 @@
         Self { quotas, ..self }
     }
 
+    /// Keeps the known control hosts in a folder. Those that are saved there are asked
+    /// besides the seeds.
+    pub fn with_saved_hosts(self, saved_hosts: SavedHosts) -> Self {
+        self.client.set_hosts(saved_hosts.members().to_vec());
+        Self {
+            saved_hosts,
+            ..self
+        }
+    }
+
     /// Starts the host's tasks.
     pub fn start(&self, listener: std::net::TcpListener) -> std::io::Result<()> {
         let listener = tokio::net::TcpListener::from_std(listener)?;
         spawn_local(api::serve(self.clone(), listener));
         spawn_local(self.clone().confirm_periodically());
         spawn_local(self.clone().maintain_membership());
+        spawn_local(self.clone().introduce_periodically());
+        spawn_local(self.clone().save_hosts_periodically());
         Ok(())
     }
 
@@ -264,8 +300,23 @@
     // -----------------------------------------------------------------------
     // Requests
 
-    /// Executes a request if this host leads.
+    /// Executes a request if this host leads; otherwise names the leader if it is known.
     pub async fn serve(&self, req: ControlRequest) -> ControlReply {
+        match self.execute(req).await {
+            // The replica of a host outside the group knows no leader.
+            ControlReply::NotLeader(None) => ControlReply::NotLeader(self.leader_for_others()),
+            reply => reply,
+        }
+    }
+
+    /// Leader that this host has found as a client of the group. A member learns the
+    /// leader through its replica, and knows none during an election.
+    fn leader_for_others(&self) -> Option<SocketAddr> {
+        let leader = self.client.known().leader;
+        leader.filter(|leader| self.outside.get() && *leader != self.own.addr)
+    }
+
+    async fn execute(&self, req: ControlRequest) -> ControlReply {
         match req {
             ControlRequest::Follow(mark) => self.follow(&mark).await,
             ControlRequest::Announce(announcement) => self.announce(*announcement).await,
@@ -292,10 +343,17 @@
                 let now = self.now();
                 self.as_leader(|leads| {
                     leads.record_join_request(now, member);
-                    ControlReply::Done
+                    ControlReply::Hosts(ControlHosts {
+                        leader: Some(self.own.addr),
+                        members: leads.control_links().into(),
+                    })
                 })
                 .await
             }
+            ControlRequest::Introduce(told) => {
+                self.client.add_hints(&told);
+                ControlReply::Hosts(self.known_hosts().await)
+            }
             ControlRequest::AnnounceStore(announcement, known) => {
                 let now = self.now();
                 self.as_leader(|leads| {
@@ -504,13 +562,24 @@
     /// Maintains the membership of the control group and the stores: asks to
     /// join while this replica is no voter, and makes due changes while it leads.
     async fn maintain_membership(self) {
+        let mut followed = self.now();
         loop {
             let status = self.ask_group(GroupMsg::Status).await.flatten();
             if let Some(status) = status {
                 meters::set_leader(status.leads);
-                self.client
-                    .set_hosts(status.members.all().map(|it| it.addr).collect());
-                if !status.members.is_voter(self.own.node) {
+                let now = self.now();
+                let member = status.members.get(self.own.node).is_some();
+                if member && status.leader.is_some() {
+                    followed = now;
+                }
+                // A replica that was removed while it was away isn't told so.
+                let outside = !member || now.since(followed) >= NO_LEADER_LIMIT;
+                self.outside.set(outside);
+                if !outside || self.client.known().members.is_empty() {
+                    self.client
+                        .set_hosts(status.members.all().map(|it| it.addr).collect());
+                }
+                if outside || !status.members.is_voter(self.own.node) {
                     self.ask_to_join().await;
                 } else if status.leads {
                     self.change_members(&status).await;
@@ -527,8 +596,55 @@
     /// Asks the leader to add this replica to the control group.
     async fn ask_to_join(&self) {
         let req = ControlRequest::Join(self.own.clone());
-        if self.client.request(req, QUORUM_TIMEOUT).await.is_none() {
-            log::debug!("event=join_unanswered node={}", self.own.node);
+        match self.client.request(req, QUORUM_TIMEOUT).await {
+            Some(ControlReply::Hosts(hosts)) => self.client.set_hosts(hosts.members.into()),
+            Some(_) => {}
+            None => log::debug!("event=join_unanswered node={}", self.own.node),
+        }
+    }
+
+    /// Control hosts that this host knows, with the leader that its replica knows if it
+    /// is a member.
+    async fn known_hosts(&self) -> ControlHosts {
+        let known = self.client.known();
+        if self.outside.get() {
+            return known;
+        }
+        let status = self.ask_group(GroupMsg::Status).await.flatten();
+        let leader = status.and_then(|it| Some(it.members.get(it.leader?)?.addr));
+        ControlHosts { leader, ..known }
+    }
+
+    /// Tells the seeds outside the control group where the group is: processes that have
+    /// just started know only the seeds of their settings.
+    async fn introduce_periodically(self) {
+        loop {
+            sleep(INTRODUCE_INTERVAL).await;
+            let members = self.client.known().members;
+            let mut seeds = self.client.seeds();
+            seeds.retain(|it| *it != self.own.addr && !members.contains(it));
+            if seeds.is_empty() {
+                continue;
+            }
+            let known = self.known_hosts().await;
+            for seed in seeds {
+                let (client, known) = (self.client.clone(), known.clone());
+                spawn_local(async move { client.introduce(seed, known).await });
+            }
+        }
+    }
+
+    /// Keeps the known control hosts on disk, for a start at which no seed knows the
+    /// control group.
+    async fn save_hosts_periodically(self) {
+        let mut saved = self.saved_hosts.clone();
+        loop {
+            let save = saved.clone();
+            let members = self.client.known().members;
+            if let Ok(saving) = spawn_blocking(move || save.save(members)).await {
+                saved = saving;
+            }
+            sleep(SAVE_HOSTS_INTERVAL).await;
         }
     }
 
--- a/crates/sapphirequayd/src/gateway/control/leader_state.rs
+++ b/crates/sapphirequayd/src/gateway/control/leader_state.rs
@@ -333,7 +333,7 @@
     }
 
     /// Addresses of the links of all control hosts.
-    fn control_links(&self) -> Vec<SocketAddr> {
+    pub fn control_links(&self) -> Vec<SocketAddr> {
         self.members.all().map(|member| member.addr).collect()
     }
 
--- a/crates/sapphirequayd/src/gateway/control/mod.rs
+++ b/crates/sapphirequayd/src/gateway/control/mod.rs
@@ -5,10 +5,12 @@
 mod host;
 mod leader_state;
 mod membership;
+mod saved_hosts;
 mod state;
 
 pub use {
     host::{ControlHost, FOLLOW_POLL_TIMEOUT},
     membership::{MembershipInputs, next_membership_change},
+    saved_hosts::SavedHosts,
     state::ControlState,
 };
--- a/crates/sapphirequayd/src/gateway/control_client.rs
+++ b/crates/sapphirequayd/src/gateway/control_client.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         GatewayRequest,
-        messages::{ControlReply, ControlRequest},
+        messages::{ControlHosts, ControlReply, ControlRequest},
     },
     crate::wire::LinkRequest,
     quay_link::{LinkError, LinkRole, Links},
@@ -14,7 +14,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
 /// Time-out for one control host; upstreams switch to another host after 1 s.
@@ -27,6 +27,12 @@
 /// a busy loop.
 const NEXT_HOST_DELAY: Duration = Duration::from_millis(20);
 
+/// Interval at which processes without updates ask for the members of the control group.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Maximum number of hosts kept that other hosts told of.
+const MAX_HINTS: usize = 8;
+
 /// Maximum number of hosts tried for one request.
 const MAX_HOSTS_TRIED: usize = 6;
 
@@ -51,11 +57,14 @@
 
 #[derive(Debug)]
 struct Shared {
-    /// Link addresses of the control hosts.
+    /// Link addresses of the control group's members, as a leader listed them last.
     hosts: RefCell<Vec<SocketAddr>>,
     /// Link addresses from the settings, used in addition to `hosts` in case
     /// all hosts known from the group are gone.
     seeds: RefCell<Vec<SocketAddr>>,
+    /// Link addresses that other control hosts told of since `hosts` was set; at most
+    /// [`MAX_HINTS`].
+    hints: RefCell<Vec<SocketAddr>>,
     /// Link address of the leader, if known.
     leader: Cell<Option<SocketAddr>>,
     /// Counter for the round-robin choice of a host without a known leader.
@@ -68,8 +77,9 @@
     /// Creates a client that knows only the seed addresses.
     pub fn new(links: Links, seeds: Vec<SocketAddr>) -> Self {
         let shared = Shared {
-            hosts: RefCell::new(seeds.clone()),
+            hosts: RefCell::default(),
             seeds: RefCell::new(seeds),
+            hints: RefCell::default(),
             leader: Cell::new(None),
             next: Cell::new(0),
             reached: Cell::new(false),
@@ -85,12 +95,74 @@
         *self.shared.seeds.borrow_mut() = seeds;
     }
 
+    /// Seed addresses.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        self.shared.seeds.borrow().clone()
+    }
+
     /// Replaces the known link addresses of the control hosts, unless `hosts`
     /// is empty.
     pub fn set_hosts(&self, hosts: Vec<SocketAddr>) {
         if !hosts.is_empty() {
             *self.shared.hosts.borrow_mut() = hosts;
+            self.shared.hints.borrow_mut().clear();
+        }
+    }
+
+    /// Control hosts that this client knows, apart from the seeds.
+    pub fn known(&self) -> ControlHosts {
+        ControlHosts {
+            leader: self.shared.leader.get(),
+            members: self.shared.hosts.borrow().as_slice().into(),
+        }
+    }
+
+    /// Adds hosts that another host told of; its list may be out of date.
+    pub fn add_hints(&self, told: &ControlHosts) {
+        if self.shared.leader.get().is_none() {
+            self.shared.leader.set(told.leader);
+        }
+        let mut hints = self.shared.hints.borrow_mut();
+        let hosts = self.shared.hosts.borrow();
+        for addr in told.members.iter().chain(&told.leader) {
+            if !hosts.contains(addr) && !hints.contains(addr) {
+                hints.push(*addr);
+            }
         }
+        let excess = hints.len().saturating_sub(MAX_HINTS);
+        hints.drain(..excess);
+    }
+
+    /// Exchanges the known control hosts with the host at `addr`, which need not lead.
+    pub async fn introduce(&self, addr: SocketAddr, known: ControlHosts) {
+        if let Some(told) = self.ask_for_hosts(addr, known).await {
+            self.add_hints(&told);
+        }
+    }
+
+    /// Asks the leader for the members of the control group periodically, so that a
+    /// process which runs outlives the replacement of all hosts that it was started
+    /// with. For processes that get no updates with the members.
+    pub async fn refresh_hosts_periodically(self) {
+        loop {
+            sleep(REFRESH_INTERVAL).await;
+            if let Some(leader) = self.shared.leader.get()
+                && let Some(told) = self.ask_for_hosts(leader, ControlHosts::default()).await
+            {
+                self.set_hosts(told.members.into());
+            }
+        }
+    }
+
+    async fn ask_for_hosts(&self, addr: SocketAddr, known: ControlHosts) -> Option<ControlHosts> {
+        let req = LinkRequest::Gateway(GatewayRequest::Control(ControlRequest::Introduce(known)));
+        let target = (addr, LinkRole::Ledger);
+        match exchange(&self.links, target, &req, HOST_TIMEOUT).await {
+            Ok(ControlReply::Hosts(told)) => return Some(told),
+            Ok(reply) => log::debug!("event=hosts_untold addr={addr} reply={reply:?}"),
+            Err(err) => log::debug!("event=hosts_untold addr={addr} cause={err:?}"),
+        }
+        None
     }
 
     /// Returns the host to try next: the known leader, otherwise all hosts in
@@ -102,9 +174,10 @@
         let turn = self.shared.next.get();
         self.shared.next.set(turn.wrapping_add(1));
         let mut all = self.shared.hosts.borrow().clone();
-        for seed in &*self.shared.seeds.borrow() {
-            if !all.contains(seed) {
-                all.push(*seed);
+        let (seeds, hints) = (self.shared.seeds.borrow(), self.shared.hints.borrow());
+        for addr in seeds.iter().chain(&*hints) {
+            if !all.contains(addr) {
+                all.push(*addr);
             }
         }
         let len = all.len();
@@ -148,12 +221,12 @@
                     let leader = leader.filter(|leader| *leader != addr);
                     self.shared.leader.set(leader);
                     if leader.is_none() {
-                        tokio::time::sleep(NO_LEADER_DELAY).await;
+                        sleep(NO_LEADER_DELAY).await;
                     }
                 }
                 Ok(ControlReply::Unavailable) | Err(_) => {
                     self.shared.leader.set(None);
-                    tokio::time::sleep(NEXT_HOST_DELAY).await;
+                    sleep(NEXT_HOST_DELAY).await;
                 }
                 Ok(reply) => {
                     self.shared.leader.set(Some(addr));
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -48,7 +48,8 @@
     PutTable(TableDocument),
     /// Reads the routing table in force.
     GetTable,
-    /// A replica that belongs to no group asks to join.
+    /// A replica that belongs to no group asks to join; answered by
+    /// [`ControlReply::Hosts`].
     Join(Member),
     /// Announcement of a store host with its current state, and the version of
     /// its store map.
@@ -66,6 +67,18 @@
     TakeQuota(QuotaRequest),
     /// Reads the limits of accounts and their use.
     ShowQuotas,
+    /// Tells which control hosts the sender knows, and asks for those that the receiver
+    /// knows. Answered by every control host, also by one outside the control group.
+    Introduce(ControlHosts),
+}
+
+/// Control hosts that a process knows of.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlHosts {
+    /// Link address of the leader, if known.
+    pub leader: Option<SocketAddr>,
+    /// Link addresses of the members of the control group; empty if unknown.
+    pub members: Box<[SocketAddr]>,
 }
 
 /// State that a follower already has; the leader sends what differs from it.
@@ -170,6 +183,8 @@
     Quota(QuotaReply),
     /// Reply to [`ControlRequest::ShowQuotas`].
     Quotas(Box<[QuotaRow]>),
+    /// Control hosts that the receiver knows.
+    Hosts(ControlHosts),
 }
 
 /// Limit of an account and its use, for operators.
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         GatewayRequest,
-        control::ControlHost,
+        control::{ControlHost, SavedHosts},
         control_client::ControlClient,
         front::FrontHost,
         incoming_calls::{Asked, IncomingRequests},
@@ -263,7 +263,8 @@
         own,
         seeds.losses,
     )
-    .with_quotas(settings.quota.settings());
+    .with_quotas(settings.quota.settings())
+    .with_saved_hosts(SavedHosts::open(&control.data).map_err(io("data directory"))?);
     let listener =
         std::net::TcpListener::bind(control.listen).map_err(io("control API address"))?;
     listener
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -138,6 +138,7 @@
     /// Starts the host's tasks.
     pub fn start(&self) {
         spawn_local(self.clone().announce_periodically());
+        spawn_local(self.client.clone().refresh_hosts_periodically());
         spawn_local(self.clone().expire_periodically());
     }
 
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -14,6 +14,7 @@
         fs::{self, OpenOptions},
         io::{Read, Write as _},
         net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+        path::PathBuf,
         process::{Child, Command},
         sync::{Arc, Mutex},
         thread,
@@ -39,6 +40,8 @@
     /// Address at which the first front serves its metrics.
     pub monitor: SocketAddr,
     control_links: Vec<SocketAddr>,
+    /// Indices of the control hosts that the settings name.
+    seeds: Vec<usize>,
     /// Link addresses of fronts.
     pub front_links: Vec<SocketAddr>,
     /// Link addresses of stores.
@@ -67,6 +70,7 @@
             fronts: (0..2).map(|_| free_port()).collect(),
             monitor: free_port(),
             control_links: (0..3).map(|_| free_port()).collect(),
+            seeds: vec![0, 1, 2],
             front_links: (0..2).map(|_| free_port()).collect(),
             store_links: (0..stores).map(|_| free_port()).collect(),
             children: Vec::new(),
@@ -85,12 +89,64 @@
         gateway
     }
 
+    /// Adds a control host and starts it. Returns its index.
+    pub fn add_control(&mut self) -> usize {
+        self.controls.push(free_port());
+        self.control_links.push(free_port());
+        let slot = self.controls.len() - 1;
+        self.run(Role::Control(slot), false);
+        slot
+    }
+
+    /// Names other control hosts in the settings of all processes; the ones that run
+    /// read their settings again.
+    pub fn set_seeds(&mut self, slots: &[usize]) {
+        self.seeds = slots.to_vec();
+        for role in self.running() {
+            self.write_settings(role, false);
+            self.signal(role, "HUP");
+        }
+    }
+
+    /// Names other control hosts in the settings of processes that are started later.
+    pub fn name_seeds_of_later_starts(&mut self, slots: &[usize]) {
+        self.seeds = slots.to_vec();
+    }
+
+    /// The processes that run.
+    pub fn running(&self) -> Vec<Role> {
+        self.children.iter().map(|(role, _)| *role).collect()
+    }
+
     /// Starts or restarts a process. `first_start` sets the setting of that name.
     pub fn run(&mut self, role: Role, first_start: bool) {
         if let Role::Store(slot) = role {
             // Each start of a store uses a new address.
             self.store_links[slot] = free_port();
         }
+        let file = self.write_settings(role, first_start);
+        let folder = self.folder.path();
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(folder.join(format!("{role:?}.log")))
+            .expect("log");
+        // Benchmarks compare daemons of several versions, also in one gateway.
+        let own = match role {
+            Role::Store(_) => env::var_os("SAPPHIREQUAYD_STORE"),
+            _ => None,
+        };
+        let daemon = own.or_else(|| env::var_os("SAPPHIREQUAYD"));
+        let daemon = daemon.unwrap_or_else(|| env!("CARGO_BIN_EXE_sapphirequayd").into());
+        let mut command = Command::new(daemon);
+        let command = command.arg("--config").arg(file);
+        let command = command.stdout(log.try_clone().expect("log")).stderr(log);
+        let child = start_process(command).expect("process");
+        self.children.push((role, child));
+    }
+
+    /// Writes the settings file of a process.
+    fn write_settings(&self, role: Role, first_start: bool) -> PathBuf {
         let folder = self.folder.path();
         let (link, table) = match role {
             Role::Control(slot) => (
@@ -118,7 +174,8 @@
                 ),
             ),
         };
-        let seeds: Vec<String> = self.control_links.iter().map(ToString::to_string).collect();
+        let seeds = self.seeds.iter().map(|slot| self.control_links[*slot]);
+        let seeds: Vec<String> = seeds.map(|it| it.to_string()).collect();
         let monitor = match role {
             Role::Front(0) => format!("monitor = \"{}\"\n", self.monitor),
             _ => String::new(),
@@ -130,23 +187,7 @@
         );
         let file = folder.join(format!("{role:?}.toml"));
         fs::write(&file, settings).expect("settings");
-        let log = OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(folder.join(format!("{role:?}.log")))
-            .expect("log");
-        // Benchmarks compare daemons of several versions, also in one gateway.
-        let own = match role {
-            Role::Store(_) => env::var_os("SAPPHIREQUAYD_STORE"),
-            _ => None,
-        };
-        let daemon = own.or_else(|| env::var_os("SAPPHIREQUAYD"));
-        let daemon = daemon.unwrap_or_else(|| env!("CARGO_BIN_EXE_sapphirequayd").into());
-        let mut command = Command::new(daemon);
-        let command = command.arg("--config").arg(file);
-        let command = command.stdout(log.try_clone().expect("log")).stderr(log);
-        let child = start_process(command).expect("process");
-        self.children.push((role, child));
+        file
     }
 
     /// Client with the link identity of a front.
@@ -199,7 +240,7 @@
 
     /// The control host that has logged last that it leads.
     pub fn leader(&self) -> Option<Role> {
-        let led = (0..3).filter_map(|slot| {
+        let led = (0..self.controls.len()).filter_map(|slot| {
             let role = Role::Control(slot);
             let log = self.folder.path().join(format!("{role:?}.log"));
             let text = fs::read_to_string(log).ok()?;
@@ -221,6 +262,11 @@
             .collect()
     }
 
+    /// Removes the data folder of a stopped control host.
+    pub fn wipe_control(&self, slot: usize) {
+        fs::remove_dir_all(self.folder.path().join(format!("control-{slot}"))).expect("wiped");
+    }
+
     /// Removes the data folder of a stopped store.
     pub fn wipe_store(&self, slot: usize) {
         fs::remove_dir_all(self.folder.path().join(format!("store-{slot}"))).expect("wiped");
