Stores: copy turns that were missed, so that their conversation is kept

After one rolling restart of the stores a conversation that went on was answered 404 by both fronts, with all machines up. A store keeps the turns that a new one continues from, but the walk back ended at the first turn that it lacked, and nothing brought that turn later. After the restart each store lacked another turn, so all of them dropped what lay before theirs, and two stores without a turn were taken for the proof that it never existed.

A store now records which turns it lacks and copies them from the other members of its group. The front answers 503 if a turn is found and one before it isn't.

--- a/crates/quay_turns/src/store_index.rs
+++ b/crates/quay_turns/src/store_index.rs
@@ -79,6 +79,9 @@
 pub struct StoreIndex {
     cfg: StoreIndexSettings,
     turns: IndexMap<TurnId, HeldTurn>,
+    /// Turns that the store lacks although it holds turns that continue from them, with
+    /// the latest expiry of those.
+    missing: IndexMap<TurnId, Time>,
     programs: IndexMap<ProgramTag, HeldCharges>,
     /// Last insertion number handed out.
     last_number: u64,
@@ -107,7 +110,9 @@
         let expires = match record {
             Record::Turn(turn) => {
                 let keep = Duration::from_secs(turn.retention_s.into()) + self.cfg.retention_margin;
-                let expires = now + keep;
+                let held = self.turns.get(&turn.id).map(|held| held.expires);
+                let needed = self.missing.swap_remove(&turn.id);
+                let expires = (now + keep).max(held.max(needed).unwrap_or_default());
                 self.last_number += 1;
                 let held = HeldTurn {
                     number: self.last_number,
@@ -152,10 +157,16 @@
     }
 
     /// Extends the expiry of a turn and its predecessors to that of a turn that
-    /// continues from them.
+    /// continues from them, as far as the store holds them. The first one that it lacks
+    /// is recorded as missing; the ones before it follow once it is inserted.
     fn extend_chain_expiry(&mut self, last: Option<TurnId>, expires: Time) {
         let mut next = last;
-        while let Some(held) = next.and_then(|id| self.turns.get_mut(&id)) {
+        while let Some(id) = next {
+            let Some(held) = self.turns.get_mut(&id) else {
+                let until = self.missing.entry(id).or_insert(expires);
+                *until = (*until).max(expires);
+                return;
+            };
             if held.expires >= expires {
                 return;
             }
@@ -167,6 +178,11 @@
         }
     }
 
+    /// Turns that the store lacks although it holds turns that continue from them.
+    pub fn missing_turns(&self) -> impl ExactSizeIterator<Item = TurnId> {
+        self.missing.keys().copied()
+    }
+
     /// Checks that a request does not carry an outdated epoch.
     ///
     /// # Errors
@@ -291,6 +307,7 @@
     /// which all records have expired, so that their files can be deleted.
     pub fn expire(&mut self, now: Time, open_segment: u64) -> Vec<u64> {
         self.turns.retain(|_, held| held.expires > now);
+        self.missing.retain(|_, expires| *expires > now);
         self.programs.retain(|_, held| held.expires > now);
         let empty: Vec<u64> = self
             .segments
--- a/crates/quay_turns/src/store_indexes.rs
+++ b/crates/quay_turns/src/store_indexes.rs
@@ -56,6 +56,21 @@
         self.groups.values().map(StoreIndex::turn_count).sum()
     }
 
+    /// Groups of which the store lacks turns that others continue from.
+    #[must_use]
+    pub fn groups_with_missing_turns(&self) -> Vec<GroupId> {
+        let groups = self.groups.iter();
+        let groups = groups.filter(|(_, index)| index.missing_turns().len() > 0);
+        groups.map(|(group, _)| *group).collect()
+    }
+
+    /// Number of turns that the store lacks in all groups.
+    #[must_use]
+    pub fn missing_count(&self) -> usize {
+        let groups = self.groups.values();
+        groups.map(|index| index.missing_turns().len()).sum()
+    }
+
     /// Removes expired entries. Returns the segments before `open_segment` in
     /// which the records of all groups have expired, so that their files can be
     /// deleted.
--- a/crates/quay_turns/tests/store_index.rs
+++ b/crates/quay_turns/tests/store_index.rs
@@ -57,6 +57,51 @@
     assert_eq!(index.turn_count(), 0);
 }
 
+/// Guards against a conversation that a store drops up to the turn that it missed, while
+/// the conversation goes on (review, case 4).
+#[test]
+fn a_missing_turn_is_known_and_the_turns_before_it_are_kept_once_it_arrives() {
+    let mut index = index();
+    index.insert(at(0), &turn(1, None), location(1, 0));
+    index.insert(at(0), &turn(2, Some(1)), location(1, 10));
+    // The store was away when turn 3 was written.
+    index.insert(at(50), &turn(4, Some(3)), location(1, 20));
+    assert_eq!(index.missing_turns().collect::<Vec<_>>(), [TurnId(3)]);
+    index.insert(at(51), &turn(3, Some(2)), location(1, 30));
+    assert_eq!(index.missing_turns().len(), 0);
+    index.expire(at(90), 1);
+    let chain = index.chain(TurnId(4));
+    assert_eq!((chain.locations.len(), chain.missing), (4, None));
+}
+
+#[test]
+fn a_missing_turn_is_kept_as_long_as_the_latest_turn_after_it() {
+    let mut index = index();
+    index.insert(at(0), &turn(3, Some(2)), location(1, 0));
+    index.insert(at(40), &turn(4, Some(3)), location(1, 10));
+    let shorter = Record::Turn(TurnRecord {
+        id: TurnId(2),
+        prior: None,
+        retention_s: 1,
+        input: [1].into(),
+        output: [2].into(),
+    });
+    index.insert(at(41), &shorter, location(1, 20));
+    index.expire(at(100), 1);
+    assert_eq!(index.chain(TurnId(4)).missing, None);
+    index.expire(at(120), 1);
+    assert_eq!((index.turn_count(), index.missing_turns().len()), (0, 0));
+}
+
+#[test]
+fn a_turn_that_stays_missing_is_forgotten_with_the_turns_after_it() {
+    let mut index = index();
+    index.insert(at(0), &turn(2, Some(1)), location(1, 0));
+    assert_eq!(index.missing_turns().len(), 1);
+    index.expire(at(80), 1);
+    assert_eq!(index.missing_turns().len(), 0);
+}
+
 #[test]
 fn the_open_segment_is_never_dropped() {
     let mut index = index();
--- a/crates/sapphirequayd/src/gateway/meters.rs
+++ b/crates/sapphirequayd/src/gateway/meters.rs
@@ -136,7 +136,8 @@
 /// Sets the gauges of a store: its number of turns and whether its copy is
 /// complete.
 #[allow(clippy::cast_precision_loss)]
-pub fn set_store(turns: usize, whole: bool) {
+pub fn set_store(turns: usize, missing: usize, whole: bool) {
     gauge!("sapphirequay_store_turns").set(turns as f64);
+    gauge!("sapphirequay_store_missing_turns").set(missing as f64);
     gauge!("sapphirequay_store_whole").set(f64::from(u8::from(whole)));
 }
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -522,6 +522,11 @@
                 }
             }
             if !held.contains_key(&missing) {
+                // A turn that another one continues from has existed.
+                if missing != last {
+                    log::warn!("event=turn_missing group={group} turn={missing:?}");
+                    return TurnLookup::Undetermined;
+                }
                 return match tally.verdict() {
                     LookupVerdict::Absent => TurnLookup::Absent,
                     _ => TurnLookup::Undetermined,
--- a/crates/sapphirequayd/src/gateway/store/copy.rs
+++ b/crates/sapphirequayd/src/gateway/store/copy.rs
@@ -13,7 +13,7 @@
     quay_link::LinkRole,
     quay_turns::{CopySource, Record, StoreMember},
     quay_types::{GroupId, TurnId},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
     tokio::{task::spawn_local, time::sleep},
 };
 
@@ -24,7 +24,7 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Maximum number of turns in one fetch request.
-const MAX_FETCH_TURNS: usize = 32;
+pub const MAX_FETCH_TURNS: usize = 32;
 
 /// Maximum number of fetch requests in flight.
 const MAX_CONCURRENT_FETCHES: usize = 4;
@@ -184,17 +184,30 @@
     }
 
     async fn ask(&self, source: &CopySource, op: StoreOp) -> Option<StoreReply> {
-        let req = StoreRequest {
-            to: source.identity,
-            group: self.group,
-            epoch: self.host.view(self.group).epoch,
-            joined: 0,
-            op,
-        };
-        let req = LinkRequest::Gateway(GatewayRequest::Store(req));
-        let source = (source.addr, LinkRole::Ledger);
-        exchange(&self.host.links, source, &req, SOURCE_TIMEOUT)
-            .await
-            .ok()
+        ask_store(&self.host, self.group, (source.identity, source.addr), op).await
     }
 }
+
+/// Sends an operation to another store, given by its identity and address, in the
+/// current view of a group.
+pub async fn ask_store(
+    host: &StoreHost,
+    group: GroupId,
+    (identity, addr): (u64, SocketAddr),
+    op: StoreOp,
+) -> Option<StoreReply> {
+    let req = StoreRequest {
+        to: identity,
+        group,
+        epoch: host.view(group).epoch,
+        joined: 0,
+        op,
+    };
+    let req = LinkRequest::Gateway(GatewayRequest::Store(req));
+    let target = (addr, LinkRole::Ledger);
+    let reply = exchange(&host.links, target, &req, SOURCE_TIMEOUT).await;
+    if let Err(err) = &reply {
+        log::debug!("event=store_source_unreached store={identity} cause={err:?}");
+    }
+    reply.ok()
+}
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -5,6 +5,7 @@
     super::{
         copy,
         files::{self, Files},
+        repair,
         stream_origins::StreamOrigins,
     },
     crate::{
@@ -34,7 +35,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::oneshot,
+        sync::{Notify, oneshot},
         task::{spawn_blocking, spawn_local},
         time::sleep,
     },
@@ -86,6 +87,8 @@
     disk: std_mpsc::Sender<WriteJob>,
     /// Groups in which a join is in progress.
     pub(super) copying: Rc<RefCell<HashSet<GroupId>>>,
+    /// Notified when a turn was written whose predecessors are not all held.
+    pub(super) turns_missing: Rc<Notify>,
 }
 
 impl StoreHost {
@@ -132,6 +135,7 @@
             segment: Rc::new(Cell::new(segment)),
             disk,
             copying: Rc::default(),
+            turns_missing: Rc::default(),
         })
     }
 
@@ -140,6 +144,7 @@
         spawn_local(self.clone().announce_periodically());
         spawn_local(self.client.clone().refresh_hosts_periodically());
         spawn_local(self.clone().expire_periodically());
+        spawn_local(repair::run(self.clone()));
     }
 
     /// Identity of the folder.
@@ -294,6 +299,11 @@
         Ref::map(self.index.borrow(), |indexes| indexes.group(group))
     }
 
+    /// Groups of which the store lacks turns that others continue from.
+    pub(super) fn groups_with_missing_turns(&self) -> Vec<GroupId> {
+        self.index.borrow().groups_with_missing_turns()
+    }
+
     /// Current view of a group; empty if there is none.
     pub(super) fn view(&self, group: GroupId) -> StoreView {
         self.map.borrow().group(group).cloned().unwrap_or_default()
@@ -336,9 +346,11 @@
         };
         self.segment.set(segment);
         let now = self.now();
-        self.index
-            .borrow_mut()
-            .insert(now, group, &record, location);
+        let mut index = self.index.borrow_mut();
+        index.insert(now, group, &record, location);
+        if index.group(group).missing_turns().len() > 0 {
+            self.turns_missing.notify_one();
+        }
         true
     }
 
@@ -413,7 +425,8 @@
             meters::set_stream_origins(self.origins.borrow().len());
             {
                 let held = self.index.borrow();
-                meters::set_store(held.turn_count(), !held.whole_epochs().is_empty());
+                let (turns, missing) = (held.turn_count(), held.missing_count());
+                meters::set_store(turns, missing, !held.whole_epochs().is_empty());
             }
             let empty = self.index.borrow_mut().expire(now, self.segment.get());
             for segment in empty {
--- a/crates/sapphirequayd/src/gateway/store/mod.rs
+++ b/crates/sapphirequayd/src/gateway/store/mod.rs
@@ -6,6 +6,7 @@
 mod group_request;
 mod host;
 mod path;
+mod repair;
 mod stream_origins;
 
 pub use {
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -262,6 +262,15 @@
             .collect()
     }
 
+    /// Identity that a store has logged.
+    pub fn store_identity(&self, slot: usize) -> Option<u64> {
+        let role = Role::Store(slot);
+        let log = self.folder.path().join(format!("{role:?}.log"));
+        let text = fs::read_to_string(log).ok()?;
+        let (_, rest) = text.rsplit_once("event=store_opened identity=")?;
+        rest.split_whitespace().next()?.parse().ok()
+    }
+
     /// Removes the data folder of a stopped control host.
     pub fn wipe_control(&self, slot: usize) {
         fs::remove_dir_all(self.folder.path().join(format!("control-{slot}"))).expect("wiped");
--- a/crates/sapphirequayd/tests/control_hosts.rs
+++ b/crates/sapphirequayd/tests/control_hosts.rs
@@ -169,7 +169,9 @@
     });
     gateway.signal(Role::Control(follower), "CONT");
     gateway.set_seeds(&[follower]);
-    wait_for("the replaced host answers", || has_table(&gateway, follower));
+    wait_for("the replaced host answers", || {
+        has_table(&gateway, follower)
+    });
     for role in kill_all(&mut gateway) {
         gateway.run(role, false);
     }
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -245,6 +245,52 @@
     }
 }
 
+/// The turns of the chain of `last` that a store holds, newest first; `None` if it does
+/// not answer.
+fn chain_held(gateway: &Gateway, slot: usize, last: &str) -> Option<Vec<TurnId>> {
+    let client = gateway.front_client();
+    let mut epoch = 1;
+    loop {
+        let req = StoreRequest {
+            to: gateway.store_identity(slot)?,
+            group: GroupId(0),
+            epoch,
+            joined: 0,
+            op: StoreOp::Chain(TurnId::owned(None, last)),
+        };
+        let req = LinkRequest::Gateway(GatewayRequest::Store(req));
+        let stream = client.open(gateway.store_links[slot], LinkRole::Ledger, &req);
+        match stream.ok()?.recv().ok()? {
+            StoreReply::Chain(turns, _) => return Some(turns.iter().map(|it| it.id).collect()),
+            StoreReply::Stale(seen) => epoch = seen,
+            _ => return None,
+        }
+    }
+}
+
+/// Guards against a conversation that is lost by one rolling restart: each store missed
+/// another turn and dropped what lies before it 75 s later (review, case 4).
+#[test]
+fn stores_that_missed_a_turn_get_it_with_a_later_one() {
+    let (mut gateway, llm, _app) = start_gateway();
+    let front = gateway.fronts[0];
+    let (mut last, _) = run_turn(&gateway, front, &llm, ("start", "", 1_000, "in;"));
+    for slot in 0..3 {
+        gateway.terminate(Role::Store(slot));
+        let name = format!("down-{slot}");
+        (last, _) = run_turn(&gateway, front, &llm, (&name, &last, 1_000, "more;"));
+        gateway.run(Role::Store(slot), false);
+        wait_for("the store answers", || chain_held(&gateway, slot, "none"));
+    }
+    let (last, got) = run_turn(&gateway, front, &llm, ("last", &last, 1_000, "more;"));
+    assert_eq!(got.status, 200, "{got:?}");
+    // The stores that got the last turn hold the whole conversation soon.
+    wait_for("two stores hold all turns", || {
+        let chains = (0..3).filter_map(|slot| chain_held(&gateway, slot, &last));
+        (chains.filter(|chain| chain.len() == 5).count() >= 2).then_some(())
+    });
+}
+
 #[test]
 fn a_budget_holds_across_fronts_and_charges_the_tokens_sent() {
     let (gateway, llm, _app) = start_gateway();
