--- a/crates/quay_turns/src/store_index.rs
+++ b/crates/quay_turns/src/store_index.rs
@@ -179,6 +179,7 @@
     }
 
     /// Turns that the store lacks although it holds turns that continue from them.
+    #[must_use]
     pub fn missing_turns(&self) -> impl ExactSizeIterator<Item = TurnId> {
         self.missing.keys().copied()
     }
