Versions: list a new one only once all fronts know of it

A front takes a stream of unknown origin up at the only version that it knows, if its state is fresh. Freshness counted from the reply, which may be from before a pause, and nothing kept streams from beginning at a version that a front did not know yet.

The leader now lists upstreams of a further version once each front that polls has the version, or has been silent for so long that it trusts its list no longer. Freshness counts from the request.

--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -13,6 +13,7 @@
 mod stream_origin;
 mod suspects;
 mod upstream_filter;
+mod version_rollout;
 
 use quay_types::{Incarnation, UpstreamId};
 
@@ -35,6 +36,7 @@
         Clearance, SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings,
     },
     upstream_filter::{Candidate, Eligibility, Requirements, UpstreamFilter},
+    version_rollout::{VersionRollout, VersionRolloutSettings},
 };
 
 /// An upstream and one of its incarnations.
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -40,7 +40,7 @@
         Requirements, ResumeFacts, ResumeRefusal, RetryBudgets, RetrySettings, RunEnd,
         ServiceVersion, ServiceVersions, StreamOrigin, SuspectCommand, SuspectEvent,
         SuspectRegistry, SuspectReply, SuspectSettings, UpstreamFilter, UpstreamRun,
-        VersionRegistry, VersionsSeen,
+        VersionRegistry, VersionRollout, VersionRolloutSettings, VersionsSeen,
     },
     memory::{
         CallerConnection, MemoryBudget, MemoryClass, MemoryDecision, MemoryHolder, MemorySettings,
--- a/crates/quay_policy/tests/stream_versions.rs
+++ b/crates/quay_policy/tests/stream_versions.rs
@@ -3,7 +3,8 @@
 use {
     quay_policy::{
         Candidate, Eligibility, OriginLookup, RecordedOrigin, Requirements, ResumeFacts,
-        ResumeRefusal, StreamOrigin, UpstreamFilter, UpstreamRun, VersionRegistry, VersionsSeen,
+        ResumeRefusal, StreamOrigin, UpstreamFilter, UpstreamRun, VersionRegistry, VersionRollout,
+        VersionRolloutSettings, VersionsSeen,
     },
     quay_types::{Incarnation, RequestRate, ServiceId, SoftwareVersion, Time, UpstreamId},
     std::time::Duration,
@@ -345,3 +346,76 @@
     assert_eq!(ask(&[&[old], &[new]]), RecordedOrigin::Conflicting);
     assert_eq!(ask(&[&[old, new]]), RecordedOrigin::Conflicting);
 }
+
+// ---------------------------------------------------------------------------
+// Listing of new versions
+
+fn rollout() -> VersionRollout<u32> {
+    VersionRollout::new(Time::ZERO, VersionRolloutSettings::default())
+}
+
+/// A registry that has recorded versions of the service, in this order.
+fn recorded(names: &[&str]) -> VersionRegistry {
+    let mut registry = VersionRegistry::default();
+    registry.begin();
+    for name in names {
+        let listed = [(ServiceId::of(SERVICE), Some(version(name)))];
+        registry.record(&VersionsSeen {
+            at: NOW,
+            listed: listed.into(),
+            whole: false,
+        });
+    }
+    registry
+}
+
+/// Guards against streams that begin at a new version while an entry that is out of step
+/// still takes the former one for the only one (report of other operators).
+#[test]
+fn a_new_version_waits_until_every_entry_knows_it_or_trusts_its_list_no_longer() {
+    let new = (ServiceId::of(SERVICE), Some(version("v2")));
+    let (before, after) = (recorded(&["v1"]), recorded(&["v1", "v2"]));
+    let mut rollout = rollout();
+    for entry in [1, 2] {
+        rollout.record_poll(NOW, entry, before.list().revision);
+    }
+    assert!(!rollout.may_list(NOW, new, before.list()), "not recorded");
+    assert!(!rollout.may_list(NOW, new, after.list()));
+    rollout.record_poll(NOW, 1, after.list().revision);
+    assert!(
+        !rollout.may_list(NOW, new, after.list()),
+        "entry 2 lacks it"
+    );
+    let lease = VersionRolloutSettings::default().lease;
+    let soon = NOW + lease - Duration::from_millis(1);
+    assert!(!rollout.may_list(soon, new, after.list()));
+    assert!(rollout.may_list(NOW + lease, new, after.list()));
+    // Once released it stays so, whatever other versions are recorded.
+    let more = recorded(&["v1", "v2", "v3"]);
+    rollout.record_poll(NOW + lease, 2, before.list().revision);
+    assert!(rollout.may_list(NOW + lease, new, more.list()));
+    // A version that was forgotten meanwhile waits again.
+    assert!(!rollout.may_list(NOW + lease, new, before.list()));
+    assert!(!rollout.may_list(NOW + lease, new, after.list()));
+}
+
+#[test]
+fn the_only_version_and_entries_without_a_list_wait_for_nobody() {
+    let mut rollout = rollout();
+    let first = (ServiceId::of(SERVICE), Some(version("v1")));
+    rollout.record_poll(Time::ZERO, 1, 0);
+    assert!(rollout.may_list(Time::ZERO, first, recorded(&["v1"]).list()));
+    let new = (ServiceId::of(SERVICE), Some(version("v2")));
+    rollout.record_poll(NOW, 1, 0);
+    assert!(rollout.may_list(NOW, new, recorded(&["v1", "v2"]).list()));
+}
+
+#[test]
+fn a_new_leader_waits_for_entries_that_an_earlier_leader_confirmed() {
+    let cfg = VersionRolloutSettings::default();
+    let mut rollout: VersionRollout<u32> = VersionRollout::new(NOW, cfg);
+    let new = (ServiceId::of(SERVICE), Some(version("v2")));
+    let list = recorded(&["v1", "v2"]);
+    assert!(!rollout.may_list(NOW, new, list.list()));
+    assert!(rollout.may_list(NOW + cfg.takeover, new, list.list()));
+}
--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -533,7 +533,13 @@
     /// Long poll of a follower: answers when there is an update, or after
     /// [`FOLLOW_POLL_TIMEOUT`].
     async fn follow(&self, mark: &FollowerState) -> ControlReply {
-        let deadline = self.now() + FOLLOW_POLL_TIMEOUT;
+        let asked = self.now();
+        let deadline = asked + FOLLOW_POLL_TIMEOUT;
+        if let Some(leads) = self.leading.borrow_mut().as_mut()
+            && leads.record_poll(asked, mark)
+        {
+            self.updates.notify_waiters();
+        }
         loop {
             let notified = self.updates.notified();
             tokio::pin!(notified);
--- a/crates/sapphirequayd/src/gateway/control/leader_state.rs
+++ b/crates/sapphirequayd/src/gateway/control/leader_state.rs
@@ -6,7 +6,8 @@
     indexmap::{IndexMap, IndexSet},
     quay_members::{Changes, Directory, Heartbeat, MembersReply, MembersSettings},
     quay_policy::{
-        FleetQuotaAllocator, FleetQuotaSettings, LimitAllocator, ServiceVersion, VersionsSeen,
+        FleetQuotaAllocator, FleetQuotaSettings, LimitAllocator, ServiceVersion, VersionRollout,
+        VersionRolloutSettings, VersionsSeen,
     },
     quay_quorum::{Member, Membership},
     quay_turns::{MembershipPlanner, MembershipSettings, StoreAnnouncement, StoreMap},
@@ -50,6 +51,10 @@
     directory: Directory,
     /// Latest announcement of each upstream.
     announced: IndexMap<UpstreamId, Announcement>,
+    /// Decides when upstreams of a new version may be listed.
+    rollout: VersionRollout<SocketAddr>,
+    /// Latest announcements of upstreams that may not be listed yet.
+    held: IndexMap<UpstreamId, Announcement>,
     /// Plans the membership of the stores from the announcements of store hosts.
     pub store_planner: MembershipPlanner,
     /// Replicas that ask to join, with the time of the latest request.
@@ -95,6 +100,8 @@
             began: now,
             directory: Directory::new(now, run, members),
             announced: IndexMap::new(),
+            rollout: VersionRollout::new(now, VersionRolloutSettings::default()),
+            held: IndexMap::new(),
             store_planner: MembershipPlanner::new(store_settings, now),
             join_requests: IndexMap::new(),
             silent_voters: IndexMap::new(),
@@ -129,6 +136,7 @@
         self.directory.tick(now);
         self.limits.tick(now);
         self.quotas.tick(now);
+        self.release_held(now);
         self.join_requests
             .retain(|_, (_, heard)| now.since(*heard) < JOIN_REQUEST_TTL);
         self.followers
@@ -211,8 +219,55 @@
 
     /// Records an announcement, unless it is older than the latest one of the
     /// upstream. An announcement in which only the sequence number changed is
-    /// processed as a heartbeat.
+    /// processed as a heartbeat. An upstream of a version that followers may not know
+    /// yet is listed later.
     pub fn announce(&mut self, now: Time, announcement: Announcement) {
+        let id = announcement.upstream();
+        let serves = announcement.state == UpstreamState::Serving;
+        if serves && !self.may_list(now, &announcement) {
+            let order = |of: &Announcement| (of.incarnation, of.sequence);
+            let held = self.held.entry(id).or_insert_with(|| {
+                log::info!(
+                    "event=upstream_held upstream={} run={} version={}",
+                    announcement.name,
+                    announcement.incarnation,
+                    announcement.kind.version_label()
+                );
+                announcement.clone()
+            });
+            if order(&announcement) > order(held) {
+                *held = announcement;
+            }
+            return;
+        }
+        self.held.swap_remove(&id);
+        self.list(now, announcement);
+    }
+
+    /// Whether an upstream of the announced version may be listed.
+    fn may_list(&mut self, now: Time, announcement: &Announcement) -> bool {
+        let kind = &announcement.kind;
+        let version = kind.service().map(|service| (service, kind.version()));
+        let recorded = self.state.versions.list();
+        version.is_none_or(|it| self.rollout.may_list(now, it, recorded))
+    }
+
+    /// Lists the upstreams that waited until all followers know their version. Returns
+    /// whether there were any.
+    fn release_held(&mut self, now: Time) -> bool {
+        let mut released = false;
+        for (id, announcement) in std::mem::take(&mut self.held) {
+            if self.may_list(now, &announcement) {
+                self.list(now, announcement);
+                released = true;
+            } else {
+                self.held.insert(id, announcement);
+            }
+        }
+        released
+    }
+
+    fn list(&mut self, now: Time, announcement: Announcement) {
         let id = announcement.upstream();
         let known = self.announced.get(&id);
         let unchanged = known.is_some_and(|known| {
@@ -266,9 +321,16 @@
     // -----------------------------------------------------------------------
     // Followers
 
+    /// Records the poll of a follower whose state is `mark`. Returns whether upstreams
+    /// are listed now that this follower knows their version.
+    pub fn record_poll(&mut self, now: Time, mark: &FollowerState) -> bool {
+        self.followers.insert(mark.link, now);
+        self.rollout.record_poll(now, mark.link, mark.versions);
+        self.release_held(now)
+    }
+
     /// Update for a follower whose state is `mark`; `None` if it is up to date.
     pub fn update_for(&mut self, now: Time, mark: &FollowerState) -> Option<ControlUpdate> {
-        self.followers.insert(mark.link, now);
         let directory = self.directory_changes(now, mark);
         let held = self.state.table.as_ref();
         let revision = held.map_or(0, |table| table.revision);
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -269,11 +269,11 @@
         self.0.startup.wait_for(ends, || self.now(), look).await;
     }
 
-    /// Whether the last control update is so recent that no change in force can
-    /// have been missed.
+    /// Whether the control group has confirmed the front's state so recently that no
+    /// change in force at `now` can have been missed.
     pub fn control_is_fresh(&self, now: Time) -> bool {
-        let last_update = self.0.last_update.get();
-        last_update.is_some_and(|at| now.since(at) < MAX_CONTROL_AGE)
+        let confirmed = self.0.last_confirmed.get();
+        confirmed.is_some_and(|at| now.since(at) < MAX_CONTROL_AGE)
     }
 
     /// Time since the configuration that the front has was last known to be in force;
--- a/crates/sapphirequayd/tests/resumed_streams.rs
+++ b/crates/sapphirequayd/tests/resumed_streams.rs
@@ -537,3 +537,50 @@
     let went_on = site.resume_by(Identified::ByContent, 1, &streams);
     assert!(went_on * 2 >= STREAMS, "{went_on} of {STREAMS}");
 }
+
+/// A front that stands still while upstreams of a new version join, and goes on with what
+/// it was told before: it must not take the former version for the only one.
+///
+/// Guards against streams joined from two versions (report of other operators).
+#[test]
+fn a_front_that_stood_still_during_a_release_joins_no_streams_of_two_versions() {
+    let mut site = Site::start_with(&[("old-1", "v1"), ("old-2", "v1")]);
+    let born = unix_millis();
+    site.gateway.signal(Role::Front(0), "STOP");
+    // The reply to its last poll, which waits in its socket, is from before the release.
+    thread::sleep(Duration::from_millis(600));
+    for name in ["new-1", "new-2"] {
+        let upstream = VersionedUpstream::start(name, "v2", born, &site.shared);
+        site.upstreams.push(upstream);
+    }
+    site.wait_for_versions(1, &["v2"]);
+    site.shared.set_breaks(true);
+    // Nothing but the request identifies the stream, and it is of no program, so that no
+    // store knows it.
+    let call = |front: usize, id: &str, more: &str| {
+        let head = format!(
+            "POST /plan/1 HTTP/1.1\nHost: a.example\nX-Sapphirequay-Request-Id: {id}\n\
+             X-Sapphirequay-Token-Usage: 5,30\nX-Sapphirequay-Deadline-Ms: 4000{more}"
+        );
+        send(site.gateway.fronts[front], &head, "")
+    };
+    wait_until("a stream begins at the new version", || {
+        site.announce();
+        let got = call(1, &next_id("begin"), "");
+        got.is_some_and(|got| got.status == 200 && version_of(&got) == "v2")
+    });
+    site.shared.set_breaks(false);
+    let resumed = thread::scope(|scope| {
+        // The request waits in the socket of the front until the front goes on.
+        let resumed = scope.spawn(|| call(0, &next_id("again"), "\nLast-Event-Id: 1"));
+        thread::sleep(Duration::from_millis(100));
+        site.gateway.signal(Role::Front(0), "CONT");
+        resumed.join().expect("response")
+    });
+    let got = resumed.expect("response");
+    if got.status == 200 {
+        assert_eq!(version_of(&got), "v2", "{got:?}");
+    } else {
+        assert_eq!(got.status, 503, "{got:?}");
+    }
+}
