Fronts: a refusal without the request's id is no answer to it

A refusal without an id was believed on any connection, although requests that are passed on have ids. And a 421, a load and a leaving upstream were recorded before the id was compared.

The id is compared first, and a response without it is no answer.

--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -543,6 +543,12 @@
         let answer = self.front.dialect().parse_response(&head);
         let now = self.front.now();
         let not_run = answer.execution != Execution::Possible;
+        // A response to another request says nothing of this one, nor of the upstream now.
+        if let Some(fault) = mismatch(&self.head.id, &answer) {
+            in_flight.record_failure();
+            in_flight.end_run(RunEnd::Answered);
+            return AttemptResult::Unknown(fault);
+        }
         if answer.execution == Execution::Misdirected {
             self.front
                 .upstreams()
@@ -554,8 +560,7 @@
         if answer.leaving && answer.execution != Execution::Misdirected {
             self.front.upstreams().record_leaving(in_flight.upstream());
         }
-        if answer.id.as_deref() == Some(&self.head.id) && answer.execution != Execution::Misdirected
-        {
+        if answer.execution != Execution::Misdirected {
             let sent = in_flight.started();
             let mut upstreams = self.front.upstreams();
             upstreams.record_limit(now, in_flight.upstream(), sent, answer.limit);
@@ -565,11 +570,6 @@
                 .upstreams()
                 .apply_load_report(now, in_flight.upstream().id, load);
         }
-        if let Some(fault) = mismatch(&self.head.id, &answer, not_run) {
-            in_flight.record_failure();
-            in_flight.end_run(RunEnd::Answered);
-            return AttemptResult::Unknown(fault);
-        }
         if head.status.is_server_error() && !not_run {
             in_flight.record_failure();
         }
--- a/crates/sapphirequayd/src/gateway/front/upstream_outcome.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstream_outcome.rs
@@ -49,10 +49,13 @@
 }
 
 /// Returns why a response is invalid for the request `id`, if it is.
-pub fn mismatch(id: &str, answer: &UpstreamHead, not_run: bool) -> Option<&'static str> {
+///
+/// A refusal without an id is invalid, too: only requests without one are refused so,
+/// and an upstream may repeat an earlier refusal on a connection that is reused.
+pub fn mismatch(id: &str, answer: &UpstreamHead) -> Option<&'static str> {
     if answer.id.as_deref().is_some_and(|other| other != id) {
         Some("answer_to_another")
-    } else if answer.id.is_none() && !not_run {
+    } else if answer.id.is_none() {
         Some("answer_to_nobody")
     } else if answer.encoded {
         Some("answer_encoded")
