Fronts: reset the aborted response of a caller of HTTP/1.0

The tests for it found that an aborted stream looked complete to callers of HTTP/1.0, which get no chunks: its connection was closed as after a complete response. It is reset now.

--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -3,7 +3,7 @@
 use {
     super::host_memory::{HostMemory, OpenConnection},
     bytes::Bytes,
-    http::{Request, Response},
+    http::{Request, Response, Version},
     http_body_util::{BodyExt as _, Full, combinators::UnsyncBoxBody},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -145,22 +145,29 @@
         // future.
         let open = limits.memory.open_connection();
         let id = open.as_ref().map(OpenConnection::id);
+        let http_10 = Rc::new(Cell::new(false));
+        let latest = Rc::clone(&http_10);
         let service = service_fn(move |mut req: Request<Incoming>| {
+            latest.set(req.version() == Version::HTTP_10);
             if let Some(id) = id {
                 req.extensions_mut().insert(id);
             }
             Box::pin(handler(req))
         });
         let conn = builder.serve_connection(TokioIo::new(stream), service);
-        spawn_local(drive_connection(conn, Rc::clone(&limits.closing), open));
+        let closing = Rc::clone(&limits.closing);
+        spawn_local(drive_connection(conn, closing, open, http_10));
     }
 }
 
-/// Drives one connection until it is closed, or ended for want of memory.
+/// Drives one connection until it is closed, or ended for want of memory. `http_10`
+/// tells whether the latest request is of HTTP/1.0, whose responses have no chunks: one
+/// without a length would look complete when an aborted connection is closed.
 async fn drive_connection<S>(
     mut conn: http1::Connection<TokioIo<TcpStream>, S>,
     closing: Rc<ConnectionDrain>,
     open: Option<OpenConnection>,
+    http_10: Rc<Cell<bool>>,
 ) where
     S: hyper::service::HttpService<Incoming, ResBody = Body>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -183,6 +190,9 @@
             ended = Pin::new(&mut conn) => {
                 if let Err(err) = ended {
                     log::debug!("event=caller_connection_ended cause={err}");
+                    if http_10.get() {
+                        reset(conn);
+                    }
                 }
                 break;
             }
