--- a/crates/sapphirequayd/tests/common/scripted_upstream.rs
+++ b/crates/sapphirequayd/tests/common/scripted_upstream.rs
@@ -1,5 +1,7 @@
 //! Upstream that writes whatever bytes a test wants.
 
+#![allow(dead_code)] // Each test file uses only some of the helpers.
+
 use {
     crate::gateway::{header, read_request},
     std::{
