Control hosts: bound what an upstream may announce

No process ended here, but a heartbeat with a sequence number or a start of 2^64 - 1, in the name of an upstream, made all its later ones old: they were acknowledged and ignored. Port 0 and names of megabytes were accepted as well.

Sequence numbers are read up to 2^53 - 1, a run may begin at most 10 minutes ahead of the control host's clock, and names and data centres have at most 255 bytes. An upstream for which the directory has no place is not kept elsewhere.

--- a/crates/quay_members/src/lib.rs
+++ b/crates/quay_members/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(view.entries(Time::ZERO).len(), 0);
 //! ```
 
+mod announcement_limits;
 mod directory;
 mod entry;
 mod host_contact;
@@ -24,6 +25,7 @@
 mod view;
 
 pub use {
+    announcement_limits::{AnnouncementFault, AnnouncementLimits},
     directory::{Directory, MemberStatus},
     entry::Suspicion,
     host_contact::HostContact,
--- a/crates/sapphirequayd/src/gateway/control/api.rs
+++ b/crates/sapphirequayd/src/gateway/control/api.rs
@@ -2,15 +2,20 @@
 
 use {
     super::ControlHost,
-    crate::gateway::{
-        http_server::{self, Body, full},
-        messages::{ControlReply, ControlRequest, TableDocument},
+    crate::{
+        gateway::{
+            http_server::{self, Body, full},
+            messages::{ControlReply, ControlRequest, TableDocument},
+        },
+        process::Clock,
     },
     bytes::Bytes,
     http::{Method, Request, Response, StatusCode},
     http_body_util::{BodyExt as _, Limited},
     hyper::body::Incoming,
+    quay_members::{AnnouncementFault, AnnouncementLimits},
     quay_routes::{Dialect, OperatorCall, OperatorError, OperatorResponse},
+    quay_types::Time,
     std::{convert::Infallible, time::Duration},
 };
 
@@ -104,6 +109,10 @@
     call: OperatorCall,
     body: &Bytes,
 ) -> OperatorResponse {
+    if let Err(fault) = check_bounds(&call) {
+        log::info!("event=operator_call_refused cause=\"{fault}\"");
+        return OperatorResponse::Invalid(fault.to_string().into());
+    }
     let (req, what) = match call {
         OperatorCall::PutTable => match parse_table_text(&host.dialect, body) {
             Ok(table) => (ControlRequest::PutTable(table), "table".into()),
@@ -127,6 +136,17 @@
     operator_response_for(reply, what)
 }
 
+/// Checks what an upstream says of itself.
+fn check_bounds(call: &OperatorCall) -> Result<(), AnnouncementFault> {
+    let limits = AnnouncementLimits::default();
+    let at = Time::from_millis(Clock::wall_ms());
+    match call {
+        OperatorCall::Announce(announcement) => limits.check(at, announcement),
+        OperatorCall::Leave { name, incarnation } => limits.check_run(at, name, *incarnation),
+        _ => Ok(()),
+    }
+}
+
 /// Converts a reply of the leader to an operator response. `what` names the
 /// object of the call.
 fn operator_response_for(reply: Option<ControlReply>, what: Box<str>) -> OperatorResponse {
--- a/crates/sapphirequayd/src/gateway/control/leader_state.rs
+++ b/crates/sapphirequayd/src/gateway/control/leader_state.rs
@@ -302,7 +302,11 @@
                 announcement.addr,
                 announcement.state
             );
-            self.directory.announce(now, announcement.clone());
+            let reply = self.directory.announce(now, announcement.clone());
+            if reply == MembersReply::Full {
+                log::error!("event=directory_full upstream={}", announcement.name);
+                return;
+            }
         }
         self.announced.insert(id, announcement);
         self.mark_departed(now);
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -223,6 +223,12 @@
         assert!(status.expect("kill").success());
     }
 
+    /// Whether a process has not ended by itself.
+    pub fn is_running(&mut self, role: Role) -> bool {
+        let child = self.children.iter_mut().find(|(it, _)| *it == role);
+        child.is_some_and(|(_, child)| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Operating system's id of a process.
     pub fn process_id(&self, role: Role) -> u32 {
         let child = self.children.iter().find(|(it, _)| *it == role);
