Stores: copy turns in replies of a limited size

It asked for 32 turns at once, and the source's reply of more than 32 MiB was dropped with a line at the level of debugging.

The new request FetchSome returns the turns that fit into 2 MB, at least one. Replies that are too large for a frame are logged as errors.

The new test is of 20 turns of 2 MB in one group of stores.

--- a/crates/sapphirequayd/src/gateway/incoming_calls.rs
+++ b/crates/sapphirequayd/src/gateway/incoming_calls.rs
@@ -45,8 +45,13 @@
             Self::Stream(incoming) => incoming.stream.send_async(reply).await,
             Self::Call(call) => call.reply(reply),
         };
-        if let Err(err) = sent {
-            log::debug!("event=link_reply_unsent cause={err:?}");
+        match sent {
+            Ok(()) => {}
+            // The sender will get none, however often it asks.
+            Err(err @ LinkError::TooLarge { .. }) => {
+                log::error!("event=link_reply_too_large cause={err:?}");
+            }
+            Err(err) => log::debug!("event=link_reply_unsent cause={err:?}"),
         }
     }
 }
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -271,6 +271,9 @@
     FindStream(AttemptTag),
     /// Returns the origins of the streams of a content, one for each version.
     FindContent(ContentDigest),
+    /// Returns the given turns, from the first one on, as far as they fit into a reply
+    /// of a few megabytes; at least one of those that the store holds.
+    FetchSome(Vec<TurnId>),
 }
 
 /// Reply of a store host.
@@ -282,7 +285,8 @@
     Charges(Vec<Charge>),
     /// Turns, newest first, and the first turn that this store lacks, if any.
     Chain(Vec<TurnRecord>, Option<TurnId>),
-    /// Reply to [`StoreOp::Fetch`]; turns that the store lacks are left out.
+    /// Reply to [`StoreOp::Fetch`] and [`StoreOp::FetchSome`]; turns that the store
+    /// lacks are left out.
     Turns(Vec<TurnRecord>),
     /// Reply to [`StoreOp::List`].
     List(Box<StoreList>),
--- a/crates/sapphirequayd/src/gateway/store/copy.rs
+++ b/crates/sapphirequayd/src/gateway/store/copy.rs
@@ -164,15 +164,12 @@
         true
     }
 
-    /// Copies turns with one fetch request.
+    /// Copies turns one after another.
     async fn fetch(&self, source: &CopySource, turns: Vec<TurnId>) -> bool {
-        match self.ask(source, StoreOp::Fetch(turns)).await {
-            Some(StoreReply::Turns(turns)) => {
-                self.save_all(turns.into_iter().map(Record::Turn).collect())
-                    .await
-            }
-            _ => false,
-        }
+        let source = (source.identity, source.addr);
+        copy_turns(&self.host, self.group, source, turns)
+            .await
+            .is_some()
     }
 
     async fn save(&self, record: Record) -> bool {
@@ -188,9 +185,41 @@
     }
 }
 
+/// Copies those of `turns` that another store holds. Returns their number; `None` if the
+/// store did not answer or a turn could not be written.
+pub async fn copy_turns(
+    host: &StoreHost,
+    group: GroupId,
+    source: (u64, SocketAddr),
+    mut turns: Vec<TurnId>,
+) -> Option<usize> {
+    let mut copied = 0;
+    while !turns.is_empty() {
+        let some = StoreOp::FetchSome(turns.clone());
+        let reply = match ask_store(host, group, source, some).await {
+            // A store of an earlier version does not answer this request.
+            None => ask_store(host, group, source, StoreOp::Fetch(turns.clone())).await,
+            reply => reply,
+        };
+        let Some(StoreReply::Turns(fetched)) = reply else {
+            return None;
+        };
+        if fetched.is_empty() {
+            break;
+        }
+        copied += fetched.len();
+        turns.retain(|id| fetched.iter().all(|turn| turn.id != *id));
+        let records = fetched.into_iter().map(Record::Turn).collect();
+        if !host.save_all(group, records).await {
+            return None;
+        }
+    }
+    Some(copied)
+}
+
 /// Sends an operation to another store, given by its identity and address, in the
 /// current view of a group.
-pub async fn ask_store(
+async fn ask_store(
     host: &StoreHost,
     group: GroupId,
     (identity, addr): (u64, SocketAddr),
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -56,6 +56,10 @@
 /// Maximum number of turns in one list reply.
 const MAX_LIST_TURNS: usize = 1_024;
 
+/// Maximum size of the turns in the reply to [`StoreOp::FetchSome`], in bytes, unless one
+/// turn alone is larger. The store holds several copies of a reply while it sends it.
+const MAX_FETCH_BYTES: u64 = 2 << 20;
+
 /// Maximum number of programs in one list reply.
 const MAX_LIST_PROGRAMS: usize = 256;
 
@@ -225,7 +229,8 @@
             }
             StoreOp::Chain(turn) => self.chain(group, turn).await,
             StoreOp::FenceEpoch => StoreReply::Synced,
-            StoreOp::Fetch(turns) => self.fetch(group, &turns).await,
+            StoreOp::Fetch(turns) => self.fetch(group, &turns, u64::MAX).await,
+            StoreOp::FetchSome(turns) => self.fetch(group, &turns, MAX_FETCH_BYTES).await,
             StoreOp::List { turns, programs } => self.list(group, turns, programs),
             StoreOp::RecordStream(..) | StoreOp::FindStream(_) | StoreOp::FindContent(_) => {
                 StoreReply::Refused
@@ -243,11 +248,19 @@
         }
     }
 
-    /// Returns those of `turns` that are held.
-    async fn fetch(&self, group: GroupId, turns: &[TurnId]) -> StoreReply {
+    /// Returns those of `turns` that are held, from the first one on, up to `max_bytes`
+    /// but at least one.
+    async fn fetch(&self, group: GroupId, turns: &[TurnId], max_bytes: u64) -> StoreReply {
         let locations: Vec<RecordLocation> = {
             let held = self.group(group);
-            turns.iter().filter_map(|id| held.location(*id)).collect()
+            let mut bytes = 0;
+            let held = turns.iter().filter_map(|id| held.location(*id));
+            held.take_while(|location| {
+                let first = bytes == 0;
+                bytes += u64::from(location.len);
+                first || bytes <= max_bytes
+            })
+            .collect()
         };
         match self.read_turns(locations).await {
             Some(turns) => StoreReply::Turns(turns),
--- a/crates/sapphirequayd/src/gateway/store/repair.rs
+++ b/crates/sapphirequayd/src/gateway/store/repair.rs
@@ -5,10 +5,9 @@
 use {
     super::{
         StoreHost,
-        copy::{MAX_FETCH_TURNS, ask_store},
+        copy::{MAX_FETCH_TURNS, copy_turns},
     },
-    crate::gateway::messages::{StoreOp, StoreReply},
-    quay_turns::{Record, StoreMember},
+    quay_turns::StoreMember,
     quay_types::{GroupId, TurnId},
     std::time::Duration,
     tokio::time::sleep,
@@ -68,16 +67,10 @@
         let mut progress = 0;
         for batch in missing.chunks(MAX_FETCH_TURNS) {
             let source = (member.identity, member.addr);
-            let fetch = StoreOp::Fetch(batch.to_vec());
-            let Some(StoreReply::Turns(turns)) = ask_store(host, group, source, fetch).await else {
-                return copied;
-            };
-            let turns: Vec<Record> = turns.into_iter().map(Record::Turn).collect();
-            let count = turns.len();
-            if !host.save_all(group, turns).await {
-                return copied;
+            match copy_turns(host, group, source, batch.to_vec()).await {
+                Some(count) => progress += count,
+                None => return copied,
             }
-            progress += count;
         }
         copied += progress;
         if progress == 0 {
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -291,6 +291,39 @@
     });
 }
 
+/// Guards against a store that never becomes whole again, since the turns of one request
+/// are larger than a reply may be (review, case 3).
+#[test]
+fn a_store_copies_turns_that_are_together_larger_than_a_reply() {
+    /// 20 of them exceed the 32 MiB of a reply.
+    const INPUT_BYTES: usize = 2_000_000;
+    let (mut gateway, llm, _app) = start_gateway();
+    let table = TABLE.replace("VERSION", "9").replace("100000", "4194304");
+    wait_for("the table is accepted", || {
+        let head = "POST /sapphirequay/config/put HTTP/1.1\nHost: c";
+        let got = send(gateway.controls[0], head, &table)?;
+        (got.status == 200).then_some(())
+    });
+    let input = "x".repeat(INPUT_BYTES);
+    for number in 0..20 {
+        let name = format!("large-{number}");
+        wait_for("the front has the new table", || {
+            // All turns of a program are in one group of stores.
+            let turn = (&*name, "", 100_000, &*input);
+            let (_, got) = run_turn(&gateway, gateway.fronts[0], &llm, turn);
+            (got.status == 200).then_some(())
+        });
+    }
+    gateway.kill(Role::Store(0));
+    gateway.wipe_store(0);
+    let before = gateway.logs().matches("event=store_whole").count();
+    gateway.run(Role::Store(0), false);
+    wait_for("the store is whole again", || {
+        let whole = gateway.logs().matches("event=store_whole").count();
+        (whole > before).then_some(())
+    });
+}
+
 #[test]
 fn a_budget_holds_across_fronts_and_charges_the_tokens_sent() {
     let (gateway, llm, _app) = start_gateway();
