--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -438,7 +438,9 @@
         let exchange = self.exchange(&mut in_flight, body, quota);
         match timeout(limit, exchange).await {
             Ok(Ok((head, incoming))) => {
-                self.handle_response(in_flight, head, incoming, limit).await
+                // The body has what the head left of the time.
+                let left = limit.saturating_sub(in_flight.elapsed());
+                self.handle_response(in_flight, head, incoming, left).await
             }
             Ok(Err(tried)) => {
                 if matches!(tried, AttemptResult::Unknown(_)) {
