--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -295,10 +295,12 @@
 /// are larger than a reply may be (review, case 3).
 #[test]
 fn a_store_copies_turns_that_are_together_larger_than_a_reply() {
-    /// 20 of them exceed the 32 MiB of a reply.
-    const INPUT_BYTES: usize = 2_000_000;
+    /// 10 of 20 exceed the 32 MiB of a reply, and one of two sources holds as many.
+    const INPUT_BYTES: usize = 3_500_000;
     let (mut gateway, llm, _app) = start_gateway();
+    // No turn expires during the test.
     let table = TABLE.replace("VERSION", "9").replace("100000", "4194304");
+    let table = table.replace("60.0", "600.0");
     wait_for("the table is accepted", || {
         let head = "POST /sapphirequay/config/put HTTP/1.1\nHost: c";
         let got = send(gateway.controls[0], head, &table)?;
