Sidecars: a refused resumption is not the answer to the request

What callers saw: an engine's stream breaks off, the engine answers the resumption with an error, and its text stands in the caller's stream as an error event, after which the body ends with its last chunk, like a complete one. Likewise if the connection ends within a line.

Cause: StreamTracker took any error response for the answer to the request; the error's message held the engine's body; EventStreamResponse ended a failed body properly; EngineStream took what was left at the end of a connection for a whole line, a field for a whole event, and any response below 400 for a stream.

Change: a refused resumption counts as a broken connection; errors name the status only, and the text is logged; after an error event the body breaks off; an event counts once its empty line has arrived; only 200 and text/event-stream is a stream.

--- a/crates/sapphirequayd/src/connection/engine.rs
+++ b/crates/sapphirequayd/src/connection/engine.rs
@@ -27,13 +27,19 @@
 /// Time-out of a request to cancel a stream or to release blocks.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Maximum number of bytes of an upstream's error body that are forwarded.
+/// Maximum number of bytes of an upstream's error body that are logged.
 const MAX_ERROR_BYTES: u64 = 500;
 
 /// Lowest HTTP status that counts as a fault of the upstream; lower error
 /// statuses are a fault of the request.
 const MIN_FAULT_STATUS: u16 = 500;
 
+/// Status of a response that is a stream.
+const STREAM_STATUS: u16 = 200;
+
+/// Media type of a response that is a stream.
+const STREAM_TYPE: &str = "text/event-stream";
+
 /// Data of the last event of a stream.
 const DONE: &str = "[DONE]";
 
@@ -179,19 +185,7 @@
 /// Converts a failed request into an upstream event.
 fn error_event(err: ureq::Error) -> UpstreamEvent {
     match err {
-        ureq::Error::Status(status, response) => {
-            let mut text = String::new();
-            let body = response.into_reader().take(MAX_ERROR_BYTES);
-            let _ = BufReader::new(body).read_to_string(&mut text);
-            let error = Error::new(
-                ErrorKind::UpstreamError,
-                format!("the upstream responded with status {status}: {text}"),
-            );
-            UpstreamEvent::Rejected {
-                error,
-                fault: status >= MIN_FAULT_STATUS,
-            }
-        }
+        ureq::Error::Status(_, response) => rejected(response),
         ureq::Error::Transport(err) => match err.kind() {
             ureq::ErrorKind::ConnectionFailed | ureq::ErrorKind::Dns => UpstreamEvent::Unreachable,
             _ if timed_out(&err) => UpstreamEvent::ReadTimeout,
@@ -200,6 +194,31 @@
     }
 }
 
+/// Event for a response that is no stream. Its text is only logged: it is not the
+/// caller's, and would be in the middle of its response if the stream had begun.
+fn rejected(response: ureq::Response) -> UpstreamEvent {
+    let status = response.status();
+    let mut text = Vec::new();
+    let read = response
+        .into_reader()
+        .take(MAX_ERROR_BYTES)
+        .read_to_end(&mut text);
+    log::warn!(
+        "event=upstream_rejected status={status} body_read={} body={:?}",
+        read.is_ok(),
+        String::from_utf8_lossy(&text)
+    );
+    let message = if status == STREAM_STATUS {
+        "the upstream's response is not an event stream".to_owned()
+    } else {
+        format!("the upstream responded with status {status}")
+    };
+    UpstreamEvent::Rejected {
+        error: Error::new(ErrorKind::UpstreamError, message),
+        fault: !(400..MIN_FAULT_STATUS).contains(&status),
+    }
+}
+
 /// Whether an error was caused by a read time-out, at any level of its causes.
 fn timed_out(err: &ureq::Transport) -> bool {
     let mut cause = std::error::Error::source(err);
@@ -230,6 +249,8 @@
     position: u64,
     /// Id of the event being read, which is its number of tokens so far.
     event_id: Option<u64>,
+    /// Data of the event being read.
+    data: String,
     finish: FinishReason,
 }
 
@@ -240,10 +261,14 @@
         position: u64,
     ) -> Result<Self, UpstreamEvent> {
         let response = sent.map_err(error_event)?;
+        if response.status() != STREAM_STATUS || response.content_type() != STREAM_TYPE {
+            return Err(rejected(response));
+        }
         Ok(Self {
             lines: BufReader::new(response.into_reader()),
             position,
             event_id: None,
+            data: String::new(),
             finish: FinishReason::Stop,
         })
     }
@@ -254,36 +279,44 @@
         loop {
             line.clear();
             match self.lines.read_line(&mut line) {
-                Ok(0) => return UpstreamEvent::Broken,
+                // Without its end the line may have been cut.
+                Ok(_) if !line.ends_with('\n') => return UpstreamEvent::Broken,
                 Ok(_) => {}
                 Err(err) if is_timeout(&err) => return UpstreamEvent::ReadTimeout,
                 Err(_) => return UpstreamEvent::Broken,
             }
-            if let Some(event) = self.parse_line(line.trim_end()) {
+            let line = line.trim_end_matches(['\r', '\n']);
+            if !line.is_empty() {
+                self.read_field(line);
+            } else if let Some(event) = self.end_event() {
                 return event;
             }
         }
     }
 
-    /// Parses one line; returns `None` if the line completes no event.
-    fn parse_line(&mut self, line: &str) -> Option<UpstreamEvent> {
-        if let Some(id) = line.strip_prefix("id: ") {
-            self.event_id = id.parse().ok();
-            return None;
+    /// Reads one field of an event.
+    fn read_field(&mut self, line: &str) {
+        let (name, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match name {
+            "id" => self.event_id = value.parse().ok(),
+            "data" => self.data.push_str(value),
+            _ => {}
         }
-        let data = line.strip_prefix("data: ")?;
-        if data == DONE {
+    }
+
+    /// Handles a complete event; returns `None` if it has no data.
+    fn end_event(&mut self) -> Option<UpstreamEvent> {
+        let data = std::mem::take(&mut self.data);
+        if data.is_empty() || data == DONE {
             return None;
         }
-        match serde_json::from_str(data) {
+        match serde_json::from_str(&data) {
             Ok(chunk) => self.chunk_event(chunk),
-            Err(err) => Some(UpstreamEvent::Rejected {
-                error: Error::new(
-                    ErrorKind::UpstreamError,
-                    format!("invalid event from the upstream: {err}"),
-                ),
-                fault: true,
-            }),
+            Err(err) => {
+                log::warn!("event=upstream_event_unread cause=\"{err}\"");
+                Some(UpstreamEvent::Broken)
+            }
         }
     }
 
--- a/crates/sapphirequayd/src/connection/response.rs
+++ b/crates/sapphirequayd/src/connection/response.rs
@@ -20,6 +20,10 @@
 /// that a resend receives exactly the recorded response.
 const CREATED: u64 = 0;
 
+/// Size line of a chunk that is too large for any reader: an error for the caller's
+/// client, which takes the body for incomplete.
+const ABORT: &[u8] = b"fffffffffffffffff\r\n";
+
 /// Data of a request that its response contains.
 #[derive(Debug, Clone)]
 pub struct ResponseInfo {
@@ -186,13 +190,19 @@
     }
 
     /// Sends an error: as an HTTP status if the response head was not sent yet,
-    /// else as an event.
+    /// else as an event, after which the body breaks off.
     pub fn fail(&mut self, err: &Error) -> io::Result<()> {
         if !self.head_sent {
             return write_error(&mut self.out, self.info.number, err);
         }
         self.write_chunk(&format!("event: error\ndata: {}\n\n", error_json(err)))?;
-        self.finish()
+        self.abort()
+    }
+
+    /// Breaks the body off. `tiny_http` can't close a connection between two requests.
+    fn abort(&mut self) -> io::Result<()> {
+        self.out.write_all(ABORT)?;
+        self.out.flush()
     }
 
     /// Writes the terminating chunk of the body.
--- a/crates/sapphirequayd/src/request/attempt.rs
+++ b/crates/sapphirequayd/src/request/attempt.rs
@@ -360,6 +360,7 @@
                 metrics::counter!("sapphirequay_stream_resumes_total").increment(1);
                 log::info!("event=stream_resumed stream={} tokens={tokens}", self.id);
                 drop(connection);
+                thread::sleep(self.tracker.resume_delay());
                 Ok(self.cx.engine.resume(self.id, tokens))
             }
             StreamAction::Resend => Ok(self.cx.engine.start(self.id, &self.call.body)),
--- a/crates/sapphirequayd/src/request/stream_tracker.rs
+++ b/crates/sapphirequayd/src/request/stream_tracker.rs
@@ -11,6 +11,10 @@
     std::time::Duration,
 };
 
+/// Delay before the second resumption in a row without a token; each further one waits
+/// that much longer.
+const RESUME_BACKOFF: Duration = Duration::from_millis(100);
+
 /// Limits of one attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamTrackerSettings {
@@ -71,9 +75,9 @@
     Unreachable,
     /// The upstream does not know the stream.
     Unknown,
-    /// The upstream returned an error.
+    /// The upstream returned an error instead of the stream.
     Rejected {
-        /// Error to return to the caller.
+        /// Error to return to the caller if the stream has not begun.
         error: Error,
         /// Whether the upstream, rather than the request, is at fault.
         fault: bool,
@@ -124,6 +128,8 @@
     sent: bool,
     /// Whether the request was sent again.
     resent: bool,
+    /// Whether the latest connection resumes the stream.
+    resuming: bool,
     /// Whether the upstream rejected the request because of the request itself.
     request_at_fault: bool,
 }
@@ -140,6 +146,7 @@
             disconnects: 0,
             sent: false,
             resent: false,
+            resuming: false,
             request_at_fault: false,
         }
     }
@@ -178,6 +185,8 @@
             UpstreamEvent::Broken => self.broken(),
             UpstreamEvent::Unreachable => self.unreachable(),
             UpstreamEvent::Unknown => self.unknown(),
+            // A refused resumption is not an answer to the request.
+            UpstreamEvent::Rejected { .. } if self.resuming => self.broken(),
             UpstreamEvent::Rejected { error, fault } => {
                 self.request_at_fault = !fault;
                 StreamAction::Fail(error)
@@ -223,7 +232,7 @@
         if now.since(self.last_progress) >= self.settings.token_timeout {
             return StreamAction::Fail(self.lost("the upstream sent no token within the time-out"));
         }
-        StreamAction::Resume(self.tokens)
+        self.resume()
     }
 
     /// Reconnects, unless too many connections broke in a row.
@@ -232,9 +241,21 @@
         if self.disconnects > self.settings.max_disconnects {
             return StreamAction::Fail(self.lost("connections to the upstream broke repeatedly"));
         }
+        self.resume()
+    }
+
+    const fn resume(&mut self) -> StreamAction {
+        self.resuming = true;
         StreamAction::Resume(self.tokens)
     }
 
+    /// Time to wait before the stream is resumed: none after the first disconnect
+    /// without a token in between.
+    #[must_use]
+    pub fn resume_delay(&self) -> Duration {
+        RESUME_BACKOFF * self.disconnects.saturating_sub(1)
+    }
+
     /// Handles a failed connection attempt. The request did not run if no byte
     /// of it was sent before.
     fn unreachable(&mut self) -> StreamAction {
@@ -252,6 +273,7 @@
     fn unknown(&mut self) -> StreamAction {
         if self.settings.idempotent && self.tokens == 0 && !self.resent {
             self.resent = true;
+            self.resuming = false;
             return StreamAction::Resend;
         }
         StreamAction::Fail(self.lost("the upstream no longer knows the stream"))
--- a/crates/sapphirequayd/tests/common/mod.rs
+++ b/crates/sapphirequayd/tests/common/mod.rs
@@ -176,14 +176,20 @@
     read(ureq::get(&format!("http://{addr}{path}")).call())
 }
 
-/// Status and text of a response.
-fn read(response: Result<ureq::Response, ureq::Error>) -> (u16, String) {
+/// Status and text of a response. It must break off if it ends with an error event, and
+/// be whole otherwise.
+pub fn read(response: Result<ureq::Response, ureq::Error>) -> (u16, String) {
     let (status, response) = match response {
         Ok(response) => (response.status(), response),
         Err(ureq::Error::Status(status, response)) => (status, response),
         Err(err) => panic!("{err}"),
     };
-    (status, response.into_string().expect("text"))
+    let mut bytes = Vec::new();
+    let ended = response.into_reader().read_to_end(&mut bytes);
+    let text = String::from_utf8(bytes).expect("text");
+    let failed = text.contains("event: error");
+    assert_eq!(ended.is_err(), failed, "{ended:?}: {text}");
+    (status, text)
 }
 
 /// Concatenated texts of a streamed response's deltas.
--- a/crates/sapphirequayd/tests/upstreams.rs
+++ b/crates/sapphirequayd/tests/upstreams.rs
@@ -114,7 +114,7 @@
         .set("authorization", &format!("Bearer {KEY}"))
         .set("sapphirequay-deadline-ms", "500")
         .send_string(&body);
-    let text = sent.expect("response").into_string().expect("text");
+    let (_, text) = common::read(sent);
     assert!(text.contains("deadline_exceeded"), "{text}");
     wait_for("the engine cancels the stream", || {
         engine.counts().cancelled == 1
