Fronts: a success without the upstream's seal is no answer

Cause: UpstreamHead::sealed was parsed, and nothing asked for it.

Change: such a response counts as cut: the request may have run, the upstream has failed, the run is lost, nothing is kept.

Evidence: with the daemon of a_success_or_promise_without_a_seal_is_not_passed_on (200 for a response without a seal) and a_turn_without_a_seal_is_not_kept failed; a_response_that_is_cut_anywhere_does_not_look_complete held. All three pass.

--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -12,7 +12,7 @@
         refusal::{Refusal, Refused},
         reservation::Reservation,
         stream::{PendingTurn, StreamRelay},
-        upstream_outcome::mismatch,
+        upstream_outcome::{lacks_seal, mismatch},
         upstreams::{Pool, SelectedUpstream},
     },
     crate::gateway::{
@@ -551,6 +551,11 @@
             in_flight.end_run(RunEnd::Answered);
             return AttemptResult::Unknown(fault);
         }
+        if lacks_seal(head.status, &answer) {
+            in_flight.record_failure();
+            in_flight.end_run(RunEnd::Lost);
+            return AttemptResult::Unknown("answer_unsealed");
+        }
         if answer.execution == Execution::Misdirected {
             self.front
                 .upstreams()
--- a/crates/sapphirequayd/src/gateway/front/upstream_outcome.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstream_outcome.rs
@@ -1,6 +1,9 @@
 //! Rating of an upstream by its responses and by the end of a stream.
 
-use quay_routes::UpstreamHead;
+use {
+    http::StatusCode,
+    quay_routes::{Execution, UpstreamHead},
+};
 
 /// Minimum number of events for measuring an upstream's time per event: before
 /// the first event the prompt is prefilled, which takes as long as some events.
@@ -63,3 +66,18 @@
         None
     }
 }
+
+/// Whether a response lacks the seal without which it proves nothing: a success, or a
+/// status that promises that the request was not run. The head may have been cut, so the
+/// request may have run.
+#[must_use]
+pub fn lacks_seal(status: StatusCode, answer: &UpstreamHead) -> bool {
+    let promises = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    );
+    answer.execution == Execution::Possible && !answer.sealed && (status.is_success() || promises)
+}
