Fronts: answer each request in a planned stop, and run only what can end

What callers saw: requests that come late in the grace period of a planned stop are passed on and cut at its end with no answer, among them some that may not be repeated; connections that arrive after the linger are closed without an answer.

Cause: drain knew the end of its grace period, and route_request did not ask; at the end the process ended with the requests in progress; a connection was shut down before its request was read; a reserve of 0.7 s was taken from any grace period.

Change: quay_policy::DrainPlan decides. A request that may not be repeated is refused at once as not run unless its time-out ends before; at the end all requests in progress get 502 or 503 and streams break off; late connections get one answer; the reserve is a quarter of a short grace period at most.

--- /dev/null
+++ b/crates/quay_policy/src/guard/drain.rs
@@ -0,0 +1,80 @@
+//! Shutdown of a host within a grace period: when it stops taking connections, which
+//! requests it still takes, and when those in progress get their final answer.
+
+use {quay_types::Time, std::time::Duration};
+
+/// Times of a shutdown.
+#[derive(Debug, Clone, Copy)]
+pub struct DrainSettings {
+    /// Time for which connections stay open after the host reports itself not ready.
+    pub linger: Duration,
+    /// Part of the grace period reserved for the last answers and reports, and for the
+    /// exit of the process.
+    pub reserve: Duration,
+}
+
+impl Default for DrainSettings {
+    fn default() -> Self {
+        Self {
+            // Two readiness probes 1 s apart, and the transit of the responses.
+            linger: Duration::from_millis(2_500),
+            reserve: Duration::from_millis(700),
+        }
+    }
+}
+
+/// Divisor of the grace period that bounds the reserve, so that a short grace period is
+/// mostly left to requests.
+const MAX_RESERVE_SHARE: u32 = 4;
+
+/// Schedule of a shutdown that has begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DrainPlan {
+    closes: Time,
+    ends: Time,
+    exits: Time,
+}
+
+impl DrainPlan {
+    /// Schedules a shutdown that begins now and ends within `grace`.
+    #[must_use]
+    pub fn new(now: Time, grace: Duration, cfg: &DrainSettings) -> Self {
+        let reserve = cfg.reserve.min(grace / MAX_RESERVE_SHARE);
+        let serving = grace.saturating_sub(reserve);
+        Self {
+            closes: now + cfg.linger.min(serving / 2),
+            ends: now + serving,
+            exits: now + grace,
+        }
+    }
+
+    /// Time from which connections are closed between two requests.
+    #[must_use]
+    pub const fn closes(&self) -> Time {
+        self.closes
+    }
+
+    /// Time at which requests in progress get their final answer.
+    #[must_use]
+    pub const fn ends(&self) -> Time {
+        self.ends
+    }
+
+    /// Time by which the process must have ended.
+    #[must_use]
+    pub const fn exits(&self) -> Time {
+        self.exits
+    }
+
+    /// Whether a request that may take `time_out` may be sent to an upstream now. One that
+    /// may not be repeated must end before its answer would be cut off: the caller could
+    /// not tell whether it has run.
+    #[must_use]
+    pub fn admits(&self, now: Time, time_out: Duration, repeatable: bool) -> bool {
+        if repeatable {
+            now < self.ends
+        } else {
+            now + time_out <= self.ends
+        }
+    }
+}
--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -1,8 +1,9 @@
 //! Protection against overload and faults: retry budgets, account quotas,
-//! quarantine of requests that crash upstreams, limits that upstreams name, and
-//! which upstreams may take a request.
+//! quarantine of requests that crash upstreams, limits that upstreams name, which
+//! upstreams may take a request, and which requests a host takes while it shuts down.
 
 mod crashes;
+mod drain;
 mod fleet_quota;
 mod leaving;
 mod limits;
@@ -19,6 +20,7 @@
 
 pub use {
     crashes::{CheckResult, CrashDetector, CrashSettings, RunEnd},
+    drain::{DrainPlan, DrainSettings},
     fleet_quota::{
         AccountLimit, FleetQuotaAllocator, FleetQuotaHolder, FleetQuotaSettings, Permission,
         QuotaGrant, QuotaReply, QuotaReport, QuotaRequest, QuotaUse, QuotaView,
--- /dev/null
+++ b/crates/quay_policy/tests/drain.rs
@@ -0,0 +1,38 @@
+//! Schedule of a shutdown.
+
+use {
+    quay_policy::{DrainPlan, DrainSettings},
+    quay_types::Time,
+    std::time::Duration,
+};
+
+fn plan(grace_ms: u64) -> DrainPlan {
+    let grace = Duration::from_millis(grace_ms);
+    DrainPlan::new(Time::from_millis(1_000), grace, &DrainSettings::default())
+}
+
+/// Guards against a short grace period that is over before any request was served.
+#[test]
+fn a_short_grace_period_is_mostly_left_to_requests() {
+    for grace_ms in [500, 1_000, 2_000, 3_000, 8_000, 60_000] {
+        let plan = plan(grace_ms);
+        let grace = Duration::from_millis(grace_ms);
+        let began = Time::from_millis(1_000);
+        assert!(plan.ends().since(began) >= grace * 3 / 4, "{plan:?}");
+        assert!(plan.closes().since(began) <= grace / 2, "{plan:?}");
+        assert_eq!(plan.exits(), began + grace);
+        assert!(plan.closes() < plan.ends() && plan.ends() < plan.exits());
+    }
+}
+
+#[test]
+fn only_what_surely_ends_is_admitted_unless_it_may_be_repeated() {
+    let plan = plan(8_000);
+    let at = Time::from_millis;
+    let left = plan.ends().since(at(3_000));
+    assert!(plan.admits(at(3_000), left, false));
+    let longer = left + Duration::from_millis(1);
+    assert!(!plan.admits(at(3_000), longer, false));
+    assert!(plan.admits(at(3_000), longer, true));
+    assert!(!plan.admits(plan.ends(), Duration::ZERO, true));
+}
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -88,6 +88,8 @@
     holder: Option<MemoryHolder>,
     /// Whether an attempt ended without telling whether the request has run.
     may_have_run: Cell<bool>,
+    /// Whether an upstream may have the request, or had it.
+    offered: &'a Cell<bool>,
     /// Whether the request begins a program.
     begins: Cell<bool>,
 }
@@ -104,8 +106,13 @@
         }
     };
     let draw = AttemptTag::of(&head.id).0;
-    let account = OnceCell::new();
-    let answered = route_request(&front, arrived, &parts, &head, body, &account).await;
+    let (account, offered) = (OnceCell::new(), Cell::new(false));
+    let routed = route_request(&front, arrived, &parts, &head, body, &account, &offered);
+    let answered = tokio::select! {
+        biased;
+        answered = routed => answered,
+        () = front.shutdown().ended() => Err(cut_off(offered.get()).into()),
+    };
     let account = account.get().map_or("", String::as_str);
     let duration = front.now().since(arrived);
     let ms = duration.as_millis();
@@ -143,8 +150,18 @@
     response
 }
 
+/// Final answer to a request in progress when the front ends.
+const fn cut_off(offered: bool) -> Refusal {
+    if offered {
+        Refusal::OutcomeUnknown
+    } else {
+        Refusal::Draining
+    }
+}
+
 /// Finds the route and the account of a request and runs the request on an upstream.
-/// `account` is set to what log lines say of the account.
+/// `account` is set to what log lines say of the account, `offered` to whether an upstream
+/// may have the request.
 async fn route_request<D: Dialect>(
     front: &FrontHost<D>,
     arrived: Time,
@@ -152,6 +169,7 @@
     head: &CallHead,
     body: Incoming,
     account: &OnceCell<String>,
+    offered: &Cell<bool>,
 ) -> Result<Response<Body>, Refused> {
     // The route's own time-out is unknown until there is a table.
     let caller_timeout = head.caller_timeout.unwrap_or(Duration::MAX);
@@ -168,6 +186,7 @@
     let _ = account.set(front.describe_caller(&caller, &table));
     let ids = caller.ids(head);
     let deadline = RequestDeadline::new(arrived, head.caller_timeout, route.timeout);
+    check_shutdown(front, route, &deadline)?;
     let service = route.target(ids.program().0).ok_or(Refusal::NoUpstream)?;
     let known = table.service(service);
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
@@ -208,6 +227,7 @@
         draw: AttemptTag::of(&head.id).0,
         holder,
         may_have_run: Cell::default(),
+        offered,
         begins: Cell::default(),
     };
     call.check_quarantine()?;
@@ -217,6 +237,27 @@
     }
 }
 
+/// Refuses a request that might be cut off by the front's shutdown.
+fn check_shutdown<D: Dialect>(
+    front: &FrontHost<D>,
+    route: &Route,
+    deadline: &RequestDeadline,
+) -> Result<(), Refusal> {
+    let now = front.now();
+    let repeatable = matches!(
+        route.repeat,
+        RepeatPolicy::Idempotent | RepeatPolicy::ResumableStream
+    );
+    let admitted = front
+        .shutdown()
+        .admits(now, deadline.remaining(now), repeatable);
+    if admitted {
+        Ok(())
+    } else {
+        Err(Refusal::Draining)
+    }
+}
+
 impl<D: Dialect> Call<'_, D> {
     // -----------------------------------------------------------------------
     // Upstreams
@@ -257,6 +298,7 @@
             let (front, checked) = (self.front, &self.checked);
             front.check_caller(self.head, self.route, &self.caller, checked)?;
             self.check_quarantine()?;
+            check_shutdown(front, self.route, &self.deadline)?;
             let limit = self.attempt_limit(left, attempts);
             let outcome = self
                 .attempt_one(&body, limit, &mut tried, quota.as_ref())
@@ -267,6 +309,9 @@
             {
                 quota.unspend();
             }
+            if matches!(outcome, AttemptResult::NotRun | AttemptResult::NoUpstream) {
+                self.offered.set(self.may_have_run.get());
+            }
             match outcome {
                 AttemptResult::Complete(response) => return Ok(response),
                 AttemptResult::Stream(in_flight, head, incoming) => {
@@ -492,6 +537,7 @@
                 quota.spend();
             }
             in_flight.begin_run();
+            self.offered.set(true);
             match lease.send(req).await {
                 Ok(response) => {
                     in_flight.begin_response(lease);
@@ -499,6 +545,7 @@
                 }
                 Err(SendError::NotSent) => {
                     in_flight.cancel_run();
+                    self.offered.set(self.may_have_run.get());
                     if !reused {
                         return Err(AttemptResult::NotRun);
                     }
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -12,6 +12,7 @@
         buffer_space::BufferSpace,
         call,
         connections::Connections,
+        drain::FrontDrain,
         front_suspects::FrontSuspects,
         memory::FrontMemory,
         refusal::Refusal,
@@ -32,7 +33,7 @@
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
-    quay_policy::{FleetQuotaHolder, FleetQuotaSettings, MemoryHolder},
+    quay_policy::{DrainPlan, DrainSettings, FleetQuotaHolder, FleetQuotaSettings, MemoryHolder},
     quay_routes::{Dialect, RoutingTable},
     quay_turns::TurnRecord,
     quay_types::{AttemptTag, ProgramTag, Time, TurnId},
@@ -48,7 +49,7 @@
         net::TcpListener,
         sync::Notify,
         task::spawn_local,
-        time::{Instant, sleep, timeout_at},
+        time::{Instant, sleep, sleep_until, timeout_at},
     },
 };
 
@@ -77,16 +78,12 @@
 /// connections are dropped and gauges are set.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time for which new connections may still arrive after the front reports
-/// itself not ready: two readiness probes 1 s apart, and the transit of the
-/// responses.
-const DRAIN_LINGER: Duration = Duration::from_millis(2_500);
+/// Divisor of the end of a grace period, after the final answers, that gives the time
+/// for sending them.
+const ANSWER_SHARE: u32 = 3;
 
-/// Part of the grace period reserved for last reports and the exit of the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(700);
-
-/// Part of `EXIT_RESERVE` in which the front may still report crashes.
-const FLUSH_RESERVE: Duration = Duration::from_millis(500);
+/// The same for the time from the end on within which crashes are still reported.
+const REPORT_SHARE: (u32, u32) = (5, 7);
 
 /// Handle of a front; clones share its state.
 #[derive(Debug)]
@@ -129,7 +126,7 @@
     last_confirmed: Cell<Option<Time>>,
     /// Time without an update after which keys are refused, if they are.
     revoke_after: Option<Duration>,
-    draining: Cell<bool>,
+    drain: FrontDrain,
     /// Random identity of this front in requests for directory changes.
     reader: u64,
     /// Link address of this front.
@@ -177,7 +174,7 @@
             last_update: Cell::default(),
             last_confirmed: Cell::default(),
             revoke_after: settings.revoke_after(),
-            draining: Cell::default(),
+            drain: FrontDrain::default(),
             reader,
             link,
         }))
@@ -291,7 +288,12 @@
 
     /// Whether the front is shutting down.
     pub fn draining(&self) -> bool {
-        self.0.draining.get()
+        self.0.drain.has_begun()
+    }
+
+    /// Shutdown of the front.
+    pub fn shutdown(&self) -> &FrontDrain {
+        &self.0.drain
     }
 
     /// Upstreams known to the front.
@@ -462,26 +464,33 @@
         }
     }
 
-    /// Shuts down gracefully: reports not ready, accepts connections for
-    /// `DRAIN_LINGER`, then closes each connection between two responses.
-    ///
-    /// Connections still open near the end of `grace` are cut.
+    /// Shuts down gracefully within `grace`: reports not ready, then closes each
+    /// connection between two responses. Requests that are still in progress near the
+    /// end of `grace` get their final answer.
     pub async fn drain(&self, grace: Duration) {
-        let ends = Instant::now() + grace.saturating_sub(EXIT_RESERVE);
-        self.0.draining.set(true);
-        log::info!(
-            "event=drain_began connections={}",
-            self.0.limits.closing.open()
-        );
-        sleep(DRAIN_LINGER.min(grace / 2)).await;
+        let plan = DrainPlan::new(self.now(), grace, &DrainSettings::default());
+        let began = Instant::now();
+        let at = |time: Time| began + time.since(self.now());
+        let (closes, ends) = (at(plan.closes()), at(plan.ends()));
+        let reserve = plan.exits().since(plan.ends());
+        self.0.drain.begin(plan);
         let closing = &self.0.limits.closing;
+        log::info!("event=drain_began connections={}", closing.open());
+        sleep_until(closes).await;
         closing.begin();
         if timeout_at(ends, closing.all_closed()).await.is_err() {
-            log::error!("event=drain_cut connections={}", closing.open());
+            log::warn!("event=drain_ends connections={}", closing.open());
+            self.0.drain.end();
+            let answered = ends + reserve / ANSWER_SHARE;
+            if timeout_at(answered, closing.all_closed()).await.is_err() {
+                log::error!("event=drain_cut connections={}", closing.open());
+            }
         } else {
             log::info!("event=drain_ended");
         }
-        self.leave_quotas().await;
-        self.flush_reports(ends + FLUSH_RESERVE).await;
+        let (part, whole) = REPORT_SHARE;
+        let reported = ends + reserve * part / whole;
+        let _ = timeout_at(reported, self.leave_quotas()).await;
+        self.flush_reports(reported).await;
     }
 }
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod connections;
 mod conversation_cache;
+mod drain;
 mod events;
 mod front_suspects;
 mod host;
--- a/crates/sapphirequayd/src/gateway/front/refusal.rs
+++ b/crates/sapphirequayd/src/gateway/front/refusal.rs
@@ -85,6 +85,8 @@
     Limited => "limited", 503, Some(250);
     /// Upstreams were unreachable or did not run the request.
     UpstreamsFull => "upstreams_full", 503, Some(120);
+    /// The front is shutting down, and the request might not end before.
+    Draining => "draining", 503, Some(20);
     /// The deadline passed before an upstream received the request.
     TooLate => "too_late", 503, Some(100);
     /// The deadline passed after an upstream may have received the request.
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -43,6 +43,9 @@
 /// Time after which a paused stream looks again whether memory is still short.
 const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Reason of [`StreamEnd::Broken`] if the front shuts down.
+const FRONT_ENDS: &str = "front_ends";
+
 /// Longest time for which the first event waits until the stream's origin is recorded.
 const MAX_RECORD_WAIT: Duration = Duration::from_millis(100);
 
@@ -139,7 +142,14 @@
         self.rate_upstream(end, &reader, is_framed(&headers));
         let end = match end {
             StreamEnd::Whole if reader.mid_event() => StreamEnd::Broken("upstream_ended_mid_event"),
-            StreamEnd::Whole => self.store_turn(reader).await,
+            StreamEnd::Whole => {
+                let front = self.front.clone();
+                tokio::select! {
+                    biased;
+                    end = self.store_turn(reader) => end,
+                    () = front.shutdown().ended() => StreamEnd::Broken(FRONT_ENDS),
+                }
+            }
             end => end,
         };
         match end {
@@ -196,7 +206,8 @@
     ) -> StreamEnd {
         let left = self.ends.since(self.front.now());
         let ends = sleep(left);
-        tokio::pin!(ends);
+        let shutdown = self.front.shutdown().ended();
+        tokio::pin!(ends, shutdown);
         let taken = Arc::new(Notify::new());
         loop {
             // A stream whose caller reads slowly is not read on from its upstream.
@@ -206,12 +217,14 @@
                     () = sleep(PAUSE_CHECK_INTERVAL) => {}
                     () = frames.closed() => return StreamEnd::CallerGone,
                     () = &mut ends => return StreamEnd::Broken("time_over"),
+                    () = &mut shutdown => return StreamEnd::Broken(FRONT_ENDS),
                 }
             }
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = frames.closed() => return StreamEnd::CallerGone,
                 () = &mut ends => return StreamEnd::Broken("time_over"),
+                () = &mut shutdown => return StreamEnd::Broken(FRONT_ENDS),
             };
             let data = match frame {
                 None => return StreamEnd::Whole,
@@ -248,6 +261,7 @@
                     }
                 }
                 () = &mut ends => return StreamEnd::Broken("time_over"),
+                () = &mut shutdown => return StreamEnd::Broken(FRONT_ENDS),
             }
         }
     }
--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -84,6 +84,11 @@
         self.begin_notify.notify_waiters();
     }
 
+    /// Whether the shutdown has begun.
+    pub const fn has_begun(&self) -> bool {
+        self.begun.get()
+    }
+
     /// Waits until all connections are closed.
     pub async fn all_closed(&self) {
         while self.open() > 0 {
@@ -111,6 +116,10 @@
 /// link of most fronts.
 const SEND_BUFFER_BYTES: usize = 32 << 10;
 
+/// Time-out for reading a request's head on a connection that is accepted during a
+/// shutdown, which an idle connection must not delay.
+const LAST_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Delay after `accept` failed, for example because no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -136,9 +145,17 @@
             log::debug!("event=send_buffer_unset cause={err}");
         }
         let mut builder = http1::Builder::new();
+        // A connection that arrives while the others are closed gets one answer.
+        let last = limits.closing.has_begun();
+        let head_timeout = if last {
+            limits.idle.get().min(LAST_HEAD_TIMEOUT)
+        } else {
+            limits.idle.get()
+        };
         builder
             .timer(TokioTimer::new())
-            .header_read_timeout(limits.idle.get())
+            .keep_alive(!last)
+            .header_read_timeout(head_timeout)
             .max_buf_size(limits.head_bytes.get().max(MIN_HEAD_BYTES));
         let handler = handler.clone();
         // Boxed, so that idle connections hold no memory for a request's
@@ -156,27 +173,25 @@
         });
         let conn = builder.serve_connection(TokioIo::new(stream), service);
         let closing = Rc::clone(&limits.closing);
-        spawn_local(drive_connection(conn, closing, open, http_10));
+        spawn_local(drive_connection(conn, closing, open, (http_10, last)));
     }
 }
 
 /// Drives one connection until it is closed, or ended for want of memory. `http_10`
 /// tells whether the latest request is of HTTP/1.0, whose responses have no chunks: one
-/// without a length would look complete when an aborted connection is closed.
+/// without a length would look complete when an aborted connection is closed; `last`,
+/// whether the connection closes after one response anyway.
 async fn drive_connection<S>(
     mut conn: http1::Connection<TokioIo<TcpStream>, S>,
     closing: Rc<ConnectionDrain>,
     open: Option<OpenConnection>,
-    http_10: Rc<Cell<bool>>,
+    (http_10, last): (Rc<Cell<bool>>, bool),
 ) where
     S: hyper::service::HttpService<Incoming, ResBody = Body>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     closing.open.set(closing.open.get() + 1);
-    let mut shutting_down = closing.begun.get();
-    if shutting_down {
-        Pin::new(&mut conn).graceful_shutdown();
-    }
+    let mut shutting_down = last;
     let ended_early = async {
         match &open {
             Some(open) => open.ended().await,
@@ -198,7 +213,7 @@
             }
             () = notified, if !shutting_down => {
                 shutting_down = true;
-                Pin::new(&mut conn).graceful_shutdown();
+                close_after_response(&mut conn);
             }
             () = &mut ended_early => {
                 reset(conn);
@@ -210,6 +225,15 @@
     closing.closed_notify.notify_waiters();
 }
 
+/// Closes a connection once its request in progress is answered.
+fn close_after_response<S>(conn: &mut http1::Connection<TokioIo<TcpStream>, S>)
+where
+    S: hyper::service::HttpService<Incoming, ResBody = Body>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    Pin::new(conn).graceful_shutdown();
+}
+
 /// Closes a connection with a reset: the caller sees that a response without a
 /// length is incomplete, and the system frees what it has buffered.
 fn reset<S>(conn: http1::Connection<TokioIo<TcpStream>, S>)
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -48,6 +48,8 @@
     pub store_links: Vec<SocketAddr>,
     /// Lines for `[front]` of the fronts that are started next.
     pub front_settings: String,
+    /// Lines for `[process]` of the processes that are started next.
+    pub process_settings: String,
     children: Vec<(Role, Child)>,
     folder: TempDir,
 }
@@ -76,6 +78,7 @@
             children: Vec::new(),
             folder,
             front_settings: front_settings.to_owned(),
+            process_settings: String::new(),
         };
         for slot in 0..3 {
             gateway.run(Role::Control(slot), true);
@@ -181,8 +184,9 @@
             _ => String::new(),
         };
         let settings = format!(
-            "[process]\nname = \"{role:?}\"\ndata_centre = \"dc-1\"\n{monitor}[link]\nlisten = \"{link}\"\n\
+            "[process]\nname = \"{role:?}\"\ndata_centre = \"dc-1\"\n{monitor}{}\n[link]\nlisten = \"{link}\"\n\
              keys = \"{}\"\n[gateway]\nseeds = {seeds:?}\nfirst_start = {first_start}\n{table}",
+            self.process_settings,
             folder.join("keys").display()
         );
         let file = folder.join(format!("{role:?}.toml"));
