Entries: calls in progress at the end of the grace period get an answer

What callers saw: an entry is stopped, and calls that last beyond its grace period end with a closed connection.

Cause: the process ended with its calls in progress.

Change: the last 5 s of the grace period, or half of a short one, are for final answers. Nothing else is begun then.

Evidence: calls_in_progress_at_the_end_of_the_grace_period_get_an_answer failed on ("Unexpected EOF" in place of an answer) and passes.

--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -250,6 +250,7 @@
         links: links.clone(),
         router,
         ledger: LedgerClient::new(links.clone(), settings.link.ledgers.as_slice()),
+        lifecycle: lifecycle.clone(),
     };
     let cx = EntryContext {
         calls,
--- a/crates/sapphirequayd/src/process/lifecycle.rs
+++ b/crates/sapphirequayd/src/process/lifecycle.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Default)]
 struct State {
     draining: bool,
+    /// Whether requests in progress must get their final answer now.
+    ended: bool,
     /// Number of live [`InProgressGuard`]s.
     in_progress: u32,
 }
@@ -49,6 +51,17 @@
         self.state().draining
     }
 
+    /// Ends the requests in progress: they get their final answer as soon as they notice.
+    pub fn end(&self) {
+        self.state().ended = true;
+    }
+
+    /// Whether the requests in progress must end now.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.state().ended
+    }
+
     /// Number of requests in progress.
     #[must_use]
     pub fn in_progress(&self) -> u32 {
--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -4,7 +4,8 @@
 use {
     crate::{
         process::{
-            AttemptKind, LedgerClient, LedgerClientError, Mailbox, Pick, PickRequest, RouterMsg,
+            AttemptKind, LedgerClient, LedgerClientError, Lifecycle, Mailbox, Pick, PickRequest,
+            RouterMsg,
         },
         request::{
             AttemptEnd, CallSpec, Delivery, RecordedResponse, permit_query::query_permit,
@@ -118,6 +119,8 @@
     pub router: Mailbox<RouterMsg>,
     /// Client of the ledger, which permits calls and records their outcomes.
     pub ledger: LedgerClient,
+    /// Shutdown of the process.
+    pub lifecycle: Lifecycle,
 }
 
 impl CallContext {
@@ -226,6 +229,10 @@
             if self.order.time_left().is_zero() {
                 return Err(self.deadline_exceeded());
             }
+            if self.cx.lifecycle.has_ended() {
+                let text = "this entry is shutting down; retry on another entry";
+                return Err(self.give_up(Error::new(ErrorKind::Draining, text)));
+            }
         }
     }
 
@@ -340,7 +347,7 @@
             &self.cx.links,
             pick.addr,
             request,
-            self.order.deadline,
+            (self.order.deadline, &self.cx.lifecycle),
             requested_at,
             &mut self.delivery,
         );
--- a/crates/sapphirequayd/src/request/remote_attempt.rs
+++ b/crates/sapphirequayd/src/request/remote_attempt.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        process::Lifecycle,
         request::{Delivery, RecordedResponse, ResponseWriter, Usage},
         wire::LinkRequest,
     },
@@ -45,13 +46,14 @@
     Lost(Error),
 }
 
-/// Runs one attempt on `sidecar` and forwards its response. `requested_at` is
-/// the time at which the permit was requested from the ledger.
+/// Runs one attempt on `sidecar` and forwards its response, until its deadline or the
+/// end of the process. `requested_at` is the time at which the permit was requested from
+/// the ledger.
 pub fn run_attempt<A: ResponseWriter>(
     links: &Links,
     sidecar: SocketAddr,
     request: CallRequest,
-    deadline: Instant,
+    (deadline, lifecycle): (Instant, &Lifecycle),
     requested_at: Instant,
     delivery: &mut Delivery<'_, A>,
 ) -> AttemptEnd {
@@ -82,6 +84,9 @@
         if Instant::now() >= deadline {
             return attempt.deadline_exceeded();
         }
+        if lifecycle.has_ended() {
+            return attempt.cut_off();
+        }
     }
 }
 
@@ -173,6 +178,17 @@
         }
     }
 
+    /// The end of an attempt that is still running when the entry ends. Dropping the
+    /// stream cancels the attempt.
+    fn cut_off(&self) -> AttemptEnd {
+        let text = "this entry shut down before the call had ended";
+        if self.sent {
+            AttemptEnd::Lost(Error::new(ErrorKind::UpstreamLost, text))
+        } else {
+            AttemptEnd::NotRun(Error::new(ErrorKind::Draining, text))
+        }
+    }
+
     /// The end of an attempt whose link failed. The call can have run only if
     /// the sidecar was sent everything that it needs.
     fn lost(&self, err: &LinkError) -> AttemptEnd {
--- a/crates/sapphirequayd/src/request/stream_tracker.rs
+++ b/crates/sapphirequayd/src/request/stream_tracker.rs
@@ -126,8 +126,8 @@
     disconnects: u32,
     /// Whether any byte of the request may have reached the upstream.
     sent: bool,
-    /// Whether the request was sent again.
-    resent: bool,
+    /// Number of times that the request was sent again.
+    resends: u32,
     /// Whether the latest connection resumes the stream.
     resuming: bool,
     /// Whether the upstream rejected the request because of the request itself.
@@ -145,7 +145,7 @@
             last_progress: now,
             disconnects: 0,
             sent: false,
-            resent: false,
+            resends: 0,
             resuming: false,
             request_at_fault: false,
         }
@@ -271,8 +271,8 @@
     /// Handles a stream unknown to the upstream, which never received the
     /// request or has lost it.
     fn unknown(&mut self) -> StreamAction {
-        if self.settings.idempotent && self.tokens == 0 && !self.resent {
-            self.resent = true;
+        if self.settings.idempotent && self.tokens == 0 && self.resends == 0 {
+            self.resends += 1;
             self.resuming = false;
             return StreamAction::Resend;
         }
--- a/crates/sapphirequayd/src/shutdown.rs
+++ b/crates/sapphirequayd/src/shutdown.rs
@@ -17,6 +17,14 @@
 /// Interval at which the number of requests in progress is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest part of the grace period in which calls that are still in progress get their
+/// final answer: a call notices within the interval of heartbeats, and then settles its
+/// outcome.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(5);
+
+/// Divisor of the grace period that bounds the same for short ones.
+const MAX_ANSWER_SHARE: u32 = 2;
+
 /// Result of a graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ShutdownOutcome {
@@ -43,7 +51,16 @@
         "event=shutdown_began in_progress={in_progress} grace_s={}",
         grace.as_secs()
     );
-    let outcome = drain(lifecycle, &signals, Instant::now() + grace);
+    let answer_time = MAX_ANSWER_TIME.min(grace / MAX_ANSWER_SHARE);
+    let deadline = Instant::now() + grace;
+    let mut outcome = drain(lifecycle, &signals, deadline - answer_time);
+    if let ShutdownOutcome::Interrupted(left) = outcome
+        && Instant::now() >= deadline - answer_time
+    {
+        log::warn!("event=shutdown_ends in_progress={left}");
+        lifecycle.end();
+        outcome = drain(lifecycle, &signals, deadline);
+    }
     // Entries learn that the upstream is draining and stop sending calls to it.
     daemon.wait_for_drain_announcement();
     match outcome {
--- a/crates/sapphirequayd/tests/broken_streams.rs
+++ b/crates/sapphirequayd/tests/broken_streams.rs
@@ -175,7 +175,7 @@
         let rest: String = (from..=12).map(event).collect();
         stream(&format!("{rest}{}", end(12)))
     };
-    let expected: String = (1..=12).map(|number| format!("w{number} ")).collect();
+    let expected = "w1 w2 w3 w4 w5 w6 w7 w8 w9 w10 w11 w12 ";
     let last = events.rfind("id: 12").expect("the last event");
     // Within the id, after it, within the data, before each of the last line ends.
     for cut in [
--- a/crates/sapphirequayd/tests/processes.rs
+++ b/crates/sapphirequayd/tests/processes.rs
@@ -22,11 +22,11 @@
 
 impl Process {
     /// Writes the settings file and starts the daemon with it.
-    fn start(dir: &Path, name: &str, settings: &str) -> Self {
+    fn start(dir: &Path, (name, grace_s): (&str, u32), settings: &str) -> Self {
         let file = dir.join(format!("{name}.toml"));
         let log = dir.join(format!("{name}.log"));
         let head = format!(
-            "[process]\nname = {name:?}\ngrace_s = 20\n[log]\nfile = \"{}\"\n{settings}",
+            "[process]\nname = {name:?}\ngrace_s = {grace_s}\n[log]\nfile = \"{}\"\n{settings}",
             log.display()
         );
         fs::write(&file, head).expect("settings");
@@ -81,11 +81,16 @@
 }
 
 fn start() -> Processes {
+    start_with(slow_engine_settings(), 20)
+}
+
+/// Starts the processes with an engine and a grace period of the entry in seconds.
+fn start_with(settings: EngineSettings, grace_s: u32) -> Processes {
     let dir = tempfile::tempdir().expect("folder");
     let keys = dir.path().join("keys");
     let made = DevelopmentKeys::generate().expect("keys");
     made.write(&keys, &["operator"]).expect("key files");
-    let engine = engine(slow_engine_settings());
+    let engine = engine(settings);
     let (ledger, sidecar, callers) = (free_port(), free_port(), free_port());
     let link = |listen: SocketAddr| {
         let keys = keys.display();
@@ -107,9 +112,9 @@
     );
     let entry_role = format!("{}[entry]\nlisten = \"{callers}\"\n", link(free_port()));
     let processes = Processes {
-        _ledger: Process::start(dir.path(), "ledger-1", &ledger_role),
-        sidecar: Process::start(dir.path(), "sidecar-1", &sidecar_role),
-        entry: Process::start(dir.path(), "entry-1", &entry_role),
+        _ledger: Process::start(dir.path(), ("ledger-1", 20), &ledger_role),
+        sidecar: Process::start(dir.path(), ("sidecar-1", 20), &sidecar_role),
+        entry: Process::start(dir.path(), ("entry-1", grace_s), &entry_role),
         callers,
         engine,
         dir,
@@ -208,3 +213,34 @@
     let log = processes.log("entry-1");
     assert!(log.contains("event=shutdown_cut in_progress=1"), "{log}");
 }
+
+/// Guards against calls that are cut without an answer at the end of the grace period.
+#[test]
+fn calls_in_progress_at_the_end_of_the_grace_period_get_an_answer() {
+    let endless = EngineSettings {
+        answer_tokens: 1_000_000,
+        ..slow_engine_settings()
+    };
+    let mut processes = start_with(endless, 8);
+    let callers = [true, false].map(|stream| {
+        let addr = processes.callers;
+        let body = format!("{{\"max_tokens\":1000000,{}", &completion(stream)[1..]);
+        thread::spawn(move || post(addr, KEY, &body))
+    });
+    wait_for("the engine runs the calls", || {
+        processes.engine.counts().running == 2
+    });
+    processes.entry.terminate();
+    let [stream, json] = callers.map(|caller| caller.join().expect("caller"));
+    assert_eq!(stream.0, 200, "{}", stream.1);
+    assert!(stream.1.contains("event: error"), "{}", stream.1);
+    assert_eq!(json.0, 502, "{}", json.1);
+    for (_, text) in [stream, json] {
+        assert!(text.contains(r#""kind":"upstream_lost""#), "{text}");
+        assert!(text.contains(r#""not_run":false"#), "{text}");
+    }
+    assert_eq!(processes.entry.wait_for_exit().code(), Some(0));
+    wait_for("the engine cancels the calls", || {
+        processes.engine.counts().running == 0
+    });
+}
