Sidecars: a cut chunked response of a service is not a whole one

What callers saw: a service closes within a chunk of its response, and the caller gets a 200 with the bytes until then, framed as whole; resends get the same from the record.

Cause: ureq's reader of chunked bodies takes the end of the connection for the end of the body.

Evidence: a_service_response_that_is_cut_is_not_passed_on failed before ("engi" of "engine-text" with 200) and passes for eleven cuts of two framings.

--- a/crates/sapphirequayd/tests/broken_streams.rs
+++ b/crates/sapphirequayd/tests/broken_streams.rs
@@ -5,7 +5,7 @@
 
 use {
     common::{Daemons, KEY, any_port, completion, connect, exchange, sidecar_for_engine},
-    sapphirequayd::EntrySettings,
+    sapphirequayd::{EntrySettings, SidecarSettings},
     std::{
         io::{BufRead as _, BufReader, Read as _, Write as _},
         net::{SocketAddr, TcpListener, TcpStream},
@@ -73,42 +73,68 @@
         }
     }
     reader.read_exact(&mut vec![0; len]).ok()?;
-    let text = match head.split(' ').next() {
-        Some("POST") => &script.begin,
-        Some("GET") => &script.resume,
-        _ => "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+    let text = if head.starts_with("POST ") {
+        &script.begin
+    } else if head.starts_with("GET /v1/streams/") {
+        &script.resume
+    } else {
+        // A cancellation or a probe.
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
     };
     reader.get_mut().write_all(text.as_bytes()).ok()
 }
 
-/// An entry before one engine, whose script is replaced by each case.
+/// An entry before one upstream, whose script is replaced by each case.
 struct Site {
     daemons: Daemons,
     script: Arc<Mutex<Script>>,
+    path: &'static str,
 }
 
 impl Site {
+    /// An entry before an engine.
     fn start() -> Self {
+        Self::start_with("/v1/chat/completions", sidecar_for_engine)
+    }
+
+    /// An entry before a plain service.
+    fn start_service() -> Self {
+        Self::start_with("/v1/services/tool", |addr| SidecarSettings {
+            models: Vec::new(),
+            service: Some("tool".into()),
+            ..sidecar_for_engine(addr)
+        })
+    }
+
+    fn start_with(path: &'static str, sidecar: fn(SocketAddr) -> SidecarSettings) -> Self {
         let whole = stream(&format!("{}{}", event(1), end(1)));
         let script = Arc::new(Mutex::new(Script {
             begin: whole.clone(),
             resume: whole,
         }));
         let engine = start_engine(Arc::clone(&script));
-        let daemons = Daemons::start(sidecar_for_engine(engine), EntrySettings::default());
-        Self { daemons, script }
+        let daemons = Daemons::start(sidecar(engine), EntrySettings::default());
+        Self {
+            daemons,
+            script,
+            path,
+        }
     }
 
     /// Sends a completion until the engine has a place for it. Returns the response as
     /// it was sent.
     fn call(&self, begin: String, resume: String) -> String {
+        self.call_as(&completion(true), begin, resume)
+    }
+
+    fn call_as(&self, body: &str, begin: String, resume: String) -> String {
         *self.script.lock().expect("lock") = Script { begin, resume };
         let mut response = String::new();
         common::wait_for("the engine is used", || {
-            let body = completion(true);
             let request = format!(
-                "POST /v1/chat/completions HTTP/1.1\r\nhost: e\r\nconnection: close\r\nauthorization: Bearer {KEY}\r\n\
+                "POST {} HTTP/1.1\r\nhost: e\r\nconnection: close\r\nauthorization: Bearer {KEY}\r\n\
                  content-length: {}\r\n\r\n{body}",
+                self.path,
                 body.len()
             );
             let mut stream = connect(self.daemons.addr());
@@ -162,6 +188,10 @@
         );
         assert!(!is_framed_whole(&got), "{resume:?}: {got}");
         assert!(!got.contains("[DONE]"), "{resume:?}: {got}");
+        let json = site.call_as(&completion(false), begin.clone(), resume.clone());
+        assert!(json.starts_with("HTTP/1.1 502"), "{resume:?}: {json}");
+        assert!(!json.contains(ENGINE_TEXT), "{resume:?}: {json}");
+        assert!(!json.contains("w1"), "{resume:?}: {json}");
     }
 }
 
@@ -212,3 +242,34 @@
         assert!(!got.contains(ENGINE_TEXT), "{begin:?}: {got}");
     }
 }
+
+/// Guards against a service's response that is cut and reaches the caller as a whole one.
+#[test]
+fn a_service_response_that_is_cut_is_not_passed_on() {
+    let site = Site::start_service();
+    let sized = response("200 OK", "content-type: application/json\r\n");
+    let chunked =
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nb\r\nengine-text\r\n0\r\n\r\n";
+    for whole in [&*sized, chunked] {
+        let got = site.call_as("{}", whole.to_owned(), String::new());
+        assert!(got.starts_with("HTTP/1.1 200"), "{whole:?}: {got}");
+        assert!(got.ends_with(ENGINE_TEXT), "{whole:?}: {got}");
+        let head = whole.find("\r\n\r\n").expect("a head");
+        let body = whole.find(ENGINE_TEXT).expect("a body");
+        let cuts = [8, 12, 15, 17, 30, head - 1, head, head + 2, head + 4];
+        // The last chunk is missing, or its last line end.
+        let ends = [
+            body + 4,
+            whole.len() - usize::from(whole == chunked) * 2 - 1,
+        ];
+        for cut in cuts.into_iter().chain(ends) {
+            let got = site.call_as("{}", whole[..cut].to_owned(), String::new());
+            assert!(
+                got.starts_with("HTTP/1.1 502"),
+                "{:?}: {got}",
+                &whole[..cut]
+            );
+            assert!(!got.contains(ENGINE_TEXT), "{:?}: {got}", &whole[..cut]);
+        }
+    }
+}
