Stores: spread the programs of a group over all its members

What could be seen: fronts write to the first members of a group, whatever the program, so that two of three stores hold nearly all turns. The loss of one left a single copy of nearly all of them, and the store that replaced it copied nearly all from one source.

Change: the order in which members are asked begins at another one for other programs (StoreView::order_for). All hosts still use the same order for a program. A store's loss then leaves a single copy of two thirds, half of these on each other member.

Evidence: programs_of_a_group_are_spread_over_all_its_members (a new function).

--- a/crates/quay_turns/src/view.rs
+++ b/crates/quay_turns/src/view.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::StoreAnnouncement,
+    quay_types::ProgramTag,
     serde::{Deserialize, Serialize},
     std::net::{Ipv4Addr, SocketAddr},
 };
@@ -95,6 +96,17 @@
         self.members.len() + 1 - self.write_quorum()
     }
 
+    /// Positions of the members in the order in which they take a program's records. It
+    /// is the same on all hosts, and begins at another member for other programs, so that
+    /// all members hold equal shares.
+    #[must_use]
+    pub fn order_for(&self, program: ProgramTag) -> Vec<usize> {
+        let count = self.members.len();
+        // The lower half selects the group of the program.
+        let first = (program.0 >> 32) as usize;
+        (0..count).map(|at| (first + at) % count).collect()
+    }
+
     /// Finds a member by its identity.
     #[must_use]
     pub fn member(&self, identity: u64) -> Option<&StoreMember> {
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -141,9 +141,10 @@
         views.get(usize::from(group.0)).cloned().unwrap_or_default()
     }
 
-    /// The members of a group in the order in which they are asked.
-    pub(super) fn member_order(&self, view: &StoreView) -> Vec<usize> {
-        self.slow.borrow_mut().order(self.clock.now(), view)
+    /// The members of a group in the order in which they are asked for a program.
+    pub(super) fn member_order(&self, view: &StoreView, program: ProgramTag) -> Vec<usize> {
+        let now = self.clock.now();
+        self.slow.borrow_mut().order(now, view, program)
     }
 
     /// Records that members did not answer in time.
@@ -278,17 +279,18 @@
     async fn write_until(&self, program: ProgramTag, op: &StoreOp, limit: Duration) -> bool {
         let attempts = async {
             let mut backoff = Backoff::default();
-            while !self.write_once(self.group_of(program), op).await {
+            while !self.write_once(program, op).await {
                 backoff.wait().await;
             }
         };
         timeout(limit, attempts).await.is_ok()
     }
 
-    async fn write_once(&self, group: GroupId, op: &StoreOp) -> bool {
+    async fn write_once(&self, program: ProgramTag, op: &StoreOp) -> bool {
+        let group = self.group_of(program);
         let view = self.view(group);
         let mut tally = WriteTally::new(&view);
-        let mut replies = GroupRequest::with_quorum(self, group, &view, op.clone());
+        let mut replies = GroupRequest::with_quorum(self, (group, program), &view, op.clone());
         while tally.verdict() == WriteVerdict::Pending {
             match replies.next().await {
                 Some((identity, Some(StoreReply::Synced | StoreReply::Stream(Some(_))))) => {
@@ -333,7 +335,7 @@
         let view = self.view(group);
         let mut tally = ChargeTally::new(&view, own, budget);
         let op = StoreOp::Reserve(program, own);
-        let mut replies = GroupRequest::with_quorum(self, group, &view, op);
+        let mut replies = GroupRequest::with_quorum(self, (group, program), &view, op);
         loop {
             match tally.verdict() {
                 ChargeVerdict::Covered { others } => return ReserveOutcome::Covered { others },
@@ -382,7 +384,7 @@
         let group = self.group_of(program);
         let view = self.view(group);
         let op = StoreOp::FindStream(attempt);
-        let mut replies = GroupRequest::with_all(self, group, &view, op);
+        let mut replies = GroupRequest::with_all(self, (group, program), &view, op);
         let lookup = async {
             let mut denials = 0;
             while let Some((_, reply)) = replies.next().await {
@@ -413,7 +415,7 @@
         let group = self.group_of(program);
         let view = self.view(group);
         let op = StoreOp::FindContent(content);
-        let mut replies = GroupRequest::with_all(self, group, &view, op);
+        let mut replies = GroupRequest::with_all(self, (group, program), &view, op);
         let mut lookup = OriginLookup::new(view.read_quorum());
         let collect = async {
             while let Some((_, reply)) = replies.next().await {
@@ -456,7 +458,7 @@
     /// it is absent there: a program may continue from a turn of another one.
     async fn turns_once(&self, program: ProgramTag, last: TurnId) -> TurnLookup {
         let own = self.group_of(program);
-        let found = self.turns_in_group(own, last).await;
+        let found = self.turns_in_group((own, program), last).await;
         if found != TurnLookup::Absent {
             return found;
         }
@@ -464,14 +466,14 @@
         for (group, _) in self.map().iter().filter(|(group, _)| *group != own) {
             let (client, tx) = (self.clone(), tx.clone());
             spawn_local(async move {
-                let _ = tx.send(client.turns_in_group(group, last).await);
+                let _ = tx.send(client.turns_in_group((group, program), last).await);
             });
         }
         drop(tx);
         let mut outcome = TurnLookup::Absent;
         while let Some(found) = rx.recv().await {
             match found {
-                TurnLookup::Found(turns) => return self.adopt_turns(own, turns).await,
+                TurnLookup::Found(turns) => return self.adopt_turns(program, turns).await,
                 TurnLookup::Absent => {}
                 TurnLookup::Undetermined => outcome = TurnLookup::Undetermined,
             }
@@ -481,11 +483,12 @@
 
     /// Copies turns of another group to the program's own, which from now on
     /// keeps them as long as the turns that continue from them.
-    async fn adopt_turns(&self, group: GroupId, turns: Vec<TurnRecord>) -> TurnLookup {
+    async fn adopt_turns(&self, program: ProgramTag, turns: Vec<TurnRecord>) -> TurnLookup {
+        let group = self.group_of(program);
         log::info!("event=turns_adopted group={group} turns={}", turns.len());
         let records = turns.iter().cloned().map(Record::Turn);
         if self
-            .write_once(group, &StoreOp::Write(records.collect()))
+            .write_once(program, &StoreOp::Write(records.collect()))
             .await
         {
             TurnLookup::Found(turns)
@@ -494,10 +497,14 @@
         }
     }
 
-    async fn turns_in_group(&self, group: GroupId, last: TurnId) -> TurnLookup {
+    async fn turns_in_group(
+        &self,
+        (group, program): (GroupId, ProgramTag),
+        last: TurnId,
+    ) -> TurnLookup {
         let view = self.view(group);
         let mut held = IndexMap::new();
-        if let Some(likely) = self.likely_holder(&view) {
+        if let Some(likely) = self.likely_holder(&view, program) {
             let req = request(group, &view, likely, StoreOp::Chain(last));
             let reply = self.ask_store(likely.addr, req).await;
             if let Ok(StoreReply::Chain(turns, _)) = reply {
@@ -511,7 +518,8 @@
                 Err(next) => missing = next,
             }
             let mut tally = LookupTally::new(&view);
-            let mut replies = GroupRequest::with_all(self, group, &view, StoreOp::Chain(missing));
+            let op = StoreOp::Chain(missing);
+            let mut replies = GroupRequest::with_all(self, (group, program), &view, op);
             while !held.contains_key(&missing) && tally.verdict() == LookupVerdict::Pending {
                 match replies.next().await {
                     Some((identity, Some(StoreReply::Chain(turns, _)))) => {
@@ -538,10 +546,14 @@
         }
     }
 
-    /// A whole member that usually holds every record of the group, in the local
+    /// A whole member that usually holds every record of a program, in the local
     /// data centre if there is one.
-    fn likely_holder<'a>(&self, view: &'a StoreView) -> Option<&'a StoreMember> {
-        let order = self.member_order(view).into_iter();
+    fn likely_holder<'a>(
+        &self,
+        view: &'a StoreView,
+        program: ProgramTag,
+    ) -> Option<&'a StoreMember> {
+        let order = self.member_order(view, program).into_iter();
         let first = order.take(view.write_quorum()).map(|at| &view.members[at]);
         let whole: Vec<&StoreMember> = first.filter(|it| it.whole).collect();
         let local = whole.iter().find(|it| *it.data_centre == *self.data_centre);
--- a/crates/sapphirequayd/src/gateway/store/group_request.rs
+++ b/crates/sapphirequayd/src/gateway/store/group_request.rs
@@ -5,7 +5,7 @@
     crate::gateway::messages::{StoreOp, StoreReply},
     indexmap::IndexMap,
     quay_turns::{StoreMember, StoreView},
-    quay_types::{GroupId, Time},
+    quay_types::{GroupId, ProgramTag, Time},
     std::{rc::Rc, time::Duration},
     tokio::{sync::mpsc, time::timeout},
 };
@@ -28,13 +28,13 @@
         self.0.insert(identity, now + SLOW_TIME);
     }
 
-    /// The members of a group in the order in which they are asked: whole ones
-    /// that answer in time come first. Otherwise all hosts use the same order, so
+    /// The members of a group in the order in which they are asked for a program: whole
+    /// ones that answer in time come first. Otherwise all hosts use the same order, so
     /// that a program's records are on the same members.
     #[must_use]
-    pub fn order(&mut self, now: Time, view: &StoreView) -> Vec<usize> {
+    pub fn order(&mut self, now: Time, view: &StoreView, program: ProgramTag) -> Vec<usize> {
         self.0.retain(|_, until| *until > now);
-        let mut order: Vec<usize> = (0..view.members.len()).collect();
+        let mut order = view.order_for(program);
         order.sort_by_key(|at| {
             let member = &view.members[*at];
             (!member.whole, self.0.contains_key(&member.identity))
@@ -61,14 +61,14 @@
 }
 
 impl GroupRequest {
-    /// Sends an operation to a write quorum of a group.
+    /// Sends an operation for a program to a write quorum of a group.
     pub fn with_quorum(
         client: &StoreClient,
-        group: GroupId,
+        (group, program): (GroupId, ProgramTag),
         view: &Rc<StoreView>,
         op: StoreOp,
     ) -> Self {
-        let mut rest = client.member_order(view);
+        let mut rest = client.member_order(view, program);
         let first: Vec<usize> = rest.drain(..view.write_quorum().min(rest.len())).collect();
         let (tx, replies) = mpsc::unbounded_channel();
         let mut request = Self {
@@ -88,11 +88,11 @@
     /// Sends an operation to all members of a group.
     pub fn with_all(
         client: &StoreClient,
-        group: GroupId,
+        target: (GroupId, ProgramTag),
         view: &Rc<StoreView>,
         op: StoreOp,
     ) -> Self {
-        let mut request = Self::with_quorum(client, group, view, op);
+        let mut request = Self::with_quorum(client, target, view, op);
         request.ask_rest();
         request
     }
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -8,8 +8,8 @@
     quay_quorum::{Member, Membership, MembershipChange, StateMachine as _},
     quay_turns::{StoreMember, StoreView},
     quay_types::{
-        AttemptTag, ContentDigest, Epoch, GroupId, Incarnation, LogIndex, NodeId, ServiceId,
-        SoftwareVersion, Time, TurnId, UpstreamId, UpstreamKind,
+        AttemptTag, ContentDigest, Epoch, GroupId, Incarnation, LogIndex, NodeId, ProgramTag,
+        ServiceId, SoftwareVersion, Time, TurnId, UpstreamId, UpstreamKind,
     },
     sapphirequayd::{
         BufferSpace, ControlCommand, ControlState, ConversationCache, EventReader, FollowerState,
@@ -154,18 +154,46 @@
     };
     let at = Time::from_millis;
     let mut slow = SlowMembers::default();
-    assert_eq!(slow.order(at(0), &view), [1, 2, 3, 4, 0]);
+    let program = ProgramTag(0);
+    assert_eq!(slow.order(at(0), &view, program), [1, 2, 3, 4, 0]);
     slow.record(at(0), 2);
-    assert_eq!(slow.order(at(10), &view), [2, 3, 4, 1, 0]);
+    assert_eq!(slow.order(at(10), &view, program), [2, 3, 4, 1, 0]);
     // A member that is slow still comes before one that is not whole.
     for identity in 3..=5 {
         slow.record(at(10), identity);
     }
-    assert_eq!(slow.order(at(20), &view), [1, 2, 3, 4, 0]);
+    assert_eq!(slow.order(at(20), &view, program), [1, 2, 3, 4, 0]);
     view.members[0].whole = true;
-    assert_eq!(slow.order(at(20), &view), [0, 1, 2, 3, 4]);
+    assert_eq!(slow.order(at(20), &view, program), [0, 1, 2, 3, 4]);
     // It is tried again after a while.
-    assert_eq!(slow.order(at(5_000), &view), [0, 1, 2, 3, 4]);
+    assert_eq!(slow.order(at(5_000), &view, program), [0, 1, 2, 3, 4]);
+}
+
+/// Guards against members that hold nearly all records of a group, so that the loss of
+/// one leaves a single copy of nearly all of them.
+#[test]
+fn programs_of_a_group_are_spread_over_all_its_members() {
+    let member = |identity| StoreMember {
+        identity,
+        whole: true,
+        ..StoreMember::default()
+    };
+    let view = StoreView {
+        epoch: 1,
+        members: (1..=3).map(member).collect(),
+    };
+    let mut slow = SlowMembers::default();
+    let mut quorums = std::collections::BTreeMap::<Vec<usize>, usize>::new();
+    // All programs of one of three groups.
+    let programs = (0..3_000).map(|number| ProgramTag::of(&format!("p{number}")));
+    for program in programs.filter(|program| program.0 % 3 == 0) {
+        let mut quorum = slow.order(Time::ZERO, &view, program);
+        quorum.truncate(view.write_quorum());
+        quorum.sort_unstable();
+        *quorums.entry(quorum).or_default() += 1;
+    }
+    assert_eq!(quorums.len(), 3, "{quorums:?}");
+    assert!(quorums.values().all(|count| *count > 250), "{quorums:?}");
 }
 
 // ---------------------------------------------------------------------------
