Fronts: read a refused body on while its caller sends

What callers saw: a request whose body is refused for its size or for want of memory ends with a reset connection in place of the refusal, if the caller still sends 1 s later.

Cause: the rest of a refused body was read for 1 s in all; a connection that is closed with unread data is reset.

Change: it is read until the caller pauses for 1 s, or the request's time is over.

Evidence: a_caller_that_sends_a_refused_body_slowly_gets_its_answer failed with the daemon of ("Broken pipe" at part 7 of 12) and passes.

--- a/crates/sapphirequayd/src/gateway/front/body_reader.rs
+++ b/crates/sapphirequayd/src/gateway/front/body_reader.rs
@@ -9,15 +9,13 @@
     quay_policy::{MemoryClass, MemoryHolder},
     quay_routes::{Dialect, RequestDeadline},
     std::time::Duration,
-    tokio::{
-        task::spawn_local,
-        time::{Instant, timeout, timeout_at},
-    },
+    tokio::{task::spawn_local, time::timeout},
 };
 
-/// Time for which the rest of a refused body is read and dropped. A connection that
-/// is closed with unread data is reset, and the caller may lose the refusal.
-const DISCARD_TIME: Duration = Duration::from_secs(1);
+/// Longest pause of a caller after which the rest of its refused body is no longer read
+/// and dropped. A connection that is closed with unread data is reset, and the caller may
+/// lose the refusal.
+const DISCARD_PAUSE: Duration = Duration::from_secs(1);
 
 /// Whether the headers of a response tell where its body ends.
 pub fn is_framed(headers: &HeaderMap) -> bool {
@@ -42,7 +40,7 @@
         Err(_) => Refusal::BodyMissing,
     };
     if matches!(refusal, Refusal::NoMemory | Refusal::BodyTooLarge) {
-        discard(body);
+        discard(body, deadline.remaining(front.now()));
     }
     Err(refusal)
 }
@@ -83,12 +81,11 @@
     Ok(guard.attach(read.freeze()))
 }
 
-/// Reads and drops the rest of a body in the background.
-fn discard(mut body: Incoming) {
-    spawn_local(async move {
-        let ends = Instant::now() + DISCARD_TIME;
-        while let Ok(Some(Ok(_))) = timeout_at(ends, body.frame()).await {}
-    });
+/// Reads and drops the rest of a body in the background, for at most `limit`.
+fn discard(mut body: Incoming, limit: Duration) {
+    spawn_local(timeout(limit, async move {
+        while let Ok(Some(Ok(_))) = timeout(DISCARD_PAUSE, body.frame()).await {}
+    }));
 }
 
 /// Reads the complete body of a response, within a share of the front's memory.
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -12,7 +12,8 @@
     quay_types::{GroupId, TurnId},
     sapphirequayd::{GatewayRequest, LinkRequest, StoreOp, StoreReply, StoreRequest},
     std::{
-        net::SocketAddr,
+        io::{Read as _, Write as _},
+        net::{SocketAddr, TcpStream},
         sync::atomic::{AtomicU64, Ordering},
         thread,
         time::{Duration, Instant},
@@ -542,6 +543,32 @@
     assert_eq!(app.requests_run().len(), ran);
 }
 
+/// Guards against a refusal that is lost, since the connection was reset while the caller
+/// still sent its body.
+#[test]
+fn a_caller_that_sends_a_refused_body_slowly_gets_its_answer() {
+    const PARTS: usize = 12;
+    let (gateway, _llm, _app) = start_gateway();
+    let front = gateway.fronts[0];
+    wait_for("a call is answered", || {
+        let got = send(front, &call("read", "warm"), "warm")?;
+        (got.status == 200).then_some(())
+    });
+    let part = "x".repeat(20_000);
+    let head = call("read", "slow").replace('\n', "\r\n");
+    let mut stream = TcpStream::connect(front).expect("connection");
+    let text = format!("{head}\r\nContent-Length: {}\r\n\r\n", PARTS * part.len());
+    stream.write_all(text.as_bytes()).expect("head");
+    for number in 0..PARTS {
+        let sent = stream.write_all(part.as_bytes());
+        assert!(sent.is_ok(), "part {number}: {sent:?}");
+        thread::sleep(Duration::from_millis(200));
+    }
+    let mut got = vec![0; 12];
+    stream.read_exact(&mut got).expect("an answer");
+    assert_eq!(String::from_utf8_lossy(&got), "HTTP/1.1 413");
+}
+
 #[test]
 fn a_front_exports_counts_and_latencies_of_its_calls() {
     let (gateway, llm, _app) = start_gateway();
