Stores: bound the requests for turns of all joins together

What could happen: a store that lost its disk joins all its groups at the same time, each with several requests to several sources; what arrives at once could exceed the store's memory.

Change: at most eight requests for turns are in flight over all joins of a store, 1 MB each unless one turn is larger.

Evidence: by the arithmetic above only; the tests of gateway pass.

--- a/crates/sapphirequayd/src/gateway/store/copy.rs
+++ b/crates/sapphirequayd/src/gateway/store/copy.rs
@@ -36,15 +36,17 @@
 /// Maximum number of turns in one fetch request.
 pub const MAX_FETCH_TURNS: usize = 32;
 
-/// Limits of one fetch request if the sizes of the turns are known. Several requests to
-/// each source are in flight.
+/// Limits of one fetch request if the sizes of the turns are known.
 const BATCH: BatchLimits = BatchLimits {
     turns: 128,
     bytes: 1 << 20,
 };
 
-/// Maximum number of fetch requests in flight to one source.
-const MAX_CONCURRENT_FETCHES: usize = 4;
+/// Maximum number of fetch requests in flight to one source of a join.
+const MAX_FETCHES_OF_SOURCE: usize = 4;
+
+/// Maximum number of fetch requests of all joins in flight.
+pub const MAX_FETCHES: usize = 8;
 
 /// Time from the start of the copy after which sources that are not whole are used as
 /// well, since the whole sources may be lost permanently.
@@ -201,7 +203,7 @@
         let count = listed.len();
         self.plan.borrow_mut().set_list(source.identity, listed);
         let began = Instant::now();
-        let fetches = (0..MAX_CONCURRENT_FETCHES).map(|_| self.fetch_planned(source));
+        let fetches = (0..MAX_FETCHES_OF_SOURCE).map(|_| self.fetch_planned(source));
         let fetches = join_all(fetches).await;
         let Some(bytes) = fetches.into_iter().sum::<Option<u64>>() else {
             return false;
@@ -259,6 +261,7 @@
             let fetched = self.fetched.notified();
             tokio::pin!(fetched);
             fetched.as_mut().enable();
+            let permit = self.host.fetches.acquire().await.ok()?;
             let step = {
                 let held = self.host.group(self.group);
                 let held = |id| held.location(id).is_some();
@@ -266,7 +269,10 @@
             };
             match step {
                 CopyStep::Done => return Some(bytes),
-                CopyStep::Wait => fetched.await,
+                CopyStep::Wait => {
+                    drop(permit);
+                    fetched.await;
+                }
                 CopyStep::Fetch(turns) => {
                     let from = (source.identity, source.addr);
                     let copied = copy_turns(&self.host, self.group, from, turns.clone()).await;
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -35,7 +35,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::{Notify, oneshot},
+        sync::{Notify, Semaphore, oneshot},
         task::{spawn_blocking, spawn_local},
         time::{sleep, timeout},
     },
@@ -95,6 +95,8 @@
     pub(super) turns_missing: Rc<Notify>,
     /// Notified when the store has something new to announce.
     pub(super) announce: Rc<Notify>,
+    /// Permits for requests for turns, which bound what a copy holds in memory.
+    pub(super) fetches: Rc<Semaphore>,
 }
 
 impl StoreHost {
@@ -143,6 +145,7 @@
             copying: Rc::default(),
             turns_missing: Rc::default(),
             announce: Rc::default(),
+            fetches: Rc::new(Semaphore::new(copy::MAX_FETCHES)),
         })
     }
 
