Stores: try the former member before a group of one is taken for copied

Cause: the sources that are done were compared with what is needed before any was tried.

Change: that is decided once a source is done, or once sources have been tried for 3 s since the join began.

--- a/crates/sapphirequayd/src/gateway/store/copy.rs
+++ b/crates/sapphirequayd/src/gateway/store/copy.rs
@@ -13,7 +13,9 @@
     },
     futures_util::{StreamExt as _, future::join_all, stream::FuturesUnordered},
     quay_link::LinkRole,
-    quay_turns::{BatchLimits, CopyPlan, CopySource, CopyStep, ListedTurn, Record, StoreMember},
+    quay_turns::{
+        BatchLimits, CopyPlan, CopySource, CopyStep, ListedTurn, Record, StoreMember, StoreView,
+    },
     quay_types::{GroupId, TurnId},
     std::{
         cell::RefCell,
@@ -48,7 +50,7 @@
 /// Maximum number of fetch requests of all joins in flight.
 pub const MAX_FETCHES: usize = 8;
 
-/// Time from the start of the copy after which sources that are not whole are used as
+/// Time from the start of a join after which sources that are not whole are used as
 /// well, since the whole sources may be lost permanently.
 const WHOLE_SOURCE_TIME: Duration = Duration::from_secs(3);
 
@@ -61,6 +63,7 @@
     host: StoreHost,
     group: GroupId,
     own: StoreMember,
+    began: Instant,
     plan: RefCell<CopyPlan>,
     /// Notified when a request for turns has ended.
     fetched: Notify,
@@ -81,15 +84,15 @@
         host,
         group,
         own,
+        began: Instant::now(),
         plan: RefCell::default(),
         fetched: Notify::new(),
     };
-    let began = Instant::now();
     if join.run().await {
         log::info!(
             "event=store_whole group={group} epoch={} ms={}",
             join.own.joined,
-            began.elapsed().as_millis()
+            join.began.elapsed().as_millis()
         );
         join.host.announce.notify_one();
     }
@@ -133,29 +136,32 @@
     /// them. Returns `false` if the store is no longer the member that joined.
     async fn for_enough_sources(&self, step: impl AsyncFn(&Self, &CopySource) -> bool) -> bool {
         let mut done = Vec::new();
-        let began = Instant::now();
         loop {
             // The addresses of the sources may have changed since the last round.
-            let view = self.host.view(self.group);
-            let all_used = began.elapsed() >= WHOLE_SOURCE_TIME;
+            let view = self.view();
+            let all_used = self.began.elapsed() >= WHOLE_SOURCE_TIME;
             let pending = view.sources_of(&self.own).into_iter().filter(|source| {
                 !done.contains(&source.identity) && (all_used || view.source_is_whole(source))
             });
             let mut steps: FuturesUnordered<_> = pending
                 .map(async |source| step(self, &source).await.then_some(source.identity))
                 .collect();
-            loop {
-                let view = self.host.view(self.group);
-                if view.copy_is_complete(&self.own, &done) {
+            // Without other members nothing else is waited for, but the former one is
+            // tried for some time.
+            let complete = |done: &[u64]| {
+                (all_used || !done.is_empty()) && self.view().copy_is_complete(&self.own, done)
+            };
+            while let Some(ended) = steps.next().await {
+                done.extend(ended);
+                if complete(&done) {
                     return true;
                 }
-                match steps.next().await {
-                    Some(ended) => done.extend(ended),
-                    None => break,
-                }
             }
-            let member = self.host.view(self.group);
-            let member = member.member(self.own.identity);
+            if complete(&done) {
+                return true;
+            }
+            let view = self.view();
+            let member = view.member(self.own.identity);
             if member.is_none_or(|member| member.joined != self.own.joined) {
                 return false;
             }
@@ -163,6 +169,10 @@
         }
     }
 
+    fn view(&self) -> StoreView {
+        self.host.view(self.group)
+    }
+
     /// Makes a source adopt the current epoch and refuse earlier ones.
     async fn adopt(&self, source: &CopySource) -> bool {
         self.ask(source, StoreOp::FenceEpoch).await == Some(StoreReply::Synced)
--- a/crates/sapphirequayd/src/shutdown.rs
+++ b/crates/sapphirequayd/src/shutdown.rs
@@ -52,14 +52,14 @@
         grace.as_secs()
     );
     let answer_time = MAX_ANSWER_TIME.min(grace / MAX_ANSWER_SHARE);
-    let deadline = Instant::now() + grace;
-    let mut outcome = drain(lifecycle, &signals, deadline - answer_time);
+    let answers_at = Instant::now() + grace.saturating_sub(answer_time);
+    let mut outcome = drain(lifecycle, &signals, answers_at);
     if let ShutdownOutcome::Interrupted(left) = outcome
-        && Instant::now() >= deadline - answer_time
+        && Instant::now() >= answers_at
     {
         log::warn!("event=shutdown_ends in_progress={left}");
         lifecycle.end();
-        outcome = drain(lifecycle, &signals, deadline);
+        outcome = drain(lifecycle, &signals, answers_at + answer_time);
     }
     // Entries learn that the upstream is draining and stop sending calls to it.
     daemon.wait_for_drain_announcement();
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -101,6 +101,14 @@
         slot
     }
 
+    /// Adds a store and starts it. Returns its index.
+    pub fn add_store(&mut self) -> usize {
+        self.store_links.push(free_port());
+        let slot = self.store_links.len() - 1;
+        self.run(Role::Store(slot), false);
+        slot
+    }
+
     /// Names other control hosts in the settings of all processes; the ones that run
     /// read their settings again.
     pub fn set_seeds(&mut self, slots: &[usize]) {
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -360,6 +360,34 @@
     });
 }
 
+/// Guards against a store that takes the place of the only member of a group and is whole
+/// without having copied anything.
+#[test]
+fn a_turn_on_the_only_store_survives_its_retirement() {
+    let (mut gateway, llm, _app) = start_gateway_with(1);
+    let front = gateway.fronts[0];
+    let (kept, got) = run_turn(&gateway, front, &llm, ("kept", "", 1_000, "in;"));
+    assert_eq!(got.status, 200, "{got:?}");
+    gateway.add_store();
+    let control = gateway.controls[0];
+    wait_for("the retirement begins", || {
+        let head = "POST /sapphirequay/retire/Store(0)/start HTTP/1.1\nHost: c";
+        let got = send(control, head, r#"{"DurationS":10}"#)?;
+        (got.status == 200).then_some(())
+    });
+    wait_for("the store is empty", || {
+        let head = "GET /sapphirequay/retire/Store(0)/get HTTP/1.1\nHost: c";
+        let got = send(control, head, "")?;
+        got.body.contains("done").then_some(())
+    });
+    gateway.kill(Role::Store(0));
+    gateway.wipe_store(0);
+    // From the stores: the other front has no cache of the conversation.
+    let next = ("next", &*kept, 1_000, "more;");
+    let (_, got) = run_turn(&gateway, gateway.fronts[1], &llm, next);
+    assert_eq!(got.status, 200, "{got:?}");
+}
+
 #[test]
 fn a_budget_holds_across_fronts_and_charges_the_tokens_sent() {
     let (gateway, llm, _app) = start_gateway();
