--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -78,11 +78,10 @@
 /// connections are dropped and gauges are set.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Divisor of the end of a grace period, after the final answers, that gives the time
-/// for sending them.
+/// Share of a shutdown's reserve in which the final answers are sent, as a divisor.
 const ANSWER_SHARE: u32 = 3;
 
-/// The same for the time from the end on within which crashes are still reported.
+/// Share of a shutdown's reserve in which crashes are still reported, as a fraction.
 const REPORT_SHARE: (u32, u32) = (5, 7);
 
 /// Handle of a front; clones share its state.
