Tests: crowds of callers whose requests do not end

Callers that nobody controls ended a process: chunked bodies, large or in tiny chunks, stopped short of their end.

--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -48,8 +48,12 @@
     pub store_links: Vec<SocketAddr>,
     /// Lines for `[front]` of the fronts that are started next.
     pub front_settings: String,
+    /// Lines for `[control]` of the control hosts that are started next.
+    pub control_settings: String,
     /// Lines for `[process]` of the processes that are started next.
     pub process_settings: String,
+    /// Limit of open descriptors of the fronts that are started next.
+    pub front_descriptors: Option<usize>,
     children: Vec<(Role, Child)>,
     folder: TempDir,
 }
@@ -62,12 +66,19 @@
 
     /// Starts a gateway with settings added to the table of each front.
     pub fn start_with(stores: usize, front_settings: &str) -> Self {
+        let mut gateway = Self::prepare(stores, front_settings);
+        gateway.run_all();
+        gateway
+    }
+
+    /// Prepares a gateway of which no process runs yet.
+    pub fn prepare(stores: usize, front_settings: &str) -> Self {
         let folder = TempDir::new().expect("folder");
         let made = DevelopmentKeys::generate().expect("keys");
         let nobody: [&str; 0] = [];
         made.write(&folder.path().join("keys"), &nobody)
             .expect("keys");
-        let mut gateway = Self {
+        Self {
             controls: (0..3).map(|_| free_port()).collect(),
             fronts: (0..2).map(|_| free_port()).collect(),
             monitor: free_port(),
@@ -78,18 +89,23 @@
             children: Vec::new(),
             folder,
             front_settings: front_settings.to_owned(),
+            control_settings: String::new(),
             process_settings: String::new(),
-        };
-        for slot in 0..3 {
-            gateway.run(Role::Control(slot), true);
+            front_descriptors: None,
+        }
+    }
+
+    /// Starts all processes for the first time.
+    pub fn run_all(&mut self) {
+        for slot in 0..self.controls.len() {
+            self.run(Role::Control(slot), true);
         }
-        for slot in 0..stores {
-            gateway.run(Role::Store(slot), true);
+        for slot in 0..self.store_links.len() {
+            self.run(Role::Store(slot), true);
         }
-        for slot in 0..2 {
-            gateway.run(Role::Front(slot), true);
+        for slot in 0..self.fronts.len() {
+            self.run(Role::Front(slot), true);
         }
-        gateway
     }
 
     /// Adds a control host and starts it. Returns its index.
@@ -149,7 +165,16 @@
         };
         let daemon = own.or_else(|| env::var_os("SAPPHIREQUAYD"));
         let daemon = daemon.unwrap_or_else(|| env!("CARGO_BIN_EXE_sapphirequayd").into());
-        let mut command = Command::new(daemon);
+        let mut command = match (role, self.front_descriptors) {
+            (Role::Front(_), Some(limit)) => {
+                let mut shell = Command::new("sh");
+                shell.arg("-c");
+                shell.arg(format!("ulimit -n {limit} && exec \"$0\" \"$@\""));
+                shell.arg(daemon);
+                shell
+            }
+            _ => Command::new(daemon),
+        };
         let command = command.arg("--config").arg(file);
         let command = command.stdout(log.try_clone().expect("log")).stderr(log);
         let child = start_process(command).expect("process");
@@ -163,9 +188,10 @@
             Role::Control(slot) => (
                 self.control_links[slot],
                 format!(
-                    "[control]\nlisten = \"{}\"\ndata = \"{}\"\n",
+                    "[control]\nlisten = \"{}\"\ndata = \"{}\"\n{}\n",
                     self.controls[slot],
-                    folder.join(format!("control-{slot}")).display()
+                    folder.join(format!("control-{slot}")).display(),
+                    self.control_settings
                 ),
             ),
             Role::Store(slot) => (
--- a/crates/sapphirequayd/tests/common/processes.rs
+++ b/crates/sapphirequayd/tests/common/processes.rs
@@ -8,7 +8,7 @@
     super::{document, free_port, start_process},
     quay_link::DevelopmentKeys,
     std::{
-        fs,
+        env, fs,
         net::SocketAddr,
         path::Path,
         process::{Child, Command},
@@ -49,6 +49,8 @@
     service: SocketAddr,
     ledgers: [SocketAddr; 3],
     entries: [SocketAddr; 2],
+    /// Lines for the table of each entry.
+    entry_settings: &'a str,
     folder: &'a Path,
 }
 
@@ -91,12 +93,18 @@
     }
 
     fn entry(&self, slot: usize) -> String {
-        format!("[entry]\nlisten = \"{}\"\n", self.entries[slot])
+        let (listen, settings) = (self.entries[slot], self.entry_settings);
+        format!("[entry]\nlisten = \"{listen}\"\n{settings}\n")
     }
 }
 
 impl Processes {
     pub fn start(service: SocketAddr) -> Self {
+        Self::start_with(service, "")
+    }
+
+    /// Starts the processes with settings added to the table of each entry.
+    pub fn start_with(service: SocketAddr, entry_settings: &str) -> Self {
         let folder = TempDir::new().expect("folder");
         let made = DevelopmentKeys::generate().expect("keys");
         made.write(&folder.path().join("keys"), &["operator"])
@@ -107,6 +115,7 @@
             service,
             ledgers: [free_port(), free_port(), free_port()],
             entries: [free_port(), free_port()],
+            entry_settings,
             folder: folder.path(),
         };
         for role in Role::ALL {
@@ -130,13 +139,28 @@
             .append(true)
             .open(self.folder.path().join(format!("{role:?}.log")))
             .expect("log");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"));
+        // Tests are run against daemons of earlier versions, too.
+        let daemon = env::var_os("SAPPHIREQUAYD");
+        let daemon = daemon.unwrap_or_else(|| env!("CARGO_BIN_EXE_sapphirequayd").into());
+        let mut command = Command::new(daemon);
         let command = command.arg("--config").arg(file(self.folder.path(), role));
         let command = command.stdout(log.try_clone().expect("log")).stderr(log);
         let child = start_process(command).expect("process");
         self.children.push((role, child));
     }
 
+    /// Operating system's id of the process of a role.
+    pub fn process_id(&self, role: Role) -> u32 {
+        let child = self.children.iter().find(|(it, _)| *it == role);
+        child.expect("a running process").1.id()
+    }
+
+    /// Whether the process of a role has not ended by itself.
+    pub fn is_running(&mut self, role: Role) -> bool {
+        let child = self.children.iter_mut().find(|(it, _)| *it == role);
+        child.is_some_and(|(_, child)| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Kills the process of a role as by `kill -9`.
     pub fn kill(&mut self, role: Role) {
         let slot = self
