Control hosts: bound what request bodies take

What callers saw: 8 of them ended a control host of 256 MB by chunked bodies that stopped short.

Cause: Limited::collect keeps each frame, and a frame of one byte keeps the whole read buffer of its connection; no budget, and no time-out of a body.

A body has 30 s. Since a segment is neither shared with a read buffer nor grown, what is reserved is what is held.

--- a/crates/sapphirequayd/src/gateway/control/api.rs
+++ b/crates/sapphirequayd/src/gateway/control/api.rs
@@ -4,24 +4,37 @@
     super::ControlHost,
     crate::{
         gateway::{
-            http_server::{self, Body, full},
+            host_memory::HostMemory,
+            http_server::{self, Body, ServerLimits, full},
             messages::{ControlReply, ControlRequest, TableDocument},
+            request_body::{BodyError, read_request_body},
         },
         process::Clock,
     },
     bytes::Bytes,
     http::{Method, Request, Response, StatusCode},
-    http_body_util::{BodyExt as _, Limited},
     hyper::body::Incoming,
     quay_members::{AnnouncementFault, AnnouncementLimits},
+    quay_policy::MemoryHolder,
     quay_routes::{Dialect, OperatorCall, OperatorError, OperatorResponse},
     quay_types::Time,
     std::{convert::Infallible, time::Duration},
+    tokio::{
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
 };
 
 /// Maximum size of a request body in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// Time within which the body of a request must arrive. The largest one takes 6 s over
+/// the slowest link of the reference deployments.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Interval at which callers are disconnected if memory is short.
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Time-out of a request to the leader. Callers fail over to another host after
 /// one second.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(850);
@@ -29,26 +42,52 @@
 /// Path of the accounts' limits and their use, which `sapphirequay quotas` reads.
 const QUOTAS_PATH: &str = "/quotas";
 
-/// Serves HTTP requests until the process ends.
-pub async fn serve<D: Dialect>(host: ControlHost<D>, listener: tokio::net::TcpListener) {
+/// Serves HTTP requests within `memory` until the process ends.
+pub async fn serve<D: Dialect>(
+    host: ControlHost<D>,
+    listener: tokio::net::TcpListener,
+    memory: HostMemory,
+) {
+    let limits = ServerLimits {
+        memory: memory.clone(),
+        ..ServerLimits::default()
+    };
+    let maintained = memory.clone();
+    spawn_local(async move {
+        loop {
+            sleep(MAINTENANCE_INTERVAL).await;
+            maintained.tick();
+        }
+    });
     let handler = move |req| {
-        let host = host.clone();
-        async move { Ok::<_, Infallible>(handle(&host, req).await) }
+        let (host, memory) = (host.clone(), memory.clone());
+        async move { Ok::<_, Infallible>(handle(&host, &memory, req).await) }
     };
-    http_server::serve(listener, handler, &http_server::ServerLimits::default()).await;
+    http_server::serve(listener, handler, &limits).await;
 }
 
 /// Handles one HTTP request.
-async fn handle<D: Dialect>(host: &ControlHost<D>, req: Request<Incoming>) -> Response<Body> {
+async fn handle<D: Dialect>(
+    host: &ControlHost<D>,
+    memory: &HostMemory,
+    req: Request<Incoming>,
+) -> Response<Body> {
     if req.method() == Method::GET && req.uri().path() == QUOTAS_PATH {
         return show_quotas(host).await;
     }
     let (head, body) = req.into_parts();
-    let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(err) => {
-            log::info!("event=operator_body_unread path={} cause={err}", head.uri);
-            return empty_response(StatusCode::BAD_REQUEST);
+    let holder = head.extensions.get().map(|connection| MemoryHolder {
+        connection: *connection,
+        account: None,
+    });
+    let body = match read_body(memory, body, holder).await {
+        Ok(body) => body,
+        Err(status) => {
+            log::info!(
+                "event=operator_body_unread path={} status={status}",
+                head.uri
+            );
+            return empty_response(status);
         }
     };
     let path: Box<str> = head.uri.path().into();
@@ -69,6 +108,24 @@
         .map(|body| full(Bytes::from(body.into_vec())))
 }
 
+/// Reads the body of a request, or returns the status that refuses it.
+async fn read_body(
+    memory: &HostMemory,
+    mut body: Incoming,
+    holder: Option<MemoryHolder>,
+) -> Result<Bytes, StatusCode> {
+    let read = read_request_body(memory, &mut body, MAX_BODY_BYTES, holder);
+    let read = match timeout(BODY_TIMEOUT, read).await {
+        Ok(read) => read.and_then(|body| body.into_bytes(memory)),
+        Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
+    };
+    read.map_err(|err| match err {
+        BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+        BodyError::Incomplete => StatusCode::BAD_REQUEST,
+    })
+}
+
 fn empty_response(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(full(Bytes::new()));
     *response.status_mut() = status;
--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -13,6 +13,7 @@
         gateway::{
             account_limits,
             control_client::{ControlClient, exchange},
+            host_memory::HostMemory,
             messages::{
                 ControlCommand, ControlHosts, ControlReply, ControlRequest, FollowerState,
                 GatewayRequest, TableDocument,
@@ -164,9 +165,13 @@
     }
 
     /// Starts the host's tasks.
-    pub fn start(&self, listener: std::net::TcpListener) -> std::io::Result<()> {
+    pub fn start(
+        &self,
+        listener: std::net::TcpListener,
+        memory: HostMemory,
+    ) -> std::io::Result<()> {
         let listener = tokio::net::TcpListener::from_std(listener)?;
-        spawn_local(api::serve(self.clone(), listener));
+        spawn_local(api::serve(self.clone(), listener, memory));
         spawn_local(self.clone().confirm_periodically());
         spawn_local(self.clone().maintain_membership());
         spawn_local(self.clone().introduce_periodically());
--- a/crates/sapphirequayd/src/gateway/front/memory.rs
+++ b/crates/sapphirequayd/src/gateway/front/memory.rs
@@ -32,11 +32,10 @@
         let Some(budget) = settings.budget_bytes() else {
             return Self::new(HostMemory::default(), settings.chain_cache_bytes);
         };
-        log::info!("event=memory_budget bytes={budget}");
         // At most 3/8, so that the cache alone does not make memory short.
         let cache = usize::try_from(budget / 8 * 3).unwrap_or(usize::MAX);
         Self::new(
-            HostMemory::new(clock, budget),
+            HostMemory::of(clock, Some(budget)),
             settings.chain_cache_bytes.min(cache),
         )
     }
--- a/crates/sapphirequayd/src/gateway/host_memory.rs
+++ b/crates/sapphirequayd/src/gateway/host_memory.rs
@@ -46,6 +46,16 @@
 }
 
 impl HostMemory {
+    /// Creates the memory of a host with a budget of `total` bytes, if there is one.
+    #[must_use]
+    pub fn of(clock: Clock, total: Option<u64>) -> Self {
+        let Some(total) = total else {
+            return Self::default();
+        };
+        log::info!("event=memory_budget bytes={total}");
+        Self::new(clock, total)
+    }
+
     /// Creates a budget of `total` bytes.
     #[must_use]
     pub fn new(clock: Clock, total: u64) -> Self {
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod incoming_calls;
 mod messages;
 mod meters;
+mod request_body;
 mod run;
 mod store;
 
--- /dev/null
+++ b/crates/sapphirequayd/src/gateway/request_body.rs
@@ -0,0 +1,187 @@
+//! Bodies of requests, read whole and in segments, so that what is allocated for a body
+//! is what counts in the memory of the host: a segment is neither grown nor copied.
+
+use {
+    super::host_memory::{HostMemory, MemoryGuard},
+    bytes::{Buf as _, Bytes, BytesMut},
+    http_body_util::BodyExt as _,
+    hyper::body::{Body, Incoming},
+    quay_policy::{MemoryClass, MemoryHolder, Shortage},
+    std::collections::VecDeque,
+};
+
+/// Size of the first segment of a body without a declared length, in bytes.
+const FIRST_SEGMENT_BYTES: usize = 4 << 10;
+
+/// Size of the largest segment, in bytes.
+const MAX_SEGMENT_BYTES: usize = 64 << 10;
+
+/// Reserves memory of a host.
+pub trait ReserveMemory {
+    /// Reserves bytes.
+    ///
+    /// # Errors
+    ///
+    /// If there is no room, or none in a share.
+    fn reserve_bytes(
+        &self,
+        class: MemoryClass,
+        holder: Option<MemoryHolder>,
+        bytes: usize,
+    ) -> Result<MemoryGuard, Shortage>;
+}
+
+impl ReserveMemory for HostMemory {
+    fn reserve_bytes(
+        &self,
+        class: MemoryClass,
+        holder: Option<MemoryHolder>,
+        bytes: usize,
+    ) -> Result<MemoryGuard, Shortage> {
+        self.reserve(class, holder, bytes as u64, |_| 0)
+    }
+}
+
+/// Why a body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyError {
+    /// It is larger than the limit.
+    TooLarge,
+    /// There is no memory for it.
+    NoMemory,
+    /// The connection ended, or the transfer coding is invalid.
+    Incomplete,
+}
+
+/// Body of a request, in segments that count in the memory of the host until the last
+/// clone is dropped.
+#[derive(Debug, Clone, Default)]
+pub struct RequestBody {
+    segments: VecDeque<Bytes>,
+    /// Bytes of all segments.
+    len: usize,
+}
+
+impl RequestBody {
+    /// Returns the body in one piece. It is copied if it has several segments, for which
+    /// memory is reserved.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::NoMemory`] if there is no room for the copy.
+    pub fn into_bytes(mut self, memory: &impl ReserveMemory) -> Result<Bytes, BodyError> {
+        if self.segments.len() <= 1 {
+            return Ok(self.segments.pop_front().unwrap_or_default());
+        }
+        let reserved = memory.reserve_bytes(MemoryClass::Requests, None, self.len);
+        let guard = reserved.map_err(|_| BodyError::NoMemory)?;
+        let mut joined = BytesMut::with_capacity(self.len);
+        for segment in self.segments {
+            joined.extend_from_slice(&segment);
+        }
+        Ok(guard.attach(joined.freeze()))
+    }
+}
+
+/// Reads the complete body of a request of at most `limit` bytes. `holder`
+/// is for whom it is held.
+///
+/// # Errors
+///
+/// See [`BodyError`]. What was read is dropped.
+pub async fn read_request_body(
+    memory: &impl ReserveMemory,
+    body: &mut Incoming,
+    limit: usize,
+    holder: Option<MemoryHolder>,
+) -> Result<RequestBody, BodyError> {
+    let hint = body.size_hint();
+    if hint.lower() > limit as u64 {
+        return Err(BodyError::TooLarge);
+    }
+    let declared = hint.exact().and_then(|len| usize::try_from(len).ok());
+    let mut reader = SegmentReader {
+        memory,
+        holder,
+        declared,
+        full: VecDeque::new(),
+        full_len: 0,
+        filling: None,
+    };
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Incomplete)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if reader.len() + data.len() > limit {
+            return Err(BodyError::TooLarge);
+        }
+        reader.push(data)?;
+    }
+    Ok(reader.finish())
+}
+
+/// Collects a body in segments.
+struct SegmentReader<'a, M> {
+    memory: &'a M,
+    holder: Option<MemoryHolder>,
+    /// Length of the body, if it is declared.
+    declared: Option<usize>,
+    /// Full segments.
+    full: VecDeque<(BytesMut, MemoryGuard)>,
+    /// Bytes of the full segments.
+    full_len: usize,
+    /// The segment that is being filled; its capacity is reserved.
+    filling: Option<(BytesMut, MemoryGuard)>,
+}
+
+impl<M: ReserveMemory> SegmentReader<'_, M> {
+    fn len(&self) -> usize {
+        let filling = self.filling.as_ref();
+        self.full_len + filling.map_or(0, |(segment, _)| segment.len())
+    }
+
+    fn push(&mut self, mut data: Bytes) -> Result<(), BodyError> {
+        while !data.is_empty() {
+            let (mut segment, guard) = match self.filling.take() {
+                Some(filling) => filling,
+                None => self.begin_segment(data.len())?,
+            };
+            let fits = data.len().min(segment.capacity() - segment.len());
+            segment.extend_from_slice(&data[..fits]);
+            data.advance(fits);
+            if segment.len() == segment.capacity() {
+                self.full_len += segment.len();
+                self.full.push_back((segment, guard));
+            } else {
+                self.filling = Some((segment, guard));
+            }
+        }
+        Ok(())
+    }
+
+    /// Reserves and allocates the next segment. `arrived` is what it is to take at once.
+    fn begin_segment(&self, arrived: usize) -> Result<(BytesMut, MemoryGuard), BodyError> {
+        let size = match self.declared {
+            Some(declared) => declared - self.full_len,
+            // As much again as there is, so that small bodies take little.
+            None => self.full_len.max(arrived).max(FIRST_SEGMENT_BYTES),
+        };
+        let size = size.min(MAX_SEGMENT_BYTES);
+        let class = MemoryClass::Requests;
+        let reserved = self.memory.reserve_bytes(class, self.holder, size);
+        let guard = reserved.map_err(|_| BodyError::NoMemory)?;
+        Ok((BytesMut::with_capacity(size), guard))
+    }
+
+    fn finish(mut self) -> RequestBody {
+        let len = self.len();
+        self.full.extend(self.filling);
+        let segments = self.full.into_iter();
+        let segments = segments.map(|(segment, guard)| guard.attach(segment.freeze()));
+        RequestBody {
+            segments: segments.collect(),
+            len,
+        }
+    }
+}
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -6,6 +6,7 @@
         control::{ControlHost, SavedHosts},
         control_client::ControlClient,
         front::FrontHost,
+        host_memory::HostMemory,
         incoming_calls::{Asked, IncomingRequests},
         store::{StoreClient, StoreHost},
     },
@@ -270,7 +271,9 @@
     listener
         .set_nonblocking(true)
         .map_err(io("control API address"))?;
-    host.start(listener).map_err(io("control API address"))?;
+    let memory = HostMemory::of(base.clock, control.budget_bytes());
+    host.start(listener, memory)
+        .map_err(io("control API address"))?;
     let groups = Rc::new(groups);
     let serve = move |asked| serve_control(host.clone(), Rc::clone(&groups), asked);
     spawn_local(base.incoming.serve(serve));
--- a/crates/sapphirequayd/src/settings/gateway.rs
+++ b/crates/sapphirequayd/src/settings/gateway.rs
@@ -1,7 +1,7 @@
 //! Settings of a gateway's roles: fronts, control hosts and store hosts.
 
 use {
-    crate::settings::{DecisionTable, Problem},
+    crate::settings::{DecisionTable, Problem, memory},
     quay_policy::FleetQuotaSettings,
     serde::Deserialize,
     std::{net::SocketAddr, path::PathBuf, time::Duration},
@@ -87,23 +87,11 @@
     pub decisions: DecisionTable,
 }
 
-/// Memory in bytes of a front that serves nothing, about.
-const REST_BYTES: u64 = 20_000_000;
-
-/// Least value of [`FrontSettings::memory_mb`] other than 0.
-const MIN_MEMORY_MB: f64 = 40.0;
-
 impl FrontSettings {
     /// Bytes that requests, responses, conversations and connections may take.
-    ///
-    /// It is half of what the process leaves free. The other half is for what isn't
-    /// counted: a buffer and its copy while it grows or is joined with others, the
-    /// buffers of connections to upstreams, and what the allocator does not return.
     #[must_use]
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn budget_bytes(&self) -> Option<u64> {
-        let limit = (self.memory_mb * 1e6) as u64;
-        (limit > 0).then(|| limit.saturating_sub(REST_BYTES) / 2)
+        memory::budget_bytes(self.memory_mb)
     }
 
     /// Time without an update after which keys are refused; `None` if they never are.
@@ -119,11 +107,7 @@
     ///
     /// Returns the problem and its key.
     pub fn check(&self) -> Result<(), Problem> {
-        let valid = self.memory_mb == 0.0 || self.memory_mb >= MIN_MEMORY_MB;
-        if !valid {
-            let message = format!("must be 0 or at least {MIN_MEMORY_MB}");
-            return Err(Problem::new("front", "memory_mb", message));
-        }
+        memory::check("front", self.memory_mb)?;
         self.decisions.check()
     }
 }
@@ -149,6 +133,27 @@
     pub listen: SocketAddr,
     /// Data folder, whose content must survive restarts.
     pub data: PathBuf,
+    /// Memory above which the platform kills the process, in MB (10^6 bytes). If it is
+    /// 0 or absent, what callers send is not bounded in total.
+    #[serde(default)]
+    pub memory_mb: f64,
+}
+
+impl ControlSettings {
+    /// Bytes that requests and connections may take.
+    #[must_use]
+    pub fn budget_bytes(&self) -> Option<u64> {
+        memory::budget_bytes(self.memory_mb)
+    }
+
+    /// Checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the problem and its key.
+    pub fn check(&self) -> Result<(), Problem> {
+        memory::check("control", self.memory_mb)
+    }
 }
 
 /// Settings of a store host, which stores turns and charges.
--- /dev/null
+++ b/crates/sapphirequayd/src/settings/memory.rs
@@ -0,0 +1,35 @@
+//! Memory of a process, as its settings state it.
+
+use crate::settings::Problem;
+
+/// Memory in bytes of a process that serves nothing, about.
+const REST_BYTES: u64 = 20_000_000;
+
+/// Least memory of a process other than 0, in MB: its budget holds a body of the default
+/// limit beside other requests.
+const MIN_MEMORY_MB: f64 = 40.0;
+
+/// Bytes that requests, responses, conversations and connections may take in a process
+/// that is killed above `memory_mb`.
+///
+/// It is half of what the process leaves free. The other half is for what isn't
+/// counted: the system's buffers, the buffers of connections to upstreams, and what the
+/// allocator does not return.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub fn budget_bytes(memory_mb: f64) -> Option<u64> {
+    let limit = (memory_mb * 1e6) as u64;
+    (limit > 0).then(|| limit.saturating_sub(REST_BYTES) / 2)
+}
+
+/// Checks the memory of a process that the table `section` states.
+///
+/// # Errors
+///
+/// Returns the problem and its key.
+pub fn check(section: &'static str, memory_mb: f64) -> Result<(), Problem> {
+    if memory_mb == 0.0 || memory_mb >= MIN_MEMORY_MB {
+        return Ok(());
+    }
+    let message = format!("must be 0 or at least {MIN_MEMORY_MB}");
+    Err(Problem::new(section, "memory_mb", message))
+}
--- a/crates/sapphirequayd/src/settings/mod.rs
+++ b/crates/sapphirequayd/src/settings/mod.rs
@@ -7,6 +7,7 @@
 mod ledger;
 mod link;
 mod log;
+mod memory;
 mod policy;
 mod problem;
 mod process;
