Fronts: a request's body counts as it is allocated

What callers saw: a front ended by bodies that stopped short, and with it the answers of all others.

Cause: the length of a body was counted, while its buffer doubled, which takes up to three times as much; a turn was joined with its history in one more copy.

Change: bodies are read into segments that are reserved first and neither grown nor joined; upstream and digest take them as they are. A conversation is joined for the cache only if there is room.

--- a/crates/quay_routes/src/call_ids.rs
+++ b/crates/quay_routes/src/call_ids.rs
@@ -70,7 +70,13 @@
     /// Digest of the request's content; see [`CallHead::content`].
     #[must_use]
     pub fn content(&self, method: &Method, uri: &Uri, body: &[u8]) -> ContentDigest {
-        let content = self.head.content(method, uri, body);
+        self.content_in_pieces(method, uri, &[body])
+    }
+
+    /// [`content`](Self::content) of a request whose body is given in pieces.
+    #[must_use]
+    pub fn content_in_pieces(&self, method: &Method, uri: &Uri, body: &[&[u8]]) -> ContentDigest {
+        let content = self.head.content_in_pieces(method, uri, body);
         let Some(account) = self.account else {
             return content;
         };
--- a/crates/quay_routes/src/head.rs
+++ b/crates/quay_routes/src/head.rs
@@ -62,16 +62,22 @@
     /// adds its account.
     #[must_use]
     pub fn content(&self, method: &Method, uri: &Uri, body: &[u8]) -> ContentDigest {
+        self.content_in_pieces(method, uri, &[body])
+    }
+
+    /// [`content`](Self::content) of a request whose body is given in pieces.
+    #[must_use]
+    pub fn content_in_pieces(&self, method: &Method, uri: &Uri, body: &[&[u8]]) -> ContentDigest {
         let path = uri.path_and_query().map_or("/", |path| path.as_str());
         let turn = self.turn.as_ref();
         let prior = turn.and_then(|turn| turn.prior.as_deref());
-        ContentDigest::of(&[
+        let head = [
             method.as_str().as_bytes(),
             self.host.as_bytes(),
             path.as_bytes(),
             prior.unwrap_or_default().as_bytes(),
-            body,
-        ])
+        ];
+        ContentDigest::with_last(&head, body)
     }
 }
 
--- a/crates/quay_types/src/digest.rs
+++ b/crates/quay_types/src/digest.rs
@@ -20,11 +20,32 @@
     /// byte from one part to the next changes the digest.
     #[must_use]
     pub fn of(parts: &[&[u8]]) -> Self {
+        Self::finish(Self::begin(parts))
+    }
+
+    /// Hashes `parts` and one more part, which is given in pieces. The digest is that of
+    /// [`of`](Self::of) with the pieces joined.
+    #[must_use]
+    pub fn with_last(parts: &[&[u8]], last: &[&[u8]]) -> Self {
+        let mut hasher = Self::begin(parts);
+        let len: usize = last.iter().map(|piece| piece.len()).sum();
+        hasher.update((len as u64).to_le_bytes());
+        for piece in last {
+            hasher.update(piece);
+        }
+        Self::finish(hasher)
+    }
+
+    fn begin(parts: &[&[u8]]) -> Sha256 {
         let mut hasher = Sha256::new();
         for part in parts {
             hasher.update((part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
+        hasher
+    }
+
+    fn finish(hasher: Sha256) -> Self {
         let full = hasher.finalize();
         let mut short = [0; 16];
         short.copy_from_slice(&full[..16]);
--- a/crates/sapphirequayd/src/gateway/front/body_reader.rs
+++ b/crates/sapphirequayd/src/gateway/front/body_reader.rs
@@ -2,11 +2,12 @@
 
 use {
     super::{buffer_space::BufferShare, host::FrontHost, refusal::Refusal},
+    crate::gateway::request_body::{BodyError, RequestBody, read_request_body},
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, header},
     http_body_util::BodyExt as _,
-    hyper::body::{Body as _, Incoming},
-    quay_policy::{MemoryClass, MemoryHolder},
+    hyper::body::Incoming,
+    quay_policy::MemoryHolder,
     quay_routes::{Dialect, RequestDeadline},
     std::time::Duration,
     tokio::{task::spawn_local, time::timeout},
@@ -23,21 +24,21 @@
 }
 
 /// Reads the complete body of a request, which counts in the front's memory until the
-/// last clone is dropped. Memory for the declared length is reserved first; a body
-/// without one reserves what arrives.
+/// last clone is dropped.
 pub async fn read_body<D: Dialect>(
     front: &FrontHost<D>,
     mut body: Incoming,
     limit: usize,
     deadline: &RequestDeadline,
     holder: Option<MemoryHolder>,
-) -> Result<Bytes, Refusal> {
+) -> Result<RequestBody, Refusal> {
     let left = deadline.remaining(front.now());
-    let read = timeout(left, read_within(front, &mut body, limit, holder)).await;
-    let refusal = match read {
+    let read = read_request_body(front.memory(), &mut body, limit, holder);
+    let refusal = match timeout(left, read).await {
         Ok(Ok(body)) => return Ok(body),
-        Ok(Err(refusal)) => refusal,
-        Err(_) => Refusal::BodyMissing,
+        Ok(Err(BodyError::NoMemory)) => Refusal::NoMemory,
+        Ok(Err(BodyError::TooLarge)) => Refusal::BodyTooLarge,
+        Ok(Err(BodyError::Incomplete)) | Err(_) => Refusal::BodyMissing,
     };
     if matches!(refusal, Refusal::NoMemory | Refusal::BodyTooLarge) {
         discard(body, deadline.remaining(front.now()));
@@ -45,42 +46,6 @@
     Err(refusal)
 }
 
-async fn read_within<D: Dialect>(
-    front: &FrontHost<D>,
-    body: &mut Incoming,
-    limit: usize,
-    holder: Option<MemoryHolder>,
-) -> Result<Bytes, Refusal> {
-    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if declared > limit {
-        return Err(Refusal::BodyTooLarge);
-    }
-    let memory = front.memory();
-    let reserved = memory.reserve(MemoryClass::Requests, holder, declared);
-    let mut guard = reserved.map_err(|_| Refusal::NoMemory)?;
-    let mut read = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Refusal::BodyMissing)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        let len = read.len() + data.len();
-        if len > limit {
-            return Err(Refusal::BodyTooLarge);
-        }
-        if len > declared && !memory.resize(&mut guard, len) {
-            return Err(Refusal::NoMemory);
-        }
-        if read.is_empty() && len == declared {
-            // The whole body in one frame is not copied.
-            return Ok(guard.attach(data));
-        }
-        read.reserve(declared.max(len) - read.len());
-        read.extend_from_slice(&data);
-    }
-    Ok(guard.attach(read.freeze()))
-}
-
 /// Reads and drops the rest of a body in the background, for at most `limit`.
 fn discard(mut body: Incoming, limit: Duration) {
     spawn_local(timeout(limit, async move {
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -18,10 +18,9 @@
     crate::gateway::{
         http_server::{Body, full},
         meters::{self, Stage},
+        request_body::RequestBody,
     },
-    bytes::Bytes,
     http::{Request, Response, StatusCode, header, request, response},
-    http_body_util::Full,
     hyper::body::Incoming,
     quay_policy::{MemoryHolder, RunEnd},
     quay_routes::{
@@ -197,7 +196,8 @@
     }
     let holder = memory::holder_of(parts, caller.account().map(|account| account.id));
     let body = read_body(front, body, limit, &deadline, holder).await?;
-    let content = ids.content(&parts.method, &parts.uri, &body);
+    let pieces: Vec<&[u8]> = body.segments().map(|it| &**it).collect();
+    let content = ids.content_in_pieces(&parts.method, &parts.uri, &pieces);
     let pool = Pool::of(service);
     front.wait_for_service(&pool, deadline.at()).await;
     let version = match &head.resumed {
@@ -265,7 +265,7 @@
     /// Runs the request on an upstream; retries on others where that is safe.
     async fn run(
         &self,
-        body: Bytes,
+        body: RequestBody,
         pending_turn: Option<PendingTurn>,
         reservation: Option<Reservation>,
     ) -> Result<Response<Body>, Refused> {
@@ -283,7 +283,7 @@
     /// tells only about the last attempt.
     async fn try_upstreams(
         &self,
-        body: Bytes,
+        body: RequestBody,
         pending_turn: Option<PendingTurn>,
         reservation: Option<Reservation>,
     ) -> Result<Response<Body>, Refused> {
@@ -470,7 +470,7 @@
     /// Makes one attempt on one upstream.
     async fn attempt_one(
         &self,
-        body: &Bytes,
+        body: &RequestBody,
         limit: Duration,
         tried: &mut Vec<UpstreamId>,
         quota: Option<&QuotaPermit<D>>,
@@ -510,7 +510,7 @@
     async fn exchange(
         &self,
         in_flight: &mut InFlight<D>,
-        body: &Bytes,
+        body: &RequestBody,
         quota: Option<&QuotaPermit<D>>,
     ) -> Result<(response::Parts, Incoming), AttemptResult<D>> {
         loop {
@@ -563,7 +563,7 @@
     }
 
     /// Creates the request that is forwarded to the upstream.
-    fn request(&self, upstream: &SelectedUpstream, body: &Bytes) -> Request<Full<Bytes>> {
+    fn request(&self, upstream: &SelectedUpstream, body: &RequestBody) -> Request<RequestBody> {
         let forwarding = Forwarding {
             upstream: &upstream.name,
             time_left: self.deadline.remaining(self.front.now()),
@@ -573,7 +573,7 @@
             .front
             .dialect()
             .forwarded_headers(&self.parts.headers, &forwarding);
-        let mut req = Request::new(Full::new(body.clone()));
+        let mut req = Request::new(body.clone());
         *req.method_mut() = self.parts.method.clone();
         *req.uri_mut() = self.parts.uri.clone();
         *req.headers_mut() = headers;
--- a/crates/sapphirequayd/src/gateway/front/call/turns.rs
+++ b/crates/sapphirequayd/src/gateway/front/call/turns.rs
@@ -9,6 +9,7 @@
             stream::PendingTurn,
         },
         http_server::Body,
+        request_body::RequestBody,
         store::{ReserveOutcome, TurnLookup},
     },
     bytes::Bytes,
@@ -25,7 +26,7 @@
     pub(super) async fn run_turn(
         &self,
         turn: &TurnHead,
-        input: Bytes,
+        input: RequestBody,
     ) -> Result<Response<Body>, Refused> {
         let (reserved, history) = tokio::join!(self.reserve(turn), self.history(turn));
         let reservation = reserved?;
@@ -33,12 +34,8 @@
         let Some(retention) = self.route.retention else {
             return self.run(input, None, reservation).await;
         };
-        let body = if history.is_empty() {
-            input.clone()
-        } else {
-            let memory = self.front.memory();
-            memory.join_request(self.holder, &[&history, &input])?
-        };
+        let mut body = RequestBody::from(history.clone());
+        body.append(input.clone());
         let pending_turn = PendingTurn {
             id: self.ids.turn(),
             program: self.ids.program(),
--- a/crates/sapphirequayd/src/gateway/front/connections.rs
+++ b/crates/sapphirequayd/src/gateway/front/connections.rs
@@ -1,10 +1,8 @@
 //! Pool of HTTP connections to upstreams.
 
 use {
-    crate::process::Clock,
-    bytes::Bytes,
+    crate::{gateway::request_body::RequestBody, process::Clock},
     http::{HeaderMap, Request, Response, header},
-    http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     indexmap::IndexMap,
@@ -51,9 +49,6 @@
 /// of a connection by the reads before, up to 400 kB, which are not counted.
 const MAX_READ_BYTES: usize = 16 << 10;
 
-/// Body of a request to an upstream.
-type RequestBody = Full<Bytes>;
-
 /// An idle connection.
 #[derive(Debug)]
 struct Idle {
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -328,11 +328,11 @@
         self.0.memory.cached(now, key)
     }
 
-    /// Caches the conversation up to a turn that a program can continue from, if there
-    /// is room.
-    pub fn cache_if_room(&self, program: ProgramTag, turn: TurnId, conversation: Bytes) {
+    /// Caches the conversation up to a turn that a program can continue from, given in
+    /// parts, if there is room.
+    pub fn cache_if_room(&self, program: ProgramTag, turn: TurnId, parts: &[&[u8]]) {
         let key = (self.0.stores.group_of(program), turn);
-        self.0.memory.cache_if_room(self.now(), key, conversation);
+        self.0.memory.cache_if_room(self.now(), key, parts);
     }
 
     /// Joins the turns of the conversation up to a turn, and caches it if there is room.
--- a/crates/sapphirequayd/src/gateway/front/memory.rs
+++ b/crates/sapphirequayd/src/gateway/front/memory.rs
@@ -6,7 +6,10 @@
         refusal::Refusal,
     },
     crate::{
-        gateway::host_memory::{HostMemory, MemoryGuard},
+        gateway::{
+            host_memory::{HostMemory, MemoryGuard},
+            request_body::ReserveMemory,
+        },
         process::Clock,
         settings::FrontSettings,
     },
@@ -83,8 +86,8 @@
         self.host.resize(guard, bytes as u64, evict).is_ok()
     }
 
-    /// Joins the parts of what is sent to an upstream.
-    pub fn join_request(
+    /// Joins the parts of a conversation, which count for the caller.
+    fn join_for_caller(
         &self,
         holder: Option<MemoryHolder>,
         parts: &[&[u8]],
@@ -107,7 +110,7 @@
         let len = parts.iter().map(|part| part.len()).sum();
         match self.reserve(MemoryClass::Conversations, None, len) {
             Ok(guard) => Ok((guard.attach(join(parts, len)), true)),
-            Err(_) => Ok((self.join_request(holder, parts)?, false)),
+            Err(_) => Ok((self.join_for_caller(holder, parts)?, false)),
         }
     }
 
@@ -122,11 +125,12 @@
         self.conversations.borrow_mut().put(now, key, conversation);
     }
 
-    /// Caches a conversation if there is room.
-    pub fn cache_if_room(&self, now: Time, key: ConversationKey, conversation: Bytes) {
-        let reserved = self.reserve(MemoryClass::Conversations, None, conversation.len());
+    /// Joins the parts of a conversation and caches it if there is room.
+    pub fn cache_if_room(&self, now: Time, key: ConversationKey, parts: &[&[u8]]) {
+        let len = parts.iter().map(|part| part.len()).sum();
+        let reserved = self.reserve(MemoryClass::Conversations, None, len);
         if let Ok(guard) = reserved {
-            self.cache(now, key, guard.attach(conversation));
+            self.cache(now, key, guard.attach(join(parts, len)));
         }
     }
 
@@ -137,6 +141,17 @@
     }
 }
 
+impl ReserveMemory for FrontMemory {
+    fn reserve_bytes(
+        &self,
+        class: MemoryClass,
+        holder: Option<MemoryHolder>,
+        bytes: usize,
+    ) -> Result<MemoryGuard, Shortage> {
+        self.reserve(class, holder, bytes)
+    }
+}
+
 fn join(parts: &[&[u8]], len: usize) -> Bytes {
     let mut joined = BytesMut::with_capacity(len);
     for part in parts {
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -13,6 +13,7 @@
     crate::gateway::{
         http_server::{Body, BodyAborted},
         meters::{self, Stage},
+        request_body::RequestBody,
     },
     bytes::Bytes,
     http::response,
@@ -82,7 +83,7 @@
     /// Conversation before the turn.
     pub history: Bytes,
     /// Input that the turn adds.
-    pub input: Bytes,
+    pub input: RequestBody,
 }
 
 /// Stream of a request that is relayed to the caller.
@@ -277,7 +278,7 @@
             id: pending_turn.id,
             prior: pending_turn.prior,
             retention_s: u32::try_from(pending_turn.retention.as_secs()).unwrap_or(u32::MAX),
-            input: pending_turn.input[..].into(),
+            input: pending_turn.input.to_vec().into(),
             output: output.clone().into(),
         };
         let left = self.ends.since(self.front.now());
@@ -293,17 +294,11 @@
         if let Some(reservation) = &mut self.reservation {
             reservation.mark_settled();
         }
-        let mut conversation = Vec::with_capacity(
-            pending_turn.history.len() + pending_turn.input.len() + output.len(),
-        );
-        conversation.extend_from_slice(&pending_turn.history);
-        conversation.extend_from_slice(&pending_turn.input);
-        conversation.extend_from_slice(&output);
-        self.front.cache_if_room(
-            pending_turn.program,
-            pending_turn.id,
-            Bytes::from(conversation),
-        );
+        let mut parts: Vec<&[u8]> = vec![&pending_turn.history];
+        parts.extend(pending_turn.input.segments().map(|it| &**it));
+        parts.push(&output);
+        self.front
+            .cache_if_room(pending_turn.program, pending_turn.id, &parts);
         StreamEnd::Whole
     }
 }
--- a/crates/sapphirequayd/src/gateway/request_body.rs
+++ b/crates/sapphirequayd/src/gateway/request_body.rs
@@ -5,9 +5,14 @@
     super::host_memory::{HostMemory, MemoryGuard},
     bytes::{Buf as _, Bytes, BytesMut},
     http_body_util::BodyExt as _,
-    hyper::body::{Body, Incoming},
+    hyper::body::{Body, Frame, Incoming, SizeHint},
     quay_policy::{MemoryClass, MemoryHolder, Shortage},
-    std::collections::VecDeque,
+    std::{
+        collections::VecDeque,
+        convert::Infallible,
+        pin::Pin,
+        task::{Context, Poll},
+    },
 };
 
 /// Size of the first segment of a body without a declared length, in bytes.
@@ -63,6 +68,24 @@
 }
 
 impl RequestBody {
+    /// The segments, in order.
+    pub fn segments(&self) -> impl Iterator<Item = &Bytes> {
+        self.segments.iter()
+    }
+
+    /// Copy of all bytes.
+    pub fn to_vec(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(self.len);
+        self.segments().for_each(|it| bytes.extend_from_slice(it));
+        bytes
+    }
+
+    /// Appends the bytes of another body, without a copy.
+    pub fn append(&mut self, other: Self) {
+        self.len += other.len;
+        self.segments.extend(other.segments);
+    }
+
     /// Returns the body in one piece. It is copied if it has several segments, for which
     /// memory is reserved.
     ///
@@ -83,6 +106,42 @@
     }
 }
 
+impl From<Bytes> for RequestBody {
+    fn from(bytes: Bytes) -> Self {
+        Self {
+            len: bytes.len(),
+            segments: if bytes.is_empty() {
+                VecDeque::new()
+            } else {
+                [bytes].into()
+            },
+        }
+    }
+}
+
+/// What is sent to an upstream.
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let segment = self.segments.pop_front();
+        self.len -= segment.as_ref().map_or(0, Bytes::len);
+        Poll::Ready(segment.map(|it| Ok(Frame::data(it))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.segments.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.len as u64)
+    }
+}
+
 /// Reads the complete body of a request of at most `limit` bytes. `holder`
 /// is for whom it is held.
 ///
