Gateway: callers that send nothing go before ordinary ones are refused

What callers saw: 503 to each of them while a crowd held connections, heads or bodies that did not go on; no descriptor left for upstreams; a planned stop that waited for the crowd.

Cause: slow readers were disconnected, slow senders never; the number of connections was not bounded; a connection counted the same whatever its head took.

Change: quay_policy::MemoryBudget follows the phase and the progress of each connection and decides who goes: who sends least for what it holds while memory is short, and who is replaced by a new connection above half of the budget or of the descriptors ([front] and [control] max_fds, by default the limit of the process). A caller whose head is whole is told 408, not run. Bodies that arrive have less of the budget than requests that have arrived.

--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -43,8 +43,8 @@
         VersionRegistry, VersionRollout, VersionRolloutSettings, VersionsSeen,
     },
     memory::{
-        CallerConnection, MemoryBudget, MemoryClass, MemoryDecision, MemoryHolder, MemorySettings,
-        Shortage, SlowReader,
+        CallerConnection, ConnectDecision, ConnectionPhase, EndReason, EndedConnection,
+        MemoryBudget, MemoryClass, MemoryDecision, MemoryHolder, MemorySettings, Shortage,
     },
     placement::{Move, Placement, PlacementSettings, PlacementView},
     policy::{Policy, PolicySettings},
--- a/crates/quay_policy/src/memory/mod.rs
+++ b/crates/quay_policy/src/memory/mod.rs
@@ -5,6 +5,8 @@
 mod callers;
 
 pub use {
-    budget::{MemoryBudget, MemoryClass, MemoryDecision, MemorySettings, Shortage},
-    callers::{CallerConnection, MemoryHolder, SlowReader},
+    budget::{
+        ConnectDecision, MemoryBudget, MemoryClass, MemoryDecision, MemorySettings, Shortage,
+    },
+    callers::{CallerConnection, ConnectionPhase, EndReason, EndedConnection, MemoryHolder},
 };
--- a/crates/sapphirequayd/src/gateway/control/api.rs
+++ b/crates/sapphirequayd/src/gateway/control/api.rs
@@ -7,7 +7,7 @@
             host_memory::HostMemory,
             http_server::{self, Body, ServerLimits, full},
             messages::{ControlReply, ControlRequest, TableDocument},
-            request_body::{BodyError, read_request_body},
+            request_body::{BodyCaller, BodyError, read_request_body},
         },
         process::Clock,
     },
@@ -15,7 +15,6 @@
     http::{Method, Request, Response, StatusCode},
     hyper::body::Incoming,
     quay_members::{AnnouncementFault, AnnouncementLimits},
-    quay_policy::MemoryHolder,
     quay_routes::{Dialect, OperatorCall, OperatorError, OperatorResponse},
     quay_types::Time,
     std::{convert::Infallible, time::Duration},
@@ -56,7 +55,7 @@
     spawn_local(async move {
         loop {
             sleep(MAINTENANCE_INTERVAL).await;
-            maintained.tick();
+            maintained.tick(false);
         }
     });
     let handler = move |req| {
@@ -76,11 +75,7 @@
         return show_quotas(host).await;
     }
     let (head, body) = req.into_parts();
-    let holder = head.extensions.get().map(|connection| MemoryHolder {
-        connection: *connection,
-        account: None,
-    });
-    let body = match read_body(memory, body, holder).await {
+    let body = match read_body(memory, body, &BodyCaller::of(&head, None)).await {
         Ok(body) => body,
         Err(status) => {
             log::info!(
@@ -112,9 +107,9 @@
 async fn read_body(
     memory: &HostMemory,
     mut body: Incoming,
-    holder: Option<MemoryHolder>,
+    caller: &BodyCaller<'_>,
 ) -> Result<Bytes, StatusCode> {
-    let read = read_request_body(memory, &mut body, MAX_BODY_BYTES, holder);
+    let read = read_request_body(memory, &mut body, MAX_BODY_BYTES, caller);
     let read = match timeout(BODY_TIMEOUT, read).await {
         Ok(read) => read.and_then(|body| body.into_bytes(memory)),
         Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
@@ -123,6 +118,7 @@
         BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         BodyError::Incomplete => StatusCode::BAD_REQUEST,
+        BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
     })
 }
 
--- a/crates/sapphirequayd/src/gateway/front/body_reader.rs
+++ b/crates/sapphirequayd/src/gateway/front/body_reader.rs
@@ -2,12 +2,14 @@
 
 use {
     super::{buffer_space::BufferShare, host::FrontHost, refusal::Refusal},
-    crate::gateway::request_body::{BodyError, RequestBody, read_request_body},
+    crate::gateway::{
+        open_connection::{ArrivingBody, OpenConnection},
+        request_body::{BodyCaller, BodyError, RequestBody, next_frame, read_request_body},
+    },
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, header},
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
-    quay_policy::MemoryHolder,
     quay_routes::{Dialect, RequestDeadline},
     std::time::Duration,
     tokio::{task::spawn_local, time::timeout},
@@ -30,26 +32,35 @@
     mut body: Incoming,
     limit: usize,
     deadline: &RequestDeadline,
-    holder: Option<MemoryHolder>,
+    caller: &BodyCaller<'_>,
 ) -> Result<RequestBody, Refusal> {
     let left = deadline.remaining(front.now());
-    let read = read_request_body(front.memory(), &mut body, limit, holder);
+    let read = read_request_body(front.memory(), &mut body, limit, caller);
     let refusal = match timeout(left, read).await {
         Ok(Ok(body)) => return Ok(body),
         Ok(Err(BodyError::NoMemory)) => Refusal::NoMemory,
         Ok(Err(BodyError::TooLarge)) => Refusal::BodyTooLarge,
-        Ok(Err(BodyError::Incomplete)) | Err(_) => Refusal::BodyMissing,
+        Ok(Err(BodyError::Incomplete | BodyError::TooSlow)) | Err(_) => Refusal::BodyMissing,
     };
     if matches!(refusal, Refusal::NoMemory | Refusal::BodyTooLarge) {
-        discard(body, deadline.remaining(front.now()));
+        let arriving = caller.connection.map(OpenConnection::begin_body);
+        discard(body, arriving, deadline.remaining(front.now()));
     }
     Err(refusal)
 }
 
 /// Reads and drops the rest of a body in the background, for at most `limit`.
-fn discard(mut body: Incoming, limit: Duration) {
+fn discard(mut body: Incoming, arriving: Option<ArrivingBody>, limit: Duration) {
     spawn_local(timeout(limit, async move {
-        while let Ok(Some(Ok(_))) = timeout(DISCARD_PAUSE, body.frame()).await {}
+        loop {
+            let next = timeout(DISCARD_PAUSE, next_frame(&mut body, arriving.as_ref()));
+            let Ok(Ok(Some(frame))) = next.await else {
+                return;
+            };
+            if let Some(arriving) = &arriving {
+                arriving.record_read(frame.data_ref().map_or(0, Bytes::len));
+            }
+        }
     }));
 }
 
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -8,7 +8,6 @@
         connections::SendError,
         host::{FrontHost, QuotaPermit},
         in_flight::InFlight,
-        memory,
         refusal::{Refusal, Refused},
         reservation::Reservation,
         stream::{PendingTurn, StreamRelay},
@@ -18,7 +17,7 @@
     crate::gateway::{
         http_server::{Body, full},
         meters::{self, Stage},
-        request_body::RequestBody,
+        request_body::{BodyCaller, RequestBody},
     },
     http::{Request, Response, StatusCode, header, request, response},
     hyper::body::Incoming,
@@ -194,8 +193,8 @@
     if let Some(account) = caller.account() {
         front.check_quota(account, AttemptTag::of(&head.id).0)?;
     }
-    let holder = memory::holder_of(parts, caller.account().map(|account| account.id));
-    let body = read_body(front, body, limit, &deadline, holder).await?;
+    let sender = BodyCaller::of(parts, caller.account().map(|account| account.id));
+    let body = read_body(front, body, limit, &deadline, &sender).await?;
     let pieces: Vec<&[u8]> = body.segments().map(|it| &**it).collect();
     let content = ids.content_in_pieces(&parts.method, &parts.uri, &pieces);
     let pool = Pool::of(service);
@@ -225,7 +224,7 @@
         event_tokens,
         memory_tokens,
         draw: AttemptTag::of(&head.id).0,
-        holder,
+        holder: sender.holder,
         may_have_run: Cell::default(),
         offered,
         begins: Cell::default(),
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -204,11 +204,16 @@
         });
         let front = self.clone();
         spawn_local(async move {
+            let probed = front.clone();
             let answer = move |req: Request<Incoming>| {
-                let response = front.readiness(&req);
+                let response = probed.readiness(&req);
                 async move { Ok::<_, Infallible>(response) }
             };
-            http_server::serve(ready, answer, &ServerLimits::default()).await;
+            let limits = ServerLimits {
+                memory: front.0.memory.host().clone(),
+                ..ServerLimits::default()
+            };
+            http_server::serve(ready, answer, &limits).await;
         });
     }
 
@@ -438,6 +443,11 @@
         let limits = &self.0.limits;
         limits.head_bytes.set(table.limits.head_bytes as usize);
         limits.idle.set(table.limits.idle_timeout);
+        let edge = &table.limits;
+        let (head_bytes, body_bytes) = (edge.head_bytes.into(), edge.body_bytes.into());
+        limits
+            .memory
+            .set_limits(head_bytes, body_bytes, edge.head_timeout);
         self.set_account_limits(&table);
         self.0.table.replace(Some(Rc::new(table)));
     }
@@ -449,7 +459,8 @@
             let now = self.now();
             self.upstreams().tick(now);
             self.check_upstreams();
-            self.0.memory.tick(now);
+            let closing = self.0.limits.closing.has_begun();
+            self.0.memory.tick(now, closing);
             self.0.connections.close_idle();
             self.0.account_meters.borrow_mut().select(now);
             meters::set_limited_upstreams(self.upstreams().limits().len());
--- a/crates/sapphirequayd/src/gateway/front/memory.rs
+++ b/crates/sapphirequayd/src/gateway/front/memory.rs
@@ -14,10 +14,9 @@
         settings::FrontSettings,
     },
     bytes::{Bytes, BytesMut},
-    http::request,
     quay_policy::{MemoryClass, MemoryHolder, Shortage},
     quay_turns::TurnRecord,
-    quay_types::{AccountId, Time},
+    quay_types::Time,
     std::{cell::RefCell, rc::Rc},
 };
 
@@ -32,13 +31,12 @@
     /// Creates the memory of a front by its settings.
     #[must_use]
     pub fn of(settings: &FrontSettings, clock: Clock) -> Self {
-        let Some(budget) = settings.budget_bytes() else {
-            return Self::new(HostMemory::default(), settings.chain_cache_bytes);
-        };
+        let limits = settings.limits();
         // At most 3/8, so that the cache alone does not make memory short.
-        let cache = usize::try_from(budget / 8 * 3).unwrap_or(usize::MAX);
+        let cache = limits.budget.map_or(u64::MAX, |budget| budget / 8 * 3);
+        let cache = usize::try_from(cache).unwrap_or(usize::MAX);
         Self::new(
-            HostMemory::of(clock, Some(budget)),
+            HostMemory::new(clock, limits),
             settings.chain_cache_bytes.min(cache),
         )
     }
@@ -60,7 +58,7 @@
 
     /// Whether there is a budget.
     #[must_use]
-    pub const fn is_limited(&self) -> bool {
+    pub fn is_limited(&self) -> bool {
         self.host.is_limited()
     }
 
@@ -134,10 +132,11 @@
         }
     }
 
-    /// Evicts unused conversations, and disconnects slow readers if memory is short.
-    pub fn tick(&self, now: Time) {
+    /// Evicts unused conversations, and ends connections whose callers are too slow.
+    /// `closing` tells whether the front shuts down.
+    pub fn tick(&self, now: Time, closing: bool) {
         self.conversations.borrow_mut().tick(now);
-        self.host.tick();
+        self.host.tick(closing);
     }
 }
 
@@ -159,11 +158,3 @@
     }
     joined.freeze()
 }
-
-/// Caller for which the memory of a request is held; `None` without a budget.
-pub fn holder_of(parts: &request::Parts, account: Option<AccountId>) -> Option<MemoryHolder> {
-    Some(MemoryHolder {
-        connection: *parts.extensions.get()?,
-        account,
-    })
-}
--- a/crates/sapphirequayd/src/gateway/host_memory.rs
+++ b/crates/sapphirequayd/src/gateway/host_memory.rs
@@ -1,26 +1,25 @@
 //! Byte budget of the process, and guards that return their bytes when dropped.
 
 use {
-    super::meters,
+    super::{meters, open_connection::OpenConnection},
     crate::process::Clock,
     bytes::Bytes,
     indexmap::IndexMap,
     quay_policy::{
-        CallerConnection, MemoryBudget, MemoryClass, MemoryDecision, MemoryHolder, MemorySettings,
-        Shortage, SlowReader,
+        CallerConnection, ConnectDecision, EndReason, EndedConnection, MemoryBudget, MemoryClass,
+        MemoryDecision, MemoryHolder, MemorySettings, Shortage,
     },
     quay_types::Time,
-    std::sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+    std::{
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
     },
     tokio::sync::Notify,
 };
 
-/// Bytes counted for an open connection of a caller: the 8 KiB read buffer of
-/// `hyper`, and half of that for the task and its state.
-const CONNECTION_BYTES: u64 = 12 << 10;
-
 /// Bytes counted for a frame beside its data: its slot in the queue, and the owner of
 /// its data with the guard.
 const FRAME_BYTES: u64 = 256;
@@ -28,49 +27,91 @@
 /// Byte budget of the process; without one, everything is granted. Clones refer to
 /// the same budget.
 #[derive(Debug, Clone, Default)]
-pub struct HostMemory(Option<Arc<Shared>>);
+pub struct HostMemory(Option<Arc<MemoryState>>);
+
+/// What a host may take of its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostLimits {
+    /// Bytes of requests, responses, conversations and connections; `None` if they are
+    /// not bounded.
+    pub budget: Option<u64>,
+    /// Number of connections of callers that may be open.
+    pub connections: usize,
+}
 
+/// State of the budget.
+///
 /// Guards are part of response bodies, which must be `Send`; hence the locks, which
 /// only one thread takes.
 #[derive(Debug)]
-struct Shared {
+pub struct MemoryState {
     clock: Clock,
     budget: Mutex<MemoryBudget>,
-    /// Signals that end the connections of callers.
-    connections: Mutex<IndexMap<CallerConnection, Arc<Notify>>>,
+    /// Whether there is a limit.
+    is_limited: bool,
+    connections: Mutex<IndexMap<CallerConnection, OpenConnection>>,
     next_connection: AtomicU64,
+    /// Limit of a request's head.
+    head_bytes: AtomicU64,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// All connections carry requests, and there is no room for another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionRefused;
+
+/// Budget of a host whose memory is not limited.
+const UNLIMITED_BYTES: u64 = 1 << 60;
+
+/// Default limit of a request's head, in bytes.
+const HEAD_BYTES: u64 = 16 << 10;
+
 impl HostMemory {
-    /// Creates the memory of a host with a budget of `total` bytes, if there is one.
+    /// Creates the memory of a host.
     #[must_use]
-    pub fn of(clock: Clock, total: Option<u64>) -> Self {
-        let Some(total) = total else {
-            return Self::default();
+    pub fn new(clock: Clock, limits: HostLimits) -> Self {
+        let HostLimits {
+            budget,
+            connections,
+        } = limits;
+        match budget {
+            Some(bytes) => {
+                log::info!("event=memory_budget bytes={bytes} connections={connections}");
+            }
+            None => log::info!("event=memory_unlimited connections={connections}"),
+        }
+        let settings = MemorySettings {
+            max_connections: connections,
+            ..MemorySettings::of(budget.unwrap_or(UNLIMITED_BYTES))
         };
-        log::info!("event=memory_budget bytes={total}");
-        Self::new(clock, total)
-    }
-
-    /// Creates a budget of `total` bytes.
-    #[must_use]
-    pub fn new(clock: Clock, total: u64) -> Self {
-        Self(Some(Arc::new(Shared {
+        Self(Some(Arc::new(MemoryState {
             clock,
-            budget: Mutex::new(MemoryBudget::new(MemorySettings::of(total))),
+            budget: Mutex::new(MemoryBudget::new(settings)),
+            is_limited: budget.is_some(),
             connections: Mutex::default(),
             next_connection: AtomicU64::new(1),
+            head_bytes: AtomicU64::new(HEAD_BYTES),
         })))
     }
 
-    /// Whether there is a budget.
+    /// Whether there is a limit.
     #[must_use]
-    pub const fn is_limited(&self) -> bool {
-        self.0.is_some()
+    pub fn is_limited(&self) -> bool {
+        self.0.as_ref().is_some_and(|it| it.is_limited)
+    }
+
+    /// Sets the limits of a request's head and body, and the time-out of a head.
+    pub fn set_limits(&self, head_bytes: u64, body_bytes: u64, head_timeout: Duration) {
+        let Some(state) = &self.0 else { return };
+        state.head_bytes.store(head_bytes, Ordering::Relaxed);
+        let mut budget = state.budget();
+        budget.set_limits(body_bytes, head_timeout);
+        if !budget.holds_largest_body() {
+            log::warn!("event=memory_below_limits body_bytes={body_bytes}");
+        }
     }
 
     /// Reserves bytes. `evict` evicts at least as many bytes of cached conversations
@@ -92,7 +133,7 @@
         let now = shared.clock.now();
         let mut cached = evict(0);
         loop {
-            let decision = lock(&shared.budget).reserve(now, class, holder, bytes, cached);
+            let decision = shared.budget().reserve(now, class, holder, bytes, cached);
             match decision {
                 MemoryDecision::Granted => {
                     return Ok(MemoryGuard {
@@ -105,7 +146,7 @@
                     });
                 }
                 MemoryDecision::Evict(bytes) => cached = evict(bytes),
-                MemoryDecision::Disconnect(reader) => shared.disconnect(reader),
+                MemoryDecision::End(ended) => shared.end(ended),
                 MemoryDecision::Refused(shortage) => {
                     meters::record_memory_refusal(class, shortage);
                     return Err(shortage);
@@ -130,7 +171,9 @@
             let mut added = self.reserve(guard.class, guard.holder, bytes - guard.bytes, evict)?;
             guard.bytes += std::mem::take(&mut added.bytes);
         } else if let Some(shared) = &guard.memory {
-            lock(&shared.budget).release(guard.class, guard.holder, guard.bytes - bytes);
+            shared
+                .budget()
+                .release(guard.class, guard.holder, guard.bytes - bytes);
             guard.bytes = bytes;
         }
         Ok(())
@@ -155,7 +198,7 @@
             ready: None,
             taken: Some(Arc::clone(taken)),
         };
-        lock(&shared.budget).charge(guard.class, holder, guard.bytes);
+        shared.budget().charge(guard.class, holder, guard.bytes);
         guard.wait_for_caller();
         guard.attach(data)
     }
@@ -166,81 +209,121 @@
         let (Some(shared), Some(holder)) = (&self.0, holder) else {
             return true;
         };
-        lock(&shared.budget).may_read_on(holder)
+        shared.budget().may_read_on(holder)
     }
 
-    /// Disconnects the slowest readers while memory is short, and sets the gauges.
-    pub fn tick(&self) {
+    /// Ends connections whose callers are too slow, and sets the gauges. `closing` tells
+    /// whether the host shuts down.
+    pub fn tick(&self, closing: bool) {
         let Some(shared) = &self.0 else { return };
         let now = shared.clock.now();
         loop {
-            let reader = lock(&shared.budget).disconnect_if_short(now);
-            let Some(reader) = reader else { break };
-            shared.disconnect(reader);
+            let ended = {
+                let mut budget = shared.budget();
+                match budget.end_if_short(now) {
+                    None if closing => budget.end_unused(now),
+                    ended => ended,
+                }
+            };
+            let Some(ended) = ended else { break };
+            shared.end(ended);
         }
-        let budget = lock(&shared.budget);
+        let budget = shared.budget();
         for class in MemoryClass::ALL {
             meters::set_memory(class, budget.used(class));
         }
     }
 
-    /// Counts a connection of a caller, until the result is dropped.
-    #[must_use]
-    pub fn open_connection(&self) -> Option<OpenConnection> {
-        let shared = self.0.as_ref()?;
-        let id = CallerConnection(shared.next_connection.fetch_add(1, Ordering::Relaxed));
-        let ended = Arc::new(Notify::new());
-        lock(&shared.connections).insert(id, Arc::clone(&ended));
-        lock(&shared.budget).charge(MemoryClass::Connections, None, CONNECTION_BYTES);
-        Some(OpenConnection {
-            memory: Arc::clone(shared),
-            id,
-            ended,
-        })
+    /// Counts a new connection of a caller; the second value tells whether others are
+    /// ended for it. `None` if nothing is counted.
+    ///
+    /// # Errors
+    ///
+    /// If there is no room for another connection.
+    pub fn connect(&self) -> Result<(Option<OpenConnection>, bool), ConnectionRefused> {
+        let Some(state) = &self.0 else {
+            return Ok((None, false));
+        };
+        let mut replaces = false;
+        let id = state.next_connection.fetch_add(1, Ordering::Relaxed);
+        let id = CallerConnection(id);
+        let now = state.clock.now();
+        loop {
+            let decision = state.budget().connect(now, id);
+            match decision {
+                ConnectDecision::Admitted => break,
+                ConnectDecision::End(ended) => {
+                    state.end(ended);
+                    replaces = true;
+                }
+                ConnectDecision::Refused => {
+                    log::warn!("event=connection_refused");
+                    meters::record_connection_refused();
+                    return Err(ConnectionRefused);
+                }
+            }
+        }
+        let open = OpenConnection::new(Arc::clone(state), id);
+        lock(&state.connections).insert(id, open.clone());
+        Ok((Some(open), replaces))
     }
-}
 
-impl Shared {
-    /// Ends the connection of a slow reader.
-    fn disconnect(&self, reader: SlowReader) {
-        log::warn!(
-            "event=reader_disconnected connection={} bytes={} stalled_ms={}",
-            reader.connection.0,
-            reader.held,
-            reader.stalled.as_millis()
-        );
-        meters::record_reader_disconnected();
-        if let Some(ended) = lock(&self.connections).get(&reader.connection) {
-            ended.notify_one();
+    /// Ends a connection without a complete request, so that its descriptor is free.
+    pub fn free_descriptor(&self) {
+        let Some(state) = &self.0 else { return };
+        let ended = state.budget().end_replaced(state.clock.now());
+        if let Some(ended) = ended {
+            state.end(ended);
         }
     }
 }
 
-/// An open connection of a caller.
-#[derive(Debug)]
-pub struct OpenConnection {
-    memory: Arc<Shared>,
-    id: CallerConnection,
-    ended: Arc<Notify>,
-}
+impl MemoryState {
+    /// The budget, locked.
+    pub fn budget(&self) -> MutexGuard<'_, MemoryBudget> {
+        lock(&self.budget)
+    }
 
-impl OpenConnection {
-    /// Number of the connection.
-    #[must_use]
-    pub const fn id(&self) -> CallerConnection {
-        self.id
+    /// Time since the process started.
+    pub fn now(&self) -> Time {
+        self.clock.now()
     }
 
-    /// Waits until the connection is to be ended.
-    pub async fn ended(&self) {
-        self.ended.notified().await;
+    /// Limit of a request's head in bytes.
+    pub fn head_bytes(&self) -> u64 {
+        self.head_bytes.load(Ordering::Relaxed)
     }
-}
 
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        lock(&self.memory.connections).swap_remove(&self.id);
-        lock(&self.memory.budget).release(MemoryClass::Connections, None, CONNECTION_BYTES);
+    /// Removes a connection that is closed.
+    pub fn close(&self, id: CallerConnection) {
+        lock(&self.connections).swap_remove(&id);
+        self.budget().close(id);
+    }
+
+    /// Ends a connection.
+    pub fn end(&self, ended: EndedConnection) {
+        let EndedConnection {
+            connection: CallerConnection(id),
+            reason,
+            phase,
+            held,
+            stalled,
+        } = ended;
+        let ms = stalled.as_millis();
+        if reason == EndReason::SlowReader {
+            log::warn!("event=reader_disconnected connection={id} bytes={held} stalled_ms={ms}");
+            meters::record_reader_disconnected();
+        } else {
+            let reason = reason.name();
+            log::warn!(
+                "event=caller_disconnected connection={id} reason={reason} phase={phase:?} bytes={held} stalled_ms={ms}"
+            );
+            meters::record_caller_disconnected(reason);
+        }
+        let open = lock(&self.connections).get(&ended.connection).cloned();
+        if let Some(open) = open {
+            open.end(reason);
+        }
     }
 }
 
@@ -248,7 +331,7 @@
 #[derive(Debug)]
 pub struct MemoryGuard {
     /// `None` if there is no budget.
-    memory: Option<Arc<Shared>>,
+    memory: Option<Arc<MemoryState>>,
     class: MemoryClass,
     holder: Option<MemoryHolder>,
     bytes: u64,
@@ -279,7 +362,17 @@
         };
         let now = shared.clock.now();
         self.ready = Some(now);
-        lock(&shared.budget).record_waiting(now, holder, self.bytes);
+        shared.budget().record_waiting(now, holder, self.bytes);
+    }
+
+    /// Counts the bytes in another class from now on.
+    pub fn set_class(&mut self, class: MemoryClass) {
+        if let Some(shared) = &self.memory {
+            let mut budget = shared.budget();
+            budget.release(self.class, self.holder, self.bytes);
+            budget.charge(class, self.holder, self.bytes);
+        }
+        self.class = class;
     }
 
     /// Returns the data with this guard, which is dropped with the data's last clone.
@@ -295,7 +388,7 @@
 impl Drop for MemoryGuard {
     fn drop(&mut self) {
         let Some(shared) = &self.memory else { return };
-        let mut budget = lock(&shared.budget);
+        let mut budget = shared.budget();
         if let (Some(ready), Some(holder)) = (self.ready, self.holder) {
             budget.record_taken(ready, holder, self.bytes);
         }
--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -1,18 +1,34 @@
 //! HTTP/1 server: accepts connections and serves their requests.
 
 use {
-    super::host_memory::{HostMemory, OpenConnection},
+    super::{host_memory::HostMemory, open_connection::OpenConnection},
     bytes::Bytes,
     http::{Request, Response, Version},
     http_body_util::{BodyExt as _, Full, combinators::UnsyncBoxBody},
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        body::{Body as HttpBody, Frame, Incoming, SizeHint},
+        server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::{TokioIo, TokioTimer},
     socket2::SockRef,
-    std::{cell::Cell, convert::Infallible, fmt, future::Future, pin::Pin, rc::Rc, time::Duration},
+    std::{
+        cell::Cell,
+        convert::Infallible,
+        fmt,
+        future::Future,
+        io::{self, IoSlice},
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll},
+        time::Duration,
+    },
     tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
         net::{TcpListener, TcpStream},
         sync::Notify,
-        task::spawn_local,
+        task::{spawn_local, yield_now},
+        time::{sleep, timeout},
     },
 };
 
@@ -49,8 +65,8 @@
     pub idle: Rc<Cell<Duration>>,
     /// Closes connections gracefully, between two responses.
     pub closing: Rc<ConnectionDrain>,
-    /// Budget in which the connections count. Each request has the number of its
-    /// connection as an extension if there is one.
+    /// Budget in which the connections count. Each request has its [`OpenConnection`] as
+    /// an extension if there is one.
     pub memory: HostMemory,
 }
 
@@ -123,6 +139,9 @@
 /// Delay after `accept` failed, for example because no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Time in which the request on a connection that is ended gets its answer.
+const LAST_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Accepts connections and serves their requests until the task is dropped.
 pub async fn serve<F, R>(listener: TcpListener, handler: F, limits: &ServerLimits)
 where
@@ -134,10 +153,18 @@
             Ok((stream, _)) => stream,
             Err(err) => {
                 log::warn!("event=accept_failed cause={err:?}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                limits.memory.free_descriptor();
+                sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
+        let Ok((open, replaces)) = limits.memory.connect() else {
+            continue;
+        };
+        if replaces {
+            // The connections that are ended close before the next one is accepted.
+            yield_now().await;
+        }
         let _ = stream.set_nodelay(true);
         if limits.memory.is_limited()
             && let Err(err) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES)
@@ -160,16 +187,25 @@
         let handler = handler.clone();
         // Boxed, so that idle connections hold no memory for a request's
         // future.
-        let open = limits.memory.open_connection();
-        let id = open.as_ref().map(OpenConnection::id);
+        let stream = CallerStream {
+            stream,
+            open: open.clone(),
+        };
+        let served = open.clone();
         let http_10 = Rc::new(Cell::new(false));
         let latest = Rc::clone(&http_10);
         let service = service_fn(move |mut req: Request<Incoming>| {
             latest.set(req.version() == Version::HTTP_10);
-            if let Some(id) = id {
-                req.extensions_mut().insert(id);
+            let open = served.clone();
+            if let Some(open) = &open {
+                open.begin_request(req.body().is_end_stream());
+                req.extensions_mut().insert(open.clone());
             }
-            Box::pin(handler(req))
+            let answered = handler(req);
+            Box::pin(async move {
+                let Ok(response) = answered.await;
+                Ok::<_, Infallible>(response.map(|body| ServedBody { body, open }))
+            })
         });
         let conn = builder.serve_connection(TokioIo::new(stream), service);
         let closing = Rc::clone(&limits.closing);
@@ -182,12 +218,12 @@
 /// without a length would look complete when an aborted connection is closed; `last`,
 /// whether the connection closes after one response anyway.
 async fn drive_connection<S>(
-    mut conn: http1::Connection<TokioIo<TcpStream>, S>,
+    mut conn: http1::Connection<TokioIo<CallerStream>, S>,
     closing: Rc<ConnectionDrain>,
     open: Option<OpenConnection>,
     (http_10, last): (Rc<Cell<bool>>, bool),
 ) where
-    S: hyper::service::HttpService<Incoming, ResBody = Body>,
+    S: hyper::service::HttpService<Incoming, ResBody = ServedBody>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     closing.open.set(closing.open.get() + 1);
@@ -216,19 +252,27 @@
                 close_after_response(&mut conn);
             }
             () = &mut ended_early => {
-                reset(conn);
+                if open.as_ref().is_some_and(OpenConnection::answers_before_end) {
+                    close_after_response(&mut conn);
+                    let _ = timeout(LAST_ANSWER_TIMEOUT, Pin::new(&mut conn)).await;
+                } else {
+                    reset(conn);
+                }
                 break;
             }
         }
     }
+    if let Some(open) = &open {
+        open.close();
+    }
     closing.open.set(closing.open.get() - 1);
     closing.closed_notify.notify_waiters();
 }
 
 /// Closes a connection once its request in progress is answered.
-fn close_after_response<S>(conn: &mut http1::Connection<TokioIo<TcpStream>, S>)
+fn close_after_response<S>(conn: &mut http1::Connection<TokioIo<CallerStream>, S>)
 where
-    S: hyper::service::HttpService<Incoming, ResBody = Body>,
+    S: hyper::service::HttpService<Incoming, ResBody = ServedBody>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     Pin::new(conn).graceful_shutdown();
@@ -236,13 +280,102 @@
 
 /// Closes a connection with a reset: the caller sees that a response without a
 /// length is incomplete, and the system frees what it has buffered.
-fn reset<S>(conn: http1::Connection<TokioIo<TcpStream>, S>)
+fn reset<S>(conn: http1::Connection<TokioIo<CallerStream>, S>)
 where
-    S: hyper::service::HttpService<Incoming, ResBody = Body>,
+    S: hyper::service::HttpService<Incoming, ResBody = ServedBody>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let stream = conn.into_parts().io.into_inner();
+    let stream = conn.into_parts().io.into_inner().stream;
     if let Err(err) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
         log::debug!("event=linger_unset cause={err}");
     }
 }
+
+// ---------------------------------------------------------------------------
+// Progress of callers
+
+/// Stream of a caller that records what is read.
+#[derive(Debug)]
+struct CallerStream {
+    stream: TcpStream,
+    open: Option<OpenConnection>,
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if let Some(open) = &self.open {
+            open.record_read(buf.filled().len() - filled);
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// Body of a response, with whose end the request ends.
+struct ServedBody {
+    body: Body,
+    open: Option<OpenConnection>,
+}
+
+impl HttpBody for ServedBody {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for ServedBody {
+    fn drop(&mut self) {
+        if let Some(open) = &self.open {
+            open.end_request();
+        }
+    }
+}
--- a/crates/sapphirequayd/src/gateway/meters.rs
+++ b/crates/sapphirequayd/src/gateway/meters.rs
@@ -109,6 +109,16 @@
     counter!("sapphirequay_readers_disconnected_total").increment(1);
 }
 
+/// Counts a caller that was disconnected, by the reason.
+pub fn record_caller_disconnected(reason: &'static str) {
+    counter!("sapphirequay_callers_disconnected_total", "reason" => reason).increment(1);
+}
+
+/// Counts a connection that was closed at once, since all others carry requests.
+pub fn record_connection_refused() {
+    counter!("sapphirequay_connections_refused_total").increment(1);
+}
+
 /// Sets the bytes in use of a class of memory.
 #[allow(clippy::cast_precision_loss)]
 pub fn set_memory(class: MemoryClass, bytes: u64) {
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod incoming_calls;
 mod messages;
 mod meters;
+mod open_connection;
 mod request_body;
 mod run;
 mod store;
@@ -25,6 +26,7 @@
         SelectedUpstream, StartupWait, StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome,
         Upstreams, upstream_outcome,
     },
+    host_memory::HostLimits,
     messages::{
         ControlCommand, FollowerState, GatewayRequest, StoreOp, StoreReply, StoreRequest,
         SuspectList, TableDocument,
--- a/crates/sapphirequayd/src/gateway/request_body.rs
+++ b/crates/sapphirequayd/src/gateway/request_body.rs
@@ -2,11 +2,16 @@
 //! is what counts in the memory of the host: a segment is neither grown nor copied.
 
 use {
-    super::host_memory::{HostMemory, MemoryGuard},
+    super::{
+        host_memory::{HostMemory, MemoryGuard},
+        open_connection::{ArrivingBody, OpenConnection},
+    },
     bytes::{Buf as _, Bytes, BytesMut},
+    http::request,
     http_body_util::BodyExt as _,
     hyper::body::{Body, Frame, Incoming, SizeHint},
     quay_policy::{MemoryClass, MemoryHolder, Shortage},
+    quay_types::AccountId,
     std::{
         collections::VecDeque,
         convert::Infallible,
@@ -56,6 +61,29 @@
     NoMemory,
     /// The connection ended, or the transfer coding is invalid.
     Incomplete,
+    /// The connection is to be ended, since its caller sends too slowly.
+    TooSlow,
+}
+
+/// Who sends a body.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct BodyCaller<'a> {
+    /// Connection on which it arrives, if there is a budget.
+    pub connection: Option<&'a OpenConnection>,
+    /// Caller for which memory is held.
+    pub holder: Option<MemoryHolder>,
+}
+
+impl<'a> BodyCaller<'a> {
+    /// Sender of a request with an account.
+    pub fn of(parts: &'a request::Parts, account: Option<AccountId>) -> Self {
+        let connection: Option<&OpenConnection> = parts.extensions.get();
+        let holder = connection.map(|connection| MemoryHolder {
+            connection: connection.id(),
+            account,
+        });
+        Self { connection, holder }
+    }
 }
 
 /// Body of a request, in segments that count in the memory of the host until the last
@@ -142,8 +170,8 @@
     }
 }
 
-/// Reads the complete body of a request of at most `limit` bytes. `holder`
-/// is for whom it is held.
+/// Reads the complete body of a request of at most `limit` bytes. `caller` is who
+/// sends it.
 ///
 /// # Errors
 ///
@@ -152,7 +180,7 @@
     memory: &impl ReserveMemory,
     body: &mut Incoming,
     limit: usize,
-    holder: Option<MemoryHolder>,
+    caller: &BodyCaller<'_>,
 ) -> Result<RequestBody, BodyError> {
     let hint = body.size_hint();
     if hint.lower() > limit as u64 {
@@ -161,25 +189,53 @@
     let declared = hint.exact().and_then(|len| usize::try_from(len).ok());
     let mut reader = SegmentReader {
         memory,
-        holder,
+        holder: caller.holder,
         declared,
         full: VecDeque::new(),
         full_len: 0,
         filling: None,
     };
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyError::Incomplete)?;
+    let arriving = caller.connection.map(OpenConnection::begin_body);
+    while let Some(frame) = next_frame(body, arriving.as_ref()).await? {
         let Ok(data) = frame.into_data() else {
             continue;
         };
         if reader.len() + data.len() > limit {
             return Err(BodyError::TooLarge);
         }
+        if let Some(arriving) = &arriving {
+            arriving.record_read(data.len());
+        }
         reader.push(data)?;
     }
+    if let Some(arriving) = arriving {
+        arriving.complete();
+    }
     Ok(reader.finish())
 }
 
+/// Next frame of a body; `None` at its end.
+///
+/// # Errors
+///
+/// [`BodyError::Incomplete`] or [`BodyError::TooSlow`].
+pub async fn next_frame(
+    body: &mut Incoming,
+    arriving: Option<&ArrivingBody>,
+) -> Result<Option<Frame<Bytes>>, BodyError> {
+    let ended = async {
+        match arriving {
+            Some(arriving) => arriving.ended().await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        biased;
+        frame = body.frame() => frame.transpose().map_err(|_| BodyError::Incomplete),
+        () = ended => Err(BodyError::TooSlow),
+    }
+}
+
 /// Collects a body in segments.
 struct SegmentReader<'a, M> {
     memory: &'a M,
@@ -227,7 +283,13 @@
             None => self.full_len.max(arrived).max(FIRST_SEGMENT_BYTES),
         };
         let size = size.min(MAX_SEGMENT_BYTES);
-        let class = MemoryClass::Requests;
+        // A small body, or a whole one, finds room beside large ones that still arrive.
+        let small = self.full_len == 0 && size <= arrived.max(FIRST_SEGMENT_BYTES);
+        let class = if small {
+            MemoryClass::Requests
+        } else {
+            MemoryClass::Uploads
+        };
         let reserved = self.memory.reserve_bytes(class, self.holder, size);
         let guard = reserved.map_err(|_| BodyError::NoMemory)?;
         Ok((BytesMut::with_capacity(size), guard))
@@ -236,8 +298,10 @@
     fn finish(mut self) -> RequestBody {
         let len = self.len();
         self.full.extend(self.filling);
-        let segments = self.full.into_iter();
-        let segments = segments.map(|(segment, guard)| guard.attach(segment.freeze()));
+        let segments = self.full.into_iter().map(|(segment, mut guard)| {
+            guard.set_class(MemoryClass::Requests);
+            guard.attach(segment.freeze())
+        });
         RequestBody {
             segments: segments.collect(),
             len,
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -271,7 +271,7 @@
     listener
         .set_nonblocking(true)
         .map_err(io("control API address"))?;
-    let memory = HostMemory::of(base.clock, control.budget_bytes());
+    let memory = HostMemory::new(base.clock, control.limits());
     host.start(listener, memory)
         .map_err(io("control API address"))?;
     let groups = Rc::new(groups);
--- a/crates/sapphirequayd/src/settings/gateway.rs
+++ b/crates/sapphirequayd/src/settings/gateway.rs
@@ -1,7 +1,10 @@
 //! Settings of a gateway's roles: fronts, control hosts and store hosts.
 
 use {
-    crate::settings::{DecisionTable, Problem, memory},
+    crate::{
+        gateway::HostLimits,
+        settings::{DecisionTable, Problem, memory},
+    },
     quay_policy::FleetQuotaSettings,
     serde::Deserialize,
     std::{net::SocketAddr, path::PathBuf, time::Duration},
@@ -74,6 +77,10 @@
     /// 0 or absent, only some buffers are bounded.
     #[serde(default)]
     pub memory_mb: f64,
+    /// Descriptors that the process may open, of which callers' connections take half; 0:
+    /// as many as the system allows it.
+    #[serde(default)]
+    pub max_fds: u64,
     /// Whether keys of accounts are refused once the front has been out of contact
     /// with the control group for `revoke_ms`.
     #[serde(default)]
@@ -88,10 +95,10 @@
 }
 
 impl FrontSettings {
-    /// Bytes that requests, responses, conversations and connections may take.
+    /// What the front may take of its machine.
     #[must_use]
-    pub fn budget_bytes(&self) -> Option<u64> {
-        memory::budget_bytes(self.memory_mb)
+    pub fn limits(&self) -> HostLimits {
+        memory::limits(self.memory_mb, self.max_fds)
     }
 
     /// Time without an update after which keys are refused; `None` if they never are.
@@ -137,13 +144,17 @@
     /// 0 or absent, what callers send is not bounded in total.
     #[serde(default)]
     pub memory_mb: f64,
+    /// Descriptors that the process may open, of which callers' connections take half; 0:
+    /// as many as the system allows it.
+    #[serde(default)]
+    pub max_fds: u64,
 }
 
 impl ControlSettings {
-    /// Bytes that requests and connections may take.
+    /// What the control host may take of its machine.
     #[must_use]
-    pub fn budget_bytes(&self) -> Option<u64> {
-        memory::budget_bytes(self.memory_mb)
+    pub fn limits(&self) -> HostLimits {
+        memory::limits(self.memory_mb, self.max_fds)
     }
 
     /// Checks the settings.
--- a/crates/sapphirequayd/src/settings/memory.rs
+++ b/crates/sapphirequayd/src/settings/memory.rs
@@ -1,6 +1,9 @@
 //! Memory of a process, as its settings state it.
 
-use crate::settings::Problem;
+use {
+    crate::{gateway::HostLimits, settings::Problem},
+    rustix::process::{Resource, getrlimit},
+};
 
 /// Memory in bytes of a process that serves nothing, about.
 const REST_BYTES: u64 = 20_000_000;
@@ -16,11 +19,25 @@
 /// counted: the system's buffers, the buffers of connections to upstreams, and what the
 /// allocator does not return.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-pub fn budget_bytes(memory_mb: f64) -> Option<u64> {
+fn budget_bytes(memory_mb: f64) -> Option<u64> {
     let limit = (memory_mb * 1e6) as u64;
     (limit > 0).then(|| limit.saturating_sub(REST_BYTES) / 2)
 }
 
+/// What a process may take that is killed above `memory_mb` and may open `max_fds`
+/// descriptors, if that is not 0. The other half of these is for upstreams, other hosts
+/// and files.
+pub fn limits(memory_mb: f64, max_fds: u64) -> HostLimits {
+    let descriptors = match max_fds {
+        0 => getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX),
+        stated => stated,
+    };
+    HostLimits {
+        budget: budget_bytes(memory_mb),
+        connections: usize::try_from(descriptors / 2).unwrap_or(usize::MAX),
+    }
+}
+
 /// Checks the memory of a process that the table `section` states.
 ///
 /// # Errors
--- a/crates/sapphirequayd/tests/settings.rs
+++ b/crates/sapphirequayd/tests/settings.rs
@@ -123,9 +123,11 @@
         .split_once("{{/Bounds.StrictRevoke}}")
         .expect("section");
     assert!(before.ends_with("\nready = \"{{Listen.Ready}}\""));
-    // What follows is a section of its own, rendered where there is a memory limit.
+    // What follows are sections of their own, rendered where there are limits.
     let (memory, rest) = after.split_once("{{/Limits.MemoryMb}}").expect("section");
     assert!(memory.starts_with("{{#Limits.MemoryMb}}\n"));
+    let (descriptors, rest) = rest.split_once("{{/Limits.MaxFds}}").expect("section");
+    assert!(descriptors.starts_with("{{#Limits.MaxFds}}\n"));
     assert!(rest.starts_with("\n{{/Listen.Front}}\n"));
     let filled = section
         .replace("{{Bounds.StrictRevoke}}", "true")
