--- a/crates/sapphirequayd/src/connection/entry_server.rs
+++ b/crates/sapphirequayd/src/connection/entry_server.rs
@@ -3,34 +3,40 @@
 use {
     crate::{
         connection::{
-            body::{read_body, respond_with_error},
             listener,
             programs::{self, CallContent, CallHeaders, serve_programs},
+            responder::{Responder, ResponderContext},
             response::{
-                EventStreamResponse, JsonResponse, ResponseInfo, ServiceResponse, write_body,
-                write_json,
+                EventStreamResponse, JsonResponse, ResponseInfo, ServiceResponse, error_response,
+                write_body, write_error, write_json,
             },
             route::Route,
         },
-        process::{Clock, Lifecycle, telemetry},
+        gateway::{
+            Body, BodyCaller, BodyError, DiscardLimits, HostMemory, MemoryGuard, ServerLimits,
+            discard, read_request_body, serve_http,
+        },
+        process::{Clock, InProgressGuard, Lifecycle, telemetry},
         request::{CallContext, CompletionRequest, run_call},
         settings::EntrySettings,
         version::CurrentRules,
     },
+    bytes::Bytes,
+    http::{HeaderValue, Request, Response, header, request},
+    hyper::body::Incoming,
+    quay_policy::MemoryClass,
     quay_types::{AccountId, CallTarget, Error, ErrorKind, Result, ServiceId},
     serde_json::json,
     std::{
+        convert::Infallible,
         io,
         net::SocketAddr,
-        ops::ControlFlow,
-        sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
-        },
+        rc::Rc,
+        sync::atomic::{AtomicU64, Ordering},
         thread,
-        time::Instant,
+        time::{Duration, Instant},
     },
-    tiny_http::Request,
+    tokio::{net::TcpListener, runtime::Handle, task::spawn_local, time::sleep},
 };
 
 /// Stack size of a thread that serves one request.
@@ -40,6 +46,16 @@
 /// time-out.
 const BODY_READ_TIMEOUTS: u32 = 3;
 
+/// Copies of a request's body that its call makes, at least.
+pub const BODY_COPIES: usize = 2;
+
+/// Interval at which callers are disconnected that are too slow.
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Size line of a chunk that is too large for any reader: an error for the caller's
+/// client, which takes the body for incomplete.
+const ABORT_MARK: &[u8] = b"fffffffffffffffff\r\n";
+
 /// State shared by all requests of an entry.
 #[derive(Debug, Clone)]
 pub struct EntryContext {
@@ -68,19 +84,7 @@
     pub fn start(cx: EntryContext) -> io::Result<Self> {
         let listener = listener::bind(&cx.settings)?;
         let local = listener.local_addr()?;
-        let read_timeout = cx.settings.read_timeout();
-        thread::Builder::new()
-            .name("entry-wake".into())
-            .spawn(move || listener::prevent_accept_timeout(local, read_timeout))?;
-        let next_number = Arc::new(AtomicU64::new(1));
-        thread::Builder::new()
-            .name("entry-server".into())
-            .spawn(move || {
-                listener::serve_forever(&listener, read_timeout, move |req| {
-                    spawn_request(&cx, &next_number, req);
-                    ControlFlow::Continue(())
-                });
-            })?;
+        listener::serve_on_thread("entry-server", move || serve_callers(listener, cx))?;
         Ok(Self { local })
     }
 
@@ -90,35 +94,246 @@
     }
 }
 
-/// Assigns a number to a request and serves it on a new thread.
-fn spawn_request(cx: &EntryContext, next_number: &AtomicU64, req: Request) {
-    let number = next_number.fetch_add(1, Ordering::Relaxed);
-    let cx = cx.clone();
-    let spawned = thread::Builder::new()
-        .name("request".into())
-        .stack_size(REQUEST_STACK_BYTES)
-        .spawn(move || serve(&cx, number, req));
-    if let Err(err) = spawned {
-        log::error!("event=request_dropped req={number} cause={err:?}");
+/// Serves callers until the process ends.
+async fn serve_callers(listener: std::net::TcpListener, cx: EntryContext) {
+    let memory = HostMemory::new(Clock::start(), cx.settings.limits());
+    let head_timeout = cx.settings.read_timeout();
+    let limits = ServerLimits {
+        memory: memory.clone(),
+        abort_mark: ABORT_MARK,
+        ..ServerLimits::default()
+    };
+    limits.idle.set(head_timeout);
+    let head_bytes = limits.head_bytes.get() as u64;
+    memory.set_limits(head_bytes, cx.settings.max_body_bytes, head_timeout);
+    let (maintained, lifecycle) = (memory.clone(), cx.lifecycle.clone());
+    spawn_local(async move {
+        loop {
+            sleep(MAINTENANCE_INTERVAL).await;
+            maintained.tick(lifecycle.draining());
+        }
+    });
+    let server = Rc::new(Server {
+        cx,
+        memory,
+        next_number: AtomicU64::new(1),
+    });
+    let handler = move |req| {
+        let server = Rc::clone(&server);
+        async move { Ok::<_, Infallible>(server.answer(req).await) }
+    };
+    match TcpListener::from_std(listener) {
+        Ok(listener) => serve_http(listener, handler, &limits).await,
+        Err(err) => log::error!("event=edge_down cause={err:?}"),
+    }
+}
+
+/// State of the server, on its thread.
+struct Server {
+    cx: EntryContext,
+    memory: HostMemory,
+    next_number: AtomicU64,
+}
+
+/// A request that has arrived, on the thread that serves it.
+struct ArrivedRequest {
+    number: u64,
+    account: AccountId,
+    parts: request::Parts,
+    body: Bytes,
+    /// Counts the copies of the body.
+    _copies: MemoryGuard,
+}
+
+/// Serves the request of a call.
+type ServeCall = fn(&EntryContext, &ArrivedRequest, Responder) -> ServeResult;
+
+impl Server {
+    /// Answers one request.
+    async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
+        let started = Instant::now();
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let (parts, body) = req.into_parts();
+        let route = Route::of(parts.method.as_str(), &target(&parts));
+        let name = route.as_ref().map_or("none", |route| route.name());
+        let serve: Result<ServeCall> = route.map(|route| match route {
+            Route::Health => health,
+            Route::Metrics => metrics,
+            Route::Completion => complete,
+            Route::Service => call_service,
+            Route::Programs => call_programs,
+        });
+        let admitted = match (serve, name) {
+            (Ok(serve), "healthz" | "metrics") => Ok((serve, None)),
+            (Ok(serve), _) => {
+                let admitted = self.admit(&parts).map(|admitted| (serve, Some(admitted)));
+                admitted.map_err(|err| error_for_resend(&parts, &err))
+            }
+            (Err(err), _) => Err(err),
+        };
+        let (serve, admitted) = match admitted {
+            Ok(admitted) => admitted,
+            Err(err) => return self.refuse(number, (name, started), &parts, body, &err),
+        };
+        let read = match admitted {
+            Some(_) => self.read_body(&parts, body).await,
+            None => Ok((Bytes::new(), MemoryGuard::default())),
+        };
+        let (account, progress) = admitted.unzip();
+        let (body, copies) = match read {
+            Ok(read) => read,
+            Err((err, rest)) => {
+                let err = error_for_resend(&parts, &err);
+                return self.refuse(number, (name, started), &parts, rest, &err);
+            }
+        };
+        let holder = BodyCaller::of(&parts, account).holder;
+        let (responder, response) = Responder::new(ResponderContext {
+            runtime: Handle::current(),
+            memory: self.memory.clone(),
+            holder,
+            send_timeout: self.cx.settings.send_timeout(),
+        });
+        let arrived = ArrivedRequest {
+            number,
+            account: account.unwrap_or_default(),
+            parts,
+            body,
+            _copies: copies,
+        };
+        let cx = self.cx.clone();
+        let spawned = thread::Builder::new()
+            .name("request".into())
+            .stack_size(REQUEST_STACK_BYTES)
+            .spawn(move || {
+                let _progress = progress;
+                let result = serve(&cx, &arrived, responder);
+                record_result(number, name, started, &result);
+            });
+        if let Err(err) = spawned {
+            log::error!("event=request_dropped req={number} cause={err:?}");
+            let err = Error::new(ErrorKind::Overloaded, "no thread for the request");
+            return error_response(number, &err);
+        }
+        response.await.unwrap_or_else(|_| {
+            let err = Error::new(
+                ErrorKind::UpstreamError,
+                "the call ended without a response",
+            );
+            error_response(number, &err)
+        })
+    }
+
+    /// Checks whether a call is admitted, and whose it is. It is in progress until the
+    /// guard is dropped.
+    fn admit(&self, parts: &request::Parts) -> Result<(AccountId, InProgressGuard)> {
+        let cx = &self.cx;
+        let Some(progress) = cx.lifecycle.begin() else {
+            return Err(Error::new(
+                ErrorKind::Draining,
+                "this entry is draining; retry on another entry",
+            ));
+        };
+        check_capacity(cx)?;
+        let authorization = parts.headers.get(header::AUTHORIZATION);
+        let authorization = authorization.and_then(|value| value.to_str().ok());
+        let key = authorization.and_then(|value| value.strip_prefix("Bearer "));
+        let account = cx.rules.get().authenticate(key.unwrap_or_default())?;
+        Ok((account, progress))
+    }
+
+    /// Reads the body of a call, and reserves memory for the copies that the call makes.
+    /// An error comes with what is left of the body.
+    async fn read_body(
+        &self,
+        parts: &request::Parts,
+        mut body: Incoming,
+    ) -> std::result::Result<(Bytes, MemoryGuard), (Error, Incoming)> {
+        let pause = self.cx.settings.read_timeout();
+        let caller = BodyCaller {
+            pause: Some(pause),
+            ..BodyCaller::of(parts, None)
+        };
+        let limit = self.cx.settings.max_body_bytes;
+        let bytes = usize::try_from(limit).unwrap_or(usize::MAX);
+        let read = read_request_body(&self.memory, &mut body, bytes, &caller);
+        let read = tokio::time::timeout(pause * BODY_READ_TIMEOUTS, read).await;
+        let read = read.unwrap_or(Err(BodyError::TooSlow)).and_then(|read| {
+            let read = read.into_bytes(&self.memory)?;
+            let (class, copies) = (MemoryClass::Requests, read.len() * BODY_COPIES);
+            let copies = self.memory.reserve(class, None, copies as u64, |_| 0);
+            Ok((read, copies.map_err(|_| BodyError::NoMemory)?))
+        });
+        read.map_err(|err| (body_error(err, limit), body))
+    }
+
+    /// Refuses a request whose body may be unread.
+    fn refuse(
+        &self,
+        number: u64,
+        (route, started): (&'static str, Instant),
+        parts: &request::Parts,
+        body: Incoming,
+        err: &Error,
+    ) -> Response<Body> {
+        let mut response = error_response(number, err);
+        if !hyper::body::Body::is_end_stream(&body) {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+            let limits = DiscardLimits {
+                bytes: self.cx.settings.max_body_bytes,
+                time: self.cx.settings.read_timeout() * BODY_READ_TIMEOUTS,
+            };
+            discard(body, &BodyCaller::of(parts, None), limits);
+        }
+        record_result(number, route, started, &Ok(Err(err.clone())));
+        response
     }
 }
 
+/// Target of a request: its path and query.
+fn target(parts: &request::Parts) -> String {
+    let target = parts.uri.path_and_query();
+    target.map_or_else(String::new, |target| target.as_str().into())
+}
+
+/// Error for a body that was not read.
+fn body_error(err: BodyError, limit: u64) -> Error {
+    match err {
+        BodyError::TooLarge => Error::new(
+            ErrorKind::TooLarge,
+            format!("the body is over {limit} bytes"),
+        ),
+        BodyError::NoMemory => Error::new(
+            ErrorKind::Overloaded,
+            "this entry has no memory for the body; retry on another entry",
+        ),
+        BodyError::TooSlow => Error::new(
+            ErrorKind::RequestTimeout,
+            "the body was not received in time",
+        ),
+        BodyError::Incomplete => Error::new(
+            ErrorKind::BadRequest,
+            "the body is incomplete or its transfer coding is invalid",
+        ),
+    }
+}
+
+/// Adapts an error to a request that may be a resend. Temporary refusals are
+/// sent before the ledger is queried, so an earlier request with the same
+/// idempotency key may have run.
+fn error_for_resend(parts: &request::Parts, err: &Error) -> Error {
+    let key_supplied = parts.headers.contains_key("idempotency-key");
+    if key_supplied && err.kind.retry_after_s().is_some() {
+        return err.clone().with_may_have_run();
+    }
+    err.clone()
+}
+
 /// Result of serving a request: the outer error means that the caller
 /// disconnected, the inner error was sent to the caller.
 type ServeResult = io::Result<Result<()>>;
 
-/// Serves one request and records the result.
-fn serve(cx: &EntryContext, number: u64, req: Request) {
-    let started = Instant::now();
-    let route = Route::of(req.method().as_str(), req.url());
-    let name = route.as_ref().map_or("none", |route| route.name());
-    let result = match route {
-        Ok(route) => serve_route(cx, number, route, req),
-        Err(err) => respond_with_error(req, number, &err).map(|()| Err(err)),
-    };
-    record_result(number, name, started, &result);
-}
-
 /// Records the result of a request in the log and the metrics.
 fn record_result(number: u64, route: &'static str, started: Instant, result: &ServeResult) {
     let outcome = match result {
@@ -144,30 +359,14 @@
     }
 }
 
-/// Serves a request to a known route.
-fn serve_route(cx: &EntryContext, number: u64, route: Route, req: Request) -> ServeResult {
-    match route {
-        Route::Health => health(cx, number, req).map(Ok),
-        Route::Metrics => {
-            let headers = "content-type: text/plain; version=0.0.4\r\n";
-            let text = telemetry::render();
-            write_body(
-                &mut req.into_writer(),
-                200,
-                number,
-                headers,
-                text.as_bytes(),
-            )
-            .map(Ok)
-        }
-        Route::Completion => serve_call(cx, number, req, complete),
-        Route::Service => serve_call(cx, number, req, call_service),
-        Route::Programs => serve_call(cx, number, req, call_programs),
-    }
+/// Serves `/metrics`.
+fn metrics(_: &EntryContext, req: &ArrivedRequest, mut out: Responder) -> ServeResult {
+    let content_type = "text/plain; version=0.0.4";
+    write_body(&mut out, 200, req.number, content_type, telemetry::render()).map(Ok)
 }
 
 /// Serves `/healthz`: whether the process accepts new requests.
-fn health(cx: &EntryContext, number: u64, req: Request) -> io::Result<()> {
+fn health(cx: &EntryContext, req: &ArrivedRequest, mut out: Responder) -> ServeResult {
     let (status, status_text) = if cx.lifecycle.draining() {
         (503, "draining")
     } else if cx.rules.get().config().is_none() {
@@ -176,29 +375,7 @@
         (200, "ok")
     };
     let body = json!({"status": status_text, "in_progress": cx.lifecycle.in_progress()});
-    write_json(&mut req.into_writer(), status, number, "", &body)
-}
-
-/// Serves an authenticated request, unless the process is draining or at its
-/// limit of requests.
-fn serve_call(
-    cx: &EntryContext,
-    number: u64,
-    mut req: Request,
-    serve: impl FnOnce(&EntryContext, u64, AccountId, &[u8], Request) -> ServeResult,
-) -> ServeResult {
-    let Some(_progress) = cx.lifecycle.begin() else {
-        let err = Error::new(
-            ErrorKind::Draining,
-            "this entry is draining; retry on another entry",
-        );
-        return respond_with_error(req, number, &err).map(|()| Err(err));
-    };
-    let admitted = check_capacity(cx).and_then(|()| authenticate_and_read(cx, &mut req));
-    match admitted {
-        Ok((account, body)) => serve(cx, number, account, &body, req),
-        Err(err) => respond_with_error(req, number, &err).map(|()| Err(err)),
-    }
+    write_json(&mut out, status, req.number, &body).map(Ok)
 }
 
 /// Checks the limit of requests in progress.
@@ -214,47 +391,25 @@
     Ok(())
 }
 
-/// Authenticates the caller by its bearer key and reads the body.
-fn authenticate_and_read(cx: &EntryContext, req: &mut Request) -> Result<(AccountId, Vec<u8>)> {
-    let key = header(req, "Authorization").and_then(|value| value.strip_prefix("Bearer "));
-    let account = cx.rules.get().authenticate(key.unwrap_or_default())?;
-    let timeout = cx.settings.read_timeout() * BODY_READ_TIMEOUTS;
-    let body = read_body(req, cx.settings.max_body_bytes, timeout)?;
-    Ok((account, body))
-}
-
-/// Returns the value of a header.
-fn header<'a>(req: &'a Request, name: &'static str) -> Option<&'a str> {
-    req.headers()
-        .iter()
-        .find(|header| header.field.equiv(name))
-        .map(|header| header.value.as_str())
-}
-
 /// Serves a chat completion.
-fn complete(
-    cx: &EntryContext,
-    number: u64,
-    account: AccountId,
-    body: &[u8],
-    req: Request,
-) -> ServeResult {
-    let parsed = CallHeaders::from_request(&req)
-        .and_then(|headers| Ok((headers, CompletionRequest::parse(body)?)));
+fn complete(cx: &EntryContext, req: &ArrivedRequest, mut out: Responder) -> ServeResult {
+    let (number, account) = (req.number, req.account);
+    let parsed = CallHeaders::from_headers(&req.parts.headers)
+        .and_then(|headers| Ok((headers, CompletionRequest::parse(&req.body)?)));
     let (headers, completion) = match parsed {
         Ok(parsed) => parsed,
-        Err(err) => return respond_with_error(req, number, &err).map(|()| Err(err)),
+        Err(err) => return refuse_call(&mut out, number, err),
     };
     let rules = cx.rules.get();
     if let Err(err) = rules.check_model_access(account, &completion.model) {
-        return respond_with_error(req, number, &err).map(|()| Err(err));
+        return refuse_call(&mut out, number, err);
     }
     let (model, stream) = (completion.model.clone(), completion.stream);
     let usage_event = completion.wants_usage();
     let prompt = completion.prompt();
     let content = CallContent {
         target: CallTarget::Model(completion.model_id()),
-        original_body: body,
+        original_body: &req.body,
         history: completion.new_messages().into(),
         prompt: prompt.tokens,
         max_output: completion.max_output(),
@@ -263,9 +418,8 @@
     };
     let spec = programs::build_call_spec(account, &headers, content, rules.index());
     if let Err(err) = rules.check_quarantine(spec.digest, Clock::wall_ms()) {
-        return respond_with_error(req, number, &err).map(|()| Err(err));
+        return refuse_call(&mut out, number, err);
     }
-    let out = req.into_writer();
     let info = ResponseInfo {
         number,
         id: format!("chatcmpl-{}", spec.request.program).into(),
@@ -297,43 +451,38 @@
 }
 
 /// Serves a request to a service other than a model engine.
-fn call_service(
-    cx: &EntryContext,
-    number: u64,
-    account: AccountId,
-    body: &[u8],
-    req: Request,
-) -> ServeResult {
+fn call_service(cx: &EntryContext, req: &ArrivedRequest, mut out: Responder) -> ServeResult {
+    let (number, account) = (req.number, req.account);
     let rules = cx.rules.get();
-    let name: Box<str> = Route::service_name(req.url()).into();
-    let headers = match CallHeaders::from_request(&req) {
+    let name: Box<str> = Route::service_name(&target(&req.parts)).into();
+    let headers = match CallHeaders::from_headers(&req.parts.headers) {
         Ok(headers) => CallHeaders {
             idempotent: headers.idempotent && rules.is_repeatable(ServiceId::of(&name)),
             ..headers
         },
-        Err(err) => return respond_with_error(req, number, &err).map(|()| Err(err)),
+        Err(err) => return refuse_call(&mut out, number, err),
     };
-    let content = CallContent::service(&name, body);
+    let content = CallContent::service(&name, &req.body);
     let spec = programs::build_call_spec(account, &headers, content, rules.index());
     if let Err(err) = rules.check_quarantine(spec.digest, Clock::wall_ms()) {
-        return respond_with_error(req, number, &err).map(|()| Err(err));
+        return refuse_call(&mut out, number, err);
     }
-    let mut response = ServiceResponse::new(req.into_writer(), number);
+    let mut response = ServiceResponse::new(out, number);
     let result = run_call(&cx.calls, &spec, &mut response);
     send_failure(result, |err| response.fail(err))
 }
 
 /// Serves a request to a program endpoint.
-fn call_programs(
-    cx: &EntryContext,
-    number: u64,
-    account: AccountId,
-    body: &[u8],
-    req: Request,
-) -> ServeResult {
-    let path: Box<str> = Route::path(req.url()).into();
-    match serve_programs(cx, account, &req, &path, body) {
-        Ok((status, body)) => write_json(&mut req.into_writer(), status, number, "", &body).map(Ok),
-        Err(err) => respond_with_error(req, number, &err).map(|()| Err(err)),
+fn call_programs(cx: &EntryContext, req: &ArrivedRequest, mut out: Responder) -> ServeResult {
+    let target = target(&req.parts);
+    let request = (&req.parts.method, &req.parts.headers);
+    match serve_programs(cx, req.account, request, Route::path(&target), &req.body) {
+        Ok((status, body)) => write_json(&mut out, status, req.number, &body).map(Ok),
+        Err(err) => refuse_call(&mut out, req.number, err),
     }
 }
+
+/// Sends the error of a call that did not begin.
+fn refuse_call(out: &mut Responder, number: u64, err: Error) -> ServeResult {
+    write_error(out, number, &err).map(|()| Err(err))
+}
--- a/crates/sapphirequayd/src/connection/monitor_server.rs
+++ b/crates/sapphirequayd/src/connection/monitor_server.rs
@@ -2,13 +2,20 @@
 //! addition to those that an entry serves to callers.
 
 use {
-    crate::process::{Lifecycle, telemetry},
-    std::{
-        io,
-        net::{SocketAddr, TcpListener},
-        thread,
+    crate::{
+        connection::listener::serve_on_thread,
+        gateway::{Body, HostLimits, HostMemory, ServerLimits, full, serve_http},
+        process::{Clock, Lifecycle, telemetry},
     },
-    tiny_http::{Method, Request, Response, Server},
+    http::{Method, Request, Response, StatusCode},
+    hyper::body::Incoming,
+    std::{convert::Infallible, io, net::SocketAddr, net::TcpListener},
+};
+
+/// What readers of the metrics may take: their number is small, and known.
+const LIMITS: HostLimits = HostLimits {
+    budget: Some(8 << 20),
+    connections: 64,
 };
 
 /// HTTP server for metrics and health checks.
@@ -26,16 +33,21 @@
     pub fn start(listen: SocketAddr, lifecycle: Lifecycle) -> io::Result<Self> {
         let listener = TcpListener::bind(listen)?;
         let local = listener.local_addr()?;
-        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-        thread::Builder::new()
-            .name("monitor".into())
-            .spawn(move || {
-                while let Ok(req) = server.recv() {
-                    if let Err(err) = respond(req, &lifecycle) {
-                        log::debug!("event=monitor_caller_gone cause={err:?}");
-                    }
-                }
-            })?;
+        listener.set_nonblocking(true)?;
+        serve_on_thread("monitor", move || async move {
+            let limits = ServerLimits {
+                memory: HostMemory::new(Clock::start(), LIMITS),
+                ..ServerLimits::default()
+            };
+            let handler = move |req: Request<Incoming>| {
+                let response = respond(&req, &lifecycle);
+                async move { Ok::<_, Infallible>(response) }
+            };
+            match tokio::net::TcpListener::from_std(listener) {
+                Ok(listener) => serve_http(listener, handler, &limits).await,
+                Err(err) => log::error!("event=edge_down cause={err:?}"),
+            }
+        })?;
         Ok(Self { local })
     }
 
@@ -46,15 +58,19 @@
 }
 
 /// Responds to one request.
-fn respond(req: Request, lifecycle: &Lifecycle) -> io::Result<()> {
-    let (status, text) = match (req.method(), req.url()) {
-        (Method::Get, "/metrics") => (200, telemetry::render()),
-        (Method::Get, "/healthz") if lifecycle.draining() => (503, "draining\n".into()),
-        (Method::Get, "/healthz") => (200, "ok\n".into()),
+fn respond(req: &Request<Incoming>, lifecycle: &Lifecycle) -> Response<Body> {
+    let (status, text) = match (req.method(), req.uri().path()) {
+        (&Method::GET, "/metrics") => (StatusCode::OK, telemetry::render()),
+        (&Method::GET, "/healthz") if lifecycle.draining() => {
+            (StatusCode::SERVICE_UNAVAILABLE, "draining\n".into())
+        }
+        (&Method::GET, "/healthz") => (StatusCode::OK, "ok\n".into()),
         _ => (
-            404,
+            StatusCode::NOT_FOUND,
             "only GET /metrics and GET /healthz are available\n".into(),
         ),
     };
-    req.respond(Response::from_string(text).with_status_code(status))
+    let mut response = Response::new(full(text.into()));
+    *response.status_mut() = status;
+    response
 }
--- a/crates/sapphirequayd/src/connection/programs.rs
+++ b/crates/sapphirequayd/src/connection/programs.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{connection::entry_server::EntryContext, request::CallSpec},
+    http::{HeaderMap, Method},
     quay_types::{
         AccountId, CallNumber, CallRequest, CallTarget, ConfigIndex, ContentDigest, Error,
         ErrorKind, Incarnation, LedgerReply, LedgerRequest, NewProgram, Outcome, ProgramId,
@@ -11,7 +12,6 @@
     serde::Deserialize,
     serde_json::{Value, json},
     std::time::{Duration, Instant},
-    tiny_http::Request,
 };
 
 /// Path of the program endpoints.
@@ -27,6 +27,15 @@
 /// Time-out of a ledger request from the program endpoints.
 const LEDGER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Names of the request headers of a call.
+const CALL_HEADERS: [&str; 5] = [
+    "Sapphirequay-Program",
+    "Sapphirequay-Call",
+    "Sapphirequay-Idempotent",
+    "Sapphirequay-Deadline-Ms",
+    "Idempotency-Key",
+];
+
 /// Parsed request headers of a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallHeaders {
@@ -48,13 +57,12 @@
     /// # Errors
     ///
     /// [`ErrorKind::BadRequest`] with the invalid header and the reason.
-    pub fn from_request(req: &Request) -> Result<Self> {
-        let header = |name: &'static str| {
-            let mut headers = req.headers().iter();
-            headers
-                .find(|header| header.field.equiv(name))
-                .map(|header| header.value.as_str().trim())
-        };
+    pub fn from_headers(headers: &HeaderMap) -> Result<Self> {
+        let unreadable = |name: &&str| headers.get(*name).is_some_and(|it| it.to_str().is_err());
+        if let Some(name) = CALL_HEADERS.into_iter().find(unreadable) {
+            return Err(header_error(name, "must be visible ASCII"));
+        }
+        let header = |name| headers.get(name)?.to_str().ok().map(str::trim);
         Self::parse(header)
     }
 
@@ -259,13 +267,13 @@
 pub fn serve_programs(
     cx: &EntryContext,
     account: AccountId,
-    req: &Request,
+    (method, headers): (&Method, &HeaderMap),
     path: &str,
     body: &[u8],
 ) -> Result<(u16, Value)> {
     let id = path.strip_prefix(PROGRAMS).unwrap_or_default();
-    match (req.method().as_str(), id.strip_prefix('/')) {
-        ("POST", None) => create(cx, account, CallHeaders::from_request(req)?.key, body),
+    match (method.as_str(), id.strip_prefix('/')) {
+        ("POST", None) => create(cx, account, CallHeaders::from_headers(headers)?.key, body),
         ("GET", Some(id)) => show(cx, account, parse_path_id(id)?),
         ("DELETE", Some(id)) => end(cx, account, parse_path_id(id)?),
         (method, _) => Err(Error::new(
--- a/crates/sapphirequayd/src/connection/response.rs
+++ b/crates/sapphirequayd/src/connection/response.rs
@@ -1,29 +1,25 @@
 //! Writers of responses to callers: server-sent events or one JSON body.
 
 use {
-    crate::request::{ResponseWriter, Usage},
+    crate::{
+        connection::responder::Responder,
+        gateway::{Body, full},
+        request::{ResponseWriter, Usage},
+    },
+    bytes::Bytes,
+    http::{HeaderName, HeaderValue, Response, StatusCode, header},
     quay_types::{Error, FinishReason},
     serde_json::{Value, json},
-    std::io::{self, Write},
+    std::io,
 };
 
-/// Reason phrase of a status. Client libraries evaluate the status code only.
-const fn reason(status: u16) -> &'static str {
-    match status {
-        200..=299 => "OK",
-        400..=499 => "Refused",
-        _ => "Failed",
-    }
-}
+/// Content type of JSON.
+const JSON: &str = "application/json";
 
 /// Creation time in completions, which client libraries require. A constant, so
 /// that a resend receives exactly the recorded response.
 const CREATED: u64 = 0;
 
-/// Size line of a chunk that is too large for any reader: an error for the caller's
-/// client, which takes the body for incomplete.
-const ABORT: &[u8] = b"fffffffffffffffff\r\n";
-
 /// Data of a request that its response contains.
 #[derive(Debug, Clone)]
 pub struct ResponseInfo {
@@ -37,59 +33,56 @@
     pub usage_event: bool,
 }
 
-/// Writes a complete response. The connection stays open for further requests
-/// unless `headers` contains `connection: close`.
+/// Headers of a response.
+type Headers = Vec<(HeaderName, HeaderValue)>;
+
+/// Header with the number of the request in this process.
+const REQUEST_NUMBER: HeaderName = HeaderName::from_static("sapphirequay-request");
+
+fn headers(number: u64, content_type: &'static str) -> Headers {
+    vec![
+        (REQUEST_NUMBER, number.into()),
+        (header::CONTENT_TYPE, HeaderValue::from_static(content_type)),
+    ]
+}
+
+/// Writes a complete response.
 pub fn write_body(
-    out: &mut impl Write,
+    out: &mut Responder,
     status: u16,
     number: u64,
-    headers: &str,
-    body: &[u8],
+    content_type: &'static str,
+    body: impl Into<Bytes>,
 ) -> io::Result<()> {
-    write!(
-        out,
-        "HTTP/1.1 {status} {}\r\nsapphirequay-request: {number}\r\n{headers}content-length: {}\r\n\r\n",
-        reason(status),
-        body.len()
-    )?;
-    out.write_all(body)?;
-    out.flush()
+    out.respond(status, &headers(number, content_type), body)
 }
 
 /// Writes a complete response with a JSON body.
-pub fn write_json(
-    out: &mut impl Write,
-    status: u16,
-    number: u64,
-    headers: &str,
-    body: &Value,
-) -> io::Result<()> {
-    let headers = format!("content-type: application/json\r\n{headers}");
-    write_body(out, status, number, &headers, body.to_string().as_bytes())
+pub fn write_json(out: &mut Responder, status: u16, number: u64, body: &Value) -> io::Result<()> {
+    write_body(out, status, number, JSON, body.to_string())
 }
 
 /// Writes a complete error response.
-pub fn write_error(out: &mut impl Write, number: u64, err: &Error) -> io::Result<()> {
-    write_error_with(out, number, err, "")
+pub fn write_error(out: &mut Responder, number: u64, err: &Error) -> io::Result<()> {
+    let response = error_headers(number, err);
+    out.respond(err.kind.status(), &response, error_json(err).to_string())
 }
 
-/// Writes an error response that closes the connection.
-pub fn write_last_error(out: &mut impl Write, number: u64, err: &Error) -> io::Result<()> {
-    write_error_with(out, number, err, "connection: close\r\n")
+/// Creates a complete error response.
+pub fn error_response(number: u64, err: &Error) -> Response<Body> {
+    let mut response = Response::new(full(error_json(err).to_string().into()));
+    *response.status_mut() =
+        StatusCode::from_u16(err.kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response.headers_mut().extend(error_headers(number, err));
+    response
 }
 
-/// Writes an error response with additional `headers`.
-fn write_error_with(
-    out: &mut impl Write,
-    number: u64,
-    err: &Error,
-    headers: &str,
-) -> io::Result<()> {
-    let headers = match err.retry_after_s() {
-        Some(seconds) => format!("retry-after: {seconds}\r\n{headers}"),
-        None => headers.to_owned(),
-    };
-    write_json(out, err.kind.status(), number, &headers, &error_json(err))
+fn error_headers(number: u64, err: &Error) -> Headers {
+    let mut headers = headers(number, JSON);
+    if let Some(seconds) = err.retry_after_s() {
+        headers.push((header::RETRY_AFTER, seconds.into()));
+    }
+    headers
 }
 
 /// Encodes an error as JSON.
@@ -122,49 +115,35 @@
 // Server-sent events
 
 /// Writer of a response of server-sent events in a chunked body.
-pub struct EventStreamResponse<W> {
-    out: W,
+pub struct EventStreamResponse {
+    out: Responder,
     info: ResponseInfo,
-    /// Whether the response head was sent; after that, errors are sent as
-    /// events.
-    head_sent: bool,
     /// Number of text bytes sent so far.
     bytes: u64,
     /// CRC-32 of the text sent so far.
     checksum: crc32fast::Hasher,
 }
 
-impl<W: Write> EventStreamResponse<W> {
+impl EventStreamResponse {
     /// Creates a writer of the response to one request.
-    pub fn new(out: W, info: ResponseInfo) -> Self {
+    pub fn new(out: Responder, info: ResponseInfo) -> Self {
         Self {
             out,
             info,
-            head_sent: false,
             bytes: 0,
             checksum: crc32fast::Hasher::new(),
         }
     }
 
-    /// Writes the response head, unless it was already sent.
-    fn write_head(&mut self) -> io::Result<()> {
-        if self.head_sent {
-            return Ok(());
+    /// Writes one event, after the head of the response.
+    fn write_event(&mut self, text: String) -> io::Result<()> {
+        if !self.out.has_begun() {
+            let mut headers = headers(self.info.number, "text/event-stream");
+            let no_cache = HeaderValue::from_static("no-cache");
+            headers.push((header::CACHE_CONTROL, no_cache));
+            self.out.begin(&headers)?;
         }
-        self.head_sent = true;
-        write!(
-            self.out,
-            "HTTP/1.1 200 OK\r\nsapphirequay-request: {}\r\ncontent-type: text/event-stream\r\n\
-            cache-control: no-cache\r\ntransfer-encoding: chunked\r\n\r\n",
-            self.info.number
-        )
-    }
-
-    /// Writes one chunk and flushes it, so that each event is sent immediately.
-    fn write_chunk(&mut self, text: &str) -> io::Result<()> {
-        self.write_head()?;
-        write!(self.out, "{:x}\r\n{text}\r\n", text.len())?;
-        self.out.flush()
+        self.out.write(text)
     }
 
     /// Writes a completion chunk with the common fields and the `extra` fields.
@@ -176,13 +155,13 @@
         for (name, value) in extra {
             event[*name] = value.clone();
         }
-        self.write_chunk(&format!("data: {event}\n\n"))
+        self.write_event(format!("data: {event}\n\n"))
     }
 
     /// Writes the chunk with the assistant role, which client libraries expect
     /// once before the text.
     fn write_role(&mut self) -> io::Result<()> {
-        if self.head_sent {
+        if self.out.has_begun() {
             return Ok(());
         }
         let delta = json!({"role": "assistant", "content": ""});
@@ -192,23 +171,11 @@
     /// Sends an error: as an HTTP status if the response head was not sent yet,
     /// else as an event, after which the body breaks off.
     pub fn fail(&mut self, err: &Error) -> io::Result<()> {
-        if !self.head_sent {
+        if !self.out.has_begun() {
             return write_error(&mut self.out, self.info.number, err);
         }
-        self.write_chunk(&format!("event: error\ndata: {}\n\n", error_json(err)))?;
-        self.abort()
-    }
-
-    /// Breaks the body off. `tiny_http` can't close a connection between two requests.
-    fn abort(&mut self) -> io::Result<()> {
-        self.out.write_all(ABORT)?;
-        self.out.flush()
-    }
-
-    /// Writes the terminating chunk of the body.
-    fn finish(&mut self) -> io::Result<()> {
-        self.out.write_all(b"0\r\n\r\n")?;
-        self.out.flush()
+        self.write_event(format!("event: error\ndata: {}\n\n", error_json(err)))?;
+        self.out.abort("the call failed")
     }
 }
 
@@ -217,7 +184,7 @@
     json!({"index": 0, "delta": delta, "finish_reason": finish})
 }
 
-impl<W: Write> ResponseWriter for EventStreamResponse<W> {
+impl ResponseWriter for EventStreamResponse {
     fn delta(&mut self, text: &str) -> io::Result<()> {
         self.write_role()?;
         let offset = json!({"offset": self.bytes});
@@ -230,12 +197,12 @@
     fn restart(&mut self) -> io::Result<()> {
         self.bytes = 0;
         self.checksum = crc32fast::Hasher::new();
-        self.write_chunk("event: restart\ndata: {}\n\n")
+        self.write_event("event: restart\ndata: {}\n\n".into())
     }
 
     fn heartbeat(&mut self) -> io::Result<()> {
         self.write_role()?;
-        self.write_chunk(": heartbeat\n\n")
+        self.write_event(": heartbeat\n\n".into())
     }
 
     fn end(&mut self, finish: FinishReason, usage: Usage) -> io::Result<()> {
@@ -249,8 +216,9 @@
         if self.info.usage_event {
             self.write_completion(&json!([]), &[("usage", usage_json(usage))])?;
         }
-        self.write_chunk("data: [DONE]\n\n")?;
-        self.finish()
+        self.write_event("data: [DONE]\n\n".into())?;
+        self.out.finish();
+        Ok(())
     }
 
     fn body(&mut self, _: u16, _: &[u8]) -> io::Result<()> {
@@ -264,15 +232,15 @@
 // JSON responses
 
 /// Writer that collects the text and sends it as one JSON response.
-pub struct JsonResponse<W> {
-    out: W,
+pub struct JsonResponse {
+    out: Responder,
     info: ResponseInfo,
     text: String,
 }
 
-impl<W: Write> JsonResponse<W> {
+impl JsonResponse {
     /// Creates a writer of the response to one request.
-    pub fn new(out: W, info: ResponseInfo) -> Self {
+    pub fn new(out: Responder, info: ResponseInfo) -> Self {
         Self {
             out,
             info,
@@ -286,7 +254,7 @@
     }
 }
 
-impl<W: Write> ResponseWriter for JsonResponse<W> {
+impl ResponseWriter for JsonResponse {
     fn delta(&mut self, text: &str) -> io::Result<()> {
         self.text.push_str(text);
         Ok(())
@@ -315,7 +283,7 @@
                 "crc32": format!("{:08x}", crc32fast::hash(self.text.as_bytes())),
             },
         });
-        write_json(&mut self.out, 200, self.info.number, "", &body)
+        write_json(&mut self.out, 200, self.info.number, &body)
     }
 
     fn body(&mut self, _: u16, _: &[u8]) -> io::Result<()> {
@@ -329,14 +297,14 @@
 // Services other than model engines
 
 /// Writer that forwards the response body of a service.
-pub struct ServiceResponse<W> {
-    out: W,
+pub struct ServiceResponse {
+    out: Responder,
     number: u64,
 }
 
-impl<W: Write> ServiceResponse<W> {
+impl ServiceResponse {
     /// Creates a writer of the response to request `number`.
-    pub const fn new(out: W, number: u64) -> Self {
+    pub const fn new(out: Responder, number: u64) -> Self {
         Self { out, number }
     }
 
@@ -346,7 +314,7 @@
     }
 }
 
-impl<W: Write> ResponseWriter for ServiceResponse<W> {
+impl ResponseWriter for ServiceResponse {
     fn delta(&mut self, _: &str) -> io::Result<()> {
         Err(io::Error::other("unexpected stream from a service"))
     }
@@ -364,7 +332,6 @@
     }
 
     fn body(&mut self, status: u16, body: &[u8]) -> io::Result<()> {
-        let headers = "content-type: application/json\r\n";
-        write_body(&mut self.out, status, self.number, headers, body)
+        write_body(&mut self.out, status, self.number, JSON, body.to_vec())
     }
 }
--- a/crates/sapphirequayd/src/gateway/front/body_reader.rs
+++ b/crates/sapphirequayd/src/gateway/front/body_reader.rs
@@ -2,24 +2,17 @@
 
 use {
     super::{buffer_space::BufferShare, host::FrontHost, refusal::Refusal},
-    crate::gateway::{
-        open_connection::{ArrivingBody, OpenConnection},
-        request_body::{BodyCaller, BodyError, RequestBody, next_frame, read_request_body},
+    crate::gateway::request_body::{
+        BodyCaller, BodyError, DiscardLimits, RequestBody, discard, read_request_body,
     },
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, header},
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
     quay_routes::{Dialect, RequestDeadline},
-    std::time::Duration,
-    tokio::{task::spawn_local, time::timeout},
+    tokio::time::timeout,
 };
 
-/// Longest pause of a caller after which the rest of its refused body is no longer read
-/// and dropped. A connection that is closed with unread data is reset, and the caller may
-/// lose the refusal.
-const DISCARD_PAUSE: Duration = Duration::from_secs(1);
-
 /// Whether the headers of a response tell where its body ends.
 pub fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
@@ -43,27 +36,15 @@
         Ok(Err(BodyError::Incomplete | BodyError::TooSlow)) | Err(_) => Refusal::BodyMissing,
     };
     if matches!(refusal, Refusal::NoMemory | Refusal::BodyTooLarge) {
-        let arriving = caller.connection.map(OpenConnection::begin_body);
-        discard(body, arriving, deadline.remaining(front.now()));
+        let limits = DiscardLimits {
+            bytes: u64::MAX,
+            time: deadline.remaining(front.now()),
+        };
+        discard(body, caller, limits);
     }
     Err(refusal)
 }
 
-/// Reads and drops the rest of a body in the background, for at most `limit`.
-fn discard(mut body: Incoming, arriving: Option<ArrivingBody>, limit: Duration) {
-    spawn_local(timeout(limit, async move {
-        loop {
-            let next = timeout(DISCARD_PAUSE, next_frame(&mut body, arriving.as_ref()));
-            let Ok(Ok(Some(frame))) = next.await else {
-                return;
-            };
-            if let Some(arriving) = &arriving {
-                arriving.record_read(frame.data_ref().map_or(0, Bytes::len));
-            }
-        }
-    }));
-}
-
 /// Reads the complete body of a response, within a share of the front's memory.
 /// Returns `None` if it is incomplete or too large.
 pub async fn read_response(mut body: Incoming, share: &mut BufferShare) -> Option<Bytes> {
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -11,24 +11,19 @@
         upstream_outcome::{StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome, upstream_outcome},
     },
     crate::gateway::{
-        http_server::{Body, BodyAborted},
+        http_server::{Body, BodyAborted, ChannelBody},
         meters::{self, Stage},
         request_body::RequestBody,
     },
     bytes::Bytes,
     http::response,
     http_body_util::BodyExt as _,
-    hyper::body::{Body as HttpBody, Frame, Incoming},
+    hyper::body::{Frame, Incoming},
     quay_policy::{MemoryHolder, RunEnd},
     quay_routes::Dialect,
     quay_turns::{Record, TurnRecord},
     quay_types::{ProgramTag, Time, TurnId},
-    std::{
-        pin::Pin,
-        sync::Arc,
-        task::{Context, Poll},
-        time::Duration,
-    },
+    std::{sync::Arc, time::Duration},
     tokio::{
         sync::{Notify, mpsc, oneshot},
         time::{sleep, timeout},
@@ -53,22 +48,6 @@
 /// Sender of the frames of a response body.
 type FrameSender = mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>;
 
-/// Response body that receives frames while the upstream sends them.
-#[derive(Debug)]
-struct RelayedBody(mpsc::Receiver<Result<Frame<Bytes>, BodyAborted>>);
-
-impl HttpBody for RelayedBody {
-    type Data = Bytes;
-    type Error = BodyAborted;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
-        self.0.poll_recv(cx)
-    }
-}
-
 /// Turn that is stored once its stream is complete.
 #[derive(Debug)]
 pub struct PendingTurn {
@@ -123,7 +102,7 @@
         let (tx, rx) = mpsc::channel(max_frames);
         let headers = head.headers.clone();
         tokio::task::spawn_local(async move { self.relay(headers, body, tx).await });
-        RelayedBody(rx).boxed_unsync()
+        ChannelBody::new(rx).boxed_unsync()
     }
 
     /// Relays the stream, stores its turn and logs its end.
--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -26,7 +26,7 @@
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::{TcpListener, TcpStream},
-        sync::Notify,
+        sync::{Notify, mpsc},
         task::{spawn_local, yield_now},
         time::{sleep, timeout},
     },
@@ -54,6 +54,29 @@
         .boxed_unsync()
 }
 
+/// Response body that receives its frames while they are made.
+#[derive(Debug)]
+pub struct ChannelBody(mpsc::Receiver<Result<Frame<Bytes>, BodyAborted>>);
+
+impl ChannelBody {
+    /// Creates a body of the frames that are sent.
+    pub const fn new(frames: mpsc::Receiver<Result<Frame<Bytes>, BodyAborted>>) -> Self {
+        Self(frames)
+    }
+}
+
+impl HttpBody for ChannelBody {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        self.0.poll_recv(cx)
+    }
+}
+
 /// Limits of a server; they may change while it runs and apply to connections
 /// accepted afterwards.
 #[derive(Debug, Clone)]
@@ -68,6 +91,9 @@
     /// Budget in which the connections count. Each request has its [`OpenConnection`] as
     /// an extension if there is one.
     pub memory: HostMemory,
+    /// Bytes written after an aborted body, in place of the size of its next chunk, for
+    /// clients that take a body without its last chunk for complete.
+    pub abort_mark: &'static [u8],
 }
 
 impl Default for ServerLimits {
@@ -77,6 +103,7 @@
             idle: Rc::new(Cell::new(Duration::from_secs(30))),
             closing: Rc::default(),
             memory: HostMemory::default(),
+            abort_mark: &[],
         }
     }
 }
@@ -139,6 +166,9 @@
 /// Delay after `accept` failed, for example because no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Time in which the mark of an aborted body is written.
+const ABORT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time in which the request on a connection that is ended gets its answer.
 const LAST_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -209,7 +239,8 @@
         });
         let conn = builder.serve_connection(TokioIo::new(stream), service);
         let closing = Rc::clone(&limits.closing);
-        spawn_local(drive_connection(conn, closing, open, (http_10, last)));
+        let mark = limits.abort_mark;
+        spawn_local(drive_connection(conn, closing, open, (http_10, last), mark));
     }
 }
 
@@ -222,6 +253,7 @@
     closing: Rc<ConnectionDrain>,
     open: Option<OpenConnection>,
     (http_10, last): (Rc<Cell<bool>>, bool),
+    abort_mark: &[u8],
 ) where
     S: hyper::service::HttpService<Incoming, ResBody = ServedBody>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -243,6 +275,9 @@
                     log::debug!("event=caller_connection_ended cause={err}");
                     if http_10.get() {
                         reset(conn);
+                    } else if err.is_user() && !abort_mark.is_empty() {
+                        let stream = conn.into_parts().io.into_inner().stream;
+                        let _ = timeout(ABORT_TIMEOUT, write_all(&stream, abort_mark)).await;
                     }
                 }
                 break;
@@ -269,6 +304,18 @@
     closing.closed_notify.notify_waiters();
 }
 
+async fn write_all(stream: &TcpStream, mut data: &[u8]) -> io::Result<()> {
+    while !data.is_empty() {
+        stream.writable().await?;
+        match stream.try_write(data) {
+            Ok(len) => data = &data[len..],
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+            Err(err) => return Err(err),
+        }
+    }
+    Ok(())
+}
+
 /// Closes a connection once its request in progress is answered.
 fn close_after_response<S>(conn: &mut http1::Connection<TokioIo<CallerStream>, S>)
 where
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -26,11 +26,13 @@
         SelectedUpstream, StartupWait, StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome,
         Upstreams, upstream_outcome,
     },
-    host_memory::HostLimits,
+    host_memory::{HostLimits, HostMemory, MemoryGuard},
+    http_server::{Body, BodyAborted, ChannelBody, ServerLimits, full, serve as serve_http},
     messages::{
         ControlCommand, FollowerState, GatewayRequest, StoreOp, StoreReply, StoreRequest,
         SuspectList, TableDocument,
     },
+    request_body::{BodyCaller, BodyError, DiscardLimits, discard, read_request_body},
     run::run,
     store::{PathProbe, SlowMembers, StorePath, StreamOrigins},
 };
--- a/crates/sapphirequayd/src/gateway/request_body.rs
+++ b/crates/sapphirequayd/src/gateway/request_body.rs
@@ -17,6 +17,11 @@
         convert::Infallible,
         pin::Pin,
         task::{Context, Poll},
+        time::Duration,
+    },
+    tokio::{
+        task::spawn_local,
+        time::{sleep, timeout},
     },
 };
 
@@ -26,6 +31,11 @@
 /// Size of the largest segment, in bytes.
 const MAX_SEGMENT_BYTES: usize = 64 << 10;
 
+/// Longest pause of a caller after which the rest of its refused body is no longer read
+/// and dropped. A connection that is closed with unread data is reset, and the caller may
+/// lose the refusal.
+const DISCARD_PAUSE: Duration = Duration::from_secs(1);
+
 /// Reserves memory of a host.
 pub trait ReserveMemory {
     /// Reserves bytes.
@@ -72,6 +82,8 @@
     pub connection: Option<&'a OpenConnection>,
     /// Caller for which memory is held.
     pub holder: Option<MemoryHolder>,
+    /// Longest time without a byte, if that is limited.
+    pub pause: Option<Duration>,
 }
 
 impl<'a> BodyCaller<'a> {
@@ -82,7 +94,11 @@
             connection: connection.id(),
             account,
         });
-        Self { connection, holder }
+        Self {
+            connection,
+            holder,
+            pause: None,
+        }
     }
 }
 
@@ -195,8 +211,9 @@
         full_len: 0,
         filling: None,
     };
+    let pause = caller.pause.unwrap_or(Duration::MAX);
     let arriving = caller.connection.map(OpenConnection::begin_body);
-    while let Some(frame) = next_frame(body, arriving.as_ref()).await? {
+    while let Some(frame) = next_frame(body, arriving.as_ref(), pause).await? {
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -214,14 +231,11 @@
     Ok(reader.finish())
 }
 
-/// Next frame of a body; `None` at its end.
-///
-/// # Errors
-///
-/// [`BodyError::Incomplete`] or [`BodyError::TooSlow`].
-pub async fn next_frame(
+/// Next frame of a body, at most `pause` later; `None` at its end.
+async fn next_frame(
     body: &mut Incoming,
     arriving: Option<&ArrivingBody>,
+    pause: Duration,
 ) -> Result<Option<Frame<Bytes>>, BodyError> {
     let ended = async {
         match arriving {
@@ -233,9 +247,36 @@
         biased;
         frame = body.frame() => frame.transpose().map_err(|_| BodyError::Incomplete),
         () = ended => Err(BodyError::TooSlow),
+        () = sleep(pause) => Err(BodyError::TooSlow),
     }
 }
 
+/// How much of a refused body is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DiscardLimits {
+    /// Bytes.
+    pub bytes: u64,
+    /// Time.
+    pub time: Duration,
+}
+
+/// Reads and drops the rest of a refused body in the background.
+pub fn discard(mut body: Incoming, caller: &BodyCaller<'_>, limits: DiscardLimits) {
+    let arriving = caller.connection.map(OpenConnection::begin_body);
+    spawn_local(timeout(limits.time, async move {
+        let mut left = limits.bytes;
+        while left > 0 {
+            let next = next_frame(&mut body, arriving.as_ref(), DISCARD_PAUSE);
+            let Ok(Some(frame)) = next.await else { return };
+            let read = frame.data_ref().map_or(0, Bytes::len);
+            left = left.saturating_sub(read as u64);
+            if let Some(arriving) = &arriving {
+                arriving.record_read(read);
+            }
+        }
+    }));
+}
+
 /// Collects a body in segments.
 struct SegmentReader<'a, M> {
     memory: &'a M,
--- a/crates/sapphirequayd/src/settings/check.rs
+++ b/crates/sapphirequayd/src/settings/check.rs
@@ -137,6 +137,7 @@
     /// Checks that no limit of the entry role is 0.
     fn check_entry(&self, problems: &mut Vec<Problem>) {
         let Some(entry) = &self.entry else { return };
+        problems.extend(entry.check_memory().err());
         let limits = [
             ("max_requests", u64::from(entry.max_requests)),
             ("max_body_bytes", entry.max_body_bytes),
--- a/crates/sapphirequayd/src/settings/entry.rs
+++ b/crates/sapphirequayd/src/settings/entry.rs
@@ -1,6 +1,11 @@
 //! Settings of the entry role.
 
 use {
+    crate::{
+        connection::BODY_COPIES,
+        gateway::HostLimits,
+        settings::{Problem, memory},
+    },
     serde::Deserialize,
     std::{net::SocketAddr, time::Duration},
 };
@@ -22,6 +27,12 @@
     /// Time after which a connection is closed if the caller reads nothing, in
     /// milliseconds.
     pub send_timeout_ms: u64,
+    /// Memory above which the platform kills the process, in MB (10^6 bytes). If it is
+    /// 0 or absent, what callers send is not bounded in total.
+    pub memory_mb: f64,
+    /// Descriptors that the process may open, of which callers' connections take half; 0:
+    /// as many as the system allows it.
+    pub max_fds: u64,
 }
 
 impl Default for EntrySettings {
@@ -32,6 +43,8 @@
             max_body_bytes: 16 << 20,
             read_timeout_ms: 10_000,
             send_timeout_ms: 10_000,
+            memory_mb: 0.0,
+            max_fds: 0,
         }
     }
 }
@@ -48,4 +61,21 @@
     pub const fn send_timeout(&self) -> Duration {
         Duration::from_millis(self.send_timeout_ms)
     }
+
+    /// What the entry may take of its machine.
+    #[must_use]
+    pub fn limits(&self) -> HostLimits {
+        memory::limits(self.memory_mb, self.max_fds)
+    }
+
+    /// Checks the memory, in which a body of the largest size and its copies must fit.
+    ///
+    /// # Errors
+    ///
+    /// Returns the problem and its key.
+    pub fn check_memory(&self) -> Result<(), Problem> {
+        memory::check("entry", self.memory_mb)?;
+        let needed = self.max_body_bytes.saturating_mul(1 + BODY_COPIES as u64);
+        memory::check_holds("entry", self.memory_mb, needed, "max_body_bytes")
+    }
 }
--- a/crates/sapphirequayd/src/settings/memory.rs
+++ b/crates/sapphirequayd/src/settings/memory.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{gateway::HostLimits, settings::Problem},
+    quay_policy::MemorySettings,
     rustix::process::{Resource, getrlimit},
 };
 
@@ -38,6 +39,26 @@
     }
 }
 
+/// Checks that requests of `needed` bytes in all, which the key `cause` allows, fit into
+/// the memory of a process.
+///
+/// # Errors
+///
+/// Returns the problem and its key.
+pub fn check_holds(
+    section: &'static str,
+    memory_mb: f64,
+    needed: u64,
+    cause: &str,
+) -> Result<(), Problem> {
+    let budget = budget_bytes(memory_mb).map(MemorySettings::of);
+    if budget.is_none_or(|budget| needed <= budget.admitted()) {
+        return Ok(());
+    }
+    let message = format!("is too little for one request with {cause}, which takes {needed} bytes");
+    Err(Problem::new(section, "memory_mb", message))
+}
+
 /// Checks the memory of a process that the table `section` states.
 ///
 /// # Errors
