Fronts: the time-out of a head is in force

What callers saw: nothing themselves; heads that did not go on held connections for IdleTimeoutMs.

Cause: nothing asked for EdgeLimits::head_timeout.

An idle connection keeps IdleTimeoutMs.

--- a/crates/sapphirequayd/src/gateway/host_memory.rs
+++ b/crates/sapphirequayd/src/gateway/host_memory.rs
@@ -220,7 +220,8 @@
         loop {
             let ended = {
                 let mut budget = shared.budget();
-                match budget.end_if_short(now) {
+                let late = budget.end_late_head(now);
+                match late.or_else(|| budget.end_if_short(now)) {
                     None if closing => budget.end_unused(now),
                     ended => ended,
                 }
