Gateway: bound the receive buffers of callers' connections

What callers saw: a front ended although what it had read was bounded.

Cause: the platform counts what has arrived and is unread, and the system chose the size of each receive buffer.

Change: the listener's receive buffer, which accepted sockets inherit, is 32 KiB or less, the smaller the more connections there are; quay_policy decides it, so that the sum is bounded.

--- a/crates/sapphirequayd/src/gateway/host_memory.rs
+++ b/crates/sapphirequayd/src/gateway/host_memory.rs
@@ -269,6 +269,14 @@
         Ok((Some(open), replaces))
     }
 
+    /// Size of the receive buffer of the next connection, in bytes; `None` without a
+    /// limit.
+    #[must_use]
+    pub fn receive_buffer(&self) -> Option<usize> {
+        let state = self.0.as_ref().filter(|it| it.is_limited)?;
+        usize::try_from(state.budget().receive_buffer()).ok()
+    }
+
     /// Ends a connection without a complete request, so that its descriptor is free.
     pub fn free_descriptor(&self) {
         let Some(state) = &self.0 else { return };
--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -178,7 +178,16 @@
     F: Fn(Request<Incoming>) -> R + Clone + 'static,
     R: Future<Output = Result<Response<Body>, Infallible>> + 'static,
 {
+    let mut receive_buffer = None;
     loop {
+        // Accepted sockets have the size that the listener has, from the first byte on.
+        let wanted = limits.memory.receive_buffer();
+        if let Some(size) = wanted.filter(|_| wanted != receive_buffer) {
+            receive_buffer = wanted;
+            if let Err(err) = SockRef::from(&listener).set_recv_buffer_size(size) {
+                log::debug!("event=receive_buffer_unset cause={err}");
+            }
+        }
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(err) => {
