Fronts: bound how much of a refused body is read

What callers saw: nothing themselves; one that never paused was read until its route's time-out.

Cause: the rest of a refused body, which is read so that the refusal is not lost, was bounded in time only. Evidence: on a_refused_body_without_an_end_is_not_read_on takes all of 100 MB.

Change: 8 MiB, or the limit of a body if that is more. A caller inside the limits sends no more.

--- a/crates/sapphirequayd/src/gateway/front/body_reader.rs
+++ b/crates/sapphirequayd/src/gateway/front/body_reader.rs
@@ -13,6 +13,10 @@
     tokio::time::timeout,
 };
 
+/// Least number of bytes of a refused body that are read: twice the default limit of a
+/// body.
+const MIN_DISCARD_BYTES: u64 = 8 << 20;
+
 /// Whether the headers of a response tell where its body ends.
 pub fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
@@ -37,7 +41,7 @@
     };
     if matches!(refusal, Refusal::NoMemory | Refusal::BodyTooLarge) {
         let limits = DiscardLimits {
-            bytes: u64::MAX,
+            bytes: MIN_DISCARD_BYTES.max(limit as u64),
             time: deadline.remaining(front.now()),
         };
         discard(body, caller, limits);
