Gateway and entries: by default the memory of the machine is the limit

What callers saw: without memory_mb nothing that they sent was bounded in total, on any role.

Cause: a limit that was not stated was taken for none.

A derived limit bounds what callers send; responses keep their own bounds. Memory in which one request has no room is refused at the start.

--- a/crates/sapphirequayd/src/connection/monitor_server.rs
+++ b/crates/sapphirequayd/src/connection/monitor_server.rs
@@ -15,6 +15,7 @@
 /// What readers of the metrics may take: their number is small, and known.
 const LIMITS: HostLimits = HostLimits {
     budget: Some(8 << 20),
+    stated: true,
     connections: 64,
 };
 
--- a/crates/sapphirequayd/src/gateway/host_memory.rs
+++ b/crates/sapphirequayd/src/gateway/host_memory.rs
@@ -35,6 +35,9 @@
     /// Bytes of requests, responses, conversations and connections; `None` if they are
     /// not bounded.
     pub budget: Option<u64>,
+    /// Whether the budget follows from a limit that the settings state, and not from the
+    /// size of the machine.
+    pub stated: bool,
     /// Number of connections of callers that may be open.
     pub connections: usize,
 }
@@ -47,7 +50,7 @@
 pub struct MemoryState {
     clock: Clock,
     budget: Mutex<MemoryBudget>,
-    /// Whether there is a limit.
+    /// Whether the settings state a limit.
     is_limited: bool,
     connections: Mutex<IndexMap<CallerConnection, OpenConnection>>,
     next_connection: AtomicU64,
@@ -75,6 +78,7 @@
     pub fn new(clock: Clock, limits: HostLimits) -> Self {
         let HostLimits {
             budget,
+            stated,
             connections,
         } = limits;
         match budget {
@@ -90,14 +94,15 @@
         Self(Some(Arc::new(MemoryState {
             clock,
             budget: Mutex::new(MemoryBudget::new(settings)),
-            is_limited: budget.is_some(),
+            is_limited: stated,
             connections: Mutex::default(),
             next_connection: AtomicU64::new(1),
             head_bytes: AtomicU64::new(HEAD_BYTES),
         })))
     }
 
-    /// Whether there is a limit.
+    /// Whether the settings state a limit. Otherwise that of the machine only bounds what
+    /// callers send.
     #[must_use]
     pub fn is_limited(&self) -> bool {
         self.0.as_ref().is_some_and(|it| it.is_limited)
--- a/crates/sapphirequayd/src/settings/entry.rs
+++ b/crates/sapphirequayd/src/settings/entry.rs
@@ -27,9 +27,9 @@
     /// Time after which a connection is closed if the caller reads nothing, in
     /// milliseconds.
     pub send_timeout_ms: u64,
-    /// Memory above which the platform kills the process, in MB (10^6 bytes). If it is
-    /// 0 or absent, what callers send is not bounded in total.
-    pub memory_mb: f64,
+    /// Memory above which the platform kills the process, in MB (10^6 bytes); 0:
+    /// unlimited. By default the memory of the machine.
+    pub memory_mb: Option<f64>,
     /// Descriptors that the process may open, of which callers' connections take half; 0:
     /// as many as the system allows it.
     pub max_fds: u64,
@@ -43,7 +43,7 @@
             max_body_bytes: 16 << 20,
             read_timeout_ms: 10_000,
             send_timeout_ms: 10_000,
-            memory_mb: 0.0,
+            memory_mb: None,
             max_fds: 0,
         }
     }
--- a/crates/sapphirequayd/src/settings/gateway.rs
+++ b/crates/sapphirequayd/src/settings/gateway.rs
@@ -73,10 +73,10 @@
     /// Size of the in-memory cache of stored turns, in bytes.
     #[serde(default = "chain_cache_bytes")]
     pub chain_cache_bytes: usize,
-    /// Memory above which the platform kills the process, in MB (10^6 bytes). If it is
-    /// 0 or absent, only some buffers are bounded.
+    /// Memory above which the platform kills the process, in MB (10^6 bytes); 0:
+    /// unlimited. By default the memory of the machine, which bounds what callers send.
     #[serde(default)]
-    pub memory_mb: f64,
+    pub memory_mb: Option<f64>,
     /// Descriptors that the process may open, of which callers' connections take half; 0:
     /// as many as the system allows it.
     #[serde(default)]
@@ -140,10 +140,10 @@
     pub listen: SocketAddr,
     /// Data folder, whose content must survive restarts.
     pub data: PathBuf,
-    /// Memory above which the platform kills the process, in MB (10^6 bytes). If it is
-    /// 0 or absent, what callers send is not bounded in total.
+    /// Memory above which the platform kills the process, in MB (10^6 bytes); 0:
+    /// unlimited. By default the memory of the machine.
     #[serde(default)]
-    pub memory_mb: f64,
+    pub memory_mb: Option<f64>,
     /// Descriptors that the process may open, of which callers' connections take half; 0:
     /// as many as the system allows it.
     #[serde(default)]
--- a/crates/sapphirequayd/tests/settings.rs
+++ b/crates/sapphirequayd/tests/settings.rs
@@ -144,6 +144,39 @@
     assert_eq!(check(dir.path(), &gateway(&filled)), (0, String::new()));
 }
 
+/// Guards against a process without a stated limit that takes more than its machine has,
+/// and against limits in which a request has no room.
+#[test]
+fn the_memory_of_a_process_is_that_of_its_machine_unless_it_is_stated() {
+    let front = |memory: &str| {
+        let text = format!(
+            "[process]\nname = \"f\"\n[front]\nlisten = \"127.0.0.1:8080\"\nready = \"127.0.0.1:8081\"\n{memory}"
+        );
+        Settings::parse(&text)
+            .expect("settings")
+            .front
+            .expect("front")
+    };
+    let meminfo = fs::read_to_string("/proc/meminfo").expect("meminfo");
+    let line = meminfo.lines().find(|line| line.starts_with("MemTotal:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    let machine = kib.and_then(|kib| kib.parse::<u64>().ok()).expect("size") << 10;
+    let default = front("").limits();
+    assert!(default.budget.is_some_and(|bytes| bytes <= machine / 2));
+    assert!(!default.stated && default.connections > 0);
+    let stated = front("memory_mb = 60\nmax_fds = 300").limits();
+    assert_eq!((stated.budget, stated.connections), (Some(20_000_000), 150));
+    assert_eq!(front("memory_mb = 0").limits().budget, None);
+    let small = front("memory_mb = 39").check().expect_err("a problem");
+    insta::assert_snapshot!(small, @"[front] memory_mb: must be 0 or at least 40");
+    let entry = EntrySettings {
+        memory_mb: Some(60.0),
+        ..EntrySettings::default()
+    };
+    let small = entry.check_memory().expect_err("a problem");
+    insta::assert_snapshot!(small, @"[entry] memory_mb: is too little for one request with max_body_bytes, which takes 50331648 bytes");
+}
+
 #[test]
 fn mechanisms_of_a_front_are_checked_and_documented_with_their_defaults() {
     let problem = |text: &str| DecisionTable::parse(text).map_err(|it| it.to_string());
