Entries: a failed stream ends after what was written

What callers saw: no error event at the end of a stream that failed, only that it broke off.

Cause: the server asks for the next frame before it has written the last one, and ends the connection when that is an error. Evidence: since the server of entries changed, broken_streams and upstreams failed (a_refused_resumption_breaks_the_stream_without_the_engines_text, a_crashed_engine_fails_its_calls_and_is_announced_as_failing).

Change: a response is aborted once its frames are written, after 1 s at most.

Measured: both pass, with the other tests of these files.

--- a/crates/sapphirequayd/src/connection/responder.rs
+++ b/crates/sapphirequayd/src/connection/responder.rs
@@ -11,13 +11,16 @@
     tokio::{
         runtime::Handle,
         sync::{Notify, mpsc, oneshot},
-        time::timeout,
+        time::{sleep, timeout},
     },
 };
 
 /// Time for which the end of a broken response waits for the caller to take the rest.
 const LAST_FRAME_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Interval at which it is looked whether the caller has taken the rest.
+const TAKEN_CHECK_INTERVAL: Duration = Duration::from_millis(2);
+
 /// What a responder needs of the server.
 #[derive(Debug, Clone)]
 pub struct ResponderContext {
@@ -40,7 +43,7 @@
     head: Option<oneshot::Sender<Response<Body>>>,
     /// Takes the frames of a streamed body.
     frames: Option<mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>>,
-    /// Notified when a frame was taken.
+    /// Every frame that was not taken holds a clone.
     taken: Arc<Notify>,
 }
 
@@ -143,7 +146,13 @@
         let Some(frames) = self.frames.take() else {
             return Ok(());
         };
-        let last = frames.send(Err(BodyAborted(cause)));
+        let last = async {
+            // What the connection has not written is lost with it.
+            while Arc::strong_count(&self.taken) > 1 {
+                sleep(TAKEN_CHECK_INTERVAL).await;
+            }
+            frames.send(Err(BodyAborted(cause))).await
+        };
         let sent = async { timeout(LAST_FRAME_TIMEOUT, last).await };
         match self.cx.runtime.block_on(sent) {
             Ok(sent) => sent.map_err(|_| gone()),
