Gateway: a body arrives from the moment at which it is read

What callers saw: nothing yet; found on reading. A request that waits for a routing table before its body is read counted as a slow sender after 1 s, and its connection could be reset while memory is short.

Change: the phase of a body begins with its reader; until then the request counts as running.

--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -237,7 +237,7 @@
             latest.set(req.version() == Version::HTTP_10);
             let open = served.clone();
             if let Some(open) = &open {
-                open.begin_request(req.body().is_end_stream());
+                open.begin_request();
                 req.extensions_mut().insert(open.clone());
             }
             let answered = handler(req);
--- a/crates/sapphirequayd/src/gateway/open_connection.rs
+++ b/crates/sapphirequayd/src/gateway/open_connection.rs
@@ -111,17 +111,12 @@
         }
     }
 
-    /// Records that the head of a request has arrived; `whole` tells whether its body has,
-    /// too.
-    pub fn begin_request(&self, whole: bool) {
+    /// Records that the head of a request has arrived. Its body arrives from the moment at
+    /// which it is read.
+    pub fn begin_request(&self) {
         self.update(|state| {
-            state.step = 0;
             state.answered = false;
-            Some(if whole {
-                ConnectionPhase::Running
-            } else {
-                ConnectionPhase::Body
-            })
+            Some(ConnectionPhase::Running)
         });
     }
 
@@ -131,7 +126,8 @@
     pub fn begin_body(&self) -> ArrivingBody {
         self.update(|state| {
             state.reading = true;
-            None
+            state.step = 0;
+            Some(ConnectionPhase::Body)
         });
         ArrivingBody(self.clone())
     }
