Entries: a call is in progress until its response is delivered

What callers saw: nothing yet; found on reading. A planned stop ended the process as soon as the threads of its calls had handed their responses to the server, which may not have written them.

Cause: the guard of a call ended with its thread; before the server changed, a thread wrote to the socket itself. Change: the body of the response holds the guard as well, and drops it once the connection has written what it has.

--- a/crates/sapphirequayd/src/connection/entry_server.rs
+++ b/crates/sapphirequayd/src/connection/entry_server.rs
@@ -13,8 +13,8 @@
             route::Route,
         },
         gateway::{
-            Body, BodyCaller, BodyError, DiscardLimits, HostMemory, MemoryGuard, ServerLimits,
-            discard, read_request_body, serve_http,
+            Body, BodyAborted, BodyCaller, BodyError, DiscardLimits, HostMemory, MemoryGuard,
+            ServerLimits, discard, read_request_body, serve_http,
         },
         process::{Clock, InProgressGuard, Lifecycle, telemetry},
         request::{CallContext, CompletionRequest, run_call},
@@ -23,7 +23,8 @@
     },
     bytes::Bytes,
     http::{HeaderValue, Request, Response, header, request},
-    hyper::body::Incoming,
+    http_body_util::BodyExt as _,
+    hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint},
     quay_policy::MemoryClass,
     quay_types::{AccountId, CallTarget, Error, ErrorKind, Result, ServiceId},
     serde_json::json,
@@ -31,12 +32,22 @@
         convert::Infallible,
         io,
         net::SocketAddr,
+        pin::Pin,
         rc::Rc,
-        sync::atomic::{AtomicU64, Ordering},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        task::{Context, Poll},
         thread,
         time::{Duration, Instant},
     },
-    tokio::{net::TcpListener, runtime::Handle, task::spawn_local, time::sleep},
+    tokio::{
+        net::TcpListener,
+        runtime::Handle,
+        task::{spawn_local, yield_now},
+        time::sleep,
+    },
 };
 
 /// Stack size of a thread that serves one request.
@@ -180,6 +191,7 @@
             None => Ok((Bytes::new(), MemoryGuard::default())),
         };
         let (account, progress) = admitted.unzip();
+        let progress = progress.map(Arc::new);
         let (body, copies) = match read {
             Ok(read) => read,
             Err((err, rest)) => {
@@ -201,12 +213,12 @@
             body,
             _copies: copies,
         };
-        let cx = self.cx.clone();
+        let (cx, called) = (self.cx.clone(), progress.clone());
         let spawned = thread::Builder::new()
             .name("request".into())
             .stack_size(REQUEST_STACK_BYTES)
             .spawn(move || {
-                let _progress = progress;
+                let _called = called;
                 let result = serve(&cx, &arrived, responder);
                 record_result(number, name, started, &result);
             });
@@ -215,13 +227,14 @@
             let err = Error::new(ErrorKind::Overloaded, "no thread for the request");
             return error_response(number, &err);
         }
-        response.await.unwrap_or_else(|_| {
+        let response = response.await.unwrap_or_else(|_| {
             let err = Error::new(
                 ErrorKind::UpstreamError,
                 "the call ended without a response",
             );
             error_response(number, &err)
-        })
+        });
+        response.map(|body| DeliveredBody { body, progress }.boxed_unsync())
     }
 
     /// Checks whether a call is admitted, and whose it is. It is in progress until the
@@ -277,7 +290,7 @@
         err: &Error,
     ) -> Response<Body> {
         let mut response = error_response(number, err);
-        if !hyper::body::Body::is_end_stream(&body) {
+        if !body.is_end_stream() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
             let limits = DiscardLimits {
@@ -291,6 +304,43 @@
     }
 }
 
+/// Body of a response, whose request is in progress until it is delivered.
+struct DeliveredBody {
+    body: Body,
+    progress: Option<Arc<InProgressGuard>>,
+}
+
+impl HttpBody for DeliveredBody {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BodyAborted>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for DeliveredBody {
+    fn drop(&mut self) {
+        // The connection writes what it has of the body before its task waits again.
+        let progress = self.progress.take();
+        spawn_local(async move {
+            yield_now().await;
+            drop(progress);
+        });
+    }
+}
+
 /// Target of a request: its path and query.
 fn target(parts: &request::Parts) -> String {
     let target = parts.uri.path_and_query();
