Gateway: bytes behind a request count also if they came with it

What callers saw: new connections were closed at once (connection_refused) while a crowd held all places by running requests and sent on behind them.

Cause: who sends on before its request is answered was known by a later read; bytes that were read together with the request stay in the read buffer, and no later read comes.

Change: what was read is compared with the length of the head and of the declared body.

--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -237,7 +237,7 @@
             latest.set(req.version() == Version::HTTP_10);
             let open = served.clone();
             if let Some(open) = &open {
-                open.begin_request();
+                open.begin_request(request_len(&req));
                 req.extensions_mut().insert(open.clone());
             }
             let answered = handler(req);
@@ -350,6 +350,18 @@
 // ---------------------------------------------------------------------------
 // Progress of callers
 
+/// Length of a request in bytes, at least; `None` if its body is chunked.
+fn request_len(req: &Request<Incoming>) -> Option<usize> {
+    let body = usize::try_from(req.body().size_hint().exact()?).ok()?;
+    let fields = req.headers().iter();
+    // Each with a colon, a space and the end of its line.
+    let fields: usize = fields
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    let target = req.uri().path_and_query().map_or(0, |it| it.as_str().len());
+    Some(req.method().as_str().len() + target + fields + body)
+}
+
 /// Stream of a caller that records what is read.
 #[derive(Debug)]
 struct CallerStream {
--- a/crates/sapphirequayd/src/gateway/open_connection.rs
+++ b/crates/sapphirequayd/src/gateway/open_connection.rs
@@ -16,6 +16,9 @@
 /// Bytes after which the body of a request has made progress.
 const PROGRESS_BYTES: usize = 4 << 10;
 
+/// Bytes by which a request may be longer than it looks once it is parsed.
+const UNPARSED_BYTES: usize = 1 << 10;
+
 /// An open connection of a caller. Clones refer to the same one.
 #[derive(Debug, Clone)]
 pub struct OpenConnection(Arc<Connection>);
@@ -40,8 +43,10 @@
     reading: bool,
     /// Whether the response was written before the body was read.
     answered: bool,
-    /// Bytes that were read since the connection was idle, as far as they matter.
+    /// Bytes that were read since the connection was idle.
     read: usize,
+    /// Bytes of the request at least, if its length is declared.
+    expected: Option<usize>,
     /// Bytes of the body since its last progress.
     step: usize,
     /// Bytes that count for a larger read buffer.
@@ -111,13 +116,29 @@
         }
     }
 
-    /// Records that the head of a request has arrived. Its body arrives from the moment at
-    /// which it is read.
-    pub fn begin_request(&self) {
+    /// Records that the head of a request has arrived, which is at least `expected` bytes
+    /// long if its length is declared. Its body arrives from the moment at which it is read.
+    pub fn begin_request(&self, expected: Option<usize>) {
         self.update(|state| {
             state.answered = false;
+            state.expected = expected;
             Some(ConnectionPhase::Running)
         });
+        self.look_behind();
+    }
+
+    /// Records whether bytes were read that belong to no request yet: together with the
+    /// request, so that no later read tells of them.
+    fn look_behind(&self) {
+        let mut behind = false;
+        self.update(|state| {
+            let expected = state.expected.unwrap_or(usize::MAX);
+            behind = state.read > expected.saturating_add(UNPARSED_BYTES);
+            None
+        });
+        if behind {
+            self.0.memory.budget().record_behind(self.0.id);
+        }
     }
 
     /// Records that the body of the request is read from now on, until the result is
@@ -213,6 +234,7 @@
     /// Records that the body has arrived completely.
     pub fn complete(self) {
         self.0.update(|_| Some(ConnectionPhase::Running));
+        self.0.look_behind();
     }
 
     /// Waits until the connection is to be ended.
