Tests: renew the lease of an upstream before the call that needs it

Cause: the test announces app-1 once, at 19:59:50.954, and sends the order at 20:00:03.774; a lease lasts 8 s, so the refusal was right. The turns before it took 12 s since the stores waited for the disk. The turns renew the lease of llm-1 by run_turn; nothing renewed that of app-1.

Change: the test announces app-1 before the order. It checks what it checked.

--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -491,6 +491,7 @@
     let (_, got) = run_turn(&gateway, front, &llm, ("last", "", 1_000, "x"));
     assert_eq!(got.status, 200, "{got:?}");
     assert!(got.head.contains("server-leaving: 1"), "{got:?}");
+    announce(&gateway, "app-1", "app", &app);
     let got = send(front, &call("order", "o1"), "o1").expect("answer");
     assert_eq!(got.status, 200, "{got:?}");
     assert!(got.head.contains("server-leaving: 1"), "{got:?}");
