Front: log which requests a stop cut, and when it had taken them

The logs could not tell a request that is taken late from connections that are open when the process ends. New events: drain_closes, drain_left and call_cut.

--- a/crates/quay_policy/src/guard/drain.rs
+++ b/crates/quay_policy/src/guard/drain.rs
@@ -30,6 +30,7 @@
 /// Schedule of a shutdown that has begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrainPlan {
+    began: Time,
     closes: Time,
     ends: Time,
     exits: Time,
@@ -42,12 +43,19 @@
         let reserve = cfg.reserve.min(grace / MAX_RESERVE_SHARE);
         let serving = grace.saturating_sub(reserve);
         Self {
+            began: now,
             closes: now + cfg.linger.min(serving / 2),
             ends: now + serving,
             exits: now + grace,
         }
     }
 
+    /// Time at which the shutdown began.
+    #[must_use]
+    pub const fn began(&self) -> Time {
+        self.began
+    }
+
     /// Time from which connections are closed between two requests.
     #[must_use]
     pub const fn closes(&self) -> Time {
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -109,7 +109,10 @@
     let answered = tokio::select! {
         biased;
         answered = routed => answered,
-        () = front.shutdown().ended() => Err(cut_off(offered.get()).into()),
+        () = front.shutdown().ended() => {
+            front.shutdown().log_cut(&head.id, arrived);
+            Err(cut_off(offered.get()).into())
+        }
     };
     let account = account.get().map_or("", String::as_str);
     let duration = front.now().since(arrived);
@@ -334,6 +337,7 @@
                         holder: self.holder,
                         recorded,
                         ends: self.deadline.at(),
+                        arrived: self.arrived,
                         wait_ms: queue_time.as_millis(),
                         first_ms: first.as_millis(),
                     };
--- a/crates/sapphirequayd/src/gateway/front/drain.rs
+++ b/crates/sapphirequayd/src/gateway/front/drain.rs
@@ -33,6 +33,14 @@
         plan.is_none_or(|plan| plan.admits(now, time_out, repeatable))
     }
 
+    /// Logs that the shutdown cut a request which arrived at `arrived`, before an upstream
+    /// had answered it or in the middle of its stream.
+    pub fn log_cut(&self, id: &str, arrived: Time) {
+        let began = self.plan.get().map(|plan| plan.began());
+        let taken = began.map_or(Duration::ZERO, |began| arrived.since(began));
+        log::warn!("event=call_cut id={id} taken_ms={}", taken.as_millis());
+    }
+
     /// Has all requests in progress answered now.
     pub fn end(&self) {
         self.ended.set(true);
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -487,6 +487,7 @@
         let closing = &self.0.limits.closing;
         log::info!("event=drain_began connections={}", closing.open());
         sleep_until(closes).await;
+        log::info!("event=drain_closes connections={}", closing.open());
         closing.begin();
         if timeout_at(ends, closing.all_closed()).await.is_err() {
             log::warn!("event=drain_ends connections={}", closing.open());
@@ -502,5 +503,6 @@
         let reported = ends + reserve * part / whole;
         let _ = timeout_at(reported, self.leave_quotas()).await;
         self.flush_reports(reported).await;
+        log::info!("event=drain_left connections={}", closing.open());
     }
 }
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -85,6 +85,8 @@
     pub recorded: Option<oneshot::Receiver<()>>,
     /// Time at which the stream is aborted.
     pub ends: Time,
+    /// Time at which the request arrived.
+    pub arrived: Time,
     /// Milliseconds from the request's arrival until it was sent.
     pub wait_ms: u128,
     /// Milliseconds from then until the head of the upstream's response.
@@ -137,6 +139,9 @@
             StreamEnd::CallerGone => {}
             StreamEnd::Broken(why) => drop(frames.send(Err(BodyAborted(why))).await),
         }
+        if end == StreamEnd::Broken(FRONT_ENDS) {
+            self.front.shutdown().log_cut(&self.id, self.arrived);
+        }
         let storing = self.in_flight.elapsed().saturating_sub(read);
         let keep_ms = storing.as_millis();
         meters::record_stage(Stage::Stream, read);
