Front: take late in a stop only what must end before it

When most fronts stop within a few seconds, callers have nobody else to go to. Streams and safe requests were taken until the end of the grace period, whatever their time-out, and cut there: a broken stream, or 502.

Cause: DrainPlan::admits admitted what may be repeated until `ends`. Now it admits it without regard to its time-out only until connections are closed: until then callers are led to the front and could not know better. From then on everything must end before `ends`, as what may not be repeated always must.

Evidence: what_may_be_repeated_is_not_taken_late_in_a_stop_and_cut failed on the code before (a stream cut with 200 and no end, a safe request with 502, logged as call_cut with taken_ms=2531) and passes now. The check that only what can't be repeated is bounded asserted the old rule; the one in its place asserts the bound to the millisecond for both kinds, before and after connections close. The loop over a stopping front now also requires that a safe request is refused once connections close and not before.

--- a/crates/quay_policy/src/guard/drain.rs
+++ b/crates/quay_policy/src/guard/drain.rs
@@ -74,15 +74,12 @@
         self.exits
     }
 
-    /// Whether a request that may take `time_out` may be sent to an upstream now. One that
-    /// may not be repeated must end before its answer would be cut off: the caller could
-    /// not tell whether it has run.
+    /// Whether a request that may take `time_out` may be sent to an upstream now: it must
+    /// end before its answer would be cut off. Until connections are closed callers have
+    /// not been told to go elsewhere, and one that may be repeated is admitted.
     #[must_use]
     pub fn admits(&self, now: Time, time_out: Duration, repeatable: bool) -> bool {
-        if repeatable {
-            now < self.ends
-        } else {
-            now + time_out <= self.ends
-        }
+        let ends_in_time = now < self.ends && now + time_out <= self.ends;
+        ends_in_time || repeatable && now < self.closes
     }
 }
--- a/crates/quay_policy/tests/drain.rs
+++ b/crates/quay_policy/tests/drain.rs
@@ -25,14 +25,25 @@
     }
 }
 
+/// Guards against requests that are taken late in a shutdown and cut at its end.
 #[test]
-fn only_what_surely_ends_is_admitted_unless_it_may_be_repeated() {
+fn only_what_surely_ends_is_admitted_once_connections_close() {
     let plan = plan(8_000);
-    let at = Time::from_millis;
-    let left = plan.ends().since(at(3_000));
-    assert!(plan.admits(at(3_000), left, false));
-    let longer = left + Duration::from_millis(1);
-    assert!(!plan.admits(at(3_000), longer, false));
-    assert!(plan.admits(at(3_000), longer, true));
+    let more = Duration::from_millis(1);
+    let before = plan.closes() - more;
+    for (at, repeatable) in [
+        (plan.began(), false),
+        (before, false),
+        (plan.closes(), false),
+        (plan.closes(), true),
+        (plan.ends() - more, true),
+    ] {
+        let left = plan.ends().since(at);
+        assert!(plan.admits(at, left, repeatable), "{at:?}");
+        assert!(!plan.admits(at, left + more, repeatable), "{at:?}");
+    }
     assert!(!plan.admits(plan.ends(), Duration::ZERO, true));
+    assert!(!plan.admits(plan.ends(), Duration::ZERO, false));
+    // Until then callers are still led here.
+    assert!(plan.admits(before, plan.ends().since(before) * 2, true));
 }
--- a/crates/sapphirequayd/tests/planned_stops.rs
+++ b/crates/sapphirequayd/tests/planned_stops.rs
@@ -22,7 +22,8 @@
 const TABLE: &str = r#"{"Version":1,"Routes":[
 {"Name":"read","Host":"a.example","PathPrefix":"/read/","Kind":"safe","TimeoutMs":60000,"SloMs":60,"Priority":1,"Service":"app","MaxAttempts":1},
 {"Name":"order","Host":"a.example","PathPrefix":"/order/","Kind":"unsafe","TimeoutMs":60000,"SloMs":60,"Priority":1,"Service":"app","MaxAttempts":1},
-{"Name":"chat","Host":"a.example","PathPrefix":"/chat/","Kind":"streaming","TimeoutMs":60000,"SloMs":250,"Priority":1,"Service":"app","MaxAttempts":1,"Resumable":false}],
+{"Name":"chat","Host":"a.example","PathPrefix":"/chat/","Kind":"streaming","TimeoutMs":60000,"SloMs":250,"Priority":1,"Service":"app","MaxAttempts":1,"Resumable":false},
+{"Name":"talk","Host":"a.example","PathPrefix":"/talk/","Kind":"streaming","TimeoutMs":60000,"SloMs":250,"Priority":1,"Service":"app","MaxAttempts":1,"Resumable":true}],
 "Services":[{"Name":"app","MaxConns":100}],
 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
 
@@ -109,6 +110,11 @@
         self.gateway.fronts[0]
     }
 
+    /// Whether the stopping front closes connections between two requests.
+    fn closing(&self) -> bool {
+        self.gateway.logs().contains("event=drain_closes")
+    }
+
     /// Begins a request that the upstream works on for long, and waits until it does.
     fn begin_slow(&self, kind: &str, http: &'static str) -> JoinHandle<(Option<Response>, bool)> {
         let (front, id) = (self.front(), format!("slow-{kind}-{http}"));
@@ -184,8 +190,9 @@
         assert!(got.head.contains("connection: close"), "{long}: {got:?}");
         assert!(got.head.contains("retry-after"), "{long}: {got:?}");
         assert_eq!(site.upstream.runs_of(&long), 0, "{long}: {got:?}");
-        // What may be repeated is served on, or refused at the very end.
+        // What may be repeated is served on until connections are closed.
         let short = format!("read-{number}");
+        let closing = site.closing();
         let Some(got) = send(front, &head("/read/1", &short, DEADLINE_MS), "x") else {
             wait_until("the process ends", || {
                 !site.gateway.is_running(Role::Front(0))
@@ -197,6 +204,10 @@
             matches!((got.status, ran), (200, true) | (503, false)),
             "{got:?}"
         );
+        assert!(!(closing && ran), "{got:?}");
+        if !ran {
+            wait_until("connections are closed", || site.closing());
+        }
         thread::sleep(Duration::from_millis(50));
     }
     assert!(number > 0, "no request was sent during the shutdown");
@@ -204,6 +215,25 @@
     assert_eq!(got.expect("an answer").status, 502);
 }
 
+/// Guards against requests that may be repeated and are taken late in a stop to be cut.
+#[test]
+fn what_may_be_repeated_is_not_taken_late_in_a_stop_and_cut() {
+    let site = Site::start(6);
+    // Keeps the process until the end of the grace period.
+    let slow = site.begin_slow("read", "HTTP/1.1");
+    site.gateway.signal(Role::Front(0), "TERM");
+    wait_until("connections are closed", || site.closing());
+    for (kind, id) in [("talk", "slow-chat-late"), ("read", "slow-late")] {
+        let head = head(&format!("/{kind}/1"), id, DEADLINE_MS);
+        let got = send(site.front(), &head, "x").expect("an answer");
+        assert_eq!((got.status, got.complete), (503, true), "{kind}: {got:?}");
+        assert!(got.body.contains("draining"), "{kind}: {got:?}");
+        assert_eq!(site.upstream.runs_of(id), 0, "{kind}");
+    }
+    let (got, _) = slow.join().expect("caller");
+    assert_eq!(got.expect("an answer").status, 502);
+}
+
 /// Guards against a request that runs although it waited into the shutdown and can't end.
 #[test]
 fn a_request_whose_body_arrives_late_in_a_shutdown_is_not_run() {
