Front: a process that stops doesn't end under what it has taken

As soon as no connection was open, a front that stops returned its permits and reported its lost runs, which takes until 2.5 s if control hosts are out of reach. It accepted and served meanwhile, and the process ended under whatever it had taken: callers got no answer, and nothing was logged.

Cause: FrontHost::drain looked at its connections once, before the last reports. Now it looks again after them and waits for those that came; the process ends only when none is open, or after the final answers at the end of the grace period.

Evidence: what_is_taken_during_the_last_reports_of_a_stop_is_answered failed on the code before (no answer; drain_left connections=1 2.5 s after drain_ended) and passes now.

--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -6,7 +6,7 @@
 mod streams;
 
 use {
-    self::{permits::PermitSignals, quotas::QuotaSignals},
+    self::{crashes::FLUSH_TIME, permits::PermitSignals, quotas::QuotaSignals},
     super::{
         account_meters::AccountMeters,
         buffer_space::BufferSpace,
@@ -489,20 +489,36 @@
         sleep_until(closes).await;
         log::info!("event=drain_closes connections={}", closing.open());
         closing.begin();
-        if timeout_at(ends, closing.all_closed()).await.is_err() {
+        if timeout_at(ends, self.finish_requests(ends)).await.is_err() {
             log::warn!("event=drain_ends connections={}", closing.open());
             self.0.drain.end();
             let answered = ends + reserve / ANSWER_SHARE;
             if timeout_at(answered, closing.all_closed()).await.is_err() {
                 log::error!("event=drain_cut connections={}", closing.open());
             }
-        } else {
-            log::info!("event=drain_ended");
+            let (part, whole) = REPORT_SHARE;
+            let reported = ends + reserve * part / whole;
+            let _ = timeout_at(reported, self.leave_quotas()).await;
+            self.flush_reports(reported).await;
+            let _ = timeout_at(reported, closing.all_closed()).await;
         }
-        let (part, whole) = REPORT_SHARE;
-        let reported = ends + reserve * part / whole;
-        let _ = timeout_at(reported, self.leave_quotas()).await;
-        self.flush_reports(reported).await;
         log::info!("event=drain_left connections={}", closing.open());
     }
+
+    /// Waits until no connection is open and the last reports have been made, for which it
+    /// takes until `ends` at most. Connections that arrive meanwhile are waited for, too.
+    async fn finish_requests(&self, ends: Instant) {
+        let closing = &self.0.limits.closing;
+        closing.all_closed().await;
+        log::info!("event=drain_ended");
+        let reported = ends.min(Instant::now() + FLUSH_TIME);
+        loop {
+            let _ = timeout_at(reported, self.leave_quotas()).await;
+            self.flush_reports(reported).await;
+            if closing.open() == 0 {
+                return;
+            }
+            closing.all_closed().await;
+        }
+    }
 }
--- a/crates/sapphirequayd/src/gateway/front/host/crashes.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/crashes.rs
@@ -29,7 +29,7 @@
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 
 /// Maximum time for which a front that shuts down waits for its reports.
-const FLUSH_TIME: Duration = Duration::from_millis(2_500);
+pub(super) const FLUSH_TIME: Duration = Duration::from_millis(2_500);
 
 /// Interval between two checks for unacknowledged reports at shutdown.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(10);
@@ -153,7 +153,7 @@
     }
 
     /// Waits until the control group has acknowledged the crashes that this front
-    /// saw, at most for `FLUSH_TIME` and until `ends`.
+    /// saw, until `ends` at most.
     pub(super) async fn flush_reports(&self, ends: Instant) {
         let flushed = async {
             while self.upstreams().crashes().checks_pending()
@@ -162,7 +162,6 @@
                 sleep(FLUSH_INTERVAL).await;
             }
         };
-        let ends = ends.min(Instant::now() + FLUSH_TIME);
         if timeout_at(ends, flushed).await.is_err() {
             log::warn!("event=report_dropped cause=\"the process ends\"");
         }
--- a/crates/sapphirequayd/tests/planned_stops.rs
+++ b/crates/sapphirequayd/tests/planned_stops.rs
@@ -8,11 +8,11 @@
 mod scripted_upstream;
 
 use {
-    gateway::{Gateway, Response, Role, parse, send},
+    gateway::{Gateway, Response, Role, parse, read_request, send},
     scripted_upstream::ScriptedUpstream,
     std::{
         io::{Read as _, Write as _},
-        net::{SocketAddr, TcpStream},
+        net::{SocketAddr, TcpListener, TcpStream},
         sync::atomic::{AtomicU64, Ordering},
         thread::{self, JoinHandle},
         time::{Duration, Instant},
@@ -21,10 +21,11 @@
 
 const TABLE: &str = r#"{"Version":1,"Routes":[
 {"Name":"read","Host":"a.example","PathPrefix":"/read/","Kind":"safe","TimeoutMs":60000,"SloMs":60,"Priority":1,"Service":"app","MaxAttempts":1},
+{"Name":"crash","Host":"a.example","PathPrefix":"/crash/","Kind":"safe","TimeoutMs":60000,"SloMs":60,"Priority":1,"Service":"crash","MaxAttempts":1},
 {"Name":"order","Host":"a.example","PathPrefix":"/order/","Kind":"unsafe","TimeoutMs":60000,"SloMs":60,"Priority":1,"Service":"app","MaxAttempts":1},
 {"Name":"chat","Host":"a.example","PathPrefix":"/chat/","Kind":"streaming","TimeoutMs":60000,"SloMs":250,"Priority":1,"Service":"app","MaxAttempts":1,"Resumable":false},
 {"Name":"talk","Host":"a.example","PathPrefix":"/talk/","Kind":"streaming","TimeoutMs":60000,"SloMs":250,"Priority":1,"Service":"app","MaxAttempts":1,"Resumable":true}],
-"Services":[{"Name":"app","MaxConns":100}],
+"Services":[{"Name":"app","MaxConns":100},{"Name":"crash","MaxConns":100}],
 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
 
 /// Time after which a wait fails. Generous, since no test asserts a speed.
@@ -34,6 +35,10 @@
 /// than any grace period here.
 const SLOW_TIME: Duration = Duration::from_secs(40);
 
+/// Time for which the upstream works on a request whose id begins with `reports`: longer
+/// than a front that stops waits for its reports.
+const LONGER_THAN_REPORTS: Duration = Duration::from_secs(4);
+
 /// Time for which a caller waits: longer than any grace period here, too.
 const DEADLINE_MS: u32 = 50_000;
 
@@ -70,6 +75,9 @@
                 let text = format!("{head}\r\nid: 1\ndata: hello\n\n");
                 let _ = stream.write_all(text.as_bytes());
             }
+            if id.starts_with("reports") {
+                thread::sleep(LONGER_THAN_REPORTS);
+            }
             if id.starts_with("slow") {
                 thread::sleep(SLOW_TIME);
                 return false;
@@ -87,22 +95,22 @@
             send(site.gateway.controls[0], head, TABLE).is_some_and(|got| got.status == 200)
         });
         wait_until("the front serves", || {
-            site.announce();
+            site.announce("app", site.upstream.addr);
             let got = send(site.front(), &head("/order/1", "first", DEADLINE_MS), "x");
             got.is_some_and(|got| got.status == 200)
         });
         site
     }
 
-    fn announce(&self) {
+    fn announce(&self, service: &str, addr: SocketAddr) {
         static SEQUENCE: AtomicU64 = AtomicU64::new(1);
-        let (addr, sequence) = (self.upstream.addr, SEQUENCE.fetch_add(1, Ordering::Relaxed));
-        let head = "POST /sapphirequay/instances/app-1/heartbeat HTTP/1.1\nHost: c";
+        let sequence = SEQUENCE.fetch_add(1, Ordering::Relaxed);
+        let head = format!("POST /sapphirequay/instances/{service}-1/heartbeat HTTP/1.1\nHost: c");
         let body = format!(
-            r#"{{"Service":"app","Address":"{addr}","Zone":"dc-1","Version":"v1","Slots":16,"State":"ready","Seq":{sequence},"born":5}}"#
+            r#"{{"Service":"{service}","Address":"{addr}","Zone":"dc-1","Version":"v1","Slots":16,"State":"ready","Seq":{sequence},"born":5}}"#
         );
         wait_until("the heartbeat is accepted", || {
-            send(self.gateway.controls[0], head, &body).is_some_and(|got| got.status == 200)
+            send(self.gateway.controls[0], &head, &body).is_some_and(|got| got.status == 200)
         });
     }
 
@@ -234,6 +242,41 @@
     assert_eq!(got.expect("an answer").status, 502);
 }
 
+/// Guards against a process that ends under what it took while its last reports waited.
+#[test]
+fn what_is_taken_during_the_last_reports_of_a_stop_is_answered() {
+    let mut site = Site::start(30);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
+    site.announce("crash", listener.local_addr().expect("address"));
+    wait_until("the upstream is known", || {
+        site.gateway
+            .logs()
+            .contains("event=upstream_known upstream=crash-1")
+    });
+    for slot in 0..3 {
+        site.gateway.signal(Role::Control(slot), "STOP");
+    }
+    let crash = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a request");
+        read_request(&mut stream)
+    });
+    send(site.front(), &head("/crash/1", "crash", DEADLINE_MS), "x");
+    assert!(crash.join().expect("upstream").is_some());
+    wait_until("the crash is to be reported", || {
+        site.gateway.logs().contains("event=upstream_crashed")
+    });
+    site.gateway.signal(Role::Front(0), "TERM");
+    wait_until("all connections are closed", || {
+        site.gateway.logs().contains("event=drain_ended")
+    });
+    let got = send(site.front(), &head("/read/1", "reports", 9_000), "x");
+    let got = got.expect("an answer");
+    assert_eq!((got.status, &*got.body), (200, "done"), "{got:?}");
+    wait_until("the process ends", || {
+        !site.gateway.is_running(Role::Front(0))
+    });
+}
+
 /// Guards against a request that runs although it waited into the shutdown and can't end.
 #[test]
 fn a_request_whose_body_arrives_late_in_a_shutdown_is_not_run() {
