HTTP server: a connection accepted as a stop begins counts and gets an answer

A connection that was accepted at the moment at which a stop closes connections wasn't told: it stayed open, took requests one after the other and kept the process until the end of the grace period. It didn't count as open either before its task was polled. A connection that had just been accepted, with its first request on the way, was closed without an answer.

Cause: its task waited for the notification only when it was first polled, and whether the stop had begun was read before; hyper closes a connection that has read nothing yet. Now a connection counts from accept, its task looks whether the stop has begun, and one that brought no request yet has 300 ms for it. Responses during the stop name Connection: close in all servers.

--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -3,7 +3,7 @@
 use {
     super::{host_memory::HostMemory, open_connection::OpenConnection},
     bytes::Bytes,
-    http::{Request, Response, Version},
+    http::{HeaderValue, Request, Response, Version, header},
     http_body_util::{BodyExt as _, Full, combinators::UnsyncBoxBody},
     hyper::{
         body::{Body as HttpBody, Frame, Incoming, SizeHint},
@@ -148,6 +148,32 @@
     pub const fn open(&self) -> usize {
         self.open.get()
     }
+
+    /// Waits until the shutdown begins.
+    async fn begins(&self) {
+        let notified = self.begin_notify.notified();
+        if !self.has_begun() {
+            notified.await;
+        }
+    }
+}
+
+/// Counts a connection as open until it is dropped.
+#[derive(Debug)]
+struct CountedConnection(Rc<ConnectionDrain>);
+
+impl CountedConnection {
+    fn new(drain: &Rc<ConnectionDrain>) -> Self {
+        drain.open.set(drain.open.get() + 1);
+        Self(Rc::clone(drain))
+    }
+}
+
+impl Drop for CountedConnection {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.0.closed_notify.notify_waiters();
+    }
 }
 
 /// Smallest head buffer that `hyper` accepts, in bytes.
@@ -163,6 +189,10 @@
 /// shutdown, which an idle connection must not delay.
 const LAST_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which a connection that has brought no request yet stays open when a shutdown
+/// begins: its caller may have sent one. Most come within a round trip.
+const FIRST_HEAD_TIME: Duration = Duration::from_millis(300);
+
 /// Delay after `accept` failed, for example because no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -200,6 +230,7 @@
         let Ok((open, replaces)) = limits.memory.connect() else {
             continue;
         };
+        let counted = CountedConnection::new(&limits.closing);
         if replaces {
             // The connections that are ended close before the next one is accepted.
             yield_now().await;
@@ -231,10 +262,12 @@
             open: open.clone(),
         };
         let served = open.clone();
-        let http_10 = Rc::new(Cell::new(false));
-        let latest = Rc::clone(&http_10);
+        let latest = Rc::new(Cell::new(None));
+        let version = Rc::clone(&latest);
+        let drain = Rc::clone(&limits.closing);
         let service = service_fn(move |mut req: Request<Incoming>| {
-            latest.set(req.version() == Version::HTTP_10);
+            version.set(Some(req.version()));
+            let drain = Rc::clone(&drain);
             let open = served.clone();
             if let Some(open) = &open {
                 open.begin_request(request_len(&req));
@@ -242,47 +275,54 @@
             }
             let answered = handler(req);
             Box::pin(async move {
-                let Ok(response) = answered.await;
+                let Ok(mut response) = answered.await;
+                if drain.has_begun() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
                 Ok::<_, Infallible>(response.map(|body| ServedBody { body, open }))
             })
         });
         let conn = builder.serve_connection(TokioIo::new(stream), service);
-        let closing = Rc::clone(&limits.closing);
         let mark = limits.abort_mark;
-        spawn_local(drive_connection(conn, closing, open, (http_10, last), mark));
+        spawn_local(drive_connection(conn, counted, open, (latest, last), mark));
     }
 }
 
-/// Drives one connection until it is closed, or ended for want of memory. `http_10`
-/// tells whether the latest request is of HTTP/1.0, whose responses have no chunks: one
-/// without a length would look complete when an aborted connection is closed; `last`,
-/// whether the connection closes after one response anyway.
+/// Drives one connection until it is closed, or ended for want of memory. `latest` is the
+/// version of the latest request, if there was one: responses of HTTP/1.0 have no chunks,
+/// and one without a length would look complete when an aborted connection is closed;
+/// `last` tells whether the connection closes after one response anyway.
 async fn drive_connection<S>(
     mut conn: http1::Connection<TokioIo<CallerStream>, S>,
-    closing: Rc<ConnectionDrain>,
+    counted: CountedConnection,
     open: Option<OpenConnection>,
-    (http_10, last): (Rc<Cell<bool>>, bool),
+    (latest, last): (Rc<Cell<Option<Version>>>, bool),
     abort_mark: &[u8],
 ) where
     S: hyper::service::HttpService<Incoming, ResBody = ServedBody>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    closing.open.set(closing.open.get() + 1);
     let mut shutting_down = last;
+    let shutdown = async {
+        counted.0.begins().await;
+        if latest.get().is_none() {
+            sleep(FIRST_HEAD_TIME).await;
+        }
+    };
     let ended_early = async {
         match &open {
             Some(open) => open.ended().await,
             None => std::future::pending().await,
         }
     };
-    tokio::pin!(ended_early);
+    tokio::pin!(shutdown, ended_early);
     loop {
-        let notified = closing.begin_notify.notified();
         tokio::select! {
             ended = Pin::new(&mut conn) => {
                 if let Err(err) = ended {
                     log::debug!("event=caller_connection_ended cause={err}");
-                    if http_10.get() {
+                    if latest.get() == Some(Version::HTTP_10) {
                         reset(conn);
                     } else if err.is_user() && !abort_mark.is_empty() {
                         let stream = conn.into_parts().io.into_inner().stream;
@@ -291,7 +331,7 @@
                 }
                 break;
             }
-            () = notified, if !shutting_down => {
+            () = &mut shutdown, if !shutting_down => {
                 shutting_down = true;
                 close_after_response(&mut conn);
             }
@@ -309,8 +349,6 @@
     if let Some(open) = &open {
         open.close();
     }
-    closing.open.set(closing.open.get() - 1);
-    closing.closed_notify.notify_waiters();
 }
 
 async fn write_all(stream: &TcpStream, mut data: &[u8]) -> io::Result<()> {
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -25,9 +25,10 @@
     gateway::{
         BufferShare, BufferSpace, ControlCommand, ControlState, ConversationCache, EventReader,
         FollowerState, FrontSuspects, GatewayRequest, MembershipInputs, PathProbe, Pool,
-        SelectedUpstream, SlowMembers, StartupWait, StoreOp, StorePath, StoreReply, StoreRequest,
-        StreamEnd, StreamOrigins, SuspectList, TableDocument, UPSTREAM_DISCONNECTED,
-        UpstreamOutcome, Upstreams, next_membership_change, run as run_gateway, upstream_outcome,
+        SelectedUpstream, ServerLimits, SlowMembers, StartupWait, StoreOp, StorePath, StoreReply,
+        StoreRequest, StreamEnd, StreamOrigins, SuspectList, TableDocument, UPSTREAM_DISCONNECTED,
+        UpstreamOutcome, Upstreams, full, next_membership_change, run as run_gateway, serve_http,
+        upstream_outcome,
     },
     process::{
         Actor, BackupError, Clock, ControlClient, ControlError, ControlReply, ControlRequest,
