Log: wait for room on the disk wherever it is missing

Callers saw control and ledger hosts end (code 3) whose disk was full for some seconds, if the disk reported that by EDQUOT or EFBIG, or at a sync, a rename, a removal or the sync of a folder; in a fake folder, an acknowledged entry was lost after a failed sync, a restart and a loss of power.

Cause: only ENOSPC at a write or a create counted as a full disk. A failed sync ended the log, but the restarted process read the bytes of that sync, which the system may never write, synced the file again and counted them as durable.

The three errors mean a full disk at any operation. The frame is written again to a new segment, which supersedes what the last one holds from this frame on; a sync is not repeated on the same file.

Repeating the sync in place, or not writing the last frame again, makes three and one of the log's tests fail.

Tests changed: the fake folder reported its faults "crash" and "fail" as StorageFull, which is no longer an error that stops a log; they are ErrorKind::Other now, and the tests that use them check the same. The second crash is tried at up to nine operations of a recovery instead of three.

--- a/crates/quay_log/src/disk_full.rs
+++ b/crates/quay_log/src/disk_full.rs
@@ -1,33 +1,56 @@
 //! Retries operations while the disk is full.
 
-use std::{io, thread, time::Duration};
+use {
+    crate::LogError,
+    std::{io, time::Duration},
+};
 
 /// Pause before an operation on a full disk is retried; short compared with the
 /// seconds an operator needs to free space.
-const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Runs an operation that allocates disk space, retrying it while the disk is
-/// full. `operation` names it in the log lines.
+/// Whether an operation failed for want of disk space. It may succeed later.
+pub trait IsDiskFull {
+    /// Whether the disk, a quota on it or the limit on the size of files is exhausted.
+    fn is_disk_full(&self) -> bool;
+}
+
+impl IsDiskFull for io::Error {
+    fn is_disk_full(&self) -> bool {
+        use io::ErrorKind::{FileTooLarge, QuotaExceeded, StorageFull};
+        matches!(self.kind(), StorageFull | QuotaExceeded | FileTooLarge)
+    }
+}
+
+impl IsDiskFull for LogError {
+    fn is_disk_full(&self) -> bool {
+        matches!(self, Self::Io { err, .. } if err.is_disk_full())
+    }
+}
+
+/// Runs an operation that allocates disk space, and repeats it after `wait` while
+/// the disk is full. `operation` names it in the log lines.
 ///
-/// A write that fails with `StorageFull` has written nothing, so retrying it is
-/// safe. A full disk thus behaves like a slow one, and the other replicas
-/// continue meanwhile.
+/// The operation must be safe to repeat as a whole. A sync is not: after a failed
+/// one, the bytes may be lost although the next one succeeds. They have to be
+/// written again, to another file.
 ///
 /// # Errors
 ///
-/// Any error but [`io::ErrorKind::StorageFull`].
-pub fn retry_while_full<T>(
+/// Any error that doesn't mean that the disk is full.
+pub fn retry_while_full<T, E: IsDiskFull>(
     operation: &str,
-    mut attempt: impl FnMut() -> io::Result<T>,
-) -> io::Result<T> {
+    wait: impl Fn(),
+    mut attempt: impl FnMut() -> Result<T, E>,
+) -> Result<T, E> {
     let mut was_full = false;
     loop {
         match attempt() {
-            Err(err) if err.kind() == io::ErrorKind::StorageFull => {
+            Err(err) if err.is_disk_full() => {
                 if !std::mem::replace(&mut was_full, true) {
                     ::log::error!("event=disk_full operation={operation}");
                 }
-                thread::sleep(RETRY_INTERVAL);
+                wait();
             }
             result => {
                 if was_full {
--- a/crates/quay_log/src/folder.rs
+++ b/crates/quay_log/src/folder.rs
@@ -1,11 +1,12 @@
 //! File system traits under the log, so that tests can inject faults.
 
 use {
-    crate::retry_while_full,
+    crate::disk_full::RETRY_INTERVAL,
     std::{
         fs::{self, File, OpenOptions},
         io::{self, Write as _},
         path::{Path, PathBuf},
+        thread,
     },
 };
 
@@ -87,6 +88,10 @@
     ///
     /// After an error it is unknown which names are durable.
     fn sync(&self) -> io::Result<()>;
+
+    /// Blocks for a moment before an operation is repeated that failed because the
+    /// disk was full.
+    fn wait_for_room(&self);
 }
 
 /// A [`Folder`] in the file system.
@@ -133,7 +138,7 @@
 
 impl LogFile for DiskFile {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        retry_while_full("write", || self.0.write(bytes))
+        self.0.write(bytes)
     }
 
     fn sync(&mut self) -> io::Result<()> {
@@ -162,7 +167,7 @@
 
     fn create(&self, name: &str) -> io::Result<DiskFile> {
         // Opened in append mode, so that a write after a truncation leaves no hole.
-        retry_while_full("create", || fs::write(self.0.join(name), []))?;
+        fs::write(self.0.join(name), [])?;
         self.append(name)
     }
 
@@ -186,4 +191,8 @@
     fn sync(&self) -> io::Result<()> {
         File::open(&self.0)?.sync_all()
     }
+
+    fn wait_for_room(&self) {
+        thread::sleep(RETRY_INTERVAL);
+    }
 }
--- a/crates/quay_log/src/lib.rs
+++ b/crates/quay_log/src/lib.rs
@@ -6,6 +6,9 @@
 //! truncates it. Corruption before the last frame is an error, because the
 //! frames after the damaged one were acknowledged.
 //!
+//! An append waits while the disk is full. Its frame then starts a new segment, and
+//! recovery ignores what is left of it at the end of the segment before.
+//!
 //! ```
 //! use quay_log::{DiskFolder, Log, LogSettings, Record};
 //! use quay_types::{Epoch, LogIndex};
@@ -35,7 +38,7 @@
 
 pub use {
     atomic_file::{TEMP_SUFFIX, read_checked, write_atomic},
-    disk_full::retry_while_full,
+    disk_full::{IsDiskFull, retry_while_full},
     error::LogError,
     folder::{DiskFile, DiskFolder, Folder, LogFile},
     inspect::{FileReport, inspect},
--- a/crates/quay_log/src/log.rs
+++ b/crates/quay_log/src/log.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        Folder, HardState, LogEntry, LogError, LogFile, Record, Replay, Snapshot,
-        atomic_file::write_all,
-        frame, record,
-        segment::{self, End},
+        Folder, HardState, IsDiskFull as _, LogEntry, LogError, LogFile, Record, Replay, Snapshot,
+        atomic_file::{remove, replace, write_all},
+        frame, record, retry_while_full,
+        segment::{self, Batch, End},
         snapshot,
     },
     quay_types::{Epoch, LogIndex},
@@ -71,7 +71,8 @@
 
 /// A durable log. After the first failed write or sync it rejects all further
 /// operations: the content of the disk is unknown, and a later sync could
-/// succeed although an earlier failed sync lost data.
+/// succeed although an earlier failed sync lost data. While the disk is full it
+/// waits, and writes the frame again to a new segment.
 #[derive(Debug)]
 pub struct Log<F: Folder> {
     folder: F,
@@ -105,12 +106,11 @@
             stopped: false,
         };
         let recovered = log.recover()?;
-        log.hard_state = recovered.hard_state;
         Ok((log, recovered))
     }
 
     /// Appends records as one frame and syncs it. The records are durable when
-    /// this returns `Ok`.
+    /// this returns `Ok`. Waits while the disk is full.
     ///
     /// # Errors
     ///
@@ -119,7 +119,12 @@
         if self.stopped {
             return Err(LogError::Stopped);
         }
-        let result = self.try_append(records);
+        let folder = self.folder.clone();
+        let result = retry_while_full(
+            "append",
+            || folder.wait_for_room(),
+            || self.try_append(records),
+        );
         self.stopped = result.is_err();
         result
     }
@@ -142,9 +147,9 @@
             .is_some_and(|oldest| oldest.last <= covered)
         {
             let oldest = self.closed.remove(0);
-            let removed = self.folder.remove(&oldest.name);
+            let removed = remove(&self.folder, &oldest.name);
             self.stopped = removed.is_err();
-            removed.map_err(LogError::io(&oldest.name))?;
+            removed?;
         }
         Ok(())
     }
@@ -157,8 +162,17 @@
     // -----------------------------------------------------------------------
     // Appending
 
-    /// Writes and syncs one frame.
+    /// Writes and syncs one frame. If the disk is full, the segment receives no more
+    /// frames, since it may end with a part of this one.
     fn try_append(&mut self, records: &[Record]) -> Result<(), LogError> {
+        let done = self.write_frame(records);
+        if done.as_ref().is_err_and(LogError::is_disk_full) {
+            self.close_segment();
+        }
+        done
+    }
+
+    fn write_frame(&mut self, records: &[Record]) -> Result<(), LogError> {
         let full = |active: &Active<F::File>| active.bytes >= self.cfg.segment_bytes;
         let starts_segment = self.active.as_ref().is_none_or(full);
         let mut buf = frame::start();
@@ -193,19 +207,33 @@
     fn start_segment(&mut self) -> Result<(), LogError> {
         let name = segment::name(self.next);
         let file = self.folder.create(&name).map_err(LogError::io(&name))?;
-        let active = Active {
+        self.close_segment();
+        self.active = Some(Active {
             file,
             name,
             bytes: 0,
             last: LogIndex(0),
-        };
-        if let Some(full) = self.active.replace(active) {
+        });
+        Ok(())
+    }
+
+    /// Closes the active segment. A segment without a synced frame is not kept: the
+    /// next segment has its name.
+    fn close_segment(&mut self) {
+        if let Some(active) = self.active.take()
+            && active.name != segment::name(self.next)
+        {
             self.closed.push(Closed {
-                name: full.name,
-                last: full.last,
+                name: active.name,
+                last: active.last,
             });
         }
-        Ok(())
+    }
+
+    /// Syncs the names of the files. Waits while the disk is full.
+    fn sync_names(&self) -> Result<(), LogError> {
+        let wait = || self.folder.wait_for_room();
+        retry_while_full("sync", wait, || self.folder.sync()).map_err(LogError::io("folder"))
     }
 
     // -----------------------------------------------------------------------
@@ -226,17 +254,26 @@
             .filter_map(|name| segment::number(&name).map(|number| (number, name)))
             .collect();
         segments.sort_unstable();
-        let mut cut = None;
-        let count = segments.len();
+        let empty = self.remove_empty_segment(&mut segments)?;
+        let end = empty.as_ref().map(|(number, _)| *number);
+        let mut cut = empty.map(|(_, cut)| cut);
+        let mut last = None;
+        let starts: Vec<u64> = segments.iter().map(|(number, _)| *number).collect();
         for (position, (number, name)) in segments.into_iter().enumerate() {
-            let last = position + 1 == count;
-            cut = self.recover_segment(&mut replay, number, name, last)?;
+            let follower = starts.get(position + 1).copied();
+            let read = self.read_segment(number, name, follower, end)?;
+            cut = read.cut.or(cut);
+            last = self.replay_segment(&mut replay, read.segment, read.batches)?;
         }
         let (hard_state, entries) = replay.finish().map_err(|err| LogError::Corrupt {
             file: "snapshot".into(),
             offset: 0,
             reason: err.to_string().into(),
         })?;
+        self.hard_state = hard_state;
+        if let Some(last) = last {
+            self.rewrite(last)?;
+        }
         Ok(Recovered {
             hard_state,
             snapshot,
@@ -245,92 +282,169 @@
         })
     }
 
-    /// Reads one segment; only the last segment may have a torn tail.
-    fn recover_segment(
+    /// Removes the last segment if the process ended before its first frame was
+    /// synced. Returns its number.
+    fn remove_empty_segment(
+        &mut self,
+        segments: &mut Vec<(u64, Box<str>)>,
+    ) -> Result<Option<(u64, TornTail)>, LogError> {
+        let Some((number, name)) = segments.last().cloned() else {
+            return Ok(None);
+        };
+        let bytes = self.folder.read(&name).map_err(LogError::io(&name))?;
+        let read = segment::read(&bytes, number);
+        if !read.is_ok_and(|(batches, _)| batches.is_empty()) {
+            return Ok(None);
+        }
+        remove(&self.folder, &name)?;
+        // Otherwise the name could come back after a loss of power, when the segment
+        // before has gone on.
+        self.sync_names()?;
+        segments.pop();
+        self.next = number;
+        let cut = TornTail {
+            file: name,
+            offset: 0,
+            bytes: bytes.len() as u64,
+        };
+        Ok(Some((number, cut)))
+    }
+
+    /// Reads one segment up to the first frame of its follower, if it has one: a frame
+    /// for which the disk had no room is written again to a new segment. Only there,
+    /// and at the end of the log, may a frame be incomplete. `end` is the number of an
+    /// empty segment behind the last one.
+    fn read_segment(
         &mut self,
-        replay: &mut Replay,
         number: u64,
         name: Box<str>,
-        last: bool,
-    ) -> Result<Option<TornTail>, LogError> {
+        follower: Option<u64>,
+        end: Option<u64>,
+    ) -> Result<SegmentRead, LogError> {
         let corrupt = |offset: usize, reason: Box<str>| LogError::Corrupt {
             file: name.clone(),
             offset: offset as u64,
             reason,
         };
-        let first = self.active.is_none() && self.closed.is_empty();
-        if !first && number != self.next {
-            let reason = format!(
-                "the segment that starts with frame {} is missing",
-                self.next
-            );
-            return Err(corrupt(0, reason.into()));
-        }
         let bytes = self.folder.read(&name).map_err(LogError::io(&name))?;
-        let (batches, end) =
+        let (mut batches, state) =
             segment::read(&bytes, number).map_err(|fault| corrupt(fault.offset, fault.reason))?;
-        let kept = match end {
-            End::Complete => bytes.len(),
-            End::Torn(offset) if last => offset,
-            End::Torn(offset) => {
-                return Err(corrupt(
-                    offset,
-                    "incomplete frame before the last segment".into(),
-                ));
-            }
-        };
-        let mut greatest = LogIndex(0);
         self.next = number + batches.len() as u64;
+        if follower.or(end).is_some_and(|end| self.next < end) {
+            return Err(match state {
+                End::Torn(offset) => {
+                    corrupt(offset, "incomplete frame before the last segment".into())
+                }
+                End::Complete => {
+                    let next = self.next;
+                    let reason = format!("the segment that starts with frame {next} is missing");
+                    corrupt(bytes.len(), reason.into())
+                }
+            });
+        }
+        let cut = match state {
+            End::Torn(offset) if follower.is_none() => Some(TornTail {
+                file: name.clone(),
+                offset: offset as u64,
+                bytes: (bytes.len() - offset) as u64,
+            }),
+            _ => None,
+        };
+        if let Some(follower) = follower.filter(|it| *it < self.next) {
+            batches.truncate(usize::try_from(follower - number).unwrap_or(usize::MAX));
+            self.next = follower;
+        }
+        let segment = Closed {
+            name,
+            last: LogIndex(0),
+        };
+        Ok(SegmentRead {
+            segment,
+            batches,
+            cut,
+        })
+    }
+
+    /// Replays the frames of a segment and returns the last one.
+    fn replay_segment(
+        &mut self,
+        replay: &mut Replay,
+        mut segment: Closed,
+        batches: Vec<Batch>,
+    ) -> Result<Option<LastFrame>, LogError> {
+        let starts_segment = batches.len() == 1;
+        let last = batches.last().cloned();
         for batch in batches {
+            let greatest = batch.records.iter().filter_map(Record::index).max();
+            segment.last = segment.last.max(greatest.unwrap_or(LogIndex(0)));
             for record in batch.records {
-                greatest = record.index().map_or(greatest, |index| greatest.max(index));
-                replay
-                    .push(record)
-                    .map_err(|err| corrupt(batch.offset, err.to_string().into()))?;
+                replay.push(record).map_err(|err| LogError::Corrupt {
+                    file: segment.name.clone(),
+                    offset: batch.offset as u64,
+                    reason: err.to_string().into(),
+                })?;
             }
         }
-        self.activate(name, kept, bytes.len(), greatest)
+        self.closed.push(segment);
+        Ok(last.map(|batch| LastFrame {
+            starts_segment,
+            batch,
+        }))
     }
 
-    /// Removes the torn tail of a recovered segment and makes the segment the
-    /// active one.
-    fn activate(
-        &mut self,
-        name: Box<str>,
-        kept: usize,
-        bytes: usize,
-        last: LogIndex,
-    ) -> Result<Option<TornTail>, LogError> {
-        let cut = (kept < bytes).then(|| TornTail {
-            file: name.clone(),
-            offset: kept as u64,
-            bytes: (bytes - kept) as u64,
-        });
-        if kept == 0 {
-            // The process crashed before the first frame of the segment was
-            // synced.
-            self.folder.remove(&name).map_err(LogError::io(&name))?;
-            return Ok(cut);
+    /// Writes the last frame again, which may not be durable: the process may have ended
+    /// before its sync, and after a failed sync the system may still return its bytes,
+    /// although it won't write them any more. All frames before it were synced.
+    fn rewrite(&mut self, last: LastFrame) -> Result<(), LogError> {
+        let LastFrame {
+            starts_segment,
+            batch,
+        } = last;
+        self.next -= 1;
+        if !starts_segment {
+            let before = self.closed.last().map(|it| it.name.clone());
+            self.append(&batch.records)?;
+            return before.map_or(Ok(()), |name| self.truncate(&name, batch.offset));
         }
-        let mut file = self.folder.append(&name).map_err(LogError::io(&name))?;
-        if cut.is_some() {
-            file.truncate(kept as u64).map_err(LogError::io(&name))?;
-        }
-        // The data may be unsynced if the process crashed between write and
-        // sync.
-        file.sync().map_err(LogError::io(&name))?;
-        let active = Active {
+        let Some(Closed { name, last }) = self.closed.pop() else {
+            return Ok(());
+        };
+        let mut buf = record::encode(frame::start(), &batch.records)?;
+        frame::seal(&mut buf, self.next)?;
+        replace(&self.folder, &name, &buf)?;
+        let file = self.folder.append(&name).map_err(LogError::io(&name))?;
+        self.active = Some(Active {
             file,
             name,
-            bytes: kept as u64,
+            bytes: buf.len() as u64,
             last,
-        };
-        if let Some(full) = self.active.replace(active) {
-            self.closed.push(Closed {
-                name: full.name,
-                last: full.last,
-            });
-        }
-        Ok(cut)
+        });
+        self.next += 1;
+        Ok(())
     }
+
+    /// Truncates a closed segment. Waits while the disk is full.
+    fn truncate(&self, name: &str, bytes: usize) -> Result<(), LogError> {
+        let truncate = || self.folder.append(name)?.truncate(bytes as u64);
+        retry_while_full("truncate", || self.folder.wait_for_room(), truncate)
+            .map_err(LogError::io(name))
+    }
+}
+
+/// A segment that recovery has read.
+#[derive(Debug)]
+struct SegmentRead {
+    segment: Closed,
+    /// Frames that don't start a later segment again.
+    batches: Vec<Batch>,
+    /// The incomplete frame at the end of the log.
+    cut: Option<TornTail>,
+}
+
+/// The last frame of a recovered log.
+#[derive(Debug)]
+struct LastFrame {
+    /// Whether it is the first one of its segment.
+    starts_segment: bool,
+    batch: Batch,
 }
--- a/crates/quay_log/src/snapshot.rs
+++ b/crates/quay_log/src/snapshot.rs
@@ -1,7 +1,11 @@
 //! Snapshots of the state machine, each in its own file.
 
 use {
-    crate::{Folder, LogError, atomic_file::TEMP_SUFFIX, read_checked, write_atomic},
+    crate::{
+        Folder, LogError,
+        atomic_file::{TEMP_SUFFIX, remove},
+        read_checked, write_atomic,
+    },
     quay_types::{Epoch, LogIndex},
 };
 
@@ -39,7 +43,7 @@
     let file = name(snapshot.index);
     write_atomic(folder, &file, snapshot.index.0, &payload)?;
     for old in list(folder)?.into_iter().filter(|old| *old < file) {
-        folder.remove(&old).map_err(LogError::io(&old))?;
+        remove(folder, &old)?;
     }
     Ok(())
 }
@@ -83,7 +87,7 @@
 pub(crate) fn recover(folder: &impl Folder) -> Result<Option<Snapshot>, LogError> {
     let names = folder.list().map_err(LogError::io("folder"))?;
     for temp in names.iter().filter(|name| name.ends_with(TEMP_SUFFIX)) {
-        folder.remove(temp).map_err(LogError::io(temp))?;
+        remove(folder, temp)?;
     }
     read_newest_snapshot(folder)
 }
--- a/crates/quay_log/tests/files/crash.rs
+++ b/crates/quay_log/tests/files/crash.rs
@@ -3,7 +3,7 @@
 //! recovery finds.
 
 use {
-    crate::memory_folder::{Fault, Loss, MemoryFolder},
+    crate::memory_folder::{Fault, Full, Loss, MemoryFolder, Refused},
     quay_log::{
         HardState, Log, LogEntry, LogError, LogSettings, Record, Recovered, Snapshot, save_snapshot,
     },
@@ -168,7 +168,7 @@
     for at in (1..=operations).step_by(3) {
         let folder = MemoryFolder::failing(at, Fault::Crash);
         let (allowed, _) = run(&folder);
-        for second in 1..4 {
+        for second in 1..10 {
             let survived = folder.after_power_loss(Loss::Half);
             let restarted = MemoryFolder::failing(second, Fault::Crash);
             for name in quay_log::Folder::list(&survived).expect("list") {
@@ -208,6 +208,94 @@
     }
 }
 
+/// Disks that are full from each operation of the script on, in each way.
+fn full_disks(crashes: bool) -> Vec<(u64, Full)> {
+    use Refused::{All, EmptyWrites, HalfWrites, Names, Syncs, Writes};
+    use std::io::ErrorKind::{FileTooLarge, QuotaExceeded, StorageFull};
+
+    let mut kinds = [StorageFull, QuotaExceeded, FileTooLarge]
+        .into_iter()
+        .cycle();
+    let mut disks = Vec::new();
+    for at in 1..=operations() {
+        for refused in [Writes, HalfWrites, EmptyWrites, Syncs, Names, All, Syncs] {
+            let full = Full {
+                refused,
+                kind: kinds.next().expect("endless"),
+                waits: 1 + u32::try_from(disks.len() % 3).expect("small"),
+                crashes,
+            };
+            disks.push((at, full));
+        }
+    }
+    disks
+}
+
+/// Guards against a log that stops, or loses records, because its disk was full for a
+/// while and reported that elsewhere than at a write.
+#[test]
+fn a_disk_that_was_full_at_any_operation_stops_and_loses_nothing() {
+    let expected = run(&MemoryFolder::default()).0.pop().expect("a state");
+    for (at, full) in full_disks(false) {
+        let folder = MemoryFolder::failing(at, Fault::Full(full));
+        let (_, result) = run(&folder);
+        result.unwrap_or_else(|err| panic!("operation {at}, {full:?}: {err}"));
+        for loss in [Loss::All, Loss::None, Loss::Half] {
+            let found = Log::open(folder.after_power_loss(loss), CFG);
+            let (_, recovered) =
+                found.unwrap_or_else(|err| panic!("operation {at}, {full:?}, {loss:?}: {err}"));
+            let found = Model::from_recovered(recovered);
+            assert_eq!(found, expected, "operation {at}, {full:?}, {loss:?}");
+        }
+    }
+}
+
+#[test]
+fn a_loss_of_power_while_the_disk_is_full_loses_nothing_acknowledged() {
+    for (at, full) in full_disks(true) {
+        let folder = MemoryFolder::failing(at, Fault::Full(full));
+        let (allowed, _) = run(&folder);
+        for loss in [Loss::All, Loss::None, Loss::Half, Loss::FirstHalf] {
+            let found = Log::open(folder.after_power_loss(loss), CFG);
+            let (_, recovered) =
+                found.unwrap_or_else(|err| panic!("operation {at}, {full:?}, {loss:?}: {err}"));
+            let found = Model::from_recovered(recovered);
+            assert!(
+                allowed.contains(&found),
+                "operation {at}, {full:?}, {loss:?}: recovered {found:?}, allowed {allowed:?}"
+            );
+        }
+    }
+}
+
+/// Guards against a process that takes the bytes of a failed sync for durable, because
+/// it still reads them after a restart.
+#[test]
+fn a_restart_on_a_full_disk_makes_all_durable_that_it_finds() {
+    for (at, full) in full_disks(true) {
+        let folder = MemoryFolder::failing(at, Fault::Full(full));
+        let (allowed, _) = run(&folder);
+        folder.restart();
+        let (mut log, recovered) = Log::open(folder.clone(), CFG)
+            .unwrap_or_else(|err| panic!("operation {at}, {full:?}: {err}"));
+        let mut found = Model::from_recovered(recovered);
+        assert!(allowed.contains(&found), "operation {at}, {full:?}");
+        for index in 1..=2 {
+            let last = found.entries.last().map_or(found.snapshot, |it| it.index);
+            let next = [entry(last.0 + 1, 8)];
+            assert!(matches!(log.append(&next), Ok(())), "entry {index}");
+            found.append(&next);
+        }
+        let (_, recovered) = Log::open(folder.after_power_loss(Loss::All), CFG)
+            .unwrap_or_else(|err| panic!("operation {at}, {full:?}: {err}"));
+        assert_eq!(
+            Model::from_recovered(recovered),
+            found,
+            "operation {at}, {full:?}"
+        );
+    }
+}
+
 #[test]
 fn a_short_write_is_completed() {
     for at in 1..=operations() {
--- a/crates/quay_log/tests/files/disk_full.rs
+++ b/crates/quay_log/tests/files/disk_full.rs
@@ -8,14 +8,18 @@
 #[test]
 fn an_operation_is_retried_until_the_disk_has_space() {
     let tries = Cell::new(0);
-    let done = retry_while_full("write", || {
-        tries.set(tries.get() + 1);
-        if tries.get() < 5 {
-            Err(io::ErrorKind::StorageFull.into())
-        } else {
-            Ok(7)
-        }
-    });
+    let done: io::Result<i32> = retry_while_full(
+        "write",
+        || (),
+        || {
+            tries.set(tries.get() + 1);
+            if tries.get() < 5 {
+                Err(io::ErrorKind::StorageFull.into())
+            } else {
+                Ok(7)
+            }
+        },
+    );
     assert_eq!(done.expect("enough space"), 7);
     assert_eq!(tries.get(), 5);
 }
@@ -24,10 +28,14 @@
 fn any_other_error_is_returned_at_once() {
     for kind in [io::ErrorKind::Other, io::ErrorKind::WriteZero] {
         let tries = Cell::new(0);
-        let done: io::Result<()> = retry_while_full("write", || {
-            tries.set(tries.get() + 1);
-            Err(kind.into())
-        });
+        let done: io::Result<()> = retry_while_full(
+            "write",
+            || (),
+            || {
+                tries.set(tries.get() + 1);
+                Err(kind.into())
+            },
+        );
         assert_eq!(done.expect_err("error").kind(), kind);
         assert_eq!(tries.get(), 1);
     }
--- a/crates/quay_log/tests/files/memory_folder.rs
+++ b/crates/quay_log/tests/files/memory_folder.rs
@@ -20,6 +20,60 @@
     Short,
     /// A write reports success but stores zeros instead of the bytes.
     WrongBytes,
+    /// The disk is full from the operation on.
+    Full(Full),
+}
+
+/// Operations that a full disk refuses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refused {
+    /// Writes and the creation of files.
+    Writes,
+    /// The same, after a write of which half was taken.
+    HalfWrites,
+    /// Writes take no bytes.
+    EmptyWrites,
+    /// Syncs of files. As with delayed allocation, the unsynced bytes can be read but
+    /// are never written to the disk.
+    Syncs,
+    /// Changes and syncs of names.
+    Names,
+    All,
+}
+
+/// A disk that is full for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Full {
+    pub refused: Refused,
+    pub kind: io::ErrorKind,
+    /// Number of waits for room after which there is room.
+    pub waits: u32,
+    /// Whether the process crashes instead.
+    pub crashes: bool,
+}
+
+/// Kind of a file operation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Operation {
+    Create,
+    Write,
+    Sync,
+    Truncate,
+    Name,
+}
+
+impl Refused {
+    fn refuses(self, operation: Operation) -> bool {
+        match self {
+            Self::Writes | Self::HalfWrites => {
+                matches!(operation, Operation::Create | Operation::Write)
+            }
+            Self::EmptyWrites => false,
+            Self::Syncs => operation == Operation::Sync,
+            Self::Names => matches!(operation, Operation::Create | Operation::Name),
+            Self::All => true,
+        }
+    }
 }
 
 /// Fate of unsynced bytes and names when power is lost.
@@ -35,7 +89,10 @@
 
 #[derive(Debug, Clone, Default)]
 struct Content {
+    /// What is read.
     bytes: Vec<u8>,
+    /// What the next sync writes: zeros in place of bytes whose sync failed.
+    written: Vec<u8>,
     synced: Vec<u8>,
 }
 
@@ -43,16 +100,16 @@
     /// Content after a power loss.
     fn after(&self, loss: Loss) -> Vec<u8> {
         let synced = self.synced.len();
-        // An unsynced truncation is lost only with `Loss::All`.
-        if self.bytes.len() < synced {
+        // An unsynced truncation is lost with the bytes.
+        if self.written.len() < synced {
             return if loss == Loss::All {
                 self.synced.clone()
             } else {
-                self.bytes.clone()
+                self.written.clone()
             };
         }
-        let half = synced + (self.bytes.len() - synced) / 2;
-        let mut bytes = self.bytes.clone();
+        let half = synced + (self.written.len() - synced) / 2;
+        let mut bytes = self.written.clone();
         match loss {
             Loss::All => bytes.truncate(synced),
             Loss::None => {}
@@ -70,19 +127,30 @@
     synced_names: BTreeMap<Box<str>, usize>,
     operations: u64,
     fault: Option<(u64, Fault)>,
+    /// Set while the disk is full.
+    full: Option<Full>,
     crashed: bool,
 }
 
 impl State {
     /// Counts an operation and returns the fault injected into it.
-    fn operation(&mut self) -> io::Result<Option<Fault>> {
+    fn operation(&mut self, operation: Operation) -> io::Result<Option<Fault>> {
         self.operations += 1;
         let fault = self.fault.filter(|(at, _)| *at == self.operations);
         self.crashed |= matches!(fault, Some((_, Fault::Crash)));
         if self.crashed || matches!(fault, Some((_, Fault::Fail))) {
-            return Err(io::ErrorKind::StorageFull.into());
+            return Err(io::ErrorKind::Other.into());
+        }
+        if let Some((_, Fault::Full(full))) = fault {
+            self.full = Some(full);
+            if full.refused == Refused::HalfWrites && operation == Operation::Write {
+                return Ok(Some(Fault::Full(full)));
+            }
+        }
+        match self.full {
+            Some(full) if full.refused.refuses(operation) => Err(full.kind.into()),
+            _ => Ok(fault.map(|(_, fault)| fault)),
         }
-        Ok(fault.map(|(_, fault)| fault))
     }
 
     fn find(&self, name: &str) -> io::Result<usize> {
@@ -117,17 +185,22 @@
         self.state().operations
     }
 
+    /// Lets operations succeed again after a crash that was no loss of power.
+    pub fn restart(&self) {
+        let mut state = self.state();
+        (state.fault, state.full, state.crashed) = (None, None, false);
+    }
+
     /// Returns a folder with the content that survives a power loss.
     pub fn after_power_loss(&self, loss: Loss) -> Self {
         let state = self.state();
-        let names = if loss == Loss::All {
-            &state.synced_names
-        } else {
-            &state.names
+        let names = match loss {
+            Loss::All => state.synced_names.clone(),
+            _ => state.names.clone(),
         };
         let survived = Self::default();
         for (name, file) in names {
-            survived.put(name, state.files[*file].after(loss));
+            survived.put(&name, state.files[file].after(loss));
         }
         survived
     }
@@ -138,6 +211,7 @@
         let file = state.files.len();
         state.files.push(Content {
             synced: bytes.clone(),
+            written: bytes.clone(),
             bytes,
         });
         state.names.insert(name.into(), file);
@@ -148,38 +222,47 @@
 impl LogFile for MemoryFile {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let mut state = self.0.state();
-        let fault = state.operation()?;
-        let content = &mut state.files[self.1].bytes;
-        match fault {
-            Some(Fault::Short) => {
-                content.push(bytes[0]);
-                Ok(1)
-            }
-            Some(Fault::WrongBytes) => {
-                content.extend(vec![0; bytes.len()]);
-                Ok(bytes.len())
-            }
-            _ => {
-                content.extend_from_slice(bytes);
-                Ok(bytes.len())
-            }
+        let fault = state.operation(Operation::Write)?;
+        if matches!(state.full, Some(full) if full.refused == Refused::EmptyWrites) {
+            return Ok(0);
         }
+        let taken = match fault {
+            Some(Fault::Short) => bytes[..1].to_vec(),
+            Some(Fault::Full(full)) if full.refused == Refused::HalfWrites => {
+                bytes[..bytes.len().div_ceil(2)].to_vec()
+            }
+            Some(Fault::WrongBytes) => vec![0; bytes.len()],
+            _ => bytes.to_vec(),
+        };
+        let content = &mut state.files[self.1];
+        content.bytes.extend_from_slice(&taken);
+        content.written.extend_from_slice(&taken);
+        Ok(taken.len())
     }
 
     fn sync(&mut self) -> io::Result<()> {
         let mut state = self.0.state();
-        state.operation()?;
+        let done = state.operation(Operation::Sync);
+        let full = state.full.is_some() && !state.crashed;
         let content = &mut state.files[self.1];
-        content.synced = content.bytes.clone();
-        Ok(())
+        match &done {
+            Ok(_) => content.synced = content.written.clone(),
+            Err(_) if full => {
+                let synced = content.synced.len().min(content.written.len());
+                content.written[synced..].fill(0);
+            }
+            Err(_) => {}
+        }
+        done.map(drop)
     }
 
     fn truncate(&mut self, bytes: u64) -> io::Result<()> {
         let mut state = self.0.state();
-        state.operation()?;
-        state.files[self.1]
-            .bytes
-            .truncate(usize::try_from(bytes).expect("length"));
+        state.operation(Operation::Truncate)?;
+        let len = usize::try_from(bytes).expect("length");
+        let content = &mut state.files[self.1];
+        content.bytes.truncate(len);
+        content.written.truncate(len);
         Ok(())
     }
 }
@@ -193,7 +276,7 @@
 
     fn create(&self, name: &str) -> io::Result<MemoryFile> {
         let mut state = self.state();
-        state.operation()?;
+        state.operation(Operation::Create)?;
         let file = state.files.len();
         state.files.push(Content::default());
         state.names.insert(name.into(), file);
@@ -212,7 +295,7 @@
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
         let mut state = self.state();
-        state.operation()?;
+        state.operation(Operation::Name)?;
         let file = state.find(from)?;
         state.names.remove(from);
         state.names.insert(to.into(), file);
@@ -221,7 +304,7 @@
 
     fn remove(&self, name: &str) -> io::Result<()> {
         let mut state = self.state();
-        state.operation()?;
+        state.operation(Operation::Name)?;
         state.find(name)?;
         state.names.remove(name);
         Ok(())
@@ -229,8 +312,18 @@
 
     fn sync(&self) -> io::Result<()> {
         let mut state = self.state();
-        state.operation()?;
+        state.operation(Operation::Name)?;
         state.synced_names = state.names.clone();
         Ok(())
     }
+
+    fn wait_for_room(&self) {
+        let mut state = self.state();
+        if let Some(full) = &mut state.full {
+            full.waits = full.waits.saturating_sub(1);
+        }
+        if let Some(full) = state.full.take_if(|full| full.waits == 0) {
+            state.crashed = full.crashes;
+        }
+    }
 }
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)] // Each test file uses only some of the helpers.
 
+#[path = "full_disk.rs"]
+mod full_disk;
 #[path = "process_logs.rs"]
 mod process_logs;
 
@@ -54,6 +56,8 @@
     pub process_settings: String,
     /// Limit of open descriptors of the fronts that are started next.
     pub front_descriptors: Option<usize>,
+    /// Whether the disks of processes that are started next can be filled.
+    pub fillable_disks: bool,
     children: Vec<(Role, Child)>,
     folder: TempDir,
 }
@@ -92,6 +96,7 @@
             control_settings: String::new(),
             process_settings: String::new(),
             front_descriptors: None,
+            fillable_disks: false,
         }
     }
 
@@ -173,6 +178,7 @@
                 shell.arg(daemon);
                 shell
             }
+            _ if self.fillable_disks => full_disk::command(daemon),
             _ => Command::new(daemon),
         };
         let command = command.arg("--config").arg(file);
@@ -267,6 +273,12 @@
         child.is_some_and(|(_, child)| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Fills the disk of a process: its files can't grow over a size in bytes. `None`
+    /// makes room again.
+    pub fn fill_disk(&self, role: Role, bytes: Option<u64>) {
+        full_disk::limit_files(self.process_id(role), bytes);
+    }
+
     /// Operating system's id of a process.
     pub fn process_id(&self, role: Role) -> u32 {
         let child = self.children.iter().find(|(it, _)| *it == role);
--- a/crates/sapphirequayd/tests/common/processes.rs
+++ b/crates/sapphirequayd/tests/common/processes.rs
@@ -1,5 +1,7 @@
 //! Daemons in separate processes that a test may kill.
 
+#[path = "full_disk.rs"]
+mod full_disk;
 #[path = "process_logs.rs"]
 mod process_logs;
 
@@ -142,13 +144,22 @@
         // Tests are run against daemons of earlier versions, too.
         let daemon = env::var_os("SAPPHIREQUAYD");
         let daemon = daemon.unwrap_or_else(|| env!("CARGO_BIN_EXE_sapphirequayd").into());
-        let mut command = Command::new(daemon);
+        let mut command = match role {
+            Role::Ledger(_) => full_disk::command(daemon),
+            _ => Command::new(daemon),
+        };
         let command = command.arg("--config").arg(file(self.folder.path(), role));
         let command = command.stdout(log.try_clone().expect("log")).stderr(log);
         let child = start_process(command).expect("process");
         self.children.push((role, child));
     }
 
+    /// Fills the disk of a ledger host: its files can't grow over a size in bytes. `None`
+    /// makes room again.
+    pub fn fill_disk(&self, ledger: usize, bytes: Option<u64>) {
+        full_disk::limit_files(self.process_id(Role::Ledger(ledger)), bytes);
+    }
+
     /// Operating system's id of the process of a role.
     pub fn process_id(&self, role: Role) -> u32 {
         let child = self.children.iter().find(|(it, _)| *it == role);
--- a/crates/sapphirequayd/tests/kill.rs
+++ b/crates/sapphirequayd/tests/kill.rs
@@ -111,6 +111,29 @@
     }
 }
 
+/// Guards against ledger hosts that end, or refuse orders for good, after their disks
+/// were full in turn.
+#[test]
+fn ledger_hosts_whose_disks_were_full_in_turn_lose_no_order() {
+    let service = CountingService::start(Duration::from_millis(50));
+    let mut processes = start(&service);
+    let [one, two] = processes.entries;
+    for (turn, slot) in [0, 1, 2, 0, 2, 1, 0].into_iter().enumerate() {
+        processes.fill_disk(slot, Some([0, 300, 2_000][turn % 3]));
+        let key = format!("order-{turn}");
+        let answer = (200, format!("{key} run 1"));
+        for entry in [one, two] {
+            wait_for("the order is answered while a disk is full", || {
+                order(&at_most_once(&key), &key).try_send(entry) == Some(answer.clone())
+            });
+        }
+        thread::sleep(Duration::from_secs(1));
+        processes.fill_disk(slot, None);
+        assert!(processes.is_running(Role::Ledger(slot)), "turn {turn}");
+        assert_eq!(service.runs(&key), 1);
+    }
+}
+
 #[test]
 fn without_a_ledger_no_order_runs() {
     const LEDGERS: [Role; 3] = [Role::Ledger(0), Role::Ledger(1), Role::Ledger(2)];
