Stores: a quota or a limit on files is a full disk

Callers saw a store end (code 4) whose disk reported EDQUOT or EFBIG for a moment, although stores refuse records while the disk is full: only ENOSPC counted as that. Where the partial write could not be cut off because the disk was too full for that too, the store ended with that error.

All three errors refuse the records. A partial write is cut off before the next one at the latest.

Evidence: turns_are_kept_after_the_disks_of_all_stores_were_full_in_turn failed on the code before at the first store, whose process had ended.

--- a/crates/sapphirequayd/src/gateway/store/files.rs
+++ b/crates/sapphirequayd/src/gateway/store/files.rs
@@ -2,6 +2,7 @@
 //! checksum.
 
 use {
+    quay_log::IsDiskFull as _,
     quay_turns::{Record, RecordLocation},
     quay_types::GroupId,
     std::{
@@ -38,6 +39,8 @@
     file: File,
     /// Offset in `file` after the last complete frame.
     end: u64,
+    /// Whether a failed write may have left something behind `end`.
+    torn: bool,
 }
 
 /// Called with each record of a folder, its group and its location.
@@ -73,6 +76,7 @@
             segment,
             file,
             end: 0,
+            torn: false,
         };
         Ok((files, identity))
     }
@@ -87,8 +91,9 @@
     /// # Errors
     ///
     /// If the write or the sync fails. The file is then truncated to its
-    /// previous length.
+    /// previous length, at the next append if the disk is too full for that too.
     pub fn append(&mut self, records: &[(GroupId, Record)]) -> io::Result<Vec<RecordLocation>> {
+        self.discard_failed_write()?;
         if self.end >= self.segment_bytes {
             self.file = create(&self.folder, self.segment + 1)?;
             self.segment += 1;
@@ -112,14 +117,25 @@
             });
         }
         if let Err(err) = self.write(&buf) {
-            // Discards what the failed write left behind.
-            self.file.set_len(self.end)?;
-            return Err(err);
+            self.torn = true;
+            return match self.discard_failed_write() {
+                Err(failed) if !failed.is_disk_full() => Err(failed),
+                _ => Err(err),
+            };
         }
         self.end += buf.len() as u64;
         Ok(locations)
     }
 
+    /// Discards what a failed write left behind.
+    fn discard_failed_write(&mut self) -> io::Result<()> {
+        if self.torn {
+            self.file.set_len(self.end)?;
+            self.torn = false;
+        }
+        Ok(())
+    }
+
     fn write(&mut self, buf: &[u8]) -> io::Result<()> {
         self.file.seek(SeekFrom::Start(self.end))?;
         self.file.write_all(buf)?;
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -19,6 +19,7 @@
         process::Clock,
     },
     quay_link::Links,
+    quay_log::IsDiskFull as _,
     quay_turns::{
         Record, RecordLocation, StoreAnnouncement, StoreIndex, StoreIndexSettings, StoreIndexes,
         StoreMap, StoreMember, StoreView, TurnRecord,
@@ -497,7 +498,7 @@
                     let _ = reply_to.send(Some((record, location, files.segment())));
                 }
             }
-            Err(err) if err.kind() == io::ErrorKind::StorageFull => {
+            Err(err) if err.is_disk_full() => {
                 if !std::mem::replace(&mut disk_full, true) {
                     log::error!("event=store_disk_full records={}", records.len());
                 }
--- a/crates/sapphirequayd/tests/gateway.rs
+++ b/crates/sapphirequayd/tests/gateway.rs
@@ -76,7 +76,11 @@
 
 /// As [`start_gateway`], with a number of stores.
 fn start_gateway_with(stores: usize) -> (Gateway, StubUpstream, StubUpstream) {
-    let gateway = Gateway::start(stores);
+    start_prepared(Gateway::prepare(stores, ""))
+}
+
+fn start_prepared(mut gateway: Gateway) -> (Gateway, StubUpstream, StubUpstream) {
+    gateway.run_all();
     let (llm, app) = (StubUpstream::start(), StubUpstream::start());
     put_table(&gateway, 3);
     announce(&gateway, "llm-1", "llm", &llm);
@@ -246,6 +250,48 @@
     }
 }
 
+/// Guards against stores that end, or refuse turns for good, after their disks were full
+/// in turn.
+#[test]
+fn turns_are_kept_after_the_disks_of_all_stores_were_full_in_turn() {
+    let mut gateway = Gateway::prepare(3, "");
+    gateway.fillable_disks = true;
+    let (mut gateway, llm, _app) = start_prepared(gateway);
+    let [one, two] = [gateway.fronts[0], gateway.fronts[1]];
+    let (mut prior, _) = run_turn(&gateway, one, &llm, ("start", "", 100_000, "in;"));
+    let mut conversation = "in;".to_owned();
+    for (slot, bytes) in [
+        (0, 0),
+        (1, 100),
+        (2, 0),
+        (1, 250),
+        (0, 60),
+        (2, 400),
+        (1, 0),
+    ] {
+        gateway.fill_disk(Role::Store(slot), Some(bytes));
+        for front in [one, two] {
+            let name = format!("full-{slot}-{bytes}-{front}");
+            let turn = (&*name, &*prior, 100_000, "more;");
+            let (id, got) = run_turn(&gateway, front, &llm, turn);
+            assert_eq!((got.status, got.complete), (200, true), "{got:?}");
+            conversation.push_str("hello\nworld\nmore;");
+            assert_eq!(llm.requests_run().last(), Some(&conversation));
+            prior = id;
+        }
+        gateway.fill_disk(Role::Store(slot), None);
+        assert!(gateway.is_running(Role::Store(slot)), "{slot}, {bytes}");
+    }
+    for slot in 0..3 {
+        gateway.kill(Role::Store(slot));
+        gateway.run(Role::Store(slot), false);
+    }
+    let (_, got) = run_turn(&gateway, two, &llm, ("end", &prior, 100_000, "end;"));
+    assert_eq!((got.status, got.complete), (200, true), "{got:?}");
+    conversation.push_str("hello\nworld\nend;");
+    assert_eq!(llm.requests_run().last(), Some(&conversation));
+}
+
 /// The turns of the chain of `last` that a store holds, newest first; `None` if it does
 /// not answer.
 fn chain_held(gateway: &Gateway, slot: usize, last: &str) -> Option<Vec<TurnId>> {
