Quorum: bound what waits for a disk or a quorum

A leader whose disk took nothing led on, and kept in memory, twice, every entry that the others had committed; a leader whose followers' disks were full took commands without end; a follower with a full disk held one more answer for each repeated message.

Above 16 MiB of entries that wait for its own disk a leader steps down, and does not campaign until they are written: another leader sends it a few unacknowledged messages only. Above the same size of uncommitted entries it refuses commands as not proposed. An answer that is held already is not held again.

Evidence: each of the three new tests fails without its part.

--- a/crates/quay_quorum/src/memory_log.rs
+++ b/crates/quay_quorum/src/memory_log.rs
@@ -15,6 +15,9 @@
     base: Position,
     /// Contiguous entries after `base`; terms never decrease.
     entries: VecDeque<Entry>,
+    /// For each entry, the size in bytes of all entries that were appended up to it, from
+    /// an arbitrary start on.
+    ends: VecDeque<u64>,
     /// Memberships with the index of the entry that set each; the first one is
     /// in force at `base`.
     members: Vec<(LogIndex, Membership)>,
@@ -26,6 +29,7 @@
         let mut log = Self {
             base: meta.position,
             entries: VecDeque::new(),
+            ends: VecDeque::new(),
             members: vec![(meta.position.index, meta.members)],
         };
         for entry in entries {
@@ -52,6 +56,18 @@
         usize::try_from(offset).ok()
     }
 
+    /// Size of the entries after an index, in bytes.
+    pub fn bytes_after(&self, index: LogIndex) -> u64 {
+        let (Some(first), Some(all)) = (self.entries.front(), self.ends.back()) else {
+            return 0;
+        };
+        let end = match self.offset(index) {
+            Some(offset) => self.ends.get(offset).unwrap_or(all),
+            None => return all - (self.ends[0] - first.bytes() as u64),
+        };
+        all - end
+    }
+
     /// Returns the entry at an index, if retained.
     pub fn get(&self, index: LogIndex) -> Option<&Entry> {
         self.entries.get(self.offset(index)?)
@@ -80,6 +96,8 @@
         if let Payload::Members(members) = &entry.payload {
             self.members.push((entry.index(), members.clone()));
         }
+        let before = self.ends.back().copied().unwrap_or(0);
+        self.ends.push_back(before + entry.bytes() as u64);
         self.entries.push_back(entry);
     }
 
@@ -87,6 +105,7 @@
     pub fn truncate(&mut self, from: LogIndex) {
         if let Some(offset) = self.offset(from) {
             self.entries.truncate(offset);
+            self.ends.truncate(offset);
         }
         self.members
             .retain(|(index, _)| *index < from || *index <= self.base.index);
@@ -151,6 +170,7 @@
             .is_some_and(|entry| entry.index() <= through)
         {
             self.entries.pop_front();
+            self.ends.pop_front();
         }
         self.base = Position {
             term,
--- a/crates/quay_quorum/src/replica/election.rs
+++ b/crates/quay_quorum/src/replica/election.rs
@@ -115,7 +115,7 @@
     /// for this replica.
     pub(super) fn start_pre_vote(&mut self, now: Time) {
         self.reset_deadline(now);
-        if !self.log.members().1.is_voter(self.node) {
+        if !self.log.members().1.is_voter(self.node) || self.disk_lags() {
             return;
         }
         self.role = Role::PreCandidate;
--- a/crates/quay_quorum/src/replica/leader.rs
+++ b/crates/quay_quorum/src/replica/leader.rs
@@ -250,4 +250,14 @@
             self.become_follower(now, term, None);
         }
     }
+
+    /// Steps down if too many entries wait for the disk: the log of another leader does
+    /// not grow in this replica's memory, since it sends only a few unacknowledged
+    /// messages.
+    pub(super) fn check_disk(&mut self, now: Time) {
+        if self.role == Role::Leader && self.disk_lags() {
+            let term = self.hard_state.term;
+            self.become_follower(now, term, None);
+        }
+    }
 }
--- a/crates/quay_quorum/src/replica/mod.rs
+++ b/crates/quay_quorum/src/replica/mod.rs
@@ -66,7 +66,7 @@
 }
 
 /// A message that may be sent only after a write is synced.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 struct HeldMessage {
     persist_id: PersistId,
     to: NodeId,
@@ -328,10 +328,11 @@
         mem::take(&mut self.out)
     }
 
-    /// Checks the quorum as leader, or the election timeout otherwise.
+    /// Checks the quorum and the disk as leader, or the election timeout otherwise.
     fn on_tick(&mut self, now: Time) {
         if self.role == Role::Leader {
             self.check_quorum(now);
+            self.check_disk(now);
         } else if now >= self.deadline {
             self.start_pre_vote(now);
         }
@@ -345,6 +346,11 @@
         self.hard_state_changed || self.write_issued < self.log.last().index
     }
 
+    /// Whether too many entries wait for the disk, as while it is full.
+    fn disk_lags(&self) -> bool {
+        self.log.bytes_after(self.persisted_index) > self.cfg.max_waiting_bytes
+    }
+
     /// Hands out the next write, if there is anything to write.
     fn flush_writes(&mut self) {
         if !self.has_unwritten_state() {
@@ -373,14 +379,15 @@
         // State that was not handed out yet is part of the next write.
         let persist_id = PersistId(self.next_persist_id.0 - u64::from(!self.has_unwritten_state()));
         let skip_wait = self.cfg.mutation == Mutation::ReplyBeforePersist && to != self.node;
+        let held = HeldMessage {
+            persist_id,
+            to,
+            message,
+        };
         if persist_id <= self.last_persisted_id || skip_wait {
-            self.send(to, message);
-        } else {
-            self.held_messages.push_back(HeldMessage {
-                persist_id,
-                to,
-                message,
-            });
+            self.send(to, held.message);
+        } else if self.held_messages.back() != Some(&held) {
+            self.held_messages.push_back(held);
         }
     }
 
--- a/crates/quay_quorum/src/replica/requests.rs
+++ b/crates/quay_quorum/src/replica/requests.rs
@@ -40,7 +40,9 @@
 
     /// Proposes a command.
     pub(super) fn propose(&mut self, now: Time, tag: u64, command: Box<[u8]>) {
-        match self.refusal(now) {
+        let waiting = || self.log.bytes_after(self.commit) > self.cfg.max_waiting_bytes;
+        let backlog = || waiting().then_some(Refusal::NoQuorum);
+        match self.refusal(now).or_else(backlog) {
             Some(refusal) => self.refuse(tag, refusal),
             None => self.append(tag, Payload::Command(command)),
         }
--- a/crates/quay_quorum/src/settings.rs
+++ b/crates/quay_quorum/src/settings.rs
@@ -52,6 +52,9 @@
     pub keep_entries: u64,
     /// Maximum number of entries that a learner may lack when it is promoted.
     pub max_promotion_lag: u64,
+    /// Size of the entries that may wait in a leader's memory, in bytes. While more wait
+    /// for a quorum, it refuses commands; if more wait for its own disk, it steps down.
+    pub max_waiting_bytes: u64,
     /// Deliberate protocol error; only for tests of the safety checks.
     pub mutation: Mutation,
 }
@@ -71,6 +74,7 @@
             max_in_flight: 8,
             keep_entries: 4_096,
             max_promotion_lag: 64,
+            max_waiting_bytes: 16 << 20,
             mutation: Mutation::None,
         }
     }
--- a/crates/quay_quorum/tests/replica.rs
+++ b/crates/quay_quorum/tests/replica.rs
@@ -2,8 +2,8 @@
 
 use {
     quay_quorum::{
-        Action, Input, Member, Membership, MembershipChange, Message, PlacementAdvice, Position,
-        Refusal, Replica, Settings, placement_advice,
+        Action, AppendOutcome, Entry, Input, Member, Membership, MembershipChange, Message,
+        Payload, PlacementAdvice, Position, Refusal, Replica, Settings, placement_advice,
     },
     quay_types::{Epoch, LogIndex, NodeId, Time},
     std::time::Duration,
@@ -99,6 +99,93 @@
     assert!(actions.contains(&Action::SteppedDown), "{actions:?}");
 }
 
+/// Guards against a leader that keeps all entries in memory while its disk is full.
+#[test]
+fn a_leader_whose_disk_takes_nothing_hands_over() {
+    let (mut replica, mut now) = leader();
+    let cfg = Settings::default();
+    let (tag, term) = (1, Epoch(1));
+    let mut unwritten = Vec::new();
+    while replica.is_leader() {
+        let command = vec![7; 1 << 20].into();
+        let mut actions = replica.step(now, Input::Propose { tag, command });
+        actions.extend(replica.flush(now));
+        unwritten.extend(actions.into_iter().filter_map(|action| match action {
+            Action::Persist(persist) => Some(persist.id),
+            _ => None,
+        }));
+        assert!(unwritten.len() as u64 <= 1 + (cfg.max_waiting_bytes >> 20));
+        let outcome = AppendOutcome::Matched(replica.status().last.index);
+        replica.step(now, message(2, Message::AppendReply { term, outcome }));
+        now = now + cfg.heartbeat;
+        replica.step(now, Input::Tick);
+    }
+    assert!(unwritten.len() > 2, "it leads on while little waits");
+    let campaigns = |replica: &mut Replica| {
+        let actions = replica.step(replica.deadline(), Input::Tick);
+        let asks = |action: &Action| matches!(action, Action::Send { message, .. } if matches!(message, Message::PreVote { .. }));
+        actions.iter().any(asks)
+    };
+    assert!(!campaigns(&mut replica));
+    let last = unwritten.pop().expect("a write");
+    replica.step(now, Input::Persisted(last));
+    assert!(campaigns(&mut replica));
+}
+
+/// Guards against a leader that takes commands without end while no follower has room.
+#[test]
+fn commands_are_refused_while_too_many_wait_for_a_quorum() {
+    let (mut replica, now) = leader();
+    let propose = |replica: &mut Replica| {
+        let command = vec![7; 1 << 20].into();
+        refusals(&step(replica, now, Input::Propose { tag: 1, command }))
+    };
+    let taken = (0..100).take_while(|_| propose(&mut replica).is_empty());
+    let taken = taken.count();
+    assert!((2..100).contains(&taken), "{taken}");
+    assert_eq!(propose(&mut replica), [Refusal::NoQuorum]);
+    let (term, outcome) = (
+        Epoch(1),
+        AppendOutcome::Matched(replica.status().last.index),
+    );
+    let reply = Message::AppendReply { term, outcome };
+    step(&mut replica, now, message(2, reply));
+    assert!(propose(&mut replica).is_empty());
+}
+
+/// Guards against a follower that queues an answer to each repeated message while its
+/// disk is full.
+#[test]
+fn a_repeated_message_is_answered_once_when_its_write_ends() {
+    let settings = Settings::default();
+    let mut replica = Replica::bootstrap(NodeId(2), three_voters(), settings, 1, Time::ZERO);
+    let entry = Entry {
+        position: Position {
+            term: Epoch(1),
+            index: LogIndex(1),
+        },
+        payload: Payload::Empty,
+    };
+    let append = Message::Append {
+        term: Epoch(1),
+        prev: Position::default(),
+        entries: vec![entry],
+        commit: LogIndex(0),
+    };
+    let mut written = None;
+    for _ in 0..5 {
+        replica.step(Time::ZERO, message(1, append.clone()));
+        let actions = replica.flush(Time::ZERO);
+        written = written.or(actions.iter().find_map(|action| match action {
+            Action::Persist(persist) => Some(persist.id),
+            _ => None,
+        }));
+    }
+    let written = written.expect("a write");
+    let answers = replica.step(Time::ZERO, Input::Persisted(written));
+    assert_eq!(answers.len(), 1, "{answers:?}");
+}
+
 #[test]
 fn a_vote_is_sent_only_after_it_is_persisted() {
     let mut replica = Replica::bootstrap(
@@ -217,7 +304,7 @@
         [Refusal::NotReady]
     );
     let matched = |index| {
-        let outcome = quay_quorum::AppendOutcome::Matched(LogIndex(index));
+        let outcome = AppendOutcome::Matched(LogIndex(index));
         message(
             2,
             Message::AppendReply {
@@ -282,7 +369,7 @@
         now,
         message(2, Message::VoteReply { term, granted }),
     );
-    let outcome = quay_quorum::AppendOutcome::Matched(LogIndex(1));
+    let outcome = AppendOutcome::Matched(LogIndex(1));
     let matched = Message::AppendReply { term, outcome };
     step(&mut replica, now, message(2, matched));
     step(&mut replica, now, Input::SnapshotSaved(LogIndex(1)));
@@ -331,7 +418,7 @@
 #[test]
 fn a_lost_snapshot_is_sent_again_once_later_messages_arrive() {
     let (mut replica, mut now) = leader_with_compacted_log();
-    let outcome = quay_quorum::AppendOutcome::Rejected {
+    let outcome = AppendOutcome::Rejected {
         prev: LogIndex(1),
         hint: LogIndex(0),
     };
@@ -351,7 +438,7 @@
         "the snapshot is lost: later messages arrived and it was not acknowledged"
     );
     step(&mut replica, now, Input::SnapshotQueued(NodeId(3)));
-    let outcome = quay_quorum::AppendOutcome::Matched(LogIndex(1));
+    let outcome = AppendOutcome::Matched(LogIndex(1));
     let matched = Message::AppendReply { term, outcome };
     step(&mut replica, now, message(3, matched));
     assert!(
