Log: sync the name of each removed segment

After a loss of power a host could not open its log and stayed away: "the segment that starts with frame 9 is missing". Compaction removed several segments without a sync of the folder, and each name may come back or stay away by itself.

The names are synced one by one, so that at most the newest removed segment comes back, which the kept ones follow.

--- a/crates/quay_log/src/log.rs
+++ b/crates/quay_log/src/log.rs
@@ -139,15 +139,15 @@
         if self.stopped {
             return Err(LogError::Stopped);
         }
-        // Removed from the oldest on, because recovery requires consecutive
-        // segments.
+        // Removed from the oldest on, and each for good, because recovery requires
+        // consecutive segments.
         while self
             .closed
             .first()
             .is_some_and(|oldest| oldest.last <= covered)
         {
             let oldest = self.closed.remove(0);
-            let removed = remove(&self.folder, &oldest.name);
+            let removed = remove(&self.folder, &oldest.name).and_then(|()| self.sync_names());
             self.stopped = removed.is_err();
             removed?;
         }
--- a/crates/quay_log/tests/files/crash.rs
+++ b/crates/quay_log/tests/files/crash.rs
@@ -162,6 +162,25 @@
     }
 }
 
+/// Guards against a log that can't be opened, since some of its removed segments come back
+/// after a loss of power.
+#[test]
+fn names_that_are_lost_or_come_back_one_by_one_lose_nothing_acknowledged() {
+    for at in 1..=operations() {
+        let folder = MemoryFolder::failing(at, Fault::Crash);
+        let (allowed, _) = run(&folder);
+        for loss in [Loss::EvenNames, Loss::OddNames] {
+            let (_, recovered) = Log::open(folder.after_power_loss(loss), CFG)
+                .unwrap_or_else(|err| panic!("operation {at}, {loss:?}: {err}"));
+            let found = Model::from_recovered(recovered);
+            assert!(
+                allowed.contains(&found),
+                "operation {at}, {loss:?}: recovered {found:?}, allowed {allowed:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_second_crash_during_recovery_loses_nothing_acknowledged() {
     let operations = operations();
--- a/crates/quay_log/tests/files/memory_folder.rs
+++ b/crates/quay_log/tests/files/memory_folder.rs
@@ -3,7 +3,7 @@
 use {
     quay_log::{Folder, LogFile},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         io,
         sync::{Arc, Mutex, MutexGuard},
     },
@@ -85,6 +85,11 @@
     Half,
     /// The first half of the unsynced bytes becomes zero, the rest is kept.
     FirstHalf,
+    /// Every other unsynced name is lost, or comes back if it was removed; unsynced bytes
+    /// are lost.
+    EvenNames,
+    /// The same with the other names.
+    OddNames,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -102,7 +107,7 @@
         let synced = self.synced.len();
         // An unsynced truncation is lost with the bytes.
         if self.written.len() < synced {
-            return if loss == Loss::All {
+            return if matches!(loss, Loss::All | Loss::EvenNames | Loss::OddNames) {
                 self.synced.clone()
             } else {
                 self.written.clone()
@@ -111,7 +116,7 @@
         let half = synced + (self.written.len() - synced) / 2;
         let mut bytes = self.written.clone();
         match loss {
-            Loss::All => bytes.truncate(synced),
+            Loss::All | Loss::EvenNames | Loss::OddNames => bytes.truncate(synced),
             Loss::None => {}
             Loss::Half => bytes.truncate(half),
             Loss::FirstHalf => bytes[synced..half].fill(0),
@@ -153,6 +158,23 @@
         }
     }
 
+    /// Names after a loss of power that undoes every other unsynced change.
+    fn names_after(&self, kept: usize) -> BTreeMap<Box<str>, usize> {
+        let mut names = self.synced_names.clone();
+        let all = self.names.keys().chain(self.synced_names.keys());
+        let all: BTreeSet<_> = all.collect();
+        let changed = all
+            .into_iter()
+            .filter(|name| self.names.get(*name) != self.synced_names.get(*name));
+        for name in changed.skip(kept).step_by(2) {
+            match self.names.get(name) {
+                Some(file) => names.insert(name.clone(), *file),
+                None => names.remove(name),
+            };
+        }
+        names
+    }
+
     fn find(&self, name: &str) -> io::Result<usize> {
         self.names
             .get(name)
@@ -196,6 +218,8 @@
         let state = self.state();
         let names = match loss {
             Loss::All => state.synced_names.clone(),
+            Loss::EvenNames => state.names_after(0),
+            Loss::OddNames => state.names_after(1),
             _ => state.names.clone(),
         };
         let survived = Self::default();
