Front: count the grace period of a stop from the signal, not from its reading

A front that stood still when SIGTERM was sent (its machine paused, say) read the signal late and planned the whole grace period from then on. The platform counts from the signal and kills the process in the middle: requests that it had taken, late ones too, got no answer.

Now the plan begins at the earliest time at which the signal can have been sent: quay_policy::StandstillClock knows by the periodic task when the process ran last before a gap of a second or more. What is left of the grace period is used as ever; if nothing is, all get their final answer at once.

Evidence: a_front_that_stood_still_counts_its_grace_period_from_the_signal (9 s of standstill, a grace period of 8 s, killed 4 s later) got no answer with the plan from the reading of the signal, and gets its 502 now.

--- a/crates/quay_policy/src/guard/drain.rs
+++ b/crates/quay_policy/src/guard/drain.rs
@@ -83,3 +83,39 @@
         ends_in_time || repeatable && now < self.closes
     }
 }
+
+/// Gap between two runs of a periodic task from which on its process stood still.
+const STANDSTILL: Duration = Duration::from_secs(1);
+
+/// Tells when a signal can have been sent that a process reads: one that stood still, for
+/// example since its machine was paused, reads it late.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StandstillClock {
+    /// When the periodic task ran last.
+    ran: Time,
+    /// Begin and end of the last standstill.
+    stood: Option<(Time, Time)>,
+}
+
+impl StandstillClock {
+    /// Records that a task ran, which runs several times a second.
+    pub fn record_run(&mut self, now: Time) {
+        if now.since(self.ran) >= STANDSTILL {
+            self.stood = Some((self.ran, now));
+        }
+        self.ran = now;
+    }
+
+    /// Earliest time at which a signal that is read now can have been sent.
+    #[must_use]
+    pub fn signal_sent(&self, now: Time) -> Time {
+        if now.since(self.ran) >= STANDSTILL {
+            return self.ran;
+        }
+        match self.stood {
+            // The task may have run before the signal was read.
+            Some((from, until)) if now.since(until) < STANDSTILL => from,
+            _ => now,
+        }
+    }
+}
--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -20,7 +20,7 @@
 
 pub use {
     crashes::{CheckResult, CrashDetector, CrashSettings, RunEnd},
-    drain::{DrainPlan, DrainSettings},
+    drain::{DrainPlan, DrainSettings, StandstillClock},
     fleet_quota::{
         AccountLimit, FleetQuotaAllocator, FleetQuotaHolder, FleetQuotaSettings, Permission,
         QuotaGrant, QuotaReply, QuotaReport, QuotaRequest, QuotaUse, QuotaView,
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -38,8 +38,8 @@
         PermitDemand, PermitGrant, PermitRequest, QuotaAllocator, QuotaGrant, QuotaHolder,
         QuotaLease, QuotaReply, QuotaReport, QuotaRequest, QuotaSettings, QuotaUse, QuotaView,
         RecordedOrigin, Requirements, ResumeFacts, ResumeRefusal, RetryBudgets, RetrySettings,
-        RunEnd, ServiceVersion, ServiceVersions, StreamOrigin, SuspectCommand, SuspectEvent,
-        SuspectRegistry, SuspectReply, SuspectSettings, UpstreamFilter, UpstreamRun,
+        RunEnd, ServiceVersion, ServiceVersions, StandstillClock, StreamOrigin, SuspectCommand,
+        SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings, UpstreamFilter, UpstreamRun,
         VersionRegistry, VersionRollout, VersionRolloutSettings, VersionsSeen,
     },
     memory::{
--- a/crates/quay_policy/tests/drain.rs
+++ b/crates/quay_policy/tests/drain.rs
@@ -1,7 +1,7 @@
 //! Schedule of a shutdown.
 
 use {
-    quay_policy::{DrainPlan, DrainSettings},
+    quay_policy::{DrainPlan, DrainSettings, StandstillClock},
     quay_types::Time,
     std::time::Duration,
 };
@@ -47,3 +47,22 @@
     // Until then callers are still led here.
     assert!(plan.admits(before, plan.ends().since(before) * 2, true));
 }
+
+/// Guards against a grace period that is counted from the end of a standstill.
+#[test]
+fn a_signal_read_after_a_standstill_may_be_as_old_as_it() {
+    let at = Time::from_millis;
+    let mut clock = StandstillClock::default();
+    for ms in (0..=3_000).step_by(300) {
+        clock.record_run(at(ms));
+        assert_eq!(clock.signal_sent(at(ms + 299)), at(ms + 299));
+    }
+    // Stands still from then on, and reads the signal first, or runs first.
+    assert_eq!(clock.signal_sent(at(9_000)), at(3_000));
+    clock.record_run(at(9_000));
+    assert_eq!(clock.signal_sent(at(9_001)), at(3_000));
+    for ms in (9_300..=10_200).step_by(300) {
+        clock.record_run(at(ms));
+    }
+    assert_eq!(clock.signal_sent(at(10_201)), at(10_201));
+}
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -33,7 +33,10 @@
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
-    quay_policy::{DrainPlan, DrainSettings, FleetQuotaHolder, FleetQuotaSettings, MemoryHolder},
+    quay_policy::{
+        DrainPlan, DrainSettings, FleetQuotaHolder, FleetQuotaSettings, MemoryHolder,
+        StandstillClock,
+    },
     quay_routes::{Dialect, RoutingTable},
     quay_turns::TurnRecord,
     quay_types::{AttemptTag, ProgramTag, Time, TurnId},
@@ -126,6 +129,7 @@
     /// Time without an update after which keys are refused, if they are.
     revoke_after: Option<Duration>,
     drain: FrontDrain,
+    standstill: Cell<StandstillClock>,
     /// Random identity of this front in requests for directory changes.
     reader: u64,
     /// Link address of this front.
@@ -174,6 +178,7 @@
             last_confirmed: Cell::default(),
             revoke_after: settings.revoke_after(),
             drain: FrontDrain::default(),
+            standstill: Cell::default(),
             reader,
             link,
         }))
@@ -457,6 +462,9 @@
         loop {
             sleep(MAINTENANCE_INTERVAL).await;
             let now = self.now();
+            let mut standstill = self.0.standstill.get();
+            standstill.record_run(now);
+            self.0.standstill.set(standstill);
             self.upstreams().tick(now);
             self.check_upstreams();
             let closing = self.0.limits.closing.has_begun();
@@ -474,18 +482,23 @@
         }
     }
 
-    /// Shuts down gracefully within `grace`: reports not ready, then closes each
+    /// Shuts down gracefully within `grace` of the signal: reports not ready, then closes each
     /// connection between two responses. Requests that are still in progress near the
     /// end of `grace` get their final answer.
     pub async fn drain(&self, grace: Duration) {
-        let plan = DrainPlan::new(self.now(), grace, &DrainSettings::default());
+        let sent = self.0.standstill.get().signal_sent(self.now());
+        let plan = DrainPlan::new(sent, grace, &DrainSettings::default());
         let began = Instant::now();
         let at = |time: Time| began + time.since(self.now());
         let (closes, ends) = (at(plan.closes()), at(plan.ends()));
         let reserve = plan.exits().since(plan.ends());
         self.0.drain.begin(plan);
         let closing = &self.0.limits.closing;
-        log::info!("event=drain_began connections={}", closing.open());
+        log::info!(
+            "event=drain_began connections={} stood_ms={}",
+            closing.open(),
+            self.now().since(sent).as_millis()
+        );
         sleep_until(closes).await;
         log::info!("event=drain_closes connections={}", closing.open());
         closing.begin();
--- a/crates/sapphirequayd/tests/planned_stops.rs
+++ b/crates/sapphirequayd/tests/planned_stops.rs
@@ -298,3 +298,20 @@
     assert_eq!(site.upstream.runs_of("late"), 0);
     site.gateway.terminate(Role::Front(0));
 }
+
+/// Guards against requests that get no answer since the process stood still when the signal
+/// was sent, and counts its grace period from when it read it.
+#[test]
+fn a_front_that_stood_still_counts_its_grace_period_from_the_signal() {
+    let mut site = Site::start(8);
+    let slow = site.begin_slow("read", "HTTP/1.1");
+    site.gateway.signal(Role::Front(0), "STOP");
+    site.gateway.signal(Role::Front(0), "TERM");
+    thread::sleep(Duration::from_secs(9));
+    site.gateway.signal(Role::Front(0), "CONT");
+    // The platform kills it then at the latest.
+    thread::sleep(Duration::from_secs(4));
+    site.gateway.kill(Role::Front(0));
+    let (got, _) = slow.join().expect("caller");
+    assert_eq!(got.expect("an answer").status, 502);
+}
