--- a/crates/sapphirequayd/tests/planned_stops.rs
+++ b/crates/sapphirequayd/tests/planned_stops.rs
@@ -180,6 +180,10 @@
     wait_until("the front stops", || {
         site.gateway.logs().contains("event=drain_began")
     });
+    // Neither a second signal nor a reload changes anything.
+    for signal in ["TERM", "HUP"] {
+        site.gateway.signal(Role::Front(0), signal);
+    }
     let front = site.front();
     let mut number = 0;
     while !slow.is_finished() {
@@ -231,12 +235,16 @@
     let slow = site.begin_slow("read", "HTTP/1.1");
     site.gateway.signal(Role::Front(0), "TERM");
     wait_until("connections are closed", || site.closing());
-    for (kind, id) in [("talk", "slow-chat-late"), ("read", "slow-late")] {
-        let head = head(&format!("/{kind}/1"), id, DEADLINE_MS);
+    for (kind, id, resumed) in [
+        ("talk", "slow-chat-late", ""),
+        ("talk", "slow-chat-resumed", "\nLast-Event-Id: 1"),
+        ("read", "slow-late", ""),
+    ] {
+        let head = head(&format!("/{kind}/1"), id, DEADLINE_MS) + resumed;
         let got = send(site.front(), &head, "x").expect("an answer");
-        assert_eq!((got.status, got.complete), (503, true), "{kind}: {got:?}");
-        assert!(got.body.contains("draining"), "{kind}: {got:?}");
-        assert_eq!(site.upstream.runs_of(id), 0, "{kind}");
+        assert_eq!((got.status, got.complete), (503, true), "{id}: {got:?}");
+        assert!(got.body.contains("draining"), "{id}: {got:?}");
+        assert_eq!(site.upstream.runs_of(id), 0, "{id}");
     }
     let (got, _) = slow.join().expect("caller");
     assert_eq!(got.expect("an answer").status, 502);
