Front: connections that a stopping process has not accepted yet get an answer

When the process of a front that stops ended, the system reset the connections that waited to be accepted, and those that came until the process was gone: callers whose requests had never been read couldn't know that.

Now the last step of a stop closes the listener: what waits is accepted and answered first, and the process ends when those connections are closed. A connection that comes later is refused, so that its caller knows at once that nothing has run.

Evidence: connections_made_before_the_listener_is_closed_get_an_answer failed without the accepting of what waits (connection reset by peer).

--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -513,7 +513,7 @@
             let reported = ends + reserve * part / whole;
             let _ = timeout_at(reported, self.leave_quotas()).await;
             self.flush_reports(reported).await;
-            let _ = timeout_at(reported, closing.all_closed()).await;
+            let _ = timeout_at(reported, closing.finish()).await;
         }
         log::info!("event=drain_left connections={}", closing.open());
     }
@@ -529,9 +529,10 @@
             let _ = timeout_at(reported, self.leave_quotas()).await;
             self.flush_reports(reported).await;
             if closing.open() == 0 {
-                return;
+                break;
             }
             closing.all_closed().await;
         }
+        closing.finish().await;
     }
 }
--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -116,8 +116,13 @@
     begin_notify: Notify,
     /// Number of open connections.
     open: Cell<usize>,
-    /// Notified when a connection is closed.
+    /// Number of listeners that accept connections.
+    listening: Cell<usize>,
+    /// Notified when a connection or a listener is closed.
     closed_notify: Notify,
+    /// Whether the listeners are to be closed.
+    finishing: Cell<bool>,
+    finish_notify: Notify,
 }
 
 impl ConnectionDrain {
@@ -134,16 +139,35 @@
 
     /// Waits until all connections are closed.
     pub async fn all_closed(&self) {
-        while self.open() > 0 {
+        self.closed_while(|| self.open() > 0).await;
+    }
+
+    /// Closes the listeners, and waits until the connections are closed that had been made
+    /// until then.
+    pub async fn finish(&self) {
+        self.finishing.set(true);
+        self.finish_notify.notify_waiters();
+        self.closed_while(|| self.listening.get() + self.open() > 0)
+            .await;
+    }
+
+    async fn closed_while(&self, waits: impl Fn() -> bool) {
+        while waits() {
             let notified = self.closed_notify.notified();
-            tokio::pin!(notified);
-            notified.as_mut().enable();
-            if self.open() > 0 {
+            if waits() {
                 notified.await;
             }
         }
     }
 
+    /// Waits until the listeners are to be closed.
+    async fn finishes(&self) {
+        let notified = self.finish_notify.notified();
+        if !self.finishing.get() {
+            notified.await;
+        }
+    }
+
     /// Number of open connections.
     pub const fn open(&self) -> usize {
         self.open.get()
@@ -158,6 +182,23 @@
     }
 }
 
+/// Counts a listener until it is dropped.
+struct CountedListener<'a>(&'a ConnectionDrain);
+
+impl<'a> CountedListener<'a> {
+    fn new(drain: &'a ConnectionDrain) -> Self {
+        drain.listening.set(drain.listening.get() + 1);
+        Self(drain)
+    }
+}
+
+impl Drop for CountedListener<'_> {
+    fn drop(&mut self) {
+        self.0.listening.set(self.0.listening.get() - 1);
+        self.0.closed_notify.notify_waiters();
+    }
+}
+
 /// Counts a connection as open until it is dropped.
 #[derive(Debug)]
 struct CountedConnection(Rc<ConnectionDrain>);
@@ -202,12 +243,14 @@
 /// Time in which the request on a connection that is ended gets its answer.
 const LAST_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Accepts connections and serves their requests until the task is dropped.
+/// Accepts connections and serves their requests until the task is dropped, or the
+/// shutdown closes the listener.
 pub async fn serve<F, R>(listener: TcpListener, handler: F, limits: &ServerLimits)
 where
     F: Fn(Request<Incoming>) -> R + Clone + 'static,
     R: Future<Output = Result<Response<Body>, Infallible>> + 'static,
 {
+    let _listening = CountedListener::new(&limits.closing);
     let mut receive_buffer = None;
     loop {
         // Accepted sockets have the size that the listener has, from the first byte on.
@@ -218,77 +261,99 @@
                 log::debug!("event=receive_buffer_unset cause={err}");
             }
         }
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = limits.closing.finishes() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => start_connection(stream, &handler, limits).await,
             Err(err) => {
                 log::warn!("event=accept_failed cause={err:?}");
                 limits.memory.free_descriptor();
                 sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
             }
-        };
-        let Ok((open, replaces)) = limits.memory.connect() else {
-            continue;
-        };
-        let counted = CountedConnection::new(&limits.closing);
-        if replaces {
-            // The connections that are ended close before the next one is accepted.
-            yield_now().await;
         }
-        let _ = stream.set_nodelay(true);
-        if limits.memory.is_limited()
-            && let Err(err) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES)
-        {
-            log::debug!("event=send_buffer_unset cause={err}");
+    }
+    // The system resets the connections that a closed listener has not accepted.
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        match stream.and_then(TcpStream::from_std) {
+            Ok(stream) => start_connection(stream, &handler, limits).await,
+            Err(err) => log::warn!("event=accept_failed cause={err:?}"),
         }
-        let mut builder = http1::Builder::new();
-        // A connection that arrives while the others are closed gets one answer.
-        let last = limits.closing.has_begun();
-        let head_timeout = if last {
-            limits.idle.get().min(LAST_HEAD_TIMEOUT)
-        } else {
-            limits.idle.get()
-        };
-        builder
-            .timer(TokioTimer::new())
-            .keep_alive(!last)
-            .header_read_timeout(head_timeout)
-            .max_buf_size(limits.head_bytes.get().max(MIN_HEAD_BYTES));
-        let handler = handler.clone();
-        // Boxed, so that idle connections hold no memory for a request's
-        // future.
-        let stream = CallerStream {
-            stream,
-            open: open.clone(),
-        };
-        let served = open.clone();
-        let latest = Rc::new(Cell::new(None));
-        let version = Rc::clone(&latest);
-        let drain = Rc::clone(&limits.closing);
-        let service = service_fn(move |mut req: Request<Incoming>| {
-            version.set(Some(req.version()));
-            let drain = Rc::clone(&drain);
-            let open = served.clone();
-            if let Some(open) = &open {
-                open.begin_request(request_len(&req));
-                req.extensions_mut().insert(open.clone());
-            }
-            let answered = handler(req);
-            Box::pin(async move {
-                let Ok(mut response) = answered.await;
-                if drain.has_begun() {
-                    let close = HeaderValue::from_static("close");
-                    response.headers_mut().insert(header::CONNECTION, close);
-                }
-                Ok::<_, Infallible>(response.map(|body| ServedBody { body, open }))
-            })
-        });
-        let conn = builder.serve_connection(TokioIo::new(stream), service);
-        let mark = limits.abort_mark;
-        spawn_local(drive_connection(conn, counted, open, (latest, last), mark));
     }
 }
 
+/// Starts the task of a connection.
+async fn start_connection<F, R>(stream: TcpStream, handler: &F, limits: &ServerLimits)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + 'static,
+    R: Future<Output = Result<Response<Body>, Infallible>> + 'static,
+{
+    let Ok((open, replaces)) = limits.memory.connect() else {
+        return;
+    };
+    let counted = CountedConnection::new(&limits.closing);
+    if replaces {
+        // The connections that are ended close before the next one is accepted.
+        yield_now().await;
+    }
+    let _ = stream.set_nodelay(true);
+    if limits.memory.is_limited()
+        && let Err(err) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES)
+    {
+        log::debug!("event=send_buffer_unset cause={err}");
+    }
+    let mut builder = http1::Builder::new();
+    // A connection that arrives while the others are closed gets one answer.
+    let last = limits.closing.has_begun();
+    let head_timeout = if last {
+        limits.idle.get().min(LAST_HEAD_TIMEOUT)
+    } else {
+        limits.idle.get()
+    };
+    builder
+        .timer(TokioTimer::new())
+        .keep_alive(!last)
+        .header_read_timeout(head_timeout)
+        .max_buf_size(limits.head_bytes.get().max(MIN_HEAD_BYTES));
+    let handler = handler.clone();
+    // Boxed, so that idle connections hold no memory for a request's
+    // future.
+    let stream = CallerStream {
+        stream,
+        open: open.clone(),
+    };
+    let served = open.clone();
+    let latest = Rc::new(Cell::new(None));
+    let version = Rc::clone(&latest);
+    let drain = Rc::clone(&limits.closing);
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        version.set(Some(req.version()));
+        let drain = Rc::clone(&drain);
+        let open = served.clone();
+        if let Some(open) = &open {
+            open.begin_request(request_len(&req));
+            req.extensions_mut().insert(open.clone());
+        }
+        let answered = handler(req);
+        Box::pin(async move {
+            let Ok(mut response) = answered.await;
+            if drain.has_begun() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response.map(|body| ServedBody { body, open }))
+        })
+    });
+    let conn = builder.serve_connection(TokioIo::new(stream), service);
+    let mark = limits.abort_mark;
+    spawn_local(drive_connection(conn, counted, open, (latest, last), mark));
+}
+
 /// Drives one connection until it is closed, or ended for want of memory. `latest` is the
 /// version of the latest request, if there was one: responses of HTTP/1.0 have no chunks,
 /// and one without a length would look complete when an aborted connection is closed;
