Groups: answer while the recovered log waits for room

A host that started while its disk was full answered nothing until there was room, since recovery waits for the write of the last frame.

The log is opened without that write; the thread that writes the log makes it first. Until then the replica counts what it has recovered, votes included, as not written: it serves and follows, and acknowledges nothing that a loss of power could take.

--- a/crates/quay_log/src/log.rs
+++ b/crates/quay_log/src/log.rs
@@ -85,11 +85,14 @@
     /// Latest term and vote; repeated at the start of each segment, so that
     /// older segments can be removed.
     hard_state: HardState,
+    /// Last frame of the recovered log until it is written again.
+    recovered: Option<LastFrame>,
     stopped: bool,
 }
 
 impl<F: Folder> Log<F> {
-    /// Opens the log in a folder and recovers its content.
+    /// Opens the log in a folder and recovers its content. What was recovered is
+    /// durable after [`Log::rewrite_recovered`].
     ///
     /// # Errors
     ///
@@ -103,6 +106,7 @@
             active: None,
             next: 1,
             hard_state: HardState::default(),
+            recovered: None,
             stopped: false,
         };
         let recovered = log.recover()?;
@@ -116,15 +120,26 @@
     ///
     /// The records may or may not be durable, and the log accepts no more.
     pub fn append(&mut self, records: &[Record]) -> Result<(), LogError> {
+        self.rewrite_recovered()?;
+        self.append_when_room(records)
+    }
+
+    /// Writes the last recovered frame again, unless that has been done. The frame may
+    /// not be durable: the process may have ended before its sync, and after a failed
+    /// sync the system may still return its bytes, although it won't write them any
+    /// more. All frames before it were synced. Waits while the disk is full.
+    ///
+    /// # Errors
+    ///
+    /// If a write or sync fails; the log accepts no records.
+    pub fn rewrite_recovered(&mut self) -> Result<(), LogError> {
         if self.stopped {
             return Err(LogError::Stopped);
         }
-        let folder = self.folder.clone();
-        let result = retry_while_full(
-            "append",
-            || folder.wait_for_room(),
-            || self.try_append(records),
-        );
+        let Some(last) = self.recovered.take() else {
+            return Ok(());
+        };
+        let result = self.rewrite(last);
         self.stopped = result.is_err();
         result
     }
@@ -136,9 +151,7 @@
     ///
     /// If a file can't be removed; the log accepts no more records.
     pub fn compact(&mut self, covered: LogIndex) -> Result<(), LogError> {
-        if self.stopped {
-            return Err(LogError::Stopped);
-        }
+        self.rewrite_recovered()?;
         // Removed from the oldest on, and each for good, because recovery requires
         // consecutive segments.
         while self
@@ -162,6 +175,15 @@
     // -----------------------------------------------------------------------
     // Appending
 
+    /// Writes and syncs one frame. Waits while the disk is full.
+    fn append_when_room(&mut self, records: &[Record]) -> Result<(), LogError> {
+        let folder = self.folder.clone();
+        let wait = || folder.wait_for_room();
+        let result = retry_while_full("append", wait, || self.try_append(records));
+        self.stopped = result.is_err();
+        result
+    }
+
     /// Writes and syncs one frame. If the disk is full, the segment receives no more
     /// frames, since it may end with a part of this one.
     fn try_append(&mut self, records: &[Record]) -> Result<(), LogError> {
@@ -271,9 +293,7 @@
             reason: err.to_string().into(),
         })?;
         self.hard_state = hard_state;
-        if let Some(last) = last {
-            self.rewrite(last)?;
-        }
+        self.recovered = last;
         Ok(Recovered {
             hard_state,
             snapshot,
@@ -392,9 +412,7 @@
         }))
     }
 
-    /// Writes the last frame again, which may not be durable: the process may have ended
-    /// before its sync, and after a failed sync the system may still return its bytes,
-    /// although it won't write them any more. All frames before it were synced.
+    /// Writes the last recovered frame again.
     fn rewrite(&mut self, last: LastFrame) -> Result<(), LogError> {
         let LastFrame {
             starts_segment,
@@ -403,7 +421,7 @@
         self.next -= 1;
         if !starts_segment {
             let before = self.closed.last().map(|it| it.name.clone());
-            self.append(&batch.records)?;
+            self.append_when_room(&batch.records)?;
             return before.map_or(Ok(()), |name| self.truncate(&name, batch.offset));
         }
         let Some(Closed { name, last }) = self.closed.pop() else {
--- a/crates/quay_log/tests/files/crash.rs
+++ b/crates/quay_log/tests/files/crash.rs
@@ -196,7 +196,8 @@
                     quay_log::Folder::read(&survived, &name).expect("read"),
                 );
             }
-            let _ = Log::open(restarted.clone(), CFG);
+            let opened = Log::open(restarted.clone(), CFG);
+            let _ = opened.and_then(|(mut log, _)| log.rewrite_recovered());
             let survived = restarted.after_power_loss(Loss::All);
             let (_, recovered) = Log::open(survived, CFG).expect("recovered");
             assert!(
--- a/crates/quay_quorum/src/replica/mod.rs
+++ b/crates/quay_quorum/src/replica/mod.rs
@@ -208,6 +208,14 @@
         replica
     }
 
+    /// Counts the recovered state as not written until the returned write is reported as
+    /// [`Input::Persisted`]: what a restarted process reads need not be durable. To be
+    /// called before the first step.
+    pub fn hold_recovered(&mut self) -> PersistId {
+        self.persisted_index = self.log.base().index;
+        self.allocate_persist_id(self.log.last().index)
+    }
+
     /// Returns the observable state of the replica.
     #[must_use]
     pub fn status(&self) -> Status {
--- a/crates/quay_quorum/tests/replica.rs
+++ b/crates/quay_quorum/tests/replica.rs
@@ -3,7 +3,8 @@
 use {
     quay_quorum::{
         Action, AppendOutcome, Entry, Input, Member, Membership, MembershipChange, Message,
-        Payload, PlacementAdvice, Position, Refusal, Replica, Settings, placement_advice,
+        Payload, PersistedState, PlacementAdvice, Position, Refusal, Replica, Settings,
+        SnapshotMeta, placement_advice,
     },
     quay_types::{Epoch, LogIndex, NodeId, Time},
     std::time::Duration,
@@ -186,6 +187,41 @@
     assert_eq!(answers.len(), 1, "{answers:?}");
 }
 
+/// Guards against a replica that acknowledges what it has read after a restart although
+/// its disk has not taken it again.
+#[test]
+fn recovered_entries_are_acknowledged_only_after_they_are_persisted() {
+    let entry = Entry {
+        position: Position {
+            term: Epoch(1),
+            index: LogIndex(1),
+        },
+        payload: Payload::Empty,
+    };
+    let meta = SnapshotMeta {
+        members: three_voters(),
+        ..SnapshotMeta::default()
+    };
+    let state = PersistedState {
+        meta,
+        entries: vec![entry.clone()],
+        ..PersistedState::default()
+    };
+    let mut replica = Replica::restart(NodeId(2), state, Settings::default(), 1, Time::ZERO);
+    let recovered = replica.hold_recovered();
+    let append = Message::Append {
+        term: Epoch(0),
+        prev: Position::default(),
+        entries: vec![entry],
+        commit: LogIndex(0),
+    };
+    let mut actions = replica.step(Time::ZERO, message(1, append));
+    actions.extend(replica.flush(Time::ZERO));
+    assert_eq!(actions, []);
+    let answers = replica.step(Time::ZERO, Input::Persisted(recovered));
+    assert_eq!(answers.len(), 1, "{answers:?}");
+}
+
 #[test]
 fn a_vote_is_sent_only_after_it_is_persisted() {
     let mut replica = Replica::bootstrap(
--- a/crates/sapphirequayd/src/process/group/disk.rs
+++ b/crates/sapphirequayd/src/process/group/disk.rs
@@ -25,14 +25,18 @@
     Compact(LogIndex),
 }
 
-/// Runs jobs until the last sender is dropped. Calls `synced` with the
-/// identifier of the last write of each batch once the batch is synced.
+/// Makes the recovered state durable, which is the write `recovered`, and runs jobs
+/// until the last sender is dropped. Calls `synced` with the identifier of the last
+/// write of each batch once the batch is synced.
 pub fn run(
     log: &mut Log<DiskFolder>,
+    recovered: PersistId,
     jobs: &Receiver<DiskJob>,
     sync_each: bool,
     synced: impl Fn(PersistId),
 ) -> Result<(), LogError> {
+    log.rewrite_recovered()?;
+    synced(recovered);
     let mut batch = Batch {
         sync_each,
         ..Batch::default()
--- a/crates/sapphirequayd/src/process/group/host.rs
+++ b/crates/sapphirequayd/src/process/group/host.rs
@@ -18,8 +18,8 @@
     quay_link::{Incoming, Links},
     quay_log::{DiskFolder, Log, LogError},
     quay_quorum::{
-        Member, Membership, MembershipChange, Message, Replica, Settings as QuorumSettings,
-        StateMachine, Status,
+        Member, Membership, MembershipChange, Message, PersistId, Replica,
+        Settings as QuorumSettings, StateMachine, Status,
     },
     quay_types::{GroupId, NodeId},
     rand::Rng as _,
@@ -164,7 +164,8 @@
         }
         self.warn_if_addr_differs(group, node, &opened.restart.meta.members);
         let (seed, now) = (rand::rng().next_u64(), self.clock.now());
-        let replica = Replica::restart(node, opened.restart, self.quorum, seed, now);
+        let mut replica = Replica::restart(node, opened.restart, self.quorum, seed, now);
+        let recovered = replica.hold_recovered();
         let peers = Peers::new(
             self.links.clone(),
             group,
@@ -183,7 +184,7 @@
         let mailbox = spawn(&group.to_string(), self.clock, actor).map_err(io_error)?;
         spawn_log_writer(
             group,
-            opened.log,
+            (opened.log, recovered),
             disk_jobs,
             self.limits.sync_each,
             mailbox.clone(),
@@ -289,7 +290,7 @@
 /// Starts the thread that writes a replica's log.
 fn spawn_log_writer<M: StateMachine>(
     group: GroupId,
-    mut log: Log<DiskFolder>,
+    (mut log, recovered): (Log<DiskFolder>, PersistId),
     jobs: mpsc::Receiver<DiskJob>,
     sync_each: bool,
     mailbox: Mailbox<GroupMsg<M>>,
@@ -297,7 +298,7 @@
     let run = move || {
         let notify = |event| mailbox.send(GroupMsg::Event(event));
         let synced = |persist_id| notify(GroupEvent::Persisted(persist_id));
-        if let Err(err) = disk::run(&mut log, &jobs, sync_each, synced) {
+        if let Err(err) = disk::run(&mut log, recovered, &jobs, sync_each, synced) {
             notify(GroupEvent::DiskFailed(err.to_string().into()));
         }
     };
--- a/crates/sapphirequayd/tests/common/full_disk.rs
+++ b/crates/sapphirequayd/tests/common/full_disk.rs
@@ -8,10 +8,12 @@
 };
 
 /// Command that runs a daemon which gets an error, not a signal, when a file may not
-/// grow.
-pub fn command(daemon: OsString) -> Command {
+/// grow, and whose disk may be full at the start.
+pub fn command(daemon: OsString, full: bool) -> Command {
+    let limit = if full { "ulimit -S -f 0 && " } else { "" };
     let mut shell = Command::new("sh");
-    shell.args(["-c", "trap '' XFSZ && exec \"$0\" \"$@\""]);
+    shell.arg("-c");
+    shell.arg(format!("trap '' XFSZ && {limit}exec \"$0\" \"$@\""));
     shell.arg(daemon);
     shell
 }
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -58,6 +58,8 @@
     pub front_descriptors: Option<usize>,
     /// Whether the disks of processes that are started next can be filled.
     pub fillable_disks: bool,
+    /// Whether these are full at the start.
+    pub full_disks: bool,
     children: Vec<(Role, Child)>,
     folder: TempDir,
 }
@@ -97,6 +99,7 @@
             process_settings: String::new(),
             front_descriptors: None,
             fillable_disks: false,
+            full_disks: false,
         }
     }
 
@@ -178,7 +181,7 @@
                 shell.arg(daemon);
                 shell
             }
-            _ if self.fillable_disks => full_disk::command(daemon),
+            _ if self.fillable_disks => full_disk::command(daemon, self.full_disks),
             _ => Command::new(daemon),
         };
         let command = command.arg("--config").arg(file);
--- a/crates/sapphirequayd/tests/common/processes.rs
+++ b/crates/sapphirequayd/tests/common/processes.rs
@@ -145,7 +145,7 @@
         let daemon = env::var_os("SAPPHIREQUAYD");
         let daemon = daemon.unwrap_or_else(|| env!("CARGO_BIN_EXE_sapphirequayd").into());
         let mut command = match role {
-            Role::Ledger(_) => full_disk::command(daemon),
+            Role::Ledger(_) => full_disk::command(daemon, false),
             _ => Command::new(daemon),
         };
         let command = command.arg("--config").arg(file(self.folder.path(), role));
--- a/crates/sapphirequayd/tests/full_disks.rs
+++ b/crates/sapphirequayd/tests/full_disks.rs
@@ -127,3 +127,24 @@
         });
     }
 }
+
+/// Guards against a control host that waits at its start until its disk has room.
+#[test]
+fn a_control_host_that_starts_on_a_full_disk_answers_and_acknowledges_later() {
+    let mut gateway = Gateway::prepare(0, "");
+    gateway.fillable_disks = true;
+    gateway.run_all();
+    let controls = gateway.controls.clone();
+    wait_for("a table is acknowledged", || put(controls[0], 1));
+    gateway.kill(Role::Control(0));
+    gateway.full_disks = true;
+    gateway.run(Role::Control(0), false);
+    wait_for("a change is acknowledged", || put(controls[0], 2));
+    assert_eq!(get(controls[0]), Some(table(2)));
+    assert!(gateway.is_running(Role::Control(0)));
+    gateway.fill_disk(Role::Control(0), None);
+    // Without the killed host, a quorum needs the disk that was full.
+    gateway.kill(Role::Control(1));
+    wait_for("a change is acknowledged", || put(controls[0], 3));
+    assert!(gateway.is_running(Role::Control(0)));
+}
