--- a/crates/sapphirequayd/tests/common/scripted_upstream.rs
+++ b/crates/sapphirequayd/tests/common/scripted_upstream.rs
@@ -15,6 +15,8 @@
 #[derive(Debug, Clone)]
 pub struct UpstreamRequest {
     pub id: String,
+    pub head: String,
+    pub body: String,
     /// Number of requests that came on the same connection before.
     pub earlier: usize,
 }
@@ -43,10 +45,15 @@
                 let (shared, answer) = (shared.clone(), Arc::clone(&answer));
                 thread::spawn(move || {
                     let mut earlier = 0;
-                    while let Some((head, _)) = read_request(&mut stream) {
+                    while let Some((head, body)) = read_request(&mut stream) {
                         let id = header(&head, "x-sapphirequay-request-id");
                         let id = id.unwrap_or_default().to_owned();
-                        let req = UpstreamRequest { id, earlier };
+                        let req = UpstreamRequest {
+                            id,
+                            head,
+                            body,
+                            earlier,
+                        };
                         if !answer(&shared, &mut stream, &req) {
                             break;
                         }
