--- a/crates/quay_policy/src/guard/drain.rs
+++ b/crates/quay_policy/src/guard/drain.rs
@@ -30,6 +30,7 @@
 /// Schedule of a shutdown that has begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrainPlan {
+    began: Time,
     closes: Time,
     ends: Time,
     exits: Time,
@@ -42,12 +43,19 @@
         let reserve = cfg.reserve.min(grace / MAX_RESERVE_SHARE);
         let serving = grace.saturating_sub(reserve);
         Self {
+            began: now,
             closes: now + cfg.linger.min(serving / 2),
             ends: now + serving,
             exits: now + grace,
         }
     }
 
+    /// Time at which the shutdown began.
+    #[must_use]
+    pub const fn began(&self) -> Time {
+        self.began
+    }
+
     /// Time from which connections are closed between two requests.
     #[must_use]
     pub const fn closes(&self) -> Time {
@@ -66,15 +74,12 @@
         self.exits
     }
 
-    /// Whether a request that may take `time_out` may be sent to an upstream now. One that
-    /// may not be repeated must end before its answer would be cut off: the caller could
-    /// not tell whether it has run.
+    /// Whether a request that may take `time_out` may be sent to an upstream now: it must
+    /// end before its answer would be cut off. Until connections are closed callers have
+    /// not been told to go elsewhere, and one that may be repeated is admitted.
     #[must_use]
     pub fn admits(&self, now: Time, time_out: Duration, repeatable: bool) -> bool {
-        if repeatable {
-            now < self.ends
-        } else {
-            now + time_out <= self.ends
-        }
+        let ends_in_time = now < self.ends && now + time_out <= self.ends;
+        ends_in_time || repeatable && now < self.closes
     }
 }
