Daemon: SIGHUP doesn't end a process that has just started

What callers saw: a process that got SIGHUP within its first tens of milliseconds ended (status 129), with the connections that it had just taken. Cause: the handler was installed by the task that watches the settings, once the role had started; entries, ledgers and sidecars had none. main installs one first, and the watch reads the file once more, so that nothing is lost.

--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -389,7 +389,8 @@
         log::error!("event=signals_unheard");
         return;
     };
-    let mut last_modified = modified_at(&path);
+    // The file may have changed since the start read it.
+    let mut last_modified = None;
     loop {
         let told = tokio::select! {
             _ = hup.recv() => true,
--- a/crates/sapphirequayd/src/main.rs
+++ b/crates/sapphirequayd/src/main.rs
@@ -9,9 +9,11 @@
     quay_platform::Platform,
     sapphirequayd::{DEFAULT_SETTINGS, Daemon, Settings, run_gateway},
     shutdown::ShutdownOutcome,
+    signal_hook::{consts::SIGHUP, flag},
     std::{
         path::{Path, PathBuf},
         process::ExitCode,
+        sync::Arc,
     },
 };
 
@@ -44,6 +46,11 @@
         print!("{DEFAULT_SETTINGS}");
         return ExitCode::SUCCESS;
     }
+    // Without a handler SIGHUP ends the process; a gateway's watch of its settings begins
+    // later, and other roles don't use the signal.
+    if let Err(err) = flag::register(SIGHUP, Arc::default()) {
+        return fail(&format!("signals: {err}"), EXIT_BAD_SETTINGS);
+    }
     let settings = match load_settings(&args) {
         Ok(settings) => settings,
         Err(message) => return fail(&message, EXIT_BAD_SETTINGS),
