Fronts: return memory that is reserved while there is no room

What callers saw: nothing yet; a front that is often full loses parts of its budget for good and would refuse requests in the end.

Cause: the share of a response asks for 0 bytes at its start. If that was refused, since frames for callers are charged above the budget, it went on with a guard without a budget: growing it reserved bytes, dropping it returned none.

Evidence: the test failed before (memory that nobody holds is still counted) and passes now.

Why it works: HostMemory::guard creates a reservation of 0 bytes that belongs to the budget, without asking.

--- a/crates/sapphirequayd/src/gateway/front/buffer_space.rs
+++ b/crates/sapphirequayd/src/gateway/front/buffer_space.rs
@@ -37,12 +37,12 @@
     /// Creates the share of a response for a caller, which is empty.
     #[must_use]
     pub fn share_for(&self, holder: Option<MemoryHolder>) -> BufferShare {
-        let reserved = self.memory.reserve(MemoryClass::Responses, holder, 0);
+        let guard = self.memory.host().guard(MemoryClass::Responses, holder);
         BufferShare {
             used: Rc::clone(&self.used),
             own: 0,
             memory: self.memory.clone(),
-            guard: reserved.unwrap_or_default(),
+            guard,
         }
     }
 }
--- a/crates/sapphirequayd/src/gateway/front/memory.rs
+++ b/crates/sapphirequayd/src/gateway/front/memory.rs
@@ -98,6 +98,10 @@
 
     /// Joins the turns of a conversation. The second value tells whether there is room
     /// to cache it; otherwise it counts for the caller.
+    ///
+    /// # Errors
+    ///
+    /// If there is no room for either.
     pub fn join_history(
         &self,
         holder: Option<MemoryHolder>,
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -26,6 +26,7 @@
     events::EventReader,
     front_suspects::FrontSuspects,
     host::FrontHost,
+    memory::FrontMemory,
     startup_wait::StartupWait,
     upstream_outcome::{StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome, upstream_outcome},
     upstreams::{Pool, SelectedUpstream, Upstreams},
--- a/crates/sapphirequayd/src/gateway/host_memory.rs
+++ b/crates/sapphirequayd/src/gateway/host_memory.rs
@@ -141,14 +141,9 @@
             let decision = shared.budget().reserve(now, class, holder, bytes, cached);
             match decision {
                 MemoryDecision::Granted => {
-                    return Ok(MemoryGuard {
-                        memory: Some(Arc::clone(shared)),
-                        class,
-                        holder,
-                        bytes,
-                        ready: None,
-                        taken: None,
-                    });
+                    let mut guard = self.guard(class, holder);
+                    guard.bytes = bytes;
+                    return Ok(guard);
                 }
                 MemoryDecision::Evict(bytes) => cached = evict(bytes),
                 MemoryDecision::End(ended) => shared.end(ended),
@@ -160,6 +155,19 @@
         }
     }
 
+    /// Creates a reservation without bytes, which is granted also while there is no room.
+    #[must_use]
+    pub fn guard(&self, class: MemoryClass, holder: Option<MemoryHolder>) -> MemoryGuard {
+        MemoryGuard {
+            memory: self.0.clone(),
+            class,
+            holder,
+            bytes: 0,
+            ready: None,
+            taken: None,
+        }
+    }
+
     /// Sets the size of a reservation; see [`reserve`](Self::reserve). On an error the
     /// reservation is unchanged.
     ///
@@ -175,7 +183,7 @@
         if bytes > guard.bytes {
             let mut added = self.reserve(guard.class, guard.holder, bytes - guard.bytes, evict)?;
             guard.bytes += std::mem::take(&mut added.bytes);
-        } else if let Some(shared) = &guard.memory {
+        } else if let Some(shared) = guard.memory.as_ref().filter(|_| bytes < guard.bytes) {
             shared
                 .budget()
                 .release(guard.class, guard.holder, guard.bytes - bytes);
@@ -195,14 +203,9 @@
         let (Some(shared), Some(_)) = (&self.0, holder) else {
             return data;
         };
-        let mut guard = MemoryGuard {
-            memory: Some(Arc::clone(shared)),
-            class: MemoryClass::Responses,
-            holder,
-            bytes: data.len() as u64 + FRAME_BYTES,
-            ready: None,
-            taken: Some(Arc::clone(taken)),
-        };
+        let mut guard = self.guard(MemoryClass::Responses, holder);
+        guard.bytes = data.len() as u64 + FRAME_BYTES;
+        guard.taken = Some(Arc::clone(taken));
         shared.budget().charge(guard.class, holder, guard.bytes);
         guard.wait_for_caller();
         guard.attach(data)
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -22,7 +22,7 @@
 pub use {
     control::{ControlState, MembershipInputs, next_membership_change},
     front::{
-        BufferShare, BufferSpace, ConversationCache, EventReader, FrontSuspects, Pool,
+        BufferShare, BufferSpace, ConversationCache, EventReader, FrontMemory, FrontSuspects, Pool,
         SelectedUpstream, StartupWait, StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome,
         Upstreams, upstream_outcome,
     },
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -24,10 +24,11 @@
 pub use {
     gateway::{
         BufferShare, BufferSpace, ControlCommand, ControlState, ConversationCache, EventReader,
-        FollowerState, FrontSuspects, GatewayRequest, MembershipInputs, PathProbe, Pool,
-        SelectedUpstream, SlowMembers, StartupWait, StoreOp, StorePath, StoreReply, StoreRequest,
-        StreamEnd, StreamOrigins, SuspectList, TableDocument, UPSTREAM_DISCONNECTED,
-        UpstreamOutcome, Upstreams, next_membership_change, run as run_gateway, upstream_outcome,
+        FollowerState, FrontMemory, FrontSuspects, GatewayRequest, HostLimits, HostMemory,
+        MembershipInputs, PathProbe, Pool, SelectedUpstream, SlowMembers, StartupWait, StoreOp,
+        StorePath, StoreReply, StoreRequest, StreamEnd, StreamOrigins, SuspectList, TableDocument,
+        UPSTREAM_DISCONNECTED, UpstreamOutcome, Upstreams, next_membership_change,
+        run as run_gateway, upstream_outcome,
     },
     process::{
         Actor, BackupError, Clock, ControlClient, ControlError, ControlReply, ControlRequest,
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -4,7 +4,10 @@
     bytes::Bytes,
     proptest::prelude::*,
     quay_members::ChangesRequest,
-    quay_policy::{PermitRequest, StreamOrigin, SuspectCommand, SuspectEvent, VersionRegistry},
+    quay_policy::{
+        CallerConnection, MemoryClass, MemoryHolder, PermitRequest, StreamOrigin, SuspectCommand,
+        SuspectEvent, VersionRegistry,
+    },
     quay_quorum::{Member, Membership, MembershipChange, StateMachine as _},
     quay_turns::{StoreMember, StoreView},
     quay_types::{
@@ -12,12 +15,13 @@
         ServiceId, SoftwareVersion, Time, TurnId, UpstreamId, UpstreamKind,
     },
     sapphirequayd::{
-        BufferSpace, ControlCommand, ControlState, ConversationCache, EventReader, FollowerState,
-        MembershipInputs, PathProbe, SlowMembers, StartupWait, StoreOp, StorePath, StoreReply,
-        StreamEnd, StreamOrigins, TableDocument, UPSTREAM_DISCONNECTED, UpstreamOutcome,
-        next_membership_change, upstream_outcome,
+        BufferSpace, Clock, ControlCommand, ControlState, ConversationCache, EventReader,
+        FollowerState, FrontMemory, HostLimits, HostMemory, MembershipInputs, PathProbe,
+        SlowMembers, StartupWait, StoreOp, StorePath, StoreReply, StreamEnd, StreamOrigins,
+        TableDocument, UPSTREAM_DISCONNECTED, UpstreamOutcome, next_membership_change,
+        upstream_outcome,
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 // ---------------------------------------------------------------------------
@@ -88,6 +92,30 @@
 // ---------------------------------------------------------------------------
 // Memory for responses
 
+#[test]
+fn a_response_that_begins_while_there_is_no_room_returns_its_memory() {
+    const BUDGET: u64 = 4_000_000;
+    let limits = HostLimits {
+        budget: Some(BUDGET),
+        stated: true,
+        connections: 10,
+    };
+    let memory = HostMemory::new(Clock::start(), limits);
+    let all = || memory.reserve(MemoryClass::Responses, None, BUDGET, |_| 0);
+    let space = BufferSpace::new(FrontMemory::new(memory.clone(), 0));
+    let holder = MemoryHolder {
+        connection: CallerConnection(1),
+        account: None,
+    };
+    let room = all().expect("room");
+    let frame = memory.hold_frame(Some(holder), Bytes::from_static(b"over"), &Arc::default());
+    let mut share = space.share();
+    drop((room, frame));
+    assert!(share.resize(100_000));
+    drop(share);
+    assert!(all().is_ok(), "memory that nobody holds is still counted");
+}
+
 #[test]
 fn responses_without_end_leave_memory_for_another_one() {
     const STEP: usize = 64 << 10;
