Sidecars: bound what a faulty upstream sends

What callers saw: an engine that sends a line, an event or the size of a chunk without end took its sidecar's memory within seconds, and with it the calls of all others on that host. Floods of complete lines that are no tokens took no memory, but a core and a place each for good; the upstream counted as healthy, and callers were told after 5 s.

Cause: time-outs for each read and no bound of bytes: EngineStream kept unfinished lines and events, ureq the digits of a chunk's size, and what is no event never came back from EngineStream::next, so that neither deadline nor token time-out was looked at.

--- a/crates/sapphirequay/src/demo.rs
+++ b/crates/sapphirequay/src/demo.rs
@@ -89,11 +89,9 @@
         let ledger = Daemon::start(&ledger, keys.identity(LinkRole::Ledger)?)?;
         let ledgers = [ledger.link_addr().ok_or("the ledger has no link address")?];
         let engine_sidecar = SidecarSettings {
-            upstream: "engine-1".into(),
-            addr: engine.addr(),
             models: vec![MODEL.into()],
-            service: None,
             concurrency: 16,
+            ..SidecarSettings::new("engine-1", engine.addr())
         };
         let service_sidecar = SidecarSettings {
             upstream: "orders-1".into(),
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::{
-        connection::{EngineClient, EntryContext, EntryServer, MonitorServer, ServiceClient},
+        connection::{
+            EngineClient, EntryContext, EntryServer, MonitorServer, ResponseLimits, ServiceClient,
+            UpstreamClient,
+        },
+        gateway::HostMemory,
         process::{
             Clock, ControlRequest, ControlService, Gate, GroupHost, GroupStartError,
             KvCacheManager, KvMsg, LedgerClient, LedgerService, Lifecycle, Mailbox, PermitMsg,
@@ -307,8 +311,10 @@
         load: Load::default(),
     };
     let health = SharedHealth::new(clock);
+    let client = UpstreamClient::start(sidecar.addr).map_err(starting("upstream client"))?;
+    let limits = ResponseLimits::new(sidecar, HostMemory::new(clock, sidecar.limits()));
     health
-        .start_prober(format!("http://{}/healthz", sidecar.addr).into())
+        .start_prober(client.clone())
         .map_err(starting("prober"))?;
     let state_sources = StateSources {
         lifecycle: lifecycle.clone(),
@@ -323,7 +329,7 @@
     announcer
         .start(&settings.link.ledgers)
         .map_err(starting("announcer"))?;
-    let engine = EngineClient::new(sidecar.addr);
+    let engine = EngineClient::new(client.clone(), limits.clone());
     let kv = if sidecar.service.is_some() {
         None
     } else {
@@ -342,7 +348,8 @@
         health,
         clock,
         next_attempt: Arc::default(),
-        service: ServiceClient::new(sidecar.addr),
+        max_response_bytes: limits.response_bytes as u64,
+        service: ServiceClient::new(client, limits.clone()),
     })
 }
 
--- a/crates/sapphirequayd/src/process/prober.rs
+++ b/crates/sapphirequayd/src/process/prober.rs
@@ -2,7 +2,11 @@
 //! and prober.
 
 use {
-    crate::process::{Clock, Health, HealthSettings},
+    crate::{
+        connection::{HeadWait, UpstreamClient},
+        process::{Clock, Health, HealthSettings},
+    },
+    http::Request,
     quay_types::UpstreamState,
     std::{
         io,
@@ -18,6 +22,9 @@
 /// Time-out of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Path that is probed.
+const PATH: &str = "/healthz";
+
 /// Health of the upstream; clones share it.
 #[derive(Debug, Clone)]
 pub struct SharedHealth {
@@ -60,7 +67,7 @@
     /// # Errors
     ///
     /// Fails if the thread cannot be created.
-    pub fn start_prober(&self, url: Box<str>) -> io::Result<()> {
+    pub fn start_prober(&self, client: UpstreamClient) -> io::Result<()> {
         let health = self.clone();
         thread::Builder::new()
             .name("prober".into())
@@ -69,8 +76,8 @@
                     thread::sleep(DUE_CHECK_INTERVAL);
                     let due = health.lock().probe_due(health.clock.now());
                     if due {
-                        let good = probe(&url);
-                        log::info!("event=probe url={url} good={good}");
+                        let good = probe(&client);
+                        log::info!("event=probe good={good}");
                         health.lock().record_probe(health.clock.now(), good);
                     }
                 }
@@ -80,16 +87,7 @@
 }
 
 /// Probes the upstream: any response with a status below 500 counts as success.
-fn probe(url: &str) -> bool {
-    let sent = ureq::AgentBuilder::new()
-        .timeout(PROBE_TIMEOUT)
-        .max_idle_connections(0)
-        .build()
-        .get(url)
-        .call();
-    match sent {
-        Ok(_) => true,
-        Err(ureq::Error::Status(status, _)) => status < 500,
-        Err(ureq::Error::Transport(_)) => false,
-    }
+fn probe(client: &UpstreamClient) -> bool {
+    let sent = client.send(Request::get(PATH), &[], HeadWait::of(PROBE_TIMEOUT));
+    sent.is_ok_and(|response| !response.status.is_server_error())
 }
--- a/crates/sapphirequayd/src/request/attempt.rs
+++ b/crates/sapphirequayd/src/request/attempt.rs
@@ -61,6 +61,8 @@
     pub clock: Clock,
     /// Number of the next attempt; part of its stream id.
     pub next_attempt: Arc<AtomicU64>,
+    /// Bytes of text that a response may have.
+    pub max_response_bytes: u64,
 }
 
 /// Serves one attempt and sends its events on `stream`.
@@ -278,6 +280,7 @@
             idempotent: call.idempotent,
             max_output: call.max_output,
             prompt: call.prompt,
+            max_bytes: cx.max_response_bytes,
             deadline: now + Duration::from_millis(call.deadline_ms) + DEADLINE_MARGIN,
             ..StreamTrackerSettings::default()
         };
@@ -299,13 +302,11 @@
         let _ = self.stream.send(&CallEvent::Started);
         let mut connection = self.cx.engine.start(self.id, &self.call.body);
         loop {
-            let (timed_out, event) = match &mut connection {
-                Ok(events) => {
-                    let event = events.next();
-                    (event == UpstreamEvent::ReadTimeout, event)
-                }
-                Err(event) => (*event == UpstreamEvent::ReadTimeout, event.clone()),
+            let event = match &mut connection {
+                Ok(events) => events.next(),
+                Err(event) => event.clone(),
             };
+            let timed_out = matches!(event, UpstreamEvent::ReadTimeout | UpstreamEvent::Idle);
             let action = self.tracker.handle(self.cx.clock.now(), event);
             // The heartbeat tells the entry that the attempt is alive; a failed
             // send tells the sidecar that the entry has disconnected.
--- a/crates/sapphirequayd/src/request/stream_tracker.rs
+++ b/crates/sapphirequayd/src/request/stream_tracker.rs
@@ -15,6 +15,9 @@
 /// that much longer.
 const RESUME_BACKOFF: Duration = Duration::from_millis(100);
 
+/// Number of steps without text that a response may have beside its tokens.
+const MAX_SILENT_EVENTS: u64 = 64;
+
 /// Limits of one attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamTrackerSettings {
@@ -22,6 +25,8 @@
     pub idempotent: bool,
     /// Output tokens after which the response is truncated.
     pub max_output: Tokens,
+    /// Bytes of text that the response may have.
+    pub max_bytes: u64,
     /// Estimated prompt tokens, reported for truncated responses.
     pub prompt: Tokens,
     /// Time at which the attempt is ended at the latest.
@@ -37,6 +42,7 @@
         Self {
             idempotent: true,
             max_output: Tokens(1_024),
+            max_bytes: 4 << 20,
             prompt: Tokens(0),
             deadline: Time::from_millis(600_000),
             token_timeout: Duration::from_mins(1),
@@ -67,6 +73,12 @@
         /// Token counts reported by the upstream.
         usage: Usage,
     },
+    /// A step of the response without text, such as its role.
+    Silent,
+    /// Data arrived, but no event within the read time-out.
+    Idle,
+    /// Too much data arrived without an event that continues the response.
+    Endless,
     /// No data arrived within the read time-out.
     ReadTimeout,
     /// The connection closed before the response was complete.
@@ -120,7 +132,9 @@
     tokens: u64,
     /// Bytes forwarded.
     bytes: u64,
-    /// Time of the last token, or of the attempt's start.
+    /// Steps without text.
+    silent: u64,
+    /// Time of the last token or step, or of the attempt's start.
     last_progress: Time,
     /// Disconnects since `last_progress`.
     disconnects: u32,
@@ -142,6 +156,7 @@
             settings,
             tokens: 0,
             bytes: 0,
+            silent: 0,
             last_progress: now,
             disconnects: 0,
             sent: false,
@@ -181,7 +196,12 @@
                 finish,
                 usage,
             } => self.end(position, finish, usage),
-            UpstreamEvent::ReadTimeout => self.read_timeout(now),
+            UpstreamEvent::Silent => self.silent(now),
+            UpstreamEvent::Idle => self.idle(now).unwrap_or(StreamAction::Read),
+            UpstreamEvent::Endless => StreamAction::Fail(
+                self.lost("the upstream sent more without a token than the sidecar holds"),
+            ),
+            UpstreamEvent::ReadTimeout => self.idle(now).unwrap_or_else(|| self.resume()),
             UpstreamEvent::Broken => self.broken(),
             UpstreamEvent::Unreachable => self.unreachable(),
             UpstreamEvent::Unknown => self.unknown(),
@@ -207,6 +227,9 @@
         if position > self.settings.max_output.0 {
             return StreamAction::Truncate(self.truncated_usage());
         }
+        if self.bytes + text.len() as u64 > self.settings.max_bytes {
+            return StreamAction::Fail(self.lost("the response is too large"));
+        }
         let offset = self.bytes;
         self.tokens = position;
         self.bytes += text.len() as u64;
@@ -227,12 +250,24 @@
         }
     }
 
-    /// Reconnects, unless no token has arrived within the token time-out.
-    fn read_timeout(&mut self, now: Time) -> StreamAction {
-        if now.since(self.last_progress) >= self.settings.token_timeout {
-            return StreamAction::Fail(self.lost("the upstream sent no token within the time-out"));
+    /// Counts a step without text. More of them than tokens were asked for are no
+    /// response.
+    fn silent(&mut self, now: Time) -> StreamAction {
+        self.silent += 1;
+        let max = self.settings.max_output.0.saturating_add(MAX_SILENT_EVENTS);
+        if self.silent > max {
+            return StreamAction::Fail(self.lost("the upstream sent too many events without text"));
         }
-        self.resume()
+        self.last_progress = now;
+        StreamAction::Read
+    }
+
+    /// Fails if no token has arrived within the token time-out.
+    fn idle(&self, now: Time) -> Option<StreamAction> {
+        let idle = now.since(self.last_progress) >= self.settings.token_timeout;
+        idle.then(|| {
+            StreamAction::Fail(self.lost("the upstream sent no token within the time-out"))
+        })
     }
 
     /// Reconnects, unless too many connections broke in a row.
--- a/crates/sapphirequayd/src/settings/check.rs
+++ b/crates/sapphirequayd/src/settings/check.rs
@@ -156,9 +156,14 @@
     if sidecar.upstream.is_empty() {
         problems.push(Problem::new("sidecar", "upstream", "must not be empty"));
     }
-    if sidecar.concurrency == 0 {
-        let message = "must be positive";
-        problems.push(Problem::new("sidecar", "concurrency", message));
+    problems.extend(sidecar.check_memory().err());
+    let limits = [
+        ("concurrency", u64::from(sidecar.concurrency)),
+        ("max_event_bytes", sidecar.max_event_bytes),
+        ("max_response_bytes", sidecar.max_response_bytes),
+    ];
+    for (key, _) in limits.into_iter().filter(|(_, limit)| *limit == 0) {
+        problems.push(Problem::new("sidecar", key, "must be positive"));
     }
     if sidecar.addr.port() == 0 {
         problems.push(Problem::new("sidecar", "addr", "the port must not be 0"));
--- a/crates/sapphirequayd/tests/common/mod.rs
+++ b/crates/sapphirequayd/tests/common/mod.rs
@@ -131,11 +131,8 @@
 /// `m`.
 pub fn sidecar_for_engine(addr: SocketAddr) -> SidecarSettings {
     SidecarSettings {
-        upstream: "engine-1".into(),
-        addr,
         models: vec!["m".into()],
-        service: None,
-        concurrency: 64,
+        ..SidecarSettings::new("engine-1", addr)
     }
 }
 
--- a/crates/sapphirequayd/tests/common/processes.rs
+++ b/crates/sapphirequayd/tests/common/processes.rs
@@ -37,7 +37,7 @@
 }
 
 /// Processes of three ledger hosts with data folders, two entries and the
-/// sidecar of a service.
+/// sidecar of a service or an engine.
 pub struct Processes {
     pub entries: [SocketAddr; 2],
     children: Vec<(Role, Child)>,
@@ -46,7 +46,8 @@
 
 /// Addresses of the processes, and the folder that holds their files.
 struct Topology<'a> {
-    service: SocketAddr,
+    /// Lines of the table of the sidecar.
+    sidecar: &'a str,
     ledgers: [SocketAddr; 3],
     entries: [SocketAddr; 2],
     /// Lines for the table of each entry.
@@ -59,7 +60,7 @@
     fn settings(&self, role: Role) -> String {
         let (listen, table) = match role {
             Role::Ledger(slot) => (self.ledgers[slot], self.ledger(slot)),
-            Role::Sidecar => (free_port(), self.sidecar()),
+            Role::Sidecar => (free_port(), format!("[sidecar]\n{}", self.sidecar)),
             Role::Entry(slot) => (free_port(), self.entry(slot)),
         };
         let ledgers = self.ledgers.map(|addr| addr.to_string());
@@ -85,13 +86,6 @@
         )
     }
 
-    fn sidecar(&self) -> String {
-        format!(
-            "[sidecar]\nupstream = \"orders-1\"\naddr = \"{}\"\nservice = \"orders\"\n",
-            self.service
-        )
-    }
-
     fn entry(&self, slot: usize) -> String {
         let (listen, settings) = (self.entries[slot], self.entry_settings);
         format!("[entry]\nlisten = \"{listen}\"\n{settings}\n")
@@ -105,6 +99,13 @@
 
     /// Starts the processes with settings added to the table of each entry.
     pub fn start_with(service: SocketAddr, entry_settings: &str) -> Self {
+        let sidecar =
+            format!("upstream = \"orders-1\"\naddr = \"{service}\"\nservice = \"orders\"\n");
+        Self::start_for(&sidecar, entry_settings)
+    }
+
+    /// Starts the processes with the lines of the tables of the sidecar and the entries.
+    pub fn start_for(sidecar: &str, entry_settings: &str) -> Self {
         let folder = TempDir::new().expect("folder");
         let made = DevelopmentKeys::generate().expect("keys");
         made.write(&folder.path().join("keys"), &["operator"])
@@ -112,7 +113,7 @@
         let first = document(&[("a", "key-a")]);
         fs::write(folder.path().join("first.toml"), first).expect("document");
         let topology = Topology {
-            service,
+            sidecar,
             ledgers: [free_port(), free_port(), free_port()],
             entries: [free_port(), free_port()],
             entry_settings,
@@ -155,6 +156,15 @@
         child.expect("a running process").1.id()
     }
 
+    /// Most memory in bytes that the process of a role has held; 0 if it has ended.
+    pub fn peak_memory(&self, role: Role) -> u64 {
+        let path = format!("/proc/{}/status", self.process_id(role));
+        let status = fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kib.and_then(|kib| kib.parse::<u64>().ok()).unwrap_or(0) << 10
+    }
+
     /// Whether the process of a role has not ended by itself.
     pub fn is_running(&mut self, role: Role) -> bool {
         let child = self.children.iter_mut().find(|(it, _)| *it == role);
