Entries: count the text of responses in their memory

Cause: the budget of an entry counts what callers send and take, not the text that a call keeps for a resend, for JSON and for the ledger.

Why it works: ResponseWriter::hold reserves four times the text until the end of the response; without room the attempt is lost, as if the upstream had broken off.

--- a/crates/sapphirequayd/src/connection/responder.rs
+++ b/crates/sapphirequayd/src/connection/responder.rs
@@ -1,12 +1,12 @@
 //! Response of a request, written by the thread that serves it.
 
 use {
-    crate::gateway::{Body, BodyAborted, ChannelBody, HostMemory, full},
+    crate::gateway::{Body, BodyAborted, ChannelBody, HostMemory, MemoryGuard, full},
     bytes::Bytes,
     http::{HeaderName, HeaderValue, Response, StatusCode},
     http_body_util::BodyExt as _,
     hyper::body::Frame,
-    quay_policy::MemoryHolder,
+    quay_policy::{MemoryClass, MemoryHolder},
     std::{io, sync::Arc, time::Duration},
     tokio::{
         runtime::Handle,
@@ -21,6 +21,12 @@
 /// Interval at which it is looked whether the caller has taken the rest.
 const TAKEN_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Copies of a response's text that its call makes.
+const TEXT_COPIES: usize = 4;
+
+/// Step in which copies are counted; fewer bytes are not.
+const SMALL_BYTES: usize = 64 << 10;
+
 /// What a responder needs of the server.
 #[derive(Debug, Clone)]
 pub struct ResponderContext {
@@ -45,6 +51,8 @@
     frames: Option<mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>>,
     /// Every frame that was not taken holds a clone.
     taken: Arc<Notify>,
+    /// Memory of what is kept of the response besides.
+    held: MemoryGuard,
 }
 
 impl Responder {
@@ -52,6 +60,7 @@
     pub fn new(cx: ResponderContext) -> (Self, oneshot::Receiver<Response<Body>>) {
         let (tx, rx) = oneshot::channel();
         let responder = Self {
+            held: cx.memory.guard(MemoryClass::Responses, cx.holder),
             cx,
             head: Some(tx),
             frames: None,
@@ -60,6 +69,18 @@
         (responder, rx)
     }
 
+    /// Counts the memory of a response of which `bytes` bytes are kept until its end, as
+    /// copies for the caller, for a resend and for the ledger. Returns `false`, without a
+    /// change, if there is no room.
+    pub fn hold_text(&mut self, bytes: usize) -> bool {
+        let counted = match bytes * TEXT_COPIES {
+            0..SMALL_BYTES => 0,
+            copies => copies.next_multiple_of(SMALL_BYTES),
+        };
+        let resized = self.cx.memory.resize(&mut self.held, counted as u64, |_| 0);
+        resized.is_ok()
+    }
+
     /// Whether the head was sent.
     pub const fn has_begun(&self) -> bool {
         self.head.is_none()
--- a/crates/sapphirequayd/src/connection/response.rs
+++ b/crates/sapphirequayd/src/connection/response.rs
@@ -185,6 +185,10 @@
 }
 
 impl ResponseWriter for EventStreamResponse {
+    fn hold(&mut self, bytes: usize) -> bool {
+        self.out.hold_text(bytes)
+    }
+
     fn delta(&mut self, text: &str) -> io::Result<()> {
         self.write_role()?;
         let offset = json!({"offset": self.bytes});
@@ -255,6 +259,10 @@
 }
 
 impl ResponseWriter for JsonResponse {
+    fn hold(&mut self, bytes: usize) -> bool {
+        self.out.hold_text(bytes)
+    }
+
     fn delta(&mut self, text: &str) -> io::Result<()> {
         self.text.push_str(text);
         Ok(())
@@ -315,6 +323,10 @@
 }
 
 impl ResponseWriter for ServiceResponse {
+    fn hold(&mut self, bytes: usize) -> bool {
+        self.out.hold_text(bytes)
+    }
+
     fn delta(&mut self, _: &str) -> io::Result<()> {
         Err(io::Error::other("unexpected stream from a service"))
     }
--- a/crates/sapphirequayd/src/request/call.rs
+++ b/crates/sapphirequayd/src/request/call.rs
@@ -63,6 +63,10 @@
 
 /// Writes a response to the caller in the format that the caller requested.
 pub trait ResponseWriter {
+    /// Counts `bytes` of a response that are held for it in all. Returns `false` if there
+    /// is no room.
+    fn hold(&mut self, bytes: usize) -> bool;
+
     /// Writes part of the response.
     ///
     /// # Errors
--- a/crates/sapphirequayd/src/request/delivery.rs
+++ b/crates/sapphirequayd/src/request/delivery.rs
@@ -31,6 +31,11 @@
         self.text.next_attempt();
     }
 
+    /// Makes room for part of the attempt's response. Returns `false` if there is none.
+    pub fn make_room(&mut self, text: &str) -> bool {
+        self.writer.hold(self.text.text().len() + text.len())
+    }
+
     /// Forwards part of the attempt's response; returns `false` if bytes before
     /// `offset` are missing.
     pub fn write_part(&mut self, offset: u64, text: &str) -> bool {
--- a/crates/sapphirequayd/src/request/remote_attempt.rs
+++ b/crates/sapphirequayd/src/request/remote_attempt.rs
@@ -118,6 +118,10 @@
         };
         match event {
             CallEvent::Ready => self.confirm(stream),
+            CallEvent::Delta { text, .. } if !delivery.make_room(&text) => {
+                let text = "this entry has no memory for the response";
+                Some(AttemptEnd::Lost(Error::new(ErrorKind::UpstreamLost, text)))
+            }
             CallEvent::Delta { offset, text, .. } => {
                 if delivery.write_part(offset, &text) {
                     return None;
--- a/crates/sapphirequayd/tests/endless_engines.rs
+++ b/crates/sapphirequayd/tests/endless_engines.rs
@@ -385,6 +385,30 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+#[test]
+fn large_texts_of_many_calls_leave_an_entry_within_its_memory() {
+    const MEMORY_MB: u64 = 60;
+    const TEXT_BYTES: usize = 200_000;
+    let text = "a".repeat(TEXT_BYTES);
+    let event = format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n");
+    // Below the bound of a response.
+    let start = format!("{STREAM}{}", event.repeat(18)).leak();
+    let settings = "[policy.admit]\nstart_limit = 64\nmin_limit = 64\n";
+    let entry = format!("memory_mb = {MEMORY_MB}\nmax_body_bytes = 1000000");
+    let (mut play, _engine) = Play::start(flood("large texts", start, ""), settings, &entry);
+    let (entry, texts) = (play.processes.entries[0], play.flood);
+    let calls: Vec<_> = (0..24)
+        .map(|_| call(entry, &texts, "flood", "5000"))
+        .collect();
+    play.wait("callers have no answer", || {
+        calls.iter().all(JoinHandle::is_finished)
+    });
+    let peak = play.processes.peak_memory(Role::Entry(0));
+    println!("peak memory of the entry {} MB", peak / 1_000_000);
+    play.check(peak < MEMORY_MB * 1_000_000, &format!("peak memory {peak}"));
+    assert!(play.wrong.is_empty(), "{:#?}", play.wrong);
+}
+
 #[test]
 fn unfinished_events_of_many_calls_leave_a_sidecar_within_its_memory() {
     const UNFINISHED: usize = 1_000_000;
