Front: tell standstills from delays when the grace period is counted

A front that had stood still for a second or more, up to 1 s before SIGTERM, planned its stop from the begin of that standstill: streams that could have ended were cut. One that read the signal up to 1 s late without a standstill gave its final answers after the platform had killed it; the reserve is 0.7 s.

Cause: one constant for the gap that is a standstill and for the time in which a signal of it is read. A gap of 0.5 s counts now, and a signal read more than 0.1 s after it was sent after it.

Evidence: both tests of quay_policy's drain fail with the constant of before (a signal read 0.2 s after a standstill counted 6.2 s too old; final answers up to 0.3 s after the kill) and pass now.

--- a/crates/quay_policy/src/guard/drain.rs
+++ b/crates/quay_policy/src/guard/drain.rs
@@ -84,8 +84,12 @@
     }
 }
 
-/// Gap between two runs of a periodic task from which on its process stood still.
-const STANDSTILL: Duration = Duration::from_secs(1);
+/// Gap between two runs of a periodic task from which on its process stood still. A signal
+/// that is read later than that by less is covered by the reserve of the grace period.
+const STANDSTILL: Duration = Duration::from_millis(500);
+
+/// Longest time after a standstill in which a signal is read that was sent during it.
+const SIGNAL_DELAY: Duration = Duration::from_millis(100);
 
 /// Tells when a signal can have been sent that a process reads: one that stood still, for
 /// example since its machine was paused, reads it late.
@@ -114,7 +118,7 @@
         }
         match self.stood {
             // The task may have run before the signal was read.
-            Some((from, until)) if now.since(until) < STANDSTILL => from,
+            Some((from, until)) if now.since(until) < SIGNAL_DELAY => from,
             _ => now,
         }
     }
--- a/crates/quay_policy/tests/drain.rs
+++ b/crates/quay_policy/tests/drain.rs
@@ -61,8 +61,27 @@
     assert_eq!(clock.signal_sent(at(9_000)), at(3_000));
     clock.record_run(at(9_000));
     assert_eq!(clock.signal_sent(at(9_001)), at(3_000));
+    // A signal that was read later was sent after it.
+    assert_eq!(clock.signal_sent(at(9_200)), at(9_200));
     for ms in (9_300..=10_200).step_by(300) {
         clock.record_run(at(ms));
     }
     assert_eq!(clock.signal_sent(at(10_201)), at(10_201));
 }
+
+/// Guards against final answers that come after the process was killed, since it read the
+/// signal late by less than a standstill.
+#[test]
+fn a_delay_that_is_no_standstill_is_covered_by_the_reserve() {
+    let at = Time::from_millis;
+    let mut clock = StandstillClock::default();
+    for ms in (0..=3_000).step_by(300) {
+        clock.record_run(at(ms));
+    }
+    let grace = Duration::from_secs(8);
+    for read in 3_000..9_000 {
+        let sent = clock.signal_sent(at(read));
+        let plan = DrainPlan::new(sent, grace, &DrainSettings::default());
+        assert!(plan.ends() < at(3_000) + grace, "{read}");
+    }
+}
