Front: close the listener beside the last reports, and after a pause, too

At the end of the grace period the last reports and the close of the listener shared one time-out: with control hosts out of reach the reports took all of it, and connections that waited to be accepted were reset. A process that stood still from before the end of the grace period until after it gave no answers at all, since all its time-outs were over.

The listener is closed while the reports are made, and the time for answers begins when the process notices the end.

The test of a connection accepted as the shutdown begins wrote its request from another thread, which may come later than the 300 ms for a first request; the request is written in the step after the begin now.

--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -504,6 +504,8 @@
         closing.begin();
         if timeout_at(ends, self.finish_requests(ends)).await.is_err() {
             log::warn!("event=drain_ends connections={}", closing.open());
+            // A process that stood still meanwhile gets its time for answers, too.
+            let ends = ends.max(Instant::now());
             self.0.drain.end();
             let answered = ends + reserve / ANSWER_SHARE;
             if timeout_at(answered, closing.all_closed()).await.is_err() {
@@ -511,9 +513,11 @@
             }
             let (part, whole) = REPORT_SHARE;
             let reported = ends + reserve * part / whole;
-            let _ = timeout_at(reported, self.leave_quotas()).await;
-            self.flush_reports(reported).await;
-            let _ = timeout_at(reported, closing.finish()).await;
+            let reports = async {
+                let _ = timeout_at(reported, self.leave_quotas()).await;
+                self.flush_reports(reported).await;
+            };
+            let _ = tokio::join!(reports, timeout_at(reported, closing.finish()));
         }
         log::info!("event=drain_left connections={}", closing.open());
     }
--- a/crates/sapphirequayd/tests/connection_drain.rs
+++ b/crates/sapphirequayd/tests/connection_drain.rs
@@ -44,18 +44,18 @@
     let closing = Rc::clone(&limits.closing);
     spawn_local(async move { serve(listener, &limits).await });
     let mut left = steps;
+    let mut sender = caller.try_clone()?;
     let began = spawn_local(poll_fn(move |cx| {
         if left == 0 {
             closing.begin();
-            return Poll::Ready(());
+            return Poll::Ready(sender.write_all(REQUEST));
         }
         left -= 1;
         cx.waker().wake_by_ref();
         Poll::Pending
     }));
-    began.await.expect("shutdown");
+    began.await.expect("shutdown")?;
     let read = spawn_blocking(move || {
-        caller.write_all(REQUEST)?;
         let mut got = Vec::new();
         caller.read_to_end(&mut got).map(|_| got)
     });
