Fronts: let go of an upstream whose stream is not read

What callers saw: nothing themselves; a stream whose deadline passed while its caller read nothing kept its connection and place at the upstream, the reservation of its program and the memory of its turn.

Cause: the abort of the caller's body waits for room among the frames that the caller has not taken, and what the relay holds was dropped after it.

Why it works: the relay drops body, share, request in flight and reservation before it sends the abort.

--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -138,12 +138,8 @@
             }
             end => end,
         };
-        match end {
-            StreamEnd::Whole => self.in_flight.return_connection(&headers),
-            StreamEnd::CallerGone => {}
-            StreamEnd::Broken(why) | StreamEnd::Flooded(why) => {
-                drop(frames.send(Err(BodyAborted(why))).await);
-            }
+        if end == StreamEnd::Whole {
+            self.in_flight.return_connection(&headers);
         }
         let storing = self.in_flight.elapsed().saturating_sub(read);
         let keep_ms = storing.as_millis();
@@ -157,6 +153,11 @@
             self.wait_ms,
             self.first_ms,
         );
+        // A caller that reads nothing holds nothing of the upstream and the budget.
+        drop((body, share, self));
+        if let StreamEnd::Broken(why) | StreamEnd::Flooded(why) = end {
+            let _ = frames.send(Err(BodyAborted(why))).await;
+        }
     }
 
     /// Records how the upstream performed, and how the run ended.
--- a/crates/sapphirequayd/tests/endless_responses.rs
+++ b/crates/sapphirequayd/tests/endless_responses.rs
@@ -361,3 +361,37 @@
     });
     (gateway, bad)
 }
+
+#[test]
+fn a_flood_that_callers_do_not_read_ends_at_its_upstream_with_their_time() {
+    let (gateway, bad) = start_before_flood();
+    announce(&gateway, "bad", bad.addr);
+    let events = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{common}\r\n";
+    let comments = flood("comments", "/chat/1", events, ": abcdefghijklmn\n\n");
+    *bad.flood.lock().expect("lock") = comments;
+    let front = gateway.fronts[0];
+    wait_until("the upstream is not called", || {
+        call(front, comments.path);
+        bad.called.load(Ordering::SeqCst) > 0
+    });
+    let callers: Vec<_> = (0..CALLS)
+        .map(|number| {
+            let mut caller = TcpStream::connect(front).expect("connection");
+            let req = format!(
+                "POST /chat/1 HTTP/1.1\r\nHost: a.example\r\nX-Sapphirequay-Request-Id: unread-{number}\r\nX-Sapphirequay-Deadline-Ms: 5000\r\nX-Sapphirequay-Program-Id: p\r\nX-Sapphirequay-Token-Usage: 5,30\r\nContent-Length: 1\r\n\r\nx"
+            );
+            caller.write_all(req.as_bytes()).expect("request");
+            caller
+        })
+        .collect();
+    wait_until("the flood does not reach the callers", || {
+        bad.called.load(Ordering::SeqCst) > CALLS
+    });
+    wait_until("the upstream still sends", || {
+        bad.sending.load(Ordering::SeqCst) == 0
+    });
+    drop(callers);
+    let peak = gateway.peak_memory(Role::Front(0));
+    println!("unread: peak memory {} MB", peak >> 20);
+    assert!(peak < MEMORY_LIMIT, "peak memory {} MB", peak >> 20);
+}
