--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -140,12 +140,8 @@
             }
             end => end,
         };
-        match end {
-            StreamEnd::Whole => self.in_flight.return_connection(&headers),
-            StreamEnd::CallerGone => {}
-            StreamEnd::Broken(why) | StreamEnd::Flooded(why) => {
-                drop(frames.send(Err(BodyAborted(why))).await);
-            }
+        if end == StreamEnd::Whole {
+            self.in_flight.return_connection(&headers);
         }
         if end == StreamEnd::Broken(FRONT_ENDS) {
             self.front.shutdown().log_cut(&self.id, self.arrived);
@@ -162,6 +158,11 @@
             self.wait_ms,
             self.first_ms,
         );
+        // A caller that reads nothing holds nothing of the upstream and the budget.
+        drop((body, share, self));
+        if let StreamEnd::Broken(why) | StreamEnd::Flooded(why) = end {
+            let _ = frames.send(Err(BodyAborted(why))).await;
+        }
     }
 
     /// Records how the upstream performed, and how the run ended.
