Links: a host that stops answers what it has read and closes

A front's write to a store that got SIGTERM waited for its time-out, and the store counted as silent: the process returned at once, with replies queued and without the close of its QUIC connections.

Links::stop reads no further requests, waits until peers have the replies to those that were read, at most 2 s at a store, and closes the connections, so that peers fail at once. Streams between replicas are not waited for.

--- a/crates/quay_link/src/calls.rs
+++ b/crates/quay_link/src/calls.rs
@@ -7,16 +7,19 @@
 //! request of that length as its own exchange, so that they do not delay others.
 
 use {
-    crate::{Frame, LinkError, frame::MAX_FRAME_BYTES},
+    crate::{Frame, LinkError, frame::MAX_FRAME_BYTES, stop::Serving},
     bytes::{Bytes, BytesMut},
-    quinn::{Connection, RecvStream, SendStream, VarInt},
+    quinn::{Connection, ReadError, RecvStream, SendStream, VarInt},
     serde::Serialize,
     std::{
         collections::HashMap,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
-    tokio::sync::{Notify, Semaphore, mpsc, oneshot},
+    tokio::{
+        sync::{Notify, Semaphore, mpsc, oneshot},
+        task::JoinSet,
+    },
 };
 
 /// First bytes of a call stream; no frame of another stream has this length.
@@ -155,6 +158,7 @@
 
     /// Writes queued frames, all in one write, until the stream ends.
     async fn write(&self, mut send: SendStream, connection: &Connection) -> Result<(), LinkError> {
+        let mut large_sends = JoinSet::new();
         loop {
             let (bytes, large, ends) = {
                 let mut queued = lock(&self.state);
@@ -167,14 +171,18 @@
                 (bytes, large, ends)
             };
             for (id, body) in large {
-                tokio::spawn(send_large(connection.clone(), id, body));
+                large_sends.spawn(send_large(connection.clone(), id, body));
             }
+            while large_sends.try_join_next().is_some() {}
             if !bytes.is_empty() {
                 self.taken.notify_one();
                 let written = send.write_chunk(Bytes::from(bytes)).await;
                 written.map_err(|err| broken(&err))?;
             } else if ends {
+                // The end of this stream fails the calls that have no reply yet.
+                while large_sends.join_next().await.is_some() {}
                 let _ = send.finish();
+                let _ = send.stopped().await;
                 return Ok(());
             } else {
                 self.queued.notified().await;
@@ -202,6 +210,7 @@
             .await
             .map_err(|err| broken(&err))?;
         let _ = send.finish();
+        let _ = send.stopped().await;
         Ok::<(), LinkError>(())
     };
     if let Err(err) = sent.await {
@@ -379,6 +388,7 @@
             let bytes = match recv.read_chunk(MAX_READ_BYTES, true).await {
                 Ok(Some(chunk)) => chunk.bytes,
                 Ok(None) => return LinkError::Finished,
+                Err(ReadError::ConnectionLost(cause)) => return broken(&cause),
                 Err(err) => return broken(&err),
             };
             let split = frames.push(bytes, |id, body| {
@@ -491,17 +501,18 @@
     }
 }
 
-/// Passes the calls of a stream on until it ends. Reads no further ones while
-/// `calls` or the queue of replies is full.
+/// Passes the calls of a stream on until it ends or the endpoint stops, and returns once
+/// the peer has all replies. Reads no further ones while `calls` or the queue of replies
+/// is full.
 pub(crate) async fn serve_calls(
     connection: Connection,
     send: SendStream,
     mut recv: RecvStream,
-    calls: mpsc::Sender<IncomingCall>,
+    (calls, mut serving): (mpsc::Sender<IncomingCall>, Serving),
 ) {
     let addr = connection.remote_address();
     let outbox = Arc::new(Outbox::default());
-    tokio::spawn({
+    let writer = tokio::spawn({
         let (outbox, connection) = (Arc::clone(&outbox), connection.clone());
         async move {
             if outbox.write(send, &connection).await.is_err() {
@@ -511,7 +522,12 @@
     });
     let mut frames = FrameSplitter::default();
     let mut received = Vec::new();
-    while let Ok(Some(chunk)) = recv.read_chunk(MAX_READ_BYTES, true).await {
+    loop {
+        let chunk = tokio::select! {
+            chunk = recv.read_chunk(MAX_READ_BYTES, true) => chunk,
+            () = serving.stopped() => break,
+        };
+        let Ok(Some(chunk)) = chunk else { break };
         let split = frames.push(chunk.bytes, |id, body| {
             received.extend(body.map(|body| (id, body)));
         });
@@ -536,4 +552,5 @@
         }
     }
     outbox.finish();
+    let _ = writer.await;
 }
--- a/crates/quay_link/src/lib.rs
+++ b/crates/quay_link/src/lib.rs
@@ -28,6 +28,7 @@
 //! assert_eq!(stream.recv::<usize>().expect("reply"), 5);
 //! ```
 
+mod accept;
 mod calls;
 mod endpoint;
 mod error;
@@ -35,6 +36,7 @@
 mod identity;
 mod keys;
 mod links;
+mod stop;
 mod stream;
 mod transfer;
 
--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -3,14 +3,14 @@
 use {
     crate::{
         Frame, Identity, IncomingCall, LinkError, LinkRole, LinkStream,
-        calls::{CALL_STREAM_PREFIX, CallStream, serve_calls},
+        accept::Acceptor,
+        calls::CallStream,
         endpoint::{ALPN_CALLS, bind, client_config, server_config},
         frame,
-        identity::{Holder, certificate_holder},
-        transfer::{read_body, read_prefix, spawn_transfer},
+        stop::{self, HeldServing, Serving},
+        transfer::spawn_transfer,
     },
     quinn::{Connection, Endpoint, VarInt, crypto::rustls::HandshakeData},
-    rustls::pki_types::CertificateDer,
     serde::{Serialize, de::DeserializeOwned},
     std::{
         collections::HashMap,
@@ -19,7 +19,7 @@
         thread,
         time::{Duration, Instant},
     },
-    tokio::sync::{mpsc, oneshot},
+    tokio::sync::{mpsc, oneshot, watch},
 };
 
 /// Time-out of a connection attempt; leaves time to retransmit a few lost
@@ -108,6 +108,8 @@
     OpenCalls(SocketAddr, LinkRole, oneshot::Sender<OpenedCalls>),
     /// Use another identity for new connections.
     Reload(Identity, std_mpsc::SyncSender<Result<(), LinkError>>),
+    /// Stop within a time; the reply tells whether all requests were answered.
+    Stop(Duration, oneshot::Sender<bool>),
 }
 
 /// Handle to a link endpoint; clones share the endpoint.
@@ -291,6 +293,32 @@
             .map_err(|_| LinkError::Stopped)?;
         reloaded.recv().map_err(|_| LinkError::Stopped)?
     }
+
+    /// Stops the endpoint: reads no further requests of peers, waits until those that
+    /// were read are answered, at most for `limit`, and closes the connections, so that
+    /// peers need not wait for a time-out. Returns whether all were answered.
+    pub async fn stop(&self, limit: Duration) -> bool {
+        match self.request_stop(limit) {
+            Some(stopped) => stopped.await.unwrap_or(false),
+            None => true,
+        }
+    }
+
+    /// Stops the endpoint as [`Links::stop`] does, and blocks until it has stopped.
+    #[must_use]
+    pub fn stop_blocking(&self, limit: Duration) -> bool {
+        match self.request_stop(limit) {
+            Some(stopped) => stopped.blocking_recv().unwrap_or(false),
+            None => true,
+        }
+    }
+
+    /// Requests the stop; `None` if the endpoint has ended already.
+    fn request_stop(&self, limit: Duration) -> Option<oneshot::Receiver<bool>> {
+        let (reply, stopped) = oneshot::channel();
+        self.commands.send(Command::Stop(limit, reply)).ok()?;
+        Some(stopped)
+    }
 }
 
 /// Body of the link thread; returns once all handles are dropped.
@@ -331,15 +359,19 @@
     accept: impl Fn(Incoming) + Send + Sync + 'static,
     queue: mpsc::UnboundedReceiver<Command>,
 ) {
+    let (stopping, serving) = Serving::start();
     if settings.listen.is_some() {
-        tokio::spawn(accept_connections(
-            endpoint.clone(),
-            Arc::new(accept),
-            settings.receive_timeout,
-            settings.calls.clone(),
-        ));
+        let acceptor = Acceptor {
+            accept: Arc::new(accept),
+            calls: settings.calls.clone(),
+            receive_timeout: settings.receive_timeout,
+            serving,
+        };
+        tokio::spawn(acceptor.accept_connections(endpoint.clone()));
+    } else {
+        drop(serving);
     }
-    serve_commands(endpoint.clone(), settings, queue).await;
+    serve_commands(endpoint.clone(), settings, queue, Arc::new(stopping)).await;
     endpoint.close(VarInt::from_u32(0), b"stopped");
 }
 
@@ -372,6 +404,7 @@
     mut endpoint: Endpoint,
     mut settings: LinkSettings,
     mut queue: mpsc::UnboundedReceiver<Command>,
+    stopping: Arc<watch::Sender<bool>>,
 ) {
     let mut connections = Connections::default();
     while let Some(command) = queue.recv().await {
@@ -401,6 +434,13 @@
                 tokio::spawn(retire_calls(old));
                 let _ = reply.send(reloaded);
             }
+            Command::Stop(limit, reply) => {
+                let (endpoint, stopping) = (endpoint.clone(), Arc::clone(&stopping));
+                tokio::spawn(async move {
+                    let answered = stop::stop(&endpoint, &stopping, limit).await;
+                    let _ = reply.send(answered);
+                });
+            }
         }
     }
 }
@@ -564,7 +604,7 @@
         .open_bi()
         .await
         .map_err(|err| LinkError::Connect(err.to_string().into()))?;
-    let stream = spawn_transfer(send, recv, receive_timeout);
+    let stream = spawn_transfer(send, recv, receive_timeout, HeldServing::default());
     stream
         .tx
         .send(first)
@@ -572,75 +612,3 @@
         .map_err(|_| LinkError::Broken("stream closed".into()))?;
     Ok(stream)
 }
-
-// ---------------------------------------------------------------------------
-// Incoming streams
-
-/// Accepts connections until the endpoint closes.
-async fn accept_connections(
-    endpoint: Endpoint,
-    accept: Arc<impl Fn(Incoming) + Send + Sync + 'static>,
-    receive_timeout: Duration,
-    calls: Option<mpsc::Sender<IncomingCall>>,
-) {
-    while let Some(incoming) = endpoint.accept().await {
-        let (accept, calls) = (Arc::clone(&accept), calls.clone());
-        tokio::spawn(async move {
-            match incoming.await {
-                Ok(connection) => accept_streams(connection, accept, receive_timeout, calls).await,
-                Err(err) => log::debug!("event=link_refused cause={err:?}"),
-            }
-        });
-    }
-}
-
-/// Holder of the certificate presented by the peer; no roles and no name if the
-/// certificate can't be read.
-fn peer_holder(connection: &Connection) -> Holder {
-    connection
-        .peer_identity()
-        .and_then(|identity| identity.downcast::<Vec<CertificateDer<'static>>>().ok())
-        .and_then(|chain| chain.first().and_then(|cert| certificate_holder(cert).ok()))
-        .unwrap_or_default()
-}
-
-/// Accepts streams until the connection closes.
-async fn accept_streams(
-    connection: Connection,
-    accept: Arc<impl Fn(Incoming) + Send + Sync + 'static>,
-    receive_timeout: Duration,
-    calls: Option<mpsc::Sender<IncomingCall>>,
-) {
-    let holder = peer_holder(&connection);
-    let addr = connection.remote_address();
-    while let Ok((send, mut recv)) = connection.accept_bi().await {
-        let accept = Arc::clone(&accept);
-        let holder = holder.clone();
-        let (connection, calls) = (connection.clone(), calls.clone());
-        tokio::spawn(async move {
-            let first = async {
-                let prefix = read_prefix(&mut recv).await?;
-                if prefix == CALL_STREAM_PREFIX && calls.is_some() {
-                    return Ok(None);
-                }
-                read_body(&mut recv, prefix).await.map(Some)
-            };
-            let first = tokio::time::timeout(receive_timeout, first).await;
-            match (first, calls) {
-                (Ok(Ok(Some(first))), _) => accept(Incoming {
-                    roles: holder.roles,
-                    holder: holder.name,
-                    addr,
-                    first,
-                    stream: spawn_transfer(send, recv, receive_timeout),
-                }),
-                (Ok(Ok(None)), Some(calls)) => serve_calls(connection, send, recv, calls).await,
-                (Ok(Ok(None)), None) => {}
-                (Ok(Err(err)), _) => {
-                    log::debug!("event=link_first_frame peer={addr} cause={err:?}");
-                }
-                (Err(_), _) => log::debug!("event=link_first_frame peer={addr} cause=silent"),
-            }
-        });
-    }
-}
--- a/crates/quay_link/src/stream.rs
+++ b/crates/quay_link/src/stream.rs
@@ -1,7 +1,7 @@
 //! Stream of frames with blocking and asynchronous methods.
 
 use {
-    crate::{Frame, LinkError, frame},
+    crate::{Frame, LinkError, frame, stop::HeldServing},
     serde::{Serialize, de::DeserializeOwned},
     tokio::sync::mpsc,
 };
@@ -17,9 +17,17 @@
 pub struct LinkStream {
     pub(crate) tx: mpsc::Sender<Vec<u8>>,
     pub(crate) rx: mpsc::Receiver<Result<Frame, LinkError>>,
+    /// Held by a stream of a peer for as long as the stop of the endpoint waits for it.
+    pub(crate) serving: HeldServing,
 }
 
 impl LinkStream {
+    /// Has [`Links::stop`](crate::Links::stop) not wait for this stream, which its peer
+    /// keeps open and expects no reply on.
+    pub fn keep_open(&self) {
+        self.serving.release();
+    }
+
     /// Sends one value; blocks while the send channel is full because the
     /// peer reads too slowly.
     ///
--- a/crates/quay_link/src/transfer.rs
+++ b/crates/quay_link/src/transfer.rs
@@ -1,7 +1,7 @@
 //! Transfers frames between a QUIC stream and its [`LinkStream`].
 
 use {
-    crate::{Frame, LinkError, LinkStream, frame, stream::CHANNEL_FRAMES},
+    crate::{Frame, LinkError, LinkStream, frame, stop::HeldServing, stream::CHANNEL_FRAMES},
     quinn::{RecvStream, SendStream, VarInt},
     std::time::Duration,
     tokio::sync::mpsc,
@@ -11,40 +11,50 @@
 const CANCELLED: VarInt = VarInt::from_u32(1);
 
 /// Spawns the tasks that transfer frames between a QUIC stream and the returned
-/// [`LinkStream`].
+/// [`LinkStream`]. `serving` is that of a stream opened by a peer.
 pub(crate) fn spawn_transfer(
     send: SendStream,
     recv: RecvStream,
     receive_timeout: Duration,
+    serving: HeldServing,
 ) -> LinkStream {
     let (out_tx, out_rx) = mpsc::channel(CHANNEL_FRAMES);
     let (in_tx, in_rx) = mpsc::channel(CHANNEL_FRAMES);
-    tokio::spawn(write_frames(send, out_rx));
+    tokio::spawn(write_frames(send, out_rx, serving.clone()));
     tokio::spawn(read_frames(recv, in_tx, receive_timeout));
     LinkStream {
         tx: out_tx,
         rx: in_rx,
+        serving,
     }
 }
 
 /// Writes frames until the [`LinkStream`] is dropped, then finishes the QUIC
-/// stream.
-async fn write_frames(mut send: SendStream, mut frames: mpsc::Receiver<Vec<u8>>) {
+/// stream. `serving` is held until the peer has all frames.
+async fn write_frames(
+    mut send: SendStream,
+    mut frames: mpsc::Receiver<Vec<u8>>,
+    serving: HeldServing,
+) {
     loop {
         tokio::select! {
             frame = frames.recv() => {
                 let Some(frame) = frame else {
                     let _ = send.finish();
-                    return;
+                    if serving.is_held() {
+                        let _ = send.stopped().await;
+                    }
+                    break;
                 };
                 if send.write_all(&frame).await.is_err() {
-                    return;
+                    break;
                 }
             }
             // The peer has stopped reading; further frames would be discarded.
-            _ = send.stopped() => return,
+            _ = send.stopped() => break,
         }
     }
+    serving.release();
 }
 
 /// Reads frames until the stream ends, no frame arrives within
--- a/crates/quay_link/tests/calls.rs
+++ b/crates/quay_link/tests/calls.rs
@@ -205,3 +205,32 @@
     incoming.stream.send_async(&6_u32).await.expect("reply");
     assert_eq!(stream.recv_async::<u32>().await.expect("reply"), 6);
 }
+
+/// Guards against requests that are cut, or wait for a time-out, when a host stops.
+#[tokio::test]
+async fn a_host_that_stops_answers_what_it_has_read_and_closes_its_links() {
+    let mut pair = Pair::start(true);
+    let sizes = [1, 1 << 18, 20_000];
+    let calls = sizes.map(|size| tokio::spawn(pair.call(7, size.min(20_000))));
+    let (one, other) = (pair.calls.recv().await, pair.streams.recv().await);
+    let (one, stream) = (one.expect("call"), other.expect("stream"));
+    let second = pair.streams.recv().await.expect("stream");
+    let server = pair.server.clone();
+    let stopped = tokio::spawn(async move { server.stop(NEVER).await });
+    // The stop has begun when the host reads no further request.
+    while timeout(Duration::from_millis(50), pair.call(1, 1))
+        .await
+        .is_ok()
+    {}
+    one.reply(&vec![7_u32; 1 << 18]).expect("reply");
+    for answered in [stream, second] {
+        let req: Vec<u32> = answered.first.decode().expect("request");
+        answered.stream.send_async(&req).await.expect("reply");
+    }
+    for call in calls {
+        call.await.expect("task").expect("reply");
+    }
+    assert!(stopped.await.expect("task"));
+    let late = timeout(Duration::from_mins(1), pair.call(1, 1)).await;
+    late.expect("no wait for a time-out").expect_err("stopped");
+}
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -58,6 +58,10 @@
 /// Maximum number of calls of other hosts that wait to be read.
 const LINK_QUEUED_CALLS: usize = 256;
 
+/// Maximum time in which a store answers what it has read before it stops: longer than
+/// callers wait for it.
+const MAX_STORE_STOP_TIME: Duration = Duration::from_secs(2);
+
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -169,9 +173,13 @@
         log::info!("event=started name={name} role=control");
         wait_for_termination(lifecycle).await?;
     } else if let Some(store) = &settings.store {
+        let links = base.links.clone();
         start_store(settings, store, &seeds, base)?;
         log::info!("event=started name={name} role=store");
         wait_for_termination(lifecycle).await?;
+        let limit = settings.process.grace().min(MAX_STORE_STOP_TIME);
+        let answered = links.stop(limit).await;
+        log::info!("event=stop_ended closed=true answered={answered}");
     } else {
         return Err(GatewayError::NoRole);
     }
--- a/crates/sapphirequayd/src/process/group/host.rs
+++ b/crates/sapphirequayd/src/process/group/host.rs
@@ -321,6 +321,7 @@
 
 /// Passes the messages of a peer to a replica until the stream ends.
 fn receive(handler: &InboundHandler, from: NodeId, addr: SocketAddr, incoming: &mut Incoming) {
+    incoming.stream.keep_open();
     let take = |message: Message| {
         handler(Inbound::Peer(GroupEvent::Peer {
             from,
