Control hosts: finish operators' and upstreams' calls before the end

A control host that got SIGTERM cut the calls that it had read: an operator could not tell whether its change was in force, and upstreams' heartbeats ended without an answer. Only fronts had a drain. The end of a leader also waited for reads that no quorum confirmed any more.

--- a/crates/sapphirequayd/src/gateway/control/api.rs
+++ b/crates/sapphirequayd/src/gateway/control/api.rs
@@ -5,9 +5,10 @@
     crate::{
         gateway::{
             host_memory::HostMemory,
-            http_server::{self, Body, ServerLimits, full},
+            http_server::{Body, ServerLimits, full},
             messages::{ControlReply, ControlRequest, TableDocument},
             request_body::{BodyCaller, BodyError, read_request_body},
+            server_stop::{ServerStop, StopPhase, serve_until_stopped},
         },
         process::Clock,
     },
@@ -41,11 +42,12 @@
 /// Path of the accounts' limits and their use, which `sapphirequay quotas` reads.
 const QUOTAS_PATH: &str = "/quotas";
 
-/// Serves HTTP requests within `memory` until the process ends.
+/// Serves HTTP requests within `memory` until the server is stopped.
 pub async fn serve<D: Dialect>(
     host: ControlHost<D>,
     listener: tokio::net::TcpListener,
     memory: HostMemory,
+    stop: ServerStop,
 ) {
     let limits = ServerLimits {
         memory: memory.clone(),
@@ -58,11 +60,22 @@
             maintained.tick(false);
         }
     });
+    let stopped = stop.clone();
     let handler = move |req| {
-        let (host, memory) = (host.clone(), memory.clone());
-        async move { Ok::<_, Infallible>(handle(&host, &memory, req).await) }
+        let (host, memory, stop) = (host.clone(), memory.clone(), stopped.clone());
+        async move {
+            let response = tokio::select! {
+                biased;
+                response = handle(&host, &memory, req) => response,
+                () = stop.reached(StopPhase::Ending) => {
+                    log::warn!("event=operator_call_unfinished");
+                    empty_response(StatusCode::SERVICE_UNAVAILABLE)
+                }
+            };
+            Ok::<_, Infallible>(response)
+        }
     };
-    http_server::serve(listener, handler, &limits).await;
+    serve_until_stopped(listener, handler, &limits, &stop).await;
 }
 
 /// Handles one HTTP request.
--- a/crates/sapphirequayd/src/gateway/control/host.rs
+++ b/crates/sapphirequayd/src/gateway/control/host.rs
@@ -19,6 +19,7 @@
                 GatewayRequest, TableDocument,
             },
             meters,
+            server_stop::ServerStop,
         },
         process::{Clock, GroupError, GroupMsg, Mailbox, MembershipChangeError},
         wire::LinkRequest,
@@ -78,10 +79,10 @@
 pub struct ControlHost<D> {
     pub(super) dialect: D,
     clock: Clock,
-    links: Links,
+    pub(super) links: Links,
     /// Client for the leader when another host leads.
     pub(super) client: ControlClient,
-    group: Mailbox<GroupMsg<ControlState>>,
+    pub(super) group: Mailbox<GroupMsg<ControlState>>,
     /// This replica, with the address at which other members reach it.
     own: Member,
     /// Number of members whose loss the group and the stores tolerate.
@@ -91,13 +92,17 @@
     /// State of the leader; `None` while this host does not lead.
     leading: Rc<RefCell<Option<LeaderState>>>,
     /// Notified when followers may have an update to receive.
-    updates: Rc<Notify>,
+    pub(super) updates: Rc<Notify>,
     /// Notified when the state has changed and must be read at once.
     state_changed: Rc<Notify>,
     /// Whether this replica is no member of the control group, as far as it can tell.
     outside: Rc<Cell<bool>>,
     /// Control hosts that were known when the process ended last.
     saved_hosts: SavedHosts,
+    /// Stop of the HTTP API.
+    pub(super) stop: ServerStop,
+    /// Whether the host stops, so that no follower waits for an update.
+    pub(super) leaves: Rc<Cell<bool>>,
 }
 
 impl<D: Clone> Clone for ControlHost<D> {
@@ -116,6 +121,8 @@
             state_changed: Rc::clone(&self.state_changed),
             outside: Rc::clone(&self.outside),
             saved_hosts: self.saved_hosts.clone(),
+            stop: self.stop.clone(),
+            leaves: Rc::clone(&self.leaves),
         }
     }
 }
@@ -146,6 +153,8 @@
             state_changed: Rc::default(),
             outside: Rc::default(),
             saved_hosts: SavedHosts::default(),
+            stop: ServerStop::default(),
+            leaves: Rc::default(),
         }
     }
 
@@ -171,7 +180,8 @@
         memory: HostMemory,
     ) -> std::io::Result<()> {
         let listener = tokio::net::TcpListener::from_std(listener)?;
-        spawn_local(api::serve(self.clone(), listener, memory));
+        let stop = self.stop.clone();
+        spawn_local(api::serve(self.clone(), listener, memory, stop));
         spawn_local(self.clone().confirm_periodically());
         spawn_local(self.clone().maintain_membership());
         spawn_local(self.clone().introduce_periodically());
@@ -179,7 +189,7 @@
         Ok(())
     }
 
-    fn now(&self) -> Time {
+    pub(super) fn now(&self) -> Time {
         self.clock.now()
     }
 
@@ -556,7 +566,7 @@
                 if let Some(news) = leads.update_for(now, mark) {
                     return ControlReply::Update(Box::new(news));
                 }
-                if now >= deadline {
+                if now >= deadline || self.leaves.get() {
                     return ControlReply::Update(Box::new(leads.empty_update(now, mark)));
                 }
             } else {
--- a/crates/sapphirequayd/src/gateway/control/mod.rs
+++ b/crates/sapphirequayd/src/gateway/control/mod.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod saved_hosts;
 mod state;
+mod stop;
 
 pub use {
     host::{ControlHost, FOLLOW_POLL_TIMEOUT},
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod open_connection;
 mod request_body;
 mod run;
+mod server_stop;
 mod store;
 
 pub use {
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -169,9 +169,10 @@
         wait_for_termination(lifecycle).await?;
         host.drain(settings.process.grace()).await;
     } else if let Some(control) = &settings.control {
-        start_control(settings, control, &seeds, base, dialect)?;
+        let host = start_control(settings, control, &seeds, base, dialect)?;
         log::info!("event=started name={name} role=control");
         wait_for_termination(lifecycle).await?;
+        host.stop(settings.process.grace()).await;
     } else if let Some(store) = &settings.store {
         let links = base.links.clone();
         start_store(settings, store, &seeds, base)?;
@@ -250,7 +251,7 @@
     seeds: &GatewaySettings,
     base: HostContext,
     dialect: D,
-) -> Result<(), GatewayError> {
+) -> Result<ControlHost<D>, GatewayError> {
     let ledger = group_settings(settings, control, seeds);
     let groups =
         GroupHost::new(&ledger, base.links.clone(), base.clock).map_err(GatewayError::Group)?;
@@ -283,9 +284,10 @@
     host.start(listener, memory)
         .map_err(io("control API address"))?;
     let groups = Rc::new(groups);
-    let serve = move |asked| serve_control(host.clone(), Rc::clone(&groups), asked);
+    let serving = host.clone();
+    let serve = move |asked| serve_control(serving.clone(), Rc::clone(&groups), asked);
     spawn_local(base.incoming.serve(serve));
-    Ok(())
+    Ok(host)
 }
 
 /// Settings of the control group: the seed hosts bootstrap it at the first
