Entries: deliver all responses before the exit

An entry ended when the number of calls in progress was 0. What isn't counted was cut: answers about health, refusals, and the part of a response that the call had handed over but a slow caller had not taken.

Responses now carry "Connection: close" after SIGTERM. When the calls have ended, the listener and idle connections close, and the process waits until the others have, 5 s at most within the grace period. Then it closes its links, so that the peers of an entry, sidecar or ledger need not wait for a time-out.

--- a/crates/sapphirequayd/src/connection/entry_server.rs
+++ b/crates/sapphirequayd/src/connection/entry_server.rs
@@ -14,7 +14,7 @@
         },
         gateway::{
             Body, BodyAborted, BodyCaller, BodyError, DiscardLimits, HostMemory, MemoryGuard,
-            ServerLimits, discard, read_request_body, serve_http,
+            ServerLimits, ServerStop, StopPhase, discard, read_request_body, serve_until_stopped,
         },
         process::{Clock, InProgressGuard, Lifecycle, telemetry},
         request::{CallContext, CompletionRequest, run_call},
@@ -84,6 +84,7 @@
 #[derive(Debug)]
 pub struct EntryServer {
     local: SocketAddr,
+    stop: ServerStop,
 }
 
 impl EntryServer {
@@ -95,8 +96,26 @@
     pub fn start(cx: EntryContext) -> io::Result<Self> {
         let listener = listener::bind(&cx.settings)?;
         let local = listener.local_addr()?;
-        listener::serve_on_thread("entry-server", move || serve_callers(listener, cx))?;
-        Ok(Self { local })
+        let stop = ServerStop::default();
+        let stopped = stop.clone();
+        listener::serve_on_thread("entry-server", move || serve_callers(listener, cx, stopped))?;
+        Ok(Self { local, stop })
+    }
+
+    /// Has each connection closed after its next response.
+    pub fn leave(&self) {
+        self.stop.enter(StopPhase::Leaving);
+    }
+
+    /// Closes idle connections and accepts no further ones; the others close when their
+    /// responses are delivered.
+    pub fn close(&self) {
+        self.stop.enter(StopPhase::Closing);
+    }
+
+    /// Whether all connections are closed.
+    pub fn is_closed(&self) -> bool {
+        self.stop.phase() == StopPhase::Closed
     }
 
     /// Address that the server listens on.
@@ -105,8 +124,8 @@
     }
 }
 
-/// Serves callers until the process ends.
-async fn serve_callers(listener: std::net::TcpListener, cx: EntryContext) {
+/// Serves callers until the server is stopped.
+async fn serve_callers(listener: std::net::TcpListener, cx: EntryContext, stop: ServerStop) {
     let memory = HostMemory::new(Clock::start(), cx.settings.limits());
     let head_timeout = cx.settings.read_timeout();
     let limits = ServerLimits {
@@ -117,11 +136,13 @@
     limits.idle.set(head_timeout);
     let head_bytes = limits.head_bytes.get() as u64;
     memory.set_limits(head_bytes, cx.settings.max_body_bytes, head_timeout);
-    let (maintained, lifecycle) = (memory.clone(), cx.lifecycle.clone());
+    let maintained = memory.clone();
     spawn_local(async move {
         loop {
             sleep(MAINTENANCE_INTERVAL).await;
-            maintained.tick(lifecycle.draining());
+            // A connection that writes the rest of a response counts as unused, so that a
+            // shutdown ends none early.
+            maintained.tick(false);
         }
     });
     let server = Rc::new(Server {
@@ -134,7 +155,7 @@
         async move { Ok::<_, Infallible>(server.answer(req).await) }
     };
     match TcpListener::from_std(listener) {
-        Ok(listener) => serve_http(listener, handler, &limits).await,
+        Ok(listener) => serve_until_stopped(listener, handler, &limits, &stop).await,
         Err(err) => log::error!("event=edge_down cause={err:?}"),
     }
 }
--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -35,6 +35,7 @@
     },
     request_body::{BodyCaller, BodyError, DiscardLimits, discard, read_request_body},
     run::run,
+    server_stop::{ServerStop, StopPhase, serve_until_stopped},
     store::{PathProbe, SlowMembers, StorePath, StreamOrigins},
 };
 
--- a/crates/sapphirequayd/src/process/daemon.rs
+++ b/crates/sapphirequayd/src/process/daemon.rs
@@ -32,9 +32,13 @@
         net::SocketAddr,
         sync::{Arc, OnceLock},
         thread,
+        time::{Duration, Instant},
     },
 };
 
+/// Interval at which it is looked whether the connections of callers are closed.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Id of the first program group; the id before it is the control group.
 const FIRST_PROGRAM_GROUP: GroupId = GroupId(1);
 
@@ -178,6 +182,31 @@
         self.entry_server.as_ref().map(EntryServer::local_addr)
     }
 
+    /// Has the connections of callers closed after their next response.
+    pub fn leave(&self) {
+        if let Some(server) = &self.entry_server {
+            server.leave();
+        }
+    }
+
+    /// Closes the connections of callers when their responses are delivered, then the
+    /// links when the requests of other processes are answered. Returns whether that was
+    /// possible within `limit`.
+    #[must_use]
+    pub fn close(&self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        let mut closed = true;
+        if let Some(server) = &self.entry_server {
+            server.close();
+            while !server.is_closed() && Instant::now() < until {
+                thread::sleep(CLOSE_POLL_INTERVAL);
+            }
+            closed = server.is_closed();
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        self.links.stop_blocking(left) && closed
+    }
+
     /// Waits for two heartbeats, so that entries can learn that the upstream of
     /// this process is draining. Returns at once if there is no sidecar.
     pub fn wait_for_drain_announcement(&self) {
--- a/crates/sapphirequayd/src/shutdown.rs
+++ b/crates/sapphirequayd/src/shutdown.rs
@@ -25,6 +25,10 @@
 /// Divisor of the grace period that bounds the same for short ones.
 const MAX_ANSWER_SHARE: u32 = 2;
 
+/// Longest time in which callers take the rest of their responses after all calls have
+/// ended, and connections that were not used are waited for.
+const MAX_CLOSE_TIME: Duration = Duration::from_secs(5);
+
 /// Result of a graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ShutdownOutcome {
@@ -43,26 +47,36 @@
     let signals = receive_signals()?;
     let _ = signals.recv();
     let lifecycle = daemon.lifecycle();
+    let began = Instant::now();
+    let ends_at = began + grace;
     // Draining starts before the requests are counted, so that the number
     // can only decrease.
     lifecycle.drain();
+    daemon.leave();
     let in_progress = lifecycle.in_progress();
     log::info!(
         "event=shutdown_began in_progress={in_progress} grace_s={}",
         grace.as_secs()
     );
     let answer_time = MAX_ANSWER_TIME.min(grace / MAX_ANSWER_SHARE);
-    let answers_at = Instant::now() + grace.saturating_sub(answer_time);
+    let answers_at = began + grace.saturating_sub(answer_time);
     let mut outcome = drain(lifecycle, &signals, answers_at);
     if let ShutdownOutcome::Interrupted(left) = outcome
         && Instant::now() >= answers_at
     {
         log::warn!("event=shutdown_ends in_progress={left}");
         lifecycle.end();
-        outcome = drain(lifecycle, &signals, answers_at + answer_time);
+        outcome = drain(lifecycle, &signals, ends_at);
     }
     // Entries learn that the upstream is draining and stop sending calls to it.
     daemon.wait_for_drain_announcement();
+    // Refusals aren't counted, nor what callers haven't taken of their responses.
+    let left = match outcome {
+        ShutdownOutcome::Completed => ends_at.saturating_duration_since(Instant::now()),
+        ShutdownOutcome::Interrupted(_) => Duration::ZERO,
+    };
+    let closed = daemon.close(left.min(MAX_CLOSE_TIME));
+    log::info!("event=shutdown_closed complete={closed}");
     match outcome {
         ShutdownOutcome::Completed => log::info!("event=shutdown_ended in_progress=0"),
         ShutdownOutcome::Interrupted(left) => log::error!("event=shutdown_cut in_progress={left}"),
--- a/crates/sapphirequayd/tests/processes.rs
+++ b/crates/sapphirequayd/tests/processes.rs
@@ -6,9 +6,13 @@
     common::{KEY, completion, engine, free_port, post, start_process, streamed_text, wait_for},
     quay_link::DevelopmentKeys,
     quay_standin::{Engine, EngineSettings},
+    socket2::{Domain, Socket, Type},
     std::{
+        env,
+        ffi::OsString,
         fs,
-        net::SocketAddr,
+        io::{Read as _, Write as _},
+        net::{SocketAddr, TcpStream},
         path::Path,
         process::{Child, Command, ExitStatus},
         thread,
@@ -17,6 +21,12 @@
     tempfile::TempDir,
 };
 
+/// Program of the daemon. Tests are run against those of earlier versions, too.
+fn daemon() -> OsString {
+    let daemon = env::var_os("SAPPHIREQUAYD");
+    daemon.unwrap_or_else(|| env!("CARGO_BIN_EXE_sapphirequayd").into())
+}
+
 /// A process that is killed on drop, also when the test fails.
 struct Process(Child);
 
@@ -30,7 +40,7 @@
             log.display()
         );
         fs::write(&file, head).expect("settings");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_sapphirequayd"));
+        let mut command = Command::new(daemon());
         let child = start_process(command.arg("--config").arg(&file));
         Self(child.expect("process"))
     }
@@ -110,7 +120,11 @@
         link(sidecar),
         engine.addr()
     );
-    let entry_role = format!("{}[entry]\nlisten = \"{callers}\"\n", link(free_port()));
+    // With a limit, a response is not left to the system's send buffers as a whole.
+    let entry_role = format!(
+        "{}[entry]\nlisten = \"{callers}\"\nmemory_mb = 400\n",
+        link(free_port())
+    );
     let processes = Processes {
         _ledger: Process::start(dir.path(), ("ledger-1", 20), &ledger_role),
         sidecar: Process::start(dir.path(), ("sidecar-1", 20), &sidecar_role),
@@ -119,9 +133,7 @@
         engine,
         dir,
     };
-    wait_for("the entry listens", || {
-        std::net::TcpStream::connect(callers).is_ok()
-    });
+    wait_for("the entry listens", || TcpStream::connect(callers).is_ok());
     let short = completion(false).replace("false", "false,\"max_tokens\":1");
     assert_eq!(post(callers, KEY, &short).0, 200);
     processes
@@ -244,3 +256,88 @@
         processes.engine.counts().running == 0
     });
 }
+
+/// Asks for the health on a kept connection until it closes. Returns whether the last
+/// request got its whole answer.
+fn ask_until_closed(addr: SocketAddr) -> bool {
+    let mut stream = common::connect(addr);
+    while stream
+        .write_all(b"GET /healthz HTTP/1.1\r\nhost: e\r\n\r\n")
+        .is_ok()
+    {
+        let mut text = String::new();
+        while !text.contains('}') {
+            let mut buf = [0; 4_096];
+            match stream.read(&mut buf) {
+                Ok(len @ 1..) => text.push_str(&String::from_utf8_lossy(&buf[..len])),
+                _ => return false,
+            }
+        }
+        if text.to_lowercase().contains("connection: close") {
+            return true;
+        }
+    }
+    true
+}
+
+/// Guards against answers that are cut when an entry without calls exits, since they
+/// don't count as in progress.
+#[test]
+fn an_entry_that_exits_answers_what_does_not_count_as_in_progress() {
+    let mut processes = start();
+    let addr = processes.callers;
+    let callers: Vec<_> = (0..8)
+        .map(|_| thread::spawn(move || ask_until_closed(addr)))
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    processes.entry.terminate();
+    assert_eq!(processes.entry.wait_for_exit().code(), Some(0));
+    for caller in callers {
+        assert!(
+            caller.join().expect("caller"),
+            "a request without an answer"
+        );
+    }
+}
+
+/// Guards against responses that are cut because their call has ended before a slow
+/// caller has read them.
+#[test]
+fn an_entry_exits_when_slow_callers_have_their_responses() {
+    let long = EngineSettings {
+        token_gap: Duration::ZERO,
+        answer_tokens: 60_000,
+        ..EngineSettings::default()
+    };
+    let mut processes = start_with(long, 60);
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("socket");
+    socket.set_recv_buffer_size(8 << 10).expect("buffer");
+    socket
+        .connect(&processes.callers.into())
+        .expect("connection");
+    let mut stream = TcpStream::from(socket);
+    let body = completion(false).replace("false", "false,\"max_tokens\":100000");
+    let len = body.len();
+    let req = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: e\r\nauthorization: Bearer {KEY}\r\ncontent-length: {len}\r\n\r\n{body}"
+    );
+    stream.write_all(req.as_bytes()).expect("request");
+    let mut begin = [0; 1_024];
+    let read = stream.read(&mut begin).expect("response");
+    let mut text = String::from_utf8_lossy(&begin[..read]).into_owned();
+    processes.entry.terminate();
+    wait_for("all calls have ended", || {
+        processes
+            .log("entry-1")
+            .contains("event=shutdown_began in_progress=0")
+    });
+    thread::sleep(Duration::from_secs(1));
+    let _ = stream.read_to_string(&mut text);
+    let (head, body) = text.split_once("\r\n\r\n").expect("head");
+    let len = head.to_lowercase().lines().find_map(|line| {
+        let len = line.strip_prefix("content-length: ")?;
+        len.parse::<usize>().ok()
+    });
+    assert_eq!(Some(body.len()), len, "{head}");
+    assert_eq!(processes.entry.wait_for_exit().code(), Some(0));
+}
