Signals: SIGHUP ends no process, and none is missed during the start

SIGHUP ended an entry, sidecar or ledger at once, with all calls in progress: nothing handled it. A gateway heard it, and SIGTERM, only after its role had started, which takes long with much data, and a change of the settings file in that time was not seen. An entry served callers before SIGTERM was heard.

The missed change and the early SIGTERM were read, not shown.

SIGHUP is ignored from the first line of main on, handlers are installed before the roles start, and a gateway reads its settings once more after the start.

--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -35,7 +35,7 @@
     },
     tokio::{
         net::TcpListener,
-        signal::unix::{SignalKind, signal},
+        signal::unix::{Signal, SignalKind, signal},
         sync::mpsc,
         task::{LocalSet, spawn_local},
         time::sleep,
@@ -139,6 +139,9 @@
     dialect: impl Dialect,
     lifecycle: &Lifecycle,
 ) -> Result<(), GatewayError> {
+    // Heard from the start on: reading the data of a role may take long.
+    let mut signals = TerminationSignals::hear()?;
+    let hup = signal(SignalKind::hangup()).map_err(io("signals"))?;
     let seeds = settings.gateway.clone().unwrap_or_default();
     let (tx, streams) = mpsc::unbounded_channel();
     let (calls_tx, calls) = mpsc::channel(LINK_QUEUED_CALLS);
@@ -161,23 +164,23 @@
         incoming: IncomingRequests { streams, calls },
         control: control.clone(),
     };
-    spawn_local(watch_settings(path.into(), control));
+    spawn_local(watch_settings(path.into(), control, hup));
     let name = &settings.process.name;
     if let Some(front) = &settings.front {
         let host = start_front(settings, front, base, dialect).await?;
         log::info!("event=started name={name} role=front");
-        wait_for_termination(lifecycle).await?;
+        signals.wait(lifecycle).await;
         host.drain(settings.process.grace()).await;
     } else if let Some(control) = &settings.control {
         let host = start_control(settings, control, &seeds, base, dialect)?;
         log::info!("event=started name={name} role=control");
-        wait_for_termination(lifecycle).await?;
+        signals.wait(lifecycle).await;
         host.stop(settings.process.grace()).await;
     } else if let Some(store) = &settings.store {
         let links = base.links.clone();
         start_store(settings, store, &seeds, base)?;
         log::info!("event=started name={name} role=store");
-        wait_for_termination(lifecycle).await?;
+        signals.wait(lifecycle).await;
         let limit = settings.process.grace().min(MAX_STORE_STOP_TIME);
         let answered = links.stop(limit).await;
         log::info!("event=stop_ended closed=true answered={answered}");
@@ -188,16 +191,29 @@
     Ok(())
 }
 
-/// Waits for SIGTERM or SIGINT and marks the process as draining.
-async fn wait_for_termination(lifecycle: &Lifecycle) -> Result<(), GatewayError> {
-    let mut term = signal(SignalKind::terminate()).map_err(io("signals"))?;
-    let mut int = signal(SignalKind::interrupt()).map_err(io("signals"))?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+/// SIGTERM and SIGINT.
+struct TerminationSignals {
+    term: Signal,
+    int: Signal,
+}
+
+impl TerminationSignals {
+    /// Hears the signals from now on.
+    fn hear() -> Result<Self, GatewayError> {
+        Ok(Self {
+            term: signal(SignalKind::terminate()).map_err(io("signals"))?,
+            int: signal(SignalKind::interrupt()).map_err(io("signals"))?,
+        })
+    }
+
+    /// Waits for one of them and marks the process as draining.
+    async fn wait(&mut self, lifecycle: &Lifecycle) {
+        tokio::select! {
+            _ = self.term.recv() => {}
+            _ = self.int.recv() => {}
+        }
+        lifecycle.drain();
     }
-    lifecycle.drain();
-    Ok(())
 }
 
 // ---------------------------------------------------------------------------
@@ -393,13 +409,10 @@
 // ---------------------------------------------------------------------------
 // Reload of settings
 
-/// Reloads the seed addresses on SIGHUP or when the settings file has changed.
-async fn watch_settings(path: PathBuf, control: ControlClient) {
-    let Ok(mut hup) = signal(SignalKind::hangup()) else {
-        log::error!("event=signals_unheard");
-        return;
-    };
-    let mut last_modified = modified_at(&path);
+/// Reloads the seed addresses on SIGHUP or when the settings file has changed, and once
+/// after the start, during which it may have changed.
+async fn watch_settings(path: PathBuf, control: ControlClient, mut hup: Signal) {
+    let mut last_modified = None;
     loop {
         let told = tokio::select! {
             _ = hup.recv() => true,
--- a/crates/sapphirequayd/src/main.rs
+++ b/crates/sapphirequayd/src/main.rs
@@ -44,6 +44,9 @@
         print!("{DEFAULT_SETTINGS}");
         return ExitCode::SUCCESS;
     }
+    if let Err(err) = shutdown::ignore_hangups() {
+        return fail(&err.to_string(), EXIT_BAD_SETTINGS);
+    }
     let settings = match load_settings(&args) {
         Ok(settings) => settings,
         Err(message) => return fail(&message, EXIT_BAD_SETTINGS),
@@ -89,6 +92,8 @@
             .map(|()| ShutdownOutcome::Completed)
             .map_err(|err| err.to_string());
     }
+    // Received from the start on, since callers are served before it is complete.
+    let signals = shutdown::receive_signals().map_err(|err| err.to_string())?;
     let daemon = Daemon::start(settings, identity).map_err(|err| err.to_string())?;
     daemon.watch_keys(files).map_err(|err| err.to_string())?;
     let addr = |addr: Option<std::net::SocketAddr>| {
@@ -100,5 +105,5 @@
         addr(daemon.callers_addr()),
         addr(daemon.link_addr())
     );
-    shutdown::wait(&daemon, settings.process.grace()).map_err(|err| err.to_string())
+    Ok(shutdown::wait(&daemon, &signals, settings.process.grace()))
 }
--- a/crates/sapphirequayd/src/shutdown.rs
+++ b/crates/sapphirequayd/src/shutdown.rs
@@ -3,12 +3,16 @@
 use {
     sapphirequayd::{Daemon, Lifecycle},
     signal_hook::{
-        consts::{SIGINT, SIGTERM},
+        consts::{SIGHUP, SIGINT, SIGTERM},
+        flag,
         iterator::Signals,
     },
     std::{
         io,
-        sync::mpsc::{self, Receiver, RecvTimeoutError},
+        sync::{
+            Arc,
+            mpsc::{self, Receiver, RecvTimeoutError},
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -39,12 +43,7 @@
 }
 
 /// Waits for a signal, then for the requests in progress, for at most `grace`.
-///
-/// # Errors
-///
-/// Fails if the signal handlers can't be installed.
-pub fn wait(daemon: &Daemon, grace: Duration) -> io::Result<ShutdownOutcome> {
-    let signals = receive_signals()?;
+pub fn wait(daemon: &Daemon, signals: &Receiver<()>, grace: Duration) -> ShutdownOutcome {
     let _ = signals.recv();
     let lifecycle = daemon.lifecycle();
     let began = Instant::now();
@@ -60,13 +59,13 @@
     );
     let answer_time = MAX_ANSWER_TIME.min(grace / MAX_ANSWER_SHARE);
     let answers_at = began + grace.saturating_sub(answer_time);
-    let mut outcome = drain(lifecycle, &signals, answers_at);
+    let mut outcome = drain(lifecycle, signals, answers_at);
     if let ShutdownOutcome::Interrupted(left) = outcome
         && Instant::now() >= answers_at
     {
         log::warn!("event=shutdown_ends in_progress={left}");
         lifecycle.end();
-        outcome = drain(lifecycle, &signals, ends_at);
+        outcome = drain(lifecycle, signals, ends_at);
     }
     // Entries learn that the upstream is draining and stop sending calls to it.
     daemon.wait_for_drain_announcement();
@@ -81,19 +80,32 @@
         ShutdownOutcome::Completed => log::info!("event=shutdown_ended in_progress=0"),
         ShutdownOutcome::Interrupted(left) => log::error!("event=shutdown_cut in_progress={left}"),
     }
-    Ok(outcome)
+    outcome
 }
 
-/// Starts a thread that receives signals.
-fn receive_signals() -> io::Result<Receiver<()>> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+/// Ignores SIGHUP until it is received, which ends a process that does nothing about it.
+///
+/// # Errors
+///
+/// Fails if the signal handler can't be installed.
+pub fn ignore_hangups() -> io::Result<()> {
+    flag::register(SIGHUP, Arc::default()).map(drop)
+}
+
+/// Starts a thread that receives signals. SIGHUP changes nothing: files are watched.
+///
+/// # Errors
+///
+/// Fails if the signal handlers can't be installed.
+pub fn receive_signals() -> io::Result<Receiver<()>> {
+    let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
     let (tx, rx) = mpsc::channel();
     thread::Builder::new()
         .name("signals".into())
         .spawn(move || {
             for signal in signals.forever() {
                 log::info!("event=signal number={signal}");
-                if tx.send(()).is_err() {
+                if signal != SIGHUP && tx.send(()).is_err() {
                     return;
                 }
             }
--- a/crates/sapphirequayd/tests/processes.rs
+++ b/crates/sapphirequayd/tests/processes.rs
@@ -47,8 +47,12 @@
 
     /// Sends SIGTERM.
     fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    fn signal(&self, signal: &str) {
         let mut kill = Command::new("/bin/kill");
-        let sent = start_process(kill.arg(self.0.id().to_string()));
+        let sent = start_process(kill.args(["-s", signal, &self.0.id().to_string()]));
         let status = sent.expect("kill").wait();
         assert!(status.expect("kill").success());
     }
@@ -76,7 +80,7 @@
     dir: TempDir,
     entry: Process,
     sidecar: Process,
-    _ledger: Process,
+    ledger: Process,
     callers: SocketAddr,
     engine: Engine,
 }
@@ -126,7 +130,7 @@
         link(free_port())
     );
     let processes = Processes {
-        _ledger: Process::start(dir.path(), ("ledger-1", 20), &ledger_role),
+        ledger: Process::start(dir.path(), ("ledger-1", 20), &ledger_role),
         sidecar: Process::start(dir.path(), ("sidecar-1", 20), &sidecar_role),
         entry: Process::start(dir.path(), ("entry-1", grace_s), &entry_role),
         callers,
@@ -212,6 +216,42 @@
     assert_eq!(processes.sidecar.wait_for_exit().code(), Some(0));
 }
 
+/// Guards against processes that SIGHUP ends with all their calls.
+#[test]
+fn a_hangup_ends_no_process() {
+    let processes = start();
+    let caller = processes.begin_call();
+    for process in [&processes.entry, &processes.sidecar, &processes.ledger] {
+        process.signal("HUP");
+    }
+    let (status, text) = caller.join().expect("caller");
+    assert_eq!(status, 200);
+    assert!(is_complete(&text), "{text}");
+}
+
+/// The same for a process that is still starting.
+#[test]
+fn a_hangup_during_the_start_ends_no_process() {
+    let dir = tempfile::tempdir().expect("folder");
+    let file = dir.path().join("pipe.toml");
+    let made = start_process(Command::new("mkfifo").arg(&file));
+    assert!(made.expect("mkfifo").wait().expect("mkfifo").success());
+    let mut command = Command::new(daemon());
+    let child = start_process(command.arg("--check-config").arg("--config").arg(&file));
+    let mut process = Process(child.expect("process"));
+    // Opened once the process reads its settings, which it does until the pipe closes.
+    let mut pipe = fs::OpenOptions::new()
+        .write(true)
+        .open(&file)
+        .expect("pipe");
+    process.signal("HUP");
+    thread::sleep(Duration::from_millis(100));
+    let _ = pipe.write_all(b"[process]\nname = \"entry-1\"\n");
+    drop(pipe);
+    let status = process.wait_for_exit();
+    assert!(status.code().is_some(), "ended by a signal: {status}");
+}
+
 #[test]
 fn a_second_signal_ends_the_process_and_says_what_was_cut() {
     let mut processes = start();
