--- a/crates/quay_link/src/calls.rs
+++ b/crates/quay_link/src/calls.rs
@@ -9,7 +9,7 @@
 use {
     crate::{Frame, LinkError, frame::MAX_FRAME_BYTES, stop::Serving},
     bytes::{Bytes, BytesMut},
-    quinn::{Connection, RecvStream, SendStream, VarInt},
+    quinn::{Connection, ReadError, RecvStream, SendStream, VarInt},
     serde::Serialize,
     std::{
         collections::HashMap,
@@ -388,6 +388,7 @@
             let bytes = match recv.read_chunk(MAX_READ_BYTES, true).await {
                 Ok(Some(chunk)) => chunk.bytes,
                 Ok(None) => return LinkError::Finished,
+                Err(ReadError::ConnectionLost(cause)) => return broken(&cause),
                 Err(err) => return broken(&err),
             };
             let split = frames.push(bytes, |id, body| {
