--- a/crates/sapphirequayd/tests/endless_responses.rs
+++ b/crates/sapphirequayd/tests/endless_responses.rs
@@ -220,12 +220,14 @@
 
     /// Sends until the peer closes the connection.
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
-        let flood = *self.flood.lock().expect("lock");
-        let head = if flood.at_once {
+        let at_once = self.flood.lock().expect("lock").at_once;
+        let head = if at_once {
             String::new()
         } else {
             read_request(&mut stream)?.0
         };
+        // The connection may be older than the flood that is played.
+        let flood = *self.flood.lock().expect("lock");
         let id = header(&head, "x-sapphirequay-request-id").unwrap_or_default();
         let start = flood.start.replace("{common}", COMMON);
         let start = start.replace("{id}", id);
