Fronts: a response for which a front has no room is no failure of its upstream

Without room the stream counts as abandoned again; too many tokens and bytes without an event are failures of the upstream.

--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -241,7 +241,7 @@
                 return StreamEnd::Flooded("no_event");
             }
             if !share.resize(reader.held_bytes()) {
-                return StreamEnd::Flooded("response_too_large");
+                return StreamEnd::Broken("response_too_large");
             }
             if let Some(reservation) = &self.reservation {
                 // An incomplete event counts as sent.
