--- a/crates/sapphirequayd/src/main.rs
+++ b/crates/sapphirequayd/src/main.rs
@@ -9,11 +9,9 @@
     quay_platform::Platform,
     sapphirequayd::{DEFAULT_SETTINGS, Daemon, Settings, run_gateway},
     shutdown::ShutdownOutcome,
-    signal_hook::{consts::SIGHUP, flag},
     std::{
         path::{Path, PathBuf},
         process::ExitCode,
-        sync::Arc,
     },
 };
 
@@ -46,10 +44,8 @@
         print!("{DEFAULT_SETTINGS}");
         return ExitCode::SUCCESS;
     }
-    // Without a handler SIGHUP ends the process; a gateway's watch of its settings begins
-    // later, and other roles don't use the signal.
-    if let Err(err) = flag::register(SIGHUP, Arc::default()) {
-        return fail(&format!("signals: {err}"), EXIT_BAD_SETTINGS);
+    if let Err(err) = shutdown::ignore_hangups() {
+        return fail(&err.to_string(), EXIT_BAD_SETTINGS);
     }
     let settings = match load_settings(&args) {
         Ok(settings) => settings,
@@ -96,6 +92,8 @@
             .map(|()| ShutdownOutcome::Completed)
             .map_err(|err| err.to_string());
     }
+    // Received from the start on, since callers are served before it is complete.
+    let signals = shutdown::receive_signals().map_err(|err| err.to_string())?;
     let daemon = Daemon::start(settings, identity).map_err(|err| err.to_string())?;
     daemon.watch_keys(files).map_err(|err| err.to_string())?;
     let addr = |addr: Option<std::net::SocketAddr>| {
@@ -107,5 +105,5 @@
         addr(daemon.callers_addr()),
         addr(daemon.link_addr())
     );
-    shutdown::wait(&daemon, settings.process.grace()).map_err(|err| err.to_string())
+    Ok(shutdown::wait(&daemon, &signals, settings.process.grace()))
 }
