Fronts: a stop does not cut responses that are taken slowly

What callers saw: a caller that takes nothing for a second while its front stops gets a reset in the middle of a complete response.

Cause: a connection counts as idle once hyper has taken the response, and a stop ended connections that had stood still for 1 s, idle ones included.

Evidence: a_stop_does_not_cut_a_response_that_is_taken_slowly got 128,000 of 4,194,304 bytes and a reset before (caller_disconnected reason=shutdown phase=Idle), and all now.

Why it works: the graceful shutdown of a connection closes idle ones by itself, after what is to be written; only callers that have not brought a whole request are ended. drive_connection polls the connection first, so that a request that has arrived is read before its connection is closed.

--- a/crates/quay_policy/src/memory/callers.rs
+++ b/crates/quay_policy/src/memory/callers.rs
@@ -289,12 +289,16 @@
     }
 
     /// Ends a connection of which nothing is lost but a request that has stood still for
-    /// at least `slow_after`.
+    /// at least `slow_after`. Idle ones close by themselves, once their last response is
+    /// written.
     pub fn end_unused(&mut self, now: Time, slow_after: Duration) -> Option<EndedConnection> {
         self.end_worst(EndReason::Shutdown, |caller| {
             let stalled = now.since(caller.progressed);
-            let ends = caller.phase != ConnectionPhase::Running && stalled >= slow_after;
-            ends.then_some((stalled, stalled, 0))
+            let waits = !matches!(
+                caller.phase,
+                ConnectionPhase::Running | ConnectionPhase::Idle
+            );
+            (waits && stalled >= slow_after).then_some((stalled, stalled, 0))
         })
     }
 
--- a/crates/sapphirequayd/src/gateway/http_server.rs
+++ b/crates/sapphirequayd/src/gateway/http_server.rs
@@ -384,6 +384,8 @@
     tokio::pin!(shutdown, ended_early);
     loop {
         tokio::select! {
+            // A request that has arrived is read before an idle connection is closed.
+            biased;
             ended = Pin::new(&mut conn) => {
                 if let Err(err) = ended {
                     log::debug!("event=caller_connection_ended cause={err}");
--- a/crates/sapphirequayd/tests/planned_stops.rs
+++ b/crates/sapphirequayd/tests/planned_stops.rs
@@ -39,6 +39,12 @@
 /// than a front that stops waits for its reports.
 const LONGER_THAN_REPORTS: Duration = Duration::from_secs(4);
 
+/// Size of a response that the buffers of a connection can't hold.
+const LARGE_BYTES: usize = 4 << 20;
+
+/// Time after which a caller that takes nothing counts as a slow one.
+const SLOW_READ_TIME: Duration = Duration::from_millis(2_500);
+
 /// Time for which a caller waits: longer than any grace period here, too.
 const DEADLINE_MS: u32 = 50_000;
 
@@ -82,6 +88,13 @@
                 thread::sleep(SLOW_TIME);
                 return false;
             }
+            if id == "large" {
+                let text = format!("{head}content-length: {LARGE_BYTES}\r\n\r\n");
+                let sent = stream.write_all(text.as_bytes());
+                return sent
+                    .and_then(|()| stream.write_all(&vec![b'a'; LARGE_BYTES]))
+                    .is_ok();
+            }
             let text = format!("{head}content-length: 4\r\n\r\ndone");
             stream.write_all(text.as_bytes()).is_ok()
         });
@@ -285,6 +298,25 @@
     });
 }
 
+/// Guards against a response that a stop cuts since its caller takes it slowly.
+#[test]
+fn a_stop_does_not_cut_a_response_that_is_taken_slowly() {
+    let mut site = Site::start(30);
+    let mut stream = TcpStream::connect(site.front()).expect("connection");
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("limit");
+    let head = head("/read/1", "large", DEADLINE_MS).replace('\n', "\r\n");
+    let text = format!("{head}\r\nContent-Length: 1\r\n\r\nx");
+    stream.write_all(text.as_bytes()).expect("request");
+    let mut got = vec![0; 1];
+    stream.read_exact(&mut got).expect("a response");
+    site.gateway.signal(Role::Front(0), "TERM");
+    wait_until("connections are closed", || site.closing());
+    thread::sleep(SLOW_READ_TIME);
+    let read = stream.read_to_end(&mut got);
+    assert!(got.len() > LARGE_BYTES, "{} bytes, {read:?}", got.len());
+    site.gateway.terminate(Role::Front(0));
+}
+
 /// Guards against a request that runs although it waited into the shutdown and can't end.
 #[test]
 fn a_request_whose_body_arrives_late_in_a_shutdown_is_not_run() {
