Review case 8: a stream joined from two software versions

Shows ORDER: a worker starts again under its id at another version while its heartbeat is late; streams that broke off at a killed front are taken up at the version that the directory still lists.

--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod lost_turns;
 mod resumed;
+mod versions;
 mod worker;
 
 use std::{env, fs, process};
@@ -24,6 +25,7 @@
     let (verdict, mut record) = match case.as_str() {
         "lost-turns" => lost_turns::run(trouble),
         "leaving" => leaving::run(trouble),
+        "versions" => versions::run(trouble),
         "resumed" => resumed::run(trouble),
         _ => (Verdict::NotRun("unknown case".into()), Vec::new()),
     };
--- a/review/harness-2/src/resumed.rs
+++ b/review/harness-2/src/resumed.rs
@@ -19,7 +19,7 @@
 
 const EVENTS: usize = 8;
 
-fn fields(
+pub fn fields(
     id: &str,
     previous: Option<&str>,
     last_event: Option<usize>,
@@ -47,7 +47,7 @@
 
 /// Sends a turn and reads its stream until `events` events have come whole or it ends.
 /// Returns the text that came.
-fn begin(front: SocketAddr, id: &str, input: &str, events: usize) -> String {
+pub fn begin(front: SocketAddr, id: &str, input: &str, events: usize) -> String {
     let Ok(stream) = TcpStream::connect(front) else {
         return String::new();
     };
@@ -111,7 +111,7 @@
     let (first, second) = (cluster.front("front-1"), cluster.front("front-2"));
     let input = "a question of some length;".repeat(20);
     let pieces: Vec<String> = (1..=EVENTS)
-        .map(|event| event_data(digest(input.as_bytes()), event))
+        .map(|event| event_data(digest(input.as_bytes()), event, "v1"))
         .collect();
 
     // The turn, whole in the end.
--- a/review/harness-2/src/worker.rs
+++ b/review/harness-2/src/worker.rs
@@ -31,6 +31,10 @@
 struct Shared {
     id: String,
     service: String,
+    /// Version of its software, which decides what it writes.
+    version: String,
+    /// Time by which its first heartbeat comes late.
+    late: Duration,
     zone: String,
     addr: SocketAddr,
     born: u64,
@@ -60,6 +64,18 @@
         service: &str,
         addr: SocketAddr,
         controls: Vec<SocketAddr>,
+        times: (usize, Duration, Duration),
+    ) -> Self {
+        Self::start_at(id, service, ("v1", Duration::ZERO), addr, controls, times)
+    }
+
+    /// Starts a worker of a software version, whose first heartbeat comes late.
+    pub fn start_at(
+        id: &str,
+        service: &str,
+        (version, late): (&str, Duration),
+        addr: SocketAddr,
+        controls: Vec<SocketAddr>,
         (events, work, gap): (usize, Duration, Duration),
     ) -> Self {
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -67,6 +83,8 @@
         let worker = Self(Arc::new(Shared {
             id: id.into(),
             service: service.into(),
+            version: version.into(),
+            late,
             zone: "zone-1".into(),
             addr,
             born,
@@ -140,9 +158,9 @@
             "ready"
         };
         let body = format!(
-            "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"v1\",\"Slots\":16,\
+            "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"{}\",\"Slots\":16,\
              \"State\":\"{state}\",\"ColdLeftMs\":0,\"Seq\":{seq},\"born\":{}}}",
-            it.service, it.addr, it.zone, it.born
+            it.service, it.addr, it.zone, it.version, it.born
         );
         let first = format!("POST /sapphirequay/instances/{}/heartbeat", it.id);
         let acked = operator(control, &first, body.as_bytes()).status == 200;
@@ -154,6 +172,7 @@
 
     /// Every 1.2 s; after a failure the next control host is called.
     fn beat_periodically(&self) {
+        thread::sleep(self.0.late);
         let mut next = 0;
         while self.0.beats.load(Ordering::SeqCst) {
             let began = Instant::now();
@@ -209,6 +228,7 @@
         }
         // The same input gives the same events, so that a stream can go on anywhere.
         let text_of = digest(&body);
+        let version = self.0.version.clone();
         let after = head
             .get("last-event-id")
             .and_then(|it| it.parse().ok())
@@ -234,7 +254,10 @@
                 if event > after + 1 {
                     thread::sleep(self.0.gap);
                 }
-                let text = format!("id: {event}\ndata: {}\n\n", event_data(text_of, event));
+                let text = format!(
+                    "id: {event}\ndata: {}\n\n",
+                    event_data(text_of, event, &version)
+                );
                 let text = format!("{:x}\r\n{text}\r\n", text.len());
                 conn.stream.write_all(text.as_bytes()).ok()?;
             }
@@ -262,6 +285,6 @@
 }
 
 /// Data of an event of the stream for an input.
-pub fn event_data(input: u64, event: usize) -> String {
-    format!("{input:016x}-piece-{event}")
+pub fn event_data(input: u64, event: usize, version: &str) -> String {
+    format!("{input:016x}-{version}-piece-{event}")
 }
