Review case 10: fronts over their memory by a burst of long turns

Shown by review/10/run.sh on the project's own processes; the script plays the platform that kills a process over MemoryMb.

--- a/review/harness-2/src/cluster.rs
+++ b/review/harness-2/src/cluster.rs
@@ -48,6 +48,8 @@
     folder: PathBuf,
     began: Instant,
     pub log: Vec<String>,
+    /// `MemoryMb` of the fronts.
+    pub front_memory_mb: u64,
 }
 
 /// Loopback address of a machine.
@@ -95,6 +97,7 @@
             folder,
             began: Instant::now(),
             log: Vec::new(),
+            front_memory_mb: 260,
         };
         for number in 0..3 {
             cluster.add(Role::Control, number);
@@ -190,7 +193,8 @@
             .collect();
         let own = match node.role {
             Role::Front => format!(
-                "[front]\nlisten = \"{ip}:{front}\"\nready = \"{ip}:{ready}\"\nmemory_mb = 260\nmax_fds = 4100\n"
+                "[front]\nlisten = \"{ip}:{front}\"\nready = \"{ip}:{ready}\"\nmemory_mb = {}\nmax_fds = 4100\n",
+                self.front_memory_mb
             ),
             Role::Control => format!(
                 "[control]\nlisten = \"{ip}:{control}\"\ndata = \"{}\"\nmemory_mb = 256\nmax_fds = 4096\n",
@@ -245,6 +249,15 @@
         }
     }
 
+    /// Memory of a process that is its own and not a file's, in bytes.
+    pub fn own_memory(&self, name: &str) -> u64 {
+        let pid = self.node(name).child.as_ref().map_or(0, Child::id);
+        let text = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = text.lines().find_map(|it| it.strip_prefix("RssAnon:"));
+        let kib = line.and_then(|it| it.trim().strip_suffix(" kB"));
+        kib.and_then(|it| it.parse::<u64>().ok()).unwrap_or(0) << 10
+    }
+
     /// Machines whose processes have ended by themselves.
     pub fn ended(&mut self) -> Vec<String> {
         let nodes = self.nodes.iter_mut();
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod leaving;
 mod lost_turns;
+mod memory;
 mod resumed;
 mod versions;
 mod worker;
@@ -25,6 +26,7 @@
     let (verdict, mut record) = match case.as_str() {
         "lost-turns" => lost_turns::run(trouble),
         "leaving" => leaving::run(trouble),
+        "memory" => memory::run(trouble),
         "versions" => versions::run(trouble),
         "resumed" => resumed::run(trouble),
         _ => (Verdict::NotRun("unknown case".into()), Vec::new()),
