--- a/review/harness-2/src/leaving.rs
+++ b/review/harness-2/src/leaving.rs
@@ -109,6 +109,8 @@
     if trouble {
         cluster.kill(&leader);
         cluster.note(format!("{leader}, which leads, is killed"));
+        // A heartbeat that is due before the next leader is there comes late.
+        leaving.hold_heartbeats();
         let led = wait_until(Duration::from_secs(3), || {
             now = cluster.leader().unwrap_or_default();
             now != leader
--- a/review/harness-2/src/lost_turns.rs
+++ b/review/harness-2/src/lost_turns.rs
@@ -104,16 +104,17 @@
     if trouble {
         cluster.signal(frozen, "STOP");
         cluster.note(format!("{frozen} freezes"));
-        cluster.kill(lost);
-        cluster.wipe(lost);
-        cluster.note(format!("{lost} loses power and its disk"));
         let added = cluster.add(Role::Store, 3);
         cluster.start(&added, false);
         cluster.note(format!("{added} is added, with an empty disk"));
+        thread::sleep(Duration::from_secs(1));
+        cluster.kill(lost);
+        cluster.wipe(lost);
+        cluster.note(format!("{lost} loses power and its disk"));
         thread::sleep(Duration::from_secs(2));
         cluster.start(lost, false);
         cluster.note(format!("{lost} is back, with an empty disk"));
-        thread::sleep(Duration::from_secs(4));
+        thread::sleep(Duration::from_secs(3));
         cluster.signal(frozen, "CONT");
         cluster.note(format!("{frozen} wakes, with its disk as it was"));
     } else {
--- a/review/harness-2/src/worker.rs
+++ b/review/harness-2/src/worker.rs
@@ -188,6 +188,11 @@
         }
     }
 
+    /// Sends no heartbeats from now on, as one that is late would.
+    pub fn hold_heartbeats(&self) {
+        self.0.beats.store(false, Ordering::SeqCst);
+    }
+
     /// Says that it leaves, without having reported `draining`. It serves on. Returns
     /// whether that was acknowledged.
     pub fn leave(&self, control: SocketAddr) -> bool {
