Fronts: the stream of a stored turn is begun anew, not taken up

What callers saw: on a route with Retain and Resumable a turn broke off after 3 of 8 events, was taken up at another front with Last-Event-Id: 3, and ended whole.

Cause: StreamRelay::store_turn keeps what its own front relayed as the whole output of the turn. That holds only if the stream began there, and nothing asked: the header of a take-up and the route's retention were read in different places.

Change: quay_policy::StreamTerms decides by the route and the head alone. A take-up of a turn that is to be stored is refused (503 not_resumable, not run) before its body is read, and the caller begins the turn anew. So one front relays all that it stores. The same answer decides whether a front that stops may take the request: until now a stored turn counted as one that could go on elsewhere. No origin is recorded for a stream that can't be taken up.

--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -30,7 +30,7 @@
         LimitAllocator, LimitHolder, LimitSettings, PermitDemand, PermitGrant, PermitRequest,
     },
     quota::{QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings},
-    resume::{OriginLookup, RecordedOrigin, ResumeFacts, ResumeRefusal},
+    resume::{OriginLookup, RecordedOrigin, ResumeFacts, ResumeRefusal, StreamTerms},
     retry::{RetryBudgets, RetrySettings},
     service_versions::{ServiceVersion, ServiceVersions, VersionRegistry, VersionsSeen},
     stream_origin::StreamOrigin,
--- a/crates/quay_policy/src/guard/resume.rs
+++ b/crates/quay_policy/src/guard/resume.rs
@@ -5,6 +5,40 @@
     quay_types::{Incarnation, ServiceId, SoftwareVersion},
 };
 
+/// What a request and its route say of its stream before anything else is known.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StreamTerms {
+    /// Whether another run may go on with the stream on this route.
+    pub resumable: bool,
+    /// Whether the stream is stored as the output of a turn.
+    pub stored: bool,
+}
+
+impl StreamTerms {
+    /// Whether a request may take up a stream that another one began.
+    ///
+    /// The output of a stored turn is what one entry has relayed, from the first event to the
+    /// last. The events before a break are with the caller and, at most, an entry that has
+    /// ended since, so a turn that is taken up could only be stored without them.
+    ///
+    /// # Errors
+    ///
+    /// If the caller must begin the stream anew.
+    pub const fn check_take_up(self) -> Result<(), ResumeRefusal> {
+        if self.stored {
+            Err(ResumeRefusal::StoredTurn)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Whether a stream that breaks off can be completed by another request.
+    #[must_use]
+    pub const fn can_go_on(self) -> bool {
+        self.resumable && self.check_take_up().is_ok()
+    }
+}
+
 /// What the stores know of the run that began a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RecordedOrigin {
@@ -95,6 +129,8 @@
     NotNamed,
     /// Too few stores answered.
     StoresUnsure,
+    /// The stream is stored as the output of a turn, which must be whole.
+    StoredTurn,
 }
 
 impl ResumeRefusal {
@@ -107,6 +143,7 @@
             Self::NoRecord => "no_record",
             Self::NotNamed => "first_attempt_not_named",
             Self::StoresUnsure => "stores_unsure",
+            Self::StoredTurn => "stored_turn",
         }
     }
 }
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -38,9 +38,10 @@
         PermitDemand, PermitGrant, PermitRequest, QuotaAllocator, QuotaGrant, QuotaHolder,
         QuotaLease, QuotaReply, QuotaReport, QuotaRequest, QuotaSettings, QuotaUse, QuotaView,
         RecordedOrigin, Requirements, ResumeFacts, ResumeRefusal, RetryBudgets, RetrySettings,
-        RunEnd, ServiceVersion, ServiceVersions, StandstillClock, StreamOrigin, SuspectCommand,
-        SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings, UpstreamFilter, UpstreamRun,
-        VersionRegistry, VersionRollout, VersionRolloutSettings, VersionsSeen,
+        RunEnd, ServiceVersion, ServiceVersions, StandstillClock, StreamOrigin, StreamTerms,
+        SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings,
+        UpstreamFilter, UpstreamRun, VersionRegistry, VersionRollout, VersionRolloutSettings,
+        VersionsSeen,
     },
     memory::{
         CallerConnection, ConnectDecision, ConnectionPhase, EndReason, EndedConnection,
--- a/crates/quay_policy/tests/stream_versions.rs
+++ b/crates/quay_policy/tests/stream_versions.rs
@@ -3,8 +3,8 @@
 use {
     quay_policy::{
         Candidate, Eligibility, OriginLookup, RecordedOrigin, Requirements, ResumeFacts,
-        ResumeRefusal, StreamOrigin, UpstreamFilter, UpstreamRun, VersionRegistry, VersionRollout,
-        VersionRolloutSettings, VersionsSeen,
+        ResumeRefusal, StreamOrigin, StreamTerms, UpstreamFilter, UpstreamRun, VersionRegistry,
+        VersionRollout, VersionRolloutSettings, VersionsSeen,
     },
     quay_types::{Incarnation, RequestRate, ServiceId, SoftwareVersion, Time, UpstreamId},
     std::time::Duration,
@@ -419,3 +419,25 @@
     assert!(!rollout.may_list(NOW, new, list.list()));
     assert!(rollout.may_list(NOW + cfg.takeover, new, list.list()));
 }
+
+// ---------------------------------------------------------------------------
+// Terms of a stream
+
+/// Guards against a stored turn that lacks the events before a break.
+#[test]
+fn a_stream_that_is_stored_as_a_turn_is_begun_anew() {
+    for resumable in [false, true] {
+        let terms = StreamTerms {
+            resumable,
+            stored: true,
+        };
+        assert_eq!(terms.check_take_up(), Err(ResumeRefusal::StoredTurn));
+        assert!(!terms.can_go_on());
+    }
+    let terms = StreamTerms {
+        resumable: true,
+        stored: false,
+    };
+    assert_eq!(terms.check_take_up(), Ok(()));
+    assert!(terms.can_go_on());
+}
--- a/crates/quay_routes/src/table.rs
+++ b/crates/quay_routes/src/table.rs
@@ -1,7 +1,7 @@
 //! Routing tables.
 
 use {
-    crate::AccountTable,
+    crate::{AccountTable, CallHead},
     serde::{Deserialize, Serialize},
     std::{collections::HashSet, fmt, time::Duration},
 };
@@ -80,6 +80,13 @@
 }
 
 impl Route {
+    /// Whether the stream of a request is stored as the output of a turn. Only a request
+    /// that names its tokens is a turn.
+    #[must_use]
+    pub const fn stores_turn_of(&self, head: &CallHead) -> bool {
+        self.repeat.is_stream() && self.retention.is_some() && head.turn.is_some()
+    }
+
     /// Selects the service for a request by the random number `draw`.
     ///
     /// The same number selects the same service as long as the weights do not
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -6,7 +6,7 @@
     super::{
         body_reader::{is_framed, read_body, read_response},
         connections::SendError,
-        host::{FrontHost, QuotaPermit},
+        host::{FrontHost, QuotaPermit, check_take_up},
         in_flight::InFlight,
         refusal::{Refusal, Refused},
         reservation::Reservation,
@@ -24,7 +24,7 @@
     },
     http::{Request, Response, StatusCode, header, request, response},
     hyper::body::Incoming,
-    quay_policy::{MemoryHolder, RunEnd},
+    quay_policy::{MemoryHolder, RunEnd, StreamTerms},
     quay_routes::{
         CallHead, CallIds, Caller, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline,
         Route,
@@ -74,7 +74,10 @@
     arrived: Time,
     deadline: RequestDeadline,
     service: &'a str,
+    /// Whether another request may go on with the stream, if the response is one.
+    terms: StreamTerms,
     /// Version of the upstreams at which the stream must go on; `None` if it begins.
+    /// `None` for a turn that is stored.
     version: Option<SoftwareVersion>,
     /// Whether no other programs of the service are more urgent.
     most_urgent: bool,
@@ -190,7 +193,16 @@
     let _ = account.set(front.describe_caller(&caller, &table));
     let ids = caller.ids(head);
     let deadline = RequestDeadline::new(arrived, head.caller_timeout, route.timeout);
-    check_shutdown(front, route, &deadline)?;
+    let terms = StreamTerms {
+        resumable: route.repeat == RepeatPolicy::ResumableStream,
+        stored: route.stores_turn_of(head),
+    };
+    let resumed = head.resumed.as_ref();
+    let resumed = resumed.filter(|_| route.repeat.is_stream());
+    if let Some(resumed) = resumed {
+        check_take_up(head, resumed, terms)?;
+    }
+    check_shutdown(front, route, terms, &deadline)?;
     let service = route.target(ids.program().0).ok_or(Refusal::NoUpstream)?;
     let known = table.service(service);
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
@@ -205,13 +217,13 @@
     let content = ids.content_in_pieces(&parts.method, &parts.uri, &pieces);
     let pool = Pool::of(service);
     front.wait_for_service(&pool, deadline.at()).await;
-    let version = match &head.resumed {
-        Some(resumed) if route.repeat.is_stream() => {
+    let version = match resumed {
+        Some(resumed) => {
             let request = (resumed, content);
             let version = front.resumable_version(&ids, request, &pool, deadline.at());
             Some(version.await?)
         }
-        _ => None,
+        None => None,
     };
     let call = Call {
         front,
@@ -225,6 +237,7 @@
         arrived,
         deadline,
         service,
+        terms,
         version,
         most_urgent: table.is_most_urgent(caller.priority(route), service),
         event_tokens,
@@ -246,13 +259,11 @@
 fn check_shutdown<D: Dialect>(
     front: &FrontHost<D>,
     route: &Route,
+    terms: StreamTerms,
     deadline: &RequestDeadline,
 ) -> Result<(), Refusal> {
     let now = front.now();
-    let repeatable = matches!(
-        route.repeat,
-        RepeatPolicy::Idempotent | RepeatPolicy::ResumableStream
-    );
+    let repeatable = route.repeat == RepeatPolicy::Idempotent || terms.can_go_on();
     let admitted = front
         .shutdown()
         .admits(now, deadline.remaining(now), repeatable);
@@ -303,7 +314,7 @@
             let (front, checked) = (self.front, &self.checked);
             front.check_caller(self.head, self.route, &self.caller, checked)?;
             self.check_quarantine()?;
-            check_shutdown(front, self.route, &self.deadline)?;
+            check_shutdown(front, self.route, self.terms, &self.deadline)?;
             let limit = self.attempt_limit(left, attempts);
             let outcome = self
                 .attempt_one(&body, limit, &mut tried, quota.as_ref())
@@ -389,7 +400,7 @@
     /// Records which upstream began the stream, if another may go on with it.
     /// Returns the end of the recording if the first event must wait for it.
     fn record_stream_origin(&self, in_flight: &InFlight<D>) -> Option<oneshot::Receiver<()>> {
-        if self.route.repeat != RepeatPolicy::ResumableStream || self.version.is_some() {
+        if !self.terms.can_go_on() || self.version.is_some() {
             return None;
         }
         let (upstream, ago) = (in_flight.upstream(), in_flight.elapsed());
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -56,7 +56,7 @@
     },
 };
 
-pub use self::quotas::QuotaPermit;
+pub use self::{quotas::QuotaPermit, streams::check_take_up};
 
 /// Time-out for an update from the control group.
 const FOLLOW_TIMEOUT: Duration = Duration::from_millis(1_600);
--- a/crates/sapphirequayd/src/gateway/front/host/streams.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/streams.rs
@@ -10,7 +10,7 @@
         },
         meters,
     },
-    quay_policy::{RecordedOrigin, ResumeRefusal},
+    quay_policy::{RecordedOrigin, ResumeRefusal, StreamTerms},
     quay_routes::{CallHead, CallIds, Dialect, ResumedHead, Route},
     quay_types::{ContentDigest, SoftwareVersion, Time},
     std::time::Duration,
@@ -26,6 +26,20 @@
 /// Time for which the origin of a stream is kept, as a multiple of the route's time-out.
 const KEPT_TIMEOUTS: u32 = 4;
 
+/// Refuses a request to take up a stream that must be begun anew. Asks nobody, so that the
+/// caller can do that at once.
+pub fn check_take_up(
+    head: &CallHead,
+    resumed: &ResumedHead,
+    terms: StreamTerms,
+) -> Result<(), Refusal> {
+    terms.check_take_up().map_err(|cause| {
+        log_decision(head, resumed, None, cause.name());
+        meters::record_resumed_stream(cause.name());
+        Refusal::NotResumable
+    })
+}
+
 impl<D: Dialect> FrontHost<D> {
     /// Records which upstream began the stream of a request that was sent `ago`, so
     /// that any front can tell where it may go on.
--- a/crates/sapphirequayd/src/gateway/front/refusal.rs
+++ b/crates/sapphirequayd/src/gateway/front/refusal.rs
@@ -71,6 +71,8 @@
     StoresUnsure => "stores_unsure", 503, Some(250);
     /// No upstream currently serves the route's service.
     NoUpstream => "no_upstream", 503, Some(250);
+    /// The stream can't be taken up, only begun anew.
+    NotResumable => "not_resumable", 503, None;
     /// It is not certain which version of the upstreams' software began the stream.
     StreamUnknown => "stream_unknown", 503, None;
     /// No upstream serves at the version that began the stream.
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -54,7 +54,8 @@
 /// Sender of the frames of a response body.
 type FrameSender = mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>;
 
-/// Turn that is stored once its stream is complete.
+/// Turn that is stored once its stream is complete. Only for a stream that this front relays
+/// from its first event: what is stored is what the caller has.
 #[derive(Debug)]
 pub struct PendingTurn {
     /// Identifier of the turn.
