Fronts: a turn that is answered with any success is stored

What callers saw: an upstream answered a turn with a complete stream of status 201. The caller got it whole, and the next turn that named it was answered 404, for good (LOST).

Cause: handle_response took only status 200 for a stream. Another success went the way of a complete response, which stores no turn and counts no tokens.

Evidence: a_turn_that_is_answered_with_any_success_is_stored failed before this commit with 404 no_turn for the turn after the one of status 201.

Change: each success on a streaming route is relayed as a stream, so that its turn is stored before its end is delivered.

--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -22,7 +22,7 @@
             request_body::{BodyCaller, RequestBody},
         },
     },
-    http::{Request, Response, StatusCode, header, request, response},
+    http::{Request, Response, header, request, response},
     hyper::body::Incoming,
     quay_policy::{MemoryHolder, RunEnd, StreamTerms},
     quay_routes::{
@@ -649,7 +649,7 @@
         if head.status.is_server_error() && !not_run {
             in_flight.record_failure();
         }
-        if self.route.repeat.is_stream() && head.status == StatusCode::OK && !not_run {
+        if self.route.repeat.is_stream() && head.status.is_success() && !not_run {
             return AttemptResult::Stream(Box::new(in_flight), Box::new(head), incoming);
         }
         let mut share = self.front.buffers().share_for(self.holder);
--- a/crates/sapphirequayd/tests/interrupted_turns.rs
+++ b/crates/sapphirequayd/tests/interrupted_turns.rs
@@ -34,6 +34,9 @@
 /// Header by which a test tells the upstream to go silent after an event.
 const HOLD_AFTER: &str = "X-Hold-After";
 
+/// Header by which a test tells the upstream its status.
+const STATUS: &str = "X-Status";
+
 /// Fields of a route that decide what may be repeated, and what is stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct RouteFields {
@@ -142,8 +145,9 @@
     let number = |name: &str| header(&req.head, name).and_then(|it| it.parse::<usize>().ok());
     let (breaks, holds) = (number(BREAK_AFTER), number(HOLD_AFTER));
     let id = &req.id;
+    let status = header(&req.head, STATUS).unwrap_or("200");
     let head = format!(
-        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-sapphirequay-request-id: {id}\r\nx-sapphirequay-response-seal: s\r\ntransfer-encoding: chunked\r\n\r\n"
+        "HTTP/1.1 {status} OK\r\ncontent-type: text/event-stream\r\nx-sapphirequay-request-id: {id}\r\nx-sapphirequay-response-seal: s\r\ntransfer-encoding: chunked\r\n\r\n"
     );
     let mut sent = stream.write_all(head.as_bytes()).is_ok();
     for event in number("last-event-id").unwrap_or(0) + 1..=EVENTS {
@@ -503,3 +507,19 @@
         assert_eq!(site.has_run(&id), !route.retain, "{route:?}");
     }
 }
+
+/// Guards against a turn that is answered whole, with another success than 200, and is then
+/// unknown to the next turn.
+#[test]
+fn a_turn_that_is_answered_with_any_success_is_stored() {
+    let site = Site::start(&[STORED]);
+    for status in ["200", "201", "202", "203", "206"] {
+        let program = next_id("program");
+        let turn = Turn::first(STORED, &program);
+        let (id, got) = site.send_until_run(0, &turn, &format!("\n{STATUS}: {status}"));
+        assert!(got.complete, "{got:?}");
+        assert_eq!(got.status.to_string(), status);
+        let data = data_of(&got.body);
+        site.check_next(1, &turn, "", &Whole { id, data });
+    }
+}
