Platform: a request names one position in one stream

What callers saw: a request with two Last-Event-Id headers went on with the stream at the one that the upstream happened to read, with status 200.

Cause: parse_resumed asked only whether the header is present, and both were passed on.

Evidence: a_request_with_two_last_event_ids_is_refused_as_unreadable got 200 with events 4 to 8 before, for the ids 3 and 5.

--- a/crates/sapphirequayd/tests/interrupted_turns.rs
+++ b/crates/sapphirequayd/tests/interrupted_turns.rs
@@ -523,3 +523,20 @@
         site.check_next(1, &turn, "", &Whole { id, data });
     }
 }
+
+/// Guards against a request with two positions in a stream, of which the upstream would
+/// choose one.
+#[test]
+fn a_request_with_two_last_event_ids_is_refused_as_unreadable() {
+    let resumable = RouteFields {
+        retain: false,
+        ..STORED
+    };
+    let site = Site::start(&[resumable]);
+    let program = next_id("program");
+    let turn = Turn::first(resumable, &program);
+    let id = next_id("again");
+    let got = site.send_once(0, &turn, &id, "\nLast-Event-Id: 3\nLast-Event-Id: 5");
+    assert_eq!(got.status, 400, "{got:?}");
+    assert!(!site.has_run(&id));
+}
