Control: departures are sent to fronts beside the directory

What callers saw: the leader of the control group was killed, an upstream told the next one that it leaves, and a front sent it half of its orders 2.5 s after the acknowledgement.

Cause: a leader told fronts of a departure only by marking the entry in its directory. That of a new leader is rebuilt from heartbeats, an upstream that leaves sends none, and fronts keep the entries of the leader before until the new directory is complete, 4.2 s.

The departure was acknowledged, so a quorum had it, and the fronts had reached the new leader before the orders.

Change: leaders number the departures (quay_members::DepartureLog) and send those that a follower lacks; one that followed another leader gets all that are recorded. Fronts exclude these runs whatever directory lists them, so neither a first nor a second change of the leader brings them back. Followers of earlier versions name no number and get none.

--- a/crates/quay_members/src/directory.rs
+++ b/crates/quay_members/src/directory.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Identifier of this run of the host.
+    #[must_use]
+    pub const fn run(&self) -> u64 {
+        self.run
+    }
+
     /// Number of upstreams in the directory.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/quay_members/src/lib.rs
+++ b/crates/quay_members/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod announcement_limits;
+mod departures;
 mod directory;
 mod entry;
 mod host_contact;
@@ -26,6 +27,7 @@
 
 pub use {
     announcement_limits::{AnnouncementFault, AnnouncementLimits},
+    departures::{Departure, DepartureChanges, DepartureLog},
     directory::{Directory, MemberStatus},
     entry::Suspicion,
     host_contact::HostContact,
--- a/crates/sapphirequayd/src/gateway/control/leader_state.rs
+++ b/crates/sapphirequayd/src/gateway/control/leader_state.rs
@@ -4,7 +4,10 @@
     super::state::ControlState,
     crate::gateway::messages::{ControlCommand, ControlUpdate, FollowerState, QuotaRow},
     indexmap::{IndexMap, IndexSet},
-    quay_members::{Changes, Directory, Heartbeat, MembersReply, MembersSettings},
+    quay_members::{
+        Changes, DepartureChanges, DepartureLog, Directory, Heartbeat, MembersReply,
+        MembersSettings,
+    },
     quay_policy::{
         FleetQuotaAllocator, FleetQuotaSettings, LimitAllocator, ServiceVersion, VersionRollout,
         VersionRolloutSettings, VersionsSeen,
@@ -51,6 +54,8 @@
     directory: Directory,
     /// Latest announcement of each upstream.
     announced: IndexMap<UpstreamId, Announcement>,
+    /// Upstreams that get no new work, for followers that have entries of an earlier leader.
+    departures: DepartureLog,
     /// Decides when upstreams of a new version may be listed.
     rollout: VersionRollout<SocketAddr>,
     /// Latest announcements of upstreams that may not be listed yet.
@@ -94,12 +99,17 @@
             members: 2 * losses + 1,
             ..MembershipSettings::default()
         };
+        let mut departures = DepartureLog::default();
+        for (name, run) in &state.departures {
+            departures.record((UpstreamId::of(name), *run));
+        }
         Self {
             state,
             confirmed: now,
             began: now,
             directory: Directory::new(now, run, members),
             announced: IndexMap::new(),
+            departures,
             rollout: VersionRollout::new(now, VersionRolloutSettings::default()),
             held: IndexMap::new(),
             store_planner: MembershipPlanner::new(store_settings, now),
@@ -119,6 +129,11 @@
         self.confirmed = now;
         let changed = newer.is_some();
         if let Some(state) = newer {
+            for (name, run) in &state.departures {
+                if self.state.departures.get(name) != Some(run) {
+                    self.departures.record((UpstreamId::of(name), *run));
+                }
+            }
             self.state = state;
             self.mark_departed(now);
         }
@@ -345,8 +360,12 @@
         let suspects = (listed.version != mark.suspects).then(|| listed.clone());
         let versions = self.state.versions.list();
         let versions = (versions.revision != mark.versions).then(|| versions.clone());
-        let nothing =
-            table.is_none() && stores.is_none() && suspects.is_none() && versions.is_none();
+        let departures = self.departures_for(mark);
+        let nothing = table.is_none()
+            && stores.is_none()
+            && suspects.is_none()
+            && versions.is_none()
+            && departures.departures.is_empty();
         if nothing && is_empty(&directory) {
             return None;
         }
@@ -359,6 +378,7 @@
             followers: self.neighbours_of(mark.link),
             suspects,
             versions,
+            departures,
         })
     }
 
@@ -374,9 +394,20 @@
             followers: self.neighbours_of(mark.link),
             suspects: None,
             versions: None,
+            departures: self.departures_for(mark),
         }
     }
 
+    /// Departures that a follower lacks. One that followed another leader until now gets
+    /// all of them.
+    fn departures_for(&self, mark: &FollowerState) -> DepartureChanges {
+        let Some(known) = mark.departures else {
+            return DepartureChanges::default();
+        };
+        let same_leader = mark.directory.run == self.directory.run();
+        self.departures.since(if same_leader { known } else { 0 })
+    }
+
     /// Directory changes for a follower, without what it can't read.
     fn directory_changes(&mut self, now: Time, mark: &FollowerState) -> Changes {
         let mut changes = self.directory.changes(now, &mark.directory);
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -394,6 +394,7 @@
             suspects: self.0.suspects.borrow().version(),
             reads_versions: true,
             versions: upstreams.versions_revision(),
+            departures: Some(upstreams.departures_known()),
         }
     }
 
@@ -419,7 +420,10 @@
             );
             self.upstreams().set_versions(versions);
         }
-        self.upstreams().apply_changes(now, update.directory);
+        let mut upstreams = self.upstreams();
+        upstreams.apply_departures(update.departures);
+        upstreams.apply_changes(now, update.directory);
+        drop(upstreams);
         self.record_lost_runs();
         if let Some(text) = update.table {
             self.apply_table(&text.document);
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -3,7 +3,7 @@
 use {
     crate::settings::DecisionTable,
     indexmap::IndexMap,
-    quay_members::{ChangesRequest, DirectoryView},
+    quay_members::{ChangesRequest, DepartureChanges, DirectoryView},
     quay_policy::{
         Candidate, CheckResult, CrashDetector, Eligibility, ExpectedTime, LimitHolder, NewProgram,
         NewProgramGate, PromptBeginning, RecordedOrigin, Requirements, ResumeFacts, RouteRequest,
@@ -134,6 +134,8 @@
 pub struct Upstreams {
     router: Router<ExpectedTime>,
     view: DirectoryView,
+    /// Number of departures known from the leader that `view` was read from.
+    departures_known: u64,
     known: IndexMap<UpstreamId, Known>,
     filter: UpstreamFilter,
     versions: ServiceVersions,
@@ -156,6 +158,7 @@
         Self {
             router: Router::new(cfg.routes(), data_centre),
             view: DirectoryView::default(),
+            departures_known: 0,
             known: IndexMap::new(),
             filter: UpstreamFilter::default(),
             versions: ServiceVersions::default(),
@@ -173,6 +176,30 @@
         self.view.next_request(reader)
     }
 
+    /// Number of departures known from the leader whose directory this front reads.
+    #[must_use]
+    pub const fn departures_known(&self) -> u64 {
+        self.departures_known
+    }
+
+    /// Applies departures. They hold whatever the directory lists, which may be that of a
+    /// leader before.
+    pub fn apply_departures(&mut self, changes: DepartureChanges) {
+        for run in changes.departures {
+            let listed = self.known.get(&run.0).map(|it| &it.announcement);
+            if self.filter.record_leaving(run)
+                && let Some(listed) = listed.filter(|it| it.incarnation <= run.1)
+            {
+                log::info!(
+                    "event=upstream_departed upstream={} run={}",
+                    listed.name,
+                    listed.incarnation
+                );
+            }
+        }
+        self.departures_known = changes.known;
+    }
+
     /// Applies directory changes.
     pub fn apply_changes(&mut self, now: Time, changes: quay_members::Changes) {
         if !self.view.apply(now, changes) {
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -4,7 +4,7 @@
 //! their order and types.
 
 use {
-    quay_members::{Changes, ChangesRequest},
+    quay_members::{Changes, ChangesRequest, DepartureChanges},
     quay_policy::{
         PermitGrant, PermitRequest, QuotaReply, QuotaRequest, ServiceVersions, StreamOrigin,
         SuspectCommand, SuspectEvent, SuspectRegistry, VersionsSeen,
@@ -104,6 +104,10 @@
     /// versions, which end before this field.
     #[serde(deserialize_with = "quay_types::last_field::or_default")]
     pub versions: u64,
+    /// Number of departures that it knows from the run of the leader which `directory`
+    /// names; `None` for followers of earlier versions, which end before this field.
+    #[serde(deserialize_with = "quay_types::last_field::or_default")]
+    pub departures: Option<u64>,
 }
 
 /// Requests that are suspected of crashing upstreams, as followers get them.
@@ -154,6 +158,10 @@
     /// versions end before this field.
     #[serde(deserialize_with = "quay_types::last_field::or_default")]
     pub versions: Option<ServiceVersions>,
+    /// Departures that the follower lacks; leaders of earlier versions end before this
+    /// field.
+    #[serde(deserialize_with = "quay_types::last_field::or_default")]
+    pub departures: DepartureChanges,
 }
 
 /// Reply of a control host.
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -333,10 +333,12 @@
         suspects: 5,
         reads_versions: true,
         versions: 6,
+        departures: Some(7),
     };
     let earlier = FollowerState {
         reads_versions: false,
         versions: 0,
+        departures: None,
         ..state.clone()
     };
     let bytes = earlier_follower_state(&state);
--- a/crates/sapphirequayd/tests/leaving_upstreams.rs
+++ b/crates/sapphirequayd/tests/leaving_upstreams.rs
@@ -1,11 +1,13 @@
 //! Upstreams that say in their responses that they are leaving, at a front that
-//! hears nothing from the control group.
+//! hears nothing from the control group, and upstreams whose departure a new leader knows
+//! before it lists them.
 
 #[path = "common/front_view.rs"]
 mod front_view;
 
 use {
     front_view::{POOL, announcement, directory, select},
+    quay_members::DepartureLog,
     quay_types::{Incarnation, Time, UpstreamId},
     sapphirequayd::{SelectedUpstream, Upstreams},
 };
@@ -89,3 +91,23 @@
     front.record_leaving(&leaving);
     assert_eq!(select(&mut front, LATER, &[]), chosen);
 }
+
+/// Guards against requests to an upstream that an earlier leader listed, and whose departure
+/// the present one has acknowledged.
+#[test]
+fn a_departure_holds_for_entries_of_the_leader_before() {
+    let mut front = Upstreams::new("a");
+    let both = [announcement("one", 1), announcement("two", 1)];
+    let mut changes = directory(&both, &mut front, 1);
+    changes.complete = true;
+    front.apply_changes(Time::ZERO, changes);
+    let mut log = DepartureLog::default();
+    log.record((both[0].upstream(), Incarnation(1)));
+    front.apply_departures(log.since(front.departures_known()));
+    // The next leader has heard of no upstream yet.
+    let changes = directory(&[], &mut front, 2);
+    front.apply_changes(SAID, changes);
+    let other = both[1].upstream();
+    assert_eq!(ids(&select(&mut front, SAID, &[])), [other]);
+    assert_eq!(front.departures_known(), 1);
+}
