Members: a reader keeps the entries of all incomplete directories

What callers saw: the leader of the control group was killed within 4.2 s of its start, and the fronts, which had served until then, refused everything with no_upstream until the next leader listed the upstreams again.

Cause: DirectoryView kept the last complete copy while the next one was incomplete. A copy that was replaced before it was complete was dropped, with all entries and states that only it held.

Change: the entries of all copies since the last complete one are kept, by upstream, the latest of each.

--- a/crates/quay_members/src/view.rs
+++ b/crates/quay_members/src/view.rs
@@ -21,10 +21,10 @@
 
 /// A reader's copy of one host's directory.
 ///
-/// When the reader switches to another host, or the host restarts, the previous
-/// copy remains in use until the new one is complete. Otherwise a directory to
-/// which not all sidecars have announced themselves yet would remove live
-/// upstreams.
+/// When the reader switches to another host, or the host restarts, the entries of
+/// the copies before remain in use until the new one is complete. Otherwise a
+/// directory to which not all sidecars have announced themselves yet would remove
+/// live upstreams.
 #[derive(Debug, Default)]
 pub struct DirectoryView {
     /// Run of the host that the copy was read from.
@@ -32,8 +32,9 @@
     announced: u64,
     version: u64,
     entries: Entries,
-    /// Last complete copy, kept while `entries` is incomplete.
-    previous: Option<Entries>,
+    /// Entries of the copies since the last complete one, while `entries` is incomplete;
+    /// of an upstream the latest.
+    previous: Option<IndexMap<UpstreamId, ViewEntry>>,
     failure_reports: Vec<FailureReport>,
     /// Time at which the last reply arrived.
     last_reply: Time,
@@ -71,8 +72,9 @@
             return false;
         }
         if changes.reset {
-            let held = std::mem::take(&mut self.entries);
-            self.previous.get_or_insert(held);
+            let held = std::mem::take(&mut self.entries).into_values();
+            let previous = self.previous.get_or_insert_default();
+            previous.extend(held.map(|entry| (entry.upstream(), entry)));
             self.run = changes.run;
         }
         for slot in &changes.removed {
@@ -127,10 +129,8 @@
             .collect();
         if let Some(previous) = &self.previous {
             let known: IndexSet<_> = self.entries.values().map(ViewEntry::upstream).collect();
-            let kept = previous
-                .values()
-                .filter(|entry| !known.contains(&entry.upstream()));
-            entries.extend(kept.map(|entry| entry.to_directory_entry(silence)));
+            let kept = previous.iter().filter(|(id, _)| !known.contains(*id));
+            entries.extend(kept.map(|(_, entry)| entry.to_directory_entry(silence)));
         }
         entries.into()
     }
--- a/crates/quay_members/tests/directory.rs
+++ b/crates/quay_members/tests/directory.rs
@@ -341,3 +341,36 @@
         }
     }
 }
+
+/// Guards against a reader that forgets all upstreams when the host that it reads changes
+/// before the first directory was complete.
+#[test]
+fn entries_outlast_several_directories_that_are_not_complete() {
+    let mut view = DirectoryView::default();
+    let mut read = |run: u64, listed: &[Announcement]| {
+        let mut directory = Directory::new(at(0), run, MembersSettings::default());
+        for announcement in listed {
+            directory.announce(at(0), announcement.clone());
+        }
+        let changes = directory.changes(at(0), &view.next_request(1));
+        assert!(!changes.complete && view.apply(at(0), changes));
+        let entries = view.entries(at(0)).into_iter();
+        let mut states: Vec<_> = entries
+            .map(|entry| (entry.announcement.name.clone(), entry.announcement.state))
+            .collect();
+        states.sort_unstable_by(|one, other| one.0.cmp(&other.0));
+        states
+    };
+    let (one, two) = (announcement(1, 1, 1), announcement(2, 1, 1));
+    let serving = |it: &Announcement| (it.name.clone(), UpstreamState::Serving);
+    let both = [serving(&one), serving(&two)];
+    assert_eq!(read(1, &[one.clone(), two.clone()]), both);
+    let draining = Announcement {
+        state: UpstreamState::Draining,
+        ..one.clone()
+    };
+    let changed = [(one.name.clone(), UpstreamState::Draining), serving(&two)];
+    assert_eq!(read(2, &[draining]), changed);
+    assert_eq!(read(3, &[]), changed);
+    assert_eq!(read(4, std::slice::from_ref(&one)), both);
+}
