Fronts: each request of a route that keeps turns is a turn

What callers saw: on a route with Retain a request without token usage was answered whole.

Evidence: a_turn_that_names_no_tokens_is_stored_and_continues_its_conversation on: the upstream got "the next input" and nothing before it.

Change: Route::stores_turns decides by the route alone, for what is stored and for what may be taken up. A request without token usage has no budget, as before, and its prior turn is read.

--- a/crates/quay_routes/src/table.rs
+++ b/crates/quay_routes/src/table.rs
@@ -1,7 +1,7 @@
 //! Routing tables.
 
 use {
-    crate::{AccountTable, CallHead},
+    crate::AccountTable,
     serde::{Deserialize, Serialize},
     std::{collections::HashSet, fmt, time::Duration},
 };
@@ -80,11 +80,10 @@
 }
 
 impl Route {
-    /// Whether the stream of a request is stored as the output of a turn. Only a request
-    /// that names its tokens is a turn.
+    /// Whether requests are turns whose streams are stored.
     #[must_use]
-    pub const fn stores_turn_of(&self, head: &CallHead) -> bool {
-        self.repeat.is_stream() && self.retention.is_some() && head.turn.is_some()
+    pub const fn stores_turns(&self) -> bool {
+        self.repeat.is_stream() && self.retention.is_some()
     }
 
     /// Selects the service for a request by the random number `draw`.
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -27,7 +27,7 @@
     quay_policy::{MemoryHolder, RunEnd, StreamTerms},
     quay_routes::{
         CallHead, CallIds, Caller, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline,
-        Route,
+        Route, TurnHead,
     },
     quay_types::{AttemptTag, ContentDigest, SoftwareVersion, Time, UpstreamId},
     std::{
@@ -195,7 +195,7 @@
     let deadline = RequestDeadline::new(arrived, head.caller_timeout, route.timeout);
     let terms = StreamTerms {
         resumable: route.repeat == RepeatPolicy::ResumableStream,
-        stored: route.stores_turn_of(head),
+        stored: route.stores_turns(),
     };
     let resumed = head.resumed.as_ref();
     let resumed = resumed.filter(|_| route.repeat.is_stream());
@@ -251,6 +251,7 @@
     call.check_quarantine()?;
     match &head.turn {
         Some(turn) if route.repeat.is_stream() => call.run_turn(turn, body).await,
+        None if route.stores_turns() => call.run_turn(&TurnHead::default(), body).await,
         _ => call.run(body, None, None).await,
     }
 }
--- a/crates/sapphirequayd/tests/interrupted_turns.rs
+++ b/crates/sapphirequayd/tests/interrupted_turns.rs
@@ -339,6 +339,8 @@
     program: &'a str,
     prior: Option<&'a str>,
     input: &'a str,
+    /// Whether the request names its tokens and a budget.
+    names_tokens: bool,
 }
 
 impl<'a> Turn<'a> {
@@ -348,6 +350,7 @@
             program,
             prior: None,
             input: "the first input;",
+            names_tokens: true,
         }
     }
 
@@ -355,10 +358,14 @@
         let prior = self.prior.map_or_else(String::new, |it| {
             format!("\nX-Sapphirequay-Previous-Turn: {it}")
         });
+        let tokens = if self.names_tokens {
+            "\nX-Sapphirequay-Token-Budget: 100000\nX-Sapphirequay-Token-Usage: 5,80"
+        } else {
+            ""
+        };
         format!(
             "POST /{}/1 HTTP/1.1\nHost: a.example\nX-Sapphirequay-Request-Id: {id}\nX-Sapphirequay-Program-Id: {}\n\
-             X-Sapphirequay-Token-Budget: 100000\nX-Sapphirequay-Token-Usage: 5,80\n\
-             X-Sapphirequay-Deadline-Ms: 20000{prior}{more}",
+             X-Sapphirequay-Deadline-Ms: 20000{tokens}{prior}{more}",
             self.route.name(),
             self.program
         )
@@ -508,6 +515,23 @@
     }
 }
 
+/// Guards against a turn that is answered whole and not stored, and against one that runs
+/// without its conversation, since it names no tokens.
+#[test]
+fn a_turn_that_names_no_tokens_is_stored_and_continues_its_conversation() {
+    let mut site = Site::start(&[STORED]);
+    let program = next_id("program");
+    let turn = Turn {
+        names_tokens: false,
+        ..Turn::first(STORED, &program)
+    };
+    let text = site.begin(&turn, Break::Upstream(3));
+    let whole = site.finish(1, &turn, &data_of(&text));
+    for front in [0, 1] {
+        site.check_next(front, &turn, "", &whole);
+    }
+}
+
 /// Guards against a turn that is answered whole, with another success than 200, and is then
 /// unknown to the next turn.
 #[test]
