Fronts: the terms of a stream come from its route alone

The request no longer matters for whether a stream is stored, so StreamTerms need not be carried along with it. Comments that needed a second reading are reworded.

--- a/crates/quay_members/src/departures.rs
+++ b/crates/quay_members/src/departures.rs
@@ -14,10 +14,9 @@
 
 /// Departures in the order in which one host learned of them.
 ///
-/// A directory that is rebuilt after a restart lists an upstream only once that has
-/// announced itself, and one that has left announces nothing. Until the directory is
-/// complete its readers keep entries of an earlier one, so they must be told of departures
-/// apart from entries.
+/// A new host's directory does not list an upstream that left before it announced itself
+/// there. Readers keep that upstream's entry from an earlier host until the new directory is
+/// complete, and learn only from this log that it has left.
 #[derive(Debug, Default)]
 pub struct DepartureLog {
     /// Number of departures that were dropped.
--- a/crates/quay_policy/src/guard/resume.rs
+++ b/crates/quay_policy/src/guard/resume.rs
@@ -5,22 +5,22 @@
     quay_types::{Incarnation, ServiceId, SoftwareVersion},
 };
 
-/// What a request and its route say of its stream before anything else is known.
+/// What a route says of its streams.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct StreamTerms {
-    /// Whether another run may go on with the stream on this route.
+    /// Whether a stream may go on in another run.
     pub resumable: bool,
-    /// Whether the stream is stored as the output of a turn.
+    /// Whether a stream is stored as the output of a turn.
     pub stored: bool,
 }
 
 impl StreamTerms {
     /// Whether a request may take up a stream that another one began.
     ///
-    /// The output of a stored turn is what one entry has relayed, from the first event to the
-    /// last. The events before a break are with the caller and, at most, an entry that has
-    /// ended since, so a turn that is taken up could only be stored without them. On a route
-    /// that is not resumable a request runs at most once, and going on is a second run.
+    /// What is stored as the output of a turn is what one entry has relayed. An entry that
+    /// goes on with a stream lacks the events before the break, so it could store the turn
+    /// only without them. On a route that is not resumable a request runs at most once, and
+    /// going on is a second run.
     ///
     /// # Errors
     ///
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -74,10 +74,8 @@
     arrived: Time,
     deadline: RequestDeadline,
     service: &'a str,
-    /// Whether another request may go on with the stream, if the response is one.
-    terms: StreamTerms,
-    /// Version of the upstreams at which the stream must go on; `None` if it begins.
-    /// `None` for a turn that is stored.
+    /// Version of the upstreams at which the stream must go on; `None` if it begins, as
+    /// that of a stored turn always does.
     version: Option<SoftwareVersion>,
     /// Whether no other programs of the service are more urgent.
     most_urgent: bool,
@@ -193,16 +191,12 @@
     let _ = account.set(front.describe_caller(&caller, &table));
     let ids = caller.ids(head);
     let deadline = RequestDeadline::new(arrived, head.caller_timeout, route.timeout);
-    let terms = StreamTerms {
-        resumable: route.repeat == RepeatPolicy::ResumableStream,
-        stored: route.stores_turns(),
-    };
     let resumed = head.resumed.as_ref();
     let resumed = resumed.filter(|_| route.repeat.is_stream());
     if let Some(resumed) = resumed {
-        check_take_up(head, resumed, terms)?;
+        check_take_up(head, resumed, stream_terms(route))?;
     }
-    check_shutdown(front, route, terms, &deadline)?;
+    check_shutdown(front, route, &deadline)?;
     let service = route.target(ids.program().0).ok_or(Refusal::NoUpstream)?;
     let known = table.service(service);
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
@@ -237,7 +231,6 @@
         arrived,
         deadline,
         service,
-        terms,
         version,
         most_urgent: table.is_most_urgent(caller.priority(route), service),
         event_tokens,
@@ -256,15 +249,22 @@
     }
 }
 
+/// Terms of the streams of a route.
+fn stream_terms(route: &Route) -> StreamTerms {
+    StreamTerms {
+        resumable: route.repeat == RepeatPolicy::ResumableStream,
+        stored: route.stores_turns(),
+    }
+}
+
 /// Refuses a request that might be cut off by the front's shutdown.
 fn check_shutdown<D: Dialect>(
     front: &FrontHost<D>,
     route: &Route,
-    terms: StreamTerms,
     deadline: &RequestDeadline,
 ) -> Result<(), Refusal> {
     let now = front.now();
-    let repeatable = route.repeat == RepeatPolicy::Idempotent || terms.can_go_on();
+    let repeatable = route.repeat == RepeatPolicy::Idempotent || stream_terms(route).can_go_on();
     let admitted = front
         .shutdown()
         .admits(now, deadline.remaining(now), repeatable);
@@ -315,7 +315,7 @@
             let (front, checked) = (self.front, &self.checked);
             front.check_caller(self.head, self.route, &self.caller, checked)?;
             self.check_quarantine()?;
-            check_shutdown(front, self.route, self.terms, &self.deadline)?;
+            check_shutdown(front, self.route, &self.deadline)?;
             let limit = self.attempt_limit(left, attempts);
             let outcome = self
                 .attempt_one(&body, limit, &mut tried, quota.as_ref())
@@ -401,7 +401,7 @@
     /// Records which upstream began the stream, if another may go on with it.
     /// Returns the end of the recording if the first event must wait for it.
     fn record_stream_origin(&self, in_flight: &InFlight<D>) -> Option<oneshot::Receiver<()>> {
-        if !self.terms.can_go_on() || self.version.is_some() {
+        if !stream_terms(self.route).can_go_on() || self.version.is_some() {
             return None;
         }
         let (upstream, ago) = (in_flight.upstream(), in_flight.elapsed());
