Control: fronts pass over a host that has just not answered

What callers saw: after the leader of the control group was killed, a front could learn of departures, routes and upstreams only up to 2.8 s later, near the 3 s within which it must follow again.

Cause: a front that got no reply asked another host, which named the dead one as the leader until an election had ended, and then waited 0.8 s for that again; at times a third time, as a request that timed out kept its leader.

Evidence: logs of an_upstream_that_left_under_a_new_leader_gets_no_more_orders: control_lost of a front 1.6 s after its last poll, then 1.5 s to the new leader.

Change: a host that answers no poll is passed over for 0.5 s, an election, unless there is no other. Only polls count: other requests may wait for a host's disk while it leads.

No test of its own: it would assert a time.

--- a/crates/sapphirequayd/src/gateway/control_client.rs
+++ b/crates/sapphirequayd/src/gateway/control_client.rs
@@ -14,7 +14,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::time::{sleep, timeout},
+    tokio::time::{Instant, sleep, timeout},
 };
 
 /// Time-out for one control host; upstreams switch to another host after 1 s.
@@ -27,6 +27,10 @@
 /// a busy loop.
 const NEXT_HOST_DELAY: Duration = Duration::from_millis(20);
 
+/// Time for which a host that did not answer is passed over: an election, until whose end
+/// other hosts name a leader that has died.
+const SILENCE_TIME: Duration = Duration::from_millis(500);
+
 /// Interval at which processes without updates ask for the members of the control group.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -77,6 +81,8 @@
     hints: RefCell<Vec<SocketAddr>>,
     /// Link address of the leader, if known.
     leader: Cell<Option<SocketAddr>>,
+    /// Host that did not answer last, and when that was noticed.
+    silent: Cell<Option<(SocketAddr, Instant)>>,
     /// Counter for the round-robin choice of a host without a known leader.
     next: Cell<usize>,
     /// Whether the last request reached the leader; changes are logged.
@@ -91,6 +97,7 @@
             seeds: RefCell::new(seeds),
             hints: RefCell::default(),
             leader: Cell::new(None),
+            silent: Cell::new(None),
             next: Cell::new(0),
             reached: Cell::new(false),
         };
@@ -175,10 +182,17 @@
         None
     }
 
+    /// Whether a host did not answer a moment ago.
+    fn is_silent(&self, addr: SocketAddr) -> bool {
+        let silent = self.shared.silent.get();
+        silent.is_some_and(|(host, since)| host == addr && since.elapsed() < SILENCE_TIME)
+    }
+
     /// Returns the host to try next: the known leader, otherwise all hosts in
-    /// round-robin order.
+    /// round-robin order. A host that is silent is tried only if there is no other.
     fn candidate(&self) -> Option<SocketAddr> {
-        if let Some(leader) = self.shared.leader.get() {
+        let leader = self.shared.leader.get();
+        if let Some(leader) = leader.filter(|it| !self.is_silent(*it)) {
             return Some(leader);
         }
         let turn = self.shared.next.get();
@@ -190,6 +204,9 @@
                 all.push(*addr);
             }
         }
+        if all.iter().any(|addr| !self.is_silent(*addr)) {
+            all.retain(|addr| !self.is_silent(*addr));
+        }
         let len = all.len();
         all.into_iter().nth(turn.checked_rem(len)?)
     }
@@ -218,28 +235,40 @@
     /// Tries up to `MAX_HOSTS_TRIED` hosts until one of them replies as the
     /// leader.
     async fn request_leader(&self, req: &LinkRequest) -> Option<ControlReply> {
+        let follows = matches!(
+            req,
+            LinkRequest::Gateway(GatewayRequest::Control(ControlRequest::Follow(_)))
+        );
+        let wait = if follows {
+            HOST_TIMEOUT + super::control::FOLLOW_POLL_TIMEOUT
+        } else {
+            HOST_TIMEOUT
+        };
         for _ in 0..MAX_HOSTS_TRIED {
             let addr = self.candidate()?;
-            let wait = match req {
-                LinkRequest::Gateway(GatewayRequest::Control(ControlRequest::Follow(_))) => {
-                    HOST_TIMEOUT + super::control::FOLLOW_POLL_TIMEOUT
-                }
-                _ => HOST_TIMEOUT,
-            };
             match exchange(&self.links, (addr, LinkRole::Ledger), req, wait).await {
                 Ok(ControlReply::NotLeader(leader)) => {
-                    let leader = leader.filter(|leader| *leader != addr);
+                    let leader = leader.filter(|it| *it != addr && !self.is_silent(*it));
                     self.shared.leader.set(leader);
                     if leader.is_none() {
                         sleep(NO_LEADER_DELAY).await;
                     }
                 }
-                Ok(ControlReply::Unavailable) | Err(_) => {
+                Ok(ControlReply::Unavailable) => {
                     self.shared.leader.set(None);
                     sleep(NEXT_HOST_DELAY).await;
                 }
+                Err(_) => {
+                    self.shared.leader.set(None);
+                    // Another request may only wait for the host's disk.
+                    if follows {
+                        self.shared.silent.set(Some((addr, Instant::now())));
+                    }
+                    sleep(NEXT_HOST_DELAY).await;
+                }
                 Ok(reply) => {
                     self.shared.leader.set(Some(addr));
+                    self.shared.silent.set(None);
                     return Some(reply);
                 }
             }
