--- a/crates/sapphirequayd/tests/broken_streams.rs
+++ b/crates/sapphirequayd/tests/broken_streams.rs
@@ -24,6 +24,8 @@
     begin: String,
     /// The same for a request that resumes the stream.
     resume: String,
+    /// The same for the requests after that, if it differs.
+    resume_again: Option<String>,
 }
 
 fn event(number: u64) -> String {
@@ -54,14 +56,14 @@
     let addr = listener.local_addr().expect("address");
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let script = script.lock().expect("lock").clone();
+            let script = Arc::clone(&script);
             thread::spawn(move || answer(stream, &script));
         }
     });
     addr
 }
 
-fn answer(stream: TcpStream, script: &Script) -> Option<()> {
+fn answer(stream: TcpStream, script: &Mutex<Script>) -> Option<()> {
     let mut reader = BufReader::new(stream);
     let (mut head, mut len) = (String::new(), 0);
     while !head.ends_with("\r\n\r\n") {
@@ -74,12 +76,15 @@
     }
     reader.read_exact(&mut vec![0; len]).ok()?;
     let text = if head.starts_with("POST ") {
-        &script.begin
+        script.lock().expect("lock").begin.clone()
     } else if head.starts_with("GET /v1/streams/") {
-        &script.resume
+        let mut script = script.lock().expect("lock");
+        let next = script.resume_again.take();
+        let next = next.unwrap_or_else(|| script.resume.clone());
+        std::mem::replace(&mut script.resume, next)
     } else {
         // A cancellation or a probe.
-        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".to_owned()
     };
     reader.get_mut().write_all(text.as_bytes()).ok()
 }
@@ -111,6 +116,7 @@
         let script = Arc::new(Mutex::new(Script {
             begin: whole.clone(),
             resume: whole,
+            resume_again: None,
         }));
         let engine = start_engine(Arc::clone(&script));
         let daemons = Daemons::start(sidecar(engine), EntrySettings::default());
@@ -128,11 +134,21 @@
     }
 
     fn call_as(&self, body: &str, begin: String, resume: String) -> String {
-        *self.script.lock().expect("lock") = Script { begin, resume };
+        let script = Script {
+            begin,
+            resume,
+            resume_again: None,
+        };
+        self.call_by(script, "", body)
+    }
+
+    /// Sends a call with further header lines to an engine that answers by a script.
+    fn call_by(&self, script: Script, headers: &str, body: &str) -> String {
+        *self.script.lock().expect("lock") = script;
         let mut response = String::new();
         common::wait_for("the engine is used", || {
             let request = format!(
-                "POST {} HTTP/1.1\r\nhost: e\r\nconnection: close\r\nauthorization: Bearer {KEY}\r\n\
+                "POST {} HTTP/1.1\r\nhost: e\r\nconnection: close\r\nauthorization: Bearer {KEY}\r\n{headers}\
                  content-length: {}\r\n\r\n{body}",
                 self.path,
                 body.len()
@@ -223,6 +239,38 @@
     }
 }
 
+/// Guards against a recorded answer that lacks what came before a stream was resumed.
+#[test]
+fn a_resend_gets_the_whole_text_of_a_stream_that_broke_twice() {
+    let site = Site::start();
+    let part = |from: u64, to: u64| (from..=to).map(event).collect::<String>();
+    let expected = "w1 w2 w3 w4 w5 w6 w7 w8 w9 w10 w11 w12 ";
+    // The last one breaks off after its last token, before its end.
+    for second_break in [5, 12] {
+        let script = Script {
+            begin: stream(&part(1, 3)),
+            resume: stream(&part(4, second_break)),
+            resume_again: Some(stream(&format!(
+                "{}{}",
+                part(second_break + 1, 12),
+                end(12)
+            ))),
+        };
+        let headers = format!("idempotency-key: broken-after-{second_break}\r\n");
+        let body = completion(true);
+        let got = site.call_by(script.clone(), &headers, &body);
+        assert_eq!(text_of(&got), expected, "{got}");
+        // The engine would answer otherwise now.
+        let other = Script {
+            begin: response("500 Failed", ""),
+            ..script
+        };
+        let again = site.call_by(other, &headers, &body);
+        assert_eq!(text_of(&again), expected, "{again}");
+        assert!(is_framed_whole(&again), "{again}");
+    }
+}
+
 /// Guards against an engine's text in the error of a stream that has not begun.
 #[test]
 fn an_engine_that_answers_with_an_error_fails_the_call_with_its_status_only() {
