Tests: updates of control leaders are read across versions

ControlUpdate got a last field with departures. The test encodes an update without it, as earlier leaders do, and requires that it is read with no departures, and that the present one begins with the same bytes, so that earlier followers read it. For the test ControlUpdate is exported; the programs are unchanged.

--- a/crates/sapphirequayd/src/gateway/mod.rs
+++ b/crates/sapphirequayd/src/gateway/mod.rs
@@ -30,8 +30,8 @@
     host_memory::{HostLimits, HostMemory, MemoryGuard},
     http_server::{Body, BodyAborted, ChannelBody, ServerLimits, full, serve as serve_http},
     messages::{
-        ControlCommand, FollowerState, GatewayRequest, StoreOp, StoreReply, StoreRequest,
-        SuspectList, TableDocument,
+        ControlCommand, ControlUpdate, FollowerState, GatewayRequest, StoreOp, StoreReply,
+        StoreRequest, SuspectList, TableDocument,
     },
     request_body::{BodyCaller, BodyError, DiscardLimits, discard, read_request_body},
     run::run,
--- a/crates/sapphirequayd/src/lib.rs
+++ b/crates/sapphirequayd/src/lib.rs
@@ -23,12 +23,13 @@
 
 pub use {
     gateway::{
-        BufferShare, BufferSpace, ControlCommand, ControlState, ConversationCache, EncodedOp,
-        EventReader, FollowerState, FrontMemory, FrontSuspects, GatewayRequest, HostLimits,
-        HostMemory, MembershipInputs, PathProbe, Pool, SelectedUpstream, ServerLimits, SlowMembers,
-        StartupWait, StoreOp, StorePath, StoreReply, StoreRequest, StoreTarget, StreamEnd,
-        StreamOrigins, SuspectList, TableDocument, UPSTREAM_DISCONNECTED, UpstreamOutcome,
-        Upstreams, full, next_membership_change, run as run_gateway, serve_http, upstream_outcome,
+        BufferShare, BufferSpace, ControlCommand, ControlState, ControlUpdate, ConversationCache,
+        EncodedOp, EventReader, FollowerState, FrontMemory, FrontSuspects, GatewayRequest,
+        HostLimits, HostMemory, MembershipInputs, PathProbe, Pool, SelectedUpstream, ServerLimits,
+        SlowMembers, StartupWait, StoreOp, StorePath, StoreReply, StoreRequest, StoreTarget,
+        StreamEnd, StreamOrigins, SuspectList, TableDocument, UPSTREAM_DISCONNECTED,
+        UpstreamOutcome, Upstreams, full, next_membership_change, run as run_gateway, serve_http,
+        upstream_outcome,
     },
     process::{
         Actor, BackupError, Clock, ControlClient, ControlError, ControlReply, ControlRequest,
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -4,7 +4,7 @@
     bytes::Bytes,
     proptest::prelude::*,
     quay_link::Encoded,
-    quay_members::ChangesRequest,
+    quay_members::{ChangesRequest, Departure, DepartureChanges, Directory, MembersSettings},
     quay_policy::{
         CallerConnection, MemoryClass, MemoryHolder, PermitRequest, StreamOrigin, SuspectCommand,
         SuspectEvent, VersionRegistry,
@@ -16,8 +16,8 @@
         ServiceId, SoftwareVersion, Time, Tokens, TurnId, UpstreamId, UpstreamKind,
     },
     sapphirequayd::{
-        BufferSpace, Clock, ControlCommand, ControlState, ConversationCache, EncodedOp,
-        EventReader, FollowerState, FrontMemory, GatewayRequest, HostLimits, HostMemory,
+        BufferSpace, Clock, ControlCommand, ControlState, ControlUpdate, ConversationCache,
+        EncodedOp, EventReader, FollowerState, FrontMemory, GatewayRequest, HostLimits, HostMemory,
         LinkRequest, MembershipInputs, PathProbe, SlowMembers, StartupWait, StoreOp, StorePath,
         StoreReply, StoreTarget, StreamEnd, StreamOrigins, TableDocument, UPSTREAM_DISCONNECTED,
         UpstreamOutcome, next_membership_change, upstream_outcome,
@@ -348,6 +348,54 @@
     assert_eq!(postcard::from_bytes(&present), Ok(state));
 }
 
+/// Guards against fronts that can't follow a leader of another version of this software
+/// during an upgrade.
+#[test]
+fn the_update_of_an_earlier_leader_is_read_and_the_present_one_by_earlier_followers() {
+    let ask = ChangesRequest {
+        reader: 1,
+        run: 0,
+        announced: 0,
+        version: 0,
+        failure_reports: Box::default(),
+    };
+    let departed: Departure = (UpstreamId(3), Incarnation(4));
+    let update = ControlUpdate {
+        version: 7,
+        table: None,
+        stores: None,
+        directory: Directory::new(Time::ZERO, 5, MembersSettings::default())
+            .changes(Time::ZERO, &ask),
+        controls: vec![([127, 0, 0, 1], 9).into()],
+        followers: Vec::new(),
+        suspects: None,
+        versions: None,
+        departures: DepartureChanges {
+            known: 1,
+            departures: vec![departed],
+        },
+    };
+    let fields = (
+        update.version,
+        &update.table,
+        &update.stores,
+        &update.directory,
+        &update.controls,
+        &update.followers,
+        &update.suspects,
+        &update.versions,
+    );
+    let earlier = postcard::to_stdvec(&fields).expect("bytes");
+    let present = postcard::to_stdvec(&update).expect("bytes");
+    assert!(present.starts_with(&earlier));
+    assert_eq!(postcard::from_bytes(&present), Ok(update.clone()));
+    let read = ControlUpdate {
+        departures: DepartureChanges::default(),
+        ..update
+    };
+    assert_eq!(postcard::from_bytes(&earlier), Ok(read));
+}
+
 #[test]
 fn a_request_for_permits_of_an_earlier_front_is_read() {
     let req = PermitRequest {
