Tests: directories that stand for removed upstreams are complete

That was so only since a reader forgot the entries of incomplete directories.

Each assertion stays as it was: the other upstream is really removed now, and only the one that leaves is listed again. The test that needs an incomplete directory says so itself.

--- a/crates/sapphirequayd/tests/common/front_view.rs
+++ b/crates/sapphirequayd/tests/common/front_view.rs
@@ -33,13 +33,17 @@
     }
 }
 
-/// Directory changes that list exactly `upstreams`.
+/// Changes of a complete directory that lists exactly `upstreams`.
 pub fn directory(upstreams: &[Announcement], reader: &mut Upstreams, run: u64) -> Changes {
     let mut directory = Directory::new(Time::ZERO, run, MembersSettings::default());
     for upstream in upstreams {
         directory.announce(Time::ZERO, upstream.clone());
     }
-    directory.changes(Time::ZERO, &reader.next_request(1))
+    let changes = directory.changes(Time::ZERO, &reader.next_request(1));
+    Changes {
+        complete: true,
+        ..changes
+    }
 }
 
 /// A turn of a conversation.
--- a/crates/sapphirequayd/tests/leaving_upstreams.rs
+++ b/crates/sapphirequayd/tests/leaving_upstreams.rs
@@ -98,14 +98,14 @@
 fn a_departure_holds_for_entries_of_the_leader_before() {
     let mut front = Upstreams::new("a");
     let both = [announcement("one", 1), announcement("two", 1)];
-    let mut changes = directory(&both, &mut front, 1);
-    changes.complete = true;
+    let changes = directory(&both, &mut front, 1);
     front.apply_changes(Time::ZERO, changes);
     let mut log = DepartureLog::default();
     log.record((both[0].upstream(), Incarnation(1)));
     front.apply_departures(log.since(front.departures_known()));
     // The next leader has heard of no upstream yet.
-    let changes = directory(&[], &mut front, 2);
+    let mut changes = directory(&[], &mut front, 2);
+    changes.complete = false;
     front.apply_changes(SAID, changes);
     let other = both[1].upstream();
     assert_eq!(ids(&select(&mut front, SAID, &[])), [other]);
