--- a/crates/sapphirequayd/tests/interrupted_turns.rs
+++ b/crates/sapphirequayd/tests/interrupted_turns.rs
@@ -405,7 +405,8 @@
     }
 }
 
-/// Guards against the same in a later turn of a chain, and after two breaks.
+/// Guards against a later turn of a chain that is stored without what came before the last
+/// of two breaks.
 #[test]
 fn a_later_turn_continues_all_events_after_its_stream_broke_twice() {
     let mut site = Site::start(&[STORED]);
