Links: a large call that is given up is not held

Cause: the turns that were stored still counted. The copy for a third, late store was sent on after the quorum, and the link held a request until the peer had taken it or the connection ended, also once its call had timed out or was dropped. Ruled out: conversations (evicted for uploads), responses (two events).

The stream of a call that is dropped before its reply is reset, which releases its bytes, also while its connection is being established; and a front drops the calls to stores whose replies nothing waits for.

--- a/crates/quay_link/src/accept.rs
+++ b/crates/quay_link/src/accept.rs
@@ -104,6 +104,7 @@
                     recv,
                     self.receive_timeout,
                     HeldServing::new(self.serving),
+                    false,
                 ),
             }),
             (Ok(Ok(None)), Some(calls)) => {
--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -15,6 +15,7 @@
     std::{
         collections::HashMap,
         net::SocketAddr,
+        pin::pin,
         sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc as std_mpsc},
         thread,
         time::{Duration, Instant},
@@ -92,6 +93,8 @@
     role: LinkRole,
     /// First frame, in chunks.
     first: Vec<Bytes>,
+    /// Whether the frame is the request of a call.
+    is_call: bool,
     reply: oneshot::Sender<Result<LinkStream, LinkError>>,
 }
 
@@ -196,7 +199,7 @@
         role: LinkRole,
         first: &impl Serialize,
     ) -> Result<LinkStream, LinkError> {
-        let opened = self.request_open(addr, role, Encoded::of(first)?)?;
+        let opened = self.request_open(addr, role, Encoded::of(first)?, false)?;
         opened.blocking_recv().map_err(|_| LinkError::Stopped)?
     }
 
@@ -211,7 +214,7 @@
         role: LinkRole,
         first: &impl Serialize,
     ) -> Result<LinkStream, LinkError> {
-        let opened = self.request_open(addr, role, Encoded::of(first)?)?;
+        let opened = self.request_open(addr, role, Encoded::of(first)?, false)?;
         opened.await.map_err(|_| LinkError::Stopped)?
     }
 
@@ -234,8 +237,8 @@
     }
 
     /// Sends a request that is encoded already, as [`Links::call`] does. A long one is
-    /// sent without a copy, and its chunks are held until the peer has them or the
-    /// connection is closed, also if the future is dropped.
+    /// sent without a copy, and its chunks are held until the peer has them, or the
+    /// future is dropped or fails.
     ///
     /// # Errors
     ///
@@ -254,7 +257,7 @@
             },
             None => None,
         };
-        let opened = self.request_open(addr, role, req)?;
+        let opened = self.request_open(addr, role, req, true)?;
         let mut stream = opened.await.map_err(|_| LinkError::Stopped)??;
         stream.recv_async().await
     }
@@ -284,6 +287,7 @@
         addr: SocketAddr,
         role: LinkRole,
         first: Encoded,
+        is_call: bool,
     ) -> Result<oneshot::Receiver<Result<LinkStream, LinkError>>, LinkError> {
         let first = first.into_frame()?;
         let (reply, opened) = oneshot::channel();
@@ -291,6 +295,7 @@
             addr,
             role,
             first,
+            is_call,
             reply,
         };
         self.commands
@@ -512,6 +517,7 @@
         addr,
         role,
         first,
+        is_call,
         mut reply,
     } = open;
     let peer = Arc::clone(lock(&connections).entry((addr, role)).or_default());
@@ -525,8 +531,19 @@
     // The attempt continues when its requester gives up: other tasks wait for
     // the outcome, and a cancelled attempt would record no failure, so that the
     // next request would connect again without back-off.
-    let connection = get_or_connect(&endpoint, &mut peer, addr, role).await;
+    let connection = {
+        let mut connecting = pin!(get_or_connect(&endpoint, &mut peer, addr, role));
+        tokio::select! {
+            connection = &mut connecting => connection,
+            () = reply.closed() => {
+                drop(first);
+                let _ = connecting.await;
+                return;
+            }
+        }
+    };
     drop(peer);
+    let first = (first, is_call);
     let stream = async { open_stream(&connection?, first, receive_timeout).await };
     tokio::select! {
         stream = stream => drop(reply.send(stream)),
@@ -615,17 +632,17 @@
         .map_err(|err| LinkError::Connect(format!("{addr}: {err}").into()))
 }
 
-/// Opens a stream on a connection and sends its first frame.
+/// Opens a stream on a connection and sends its first frame, which may be that of a call.
 async fn open_stream(
     connection: &Connection,
-    first: Vec<Bytes>,
+    (first, is_call): (Vec<Bytes>, bool),
     receive_timeout: Duration,
 ) -> Result<LinkStream, LinkError> {
     let (send, recv) = connection
         .open_bi()
         .await
         .map_err(|err| LinkError::Connect(err.to_string().into()))?;
-    let stream = spawn_transfer(send, recv, receive_timeout, HeldServing::default());
+    let stream = spawn_transfer(send, recv, receive_timeout, HeldServing::default(), is_call);
     stream
         .tx
         .send(first)
--- a/crates/quay_link/src/stream.rs
+++ b/crates/quay_link/src/stream.rs
@@ -4,7 +4,7 @@
     crate::{Encoded, Frame, LinkError, stop::HeldServing},
     bytes::Bytes,
     serde::{Serialize, de::DeserializeOwned},
-    tokio::sync::mpsc,
+    tokio::sync::{mpsc, oneshot},
 };
 
 /// Capacity in frames of each channel between the network tasks and the user of a
@@ -16,6 +16,9 @@
 /// Dropping the stream signals the peer to cancel the request.
 #[derive(Debug)]
 pub struct LinkStream {
+    /// Told of the reply of a call, whose request is discarded without one. Dropped before
+    /// `tx`, so that the request of a call that is given up doesn't count as sent.
+    pub(crate) answered: Option<oneshot::Sender<()>>,
     /// Takes frames in chunks.
     pub(crate) tx: mpsc::Sender<Vec<Bytes>>,
     pub(crate) rx: mpsc::Receiver<Result<Frame, LinkError>>,
@@ -73,10 +76,11 @@
     ///
     /// As [`LinkStream::recv`].
     pub async fn recv_async<T: DeserializeOwned>(&mut self) -> Result<T, LinkError> {
-        match self.rx.recv().await {
-            Some(frame) => frame?.decode(),
-            None => Err(LinkError::Finished),
+        let frame = self.rx.recv().await.ok_or(LinkError::Finished)??;
+        if let Some(answered) = self.answered.take() {
+            let _ = answered.send(());
         }
+        frame.decode()
     }
 
     /// Receives one value; blocks until a frame arrives.
--- a/crates/quay_link/src/transfer.rs
+++ b/crates/quay_link/src/transfer.rs
@@ -4,26 +4,32 @@
     crate::{Frame, LinkError, LinkStream, frame, stop::HeldServing, stream::CHANNEL_FRAMES},
     bytes::Bytes,
     quinn::{RecvStream, SendStream, VarInt},
-    std::time::Duration,
-    tokio::sync::mpsc,
+    std::{future::pending, pin::pin, time::Duration},
+    tokio::sync::{mpsc, oneshot},
 };
 
-/// QUIC error code sent when the receiving side stops reading.
+/// QUIC error code sent when the receiving side stops reading, or the sending side gives
+/// its request up.
 const CANCELLED: VarInt = VarInt::from_u32(1);
 
 /// Spawns the tasks that transfer frames between a QUIC stream and the returned
-/// [`LinkStream`]. `serving` is that of a stream opened by a peer.
+/// [`LinkStream`]. `serving` is that of a stream opened by a peer; with `is_call` the
+/// frames are those of a call, which are discarded if the stream is dropped without a
+/// reply.
 pub(crate) fn spawn_transfer(
     send: SendStream,
     recv: RecvStream,
     receive_timeout: Duration,
     serving: HeldServing,
+    is_call: bool,
 ) -> LinkStream {
     let (out_tx, out_rx) = mpsc::channel(CHANNEL_FRAMES);
     let (in_tx, in_rx) = mpsc::channel(CHANNEL_FRAMES);
-    tokio::spawn(write_frames(send, out_rx, serving.clone()));
+    let (answered, reply) = is_call.then(oneshot::channel).unzip();
+    tokio::spawn(write_frames(send, out_rx, serving.clone(), reply));
     tokio::spawn(read_frames(recv, in_tx, receive_timeout));
     LinkStream {
+        answered,
         tx: out_tx,
         rx: in_rx,
         serving,
@@ -32,13 +38,23 @@
 
 /// Writes frames until the [`LinkStream`] is dropped, then finishes the QUIC
 /// stream. `serving` is held until the peer has all frames.
+///
+/// A call that is given up is reset instead: a silent peer would otherwise hold its
+/// request here for as long as the connection lasts.
 async fn write_frames(
     mut send: SendStream,
     mut frames: mpsc::Receiver<Vec<Bytes>>,
     serving: HeldServing,
+    reply: Option<oneshot::Receiver<()>>,
 ) {
+    let mut given_up = pin!(given_up(reply));
     loop {
         tokio::select! {
+            biased;
+            () = &mut given_up => {
+                let _ = send.reset(CANCELLED);
+                break;
+            }
             frame = frames.recv() => {
                 let Some(mut frame) = frame else {
                     let _ = send.finish();
@@ -47,8 +63,14 @@
                     }
                     break;
                 };
-                if send.write_all_chunks(&mut frame).await.is_err() {
-                    break;
+                tokio::select! {
+                    written = send.write_all_chunks(&mut frame) => if written.is_err() {
+                        break;
+                    },
+                    () = &mut given_up => {
+                        let _ = send.reset(CANCELLED);
+                        break;
+                    }
                 }
             }
             // The peer has stopped reading; further frames would be discarded.
@@ -58,6 +80,17 @@
     serving.release();
 }
 
+/// Waits until a call is given up before its reply; forever if it has one or is none.
+async fn given_up(reply: Option<oneshot::Receiver<()>>) {
+    let lost = match reply {
+        Some(reply) => reply.await.is_err(),
+        None => false,
+    };
+    if !lost {
+        pending::<()>().await;
+    }
+}
+
 /// Reads frames until the stream ends, no frame arrives within
 /// `receive_timeout`, or the [`LinkStream`] is dropped.
 async fn read_frames(
--- a/crates/quay_link/tests/calls.rs
+++ b/crates/quay_link/tests/calls.rs
@@ -1,14 +1,20 @@
 //! Tests of calls, which share a stream between two hosts.
 
 use {
+    bytes::Bytes,
     quay_link::{
-        DevelopmentKeys, Incoming, IncomingCall, LinkError, LinkRole, LinkSettings, Links,
+        DevelopmentKeys, Encoded, Incoming, IncomingCall, LinkError, LinkRole, LinkSettings, Links,
     },
     std::{
         net::{Ipv4Addr, SocketAddr},
+        sync::mpsc as std_mpsc,
         time::Duration,
     },
-    tokio::{sync::mpsc, task::JoinSet, time::timeout},
+    tokio::{
+        sync::{mpsc, oneshot},
+        task::JoinSet,
+        time::timeout,
+    },
 };
 
 /// Time-out that ends no test before the failure it guards against is seen.
@@ -234,3 +240,56 @@
     let late = timeout(Duration::from_mins(1), pair.call(1, 1)).await;
     late.expect("no wait for a time-out").expect_err("stopped");
 }
+
+/// Bytes whose owner learns when the last clone is dropped.
+struct Watched(Vec<u8>, Option<oneshot::Sender<()>>);
+
+impl AsRef<[u8]> for Watched {
+    fn as_ref(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        let _ = self.1.take().map(|dropped| dropped.send(()));
+    }
+}
+
+/// Guards against a link to a silent peer that holds requests which nobody waits for.
+#[tokio::test]
+async fn a_large_request_that_is_given_up_is_not_held() {
+    let keys = DevelopmentKeys::generate().expect("keys");
+    let settings = |role| LinkSettings {
+        idle_timeout: NEVER,
+        receive_timeout: NEVER,
+        ..LinkSettings::new(keys.identity(role).expect("identity"))
+    };
+    let server = LinkSettings {
+        listen: Some((Ipv4Addr::LOCALHOST, 0).into()),
+        ..settings(LinkRole::Ledger)
+    };
+    // The first stream blocks the server's thread, as a stopped process does.
+    let (end, ended) = std_mpsc::sync_channel::<()>(0);
+    let (blocked_tx, mut blocked) = mpsc::unbounded_channel();
+    let ended = std::sync::Mutex::new(ended);
+    let server = Links::start(server, move |_| {
+        let _ = blocked_tx.send(());
+        let _ = ended.lock().expect("lock").recv();
+    });
+    let server = server.expect("server");
+    let addr = server.local_addr().expect("address");
+    let client = Links::start_on_runtime(settings(LinkRole::Entry), drop).expect("client");
+    let first = client.open_async(addr, LinkRole::Ledger, &1_u32).await;
+    let _first = first.expect("stream");
+    blocked.recv().await.expect("the server is blocked");
+
+    let (dropped_tx, dropped) = oneshot::channel();
+    let chunk = Bytes::from_owner(Watched(vec![1; 8 << 20], Some(dropped_tx)));
+    let call = client.call_encoded::<u32>(addr, LinkRole::Ledger, Encoded::from(chunk));
+    let given_up = timeout(Duration::from_millis(300), call).await;
+    assert!(given_up.is_err(), "{given_up:?}");
+    let dropped = timeout(Duration::from_secs(20), dropped).await;
+    drop(end);
+    dropped.expect("the request is released").expect("dropped");
+}
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -24,6 +24,7 @@
     quay_types::{AttemptTag, ContentDigest, GroupId, ProgramTag, Tokens, TurnId},
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
+        select,
         sync::mpsc,
         task::spawn_local,
         time::{sleep, timeout},
@@ -157,7 +158,8 @@
     }
 
     /// Sends an operation to a member of a group. `tx` gets the identity of the
-    /// member and its reply; `None` on failure.
+    /// member and its reply; `None` on failure. Once nobody waits for the reply, the
+    /// request is given up: a copy beyond the quorum is not worth the caller's memory.
     pub(super) fn ask_member(
         &self,
         addr: SocketAddr,
@@ -168,7 +170,10 @@
         let client = self.clone();
         let identity = target.identity;
         spawn_local(async move {
-            let reply = client.ask_store(addr, target, op).await;
+            let reply = select! {
+                reply = client.ask_store(addr, target, op) => reply,
+                () = tx.closed() => return,
+            };
             if let Err(err) = &reply {
                 log::debug!("event=store_unreached store={identity} cause={err:?}");
             }
--- a/crates/sapphirequayd/tests/crowds.rs
+++ b/crates/sapphirequayd/tests/crowds.rs
@@ -383,6 +383,34 @@
     site.gateway.signal(Role::Store(0), "CONT");
 }
 
+/// Guards against turns that are stored, and of which copies that a silent store has not
+/// taken keep later turns out.
+#[test]
+fn copies_for_a_silent_store_leave_room_for_others() {
+    const TURNS: usize = 12;
+    let _turn = take_turn();
+    let site = Site::start("memory_mb = 110");
+    let input = "0123456789abcdef".repeat(1_900_000 / 16);
+    let turn = upload(site.front, &turn_head("t", "p"), &input, None);
+    assert_eq!(turn.expect("an answer").0, 200);
+    site.gateway.signal(Role::Store(0), "STOP");
+    for round in 0..3 {
+        let (front, input) = (site.front, &*input);
+        let turns = |turn| {
+            let id = format!("t{round}-{turn}");
+            move || upload(front, &turn_head(&id, &id), input, None)
+        };
+        let answers: Vec<(u16, String)> = thread::scope(|scope| {
+            let callers: Vec<_> = (0..TURNS).map(|turn| scope.spawn(turns(turn))).collect();
+            let answers = callers.into_iter().map(|it| it.join().expect("a caller"));
+            answers.map(|it| it.expect("an answer")).collect()
+        });
+        let refused = answers.iter().filter(|it| it.1.contains("no_memory"));
+        assert_eq!(refused.count(), 0, "round {round}: {answers:?}");
+    }
+    site.gateway.signal(Role::Store(0), "CONT");
+}
+
 /// Guards against turns that a front relays for another one, and does not count, while the
 /// stores are silent.
 #[test]
