Fronts: a stream goes on only at the incarnation that its upstream names

Cause: the directory's entry was taken for the process that answered, both in the record of a stream's origin and for the upstream at which it goes on. Responses don't tell two incarnations under one id apart, nor do heartbeats, which may arrive seconds after they were sent. Ruled out: mixed-up records (each stream has a program and a content of its own).

An upstream's report names its incarnation, and holds for all connections that were set up before it was asked for, since one process at a time accepts connections at an address. A front asks for one behind the head of a stream that may be taken up, and before a stream goes on, if none covers the connection; until then, or if it names another incarnation or none, the origin has no version and the stream is refused. An upstream whose version is in doubt now leaves such a record as well; without one its streams could go on at the only version of the service.

--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -7,6 +7,7 @@
 mod fleet_quota;
 mod leaving;
 mod limits;
+mod named_runs;
 mod quota;
 mod resume;
 mod retry;
@@ -29,6 +30,7 @@
     limits::{
         LimitAllocator, LimitHolder, LimitSettings, PermitDemand, PermitGrant, PermitRequest,
     },
+    named_runs::{NamedRuns, ReportResult},
     quota::{QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings},
     resume::{OriginLookup, RecordedOrigin, ResumeFacts, ResumeRefusal, StreamTerms},
     retry::{RetryBudgets, RetrySettings},
--- a/crates/quay_policy/src/guard/resume.rs
+++ b/crates/quay_policy/src/guard/resume.rs
@@ -81,6 +81,12 @@
         for origin in origins {
             let key = |it: &StreamOrigin| (it.service, it.version);
             match &mut self.found {
+                // A store may lack the record by which the incarnation became known.
+                Some(found) if found.is_same_run(origin) => {
+                    if !found.is_version_known() {
+                        *found = *origin;
+                    }
+                }
                 Some(found) if key(found) != key(origin) => self.conflicts = true,
                 Some(found) if found.sent >= origin.sent => {}
                 found => *found = Some(*origin),
--- a/crates/quay_policy/src/guard/stream_origin.rs
+++ b/crates/quay_policy/src/guard/stream_origin.rs
@@ -23,13 +23,38 @@
     pub run: UpstreamRun,
     /// Service that it serves.
     pub service: ServiceId,
-    /// Version that this incarnation had announced.
+    /// Version that this incarnation had announced; [`Self::UNKNOWN_VERSION`] while it is
+    /// unknown which incarnation answered.
     pub version: SoftwareVersion,
     /// Unix time at which the request was sent.
     pub sent: Time,
 }
 
 impl StreamOrigin {
+    /// A version that no upstream has.
+    pub const UNKNOWN_VERSION: SoftwareVersion = SoftwareVersion(0);
+
+    /// The same run, of which it is unknown which incarnation answered.
+    #[must_use]
+    pub const fn with_unknown_version(self) -> Self {
+        Self {
+            version: Self::UNKNOWN_VERSION,
+            ..self
+        }
+    }
+
+    /// Whether it is known which incarnation answered.
+    #[must_use]
+    pub fn is_version_known(&self) -> bool {
+        self.version != Self::UNKNOWN_VERSION
+    }
+
+    /// Whether both are records of one run.
+    #[must_use]
+    pub fn is_same_run(&self, other: &Self) -> bool {
+        (self.run, self.service, self.sent) == (other.run, other.service, other.sent)
+    }
+
     /// Version at which the stream may go on at `service`; `None` if it began at
     /// another one, or if it is uncertain which incarnation began it. `listed` is the
     /// upstream's incarnation in the directory now, with its version.
@@ -45,6 +70,9 @@
     ) -> Option<SoftwareVersion> {
         let (_, incarnation) = self.run;
         let later = listed.filter(|(listed, _)| *listed > incarnation);
+        if !self.is_version_known() {
+            return None;
+        }
         let certain = later.is_none_or(|(restarted, version)| {
             let restarted = Time::from_millis(restarted.0);
             version == Some(self.version) || self.sent + MAX_CLOCK_DIFFERENCE < restarted
--- a/crates/quay_policy/src/guard/upstream_filter.rs
+++ b/crates/quay_policy/src/guard/upstream_filter.rs
@@ -1,9 +1,9 @@
 //! Which upstreams may take a request.
 
 use {
-    super::{LeavingUpstreams, LimitHolder, UpstreamRun},
+    super::{LeavingUpstreams, LimitHolder, NamedRuns, ReportResult, UpstreamRun},
     indexmap::IndexMap,
-    quay_types::{SoftwareVersion, Time, UpstreamId},
+    quay_types::{Incarnation, SoftwareVersion, Time, UpstreamId},
     std::time::Duration,
 };
 
@@ -54,6 +54,7 @@
     /// Time until which the version of each incarnation that has ended is unknown.
     ended: IndexMap<UpstreamRun, Time>,
     limits: LimitHolder,
+    named: NamedRuns,
     /// Time until which each unreachable incarnation is suspended.
     suspended: IndexMap<UpstreamRun, Time>,
 }
@@ -80,6 +81,32 @@
         self.ended.insert(run, now + ENDED_TIME);
     }
 
+    /// Records what an upstream, asked at `asked`, reported of itself: the incarnation that
+    /// it names, if any.
+    pub fn record_report(
+        &mut self,
+        now: Time,
+        run: UpstreamRun,
+        asked: Time,
+        named: Option<Incarnation>,
+    ) -> ReportResult {
+        let result = self.named.record_report(now, run, asked, named);
+        match result {
+            ReportResult::Named => {
+                self.ended.swap_remove(&run);
+            }
+            ReportResult::Another => self.record_ended(now, run),
+            ReportResult::Unnamed => {}
+        }
+        result
+    }
+
+    /// Incarnations that upstreams have named.
+    #[must_use]
+    pub const fn named_runs(&self) -> &NamedRuns {
+        &self.named
+    }
+
     /// Limits that upstreams have named.
     pub fn limits(&mut self) -> &mut LimitHolder {
         &mut self.limits
@@ -88,6 +115,7 @@
     /// Forgets what no longer holds.
     pub fn tick(&mut self, now: Time) {
         self.ended.retain(|_, until| *until > now);
+        self.named.tick(now);
         self.suspended.retain(|_, until| *until > now);
     }
 
--- a/crates/quay_policy/tests/stream_versions.rs
+++ b/crates/quay_policy/tests/stream_versions.rs
@@ -2,9 +2,9 @@
 
 use {
     quay_policy::{
-        Candidate, Eligibility, OriginLookup, RecordedOrigin, Requirements, ResumeFacts,
-        ResumeRefusal, StreamOrigin, StreamTerms, UpstreamFilter, UpstreamRun, VersionRegistry,
-        VersionRollout, VersionRolloutSettings, VersionsSeen,
+        Candidate, Eligibility, OriginLookup, RecordedOrigin, ReportResult, Requirements,
+        ResumeFacts, ResumeRefusal, StreamOrigin, StreamTerms, UpstreamFilter, UpstreamRun,
+        VersionRegistry, VersionRollout, VersionRolloutSettings, VersionsSeen,
     },
     quay_types::{Incarnation, RequestRate, ServiceId, SoftwareVersion, Time, UpstreamId},
     std::time::Duration,
@@ -93,6 +93,43 @@
     assert_eq!(filter.judge(NOW, next, &at("v1")), Eligibility::Eligible);
 }
 
+/// Guards against events of a restarted upstream that count as those of the incarnation
+/// that is listed.
+#[test]
+fn a_report_holds_for_connections_that_were_set_up_before_it() {
+    let mut filter = UpstreamFilter::default();
+    let (second, minute) = (Duration::from_secs(1), Duration::from_mins(1));
+    assert!(!filter.named_runs().is_reached_by(FIRST, NOW));
+    let named = filter.record_report(NOW, FIRST, NOW, Some(FIRST.1));
+    assert_eq!(named, ReportResult::Named);
+    assert!(filter.named_runs().is_reached_by(FIRST, NOW));
+    assert!(!filter.named_runs().is_reached_by(FIRST, NOW + second));
+    let next = (FIRST.0, Incarnation(2));
+    assert!(!filter.named_runs().is_reached_by(next, NOW));
+    // An answer that comes late says nothing of what was set up meanwhile.
+    filter.record_report(NOW + second, FIRST, NOW, Some(FIRST.1));
+    assert!(!filter.named_runs().is_reached_by(FIRST, NOW + second));
+    filter.tick(NOW + minute);
+    assert!(!filter.named_runs().is_reached_by(FIRST, NOW));
+}
+
+#[test]
+fn an_upstream_that_names_another_incarnation_or_none_gets_no_stream_that_goes_on() {
+    let mut filter = UpstreamFilter::default();
+    let (first, later) = (candidate(FIRST, "v1"), NOW + Duration::from_secs(2));
+    let unnamed = filter.record_report(NOW, FIRST, NOW, None);
+    assert_eq!(unnamed, ReportResult::Unnamed);
+    assert!(!filter.named_runs().may_ask(NOW, FIRST));
+    assert!(filter.named_runs().may_ask(later, FIRST));
+    assert_eq!(filter.known_version(NOW, first), Some(version("v1")));
+    let another = filter.record_report(NOW, FIRST, NOW, Some(Incarnation(2)));
+    assert_eq!(another, ReportResult::Another);
+    assert_eq!(filter.known_version(NOW, first), None);
+    // A connection was refused for another reason than the end of the process.
+    filter.record_report(later, FIRST, later, Some(FIRST.1));
+    assert_eq!(filter.known_version(later, first), Some(version("v1")));
+}
+
 #[test]
 fn tried_and_leaving_upstreams_are_excluded() {
     let mut filter = UpstreamFilter::default();
@@ -320,6 +357,24 @@
     }
 }
 
+/// Guards against a stream that is refused since one store has only the earlier record.
+#[test]
+fn a_record_of_a_known_version_goes_before_the_earlier_one_of_its_run() {
+    let (known, unknown) = (origin(1), origin(1).with_unknown_version());
+    let ask = |answers: &[StreamOrigin]| {
+        let mut lookup = OriginLookup::new(2);
+        for origin in answers {
+            lookup.add(&[*origin]);
+        }
+        lookup.result()
+    };
+    assert_eq!(ask(&[known, unknown]), RecordedOrigin::Found(known));
+    assert_eq!(ask(&[unknown, known]), RecordedOrigin::Found(known));
+    assert_eq!(ask(&[unknown, unknown]), RecordedOrigin::Found(unknown));
+    assert_eq!(ask(&[unknown, origin(2)]), RecordedOrigin::Conflicting);
+    assert_eq!(unknown.resumable_at(unknown.service, None), None);
+}
+
 #[test]
 fn stores_that_know_other_versions_of_a_content_make_its_origin_uncertain() {
     let (old, new) = (
--- a/crates/quay_routes/src/dialect.rs
+++ b/crates/quay_routes/src/dialect.rs
@@ -6,7 +6,8 @@
         TableError, UpstreamHead,
     },
     http::{HeaderMap, Method, Request, Response, request, response},
-    std::time::Duration,
+    quay_types::Incarnation,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// Values that are added to a request when it is forwarded to an upstream.
@@ -59,6 +60,12 @@
     /// Parses the head of an upstream's response.
     fn parse_response(&self, head: &response::Parts) -> UpstreamHead;
 
+    /// Request for the report of the upstream at `addr` on itself.
+    fn report_request(&self, addr: SocketAddr) -> Request<()>;
+
+    /// Incarnation that an upstream names in its report, if it does.
+    fn parse_report(&self, body: &[u8]) -> Option<Incarnation>;
+
     /// Headers of an upstream's response that is passed on to the caller.
     fn response_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -404,10 +404,9 @@
         if !stream_terms(self.route).can_go_on() || self.version.is_some() {
             return None;
         }
-        let (upstream, ago) = (in_flight.upstream(), in_flight.elapsed());
         let request = (self.route, self.content);
         self.front
-            .record_stream_origin(&self.ids, request, &self.pool(), upstream, ago)
+            .record_stream_origin(&self.ids, request, &self.pool(), in_flight)
     }
 
     /// Upstreams among which one is selected.
@@ -524,7 +523,8 @@
     /// Sends the request and waits for the head of the response.
     ///
     /// Retries on another connection if a reused one was closed before the
-    /// request was written.
+    /// request was written. A stream goes on only on a connection that is known to lead to
+    /// the selected incarnation, whose version is that of the stream.
     async fn exchange(
         &self,
         in_flight: &mut InFlight<D>,
@@ -550,6 +550,14 @@
                 }
             };
             let reused = lease.reused();
+            if self.version.is_some() {
+                let upstream = in_flight.upstream();
+                match self.front.confirm_lease(upstream, &mut lease).await {
+                    Ok(true) => {}
+                    Err(SendError::NotSent) if reused => continue,
+                    Ok(false) | Err(_) => return Err(AttemptResult::NotRun),
+                }
+            }
             let req = self.request(in_flight.upstream(), body);
             if let Some(quota) = quota {
                 quota.spend();
--- a/crates/sapphirequayd/src/gateway/front/connections.rs
+++ b/crates/sapphirequayd/src/gateway/front/connections.rs
@@ -171,6 +171,11 @@
         self.pool(lease, idle_time(headers));
     }
 
+    /// Returns a connection to the pool that takes another request.
+    pub fn give_back_ready(&self, lease: Lease) {
+        self.pool(lease, DEFAULT_IDLE_TIMEOUT);
+    }
+
     /// Adds a connection to the pool that may be reused within `idle`.
     fn pool(&self, lease: Lease, idle: Duration) {
         if idle.is_zero() || lease.sender.is_closed() {
@@ -212,6 +217,12 @@
         self.reused
     }
 
+    /// Waits until the connection takes another request after a response that was read to
+    /// its end. Returns `false` if it takes none.
+    pub async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod permits;
 mod quotas;
+mod reports;
 mod streams;
 
 use {
@@ -56,6 +57,8 @@
     },
 };
 
+use self::reports::ReportTurns;
+
 pub use self::{quotas::QuotaPermit, streams::check_take_up};
 
 /// Time-out for an update from the control group.
@@ -116,6 +119,7 @@
     quota_signals: QuotaSignals,
     account_meters: RefCell<AccountMeters>,
     connections: Connections,
+    report_turns: ReportTurns,
     buffers: BufferSpace,
     memory: FrontMemory,
     table: RefCell<Option<Rc<RoutingTable>>>,
@@ -166,6 +170,7 @@
             quota_signals: QuotaSignals::default(),
             account_meters: RefCell::default(),
             connections: Connections::new(clock, memory.is_limited()),
+            report_turns: ReportTurns::default(),
             buffers: BufferSpace::new(memory.clone()),
             table: RefCell::default(),
             limits: ServerLimits {
--- a/crates/sapphirequayd/src/gateway/front/host/streams.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/streams.rs
@@ -4,17 +4,15 @@
 use {
     super::FrontHost,
     crate::gateway::{
-        front::{
-            refusal::Refusal,
-            upstreams::{Pool, SelectedUpstream},
-        },
+        front::{in_flight::InFlight, refusal::Refusal, upstreams::Pool},
         meters,
+        store::StoreClient,
     },
-    quay_policy::{RecordedOrigin, ResumeRefusal, StreamTerms},
+    quay_policy::{RecordedOrigin, ResumeRefusal, StreamOrigin, StreamTerms},
     quay_routes::{CallHead, CallIds, Dialect, ResumedHead, Route},
-    quay_types::{ContentDigest, SoftwareVersion, Time},
-    std::time::Duration,
-    tokio::{sync::oneshot, task::spawn_local},
+    quay_types::{AttemptTag, ContentDigest, ProgramTag, SoftwareVersion, Time},
+    std::{pin::pin, time::Duration},
+    tokio::{sync::oneshot, task::spawn_local, time::timeout},
 };
 
 /// Longest time for which a request waits for the origin of its stream.
@@ -23,6 +21,10 @@
 /// Longest time for which the origin of a stream is offered to the stores.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after which an origin is recorded although the upstream has not yet told which
+/// incarnation it is: more than a round trip between data centres.
+const REPORT_GRACE: Duration = Duration::from_millis(30);
+
 /// Time for which the origin of a stream is kept, as a multiple of the route's time-out.
 const KEPT_TIMEOUTS: u32 = 4;
 
@@ -41,8 +43,8 @@
 }
 
 impl<D: Dialect> FrontHost<D> {
-    /// Records which upstream began the stream of a request that was sent `ago`, so
-    /// that any front can tell where it may go on.
+    /// Records which upstream began the stream of a request in flight, so that any front
+    /// can tell where it may go on.
     ///
     /// Returns the end of the recording if the first event must wait for it: streams of
     /// the content may have begun at another version before, and their record would be
@@ -52,32 +54,29 @@
         ids: &CallIds<'_>,
         (route, content): (&Route, ContentDigest),
         pool: &Pool<'_>,
-        upstream: &SelectedUpstream,
-        ago: Duration,
+        in_flight: &InFlight<D>,
     ) -> Option<oneshot::Receiver<()>> {
         let unix_time = Self::unix_time().since(Time::ZERO);
-        let sent = Time::ZERO + unix_time.saturating_sub(ago);
+        let sent = Time::ZERO + unix_time.saturating_sub(in_flight.elapsed());
+        let upstream = in_flight.upstream();
         let origin = self
             .upstreams()
             .stream_origin(self.now(), pool, upstream, sent);
-        let Some(origin) = origin else {
-            log::info!("event=stream_version_unknown id={}", ids.head().id);
-            return None;
+        let record = OriginRecord {
+            stores: self.stores().clone(),
+            id: ids.head().id.clone(),
+            program: ids.program(),
+            attempt: ids.attempt(),
+            // Without a program the records of two attempts are in different groups.
+            content: ids.budget().map(|_| content),
+            keep: route.timeout.saturating_mul(KEPT_TIMEOUTS),
         };
-        let stores = self.stores().clone();
-        let (id, program, attempt) = (ids.head().id.clone(), ids.program(), ids.attempt());
-        // Without a program the records of two attempts are in different groups.
-        let content = ids.budget().map(|_| content);
-        let keep = route.timeout.saturating_mul(KEPT_TIMEOUTS);
         let (tx, rx) = oneshot::channel();
+        let (front, upstream) = (self.clone(), upstream.clone());
+        let connected = in_flight.connected();
         spawn_local(async move {
-            if !stores
-                .record_stream(program, (attempt, content), (origin, keep), RECORD_TIMEOUT)
-                .await
-            {
-                log::warn!("event=stream_origin_unrecorded id={id}");
-            }
-            let _ = tx.send(());
+            let confirm = front.confirm_run(&upstream, connected);
+            record.write_confirmed(origin, confirm, tx).await;
         });
         self.upstreams()
             .has_several_versions(pool.service)
@@ -145,6 +144,62 @@
     }
 }
 
+/// Record of the origin of a stream.
+struct OriginRecord {
+    stores: StoreClient,
+    /// Id of the request, for logs.
+    id: Box<str>,
+    program: ProgramTag,
+    attempt: AttemptTag,
+    /// Content of the request, if the stream is recorded under it as well.
+    content: Option<ContentDigest>,
+    /// Time for which the record is kept.
+    keep: Duration,
+}
+
+impl OriginRecord {
+    /// Writes an origin once `confirm` tells whether the connection leads to the
+    /// incarnation that was selected. If that takes long, an origin of unknown version is
+    /// written meanwhile: without a record a stream might be taken for one of the only
+    /// version. `written` is told of the first record.
+    async fn write_confirmed(
+        &self,
+        origin: StreamOrigin,
+        confirm: impl Future<Output = bool>,
+        written: oneshot::Sender<()>,
+    ) {
+        let unknown = origin.with_unknown_version();
+        if !origin.is_version_known() {
+            self.write(unknown).await;
+            return;
+        }
+        let mut confirm = pin!(confirm);
+        if let Ok(confirmed) = timeout(REPORT_GRACE, &mut confirm).await {
+            self.write(if confirmed { origin } else { unknown }).await;
+            let _ = written.send(());
+            return;
+        }
+        self.write(unknown).await;
+        let _ = written.send(());
+        if confirm.await {
+            self.write(origin).await;
+        }
+    }
+
+    async fn write(&self, origin: StreamOrigin) {
+        if !origin.is_version_known() {
+            log::info!("event=stream_version_unknown id={}", self.id);
+        }
+        let (key, origin) = ((self.attempt, self.content), (origin, self.keep));
+        let recorded = self
+            .stores
+            .record_stream(self.program, key, origin, RECORD_TIMEOUT);
+        if !recorded.await {
+            log::warn!("event=stream_origin_unrecorded id={}", self.id);
+        }
+    }
+}
+
 /// Logs the decision whether a stream goes on.
 fn log_decision(
     head: &CallHead,
--- a/crates/sapphirequayd/src/gateway/front/in_flight.rs
+++ b/crates/sapphirequayd/src/gateway/front/in_flight.rs
@@ -28,6 +28,9 @@
     /// Whether the upstream may have received the request.
     offered: bool,
     started: Time,
+    /// Time at which the connection was set up on which the response began; until then
+    /// the start of the attempt.
+    connected: Time,
     /// Time of the last data from the upstream, initially the start of the
     /// attempt.
     last_activity: Cell<Time>,
@@ -47,6 +50,7 @@
             running: Cell::default(),
             offered: false,
             started: now,
+            connected: now,
             last_activity: Cell::new(now),
             recorded: Cell::default(),
         }
@@ -69,6 +73,11 @@
         self.started
     }
 
+    /// Time at which the connection of the response was set up.
+    pub const fn connected(&self) -> Time {
+        self.connected
+    }
+
     /// Whether the upstream may have received the request.
     pub const fn offered(&self) -> bool {
         self.offered
@@ -103,14 +112,14 @@
     /// Records that the response began on a connection, which is held until the
     /// response is complete.
     pub fn begin_response(&mut self, lease: Lease) {
-        let connected = lease.connected();
+        self.connected = lease.connected();
         self.lease = Some(lease);
         self.record_activity();
         let mut upstreams = self.front.upstreams();
         let run = self.upstream.run();
         upstreams
             .crashes()
-            .record_answer(run, connected, self.started);
+            .record_answer(run, self.connected, self.started);
     }
 
     /// Records how the run ended; later calls have no effect.
--- a/crates/sapphirequayd/src/gateway/front/upstreams.rs
+++ b/crates/sapphirequayd/src/gateway/front/upstreams.rs
@@ -5,9 +5,10 @@
     indexmap::IndexMap,
     quay_members::{ChangesRequest, DepartureChanges, DirectoryView},
     quay_policy::{
-        Candidate, CheckResult, CrashDetector, Eligibility, ExpectedTime, LimitHolder, NewProgram,
-        NewProgramGate, PromptBeginning, RecordedOrigin, Requirements, ResumeFacts, RouteRequest,
-        Router, ServiceVersions, StreamOrigin, UpstreamFilter, UpstreamRun,
+        Candidate, CheckResult, CrashDetector, Eligibility, ExpectedTime, LimitHolder, NamedRuns,
+        NewProgram, NewProgramGate, PromptBeginning, RecordedOrigin, ReportResult, Requirements,
+        ResumeFacts, RouteRequest, Router, ServiceVersions, StreamOrigin, UpstreamFilter,
+        UpstreamRun,
     },
     quay_routes::{CallHead, PromptPart, UpstreamLoad, block_hashes, branch_ids, token_count},
     quay_types::{
@@ -438,8 +439,7 @@
     // Streams
 
     /// Origin of a stream that an upstream of a pool began, for a request sent at
-    /// `sent`, a Unix time. `None` if the version of the process that answered is
-    /// unknown.
+    /// `sent`, a Unix time, as far as the directory tells.
     #[must_use]
     pub fn stream_origin(
         &self,
@@ -447,19 +447,37 @@
         pool: &Pool<'_>,
         upstream: &SelectedUpstream,
         sent: Time,
-    ) -> Option<StreamOrigin> {
+    ) -> StreamOrigin {
         let run = upstream.run();
         let candidate = Candidate {
             run,
             version: upstream.version,
         };
-        let version = self.filter.known_version(now, candidate)?;
-        Some(StreamOrigin {
+        let version = self.filter.known_version(now, candidate);
+        StreamOrigin {
             run,
             service: ServiceId::of(pool.service),
-            version,
+            version: version.unwrap_or(StreamOrigin::UNKNOWN_VERSION),
             sent,
-        })
+        }
+    }
+
+    /// Incarnations that upstreams have named in their reports.
+    #[must_use]
+    pub const fn named_runs(&self) -> &NamedRuns {
+        self.filter.named_runs()
+    }
+
+    /// Records what an upstream, asked at `asked`, reported of itself: the incarnation that
+    /// it names, if any.
+    pub fn record_report(
+        &mut self,
+        now: Time,
+        upstream: &SelectedUpstream,
+        asked: Time,
+        named: Option<Incarnation>,
+    ) -> ReportResult {
+        self.filter.record_report(now, upstream.run(), asked, named)
     }
 
     /// Revision of the list of versions; 0 without one.
--- a/crates/sapphirequayd/src/gateway/meters.rs
+++ b/crates/sapphirequayd/src/gateway/meters.rs
@@ -71,6 +71,11 @@
     counter!("sapphirequay_resumed_streams_total", "decision" => decision).increment(1);
 }
 
+/// Counts a report of an upstream, by what it says of the incarnation that was selected.
+pub fn record_upstream_report(result: &'static str) {
+    counter!("sapphirequay_upstream_reports_total", "result" => result).increment(1);
+}
+
 /// Counts an upstream that ended while it ran requests of this front.
 pub fn record_upstream_crash() {
     counter!("sapphirequay_upstream_crashes_total").increment(1);
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -434,23 +434,28 @@
             return RecordedOrigin::Undetermined;
         };
         let mut replies = GroupRequest::with_all(self, (group, program), &view, op);
+        let (mut found, mut denials) = (None, 0);
         let lookup = async {
-            let mut denials = 0;
             while let Some((_, reply)) = replies.next().await {
                 match reply {
-                    Some(StoreReply::Stream(Some(origin))) => return RecordedOrigin::Found(origin),
+                    Some(StoreReply::Stream(Some(origin))) => {
+                        found = Some(origin);
+                        if origin.is_version_known() {
+                            return;
+                        }
+                    }
                     Some(StoreReply::Stream(None)) => denials += 1,
                     _ => {}
                 }
             }
-            if denials > 0 && denials == view.members.len() {
-                RecordedOrigin::Absent
-            } else {
-                RecordedOrigin::Undetermined
-            }
         };
-        let found = timeout(limit, lookup).await;
-        found.unwrap_or(RecordedOrigin::Undetermined)
+        // What arrived until then decides.
+        let _ = timeout(limit, lookup).await;
+        match found {
+            Some(origin) => RecordedOrigin::Found(origin),
+            None if denials > 0 && denials == view.members.len() => RecordedOrigin::Absent,
+            None => RecordedOrigin::Undetermined,
+        }
     }
 
     /// Looks up the origin of the streams of a content, as far as all stores that answer
--- a/crates/sapphirequayd/src/gateway/store/stream_origins.rs
+++ b/crates/sapphirequayd/src/gateway/store/stream_origins.rs
@@ -23,7 +23,8 @@
 }
 
 impl StreamOrigins {
-    /// Adds an origin that is kept for `keep`, unless the attempt has one.
+    /// Adds an origin that is kept for `keep`, unless the attempt has one. The version of
+    /// its run may become known later.
     pub fn insert(
         &mut self,
         now: Time,
@@ -34,8 +35,11 @@
         if self.held.len() >= MAX_ORIGINS {
             self.held.drain(..DROPPED_TOGETHER);
         }
-        let (origin, _) = *self.held.entry(attempt).or_insert((origin, now + keep));
-        origin
+        let (held, _) = self.held.entry(attempt).or_insert((origin, now + keep));
+        if !held.is_version_known() && held.is_same_run(&origin) {
+            *held = origin;
+        }
+        *held
     }
 
     /// Adds an origin under the content of its request, which is kept for `keep`. Of
@@ -54,7 +58,15 @@
         if *expires <= now {
             origins.clear();
         }
-        origins.retain(|it| (it.service, it.version) != (origin.service, origin.version));
+        // The record of a known version may arrive before that of the unknown one.
+        let is_known = |it: &StreamOrigin| it.is_same_run(&origin) && it.is_version_known();
+        if origins.iter().any(is_known) {
+            return;
+        }
+        origins.retain(|it| {
+            let same_version = (it.service, it.version) == (origin.service, origin.version);
+            !same_version && !it.is_same_run(&origin)
+        });
         origins.push(origin);
         *expires = now + keep;
     }
--- a/crates/sapphirequayd/tests/common/versioned_upstream.rs
+++ b/crates/sapphirequayd/tests/common/versioned_upstream.rs
@@ -117,6 +117,14 @@
         if self.has_ended() {
             return None;
         }
+        if head.starts_with("GET /sapphirequay/report ") {
+            let report = format!("{{\"Stage\":\"both\",\"born\":{}}}", self.born);
+            let text = format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{report}",
+                report.len()
+            );
+            return stream.write_all(text.as_bytes()).ok();
+        }
         let id = header(&head, "x-sapphirequay-request-id")?;
         let meant = header(&head, "x-sapphirequay-expect-instance") == Some(&*self.name);
         let refusal = match (meant, self.shared.full.load(Ordering::SeqCst)) {
--- a/crates/sapphirequayd/tests/gateway_parts.rs
+++ b/crates/sapphirequayd/tests/gateway_parts.rs
@@ -519,6 +519,25 @@
     assert!(bytes.starts_with(without_content));
 }
 
+/// Guards against a stream that is refused although its version became known.
+#[test]
+fn the_version_of_a_run_may_become_known_after_its_first_record() {
+    let mut origins = StreamOrigins::default();
+    let (content, keep) = (ContentDigest::ZERO, Duration::from_secs(12));
+    let unknown = origin(1).with_unknown_version();
+    for (attempt, records) in [(1, [unknown, origin(1)]), (2, [origin(1), unknown])] {
+        let attempt = AttemptTag(attempt);
+        for record in records {
+            origins.insert(Time::ZERO, attempt, record, keep);
+            origins.insert_content(Time::ZERO, content, record, keep);
+        }
+        assert_eq!(origins.get(Time::ZERO, attempt), Some(origin(1)));
+        assert_eq!(origins.of_content(Time::ZERO, content), [origin(1)]);
+    }
+    origins.insert_content(Time::ZERO, content, origin(2).with_unknown_version(), keep);
+    assert_eq!(origins.of_content(Time::ZERO, content).len(), 2);
+}
+
 #[test]
 fn the_number_of_origins_is_bounded_and_the_oldest_are_dropped() {
     let mut origins = StreamOrigins::default();
--- a/crates/sapphirequayd/tests/resumed_streams.rs
+++ b/crates/sapphirequayd/tests/resumed_streams.rs
@@ -461,6 +461,30 @@
     assert_eq!(site.resume_all(1, &of_new), 0);
 }
 
+/// Guards against streams joined from two versions after an upstream has started again under
+/// its id, unseen by the fronts and with a late heartbeat (review/8).
+#[test]
+fn a_stream_does_not_change_its_version_while_a_restart_is_not_announced() {
+    let mut site = Site::start_with(&[("first", "v1"), ("second", "v1")]);
+    let upstream = &mut site.upstreams[0];
+    upstream.end();
+    let again = ("first", "v2", unix_millis());
+    *upstream = VersionedUpstream::start_at(upstream.addr, again, &site.shared);
+    site.silent = "v2";
+    let streams = site.begin_streams(0, STREAMS);
+    assert_both_versions(&streams);
+    let (of_old, of_new) = by_version(streams);
+    // The stores know all of them by now.
+    site.resume_everything(1, &of_old);
+    for identified in [Identified::ByContent, Identified::ByAttempt] {
+        for front in [1, 0] {
+            let went_on = site.resume_by(identified, front, &of_old);
+            assert!(went_on * 2 >= of_old.len(), "{went_on} of {}", of_old.len());
+            assert_eq!(site.resume_by(identified, front, &of_new), 0);
+        }
+    }
+}
+
 #[test]
 fn a_stream_that_finds_the_upstreams_of_its_version_full_is_refused() {
     let site = Site::start();
--- a/crates/sapphirequayd/tests/versions_at_a_front.rs
+++ b/crates/sapphirequayd/tests/versions_at_a_front.rs
@@ -107,16 +107,21 @@
     let sent = Time::from_millis(2_000_000_000_000);
     let began = front.select(NOW, &pool("v1"), &turn(1), &[], 1);
     let began = began.expect("upstream");
-    let origin = front
-        .stream_origin(NOW, &POOL, &began, sent)
-        .expect("origin");
+    let origin = front.stream_origin(NOW, &POOL, &began, sent);
+    assert!(origin.is_version_known());
     let recorded = RecordedOrigin::Found(origin);
     assert_eq!(
         front.resume_facts(&POOL, true, recorded).decide(),
         Ok(SoftwareVersion::of("v1"))
     );
     front.record_ended(NOW, began.run());
-    assert_eq!(front.stream_origin(NOW, &POOL, &began, sent), None);
+    let later = front.stream_origin(NOW, &POOL, &began, sent);
+    assert!(!later.is_version_known());
+    let unknown = RecordedOrigin::Found(later);
+    assert_eq!(
+        front.resume_facts(&POOL, true, unknown).decide(),
+        Err(ResumeRefusal::Uncertain)
+    );
     assert_eq!(select_at(&mut front, NOW, "v1"), vec![None; 100]);
     // It is back under its name, at another version, and began a second before the
     // stream was sent.
