Tests: the upstream of interrupted_turns reports its incarnation

every_kind_of_route_keeps_its_promise_after_a_broken_stream failed with the commit before, "not in time: the stream goes on": streams go on only where the upstream names its incarnation, and the stand-in streamed events in place of a report.

--- a/crates/sapphirequayd/tests/interrupted_turns.rs
+++ b/crates/sapphirequayd/tests/interrupted_turns.rs
@@ -171,6 +171,10 @@
         let ran: Arc<Mutex<Vec<UpstreamRequest>>> = Arc::default();
         let runs = Arc::clone(&ran);
         let upstream = ScriptedUpstream::start(move |upstream, stream, req| {
+            if req.head.starts_with("GET /sapphirequay/report ") {
+                let report = b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n{\"born\":5}";
+                return stream.write_all(report).is_ok();
+            }
             upstream.record_run(&req.id);
             runs.lock().expect("lock").push(req.clone());
             stream_events(stream, req)
