--- a/crates/quay_turns/tests/joins.rs
+++ b/crates/quay_turns/tests/joins.rs
@@ -465,6 +465,27 @@
     assert_eq!(cluster.look_up(0, 0, u8::MAX).ok(), Some(true));
 }
 
+/// Guards against turns that are lost with the host of a retired store, whose replacement
+/// had lost its disk before it copied anything.
+#[test]
+fn a_retired_store_is_copied_although_its_replacement_never_joined() {
+    let mut events = vec![
+        Event::Add,
+        Event::Steps(1),
+        Event::Freeze(3),
+        Event::LoseDisk(3),
+        Event::Write(0, 0b101_1111),
+        Event::Add,
+        Event::Retire(4),
+        Event::Settle(1),
+        Event::Retire(0),
+        Event::Steps(1),
+        Event::LoseDisk(2),
+    ];
+    events.extend(std::iter::repeat_n(Event::Steps(1), 9));
+    play(3, &events).expect("promises kept");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(1_500))]
 
