Fronts: no early charge is dropped while its program runs

A program that lasts longer than stores keep charges (120 s) could be granted more tokens than its budget.

Cause: each store counts the 120 s from the latest charge that it got itself, and which two of three get a charge changes with their delays. A store that was late drops early charges that one of the others alone still holds; with that one late, a read quorum lacks them. Ruled out: joining stores (they copy all charges first) and restarts (the time begins anew).

Before a reservation counts as covered, the front writes the charges that a store lacks, by what all replies say. The stores with a program's latest charge then have all of them, and each quorum within 120 s contains one of these.

--- a/crates/quay_turns/src/tally.rs
+++ b/crates/quay_turns/src/tally.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Charge, ChargeSet, StoreView},
-    indexmap::IndexSet,
+    indexmap::{IndexMap, IndexSet},
     quay_types::{AttemptTag, Tokens},
 };
 
@@ -95,7 +95,10 @@
     /// Members that replied and hold all earlier charges.
     complete_replies: IndexSet<u64>,
     read_quorum: usize,
+    /// Charges of all members that replied.
     book: ChargeSet,
+    /// Charges that each member that synced the reservation holds.
+    held: IndexMap<u64, ChargeSet>,
     own: Charge,
     budget: Tokens,
 }
@@ -114,6 +117,7 @@
             complete_replies: IndexSet::new(),
             read_quorum: view.read_quorum(),
             book,
+            held: IndexMap::new(),
             own,
             budget,
         }
@@ -128,8 +132,11 @@
         charges: impl IntoIterator<Item = Charge>,
         all_copied: bool,
     ) {
+        let held = self.held.entry(identity).or_default();
+        held.merge(self.own);
         for charge in charges {
             self.book.merge(charge);
+            held.merge(charge);
         }
         self.write.synced(identity);
         if all_copied || self.whole.contains(&identity) {
@@ -145,6 +152,21 @@
         self.candidates.shift_remove(&identity);
     }
 
+    /// Charges that members lack which synced the reservation, by member. A store drops
+    /// the charges of a program some time after the latest one that it got. So the
+    /// members that have the latest one must have all others as well: any quorum of the
+    /// next reservation then contains a member that still holds them.
+    #[must_use]
+    pub fn lacking(&self) -> Vec<(u64, Vec<Charge>)> {
+        let lacking = self.held.iter().map(|(identity, held)| {
+            let all = self.book.charges();
+            (*identity, all.filter(|it| !held.covers(it)).collect())
+        });
+        lacking
+            .filter(|(_, charges): &(u64, Vec<Charge>)| !charges.is_empty())
+            .collect()
+    }
+
     /// Attempt that makes the reservation.
     #[must_use]
     pub const fn attempt(&self) -> AttemptTag {
--- a/crates/sapphirequayd/src/gateway/meters.rs
+++ b/crates/sapphirequayd/src/gateway/meters.rs
@@ -71,6 +71,11 @@
     counter!("sapphirequay_resumed_streams_total", "decision" => decision).increment(1);
 }
 
+/// Counts charges that a front wrote to a store which lacked them.
+pub fn record_completed_charges(charges: usize) {
+    counter!("sapphirequay_charges_completed_total").increment(charges as u64);
+}
+
 /// Counts a report of an upstream, by what it says of the incarnation that was selected.
 pub fn record_upstream_report(result: &'static str) {
     counter!("sapphirequay_upstream_reports_total", "result" => result).increment(1);
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -10,10 +10,12 @@
         gateway::{
             control_client::exchange_encoded,
             messages::{StoreOp, StoreReply, StoreRequest},
+            meters,
         },
         process::Clock,
     },
     bytes::Bytes,
+    futures_util::future::join_all,
     indexmap::IndexMap,
     quay_link::{LinkError, LinkRole, Links},
     quay_policy::{OriginLookup, RecordedOrigin, StreamOrigin},
@@ -385,7 +387,15 @@
         let mut replies = GroupRequest::with_quorum(self, (group, program), &view, op);
         loop {
             match tally.verdict() {
-                ChargeVerdict::Covered { others } => return ReserveOutcome::Covered { others },
+                ChargeVerdict::Covered { others } => {
+                    let lacking = tally.lacking();
+                    let complete = self.complete_charges((group, program), &view, lacking);
+                    return if complete.await {
+                        ReserveOutcome::Covered { others }
+                    } else {
+                        ReserveOutcome::Undetermined
+                    };
+                }
                 ChargeVerdict::Spent { others } => return ReserveOutcome::Spent { others },
                 ChargeVerdict::Undetermined => return ReserveOutcome::Undetermined,
                 ChargeVerdict::Pending => {}
@@ -403,6 +413,27 @@
         }
     }
 
+    /// Writes the charges of a program that members lack, by member. Returns `false` if
+    /// one of them did not take them.
+    async fn complete_charges(
+        &self,
+        (group, program): (GroupId, ProgramTag),
+        view: &StoreView,
+        lacking: Vec<(u64, Vec<Charge>)>,
+    ) -> bool {
+        let writes = lacking.into_iter().map(async |(identity, charges)| {
+            let member = view.member(identity)?;
+            let records = charges.into_iter().map(|it| Record::Charge(program, it));
+            let records: Vec<Record> = records.collect();
+            meters::record_completed_charges(records.len());
+            let op = encode(&StoreOp::Write(records))?;
+            let target = target(group, view, member);
+            self.ask_store(member.addr, target, op).await.ok()
+        });
+        let replies = join_all(writes).await;
+        replies.iter().all(|it| *it == Some(StoreReply::Synced))
+    }
+
     // -----------------------------------------------------------------------
     // Streams
 
