Fronts: a request waits for the checks of upstreams that lost it

A request that had crashed three upstreams was sent on to 4 to 8 more (five tests of crashing_requests, known red, each seen once or twice beside load).

Cause: a front checks an upstream 50 ms after it lost a run, and a caller that comes back at once has reached the next upstream by then; what was open counted as harmless. With a list from the control group the request is refused anyway, so it showed only while the group committed nothing. Ruled out: strikes that fronts forget without the group, and crashes that need the group as evidence.

A request now waits, 500 ms at most, for the checks of upstreams that lost it, if it would be quarantined were all of them found to have ended. So each front alone crashes at most three upstreams. Requests that were lost once or twice are sent on at once as before.

--- a/crates/quay_policy/src/guard/crashes.rs
+++ b/crates/quay_policy/src/guard/crashes.rs
@@ -201,6 +201,17 @@
         watched.any(|it| it.checking.is_some() || (it.suspected && !it.ended))
     }
 
+    /// Number of upstreams that lost a run of the request and are being checked, or are
+    /// due to be.
+    #[must_use]
+    pub fn undecided(&self, digest: ContentDigest) -> usize {
+        let undecided = self.watched.values().filter(|it| {
+            let pending = it.checking.is_some() || (it.suspected && !it.ended);
+            pending && it.lost.iter().any(|(_, lost)| *lost == digest)
+        });
+        undecided.count()
+    }
+
     /// Records the result of a check.
     pub fn record_check(&mut self, now: Time, upstream: UpstreamRun, result: CheckResult) {
         let Some(watched) = self.watched.get_mut(&upstream) else {
--- a/crates/quay_policy/src/guard/suspects.rs
+++ b/crates/quay_policy/src/guard/suspects.rs
@@ -233,6 +233,13 @@
         self.requests.contains_key(&digest)
     }
 
+    /// Whether a request may have to be quarantined with `more` crashes.
+    #[must_use]
+    pub fn may_be_quarantined_with(&self, digest: ContentDigest, more: usize) -> bool {
+        let known = self.requests.get(&digest).map_or(0, Suspect::strikes);
+        more > 0 && known + more >= MAX_STRIKES
+    }
+
     /// Whether a request must not run at `now`.
     #[must_use]
     pub fn is_quarantined(&self, now: Time, digest: ContentDigest) -> bool {
--- a/crates/quay_policy/tests/crashes.rs
+++ b/crates/quay_policy/tests/crashes.rs
@@ -1,7 +1,10 @@
 //! Tests of the detection of upstreams whose process has ended.
 
 use {
-    quay_policy::{CheckResult, CrashDetector, RunEnd, SuspectEvent, UpstreamRun},
+    quay_policy::{
+        CheckResult, CrashDetector, RunEnd, SuspectCommand, SuspectEvent, SuspectRegistry,
+        SuspectSettings, UpstreamRun,
+    },
     quay_types::{ContentDigest, Incarnation, Time, UpstreamId},
 };
 
@@ -52,6 +55,32 @@
     assert!(late[0].1.contains(&digest(4)), "{late:?}");
 }
 
+/// Guards against a request that is sent on while it is open what it has crashed.
+#[test]
+fn a_lost_run_is_undecided_until_its_upstream_is_checked() {
+    let mut detector = detector();
+    detector.begin(at(0), SECOND, digest(1));
+    assert_eq!(detector.undecided(digest(1)), 0);
+    detector.end(at(100), FIRST, digest(1), RunEnd::Lost);
+    detector.end(at(100), SECOND, digest(1), RunEnd::Lost);
+    assert_eq!(detector.undecided(digest(1)), 2);
+    assert_eq!(detector.undecided(digest(3)), 0);
+    assert_eq!(detector.due_checks(at(100)), [FIRST, SECOND]);
+    assert_eq!(detector.undecided(digest(1)), 2);
+    detector.record_check(at(150), FIRST, CheckResult::Refused);
+    detector.record_check(at(150), SECOND, CheckResult::Reachable);
+    assert_eq!(detector.undecided(digest(1)), 0);
+
+    let mut suspects = SuspectRegistry::new(SuspectSettings::default());
+    let events = detector.take_events().into();
+    suspects.apply(&SuspectCommand::Observed {
+        at: at(150),
+        events,
+    });
+    let may_be = |more| suspects.may_be_quarantined_with(digest(1), more);
+    assert_eq!([0, 1, 2].map(may_be), [false, false, true]);
+}
+
 /// A detector whose first upstream lost requests 1 and 2 and accepts connections.
 fn detector_with_losses() -> CrashDetector {
     let mut detector = detector();
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -314,6 +314,8 @@
             }
             let (front, checked) = (self.front, &self.checked);
             front.check_caller(self.head, self.route, &self.caller, checked)?;
+            let ends = self.deadline.at();
+            front.wait_for_checks(self.content, ends).await;
             self.check_quarantine()?;
             check_shutdown(front, self.route, &self.deadline)?;
             let limit = self.attempt_limit(left, attempts);
--- a/crates/sapphirequayd/src/gateway/front/front_suspects.rs
+++ b/crates/sapphirequayd/src/gateway/front/front_suspects.rs
@@ -72,6 +72,12 @@
         self.known.is_quarantined(now, content)
     }
 
+    /// Whether a request may have to be quarantined with `more` crashes.
+    #[must_use]
+    pub fn may_be_quarantined_with(&self, content: ContentDigest, more: usize) -> bool {
+        self.known.may_be_quarantined_with(content, more)
+    }
+
     /// Whether the completion of a request is to be recorded.
     #[must_use]
     pub fn is_suspect(&self, content: ContentDigest) -> bool {
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -108,6 +108,8 @@
     stores: StoreClient,
     upstreams: RefCell<Upstreams>,
     suspects: RefCell<FrontSuspects>,
+    /// Notified when an upstream that lost a run was checked.
+    checked: Notify,
     /// Notified when there are events of suspects to report.
     report: Notify,
     /// Permits for limited upstreams.
@@ -163,6 +165,7 @@
             stores,
             upstreams: RefCell::new(Upstreams::with_decisions(data_centre, settings.decisions)),
             suspects: RefCell::default(),
+            checked: Notify::new(),
             report: Notify::new(),
             permits: PermitSignals::default(),
             bound_permits: PermitSignals::default(),
--- a/crates/sapphirequayd/src/gateway/front/host/crashes.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/crashes.rs
@@ -17,7 +17,7 @@
     std::{io, net::SocketAddr, time::Duration},
     tokio::{
         task::spawn_local,
-        time::{Instant, sleep, timeout_at},
+        time::{Instant, sleep, timeout, timeout_at},
     },
 };
 
@@ -28,6 +28,10 @@
 /// its connections one after the other, and the listening socket among them.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 
+/// Longest time for which a request waits for checks: the delay of a check, and its
+/// time-out.
+const MAX_CHECK_TIME: Duration = Duration::from_millis(500);
+
 /// Maximum time for which a front that shuts down waits for its reports.
 pub(super) const FLUSH_TIME: Duration = Duration::from_millis(2_500);
 
@@ -41,6 +45,31 @@
         suspects.is_quarantined(Self::unix_time(), content)
     }
 
+    /// Waits until the upstreams that lost runs of a request are checked, if it would be
+    /// quarantined were all of them found to have ended; until `ends` at most. Otherwise
+    /// a caller that sends it again at once finds one upstream after the other.
+    pub async fn wait_for_checks(&self, content: ContentDigest, ends: Time) {
+        let limit = ends.since(self.now()).min(MAX_CHECK_TIME);
+        let decided = async {
+            loop {
+                let checked = self.0.checked.notified();
+                if !self.awaits_checks(content) {
+                    return;
+                }
+                checked.await;
+            }
+        };
+        if timeout(limit, decided).await.is_err() {
+            log::info!("event=check_late content={content}");
+        }
+    }
+
+    fn awaits_checks(&self, content: ContentDigest) -> bool {
+        let undecided = self.upstreams().crashes().undecided(content);
+        let suspects = self.0.suspects.borrow();
+        suspects.may_be_quarantined_with(content, undecided)
+    }
+
     /// Time of the suspects, which processes share.
     pub(super) fn unix_time() -> Time {
         Time::from_millis(Clock::wall_ms())
@@ -116,6 +145,7 @@
         );
         self.upstreams().record_check(now, run, result);
         self.record_lost_runs();
+        self.0.checked.notify_waiters();
     }
 
     /// Records the runs that were found to be lost by crashes.
--- a/crates/sapphirequayd/tests/crashing_requests.rs
+++ b/crates/sapphirequayd/tests/crashing_requests.rs
@@ -290,6 +290,42 @@
     );
 }
 
+/// Guards against a request that is sent on and on while no crash can be acknowledged.
+#[test]
+fn a_request_that_crashed_three_upstreams_is_refused_while_no_control_host_answers() {
+    // When the control hosts stop, and how many fronts see the first crashes.
+    for (stopped_before, fronts) in [(false, 2), (true, 2), (true, 1)] {
+        let mut site = Site::start();
+        site.add_upstreams(14, CrashMode::BeforeHead);
+        site.serve_harmless(0, "/order/14");
+        site.serve_harmless(1, "/order/14");
+        let stop = |site: &Site| {
+            (0..3).for_each(|slot| site.gateway.signal(Role::Control(slot), "STOP"));
+        };
+        if stopped_before {
+            stop(&site);
+        }
+        while site.counts.deadly() < CRASHES {
+            let front = site.sent % fronts;
+            site.call(front, "/order/14", DEADLY, 1_000);
+        }
+        if !stopped_before {
+            stop(&site);
+        }
+        let before = site.counts.deadly();
+        for call in 0..12 {
+            let front = if fronts == 1 { 1 } else { call % 2 };
+            site.call(front, "/order/14", DEADLY, 1_000);
+        }
+        let later = site.counts.deadly() - before;
+        (0..3).for_each(|slot| site.gateway.signal(Role::Control(slot), "CONT"));
+        assert!(
+            later <= MAX_LATER_RUNS,
+            "{later} more upstreams were crashed; stopped before: {stopped_before}, {fronts} fronts"
+        );
+    }
+}
+
 #[test]
 fn a_front_that_was_paused_during_the_crashes_learns_of_them() {
     let mut site = Site::start();
