--- a/crates/sapphirequayd/src/gateway/front/connections.rs
+++ b/crates/sapphirequayd/src/gateway/front/connections.rs
@@ -171,11 +171,6 @@
         self.pool(lease, idle_time(headers));
     }
 
-    /// Returns a connection to the pool that takes another request.
-    pub fn give_back_ready(&self, lease: Lease) {
-        self.pool(lease, DEFAULT_IDLE_TIMEOUT);
-    }
-
     /// Adds a connection to the pool that may be reused within `idle`.
     fn pool(&self, lease: Lease, idle: Duration) {
         if idle.is_zero() || lease.sender.is_closed() {
--- a/crates/sapphirequayd/src/gateway/front/host/reports.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/reports.rs
@@ -12,6 +12,7 @@
         request_body::RequestBody,
     },
     bytes::Bytes,
+    http::HeaderMap,
     indexmap::IndexMap,
     quay_policy::ReportResult,
     quay_routes::Dialect,
@@ -52,12 +53,12 @@
             };
             let reused = lease.reused();
             match self.ask_report(upstream, &mut lease).await {
-                Ok(named) => {
-                    self.connections().give_back_ready(lease);
-                    return named;
+                Ok(Some(headers)) => {
+                    self.connections().give_back(lease, &headers);
+                    return true;
                 }
                 Err(SendError::NotSent) if reused => {}
-                Err(_) => return false,
+                Ok(None) | Err(_) => return false,
             }
         }
     }
@@ -76,7 +77,8 @@
         if self.is_confirmed(upstream, lease.connected()) {
             return Ok(true);
         }
-        self.ask_report(upstream, lease).await
+        let confirmed = self.ask_report(upstream, lease).await?;
+        Ok(confirmed.is_some() && lease.ready().await)
     }
 
     fn is_confirmed(&self, upstream: &SelectedUpstream, connected: Time) -> bool {
@@ -86,47 +88,47 @@
             .is_reached_by(upstream.run(), connected)
     }
 
-    /// Asks an upstream for a report. Returns whether it names the selected incarnation
-    /// and the connection takes further requests.
+    /// Asks an upstream for a report. Returns its headers if it names the selected
+    /// incarnation.
     async fn ask_report(
         &self,
         upstream: &SelectedUpstream,
         lease: &mut Lease,
-    ) -> Result<bool, SendError> {
+    ) -> Result<Option<HeaderMap>, SendError> {
         let asked = self.now();
         if !self.upstreams().named_runs().may_ask(asked, upstream.run()) {
-            return Ok(false);
+            return Ok(None);
         }
         let reported = timeout(REPORT_TIMEOUT, self.read_report(upstream, lease)).await;
-        let (named, usable) = match reported {
+        let (named, headers) = match reported {
             Ok(Err(SendError::NotSent)) => return Err(SendError::NotSent),
             Ok(Ok(report)) => report,
-            Ok(Err(SendError::Unknown(_))) | Err(_) => (None, false),
+            Ok(Err(SendError::Unknown(_))) | Err(_) => (None, HeaderMap::new()),
         };
         let now = self.now();
         let result = self.upstreams().record_report(now, upstream, asked, named);
         meters::record_upstream_report(result.name());
-        if result != ReportResult::Named {
-            log::warn!(
-                "event=upstream_unconfirmed upstream={} run={} named={}",
-                upstream.name,
-                upstream.incarnation,
-                named.map_or_else(|| "none".to_owned(), |it| it.to_string())
-            );
+        if result == ReportResult::Named {
+            return Ok(Some(headers));
         }
+        log::warn!(
+            "event=upstream_unconfirmed upstream={} run={} named={}",
+            upstream.name,
+            upstream.incarnation,
+            named.map_or_else(|| "none".to_owned(), |it| it.to_string())
+        );
         if result == ReportResult::Another {
             self.record_ended(upstream);
         }
-        Ok(usable && result == ReportResult::Named)
+        Ok(None)
     }
 
-    /// Reads a report: the incarnation that it names, if any, and whether the connection
-    /// takes further requests.
+    /// Reads a report: the incarnation that it names, if any, and its headers.
     async fn read_report(
         &self,
         upstream: &SelectedUpstream,
         lease: &mut Lease,
-    ) -> Result<(Option<Incarnation>, bool), SendError> {
+    ) -> Result<(Option<Incarnation>, HeaderMap), SendError> {
         let req = self.dialect().report_request(upstream.addr);
         let req = req.map(|()| RequestBody::from(Bytes::new()));
         let (head, body) = lease.send(req).await?.into_parts();
@@ -134,6 +136,6 @@
         let body = read_response(body, &mut share).await;
         let report = body.filter(|_| head.status.is_success());
         let named = report.and_then(|it| self.dialect().parse_report(&it));
-        Ok((named, lease.ready().await))
+        Ok((named, head.headers))
     }
 }
--- a/crates/sapphirequayd/src/gateway/front/host/streams.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/streams.rs
@@ -169,19 +169,12 @@
         written: oneshot::Sender<()>,
     ) {
         let unknown = origin.with_unknown_version();
-        if !origin.is_version_known() {
-            self.write(unknown).await;
-            return;
-        }
-        let mut confirm = pin!(confirm);
-        if let Ok(confirmed) = timeout(REPORT_GRACE, &mut confirm).await {
-            self.write(if confirmed { origin } else { unknown }).await;
-            let _ = written.send(());
-            return;
-        }
-        self.write(unknown).await;
+        let mut known = pin!(async { origin.is_version_known() && confirm.await });
+        let in_time = timeout(REPORT_GRACE, &mut known).await;
+        let first = if in_time == Ok(true) { origin } else { unknown };
+        self.write(first).await;
         let _ = written.send(());
-        if confirm.await {
+        if in_time.is_err() && known.await {
             self.write(origin).await;
         }
     }
