Quorum check: disks that stall, and the term in which an entry was committed

The simulation synced each host's writes within a few steps and took what a restarted host recovered for durable, so that no election ever waited for a disk. Disks now stall for up to 8 s, one host's or all at once, and a restarted host writes again what it recovered, as the daemon does.

The check now keeps the term in which each entry was committed. It is as strict for what it states: a leader holds all that was committed in earlier terms.

--- a/crates/quay_quorum/tests/random_run.rs
+++ b/crates/quay_quorum/tests/random_run.rs
@@ -28,6 +28,7 @@
         assert!(report.reads > 20, "{report:?}");
         assert!(report.elections > 5, "{report:?}");
         assert!(report.crashes > 5 && report.partitions > 5, "{report:?}");
+        assert!(report.stalls > 2, "{report:?}");
     }
 }
 
