Quorum: no campaign while a term or vote waits for the disk

Cause: the restarted host asks for pre-votes after 150 to 300 ms, the others after 500 to 1,000 ms. It gets them, counts up its term, and its vote for itself never reaches its disk; at each further timeout it counts up once more. The others adopt its term with each denied pre-vote and give up their campaigns. With slow disks a candidate gave up each term before its vote was durable.

Change: a replica asks for no pre-vote while its term, its vote or what it recovered waits for its disk, and grants none meanwhile. A candidate counts late votes of its term until it starts the next one.

--- a/crates/quay_quorum/src/replica/election.rs
+++ b/crates/quay_quorum/src/replica/election.rs
@@ -3,6 +3,7 @@
 use {
     super::{LeaderState, Replica, Role},
     crate::{Action, Entry, Message, Mutation, Payload, Position, progress::Progress},
+    indexmap::IndexSet,
     quay_types::{Epoch, LogIndex, NodeId, Time},
 };
 
@@ -77,6 +78,7 @@
         }
         self.role = Role::Follower;
         self.leader = leader;
+        self.pre_votes.clear();
         self.votes.clear();
         self.reset_deadline(now);
     }
@@ -112,15 +114,20 @@
     // Campaigning
 
     /// Starts a pre-vote, which asks the other voters whether they would vote
-    /// for this replica.
+    /// for this replica. Votes of the current term still count meanwhile.
     pub(super) fn start_pre_vote(&mut self, now: Time) {
         self.reset_deadline(now);
-        if !self.log.members().1.is_voter(self.node) || self.disk_lags() {
+        // A further term would void the votes that wait for the disk, and end the
+        // campaigns of others.
+        if !self.log.members().1.is_voter(self.node)
+            || self.disk_lags()
+            || !self.hard_state_is_persisted()
+        {
             return;
         }
         self.role = Role::PreCandidate;
         self.leader = None;
-        self.votes.clear();
+        self.pre_votes.clear();
         let term = Epoch(self.hard_state.term.0 + 1);
         let last = self.log.last();
         self.send_to_voters(&Message::PreVote { term, last });
@@ -161,14 +168,10 @@
         }
     }
 
-    /// Whether the received votes form a quorum.
-    fn has_vote_quorum(&self) -> bool {
+    /// Whether votes or pre-votes form a quorum.
+    fn is_quorum(&self, votes: &IndexSet<NodeId>) -> bool {
         let members = self.log.members().1;
-        let count = self
-            .votes
-            .iter()
-            .filter(|node| members.is_voter(**node))
-            .count();
+        let count = votes.iter().filter(|node| members.is_voter(**node)).count();
         count >= members.quorum()
     }
 
@@ -177,8 +180,11 @@
 
     /// Answers a pre-vote request.
     fn on_pre_vote(&mut self, now: Time, from: NodeId, term: Epoch, last: Position) {
-        let granted =
-            term > self.hard_state.term && self.is_up_to_date(last) && !self.leader_is_live(now);
+        // While a vote waits for the disk, its candidate may still win the current term.
+        let granted = term > self.hard_state.term
+            && self.is_up_to_date(last)
+            && !self.leader_is_live(now)
+            && self.hard_state_is_persisted();
         let term = if granted { term } else { self.hard_state.term };
         self.send(from, Message::PreVoteReply { term, granted });
     }
@@ -192,8 +198,8 @@
             return;
         }
         if self.role == Role::PreCandidate && term.0 == self.hard_state.term.0 + 1 {
-            self.votes.insert(from);
-            if self.has_vote_quorum() {
+            self.pre_votes.insert(from);
+            if self.is_quorum(&self.pre_votes) {
                 self.campaign(now);
             }
         }
@@ -222,11 +228,18 @@
 
     /// Counts a vote.
     fn on_vote_reply(&mut self, now: Time, from: NodeId, granted: bool) {
-        if self.role != Role::Candidate || !granted {
+        let campaigns = match self.role {
+            Role::Candidate => true,
+            // After a restart it may have led this term before, so that the votes of the
+            // term no longer count.
+            Role::PreCandidate => self.votes.contains(&self.node),
+            Role::Follower | Role::Leader => false,
+        };
+        if !campaigns || !granted {
             return;
         }
         self.votes.insert(from);
-        if self.has_vote_quorum() {
+        if self.is_quorum(&self.votes) {
             self.become_leader(now);
         }
     }
@@ -234,7 +247,7 @@
     /// Becomes the leader of the current term.
     fn become_leader(&mut self, now: Time) {
         assert!(
-            self.role == Role::Candidate,
+            self.role == Role::Candidate || self.votes.contains(&self.node),
             "only a candidate can become leader"
         );
         self.role = Role::Leader;
--- a/crates/quay_quorum/src/replica/mod.rs
+++ b/crates/quay_quorum/src/replica/mod.rs
@@ -117,6 +117,10 @@
     /// Time of the last contact from a leader; `None` until the first contact
     /// after a start.
     last_leader_contact: Option<Time>,
+    /// Voters that would vote for this replica in the next term.
+    pre_votes: IndexSet<NodeId>,
+    /// Voters whose votes of the current term this replica has. Without its own one, it
+    /// has not campaigned in this term since it started.
     votes: IndexSet<NodeId>,
     leader_state: LeaderState,
     /// Commit index; never decreases.
@@ -129,6 +133,8 @@
     persisted_index: LogIndex,
     next_persist_id: PersistId,
     last_persisted_id: PersistId,
+    /// Write that holds the latest term and vote.
+    hard_state_write: PersistId,
     /// Writes in progress, with the index of the last entry that each covers.
     pending_writes: VecDeque<(PersistId, LogIndex)>,
     /// Messages that wait for a write, in the order of the writes.
@@ -190,6 +196,7 @@
             role: Role::Follower,
             leader: None,
             last_leader_contact: None,
+            pre_votes: IndexSet::new(),
             votes: IndexSet::new(),
             leader_state: LeaderState::default(),
             commit: start,
@@ -198,6 +205,7 @@
             persisted_index: last,
             next_persist_id: PersistId(1),
             last_persisted_id: PersistId(0),
+            hard_state_write: PersistId(0),
             pending_writes: VecDeque::new(),
             held_messages: VecDeque::new(),
             deadline: now,
@@ -213,7 +221,8 @@
     /// called before the first step.
     pub fn hold_recovered(&mut self) -> PersistId {
         self.persisted_index = self.log.base().index;
-        self.allocate_persist_id(self.log.last().index)
+        self.hard_state_write = self.allocate_persist_id(self.log.last().index);
+        self.hard_state_write
     }
 
     /// Returns the observable state of the replica.
@@ -282,6 +291,8 @@
         (
             self.next_persist_id,
             self.last_persisted_id,
+            self.hard_state_write,
+            self.pre_votes.as_slice(),
             self.votes.as_slice(),
         )
             .hash(state);
@@ -359,14 +370,23 @@
         self.log.bytes_after(self.persisted_index) > self.cfg.max_waiting_bytes
     }
 
+    /// Whether the latest term and vote are on disk.
+    fn hard_state_is_persisted(&self) -> bool {
+        !self.hard_state_changed && self.hard_state_write <= self.last_persisted_id
+    }
+
     /// Hands out the next write, if there is anything to write.
     fn flush_writes(&mut self) {
         if !self.has_unwritten_state() {
             return;
         }
         let last = self.log.last().index;
+        let id = self.allocate_persist_id(last);
+        if self.hard_state_changed {
+            self.hard_state_write = id;
+        }
         let persist = Persist {
-            id: self.allocate_persist_id(last),
+            id,
             hard_state: mem::take(&mut self.hard_state_changed).then_some(self.hard_state),
             entries: self.log.range(self.write_issued, last, usize::MAX),
         };
