Tests: a gateway is used once its fronts listen

No test means to ask a front before it listens. Gateway::run_all now waits for event=started in the logs of the fronts, and fails after 90 s.

--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -25,6 +25,10 @@
     tempfile::TempDir,
 };
 
+/// Time after which a process that has not started fails a test. Generous, since no test
+/// asserts a speed.
+const START_TIMEOUT: Duration = Duration::from_secs(90);
+
 const LOOPBACK: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
 
 /// Role of a gateway process, with its index among the processes of that role.
@@ -103,7 +107,7 @@
         }
     }
 
-    /// Starts all processes for the first time.
+    /// Starts all processes for the first time, and waits until the fronts listen.
     pub fn run_all(&mut self) {
         for slot in 0..self.controls.len() {
             self.run(Role::Control(slot), true);
@@ -114,6 +118,19 @@
         for slot in 0..self.fronts.len() {
             self.run(Role::Front(slot), true);
         }
+        for slot in 0..self.fronts.len() {
+            self.wait_for_start(Role::Front(slot));
+        }
+    }
+
+    /// Waits until a process has logged that it has started, and so listens.
+    fn wait_for_start(&self, role: Role) {
+        let log = self.folder.path().join(format!("{role:?}.log"));
+        let began = Instant::now();
+        while !fs::read_to_string(&log).is_ok_and(|text| text.contains("event=started")) {
+            assert!(began.elapsed() < START_TIMEOUT, "{role:?} does not start");
+            thread::sleep(Duration::from_millis(10));
+        }
     }
 
     /// Adds a control host and starts it. Returns its index.
