Fronts: the rest of every refused body is read

A caller that was refused before its body was read, and still sent, got "Broken pipe" instead of the refusal: without a table, with an unknown route or a bad head, for keys, quotas, take-ups and stops; at control hosts also for a body that is too large or finds no memory.

Cause: a connection that is closed with unread data is reset. The rest was read only where the reading of the body itself failed.

Change: fronts read and drop the rest for every refusal but that of a body that did not arrive in time, for 30 s at most; control hosts do so for bodies that they refuse. Entries did already.

--- a/crates/sapphirequayd/src/gateway/control/api.rs
+++ b/crates/sapphirequayd/src/gateway/control/api.rs
@@ -7,7 +7,7 @@
             host_memory::HostMemory,
             http_server::{Body, ServerLimits, full},
             messages::{ControlReply, ControlRequest, TableDocument},
-            request_body::{BodyCaller, BodyError, read_request_body},
+            request_body::{BodyCaller, BodyError, DiscardLimits, discard, read_request_body},
             server_stop::{ServerStop, StopPhase, serve_until_stopped},
         },
         process::Clock,
@@ -32,6 +32,12 @@
 /// the slowest link of the reference deployments.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How much of a refused body is read and dropped.
+const DISCARD_LIMITS: DiscardLimits = DiscardLimits {
+    bytes: 2 * MAX_BODY_BYTES as u64,
+    time: BODY_TIMEOUT,
+};
+
 /// Interval at which callers are disconnected if memory is short.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -87,14 +93,19 @@
     if req.method() == Method::GET && req.uri().path() == QUOTAS_PATH {
         return show_quotas(host).await;
     }
-    let (head, body) = req.into_parts();
-    let body = match read_body(memory, body, &BodyCaller::of(&head, None)).await {
+    let (head, mut unread) = req.into_parts();
+    let caller = BodyCaller::of(&head, None);
+    let body = match read_body(memory, &mut unread, &caller).await {
         Ok(body) => body,
-        Err(status) => {
+        Err(err) => {
+            let status = body_error_status(err);
             log::info!(
                 "event=operator_body_unread path={} status={status}",
                 head.uri
             );
+            if matches!(err, BodyError::TooLarge | BodyError::NoMemory) {
+                discard(unread, &caller, DISCARD_LIMITS);
+            }
             return empty_response(status);
         }
     };
@@ -116,23 +127,26 @@
         .map(|body| full(Bytes::from(body.into_vec())))
 }
 
-/// Reads the body of a request, or returns the status that refuses it.
+/// Reads the body of a request.
 async fn read_body(
     memory: &HostMemory,
-    mut body: Incoming,
+    body: &mut Incoming,
     caller: &BodyCaller<'_>,
-) -> Result<Bytes, StatusCode> {
-    let read = read_request_body(memory, &mut body, MAX_BODY_BYTES, caller);
-    let read = match timeout(BODY_TIMEOUT, read).await {
-        Ok(read) => read.and_then(|body| body.into_bytes(memory)),
-        Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
-    };
-    read.map_err(|err| match err {
+) -> Result<Bytes, BodyError> {
+    let read = read_request_body(memory, body, MAX_BODY_BYTES, caller);
+    let read = timeout(BODY_TIMEOUT, read).await;
+    read.unwrap_or(Err(BodyError::TooSlow))
+        .and_then(|body| body.into_bytes(memory))
+}
+
+/// Status that refuses a request whose body can't be read.
+const fn body_error_status(err: BodyError) -> StatusCode {
+    match err {
         BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         BodyError::Incomplete => StatusCode::BAD_REQUEST,
         BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
-    })
+    }
 }
 
 fn empty_response(status: StatusCode) -> Response<Body> {
--- a/crates/sapphirequayd/src/gateway/front/body_reader.rs
+++ b/crates/sapphirequayd/src/gateway/front/body_reader.rs
@@ -9,10 +9,11 @@
         },
     },
     bytes::{Bytes, BytesMut},
-    http::{HeaderMap, header},
+    http::{HeaderMap, header, request},
     http_body_util::BodyExt as _,
-    hyper::body::Incoming,
+    hyper::body::{Body as _, Incoming},
     quay_routes::{Dialect, RequestDeadline},
+    std::time::Duration,
     tokio::time::timeout,
 };
 
@@ -20,6 +21,9 @@
 /// body.
 const MIN_DISCARD_BYTES: u64 = 8 << 20;
 
+/// Longest time for which a refused body is read.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(30);
+
 /// Whether the headers of a response tell where its body ends.
 pub fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
@@ -29,27 +33,39 @@
 /// last clone is dropped.
 pub async fn read_body<D: Dialect>(
     front: &FrontHost<D>,
-    mut body: Incoming,
+    body: &mut Incoming,
     limit: usize,
     deadline: &RequestDeadline,
     caller: &BodyCaller<'_>,
 ) -> Result<RequestBody, Refusal> {
     let left = deadline.remaining(front.now());
-    let read = read_request_body(front.memory(), &mut body, limit, caller);
-    let refusal = match timeout(left, read).await {
-        Ok(Ok(body)) => return Ok(body),
-        Ok(Err(BodyError::NoMemory)) => Refusal::NoMemory,
-        Ok(Err(BodyError::TooLarge)) => Refusal::BodyTooLarge,
-        Ok(Err(BodyError::Incomplete | BodyError::TooSlow)) | Err(_) => Refusal::BodyMissing,
-    };
-    if matches!(refusal, Refusal::NoMemory | Refusal::BodyTooLarge) {
-        let limits = DiscardLimits {
-            bytes: MIN_DISCARD_BYTES.max(limit as u64),
-            time: deadline.remaining(front.now()),
-        };
-        discard(body, caller, limits);
+    let read = read_request_body(front.memory(), body, limit, caller);
+    match timeout(left, read).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::NoMemory)) => Err(Refusal::NoMemory),
+        Ok(Err(BodyError::TooLarge)) => Err(Refusal::BodyTooLarge),
+        Ok(Err(BodyError::Incomplete | BodyError::TooSlow)) | Err(_) => Err(Refusal::BodyMissing),
+    }
+}
+
+/// Reads and drops what is left of the body of a refused request in the background, so
+/// that the refusal reaches a caller that still sends.
+pub fn discard_rest<D: Dialect>(
+    front: &FrontHost<D>,
+    parts: &request::Parts,
+    body: Incoming,
+    refusal: Refusal,
+) {
+    // A body that did not arrive in time is not waited for any longer.
+    if body.is_end_stream() || refusal == Refusal::BodyMissing {
+        return;
     }
-    Err(refusal)
+    let limit = front.table().map_or(0, |table| table.limits.body_bytes);
+    let limits = DiscardLimits {
+        bytes: MIN_DISCARD_BYTES.max(limit.into()),
+        time: MAX_DISCARD_TIME,
+    };
+    discard(body, &BodyCaller::of(parts, None), limits);
 }
 
 /// Reads the complete body of a response, within a share of the front's memory.
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -4,7 +4,7 @@
 
 use {
     super::{
-        body_reader::{is_framed, read_body, read_response},
+        body_reader::{discard_rest, is_framed, read_body, read_response},
         connections::SendError,
         host::{FrontHost, QuotaPermit, check_take_up},
         in_flight::InFlight,
@@ -99,17 +99,20 @@
 /// Serves one request.
 pub async fn answer<D: Dialect>(front: FrontHost<D>, req: Request<Incoming>) -> Response<Body> {
     let arrived = front.now();
-    let (parts, body) = req.into_parts();
+    let (parts, mut body) = req.into_parts();
     let head = match front.dialect().parse_request(&parts) {
         Ok(head) => head,
         Err(fault) => {
             log::info!("event=call_refused cause=\"{fault}\" uri={}", parts.uri);
+            discard_rest(&front, &parts, body, Refusal::BadHead);
             return Refusal::BadHead.response(0);
         }
     };
     let draw = AttemptTag::of(&head.id).0;
     let (account, offered) = (OnceCell::new(), Cell::new(false));
-    let routed = route_request(&front, arrived, &parts, &head, body, &account, &offered);
+    let routed = route_request(
+        &front, arrived, &parts, &head, &mut body, &account, &offered,
+    );
     let answered = tokio::select! {
         biased;
         answered = routed => answered,
@@ -141,6 +144,7 @@
             );
             meters::record_call(refusal.status(), duration);
             meters::record_refusal(refusal.name());
+            discard_rest(&front, &parts, body, refusal);
             let mut response = refused.response(draw);
             front
                 .dialect()
@@ -172,7 +176,7 @@
     arrived: Time,
     parts: &request::Parts,
     head: &CallHead,
-    body: Incoming,
+    body: &mut Incoming,
     account: &OnceCell<String>,
     offered: &Cell<bool>,
 ) -> Result<Response<Body>, Refused> {
