--- a/crates/quay_quorum/tests/elections.rs
+++ b/crates/quay_quorum/tests/elections.rs
@@ -18,7 +18,7 @@
 const DELAY: Duration = Duration::from_millis(5);
 
 /// Time within which a leader is elected once a quorum can elect one.
-const ELECTED: Duration = Duration::from_secs(10);
+const MAX_ELECTION_TIME: Duration = Duration::from_secs(10);
 
 /// A replica and its disk.
 struct Host {
@@ -191,10 +191,10 @@
 fn a_host_with_a_full_disk_does_not_prevent_the_election_of_another() {
     for seed in 0..100 {
         let mut group = Group::start(seed, 3, Duration::from_millis(1));
-        let full = group.wait_for_leader(ELECTED).expect("a leader");
+        let full = group.wait_for_leader(MAX_ELECTION_TIME).expect("a leader");
         (0..100).for_each(|_| group.advance());
         group.restart_on_full_disk(full, seed);
-        let leader = group.wait_for_leader(ELECTED);
+        let leader = group.wait_for_leader(MAX_ELECTION_TIME);
         assert!(leader.is_some(), "seed {seed}");
     }
 }
@@ -206,7 +206,7 @@
         let write = Duration::from_millis(millis);
         for (seed, count) in (0..100).flat_map(|seed| [(seed, 2), (seed, 3)]) {
             let mut group = Group::start(seed, count, write);
-            let leader = group.wait_for_leader(ELECTED + 4 * write);
+            let leader = group.wait_for_leader(MAX_ELECTION_TIME + 4 * write);
             assert!(leader.is_some(), "seed {seed}, {count} hosts, {write:?}");
         }
     }
