--- a/crates/quay_quorum/src/replica/election.rs
+++ b/crates/quay_quorum/src/replica/election.rs
@@ -230,8 +230,8 @@
     fn on_vote_reply(&mut self, now: Time, from: NodeId, granted: bool) {
         let campaigns = match self.role {
             Role::Candidate => true,
-            // After a restart it may have led this term before, so that the votes of the
-            // term no longer count.
+            // Without its own vote it has not campaigned since it started, and may have led
+            // this term before.
             Role::PreCandidate => self.votes.contains(&self.node),
             Role::Follower | Role::Leader => false,
         };
--- a/crates/quay_quorum/tests/elections.rs
+++ b/crates/quay_quorum/tests/elections.rs
@@ -56,8 +56,8 @@
         }
     }
 
-    /// Puts the content of the writes up to `id` on the disk. No entry is replaced by
-    /// another leader's in these tests.
+    /// Puts the content of the writes up to `id` on the disk. Entries are only appended:
+    /// no test goes beyond its second leader.
     fn save(&mut self, id: PersistId) {
         for persist in self.unsaved.extract_if(.., |persist| persist.id <= id) {
             self.state.hard_state = persist.hard_state.unwrap_or(self.state.hard_state);
--- a/crates/sapphirequayd/src/gateway/control/api.rs
+++ b/crates/sapphirequayd/src/gateway/control/api.rs
@@ -139,7 +139,6 @@
         .and_then(|body| body.into_bytes(memory))
 }
 
-/// Status that refuses a request whose body can't be read.
 const fn body_error_status(err: BodyError) -> StatusCode {
     match err {
         BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
