--- a/review/harness-3/load.rs
+++ b/review/harness-3/load.rs
@@ -25,6 +25,9 @@
 /// Interval between two looks at the memory of the processes.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Orders of the operator that are in progress at once.
+const ORDERS: usize = 3;
+
 /// Ends of one machine's process that the rule counts.
 const ENDS: u32 = 3;
 
@@ -184,27 +187,36 @@
     let changes = if trouble { env("CHANGES", 900) } else { 20 };
     let ended = Arc::new(AtomicBool::new(false));
     let acked = Arc::new(AtomicU64::new(0));
-    let (done, count, log) = (Arc::clone(&ended), Arc::clone(&acked), record.clone());
-    thread::spawn(move || {
-        let mut version = 1;
-        for change in 0..changes {
-            version += 1 + change % 3;
-            let body = operator::configuration(version, 350, &tenants(change));
-            if change % 50 == 0 {
-                log.line(&format!(
-                    "operator: change {change} is version {version} with {} bytes",
-                    body.len()
-                ));
-            }
-            let status = operator::put(&controls, &body, change as usize, Duration::from_secs(10));
-            if status == 200 {
-                count.fetch_add(1, Ordering::Relaxed);
-            } else {
-                log.line(&format!("operator: version {version} got {status}"));
+    let next = Arc::new(AtomicU64::new(0));
+    for _ in 0..ORDERS {
+        let (done, count, next) = (Arc::clone(&ended), Arc::clone(&acked), Arc::clone(&next));
+        let (controls, log) = (controls.clone(), record.clone());
+        thread::spawn(move || {
+            loop {
+                let change = next.fetch_add(1, Ordering::Relaxed);
+                if change >= changes {
+                    break;
+                }
+                // Versions increase in uneven steps.
+                let version = 2 + change * 2 + change % 2;
+                let body = operator::configuration(version, 350, &tenants(change));
+                if change % 50 == 0 {
+                    let bytes = body.len();
+                    log.line(&format!(
+                        "operator: change {change} is version {version} with {bytes} bytes"
+                    ));
+                }
+                let limit = Duration::from_secs(10);
+                let status = operator::put(&controls, &body, change as usize, limit);
+                if status == 200 {
+                    count.fetch_add(1, Ordering::Relaxed);
+                } else {
+                    log.line(&format!("operator: version {version} got {status}"));
+                }
             }
-        }
-        done.store(true, Ordering::Relaxed);
-    });
+            done.store(true, Ordering::Relaxed);
+        });
+    }
     let began = Instant::now();
     watch(&mut deployment, record, |deployment| {
         ended.load(Ordering::Relaxed)
