Review: the first tenant makes kept turns and budgets unreachable

With an account the ids of turns, programs and attempts are hashed with it, without one they are those of the names. A configuration that brings the first tenant so denies every kept turn with 404 and begins every budget anew: LOST and BUDGET are broken.

--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -2,6 +2,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 //! Without `TROUBLE=0` in the environment the case has its disruption.
 
+mod accounts;
 mod conversation;
 mod host;
 mod http;
@@ -48,7 +49,7 @@
     record.line(&format!("case {case}, TROUBLE={}", i32::from(trouble)));
     let broken = match case {
         "long-reply" => conversation::run(&conversation::long_reply(), trouble, record)?,
-        "large-share" => conversation::run(&conversation::large_share(), trouble, record)?,
+        "new-accounts" => accounts::run(trouble, record)?,
         "resumed-streams" => resumed::run(trouble, record)?,
         "turn-memory" => load::turn_memory(trouble, record)?,
         "configuration-memory" => load::configuration_memory(trouble, record)?,
