--- a/crates/quay_policy/src/guard/crashes.rs
+++ b/crates/quay_policy/src/guard/crashes.rs
@@ -14,7 +14,7 @@
     super::UpstreamRun,
     crate::SuspectEvent,
     indexmap::{IndexMap, IndexSet},
-    quay_types::{ContentDigest, Time},
+    quay_types::{ContentDigest, RequestContent, Time},
     std::time::Duration,
 };
 
@@ -204,10 +204,11 @@
     /// Number of upstreams that lost a run of the request and are being checked, or are
     /// due to be.
     #[must_use]
-    pub fn undecided(&self, digest: ContentDigest) -> usize {
+    pub fn undecided(&self, content: impl Into<RequestContent>) -> usize {
+        let content = content.into();
         let undecided = self.watched.values().filter(|it| {
             let pending = it.checking.is_some() || (it.suspected && !it.ended);
-            pending && it.lost.iter().any(|(_, lost)| *lost == digest)
+            pending && it.lost.iter().any(|(_, lost)| content.matches(*lost))
         });
         undecided.count()
     }
--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -14,6 +14,7 @@
 mod service_versions;
 mod stream_origin;
 mod suspects;
+mod turn_owner;
 mod upstream_filter;
 mod version_rollout;
 
@@ -39,6 +40,7 @@
     suspects::{
         Clearance, SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings,
     },
+    turn_owner::{TurnCaller, TurnKey, TurnOwner, TurnScope},
     upstream_filter::{Candidate, Eligibility, Requirements, UpstreamFilter},
     version_rollout::{VersionRollout, VersionRolloutSettings},
 };
--- a/crates/quay_policy/src/guard/resume.rs
+++ b/crates/quay_policy/src/guard/resume.rs
@@ -53,6 +53,23 @@
     Undetermined,
 }
 
+impl RecordedOrigin {
+    /// What two look-ups of one stream say together, under two ids of its caller.
+    #[must_use]
+    pub fn merge(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Conflicting, _) | (_, Self::Conflicting) => Self::Conflicting,
+            (Self::Undetermined, _) | (_, Self::Undetermined) => Self::Undetermined,
+            (Self::Absent, known) | (known, Self::Absent) => known,
+            (Self::Found(one), Self::Found(two)) => {
+                let mut both = OriginLookup::new(1);
+                both.add(&[one, two]);
+                both.result()
+            }
+        }
+    }
+}
+
 /// Collects what the stores know of the runs of one content.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OriginLookup {
--- a/crates/quay_policy/src/guard/suspects.rs
+++ b/crates/quay_policy/src/guard/suspects.rs
@@ -19,7 +19,7 @@
 
 use {
     indexmap::IndexMap,
-    quay_types::{ContentDigest, Incarnation, Time, UpstreamId},
+    quay_types::{ContentDigest, Incarnation, RequestContent, Time, UpstreamId},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -233,18 +233,42 @@
         self.requests.contains_key(&digest)
     }
 
+    /// Suspects that are a request under its present account or under another one that its
+    /// caller may have had.
+    pub fn suspects_of(&self, content: RequestContent) -> impl Iterator<Item = ContentDigest> {
+        let digests = self.requests.keys().copied();
+        digests.filter(move |digest| content.matches(*digest))
+    }
+
     /// Whether a request may have to be quarantined with `more` crashes.
     #[must_use]
-    pub fn may_be_quarantined_with(&self, digest: ContentDigest, more: usize) -> bool {
-        let known = self.requests.get(&digest).map_or(0, Suspect::strikes);
+    pub fn may_be_quarantined_with(&self, content: impl Into<RequestContent>, more: usize) -> bool {
+        let known = self.suspect(content.into());
+        let known = known.map_or(0, |suspect| suspect.strikes());
         more > 0 && known + more >= MAX_STRIKES
     }
 
-    /// Whether a request must not run at `now`.
+    /// Whether a request must not run at `now`. Crashes count whichever account its caller
+    /// had.
     #[must_use]
-    pub fn is_quarantined(&self, now: Time, digest: ContentDigest) -> bool {
-        let suspect = self.requests.get(&digest);
-        suspect.is_some_and(|suspect| self.holds_back(now, digest, suspect))
+    pub fn is_quarantined(&self, now: Time, content: impl Into<RequestContent>) -> bool {
+        let content = content.into();
+        let suspect = self.suspect(content);
+        suspect.is_some_and(|suspect| self.holds_back(now, content, &suspect))
+    }
+
+    /// Everything that is known of a request, whichever account its caller had.
+    fn suspect(&self, content: RequestContent) -> Option<Suspect> {
+        let mut known = self.suspects_of(content);
+        let mut suspect = self.requests.get(&known.next()?)?.clone();
+        for other in known.filter_map(|digest| self.requests.get(&digest)) {
+            for crash in &other.crashes {
+                suspect.add_crash(suspect.seen, *crash);
+            }
+            suspect.confirmed |= other.confirmed;
+            suspect.seen = suspect.seen.max(other.seen);
+        }
+        Some(suspect)
     }
 
     /// Requests that are quarantined at `now`, with the time at which each was
@@ -253,7 +277,7 @@
         let held = self
             .requests
             .iter()
-            .filter(move |(digest, suspect)| self.holds_back(now, **digest, suspect));
+            .filter(move |(digest, suspect)| self.holds_back(now, (**digest).into(), suspect));
         held.map(|(digest, suspect)| (*digest, suspect.seen))
     }
 
@@ -374,7 +398,7 @@
             return Clearance::Unrestricted;
         };
         let strikes = suspect.strikes();
-        if self.holds_back(at, digest, suspect) {
+        if self.holds_back(at, digest.into(), suspect) {
             self.extend_quarantine(at, digest);
             return Clearance::Quarantined(self.cfg.quarantine_time);
         }
@@ -418,17 +442,18 @@
         }
     }
 
-    fn holds_back(&self, now: Time, digest: ContentDigest, suspect: &Suspect) -> bool {
+    fn holds_back(&self, now: Time, content: RequestContent, suspect: &Suspect) -> bool {
         let strikes = suspect.strikes();
         let convicted = suspect.confirmed
             || strikes > MAX_STRIKES
-            || (strikes == MAX_STRIKES && !self.has_companion(digest, suspect));
+            || (strikes == MAX_STRIKES && !self.has_companion(content, suspect));
         convicted && now.since(suspect.seen) < suspect.quarantine_time(&self.cfg)
     }
 
     /// Whether another suspect was present at all crashes of this one.
-    fn has_companion(&self, digest: ContentDigest, suspect: &Suspect) -> bool {
-        let mut others = self.requests.iter().filter(|(other, _)| **other != digest);
+    fn has_companion(&self, content: RequestContent, suspect: &Suspect) -> bool {
+        let others = self.requests.iter();
+        let mut others = others.filter(|(other, _)| !content.matches(**other));
         others.any(|(_, other)| {
             let mut crashes = suspect.crashes.iter();
             crashes.all(|crash| other.crashes.contains(crash))
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -40,8 +40,8 @@
         QuotaView, RecordedOrigin, ReportResult, Requirements, ResumeFacts, ResumeRefusal,
         RetryBudgets, RetrySettings, RunEnd, ServiceVersion, ServiceVersions, StandstillClock,
         StreamOrigin, StreamTerms, SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply,
-        SuspectSettings, UpstreamFilter, UpstreamRun, VersionRegistry, VersionRollout,
-        VersionRolloutSettings, VersionsSeen,
+        SuspectSettings, TurnCaller, TurnKey, TurnOwner, TurnScope, UpstreamFilter, UpstreamRun,
+        VersionRegistry, VersionRollout, VersionRolloutSettings, VersionsSeen,
     },
     memory::{
         CallerConnection, ConnectDecision, ConnectionPhase, EndReason, EndedConnection,
--- a/crates/quay_policy/tests/suspects.rs
+++ b/crates/quay_policy/tests/suspects.rs
@@ -5,7 +5,7 @@
     quay_policy::{
         Clearance, SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply, SuspectSettings,
     },
-    quay_types::{ContentDigest, Incarnation, Time, UpstreamId},
+    quay_types::{AccountId, ContentDigest, Incarnation, RequestContent, Time, UpstreamId},
     std::time::Duration,
 };
 
@@ -369,3 +369,33 @@
         prop_assert!(completed[POISON..].iter().all(|count| *count > 0), "{:?}", completed);
     }
 }
+
+/// Guards against a quarantine that begins anew when the caller of a request gets an account
+/// or loses it, and against one that two accounts share.
+#[test]
+fn crashes_count_whichever_account_the_caller_had() {
+    let content = digest(1);
+    let of = |account: Option<&str>| RequestContent::new(account.map(AccountId::of), content);
+    for (before, after) in [(None, Some("a")), (Some("a"), None)] {
+        let mut suspects = SuspectRegistry::new(SuspectSettings::default());
+        let mut crash = |upstream, content: RequestContent| {
+            let lost = SuspectEvent::RunsLost {
+                upstream: UpstreamId(upstream),
+                incarnation: Incarnation(1),
+                runs: [content.own].into(),
+            };
+            suspects.apply(&SuspectCommand::Observed {
+                at: Time::ZERO,
+                events: [lost].into(),
+            });
+            suspects.is_quarantined(Time::ZERO, of(after))
+        };
+        assert!(!crash(1, of(before)));
+        assert!(!crash(2, of(before)));
+        assert!(crash(3, of(after)), "{before:?} and {after:?}");
+        assert!(suspects.is_quarantined(Time::ZERO, of(before)));
+        let b = suspects.is_quarantined(Time::ZERO, of(Some("b")));
+        assert!(!b, "another account's request has crashed fewer upstreams");
+        assert_eq!(suspects.suspects_of(of(after)).count(), 2);
+    }
+}
--- a/crates/quay_routes/src/account.rs
+++ b/crates/quay_routes/src/account.rs
@@ -23,6 +23,12 @@
         Self(bytes)
     }
 
+    /// The digest. It is not for logs: short keys could be guessed from it.
+    #[must_use]
+    pub const fn bytes(&self) -> [u8; 32] {
+        self.0
+    }
+
     /// Bits by which digests are indexed.
     fn index(&self) -> u64 {
         let mut start = [0; 8];
--- a/crates/quay_routes/src/call_ids.rs
+++ b/crates/quay_routes/src/call_ids.rs
@@ -3,7 +3,9 @@
 use {
     crate::CallHead,
     http::{Method, Uri},
-    quay_types::{AccountId, AttemptTag, ContentDigest, ProgramTag, TurnId},
+    quay_types::{
+        AccountId, AttemptTag, ContentDigest, ProgramTag, RequestContent, ScopedId, TurnId,
+    },
 };
 
 /// Derives the identifiers of a request's state from its head and its account.
@@ -36,6 +38,20 @@
         ProgramTag::owned(self.account, self.head.program_name())
     }
 
+    /// Program by its name alone, which places its records and its requests: they stay
+    /// where they are if the caller's account changes.
+    #[must_use]
+    pub fn placement(&self) -> ProgramTag {
+        ProgramTag::of(self.head.program_name())
+    }
+
+    /// Programs that the request is charged to and whose charges count, if it names one.
+    #[must_use]
+    pub fn budgets(&self) -> Option<ScopedId<ProgramTag>> {
+        let program = self.head.program.as_deref()?;
+        Some(ProgramTag::scoped(self.account, program))
+    }
+
     /// Program whose budget the request is charged to, if it names one.
     #[must_use]
     pub fn budget(&self) -> Option<ProgramTag> {
@@ -55,6 +71,12 @@
         AttemptTag::owned(self.account, id)
     }
 
+    /// Ids under which the origins of the streams of an attempt are recorded.
+    #[must_use]
+    pub fn attempts_named(&self, id: &str) -> ScopedId<AttemptTag> {
+        AttemptTag::scoped(self.account, id)
+    }
+
     /// Turn that the request stores.
     #[must_use]
     pub fn turn(&self) -> TurnId {
@@ -70,17 +92,13 @@
     /// Digest of the request's content; see [`CallHead::content`].
     #[must_use]
     pub fn content(&self, method: &Method, uri: &Uri, body: &[u8]) -> ContentDigest {
-        self.content_in_pieces(method, uri, &[body])
+        self.content_in_pieces(method, uri, &[body]).own
     }
 
-    /// [`content`](Self::content) of a request whose body is given in pieces.
+    /// Content of a request whose body is given in pieces.
     #[must_use]
-    pub fn content_in_pieces(&self, method: &Method, uri: &Uri, body: &[&[u8]]) -> ContentDigest {
+    pub fn content_in_pieces(&self, method: &Method, uri: &Uri, body: &[&[u8]]) -> RequestContent {
         let content = self.head.content_in_pieces(method, uri, body);
-        let Some(account) = self.account else {
-            return content;
-        };
-        let bytes = content.to_u128().to_be_bytes();
-        ContentDigest::of(&[b"content of account", &account.0.to_le_bytes(), &bytes])
+        RequestContent::new(self.account, content)
     }
 }
--- a/crates/quay_turns/src/store_index.rs
+++ b/crates/quay_turns/src/store_index.rs
@@ -255,6 +255,16 @@
         }
     }
 
+    /// Extends the expiry of the charges of programs as a charge at `now` does.
+    pub fn keep_charges(&mut self, now: Time, programs: &[ProgramTag]) {
+        let expires = now + self.cfg.charge_retention;
+        for program in programs {
+            if let Some(held) = self.programs.get_mut(program) {
+                held.expires = held.expires.max(expires);
+            }
+        }
+    }
+
     /// All charges of a program.
     #[must_use]
     pub fn charges(&self, program: ProgramTag) -> Vec<Charge> {
--- a/crates/quay_turns/src/store_indexes.rs
+++ b/crates/quay_turns/src/store_indexes.rs
@@ -3,7 +3,7 @@
 use {
     crate::{Record, RecordLocation, StoreIndex, StoreIndexSettings},
     indexmap::IndexMap,
-    quay_types::{GroupId, Time},
+    quay_types::{GroupId, ProgramTag, Time},
 };
 
 /// Indexes of the groups of which one store holds records. The records of all
@@ -34,6 +34,14 @@
         index.insert(now, record, location);
     }
 
+    /// Extends the expiry of the charges of programs of a group; see
+    /// [`StoreIndex::keep_charges`].
+    pub fn keep_charges(&mut self, now: Time, group: GroupId, programs: &[ProgramTag]) {
+        if let Some(index) = self.groups.get_mut(&group) {
+            index.keep_charges(now, programs);
+        }
+    }
+
     /// The index of a group.
     #[must_use]
     pub fn group(&self, group: GroupId) -> &StoreIndex {
--- a/crates/quay_types/src/digest.rs
+++ b/crates/quay_types/src/digest.rs
@@ -1,6 +1,7 @@
 //! Digests of request content and of prompt prefixes.
 
 use {
+    crate::{AccountId, ScopedId},
     serde::{Deserialize, Serialize},
     sha2::{Digest as _, Sha256},
     std::fmt,
@@ -36,6 +37,15 @@
         Self::finish(hasher)
     }
 
+    /// Digest with the same first eight bytes, and others that depend on `scope`.
+    fn in_scope(self, scope: &[&[u8]]) -> Self {
+        let mut hasher = Self::begin(scope);
+        hasher.update(self.0);
+        let mut scoped = Self::finish(hasher);
+        scoped.0[..8].copy_from_slice(&self.0[..8]);
+        scoped
+    }
+
     fn begin(parts: &[&[u8]]) -> Sha256 {
         let mut hasher = Sha256::new();
         for part in parts {
@@ -70,6 +80,55 @@
     }
 }
 
+/// Content of a request, as far as it identifies the request: two accounts' requests of the
+/// same content are two requests, but the caller's account may change between two sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestContent {
+    /// Digest under which runs of the request are recorded.
+    pub own: ContentDigest,
+    /// Digest of the content alone.
+    content: ContentDigest,
+}
+
+impl RequestContent {
+    /// A request of an account, or of none. The digests of all requests of a content start
+    /// with the same eight bytes.
+    #[must_use]
+    pub fn new(account: Option<AccountId>, content: ContentDigest) -> Self {
+        let own = account.map_or(content, |account| {
+            content.in_scope(&[b"content of account", &account.0.to_le_bytes()])
+        });
+        Self { own, content }
+    }
+
+    /// Whether a digest may be that of the same caller's request: the caller's account, or
+    /// one of the two has none.
+    #[must_use]
+    pub fn matches(&self, digest: ContentDigest) -> bool {
+        if self.own == self.content {
+            digest.to_u64() == self.content.to_u64()
+        } else {
+            digest == self.own || digest == self.content
+        }
+    }
+
+    /// Digests under which the origin of the request's stream is recorded and looked up.
+    #[must_use]
+    pub fn scoped(&self) -> ScopedId<ContentDigest> {
+        let any = self.content.in_scope(&[b"content of any account"]);
+        ScopedId::new(self.own, self.own != self.content, self.content, any)
+    }
+}
+
+impl From<ContentDigest> for RequestContent {
+    fn from(content: ContentDigest) -> Self {
+        Self {
+            own: content,
+            content,
+        }
+    }
+}
+
 impl fmt::Display for ContentDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.to_u128())
--- a/crates/quay_types/src/ids.rs
+++ b/crates/quay_types/src/ids.rs
@@ -3,7 +3,7 @@
 use {
     crate::ContentDigest,
     serde::{Deserialize, Serialize},
-    std::{fmt, num::ParseIntError, str::FromStr},
+    std::{fmt, iter, num::ParseIntError, str::FromStr},
 };
 
 /// Declares a newtype over an integer.
@@ -87,14 +87,101 @@
                 let parts: [&[u8]; 3] = [$domain, &account.0.to_le_bytes(), name.as_bytes()];
                 Self(ContentDigest::of(&parts).to_u64())
             }
+
+            /// Id of what is recorded under `name` for any account, for callers
+            /// without one.
+            #[must_use]
+            pub fn of_any_account(name: &str) -> Self {
+                let parts: [&[u8]; 3] = [$domain, b"of any account", name.as_bytes()];
+                Self(ContentDigest::of(&parts).to_u64())
+            }
+
+            /// Ids of `name` for a caller whose account may have changed.
+            #[must_use]
+            pub fn scoped(account: Option<AccountId>, name: &str) -> ScopedId<Self> {
+                let (none, any) = (Self::of(name), Self::of_any_account(name));
+                let own = Self::owned(account, name);
+                ScopedId::new(own, account.is_some(), none, any)
+            }
         }
     };
 }
 
+/// Ids of one object of a caller that may have been recorded while the caller had another
+/// account or none.
+///
+/// Records under `own` are found by the same account, and those under `shared` by callers
+/// without an account. Two accounts never see each other's records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ScopedId<T> {
+    /// Id in the caller's own scope.
+    pub own: T,
+    /// Second id to record the object under; `None` without an account.
+    pub shared: Option<T>,
+    /// Id of records that were made in the other scope.
+    pub other: T,
+}
+
+impl<T> ScopedId<T> {
+    /// Ids of an object: its `own`, the one without an account, and that for any account.
+    pub(crate) fn new(own: T, has_account: bool, none: T, any: T) -> Self {
+        let (shared, other) = if has_account {
+            (Some(any), none)
+        } else {
+            (None, any)
+        };
+        Self { own, shared, other }
+    }
+
+    /// Ids under which the object is recorded.
+    pub fn recorded(self) -> impl Iterator<Item = T> {
+        iter::once(self.own).chain(self.shared)
+    }
+
+    /// Ids under which the object is looked up.
+    pub fn counted(self) -> [T; 2] {
+        [self.own, self.other]
+    }
+}
+
 owned_name_id!(
     /// Stored turn, by the number that its caller assigned.
     TurnId, b"turn"
 );
+/// What a stored turn tells of the key that its caller presented: a hash of the key's digest
+/// and the turn's name, which are not stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KeyMark(u128);
+
+impl KeyMark {
+    /// Mark of the key with the digest `key` on the turn `name`.
+    #[must_use]
+    pub fn of(key: &[u8], name: &str) -> Self {
+        Self(ContentDigest::of(&[b"key of a turn", name.as_bytes(), key]).to_u128())
+    }
+}
+
+impl TurnId {
+    /// Turn that was stored for a caller with a key, while there were no accounts.
+    #[must_use]
+    pub fn with_key(name: &str) -> Self {
+        Self(ContentDigest::of(&[b"turn with a key", name.as_bytes()]).to_u64())
+    }
+
+    /// Record of the owner of a turn that was stored while there were no accounts.
+    #[must_use]
+    pub fn owner_of(name: &str) -> Self {
+        Self(ContentDigest::of(&[b"owner of a turn", name.as_bytes()]).to_u64())
+    }
+
+    /// Record of an account's turn that was stored with a key.
+    #[must_use]
+    pub fn held_by(mark: KeyMark) -> Self {
+        let parts: [&[u8]; 2] = [b"turn held by a key", &mark.0.to_le_bytes()];
+        Self(ContentDigest::of(&parts).to_u64())
+    }
+}
+
 owned_name_id!(
     /// Program with a stored budget, by the name that its caller assigned.
     ProgramTag, b"program"
--- a/crates/quay_types/src/lib.rs
+++ b/crates/quay_types/src/lib.rs
@@ -26,13 +26,13 @@
 
 pub use {
     call::{CallEvent, CallRequest, CallTarget, FinishReason, Proceed, SidecarRequest},
-    digest::{ContentDigest, block_hashes},
+    digest::{ContentDigest, RequestContent, block_hashes},
     directory::{Announcement, DirectoryEntry, Load, UpstreamKind, UpstreamState},
     error::{Error, ErrorKind, Result},
     ids::{
         AccountId, Attempt, AttemptTag, CallNumber, ConfigIndex, Epoch, FenceNumber, GroupId,
-        Incarnation, LogIndex, ModelId, NodeId, ParseProgramIdError, ProgramId, ProgramTag,
-        RequestKey, ServiceId, SoftwareVersion, Tokens, TurnId, UpstreamId,
+        Incarnation, KeyMark, LogIndex, ModelId, NodeId, ParseProgramIdError, ProgramId,
+        ProgramTag, RequestKey, ScopedId, ServiceId, SoftwareVersion, Tokens, TurnId, UpstreamId,
     },
     ledger::{
         Begin, BeginReply, CallRecord, LedgerReply, LedgerRequest, NewProgram, ProgramLimits,
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -24,12 +24,12 @@
     },
     http::{Request, Response, header, request, response},
     hyper::body::Incoming,
-    quay_policy::{MemoryHolder, RunEnd, StreamTerms},
+    quay_policy::{MemoryHolder, RunEnd, StreamTerms, TurnCaller},
     quay_routes::{
         CallHead, CallIds, Caller, Dialect, Execution, Forwarding, RepeatPolicy, RequestDeadline,
         Route, TurnHead,
     },
-    quay_types::{AttemptTag, ContentDigest, SoftwareVersion, Time, UpstreamId},
+    quay_types::{AttemptTag, RequestContent, SoftwareVersion, Time, UpstreamId},
     std::{
         cell::{Cell, OnceCell},
         time::Duration,
@@ -67,9 +67,11 @@
     caller: Caller<'a>,
     /// Identifiers of the state that the request refers to.
     ids: CallIds<'a>,
+    /// Caller of a turn, who decides which turns the request may go on from.
+    turn_caller: TurnCaller,
     /// Revision of the accounts by which the caller was last determined.
     checked: Cell<u64>,
-    content: ContentDigest,
+    content: RequestContent,
     route: &'a Route,
     arrived: Time,
     deadline: RequestDeadline,
@@ -201,7 +203,7 @@
         check_take_up(head, resumed, stream_terms(route))?;
     }
     check_shutdown(front, route, &deadline)?;
-    let service = route.target(ids.program().0).ok_or(Refusal::NoUpstream)?;
+    let service = route.target(ids.placement().0).ok_or(Refusal::NoUpstream)?;
     let known = table.service(service);
     let event_tokens = known.map_or(0, |service| service.event_tokens.into());
     let memory_tokens = known.map_or(0, |service| service.memory_tokens);
@@ -229,6 +231,7 @@
         parts,
         caller,
         ids,
+        turn_caller: front.turn_caller(head, &caller, &table),
         checked: Cell::new(table.revision),
         content,
         route,
@@ -378,7 +381,7 @@
                     log::info!(
                         "event=attempt_lost id={} content={} cause={why}",
                         self.head.id,
-                        self.content
+                        self.content.own
                     );
                     meters::record_lost_attempt(why);
                     let idempotent = self.route.repeat == RepeatPolicy::Idempotent;
@@ -455,7 +458,7 @@
         log::info!(
             "event=call_quarantined id={} content={}",
             self.head.id,
-            self.content
+            self.content.own
         );
         Err(Refusal::Quarantined)
     }
--- a/crates/sapphirequayd/src/gateway/front/call/turns.rs
+++ b/crates/sapphirequayd/src/gateway/front/call/turns.rs
@@ -4,6 +4,7 @@
     super::Call,
     crate::gateway::{
         front::{
+            owned_turn::OwnedTurn,
             refusal::{Refusal, Refused},
             reservation::Reservation,
             stream::PendingTurn,
@@ -14,10 +15,10 @@
     },
     bytes::Bytes,
     http::Response,
-    quay_policy::NewProgram,
+    quay_policy::{NewProgram, TurnOwner},
     quay_routes::{Dialect, TurnHead},
-    quay_turns::{Charge, ChargeStatus},
-    quay_types::{ProgramTag, Tokens},
+    quay_turns::{Charge, ChargeStatus, TurnRecord},
+    quay_types::{ProgramTag, Tokens, TurnId},
 };
 
 impl<D: Dialect> Call<'_, D> {
@@ -28,21 +29,27 @@
         turn: &TurnHead,
         input: RequestBody,
     ) -> Result<Response<Body>, Refused> {
-        let (reserved, history) = tokio::join!(self.reserve(turn), self.history(turn));
+        let (reserved, prior) = tokio::join!(self.reserve(turn), self.prior_turn(turn));
         let reservation = reserved?;
-        let history = history?;
+        let prior = prior?;
         let Some(retention) = self.route.retention else {
             return self.run(input, None, reservation).await;
         };
+        let history = prior.as_ref().map(|prior| prior.history.clone());
+        let history = history.unwrap_or_default();
         let mut body = RequestBody::from(history.clone());
         body.append(input.clone());
+        let name = &*self.head.id;
+        let owner = prior.as_ref().map(|prior| prior.owner);
+        let owner = self.turn_caller.owner_of_next(name, owner);
+        let turn = owner.turn_id(name);
         let pending_turn = PendingTurn {
-            id: self.ids.turn(),
-            program: self.ids.program(),
-            prior: turn
-                .prior
-                .as_deref()
-                .map(|prior| self.ids.turn_named(prior)),
+            id: turn,
+            owner_record: owner
+                .record_id(name)
+                .map(|id| (id, OwnedTurn { turn, owner })),
+            placement: self.ids.placement(),
+            prior: prior.map(|prior| prior.id),
             retention,
             history,
             input,
@@ -52,7 +59,7 @@
 
     /// Reserves the maximum tokens of the turn from the program's budget.
     async fn reserve(&self, turn: &TurnHead) -> Result<Option<Reservation>, Refusal> {
-        let (Some(budget), Some(program)) = (turn.budget, self.ids.budget()) else {
+        let (Some(budget), Some(programs)) = (turn.budget, self.ids.budgets()) else {
             self.begins.set(turn.prior.is_none());
             return Ok(None);
         };
@@ -66,14 +73,15 @@
         // Created before the reservation is written, so that dropping it
         // settles the reservation on every way out.
         let reserved = own.tokens;
-        let reservation = Reservation::new(stores.clone(), program, attempt, reserved);
+        let budgeted = (self.ids.placement(), programs);
+        let reservation = Reservation::new(stores.clone(), budgeted, attempt, reserved);
         let left = self.deadline.remaining(self.front.now());
-        match stores.reserve(program, own, Tokens(budget), left).await {
+        match stores.reserve(budgeted, own, Tokens(budget), left).await {
             ReserveOutcome::Covered { others } => {
                 let begins = others.0 == 0 && turn.prior.is_none() && self.version.is_none();
                 self.begins.set(begins);
                 if begins {
-                    self.admit_program(program)?;
+                    self.admit_program(programs.own)?;
                 }
                 Ok(Some(reservation))
             }
@@ -114,23 +122,85 @@
         Err(Refusal::Overloaded)
     }
 
-    /// Returns the conversation before the turn, from the cache or the stores.
-    async fn history(&self, turn: &TurnHead) -> Result<Bytes, Refusal> {
-        let (Some(prior), Some(_)) = (&turn.prior, self.route.retention) else {
-            return Ok(Bytes::new());
+    /// Finds the turn that the request goes on from, with its conversation, in the cache or
+    /// the stores: among the caller's own turns, or by the record of its owner.
+    async fn prior_turn(&self, turn: &TurnHead) -> Result<Option<PriorTurn>, Refusal> {
+        let (Some(name), Some(_)) = (&turn.prior, self.route.retention) else {
+            return Ok(None);
         };
-        let (program, id) = (self.ids.program(), self.ids.turn_named(prior));
-        if let Some(history) = self.front.cached_conversation(program, id) {
-            return Ok(history);
+        for (id, owner) in self.turn_caller.own_turns(name) {
+            if let Some(history) = self.find_history(id).await? {
+                return Ok(Some(PriorTurn { id, owner, history }));
+            }
         }
-        let left = self.deadline.remaining(self.front.now());
-        match self.front.stores().lookup_turns(program, id, left).await {
-            TurnLookup::Found(turns) => self.front.join_history(program, id, &turns, self.holder),
-            TurnLookup::Absent => {
-                log::info!("event=turn_absent id={} prior={prior}", self.head.id);
-                Err(Refusal::NoTurn)
+        let found = match self.find_owner(name).await? {
+            Some(OwnedTurn { turn: id, owner }) if self.turn_caller.may_continue(name, &owner) => {
+                let history = self.find_history(id).await?;
+                log::info!(
+                    "event=turn_of_former_account id={} prior={name}",
+                    self.head.id
+                );
+                history.map(|history| PriorTurn { id, owner, history })
             }
+            Some(_) => {
+                log::info!(
+                    "event=turn_of_another_account id={} prior={name}",
+                    self.head.id
+                );
+                None
+            }
+            None => None,
+        };
+        found.map(Some).ok_or_else(|| {
+            log::info!("event=turn_absent id={} prior={name}", self.head.id);
+            Refusal::NoTurn
+        })
+    }
+
+    /// Returns the conversation up to a turn, from the cache or the stores; `None` if there
+    /// is no such turn.
+    async fn find_history(&self, id: TurnId) -> Result<Option<Bytes>, Refusal> {
+        let placement = self.ids.placement();
+        if let Some(history) = self.front.cached_conversation(placement, id) {
+            return Ok(Some(history));
+        }
+        let turns = self.stored_turns(id).await?;
+        let history =
+            turns.map(|turns| self.front.join_history(placement, id, &turns, self.holder));
+        history.transpose()
+    }
+
+    /// Finds the record of a turn's owner, with the account that holds the owner's key now.
+    async fn find_owner(&self, name: &str) -> Result<Option<OwnedTurn>, Refusal> {
+        let Some(record) = self.turn_caller.owner_record(name) else {
+            return Ok(None);
+        };
+        let turns = self.stored_turns(record).await?;
+        let owned = turns.and_then(|turns| OwnedTurn::read(turns.last()?));
+        Ok(owned.map(|it| OwnedTurn {
+            owner: it
+                .owner
+                .with_holder(|mark| self.front.holder_of(name, mark)),
+            ..it
+        }))
+    }
+
+    /// Reads a turn and its predecessors from the stores; `None` if there is no such turn.
+    async fn stored_turns(&self, id: TurnId) -> Result<Option<Vec<TurnRecord>>, Refusal> {
+        let left = self.deadline.remaining(self.front.now());
+        let placement = self.ids.placement();
+        match self.front.stores().lookup_turns(placement, id, left).await {
+            TurnLookup::Found(turns) => Ok(Some(turns)),
+            TurnLookup::Absent => Ok(None),
             TurnLookup::Undetermined => Err(Refusal::StoresUnsure),
         }
     }
 }
+
+/// Turn that a request goes on from.
+struct PriorTurn {
+    id: TurnId,
+    owner: TurnOwner,
+    /// The conversation up to its end.
+    history: Bytes,
+}
--- a/crates/sapphirequayd/src/gateway/front/caller.rs
+++ b/crates/sapphirequayd/src/gateway/front/caller.rs
@@ -5,7 +5,11 @@
         host::{FrontHost, MAX_CONTROL_AGE},
         refusal::Refusal,
     },
-    quay_routes::{CallHead, Caller, Dialect, KeyPolicy, KeyRefusal, Route, RoutingTable},
+    quay_policy::{TurnCaller, TurnScope},
+    quay_routes::{
+        Account, CallHead, Caller, Credential, Dialect, KeyPolicy, KeyRefusal, Route, RoutingTable,
+    },
+    quay_types::{AccountId, KeyMark},
     std::cell::Cell,
 };
 
@@ -29,10 +33,7 @@
         route: &Route,
         table: &'a RoutingTable,
     ) -> Result<Caller<'a>, Refusal> {
-        let policy = KeyPolicy {
-            max_age: MAX_CONTROL_AGE,
-            revoke_after: self.revoke_after(),
-        };
+        let policy = self.key_policy();
         let age = self.control_age();
         let accounts = &table.accounts;
         let caller = accounts.identify(route.public, &head.credential, age, &policy);
@@ -47,6 +48,50 @@
         })
     }
 
+    /// The caller of a turn. On a public route a key that is valid names an account, whose
+    /// turns the caller may go on from.
+    pub fn turn_caller(
+        &self,
+        head: &CallHead,
+        caller: &Caller<'_>,
+        table: &RoutingTable,
+    ) -> TurnCaller {
+        let scope = match caller {
+            Caller::Unrestricted => TurnScope::NoAccounts,
+            Caller::Account(account) => TurnScope::Account(account.id),
+            Caller::Anonymous => {
+                let policy = self.key_policy();
+                let age = self.control_age();
+                let accounts = &table.accounts;
+                let holder = accounts.identify(false, &head.credential, age, &policy);
+                TurnScope::Public(holder.ok().and_then(|it| it.account().map(|it| it.id)))
+            }
+        };
+        let key = match &head.credential {
+            Credential::Key(key) => Some(key.bytes()),
+            Credential::Missing | Credential::Malformed => None,
+        };
+        TurnCaller { scope, key }
+    }
+
+    /// The account that holds the key with this mark on a turn, if there are accounts.
+    pub fn holder_of(&self, name: &str, mark: KeyMark) -> Option<AccountId> {
+        let table = self.table()?;
+        let mut accounts = table.accounts.iter();
+        let holds = |account: &&Account| {
+            let mut keys = account.keys.iter();
+            keys.any(|key| KeyMark::of(&key.bytes(), name) == mark)
+        };
+        accounts.find(holds).map(Account::id)
+    }
+
+    fn key_policy(&self) -> KeyPolicy {
+        KeyPolicy {
+            max_age: MAX_CONTROL_AGE,
+            revoke_after: self.revoke_after(),
+        }
+    }
+
     /// Revision of the accounts and time since they were last known to be in force.
     fn describe_state(&self, table: &RoutingTable) -> String {
         let age = self.control_age().map(|age| age.as_millis().to_string());
--- a/crates/sapphirequayd/src/gateway/front/front_suspects.rs
+++ b/crates/sapphirequayd/src/gateway/front/front_suspects.rs
@@ -3,7 +3,7 @@
 use {
     crate::gateway::messages::SuspectList,
     quay_policy::{SuspectCommand, SuspectEvent, SuspectRegistry, SuspectSettings},
-    quay_types::{ContentDigest, Time},
+    quay_types::{ContentDigest, RequestContent, Time},
 };
 
 /// Maximum number of events that wait for the control group.
@@ -68,13 +68,13 @@
 
     /// Whether a request must not run. `now` is the Unix time.
     #[must_use]
-    pub fn is_quarantined(&self, now: Time, content: ContentDigest) -> bool {
+    pub fn is_quarantined(&self, now: Time, content: impl Into<RequestContent>) -> bool {
         self.known.is_quarantined(now, content)
     }
 
     /// Whether a request may have to be quarantined with `more` crashes.
     #[must_use]
-    pub fn may_be_quarantined_with(&self, content: ContentDigest, more: usize) -> bool {
+    pub fn may_be_quarantined_with(&self, content: impl Into<RequestContent>, more: usize) -> bool {
         self.known.may_be_quarantined_with(content, more)
     }
 
@@ -84,6 +84,13 @@
         self.known.is_suspect(content)
     }
 
+    /// Suspects that are a request under its present account or under another one that its
+    /// caller may have had.
+    #[must_use]
+    pub fn suspects_of(&self, content: RequestContent) -> Vec<ContentDigest> {
+        self.known.suspects_of(content).collect()
+    }
+
     /// The next events to report, if any.
     #[must_use]
     pub fn next_report(&self) -> Option<Box<[SuspectEvent]>> {
--- a/crates/sapphirequayd/src/gateway/front/host/crashes.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/crashes.rs
@@ -13,7 +13,7 @@
     },
     quay_policy::{CheckResult, RunEnd, SuspectEvent, UpstreamRun},
     quay_routes::Dialect,
-    quay_types::{ContentDigest, Time},
+    quay_types::{ContentDigest, RequestContent, Time},
     std::{io, net::SocketAddr, time::Duration},
     tokio::{
         task::spawn_local,
@@ -40,7 +40,7 @@
 
 impl<D: Dialect> FrontHost<D> {
     /// Whether a request must not run, since its content crashes upstreams.
-    pub fn is_quarantined(&self, content: ContentDigest) -> bool {
+    pub fn is_quarantined(&self, content: RequestContent) -> bool {
         let suspects = self.0.suspects.borrow();
         suspects.is_quarantined(Self::unix_time(), content)
     }
@@ -48,7 +48,7 @@
     /// Waits until the upstreams that lost runs of a request are checked, if it would be
     /// quarantined were all of them found to have ended; until `ends` at most. Otherwise
     /// a caller that sends it again at once finds one upstream after the other.
-    pub async fn wait_for_checks(&self, content: ContentDigest, ends: Time) {
+    pub async fn wait_for_checks(&self, content: RequestContent, ends: Time) {
         let limit = ends.since(self.now()).min(MAX_CHECK_TIME);
         let decided = async {
             loop {
@@ -60,11 +60,11 @@
             }
         };
         if timeout(limit, decided).await.is_err() {
-            log::info!("event=check_late content={content}");
+            log::info!("event=check_late content={}", content.own);
         }
     }
 
-    fn awaits_checks(&self, content: ContentDigest) -> bool {
+    fn awaits_checks(&self, content: RequestContent) -> bool {
         let undecided = self.upstreams().crashes().undecided(content);
         let suspects = self.0.suspects.borrow();
         suspects.may_be_quarantined_with(content, undecided)
@@ -84,10 +84,12 @@
 
     /// Records the end of a run: clears its content if it completed, and checks the
     /// upstream if the run was lost.
-    pub fn end_run(&self, upstream: &SelectedUpstream, content: ContentDigest, end: RunEnd) {
+    pub fn end_run(&self, upstream: &SelectedUpstream, content: RequestContent, end: RunEnd) {
         let now = self.now();
         let mut upstreams = self.upstreams();
-        upstreams.crashes().end(now, upstream.run(), content, end);
+        upstreams
+            .crashes()
+            .end(now, upstream.run(), content.own, end);
         drop(upstreams);
         if end == RunEnd::Completed {
             self.record_completed(content);
@@ -98,10 +100,12 @@
         }
     }
 
-    fn record_completed(&self, content: ContentDigest) {
-        if self.0.suspects.borrow().is_suspect(content) {
-            log::info!("event=suspect_cleared content={content}");
-            self.record_event(SuspectEvent::Completed(content));
+    /// Clears a request, also as what it was under another account of its caller.
+    fn record_completed(&self, content: RequestContent) {
+        let suspects = self.0.suspects.borrow().suspects_of(content);
+        for digest in suspects {
+            log::info!("event=suspect_cleared content={digest}");
+            self.record_event(SuspectEvent::Completed(digest));
         }
     }
 
--- a/crates/sapphirequayd/src/gateway/front/host/streams.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/streams.rs
@@ -8,9 +8,12 @@
         meters,
         store::StoreClient,
     },
+    futures_util::future::join_all,
     quay_policy::{RecordedOrigin, ResumeRefusal, StreamOrigin, StreamTerms},
     quay_routes::{CallHead, CallIds, Dialect, ResumedHead, Route},
-    quay_types::{AttemptTag, ContentDigest, ProgramTag, SoftwareVersion, Time},
+    quay_types::{
+        AttemptTag, ContentDigest, ProgramTag, RequestContent, ScopedId, SoftwareVersion, Time,
+    },
     std::{pin::pin, time::Duration},
     tokio::{sync::oneshot, task::spawn_local, time::timeout},
 };
@@ -52,7 +55,7 @@
     pub fn record_stream_origin(
         &self,
         ids: &CallIds<'_>,
-        (route, content): (&Route, ContentDigest),
+        (route, content): (&Route, RequestContent),
         pool: &Pool<'_>,
         in_flight: &InFlight<D>,
     ) -> Option<oneshot::Receiver<()>> {
@@ -65,10 +68,10 @@
         let record = OriginRecord {
             stores: self.stores().clone(),
             id: ids.head().id.clone(),
-            program: ids.program(),
-            attempt: ids.attempt(),
+            program: ids.placement(),
+            attempts: ids.attempts_named(&ids.head().id),
             // Without a program the records of two attempts are in different groups.
-            content: ids.budget().map(|_| content),
+            contents: ids.budgets().map(|_| content.scoped()),
             keep: route.timeout.saturating_mul(KEPT_TIMEOUTS),
         };
         let (tx, rx) = oneshot::channel();
@@ -88,20 +91,27 @@
     pub async fn resumable_version(
         &self,
         ids: &CallIds<'_>,
-        (resumed, content): (&ResumedHead, ContentDigest),
+        (resumed, content): (&ResumedHead, RequestContent),
         pool: &Pool<'_>,
         ends: Time,
     ) -> Result<SoftwareVersion, Refusal> {
         let head = ids.head();
         let left = ends.since(self.now()).min(LOOKUP_TIMEOUT);
-        let program = ids.program();
+        let (stores, program) = (self.stores(), ids.placement());
         let recorded = match &resumed.first_attempt {
             Some(first) => {
-                let attempt = ids.attempt_named(first);
-                self.stores().find_stream(program, attempt, left).await
+                let [own, other] = ids.attempts_named(first).counted();
+                let find = |attempt| stores.find_stream(program, attempt, left);
+                match find(own).await {
+                    RecordedOrigin::Absent => find(other).await,
+                    recorded => recorded,
+                }
             }
-            None if ids.budget().is_some() => {
-                self.stores().find_content(program, content, left).await
+            None if ids.budgets().is_some() => {
+                let [own, other] = content.scoped().counted();
+                let find = |content| stores.find_content(program, content, left);
+                let (own, other) = tokio::join!(find(own), find(other));
+                own.merge(other)
             }
             None => RecordedOrigin::Absent,
         };
@@ -150,9 +160,9 @@
     /// Id of the request, for logs.
     id: Box<str>,
     program: ProgramTag,
-    attempt: AttemptTag,
+    attempts: ScopedId<AttemptTag>,
     /// Content of the request, if the stream is recorded under it as well.
-    content: Option<ContentDigest>,
+    contents: Option<ScopedId<ContentDigest>>,
     /// Time for which the record is kept.
     keep: Duration,
 }
@@ -183,11 +193,14 @@
         if !origin.is_version_known() {
             log::info!("event=stream_version_unknown id={}", self.id);
         }
-        let (key, origin) = ((self.attempt, self.content), (origin, self.keep));
-        let recorded = self
-            .stores
-            .record_stream(self.program, key, origin, RECORD_TIMEOUT);
-        if !recorded.await {
+        let mut contents = self.contents.into_iter().flat_map(ScopedId::recorded);
+        let keys = self.attempts.recorded().map(|it| (it, contents.next()));
+        let records = keys.map(|key| {
+            let origin = (origin, self.keep);
+            self.stores
+                .record_stream(self.program, key, origin, RECORD_TIMEOUT)
+        });
+        if join_all(records).await.contains(&false) {
             log::warn!("event=stream_origin_unrecorded id={}", self.id);
         }
     }
--- a/crates/sapphirequayd/src/gateway/front/in_flight.rs
+++ b/crates/sapphirequayd/src/gateway/front/in_flight.rs
@@ -5,7 +5,7 @@
     http::HeaderMap,
     quay_policy::RunEnd,
     quay_routes::Dialect,
-    quay_types::{ContentDigest, Time},
+    quay_types::{RequestContent, Time},
     std::{cell::Cell, time::Duration},
 };
 
@@ -19,7 +19,7 @@
     front: FrontHost<D>,
     upstream: SelectedUpstream,
     /// Content of the request.
-    content: ContentDigest,
+    content: RequestContent,
     /// `None` before the response and once the connection is back in the pool.
     lease: Option<Lease>,
     /// Whether the upstream may have received the request and its end is not
@@ -40,7 +40,7 @@
 
 impl<D: Dialect> InFlight<D> {
     /// Creates an attempt that begins now.
-    pub fn new(front: &FrontHost<D>, upstream: SelectedUpstream, content: ContentDigest) -> Self {
+    pub fn new(front: &FrontHost<D>, upstream: SelectedUpstream, content: RequestContent) -> Self {
         let now = front.now();
         Self {
             front: front.clone(),
@@ -100,7 +100,7 @@
     pub fn begin_run(&mut self) {
         self.offered = true;
         self.running.set(true);
-        self.front.begin_run(&self.upstream, self.content);
+        self.front.begin_run(&self.upstream, self.content.own);
     }
 
     /// Records that the request was not sent after all.
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -13,6 +13,7 @@
 mod host;
 mod in_flight;
 mod memory;
+mod owned_turn;
 mod refusal;
 mod reservation;
 mod startup_wait;
--- a/crates/sapphirequayd/src/gateway/front/reservation.rs
+++ b/crates/sapphirequayd/src/gateway/front/reservation.rs
@@ -3,7 +3,7 @@
 use {
     crate::gateway::store::StoreClient,
     quay_turns::{Charge, ChargeStatus, Record},
-    quay_types::{AttemptTag, ProgramTag, Tokens},
+    quay_types::{AttemptTag, ProgramTag, ScopedId, Tokens},
     std::{cell::Cell, time::Duration},
     tokio::task::spawn_local,
 };
@@ -17,7 +17,10 @@
 #[derive(Debug)]
 pub struct Reservation {
     stores: StoreClient,
-    program: ProgramTag,
+    /// Program whose stores hold the reservation.
+    placement: ProgramTag,
+    /// Programs that the reservation is recorded under.
+    programs: ScopedId<ProgramTag>,
     attempt: AttemptTag,
     /// Number of tokens reserved.
     reserved: Tokens,
@@ -30,13 +33,14 @@
     /// Creates a reservation with no tokens used.
     pub const fn new(
         stores: StoreClient,
-        program: ProgramTag,
+        (placement, programs): (ProgramTag, ScopedId<ProgramTag>),
         attempt: AttemptTag,
         reserved: Tokens,
     ) -> Self {
         Self {
             stores,
-            program,
+            placement,
+            programs,
             attempt,
             reserved,
             used: Cell::new(0),
@@ -54,14 +58,15 @@
         self.used.set(tokens);
     }
 
-    /// Record that settles the attempt for the tokens used by now.
-    pub fn settlement(&self) -> Record {
+    /// Records that settle the attempt for the tokens used by now.
+    pub fn settlement(&self) -> Vec<Record> {
         let charge = Charge {
             attempt: self.attempt,
             standing: ChargeStatus::Settled,
             tokens: Tokens(self.used.get()),
         };
-        Record::Charge(self.program, charge)
+        let programs = self.programs.recorded();
+        programs.map(|it| Record::Charge(it, charge)).collect()
     }
 
     /// Records that [`Reservation::settlement`] was written.
@@ -75,14 +80,12 @@
         if self.settled {
             return;
         }
-        let (stores, program) = (self.stores.clone(), self.program);
-        let record = self.settlement();
+        let (stores, placement) = (self.stores.clone(), self.placement);
+        let records = self.settlement();
         spawn_local(async move {
-            if !stores
-                .write(program, vec![record.clone()], SETTLE_TIMEOUT)
-                .await
-            {
-                log::warn!("event=charge_not_settled program={program} charge={record:?}");
+            let written = stores.write(placement, records.clone(), SETTLE_TIMEOUT);
+            if !written.await {
+                log::warn!("event=charge_not_settled program={placement} charge={records:?}");
             }
         });
     }
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -7,6 +7,7 @@
         events::EventReader,
         host::FrontHost,
         in_flight::InFlight,
+        owned_turn::OwnedTurn,
         reservation::Reservation,
         upstream_outcome::{StreamEnd, UPSTREAM_DISCONNECTED, UpstreamOutcome, upstream_outcome},
     },
@@ -24,7 +25,7 @@
     hyper::body::Frame,
     quay_policy::{MemoryHolder, RunEnd},
     quay_routes::Dialect,
-    quay_turns::TurnRecord,
+    quay_turns::{Record, TurnRecord},
     quay_types::{ProgramTag, Time, TurnId},
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -60,8 +61,10 @@
 pub struct PendingTurn {
     /// Identifier of the turn.
     pub id: TurnId,
+    /// Record of the turn's owner and its id, if the turn's id does not tell it.
+    pub owner_record: Option<(TurnId, OwnedTurn)>,
     /// Program whose store group stores the turn.
-    pub program: ProgramTag,
+    pub placement: ProgramTag,
     /// Turn that this turn continues.
     pub prior: Option<TurnId>,
     /// Time for which the turn is stored.
@@ -286,16 +289,14 @@
             output: output.clone(),
         };
         let left = self.ends.since(self.front.now());
-        let settlement = self.reservation.as_ref().map(Reservation::settlement);
+        let owner = pending_turn.owner_record.as_ref();
+        let owner = owner.and_then(|(id, owned)| owned.record(*id, record.retention_s));
+        let mut others: Vec<Record> = owner.into_iter().map(Record::Turn).collect();
+        others.extend(self.reservation.iter().flat_map(Reservation::settlement));
         let written = self
             .front
             .stores()
-            .write_turn(
-                pending_turn.program,
-                (&record, &input),
-                settlement.as_slice(),
-                left,
-            )
+            .write_turn(pending_turn.placement, (&record, &input), &others, left)
             .await;
         if !written {
             return StreamEnd::Broken("turn_not_kept");
@@ -307,7 +308,7 @@
         parts.extend(input.iter().map(|it| &**it));
         parts.push(&output);
         self.front
-            .cache_if_room(pending_turn.program, pending_turn.id, &parts);
+            .cache_if_room(pending_turn.placement, pending_turn.id, &parts);
         StreamEnd::Whole
     }
 }
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -15,7 +15,7 @@
     },
     quay_types::{
         Announcement, AttemptTag, ContentDigest, GroupId, Incarnation, ProgramTag, RequestRate,
-        TurnId,
+        ScopedId, TurnId,
     },
     serde::{Deserialize, Serialize},
     std::{fmt, net::SocketAddr},
@@ -286,6 +286,9 @@
     FetchSome(Vec<TurnId>),
     /// Lists turns with their sizes after the given sequence number.
     ListTurns(u64),
+    /// Writes a charge durably to the programs that it is recorded under, and returns all
+    /// charges of those that count.
+    ReserveScoped(ScopedId<ProgramTag>, Charge),
 }
 
 /// Reply of a store host.
@@ -316,6 +319,10 @@
     AllCharges(Vec<Charge>),
     /// Reply to [`StoreOp::ListTurns`]: turns, and the sequence number of the last one.
     TurnList(Vec<ListedTurn>, u64),
+    /// Reply to [`StoreOp::ReserveScoped`]: charges with the programs that they are
+    /// recorded under, and whether the store holds every charge that was acknowledged
+    /// before it joined, as with [`Self::AllCharges`].
+    ScopedCharges(Vec<(ProgramTag, Charge)>, bool),
 }
 
 /// Part of the contents of a store.
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -23,8 +23,8 @@
         Charge, ChargeTally, ChargeVerdict, LookupTally, LookupVerdict, Record, StoreMap,
         StoreMember, StoreView, TurnRecord, WriteTally, WriteVerdict,
     },
-    quay_types::{AttemptTag, ContentDigest, GroupId, ProgramTag, Tokens, TurnId},
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    quay_types::{AttemptTag, ContentDigest, GroupId, ProgramTag, ScopedId, Tokens, TurnId},
+    std::{cell::RefCell, collections::HashSet, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         select,
         sync::mpsc,
@@ -350,10 +350,11 @@
         tally.verdict() == WriteVerdict::Durable
     }
 
-    /// Reserves tokens of a program's budget, with retries within `limit`.
+    /// Reserves tokens of a program's budget at the stores of `placement`, with retries
+    /// within `limit`. Charges count that the caller made under another account or none.
     pub async fn reserve(
         &self,
-        program: ProgramTag,
+        (placement, programs): (ProgramTag, ScopedId<ProgramTag>),
         own: Charge,
         budget: Tokens,
         limit: Duration,
@@ -361,7 +362,7 @@
         let attempts = async {
             let mut backoff = Backoff::default();
             loop {
-                match self.reserve_once(program, own, budget).await {
+                match self.reserve_once((placement, programs), own, budget).await {
                     ReserveOutcome::Undetermined => backoff.wait().await,
                     reserved => return reserved,
                 }
@@ -374,22 +375,30 @@
 
     async fn reserve_once(
         &self,
-        program: ProgramTag,
+        (placement, programs): (ProgramTag, ScopedId<ProgramTag>),
         own: Charge,
         budget: Tokens,
     ) -> ReserveOutcome {
-        let group = self.group_of(program);
+        let group = self.group_of(placement);
         let view = self.view(group);
         let mut tally = ChargeTally::new(&view, own, budget);
-        let Some(op) = encode(&StoreOp::Reserve(program, own)) else {
+        let Some(op) = encode(&StoreOp::ReserveScoped(programs, own)) else {
             return ReserveOutcome::Undetermined;
         };
-        let mut replies = GroupRequest::with_quorum(self, (group, program), &view, op);
+        let mut replies = GroupRequest::with_quorum(self, (group, placement), &view, op);
+        // Attempts that the caller made in another scope.
+        let mut elsewhere = HashSet::new();
         loop {
             match tally.verdict() {
                 ChargeVerdict::Covered { others } => {
-                    let lacking = tally.lacking();
-                    let complete = self.complete_charges((group, program), &view, lacking);
+                    let lacking = tally.lacking().into_iter().map(|(identity, charges)| {
+                        let records = charges.into_iter().flat_map(|charge| {
+                            let other = elsewhere.contains(&charge.attempt);
+                            charge_records(programs, charge, other)
+                        });
+                        (identity, records.collect())
+                    });
+                    let complete = self.complete_charges(group, &view, lacking.collect());
                     return if complete.await {
                         ReserveOutcome::Covered { others }
                     } else {
@@ -401,11 +410,10 @@
                 ChargeVerdict::Pending => {}
             }
             match replies.next().await {
-                Some((identity, Some(StoreReply::Charges(charges)))) => {
-                    tally.synced(identity, charges, false);
-                }
-                Some((identity, Some(StoreReply::AllCharges(charges)))) => {
-                    tally.synced(identity, charges, true);
+                Some((identity, Some(StoreReply::ScopedCharges(charges, all)))) => {
+                    let others = charges.iter().filter(|(it, _)| *it == programs.other);
+                    elsewhere.extend(others.map(|(_, charge)| charge.attempt));
+                    tally.synced(identity, charges.into_iter().map(|(_, it)| it), all);
                 }
                 Some((identity, _)) => tally.failed(identity),
                 None => return ReserveOutcome::Undetermined,
@@ -413,18 +421,16 @@
         }
     }
 
-    /// Writes the charges of a program that members lack, by member. Returns `false` if
-    /// one of them did not take them.
+    /// Writes charges that members lack, by member. Returns `false` if one of them did not
+    /// take them.
     async fn complete_charges(
         &self,
-        (group, program): (GroupId, ProgramTag),
+        group: GroupId,
         view: &StoreView,
-        lacking: Vec<(u64, Vec<Charge>)>,
+        lacking: Vec<(u64, Vec<Record>)>,
     ) -> bool {
-        let writes = lacking.into_iter().map(async |(identity, charges)| {
+        let writes = lacking.into_iter().map(async |(identity, records)| {
             let member = view.member(identity)?;
-            let records = charges.into_iter().map(|it| Record::Charge(program, it));
-            let records: Vec<Record> = records.collect();
             meters::record_completed_charges(records.len());
             let op = encode(&StoreOp::Write(records))?;
             let target = target(group, view, member);
@@ -649,6 +655,16 @@
     }
 }
 
+/// Records of a charge, which was made in the scope of `programs` or in the other one.
+fn charge_records(programs: ScopedId<ProgramTag>, charge: Charge, other: bool) -> Vec<Record> {
+    let record = |program| Record::Charge(program, charge);
+    if other {
+        vec![record(programs.other)]
+    } else {
+        programs.recorded().map(record).collect()
+    }
+}
+
 /// Exponential back-off between retries; the field counts the retries so far.
 #[derive(Debug, Default)]
 struct Backoff(u32);
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -190,7 +190,10 @@
         if let Err(stale) = admitted {
             return StoreReply::Stale(stale.seen);
         }
-        let writes = matches!(req.op, StoreOp::Write(_) | StoreOp::Reserve(..));
+        let writes = matches!(
+            req.op,
+            StoreOp::Write(_) | StoreOp::Reserve(..) | StoreOp::ReserveScoped(..)
+        );
         if writes && open < req.joined {
             return StoreReply::Refused;
         }
@@ -234,15 +237,31 @@
                 if !self.save(group, Record::Charge(program, charge)).await {
                     return StoreReply::Refused;
                 }
-                let held = self.group(group);
-                let charges = held.charges(program);
-                // The sender knows of a whole store that it holds all charges.
-                if held.whole_epoch() < joined && held.holds_charges_since(joined) {
+                let charges = self.group(group).charges(program);
+                if self.joins_with_all_charges(group, joined) {
                     StoreReply::AllCharges(charges)
                 } else {
                     StoreReply::Charges(charges)
                 }
             }
+            StoreOp::ReserveScoped(programs, charge) => {
+                let records = programs.recorded().map(|it| Record::Charge(it, charge));
+                if !self.save_all(group, records.collect()).await {
+                    return StoreReply::Refused;
+                }
+                let counted = programs.counted();
+                // The program runs on, so none of its charges may expire.
+                let now = self.now();
+                self.index.borrow_mut().keep_charges(now, group, &counted);
+                let held = self.group(group);
+                let of = |program| {
+                    held.charges(program)
+                        .into_iter()
+                        .map(move |it| (program, it))
+                };
+                let charges = counted.into_iter().flat_map(of).collect();
+                StoreReply::ScopedCharges(charges, self.joins_with_all_charges(group, joined))
+            }
             StoreOp::Chain(turn) => self.chain(group, turn).await,
             StoreOp::FenceEpoch => StoreReply::Synced,
             StoreOp::Fetch(turns) => self.fetch(group, &turns, u64::MAX).await,
@@ -258,6 +277,13 @@
         }
     }
 
+    /// Whether the store is joining a group and holds all charges that were acknowledged
+    /// before. The senders of requests know of whole stores that they do.
+    fn joins_with_all_charges(&self, group: GroupId, joined: u64) -> bool {
+        let held = self.group(group);
+        held.whole_epoch() < joined && held.holds_charges_since(joined)
+    }
+
     /// Returns a turn and its predecessors, as far as they are held.
     async fn chain(&self, group: GroupId, turn: TurnId) -> StoreReply {
         let chain = self.group(group).chain(turn);
--- a/crates/sapphirequayd/tests/resumed_streams.rs
+++ b/crates/sapphirequayd/tests/resumed_streams.rs
@@ -42,6 +42,8 @@
     shared: Arc<SharedState>,
     /// Version of the upstreams whose heartbeats are late.
     silent: &'static str,
+    /// Header lines that each request carries, each after a line feed.
+    headers: &'static str,
 }
 
 /// How a caller identifies the stream that it takes up again.
@@ -104,6 +106,7 @@
             upstreams: Vec::new(),
             shared: Arc::default(),
             silent: "",
+            headers: "",
         };
         let head = "POST /sapphirequay/config/put HTTP/1.1\nHost: c";
         wait_until("the table is accepted", || {
@@ -124,6 +127,29 @@
         site
     }
 
+    /// Puts a configuration into force that has an account or none.
+    fn put_accounts(&self, version: u32, accounts: &str) {
+        let table = TABLE.replacen("\"Version\":1", &format!("\"Version\":{version}"), 1);
+        let (start, _) = table.rsplit_once('}').expect("a document");
+        let document = format!("{start},\"Tenants\":[{accounts}]}}");
+        let head = "POST /sapphirequay/config/put HTTP/1.1\nHost: c";
+        wait_until("the accounts are accepted", || {
+            send(self.gateway.controls[0], head, &document).is_some_and(|got| got.status == 200)
+        });
+        for front in &self.gateway.fronts {
+            wait_until("the accounts are in force", || {
+                let id = next_id("probe");
+                let probe = format!(
+                    "POST /plan/1 HTTP/1.1\nHost: a.example\nX-Sapphirequay-Request-Id: {id}"
+                );
+                let got = send(*front, &probe, "");
+                got.is_some_and(|got| {
+                    [200, 401].contains(&got.status) && (got.status == 401) != accounts.is_empty()
+                })
+            });
+        }
+    }
+
     /// Restarts all fronts and control hosts, and the stores if they are to lose what they
     /// hold in memory, at the same moment.
     fn restart_all(&mut self, with_stores: bool) {
@@ -164,7 +190,8 @@
     fn call(&self, front: usize, id: &str, program: &str, more: &str) -> Option<Response> {
         let head = format!(
             "POST /plan/1 HTTP/1.1\nHost: a.example\nX-Sapphirequay-Request-Id: {id}\nX-Sapphirequay-Program-Id: {program}\n\
-             X-Sapphirequay-Token-Usage: 5,30\nX-Sapphirequay-Token-Budget: 1000\nX-Sapphirequay-Deadline-Ms: 4000{more}"
+             X-Sapphirequay-Token-Usage: 5,30\nX-Sapphirequay-Token-Budget: 1000\nX-Sapphirequay-Deadline-Ms: 4000{}{more}",
+            self.headers
         );
         send(self.gateway.fronts[front], &head, program)
     }
@@ -375,6 +402,23 @@
     site.wait_for_versions(1, &["v2"]);
 }
 
+/// Guards against a stream that is refused for ever, or goes on at another version, because
+/// its caller got an account or lost it.
+#[test]
+fn a_stream_goes_on_at_its_version_after_its_caller_got_or_lost_an_account() {
+    let mut site = Site::start();
+    site.headers = "\nAuthorization: Bearer k1";
+    let account = r#"{"Name":"alpha","ApiKeys":["k1"]}"#;
+    for (version, accounts) in [(2, account), (3, "")] {
+        let streams = site.begin_streams(0, STREAMS);
+        assert_both_versions(&streams);
+        site.put_accounts(version, accounts);
+        site.resume_everything(1, &streams);
+        let went_on = site.resume_by(Identified::ByContent, 0, &streams);
+        assert!(went_on > 0, "the content of the streams is known");
+    }
+}
+
 #[test]
 fn a_stream_of_a_request_without_a_program_goes_on() {
     let site = Site::start();
