Stores: conversations are listed and read in pages

On fronts of 110 MB the sixth turn of 4,000,000 bytes is refused no_memory for good.

The front asked again until the deadline, and all stores read 36 MB for each try. adopt_turns wrote a conversation of another group in one request. A front joined the whole conversation, for which a small one has no room.

Change: StoreOp::ListChain tells the turns of a conversation with their sizes, and brings the oldest up to 2 MiB. The rest is read in pages, by FetchSome, from one member after the other. What doesn't fit into the front's cache is sent to the upstream page by page, and each call holds one page. Conversations of other groups are copied in pages.

Why it works: no reply and no memory of a call grows with the conversation. A usual conversation still takes one round trip.

--- a/crates/quay_turns/src/lib.rs
+++ b/crates/quay_turns/src/lib.rs
@@ -39,7 +39,9 @@
     copy_plan::{BatchLimits, CopyPlan, CopyStep, ListedTurn},
     join::{JoinStep, JoinTally},
     membership::{MembershipPlanner, MembershipSettings},
-    store_index::{RecordLocation, StaleView, StoreIndex, StoreIndexSettings, TurnChain},
+    store_index::{
+        ChainLink, ChainPart, RecordLocation, StaleView, StoreIndex, StoreIndexSettings, TurnChain,
+    },
     store_indexes::StoreIndexes,
     store_map::{StoreAnnouncement, StoreChange, StoreMap},
     tally::{ChargeTally, ChargeVerdict, LookupTally, LookupVerdict, WriteTally, WriteVerdict},
--- a/crates/quay_turns/src/store_index.rs
+++ b/crates/quay_turns/src/store_index.rs
@@ -5,9 +5,13 @@
     crate::{Charge, ChargeSet, ListedTurn, Record},
     indexmap::IndexMap,
     quay_types::{ProgramTag, Time, TurnId},
+    serde::{Deserialize, Serialize},
     std::time::Duration,
 };
 
+/// Number of charges in a list from which no further program is added.
+const MAX_LISTED_CHARGES: usize = 1 << 16;
+
 /// Location of a record on disk.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RecordLocation {
@@ -47,6 +51,25 @@
     pub seen: u64,
 }
 
+/// A turn of a chain, with the size of what it adds to the conversation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChainLink {
+    /// Identity of the turn.
+    pub id: TurnId,
+    /// Bytes of its input and output.
+    pub bytes: u64,
+}
+
+/// Part of a chain, newest turn first.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChainPart {
+    /// Turns that the store holds.
+    pub links: Vec<ChainLink>,
+    /// The turn before the last of `links`, if there is one: the store does not hold it, or
+    /// the part ends there.
+    pub next: Option<TurnId>,
+}
+
 /// A turn and its predecessors, newest first.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TurnChain {
@@ -62,6 +85,8 @@
     number: u64,
     prior: Option<TurnId>,
     location: RecordLocation,
+    /// Bytes of the turn's input and output.
+    bytes: u64,
     expires: Time,
 }
 
@@ -123,6 +148,7 @@
                     number: self.last_number,
                     prior: turn.prior,
                     location,
+                    bytes: record.data_bytes() as u64,
                     expires,
                 };
                 self.turns.insert(turn.id, held);
@@ -295,6 +321,25 @@
         chain
     }
 
+    /// Lists a turn and its predecessors, up to the first one that is missing and at most
+    /// `limit`.
+    #[must_use]
+    pub fn chain_part(&self, last: TurnId, limit: usize) -> ChainPart {
+        let mut part = ChainPart {
+            links: Vec::new(),
+            next: Some(last),
+        };
+        while part.links.len() < limit
+            && let Some(id) = part.next
+            && let Some(held) = self.turns.get(&id)
+        {
+            let bytes = held.bytes;
+            part.links.push(ChainLink { id, bytes });
+            part.next = held.prior;
+        }
+        part
+    }
+
     /// Turns with insertion numbers above `after` in ascending order, with
     /// their numbers.
     #[must_use]
@@ -325,13 +370,17 @@
     }
 
     /// Charges of the programs with insertion numbers above `after` in
-    /// ascending order, and the number of the last program returned.
+    /// ascending order, and the number of the last program returned; fewer programs than
+    /// `limit` if they have very many charges.
     #[must_use]
     pub fn charges_after(&self, after: u64, limit: usize) -> (u64, Vec<(ProgramTag, Charge)>) {
         let mut last = after;
         let mut charges = Vec::new();
         let programs = self.programs.iter().filter(|(_, held)| held.number > after);
         for (program, held) in programs.take(limit) {
+            if charges.len() >= MAX_LISTED_CHARGES {
+                break;
+            }
             last = held.number;
             charges.extend(held.book.charges().map(|charge| (*program, charge)));
         }
--- a/crates/quay_turns/tests/store_index.rs
+++ b/crates/quay_turns/tests/store_index.rs
@@ -44,6 +44,44 @@
     assert_eq!((ids, chain.missing), (vec![3, 2], Some(TurnId(1))));
 }
 
+/// Guards against a list of a chain that grows with the conversation.
+#[test]
+fn a_part_of_a_chain_tells_sizes_and_where_the_next_part_begins() {
+    let mut index = index();
+    for id in 2..=5 {
+        index.insert(at(0), &turn(id, Some(id - 1)), location(1, id * 10));
+    }
+    let part = |last, limit| {
+        let part = index.chain_part(TurnId(last), limit);
+        let links = part.links.iter().map(|link| (link.id.0, link.bytes));
+        (links.collect::<Vec<_>>(), part.next)
+    };
+    assert_eq!(part(5, 2), (vec![(5, 2), (4, 2)], Some(TurnId(3))));
+    assert_eq!(part(3, 9), (vec![(3, 2), (2, 2)], Some(TurnId(1))));
+    assert_eq!(part(1, 9), (vec![], Some(TurnId(1))));
+}
+
+/// Guards against a list of charges that outgrows a reply.
+#[test]
+fn a_list_of_charges_ends_before_it_is_too_large() {
+    let mut index = index();
+    for (program, attempt) in (0..3).flat_map(|it| (0..40_000).map(move |at| (it, at))) {
+        let charge = Charge {
+            attempt: AttemptTag(attempt),
+            standing: ChargeStatus::Settled,
+            tokens: Tokens(1),
+        };
+        index.insert(
+            at(0),
+            &Record::Charge(ProgramTag(program), charge),
+            location(1, 0),
+        );
+    }
+    let (last, charges) = index.charges_after(0, 256);
+    assert_eq!(charges.len(), 80_000);
+    assert_eq!(index.charges_after(last, 256).1.len(), 40_000);
+}
+
 #[test]
 fn a_turn_is_kept_as_long_as_its_successors() {
     let mut index = index();
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -6,6 +6,7 @@
     super::{
         body_reader::{discard_rest, is_framed, read_body, read_response},
         connections::SendError,
+        history::{ForwardedBody, OutgoingBody},
         host::{FrontHost, QuotaPermit, check_take_up},
         in_flight::InFlight,
         refusal::{Refusal, Refused},
@@ -19,7 +20,7 @@
         gateway::{
             http_server::{Body, full},
             meters::{self, Stage},
-            request_body::{BodyCaller, RequestBody},
+            request_body::BodyCaller,
         },
     },
     http::{Request, Response, header, request, response},
@@ -252,7 +253,7 @@
     match &head.turn {
         Some(turn) if route.repeat.is_stream() => call.run_turn(turn, body).await,
         None if route.stores_turns() => call.run_turn(&TurnHead::default(), body).await,
-        _ => call.run(body, None, None).await,
+        _ => call.run(body.into(), None, None).await,
     }
 }
 
@@ -289,7 +290,7 @@
     /// Runs the request on an upstream; retries on others where that is safe.
     async fn run(
         &self,
-        body: RequestBody,
+        body: OutgoingBody,
         pending_turn: Option<PendingTurn>,
         reservation: Option<Reservation>,
     ) -> Result<Response<Body>, Refused> {
@@ -307,7 +308,7 @@
     /// tells only about the last attempt.
     async fn try_upstreams(
         &self,
-        body: RequestBody,
+        body: OutgoingBody,
         pending_turn: Option<PendingTurn>,
         reservation: Option<Reservation>,
     ) -> Result<Response<Body>, Refused> {
@@ -496,7 +497,7 @@
     /// Makes one attempt on one upstream.
     async fn attempt_one(
         &self,
-        body: &RequestBody,
+        body: &OutgoingBody,
         limit: Duration,
         tried: &mut Vec<UpstreamId>,
         quota: Option<&QuotaPermit<D>>,
@@ -513,6 +514,13 @@
                 let left = limit.saturating_sub(in_flight.elapsed());
                 self.handle_response(in_flight, head, incoming, left).await
             }
+            Ok(Err(AttemptResult::Unknown(_))) | Err(_)
+                if in_flight.offered() && in_flight.waits_for_stores() =>
+            {
+                in_flight.record_abandoned();
+                in_flight.end_run(RunEnd::Abandoned);
+                AttemptResult::Unknown("history_cut")
+            }
             Ok(Err(tried)) => {
                 if matches!(tried, AttemptResult::Unknown(_)) {
                     in_flight.record_failure();
@@ -537,7 +545,7 @@
     async fn exchange(
         &self,
         in_flight: &mut InFlight<D>,
-        body: &RequestBody,
+        body: &OutgoingBody,
         quota: Option<&QuotaPermit<D>>,
     ) -> Result<(response::Parts, LimitedBody), AttemptResult<D>> {
         loop {
@@ -568,6 +576,7 @@
                 }
             }
             let req = self.request(in_flight.upstream(), body);
+            in_flight.set_body(req.body());
             if let Some(quota) = quota {
                 quota.spend();
             }
@@ -598,7 +607,7 @@
     }
 
     /// Creates the request that is forwarded to the upstream.
-    fn request(&self, upstream: &SelectedUpstream, body: &RequestBody) -> Request<RequestBody> {
+    fn request(&self, upstream: &SelectedUpstream, body: &OutgoingBody) -> Request<ForwardedBody> {
         let forwarding = Forwarding {
             upstream: &upstream.name,
             time_left: self.deadline.remaining(self.front.now()),
@@ -608,7 +617,7 @@
             .front
             .dialect()
             .forwarded_headers(&self.parts.headers, &forwarding);
-        let mut req = Request::new(body.clone());
+        let mut req = Request::new(body.open());
         *req.method_mut() = self.parts.method.clone();
         *req.uri_mut() = self.parts.uri.clone();
         *req.headers_mut() = headers;
--- a/crates/sapphirequayd/src/gateway/front/call/turns.rs
+++ b/crates/sapphirequayd/src/gateway/front/call/turns.rs
@@ -4,6 +4,7 @@
     super::Call,
     crate::gateway::{
         front::{
+            history::{History, OutgoingBody},
             owned_turn::OwnedTurn,
             refusal::{Refusal, Refused},
             reservation::Reservation,
@@ -11,14 +12,14 @@
         },
         http_server::Body,
         request_body::RequestBody,
-        store::{ReserveOutcome, TurnLookup},
+        store::{ReserveOutcome, StoredChain, TurnLookup},
     },
-    bytes::Bytes,
     http::Response,
     quay_policy::{NewProgram, TurnOwner},
     quay_routes::{Dialect, TurnHead},
-    quay_turns::{Charge, ChargeStatus, TurnRecord},
+    quay_turns::{Charge, ChargeStatus},
     quay_types::{ProgramTag, Tokens, TurnId},
+    tokio::time::timeout,
 };
 
 impl<D: Dialect> Call<'_, D> {
@@ -33,12 +34,13 @@
         let reservation = reserved?;
         let prior = prior?;
         let Some(retention) = self.route.retention else {
-            return self.run(input, None, reservation).await;
+            return self.run(input.into(), None, reservation).await;
         };
         let history = prior.as_ref().map(|prior| prior.history.clone());
-        let history = history.unwrap_or_default();
-        let mut body = RequestBody::from(history.clone());
-        body.append(input.clone());
+        let body = OutgoingBody {
+            history: history.unwrap_or_default(),
+            input: input.clone(),
+        };
         let name = &*self.head.id;
         let owner = prior.as_ref().map(|prior| prior.owner);
         let owner = self.turn_caller.owner_of_next(name, owner);
@@ -51,7 +53,7 @@
             placement: self.ids.placement(),
             prior: prior.map(|prior| prior.id),
             retention,
-            history,
+            history: body.history.whole().cloned(),
             input,
         };
         self.run(body, Some(pending_turn), reservation).await
@@ -159,15 +161,20 @@
 
     /// Returns the conversation up to a turn, from the cache or the stores; `None` if there
     /// is no such turn.
-    async fn find_history(&self, id: TurnId) -> Result<Option<Bytes>, Refusal> {
+    async fn find_history(&self, id: TurnId) -> Result<Option<History>, Refusal> {
         let placement = self.ids.placement();
         if let Some(history) = self.front.cached_conversation(placement, id) {
-            return Ok(Some(history));
+            return Ok(Some(History::Whole(history)));
+        }
+        let Some(chain) = self.stored_chain(id).await? else {
+            return Ok(None);
+        };
+        let left = self.deadline.remaining(self.front.now());
+        let opened = self.front.open_history(placement, id, chain, self.holder);
+        match timeout(left, opened).await {
+            Ok(history) => history.map(Some),
+            Err(_) => Err(Refusal::StoresUnsure),
         }
-        let turns = self.stored_turns(id).await?;
-        let history =
-            turns.map(|turns| self.front.join_history(placement, id, &turns, self.holder));
-        history.transpose()
     }
 
     /// Finds the record of a turn's owner, with the account that holds the owner's key now.
@@ -175,8 +182,8 @@
         let Some(record) = self.turn_caller.owner_record(name) else {
             return Ok(None);
         };
-        let turns = self.stored_turns(record).await?;
-        let owned = turns.and_then(|turns| OwnedTurn::read(turns.last()?));
+        let chain = self.stored_chain(record).await?;
+        let owned = chain.and_then(|chain| OwnedTurn::read(chain.turns()?.last()?));
         Ok(owned.map(|it| OwnedTurn {
             owner: it
                 .owner
@@ -185,12 +192,12 @@
         }))
     }
 
-    /// Reads a turn and its predecessors from the stores; `None` if there is no such turn.
-    async fn stored_turns(&self, id: TurnId) -> Result<Option<Vec<TurnRecord>>, Refusal> {
+    /// Finds a turn and its predecessors on the stores; `None` if there is no such turn.
+    async fn stored_chain(&self, id: TurnId) -> Result<Option<StoredChain>, Refusal> {
         let left = self.deadline.remaining(self.front.now());
         let placement = self.ids.placement();
         match self.front.stores().lookup_turns(placement, id, left).await {
-            TurnLookup::Found(turns) => Ok(Some(turns)),
+            TurnLookup::Found(chain) => Ok(Some(chain)),
             TurnLookup::Absent => Ok(None),
             TurnLookup::Undetermined => Err(Refusal::StoresUnsure),
         }
@@ -202,5 +209,5 @@
     id: TurnId,
     owner: TurnOwner,
     /// The conversation up to its end.
-    history: Bytes,
+    history: History,
 }
--- a/crates/sapphirequayd/src/gateway/front/connections.rs
+++ b/crates/sapphirequayd/src/gateway/front/connections.rs
@@ -1,9 +1,9 @@
 //! Pool of HTTP connections to upstreams.
 
 use {
+    super::history::ForwardedBody,
     crate::{
         connection::{CloseOnDrop, LimitedBody, LimitedStream, OverheadLimit},
-        gateway::request_body::RequestBody,
         process::Clock,
     },
     http::{HeaderMap, Request, Response, header},
@@ -45,7 +45,7 @@
 /// An idle connection.
 #[derive(Debug)]
 struct Idle {
-    sender: http1::SendRequest<RequestBody>,
+    sender: http1::SendRequest<ForwardedBody>,
     limit: OverheadLimit,
     /// Time at which the connection was set up.
     connected: Time,
@@ -66,7 +66,7 @@
 #[derive(Debug)]
 pub struct Lease {
     addr: SocketAddr,
-    sender: http1::SendRequest<RequestBody>,
+    sender: http1::SendRequest<ForwardedBody>,
     limit: OverheadLimit,
     /// Time at which the connection was set up.
     connected: Time,
@@ -226,7 +226,7 @@
     /// the request.
     pub async fn send(
         &mut self,
-        req: Request<RequestBody>,
+        req: Request<ForwardedBody>,
     ) -> Result<Response<LimitedBody>, SendError> {
         self.limit.restart();
         let sent = self.sender.try_send_request(req).await;
--- a/crates/sapphirequayd/src/gateway/front/conversation_cache.rs
+++ b/crates/sapphirequayd/src/gateway/front/conversation_cache.rs
@@ -40,6 +40,12 @@
         }
     }
 
+    /// Largest size of all conversations together, in bytes.
+    #[must_use]
+    pub const fn max_bytes(&self) -> usize {
+        self.max_bytes
+    }
+
     /// Returns the conversation up to a turn and marks it as used.
     pub fn get(&mut self, now: Time, key: ConversationKey) -> Option<Bytes> {
         let entry = self.entries.shift_remove(&key)?;
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -15,6 +15,7 @@
         connections::Connections,
         drain::FrontDrain,
         front_suspects::FrontSuspects,
+        history::{History, StoredHistory},
         memory::FrontMemory,
         refusal::Refusal,
         startup_wait::StartupWait,
@@ -26,20 +27,19 @@
             http_server::{self, Body, ServerLimits, full},
             messages::{ControlReply, ControlRequest, ControlUpdate, FollowerState},
             meters,
-            store::StoreClient,
+            store::{StoreClient, StoredChain},
         },
         process::Clock,
         settings::FrontSettings,
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
     quay_policy::{
-        DrainPlan, DrainSettings, FleetQuotaHolder, FleetQuotaSettings, MemoryHolder,
+        DrainPlan, DrainSettings, FleetQuotaHolder, FleetQuotaSettings, MemoryClass, MemoryHolder,
         StandstillClock,
     },
     quay_routes::{Dialect, RoutingTable},
-    quay_turns::TurnRecord,
     quay_types::{AttemptTag, ProgramTag, Time, TurnId},
     rand::Rng as _,
     std::{
@@ -353,20 +353,49 @@
         self.0.memory.cache_if_room(self.now(), key, parts);
     }
 
-    /// Joins the turns of the conversation up to a turn, and caches it if there is room.
-    pub fn join_history(
+    /// The conversation of a chain, up to the turn `id`: whole, and cached, if there is room
+    /// in the cache, otherwise on the stores.
+    pub async fn open_history(
         &self,
         program: ProgramTag,
-        turn: TurnId,
-        turns: &[TurnRecord],
+        id: TurnId,
+        chain: StoredChain,
         holder: Option<MemoryHolder>,
-    ) -> Result<Bytes, Refusal> {
-        let (conversation, cacheable) = self.0.memory.join_history(holder, turns)?;
-        if cacheable {
-            let key = (self.0.stores.group_of(program), turn);
-            self.0.memory.cache(self.now(), key, conversation.clone());
+    ) -> Result<History, Refusal> {
+        let memory = &self.0.memory;
+        let key = (self.0.stores.group_of(program), id);
+        if let Some(turns) = chain.turns() {
+            let (conversation, cacheable) = memory.join_history(holder, turns)?;
+            if cacheable {
+                memory.cache(self.now(), key, conversation.clone());
+            }
+            return Ok(History::Whole(conversation));
+        }
+        let bytes = usize::try_from(chain.bytes()).unwrap_or(usize::MAX);
+        if chain.bytes() <= memory.cache_bytes()
+            && let Ok(guard) = memory.reserve(MemoryClass::Conversations, None, bytes)
+        {
+            let mut joined = BytesMut::with_capacity(bytes);
+            let mut reader = chain.read(&self.0.stores);
+            loop {
+                let page = reader.next().await;
+                if page.is_empty() {
+                    break;
+                }
+                for turn in page {
+                    joined.extend_from_slice(&turn.input);
+                    joined.extend_from_slice(&turn.output);
+                }
+            }
+            let conversation = guard.attach(joined.freeze());
+            memory.cache(self.now(), key, conversation.clone());
+            return Ok(History::Whole(conversation));
         }
-        Ok(conversation)
+        log::info!("event=history_paged turn={id} bytes={bytes}");
+        meters::record_paged_history();
+        let stores = self.0.stores.clone();
+        let history = StoredHistory::new(chain, stores, memory, holder);
+        history.map(History::Stored).map_err(|_| Refusal::NoMemory)
     }
 
     // -----------------------------------------------------------------------
--- a/crates/sapphirequayd/src/gateway/front/host/reports.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/reports.rs
@@ -6,12 +6,12 @@
         front::{
             body_reader::read_response,
             connections::{Lease, SendError},
+            history::ForwardedBody,
             upstreams::SelectedUpstream,
         },
         meters,
         request_body::RequestBody,
     },
-    bytes::Bytes,
     http::HeaderMap,
     indexmap::IndexMap,
     quay_policy::ReportResult,
@@ -130,7 +130,7 @@
         lease: &mut Lease,
     ) -> Result<(Option<Incarnation>, HeaderMap), SendError> {
         let req = self.dialect().report_request(upstream.addr);
-        let req = req.map(|()| RequestBody::from(Bytes::new()));
+        let req = req.map(|()| ForwardedBody::from(RequestBody::default()));
         let (head, body) = lease.send(req).await?.into_parts();
         let mut share = self.buffers().share_for(None);
         let body = read_response(body, &mut share).await;
--- a/crates/sapphirequayd/src/gateway/front/in_flight.rs
+++ b/crates/sapphirequayd/src/gateway/front/in_flight.rs
@@ -1,12 +1,14 @@
 //! Request in flight at an upstream.
 
 use {
-    super::{connections::Lease, host::FrontHost, upstreams::SelectedUpstream},
+    super::{
+        connections::Lease, history::ForwardedBody, host::FrontHost, upstreams::SelectedUpstream,
+    },
     http::HeaderMap,
     quay_policy::RunEnd,
     quay_routes::Dialect,
     quay_types::{RequestContent, Time},
-    std::{cell::Cell, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
 };
 
 /// Silence of an upstream before an abandoned request ends that counts as the
@@ -36,6 +38,8 @@
     last_activity: Cell<Time>,
     /// Whether the upstream's performance is recorded.
     recorded: Cell<bool>,
+    /// Whether the body of the request waits for the stores.
+    waits_for_stores: Rc<Cell<bool>>,
 }
 
 impl<D: Dialect> InFlight<D> {
@@ -53,6 +57,7 @@
             connected: now,
             last_activity: Cell::new(now),
             recorded: Cell::default(),
+            waits_for_stores: Rc::default(),
         }
     }
 
@@ -88,6 +93,17 @@
         self.front.now().since(self.started)
     }
 
+    /// Sets the body that is sent.
+    pub fn set_body(&mut self, body: &ForwardedBody) {
+        self.waits_for_stores = body.waits_for_stores();
+    }
+
+    /// Whether the upstream got only a part of the request, since the stores did not send
+    /// the rest.
+    pub fn waits_for_stores(&self) -> bool {
+        self.waits_for_stores.get()
+    }
+
     /// Records that data came from the upstream.
     pub fn record_activity(&self) {
         let now = self.front.now();
--- a/crates/sapphirequayd/src/gateway/front/memory.rs
+++ b/crates/sapphirequayd/src/gateway/front/memory.rs
@@ -116,6 +116,12 @@
         }
     }
 
+    /// Largest size of a conversation that can be cached, in bytes.
+    #[must_use]
+    pub fn cache_bytes(&self) -> u64 {
+        self.conversations.borrow().max_bytes() as u64
+    }
+
     /// Returns a cached conversation.
     #[must_use]
     pub fn cached(&self, now: Time, key: ConversationKey) -> Option<Bytes> {
--- a/crates/sapphirequayd/src/gateway/front/mod.rs
+++ b/crates/sapphirequayd/src/gateway/front/mod.rs
@@ -10,6 +10,7 @@
 mod drain;
 mod events;
 mod front_suspects;
+mod history;
 mod host;
 mod in_flight;
 mod memory;
--- a/crates/sapphirequayd/src/gateway/front/stream.rs
+++ b/crates/sapphirequayd/src/gateway/front/stream.rs
@@ -69,8 +69,8 @@
     pub prior: Option<TurnId>,
     /// Time for which the turn is stored.
     pub retention: Duration,
-    /// Conversation before the turn.
-    pub history: Bytes,
+    /// Conversation before the turn, unless it is too large for the cache.
+    pub history: Option<Bytes>,
     /// Input that the turn adds.
     pub input: RequestBody,
 }
@@ -304,11 +304,13 @@
         if let Some(reservation) = &mut self.reservation {
             reservation.mark_settled();
         }
-        let mut parts: Vec<&[u8]> = vec![&pending_turn.history];
-        parts.extend(input.iter().map(|it| &**it));
-        parts.push(&output);
-        self.front
-            .cache_if_room(pending_turn.placement, pending_turn.id, &parts);
+        if let Some(history) = &pending_turn.history {
+            let mut parts: Vec<&[u8]> = vec![history];
+            parts.extend(input.iter().map(|it| &**it));
+            parts.push(&output);
+            self.front
+                .cache_if_room(pending_turn.placement, pending_turn.id, &parts);
+        }
         StreamEnd::Whole
     }
 }
--- a/crates/sapphirequayd/src/gateway/messages.rs
+++ b/crates/sapphirequayd/src/gateway/messages.rs
@@ -11,7 +11,7 @@
     },
     quay_quorum::Member,
     quay_turns::{
-        Charge, ListedTurn, Record, StoreAnnouncement, StoreChange, StoreMap, TurnRecord,
+        ChainPart, Charge, ListedTurn, Record, StoreAnnouncement, StoreChange, StoreMap, TurnRecord,
     },
     quay_types::{
         Announcement, AttemptTag, ContentDigest, GroupId, Incarnation, ProgramTag, RequestRate,
@@ -289,6 +289,9 @@
     /// Writes a charge durably to the programs that it is recorded under, and returns all
     /// charges of those that count.
     ReserveScoped(ScopedId<ProgramTag>, Charge),
+    /// Lists a turn and the turns before it, and returns the oldest of them as far as they fit
+    /// into a reply of a few megabytes.
+    ListChain(TurnId),
 }
 
 /// Reply of a store host.
@@ -323,6 +326,8 @@
     /// recorded under, and whether the store holds every charge that was acknowledged
     /// before it joined, as with [`Self::AllCharges`].
     ScopedCharges(Vec<(ProgramTag, Charge)>, bool),
+    /// Reply to [`StoreOp::ListChain`]: part of the chain, and its oldest turns.
+    ChainPart(ChainPart, Vec<TurnRecord>),
 }
 
 /// Part of the contents of a store.
--- a/crates/sapphirequayd/src/gateway/meters.rs
+++ b/crates/sapphirequayd/src/gateway/meters.rs
@@ -147,6 +147,11 @@
     histogram!("sapphirequay_store_sync_seconds").record(duration);
 }
 
+/// Counts conversations that are sent to upstreams in pages, as they don't fit into the cache.
+pub fn record_paged_history() {
+    counter!("sapphirequay_paged_histories_total").increment(1);
+}
+
 /// Counts turns that a store copied from other stores.
 pub fn record_copied_turns(turns: usize) {
     counter!("sapphirequay_store_copied_turns_total").increment(turns as u64);
--- a/crates/sapphirequayd/src/gateway/store/client.rs
+++ b/crates/sapphirequayd/src/gateway/store/client.rs
@@ -16,12 +16,11 @@
     },
     bytes::Bytes,
     futures_util::future::join_all,
-    indexmap::IndexMap,
     quay_link::{LinkError, LinkRole, Links},
     quay_policy::{OriginLookup, RecordedOrigin, StreamOrigin},
     quay_turns::{
-        Charge, ChargeTally, ChargeVerdict, LookupTally, LookupVerdict, Record, StoreMap,
-        StoreMember, StoreView, TurnRecord, WriteTally, WriteVerdict,
+        Charge, ChargeTally, ChargeVerdict, Record, StoreMap, StoreMember, StoreView, TurnRecord,
+        WriteTally, WriteVerdict,
     },
     quay_types::{AttemptTag, ContentDigest, GroupId, ProgramTag, ScopedId, Tokens, TurnId},
     std::{cell::RefCell, collections::HashSet, net::SocketAddr, rc::Rc, time::Duration},
@@ -66,17 +65,6 @@
     Undetermined,
 }
 
-/// Result of looking up a turn and its predecessors.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum TurnLookup {
-    /// The turn and all its predecessors, oldest first.
-    Found(Vec<TurnRecord>),
-    /// No store holds the turn or one of its predecessors.
-    Absent,
-    /// Too few stores answered to decide.
-    Undetermined,
-}
-
 /// Client of the stores in the current map. Clones share the map and the path to
 /// the stores.
 #[derive(Debug, Clone)]
@@ -130,7 +118,7 @@
         self.map.borrow().version
     }
 
-    fn map(&self) -> Rc<StoreMap> {
+    pub(super) fn map(&self) -> Rc<StoreMap> {
         Rc::clone(&self.map.borrow())
     }
 
@@ -140,7 +128,7 @@
     }
 
     /// Current view of a group; empty if it is unknown.
-    fn view(&self, group: GroupId) -> Rc<StoreView> {
+    pub(super) fn view(&self, group: GroupId) -> Rc<StoreView> {
         let views = self.views.borrow();
         views.get(usize::from(group.0)).cloned().unwrap_or_default()
     }
@@ -187,7 +175,7 @@
     // Path to the stores
 
     /// Sends a request to one store, directly or through a relay.
-    async fn ask_store(
+    pub(super) async fn ask_store(
         &self,
         addr: SocketAddr,
         target: StoreTarget,
@@ -333,7 +321,7 @@
         timeout(limit, attempts).await.is_ok()
     }
 
-    async fn write_once(&self, program: ProgramTag, op: &EncodedOp) -> bool {
+    pub(super) async fn write_once(&self, program: ProgramTag, op: &EncodedOp) -> bool {
         let group = self.group_of(program);
         let view = self.view(group);
         let mut tally = WriteTally::new(&view);
@@ -522,127 +510,9 @@
         lookup.result()
     }
 
-    // -----------------------------------------------------------------------
-    // Reads
-
-    /// Looks up a turn that a program continues from, and all its predecessors,
-    /// with retries within `limit`.
-    pub async fn lookup_turns(
-        &self,
-        program: ProgramTag,
-        last: TurnId,
-        limit: Duration,
-    ) -> TurnLookup {
-        let attempts = async {
-            let mut backoff = Backoff::default();
-            loop {
-                match self.turns_once(program, last).await {
-                    TurnLookup::Undetermined => backoff.wait().await,
-                    found => return found,
-                }
-            }
-        };
-        timeout(limit, attempts)
-            .await
-            .unwrap_or(TurnLookup::Undetermined)
-    }
-
-    /// Looks a turn up in the group of the program, and in the other groups if
-    /// it is absent there: a program may continue from a turn of another one.
-    async fn turns_once(&self, program: ProgramTag, last: TurnId) -> TurnLookup {
-        let own = self.group_of(program);
-        let found = self.turns_in_group((own, program), last).await;
-        if found != TurnLookup::Absent {
-            return found;
-        }
-        let (tx, mut rx) = mpsc::unbounded_channel();
-        for (group, _) in self.map().iter().filter(|(group, _)| *group != own) {
-            let (client, tx) = (self.clone(), tx.clone());
-            spawn_local(async move {
-                let _ = tx.send(client.turns_in_group((group, program), last).await);
-            });
-        }
-        drop(tx);
-        let mut outcome = TurnLookup::Absent;
-        while let Some(found) = rx.recv().await {
-            match found {
-                TurnLookup::Found(turns) => return self.adopt_turns(program, turns).await,
-                TurnLookup::Absent => {}
-                TurnLookup::Undetermined => outcome = TurnLookup::Undetermined,
-            }
-        }
-        outcome
-    }
-
-    /// Copies turns of another group to the program's own, which from now on
-    /// keeps them as long as the turns that continue from them.
-    async fn adopt_turns(&self, program: ProgramTag, turns: Vec<TurnRecord>) -> TurnLookup {
-        let group = self.group_of(program);
-        log::info!("event=turns_adopted group={group} turns={}", turns.len());
-        let records = turns.iter().cloned().map(Record::Turn);
-        let op = encode(&StoreOp::Write(records.collect()));
-        match op {
-            Some(op) if self.write_once(program, &op).await => TurnLookup::Found(turns),
-            _ => TurnLookup::Undetermined,
-        }
-    }
-
-    async fn turns_in_group(
-        &self,
-        (group, program): (GroupId, ProgramTag),
-        last: TurnId,
-    ) -> TurnLookup {
-        let view = self.view(group);
-        let mut held = IndexMap::new();
-        if let Some(likely) = self.likely_holder(&view, program) {
-            let target = target(group, &view, likely);
-            if let Some(op) = encode(&StoreOp::Chain(last))
-                && let Ok(StoreReply::Chain(turns, _)) =
-                    self.ask_store(likely.addr, target, op).await
-            {
-                insert_turns(&mut held, turns);
-            }
-        }
-        let mut missing = last;
-        loop {
-            match check_complete(&held, missing) {
-                Ok(()) => return chain_ending_with(&held, last),
-                Err(next) => missing = next,
-            }
-            let mut tally = LookupTally::new(&view);
-            let Some(op) = encode(&StoreOp::Chain(missing)) else {
-                return TurnLookup::Undetermined;
-            };
-            let mut replies = GroupRequest::with_all(self, (group, program), &view, op);
-            while !held.contains_key(&missing) && tally.verdict() == LookupVerdict::Pending {
-                match replies.next().await {
-                    Some((identity, Some(StoreReply::Chain(turns, _)))) => {
-                        if turns.is_empty() {
-                            tally.not_found(identity);
-                        }
-                        insert_turns(&mut held, turns);
-                    }
-                    Some((identity, _)) => tally.failed(identity),
-                    None => return TurnLookup::Undetermined,
-                }
-            }
-            if !held.contains_key(&missing) {
-                // A turn that another one continues from has existed.
-                if missing != last {
-                    log::warn!("event=turn_missing group={group} turn={missing:?}");
-                    return TurnLookup::Undetermined;
-                }
-                return match tally.verdict() {
-                    LookupVerdict::Absent => TurnLookup::Absent,
-                    _ => TurnLookup::Undetermined,
-                };
-            }
-        }
-    }
-
     /// A whole member that usually holds every record of a program, in the local
     /// data centre if there is one.
-    fn likely_holder<'a>(
+    pub(super) fn likely_holder<'a>(
         &self,
         view: &'a StoreView,
         program: ProgramTag,
@@ -667,10 +537,10 @@
 
 /// Exponential back-off between retries; the field counts the retries so far.
 #[derive(Debug, Default)]
-struct Backoff(u32);
+pub(super) struct Backoff(u32);
 
 impl Backoff {
-    async fn wait(&mut self) {
+    pub(super) async fn wait(&mut self) {
         let backoff = FIRST_BACKOFF * (1 << self.0.min(4));
         self.0 += 1;
         sleep(backoff.min(MAX_BACKOFF)).await;
@@ -687,7 +557,7 @@
     }
 }
 
-fn encode(op: &StoreOp) -> Option<EncodedOp> {
+pub(super) fn encode(op: &StoreOp) -> Option<EncodedOp> {
     logged(EncodedOp::of(op))
 }
 
@@ -695,29 +565,3 @@
     let failed = |err: &LinkError| log::error!("event=store_op_unencoded cause={err:?}");
     encoded.inspect_err(failed).ok()
 }
-
-fn insert_turns(held: &mut IndexMap<TurnId, TurnRecord>, turns: Vec<TurnRecord>) {
-    held.extend(turns.into_iter().map(|turn| (turn.id, turn)));
-}
-
-/// Follows the predecessors of a turn. Returns the first turn that is not held
-/// as the error.
-fn check_complete(held: &IndexMap<TurnId, TurnRecord>, from: TurnId) -> Result<(), TurnId> {
-    let mut next = Some(from);
-    while let Some(id) = next {
-        next = held.get(&id).ok_or(id)?.prior;
-    }
-    Ok(())
-}
-
-/// The chain of turns that ends with `last`, oldest first.
-fn chain_ending_with(held: &IndexMap<TurnId, TurnRecord>, last: TurnId) -> TurnLookup {
-    let mut turns = Vec::new();
-    let mut next = Some(last);
-    while let Some(turn) = next.and_then(|id| held.get(&id)) {
-        turns.push(turn.clone());
-        next = turn.prior;
-    }
-    turns.reverse();
-    TurnLookup::Found(turns)
-}
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -64,6 +64,10 @@
 /// turn alone is larger. The store holds several copies of a reply while it sends it.
 const MAX_FETCH_BYTES: u64 = 2 << 20;
 
+/// Maximum size of the turns in the replies to [`StoreOp::Chain`] and [`StoreOp::Fetch`],
+/// which hosts of earlier versions send, in bytes; less than a frame of a link.
+const MAX_REPLY_BYTES: u64 = 31 << 20;
+
 /// Maximum number of programs in one list reply.
 const MAX_LIST_PROGRAMS: usize = 256;
 
@@ -263,8 +267,9 @@
                 StoreReply::ScopedCharges(charges, self.joins_with_all_charges(group, joined))
             }
             StoreOp::Chain(turn) => self.chain(group, turn).await,
+            StoreOp::ListChain(turn) => self.list_chain(group, turn).await,
             StoreOp::FenceEpoch => StoreReply::Synced,
-            StoreOp::Fetch(turns) => self.fetch(group, &turns, u64::MAX).await,
+            StoreOp::Fetch(turns) => self.fetch(group, &turns, MAX_REPLY_BYTES).await,
             StoreOp::FetchSome(turns) => self.fetch(group, &turns, MAX_FETCH_BYTES).await,
             StoreOp::List { turns, programs } => self.list(group, turns, programs),
             StoreOp::ListTurns(after) => {
@@ -288,12 +293,38 @@
     async fn chain(&self, group: GroupId, turn: TurnId) -> StoreReply {
         let chain = self.group(group).chain(turn);
         let locations = chain.locations.into_iter().map(|(_, location)| location);
+        let bytes: u64 = locations.clone().map(|it| u64::from(it.len)).sum();
+        if bytes > MAX_REPLY_BYTES {
+            log::warn!("event=store_chain_too_large group={group} turn={turn} bytes={bytes}");
+            return StoreReply::Refused;
+        }
         match self.read_turns(locations.collect()).await {
             Some(turns) => StoreReply::Chain(turns, chain.missing),
             None => StoreReply::Refused,
         }
     }
 
+    /// Lists a turn and its predecessors, and returns the oldest of them that fit into a page.
+    async fn list_chain(&self, group: GroupId, turn: TurnId) -> StoreReply {
+        let (part, locations) = {
+            let held = self.group(group);
+            let part = held.chain_part(turn, MAX_LIST_TURNS);
+            let oldest = part.links.iter().rev();
+            let mut bytes = 0;
+            let locations = oldest.map_while(|link| {
+                bytes += link.bytes;
+                let fits = bytes <= MAX_FETCH_BYTES;
+                fits.then(|| held.location(link.id)).flatten()
+            });
+            let locations: Vec<RecordLocation> = locations.collect();
+            (part, locations)
+        };
+        match self.read_turns(locations).await {
+            Some(turns) => StoreReply::ChainPart(part, turns),
+            None => StoreReply::Refused,
+        }
+    }
+
     /// Returns those of `turns` that are held, from the first one on, up to `max_bytes`
     /// but at least one.
     async fn fetch(&self, group: GroupId, turns: &[TurnId], max_bytes: u64) -> StoreReply {
--- a/crates/sapphirequayd/src/gateway/store/mod.rs
+++ b/crates/sapphirequayd/src/gateway/store/mod.rs
@@ -1,5 +1,6 @@
 //! The store role: keeps turns and charges of programs on disk.
 
+mod chain;
 mod client;
 mod copy;
 mod encoded_op;
@@ -11,7 +12,8 @@
 mod stream_origins;
 
 pub use {
-    client::{ReserveOutcome, StoreClient, TurnLookup},
+    chain::{StoredChain, TurnLookup},
+    client::{ReserveOutcome, StoreClient},
     encoded_op::{EncodedOp, StoreTarget},
     group_request::SlowMembers,
     host::StoreHost,
