Fronts: a stream that is taken up goes on at the service that began it

Cause: a request without a program is a program of its own by its id, which the take-up does not share. So its service was drawn anew, no record was asked for, and the stream went on at the only version of the service that was drawn.

Change: the origin of each stream is recorded under its content, which without a program also chooses the stores. A take-up goes on at the recorded service, if the route still leads there. Without a record the only version decides only where the route has had one service for as long as streams are recorded (quay_policy::StreamServices, RoutingTable::moved_routes).

Why it works: the service follows the record in place of a second draw, and where there is no record, only streams go on that can have begun nowhere else.

Evidence: the two new tests of resumed_streams fail on (a stream joined from two versions, on a split and on a moved route) and pass now.

--- a/crates/quay_policy/src/guard/mod.rs
+++ b/crates/quay_policy/src/guard/mod.rs
@@ -33,7 +33,9 @@
     },
     named_runs::{NamedRuns, ReportResult},
     quota::{QuotaAllocator, QuotaHolder, QuotaLease, QuotaSettings},
-    resume::{OriginLookup, RecordedOrigin, ResumeFacts, ResumeRefusal, StreamTerms},
+    resume::{
+        OriginLookup, RecordedOrigin, ResumeFacts, ResumeRefusal, StreamServices, StreamTerms,
+    },
     retry::{RetryBudgets, RetrySettings},
     service_versions::{ServiceVersion, ServiceVersions, VersionRegistry, VersionsSeen},
     stream_origin::StreamOrigin,
--- a/crates/quay_policy/src/guard/resume.rs
+++ b/crates/quay_policy/src/guard/resume.rs
@@ -123,6 +123,37 @@
     }
 }
 
+/// Services at which the stream of a request may have begun.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamServices {
+    /// Service that was drawn for the request that takes the stream up.
+    pub drawn: ServiceId,
+    /// Services that get requests of the route.
+    pub targets: Box<[ServiceId]>,
+    /// Whether the route had other services lately.
+    pub moved: bool,
+}
+
+impl StreamServices {
+    /// Service at which the stream goes on: the one that began it, if the route still leads
+    /// there. Otherwise the drawn one, for which a record of another service does not count.
+    #[must_use]
+    pub fn service(&self, recorded: &RecordedOrigin) -> ServiceId {
+        match recorded {
+            RecordedOrigin::Found(origin) if self.targets.contains(&origin.service) => {
+                origin.service
+            }
+            _ => self.drawn,
+        }
+    }
+
+    /// Whether a stream without a record has begun at the drawn service.
+    #[must_use]
+    pub fn is_only_one(&self) -> bool {
+        !self.moved && self.targets.iter().all(|it| *it == self.drawn)
+    }
+}
+
 /// What an entry knows of a stream that a caller takes up again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ResumeFacts {
--- a/crates/quay_policy/src/lib.rs
+++ b/crates/quay_policy/src/lib.rs
@@ -39,9 +39,9 @@
         QuotaHolder, QuotaLease, QuotaReply, QuotaReport, QuotaRequest, QuotaSettings, QuotaUse,
         QuotaView, RecordedOrigin, ReportResult, Requirements, ResumeFacts, ResumeRefusal,
         RetryBudgets, RetrySettings, RunEnd, ServiceVersion, ServiceVersions, StandstillClock,
-        StreamOrigin, StreamTerms, SuspectCommand, SuspectEvent, SuspectRegistry, SuspectReply,
-        SuspectSettings, TurnCaller, TurnKey, TurnOwner, TurnScope, UpstreamFilter, UpstreamRun,
-        VersionRegistry, VersionRollout, VersionRolloutSettings, VersionsSeen,
+        StreamOrigin, StreamServices, StreamTerms, SuspectCommand, SuspectEvent, SuspectRegistry,
+        SuspectReply, SuspectSettings, TurnCaller, TurnKey, TurnOwner, TurnScope, UpstreamFilter,
+        UpstreamRun, VersionRegistry, VersionRollout, VersionRolloutSettings, VersionsSeen,
     },
     memory::{
         CallerConnection, ConnectDecision, ConnectionPhase, EndReason, EndedConnection,
--- a/crates/quay_policy/tests/stream_versions.rs
+++ b/crates/quay_policy/tests/stream_versions.rs
@@ -3,8 +3,8 @@
 use {
     quay_policy::{
         Candidate, Eligibility, OriginLookup, RecordedOrigin, ReportResult, Requirements,
-        ResumeFacts, ResumeRefusal, StreamOrigin, StreamTerms, UpstreamFilter, UpstreamRun,
-        VersionRegistry, VersionRollout, VersionRolloutSettings, VersionsSeen,
+        ResumeFacts, ResumeRefusal, StreamOrigin, StreamServices, StreamTerms, UpstreamFilter,
+        UpstreamRun, VersionRegistry, VersionRollout, VersionRolloutSettings, VersionsSeen,
     },
     quay_types::{Incarnation, RequestRate, ServiceId, SoftwareVersion, Time, UpstreamId},
     std::time::Duration,
@@ -504,3 +504,30 @@
     assert_eq!(terms.check_take_up(), Err(ResumeRefusal::RunsOnce));
     assert!(!terms.can_go_on());
 }
+
+/// Guards against a stream that goes on at a service that did not begin it.
+#[test]
+fn the_record_of_a_stream_decides_at_which_service_it_goes_on() {
+    let (drawn, other) = (ServiceId::of(SERVICE), ServiceId::of("other"));
+    let at = |service| {
+        RecordedOrigin::Found(StreamOrigin {
+            run: FIRST,
+            service,
+            version: version("v1"),
+            sent: NOW,
+        })
+    };
+    let services = |targets: &[ServiceId], moved| StreamServices {
+        drawn,
+        targets: targets.into(),
+        moved,
+    };
+    let split = services(&[drawn, other], false);
+    assert_eq!(split.service(&at(other)), other);
+    assert_eq!(split.service(&RecordedOrigin::Absent), drawn);
+    assert!(!split.is_only_one());
+    let single = services(&[drawn], false);
+    assert_eq!(single.service(&at(other)), drawn);
+    assert!(single.is_only_one());
+    assert!(!services(&[drawn], true).is_only_one());
+}
--- a/crates/quay_routes/src/lib.rs
+++ b/crates/quay_routes/src/lib.rs
@@ -45,5 +45,5 @@
     },
     operator::{OperatorCall, OperatorError, OperatorResponse},
     prompt::{BLOCK_TOKENS, PromptPart, block_hashes, branch_ids, token_count},
-    table::{EdgeLimits, RepeatPolicy, Route, RoutingTable, Service, TableError, Target},
+    table::{EdgeLimits, RepeatPolicy, Route, RouteKey, RoutingTable, Service, TableError, Target},
 };
--- a/crates/quay_routes/src/table.rs
+++ b/crates/quay_routes/src/table.rs
@@ -86,6 +86,21 @@
         self.repeat.is_stream() && self.retention.is_some()
     }
 
+    /// Services that get requests of the route.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let targets = self.targets.iter().filter(|it| it.weight > 0);
+        targets.map(|it| &*it.service)
+    }
+
+    /// Whether another route has the same services, whatever their weights.
+    fn has_services_of(&self, other: &Self) -> bool {
+        let services = |route: &Self| {
+            let services = route.services().map(str::to_owned);
+            services.collect::<HashSet<String>>()
+        };
+        services(self) == services(other)
+    }
+
     /// Selects the service for a request by the random number `draw`.
     ///
     /// The same number selects the same service as long as the weights do not
@@ -146,6 +161,9 @@
     }
 }
 
+/// Host and path prefix of a route, of which a table has only one.
+pub type RouteKey = (Box<str>, Box<str>);
+
 /// Routing tables.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoutingTable {
@@ -264,6 +282,24 @@
         matching.max_by_key(|route| route.prefix.len())
     }
 
+    /// Routes some of whose requests had other services in the table before.
+    #[must_use]
+    pub fn moved_routes(&self, former: &Self) -> Vec<RouteKey> {
+        let own = self.routes.iter().map(|route| (route, route));
+        // Requests of a route that is gone may have come to a more general one.
+        let gone = former.routes.iter().filter_map(|old| {
+            let heir = self.find(&old.host, &old.prefix)?;
+            (heir.prefix != old.prefix).then_some((old, heir))
+        });
+        let moved = own.chain(gone).filter(|(path, route)| {
+            let before = former.find(&path.host, &path.prefix);
+            before.is_some_and(|before| !before.has_services_of(route))
+        });
+        moved
+            .map(|(_, route)| (route.host.clone(), route.prefix.clone()))
+            .collect()
+    }
+
     /// Whether no stream of the named service can have a higher priority than
     /// `priority`. The priority of an account replaces that of a route which is not
     /// public.
--- a/crates/quay_routes/tests/table.rs
+++ b/crates/quay_routes/tests/table.rs
@@ -45,6 +45,44 @@
     assert_eq!(name("c", "/x/"), None);
 }
 
+/// Guards against a stream that is taken for one of the service to which its route has moved.
+#[test]
+fn routes_with_other_services_than_before_are_known() {
+    let to = |name, prefix, services: &[(&str, u32)]| Route {
+        targets: services
+            .iter()
+            .map(|(service, weight)| Target::new(*service, *weight))
+            .collect(),
+        ..route(name, "a", prefix)
+    };
+    let before = table(vec![
+        to("all", "/", &[("s", 1)]),
+        to("split", "/split/", &[("s", 1), ("t", 1)]),
+        to("gone", "/all/gone/", &[("t", 1)]),
+    ]);
+    let moved = |routes| {
+        let moved = table(routes).moved_routes(&before);
+        let prefixes = moved.into_iter().map(|(_, prefix)| prefix);
+        prefixes.collect::<Vec<_>>()
+    };
+    let all = to("all", "/", &[("s", 1)]);
+    let gone = to("gone", "/all/gone/", &[("t", 1)]);
+    let weights = to("split", "/split/", &[("t", 9), ("s", 1), ("u", 0)]);
+    let none: Vec<Box<str>> = Vec::new();
+    assert_eq!(
+        moved(vec![all.clone(), gone.clone(), weights.clone()]),
+        none
+    );
+    assert_eq!(moved(vec![all.clone(), weights.clone()]), ["/".into()]);
+    let single = to("split", "/split/", &[("s", 1)]);
+    assert_eq!(
+        moved(vec![all.clone(), gone.clone(), single]),
+        ["/split/".into()]
+    );
+    let new = to("new", "/new/", &[("t", 1)]);
+    assert_eq!(moved(vec![all, gone, weights, new]), ["/new/".into()]);
+}
+
 #[test]
 fn every_kind_of_invalid_table_is_refused() {
     let valid = table(vec![route("r", "a", "/")]);
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -204,10 +204,8 @@
         check_take_up(head, resumed, stream_terms(route))?;
     }
     check_shutdown(front, route, &deadline)?;
-    let service = route.target(ids.placement().0).ok_or(Refusal::NoUpstream)?;
-    let known = table.service(service);
-    let event_tokens = known.map_or(0, |service| service.event_tokens.into());
-    let memory_tokens = known.map_or(0, |service| service.memory_tokens);
+    let drawn = route.target(ids.placement().0);
+    let drawn = drawn.ok_or(Refusal::NoUpstream)?;
     let limit = table.limits.body_bytes as usize;
     if let Some(account) = caller.account() {
         front.check_quota(account, AttemptTag::of(&head.id).0)?;
@@ -216,16 +214,19 @@
     let body = read_body(front, body, limit, &deadline, &sender).await?;
     let pieces: Vec<&[u8]> = body.segments().map(|it| &**it).collect();
     let content = ids.content_in_pieces(&parts.method, &parts.uri, &pieces);
-    let pool = Pool::of(service);
-    front.wait_for_service(&pool, deadline.at()).await;
-    let version = match resumed {
-        Some(resumed) => {
-            let request = (resumed, content);
-            let version = front.resumable_version(&ids, request, &pool, deadline.at());
-            Some(version.await?)
-        }
-        None => None,
+    let ends = deadline.at();
+    let (service, version) = if let Some(resumed) = resumed {
+        let request = (resumed, content);
+        let point = front.resume_point(&ids, request, (route, drawn), ends);
+        let (service, version) = point.await?;
+        (service, Some(version))
+    } else {
+        front.wait_for_service(&Pool::of(drawn), ends).await;
+        (drawn, None)
     };
+    let known = table.service(service);
+    let event_tokens = known.map_or(0, |service| service.event_tokens.into());
+    let memory_tokens = known.map_or(0, |service| service.memory_tokens);
     let call = Call {
         front,
         head,
--- a/crates/sapphirequayd/src/gateway/front/host.rs
+++ b/crates/sapphirequayd/src/gateway/front/host.rs
@@ -35,11 +35,12 @@
     bytes::{Bytes, BytesMut},
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
+    indexmap::IndexMap,
     quay_policy::{
         DrainPlan, DrainSettings, FleetQuotaHolder, FleetQuotaSettings, MemoryClass, MemoryHolder,
         StandstillClock,
     },
-    quay_routes::{Dialect, RoutingTable},
+    quay_routes::{Dialect, Route, RouteKey, RoutingTable},
     quay_types::{AttemptTag, ProgramTag, Time, TurnId},
     rand::Rng as _,
     std::{
@@ -125,6 +126,8 @@
     buffers: BufferSpace,
     memory: FrontMemory,
     table: RefCell<Option<Rc<RoutingTable>>>,
+    /// Routes, by host and prefix, that got other services, and when.
+    moved_routes: RefCell<IndexMap<RouteKey, Time>>,
     limits: ServerLimits,
     startup: StartupWait,
     /// Time of the last update from the control group.
@@ -176,6 +179,7 @@
             report_turns: ReportTurns::default(),
             buffers: BufferSpace::new(memory.clone()),
             table: RefCell::default(),
+            moved_routes: RefCell::default(),
             limits: ServerLimits {
                 memory: memory.host().clone(),
                 ..ServerLimits::default()
@@ -303,6 +307,13 @@
         self.0.revoke_after
     }
 
+    /// Time since the front saw a route get other services; `None` if it did not.
+    pub fn time_since_move(&self, route: &Route) -> Option<Duration> {
+        let moved = self.0.moved_routes.borrow();
+        let at = moved.get(&(route.host.clone(), route.prefix.clone()))?;
+        Some(self.now().since(*at))
+    }
+
     /// Whether the front is shutting down.
     pub fn draining(&self) -> bool {
         self.0.drain.has_begun()
@@ -477,8 +488,17 @@
             }
         };
         let current = self.table();
-        if current.is_some_and(|current| current.revision >= table.revision) {
-            return;
+        if let Some(current) = &current {
+            if current.revision >= table.revision {
+                return;
+            }
+            let now = self.now();
+            let mut moved = self.0.moved_routes.borrow_mut();
+            moved.retain(|(host, prefix), _| {
+                let route = table.find(host, prefix);
+                route.is_some_and(|route| route.prefix == *prefix)
+            });
+            moved.extend(table.moved_routes(current).into_iter().map(|it| (it, now)));
         }
         log::info!(
             "event=table_in_force revision={} routes={} accounts={}",
--- a/crates/sapphirequayd/src/gateway/front/host/streams.rs
+++ b/crates/sapphirequayd/src/gateway/front/host/streams.rs
@@ -9,10 +9,11 @@
         store::StoreClient,
     },
     futures_util::future::join_all,
-    quay_policy::{RecordedOrigin, ResumeRefusal, StreamOrigin, StreamTerms},
+    quay_policy::{RecordedOrigin, ResumeRefusal, StreamOrigin, StreamServices, StreamTerms},
     quay_routes::{CallHead, CallIds, Dialect, ResumedHead, Route},
     quay_types::{
-        AttemptTag, ContentDigest, ProgramTag, RequestContent, ScopedId, SoftwareVersion, Time,
+        AttemptTag, ContentDigest, ProgramTag, RequestContent, ScopedId, ServiceId,
+        SoftwareVersion, Time,
     },
     std::{pin::pin, time::Duration},
     tokio::{sync::oneshot, task::spawn_local, time::timeout},
@@ -70,8 +71,8 @@
             id: ids.head().id.clone(),
             program: ids.placement(),
             attempts: ids.attempts_named(&ids.head().id),
-            // Without a program the records of two attempts are in different groups.
-            contents: ids.budgets().map(|_| content.scoped()),
+            contents: content.scoped(),
+            contents_at: content_placement(ids, content),
             keep: route.timeout.saturating_mul(KEPT_TIMEOUTS),
         };
         let (tx, rx) = oneshot::channel();
@@ -81,41 +82,51 @@
             let confirm = front.confirm_run(&upstream, connected);
             record.write_confirmed(origin, confirm, tx).await;
         });
-        self.upstreams()
-            .has_several_versions(pool.service)
-            .then_some(rx)
+        // Without a program the same content may be sent to another service.
+        let several_services = ids.budgets().is_none() && route.services().nth(1).is_some();
+        let several = several_services || self.upstreams().has_several_versions(pool.service);
+        several.then_some(rx)
     }
 
-    /// Finds the version at which a stream may go on. If it is not certain, or no
-    /// upstream of it serves, the stream is refused.
-    pub async fn resumable_version(
+    /// Finds the service and the version at which a stream may go on. `drawn` is the service
+    /// for requests that begin. If it is not certain, or no upstream of the version serves,
+    /// the stream is refused.
+    pub async fn resume_point<'r>(
         &self,
         ids: &CallIds<'_>,
         (resumed, content): (&ResumedHead, RequestContent),
-        pool: &Pool<'_>,
+        (route, drawn): (&'r Route, &'r str),
         ends: Time,
-    ) -> Result<SoftwareVersion, Refusal> {
+    ) -> Result<(&'r str, SoftwareVersion), Refusal> {
         let head = ids.head();
         let left = ends.since(self.now()).min(LOOKUP_TIMEOUT);
-        let (stores, program) = (self.stores(), ids.placement());
-        let recorded = match &resumed.first_attempt {
-            Some(first) => {
-                let [own, other] = ids.attempts_named(first).counted();
-                let find = |attempt| stores.find_stream(program, attempt, left);
-                match find(own).await {
-                    RecordedOrigin::Absent => find(other).await,
-                    recorded => recorded,
-                }
-            }
-            None if ids.budgets().is_some() => {
-                let [own, other] = content.scoped().counted();
-                let find = |content| stores.find_content(program, content, left);
-                let (own, other) = tokio::join!(find(own), find(other));
-                own.merge(other)
+        let stores = self.stores();
+        let recorded = if let Some(first) = &resumed.first_attempt {
+            let [own, other] = ids.attempts_named(first).counted();
+            let find = |attempt| stores.find_stream(ids.placement(), attempt, left);
+            match find(own).await {
+                RecordedOrigin::Absent => find(other).await,
+                recorded => recorded,
             }
-            None => RecordedOrigin::Absent,
+        } else {
+            let placement = content_placement(ids, content);
+            let [own, other] = content.scoped().counted();
+            let find = |content| stores.find_content(placement, content, left);
+            let (own, other) = tokio::join!(find(own), find(other));
+            own.merge(other)
+        };
+        let services = StreamServices {
+            drawn: ServiceId::of(drawn),
+            targets: route.services().map(ServiceId::of).collect(),
+            moved: self.has_moved(route),
         };
-        let version = match self.decide_version(pool, resumed, recorded) {
+        let began = services.service(&recorded);
+        let mut targets = route.services();
+        let service = targets.find(|it| ServiceId::of(it) == began);
+        let service = service.unwrap_or(drawn);
+        let pool = &Pool::of(service);
+        self.wait_for_service(pool, ends).await;
+        let version = match self.decide_version(pool, resumed, recorded, &services) {
             Ok(version) => version,
             Err(cause) => {
                 log_decision(head, resumed, None, cause.name());
@@ -135,7 +146,15 @@
         let decision = if serves { "goes_on" } else { "version_gone" };
         log_decision(head, resumed, Some(version), decision);
         meters::record_resumed_stream(decision);
-        serves.then_some(version).ok_or(Refusal::VersionGone)
+        serves
+            .then_some((service, version))
+            .ok_or(Refusal::VersionGone)
+    }
+
+    /// Whether a route had other services within the time for which its streams are recorded.
+    fn has_moved(&self, route: &Route) -> bool {
+        let since = self.time_since_move(route);
+        since.is_some_and(|since| since < route.timeout.saturating_mul(KEPT_TIMEOUTS))
     }
 
     /// Decides by what the stores have recorded and by what this front knows.
@@ -144,16 +163,26 @@
         pool: &Pool<'_>,
         resumed: &ResumedHead,
         recorded: RecordedOrigin,
+        services: &StreamServices,
     ) -> Result<SoftwareVersion, ResumeRefusal> {
         let named = resumed.first_attempt.is_some();
         let mut facts = self.upstreams().resume_facts(pool, named, recorded);
-        if !self.control_is_fresh(self.now()) {
+        if !self.control_is_fresh(self.now()) || !services.is_only_one() {
             facts.only_version = None;
         }
         facts.decide()
     }
 }
 
+/// Program whose stores keep the record of a content. Without a program each attempt has
+/// another one, so the content takes its place.
+fn content_placement(ids: &CallIds<'_>, content: RequestContent) -> ProgramTag {
+    match ids.budgets() {
+        Some(_) => ids.placement(),
+        None => ProgramTag(content.own.to_u64()),
+    }
+}
+
 /// Record of the origin of a stream.
 struct OriginRecord {
     stores: StoreClient,
@@ -161,8 +190,10 @@
     id: Box<str>,
     program: ProgramTag,
     attempts: ScopedId<AttemptTag>,
-    /// Content of the request, if the stream is recorded under it as well.
-    contents: Option<ScopedId<ContentDigest>>,
+    /// Content of the request, under which the stream is recorded as well.
+    contents: ScopedId<ContentDigest>,
+    /// Program whose stores keep that record.
+    contents_at: ProgramTag,
     /// Time for which the record is kept.
     keep: Duration,
 }
@@ -193,12 +224,18 @@
         if !origin.is_version_known() {
             log::info!("event=stream_version_unknown id={}", self.id);
         }
-        let mut contents = self.contents.into_iter().flat_map(ScopedId::recorded);
-        let keys = self.attempts.recorded().map(|it| (it, contents.next()));
-        let records = keys.map(|key| {
+        let keys = self.attempts.recorded().zip(self.contents.recorded());
+        let group = |program| self.stores.group_of(program);
+        let same_group = group(self.program) == group(self.contents_at);
+        let records = keys.flat_map(|(attempt, content)| {
+            let by_content = (self.contents_at, (attempt, Some(content)));
+            let by_attempt = (self.program, (attempt, None));
+            [Some(by_content), (!same_group).then_some(by_attempt)]
+        });
+        let records = records.flatten().map(|(program, key)| {
             let origin = (origin, self.keep);
             self.stores
-                .record_stream(self.program, key, origin, RECORD_TIMEOUT)
+                .record_stream(program, key, origin, RECORD_TIMEOUT)
         });
         if join_all(records).await.contains(&false) {
             log::warn!("event=stream_origin_unrecorded id={}", self.id);
--- a/crates/sapphirequayd/tests/resumed_streams.rs
+++ b/crates/sapphirequayd/tests/resumed_streams.rs
@@ -44,6 +44,8 @@
     silent: &'static str,
     /// Header lines that each request carries, each after a line feed.
     headers: &'static str,
+    /// Service of the upstreams of version 2.
+    newer_service: &'static str,
 }
 
 /// How a caller identifies the stream that it takes up again.
@@ -101,16 +103,22 @@
 
     /// Starts a gateway of three stores, with upstreams of the given names and versions.
     fn start_with(upstreams: &[(&str, &str)]) -> Self {
+        Self::start_on(TABLE, "llm", upstreams)
+    }
+
+    /// The same with another table, and another service for upstreams of version 2.
+    fn start_on(table: &str, newer_service: &'static str, upstreams: &[(&str, &str)]) -> Self {
         let mut site = Self {
             gateway: Gateway::start(3),
             upstreams: Vec::new(),
             shared: Arc::default(),
             silent: "",
             headers: "",
+            newer_service,
         };
         let head = "POST /sapphirequay/config/put HTTP/1.1\nHost: c";
         wait_until("the table is accepted", || {
-            send(site.gateway.controls[0], head, TABLE).is_some_and(|got| got.status == 200)
+            send(site.gateway.controls[0], head, table).is_some_and(|got| got.status == 200)
         });
         // Starts in the past, as those of upstreams that have served for long.
         let born = unix_millis() - 60_000;
@@ -176,8 +184,12 @@
                 "POST /sapphirequay/instances/{}/heartbeat HTTP/1.1\nHost: c",
                 upstream.name
             );
+            let service = match &*upstream.version {
+                "v2" => self.newer_service,
+                _ => "llm",
+            };
             let body = format!(
-                r#"{{"Service":"llm","Address":"{}","Zone":"dc-1","Version":"{}","Slots":16,"State":"ready","Seq":{sequence},"born":{}}}"#,
+                r#"{{"Service":"{service}","Address":"{}","Zone":"dc-1","Version":"{}","Slots":16,"State":"ready","Seq":{sequence},"born":{}}}"#,
                 upstream.addr, upstream.version, upstream.born
             );
             let mut controls = self.gateway.controls.iter();
@@ -445,6 +457,89 @@
     }
 }
 
+/// Sends a stream request of no program, whose content is `name`.
+fn call_without_program(site: &Site, front: usize, name: &str, more: &str) -> Response {
+    let head = format!(
+        "POST /plan/1 HTTP/1.1\nHost: a.example\nX-Sapphirequay-Request-Id: {}\nX-Sapphirequay-Deadline-Ms: 4000{more}",
+        next_id("alone")
+    );
+    send(site.gateway.fronts[front], &head, name).expect("response")
+}
+
+/// Begins streams of no program that break off after their first event. Returns the content
+/// and the version of each.
+fn break_without_program(site: &Site) -> Vec<(String, String)> {
+    site.shared.set_breaks(true);
+    let began = (0..STREAMS).map(|_| {
+        let name = next_id("content");
+        let got = call_without_program(site, 0, &name, "");
+        (name, version_of(&got))
+    });
+    let began = began.collect();
+    site.shared.set_breaks(false);
+    began
+}
+
+const BOTH: [(&str, &str); 4] = [
+    ("old-1", "v1"),
+    ("old-2", "v1"),
+    ("new-1", "v2"),
+    ("new-2", "v2"),
+];
+
+/// A table whose route is for `targets`, where version 2 is of the service `llm-b`.
+fn two_services(version: u32, targets: &str) -> String {
+    let table = TABLE.replacen("\"Version\":1", &format!("\"Version\":{version}"), 1);
+    let table = table.replacen("\"Service\":\"llm\"", targets, 1);
+    table.replacen(
+        "\"Services\":[",
+        "\"Services\":[{\"Name\":\"llm-b\",\"MaxConns\":100,\"Engine\":{\"Slots\":16,\"StrideTokens\":10}},",
+        1,
+    )
+}
+
+const SPLIT: &str = r#""Split":[{"Service":"llm","Weight":50},{"Service":"llm-b","Weight":50}]"#;
+
+/// Guards against a take-up whose service is drawn anew, which joins two services' streams
+/// (review, case 11).
+#[test]
+fn a_stream_of_no_program_goes_on_at_the_service_that_began_it() {
+    let site = Site::start_on(&two_services(1, SPLIT), "llm-b", &BOTH);
+    let streams = break_without_program(&site);
+    for version in ["v1", "v2"] {
+        assert!(streams.iter().any(|(_, it)| it == version), "{version}");
+    }
+    for (name, version) in streams {
+        wait_until("the stream goes on", || {
+            site.announce();
+            let got = call_without_program(&site, 1, &name, "\nLast-Event-Id: 1");
+            assert!([200, 503].contains(&got.status), "{got:?}");
+            assert!(got.status != 200 || version_of(&got) == version, "{name}");
+            got.status == 200
+        });
+    }
+}
+
+/// Guards against a take-up that goes on at the only version of a service to which its route
+/// has moved.
+#[test]
+fn a_stream_does_not_go_on_at_a_service_that_its_route_got_meanwhile() {
+    let site = Site::start_on(&two_services(1, SPLIT), "llm-b", &BOTH);
+    let streams = break_without_program(&site);
+    let moved = two_services(2, r#""Service":"llm-b""#);
+    let head = "POST /sapphirequay/config/put HTTP/1.1\nHost: c";
+    wait_until("the route is moved", || {
+        send(site.gateway.controls[0], head, &moved).is_some_and(|got| got.status == 200)
+    });
+    for (name, version) in streams {
+        site.announce();
+        for front in [0, 1] {
+            let got = call_without_program(&site, front, &name, "\nLast-Event-Id: 1");
+            assert!(got.status != 200 || version_of(&got) == version, "{name}");
+        }
+    }
+}
+
 #[test]
 fn a_stream_of_an_unknown_content_is_refused_beside_a_second_version() {
     let site = Site::start();
