--- a/crates/quay_quorum/src/memory_log.rs
+++ b/crates/quay_quorum/src/memory_log.rs
@@ -68,6 +68,23 @@
         all - end
     }
 
+    /// The last entry up to `through` after which, up to there, come at most `bytes` bytes;
+    /// the base of the log if all retained ones are that small.
+    pub fn last_before_bytes(&self, through: LogIndex, bytes: u64) -> LogIndex {
+        let end = self
+            .offset(through)
+            .and_then(|offset| self.ends.get(offset));
+        let (Some(end), Some(first)) = (end, self.entries.front()) else {
+            return self.base.index;
+        };
+        let start = self.ends[0] - first.bytes() as u64;
+        if end - start <= bytes {
+            return self.base.index;
+        }
+        let before = self.ends.partition_point(|it| end - it.min(end) > bytes);
+        LogIndex(self.base.index.0 + 1 + before as u64)
+    }
+
     /// Returns the entry at an index, if retained.
     pub fn get(&self, index: LogIndex) -> Option<&Entry> {
         self.entries.get(self.offset(index)?)
--- a/crates/quay_quorum/src/replica/mod.rs
+++ b/crates/quay_quorum/src/replica/mod.rs
@@ -471,9 +471,11 @@
     }
 
     /// Compacts the entries that a snapshot covers, except the last
-    /// `Settings::keep_entries`.
+    /// `Settings::keep_entries` of `Settings::keep_bytes`.
     fn on_snapshot_saved(&mut self, index: LogIndex) {
-        let through = LogIndex(index.0.saturating_sub(self.cfg.keep_entries));
+        let by_number = LogIndex(index.0.saturating_sub(self.cfg.keep_entries));
+        let by_size = self.log.last_before_bytes(index, self.cfg.keep_bytes);
+        let through = by_number.max(by_size);
         if through > self.log.base().index && index <= self.applied {
             self.log.compact(through);
         }
--- a/crates/quay_quorum/src/settings.rs
+++ b/crates/quay_quorum/src/settings.rs
@@ -50,6 +50,9 @@
     /// Number of entries covered by a snapshot that stay in memory, so that
     /// peers that lag slightly need no snapshot.
     pub keep_entries: u64,
+    /// Size of these entries at most, in bytes. A snapshot is smaller than the entries of
+    /// a peer that lags by more.
+    pub keep_bytes: u64,
     /// Maximum number of entries that a learner may lack when it is promoted.
     pub max_promotion_lag: u64,
     /// Size of the entries that may wait in a leader's memory, in bytes. While more wait
@@ -73,6 +76,7 @@
             max_batch_bytes: 256 << 10,
             max_in_flight: 8,
             keep_entries: 4_096,
+            keep_bytes: 8 << 20,
             max_promotion_lag: 64,
             max_waiting_bytes: 16 << 20,
             mutation: Mutation::None,
--- a/crates/quay_quorum/tests/replica.rs
+++ b/crates/quay_quorum/tests/replica.rs
@@ -390,10 +390,17 @@
 /// A leader whose entries are compacted, with a follower that has answered everything
 /// so far.
 fn leader_with_compacted_log() -> (Replica, Time) {
-    let cfg = Settings {
+    let (mut replica, now) = leader_with(Settings {
         keep_entries: 0,
         ..Settings::default()
-    };
+    });
+    step(&mut replica, now, Input::SnapshotSaved(LogIndex(1)));
+    assert_eq!(replica.compacted_through().index, LogIndex(1));
+    (replica, now)
+}
+
+/// A leader with these settings, whose first entry is committed.
+fn leader_with(cfg: Settings) -> (Replica, Time) {
     let mut replica = Replica::bootstrap(NodeId(1), three_voters(), cfg, 1, Time::ZERO);
     let now = replica.deadline();
     step(&mut replica, now, Input::Tick);
@@ -408,8 +415,6 @@
     let outcome = AppendOutcome::Matched(LogIndex(1));
     let matched = Message::AppendReply { term, outcome };
     step(&mut replica, now, message(2, matched));
-    step(&mut replica, now, Input::SnapshotSaved(LogIndex(1)));
-    assert_eq!(replica.compacted_through().index, LogIndex(1));
     (replica, now)
 }
 
@@ -482,3 +487,32 @@
         "an acknowledged snapshot is not sent again"
     );
 }
+
+/// Guards against entries that stay in memory whatever their size, although a snapshot
+/// covers them (review, case 15).
+#[test]
+fn entries_that_a_snapshot_covers_are_kept_up_to_a_size() {
+    const ENTRY_BYTES: usize = 1_000;
+    let kept = |keep_bytes: u64| {
+        let cfg = Settings {
+            keep_bytes,
+            ..Settings::default()
+        };
+        let (mut replica, now) = leader_with(cfg);
+        let term = Epoch(1);
+        for tag in 0..100 {
+            let command = vec![0; ENTRY_BYTES].into();
+            step(&mut replica, now, Input::Propose { tag, command });
+        }
+        let last = replica.status().last.index;
+        let outcome = AppendOutcome::Matched(last);
+        let matched = Message::AppendReply { term, outcome };
+        step(&mut replica, now, message(2, matched));
+        step(&mut replica, now, Input::SnapshotSaved(last));
+        last.0 - replica.compacted_through().index.0
+    };
+    assert_eq!(kept(1 << 20), 101, "all entries fit, with that of the term");
+    let few = kept(10 * ENTRY_BYTES as u64);
+    assert!((9..=10).contains(&few), "{few} entries are kept");
+    assert_eq!(kept(0), 0);
+}
