Stores: a budget for the memory of requests and replies

Cause: a store had no budget. Long requests were bounded by number only, 8 for each peer, and replies by nothing; a turn is held as it arrives and decoded, then decoded and in a batch for the disk.

Change: [store] memory_mb bounds what is served at a time. quay_link reads a peer's long request once there is memory for it (FrameMemory), and the rest waits behind flow control. What a reply brings is reserved before it is read, until it is sent.

The test of quay_link shows that long requests wait and short ones pass by.

--- a/crates/quay_link/src/accept.rs
+++ b/crates/quay_link/src/accept.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        Incoming, IncomingCall, LinkError,
+        FrameMemory, Incoming, IncomingCall, LinkError, LinkStream,
         calls::{CALL_STREAM_PREFIX, serve_calls},
+        frame::body_bytes,
         identity::{Holder, certificate_holder},
         stop::{HeldServing, Serving},
         transfer::{read_body, read_prefix, spawn_transfer},
@@ -25,6 +26,8 @@
     pub(crate) calls: Option<mpsc::Sender<IncomingCall>>,
     /// Time within which a frame must arrive.
     pub(crate) receive_timeout: Duration,
+    /// Memory for long first frames.
+    pub(crate) frame_memory: Option<FrameMemory>,
     /// Tells when to stop.
     pub(crate) serving: Serving,
 }
@@ -35,6 +38,7 @@
             accept: Arc::clone(&self.accept),
             calls: self.calls.clone(),
             receive_timeout: self.receive_timeout,
+            frame_memory: self.frame_memory.clone(),
             serving: self.serving.clone(),
         }
     }
@@ -87,26 +91,32 @@
             if prefix == CALL_STREAM_PREFIX && takes_calls {
                 return Ok(None);
             }
-            read_body(&mut recv, prefix).await.map(Some)
+            let memory = match &self.frame_memory {
+                Some(memory) => memory.reserve(body_bytes(prefix)?).await,
+                None => None,
+            };
+            let body = read_body(&mut recv, prefix).await?;
+            Ok(Some((body, memory)))
         };
         let first: Result<Result<_, LinkError>, Elapsed> = tokio::select! {
             first = timeout(self.receive_timeout, first) => first,
             () = self.serving.stopped() => return,
         };
         match (first, self.calls) {
-            (Ok(Ok(Some(first))), _) => (self.accept)(Incoming {
-                roles: holder.roles,
-                holder: holder.name,
-                addr,
-                first,
-                stream: spawn_transfer(
-                    send,
-                    recv,
-                    self.receive_timeout,
-                    HeldServing::new(self.serving),
-                    false,
-                ),
-            }),
+            (Ok(Ok(Some((first, memory)))), _) => {
+                let serving = HeldServing::new(self.serving);
+                let stream = spawn_transfer(send, recv, self.receive_timeout, serving, false);
+                (self.accept)(Incoming {
+                    roles: holder.roles,
+                    holder: holder.name,
+                    addr,
+                    first,
+                    stream: LinkStream {
+                        _memory: memory,
+                        ..stream
+                    },
+                });
+            }
             (Ok(Ok(None)), Some(calls)) => {
                 serve_calls(connection, send, recv, (calls, self.serving)).await;
             }
--- a/crates/quay_link/src/calls.rs
+++ b/crates/quay_link/src/calls.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::{
-        Encoded, Frame, LinkError,
+        Encoded, Frame, FramePermit, LinkError,
         frame::{MAX_FRAME_BYTES, encoded_len},
         stop::Serving,
     },
@@ -73,11 +73,21 @@
     taken: Notify,
 }
 
+/// Reply on a stream of its own.
+#[derive(Debug)]
+struct LargeReply {
+    /// Id of the call.
+    id: u32,
+    body: Encoded,
+    /// Memory of the reply, until it is sent.
+    _memory: Option<FramePermit>,
+}
+
 #[derive(Debug, Default)]
 struct Queued {
     bytes: Vec<u8>,
     /// Replies that are sent on streams of their own, with the ids of their calls.
-    large: Vec<(u32, Encoded)>,
+    large: Vec<LargeReply>,
     /// Number of the peer's calls that are not answered yet.
     unanswered: usize,
     /// Whether the stream ends once all calls are answered and the queue is sent.
@@ -157,8 +167,8 @@
         }
     }
 
-    fn push_large(&self, id: u32, body: Encoded) {
-        lock(&self.state).large.push((id, body));
+    fn push_large(&self, reply: LargeReply) {
+        lock(&self.state).large.push(reply);
         self.queued.notify_one();
     }
 
@@ -203,8 +213,8 @@
                 let ends = queued.finished && queued.unanswered == 0;
                 (bytes, large, ends)
             };
-            for (id, body) in large {
-                large_sends.spawn(send_large(connection.clone(), id, body));
+            for reply in large {
+                large_sends.spawn(send_large(connection.clone(), reply));
             }
             while large_sends.try_join_next().is_some() {}
             if !bytes.is_empty() {
@@ -234,11 +244,11 @@
 }
 
 /// Sends a long reply on a stream of its own.
-async fn send_large(connection: Connection, id: u32, body: Encoded) {
+async fn send_large(connection: Connection, reply: LargeReply) {
     let sent = async {
         let mut send = connection.open_uni().await.map_err(|err| broken(&err))?;
-        let mut chunks = vec![Bytes::copy_from_slice(&id.to_le_bytes())];
-        chunks.extend_from_slice(body.chunks());
+        let mut chunks = vec![Bytes::copy_from_slice(&reply.id.to_le_bytes())];
+        chunks.extend_from_slice(reply.body.chunks());
         send.write_all_chunks(&mut chunks)
             .await
             .map_err(|err| broken(&err))?;
@@ -524,14 +534,31 @@
     /// [`LinkError::TooLarge`] if the reply exceeds
     /// [`MAX_FRAME_BYTES`], [`LinkError::Broken`] if
     /// the stream has ended.
-    pub fn reply(mut self, reply: &impl Serialize) -> Result<(), LinkError> {
+    pub fn reply(self, reply: &impl Serialize) -> Result<(), LinkError> {
+        self.reply_holding(reply, None)
+    }
+
+    /// Queues the reply. `memory` is held until it is sent.
+    ///
+    /// # Errors
+    ///
+    /// As [`IncomingCall::reply`].
+    pub fn reply_holding(
+        mut self,
+        reply: &impl Serialize,
+        memory: Option<FramePermit>,
+    ) -> Result<(), LinkError> {
         let large = self.outbox.push_reply(self.id, reply)?;
         if let Some(body) = large {
             let bytes = body.len();
             if bytes > MAX_FRAME_BYTES {
                 return Err(LinkError::TooLarge { bytes });
             }
-            self.outbox.push_large(self.id, body);
+            self.outbox.push_large(LargeReply {
+                id: self.id,
+                body,
+                _memory: memory,
+            });
         }
         self.answered = true;
         Ok(())
--- a/crates/quay_link/src/endpoint.rs
+++ b/crates/quay_link/src/endpoint.rs
@@ -31,6 +31,10 @@
 /// Upper bound of MTU discovery in bytes; fits paths with jumbo frames.
 const MAX_DATAGRAM_BYTES: u16 = 8_900;
 
+/// Bytes of a request that arrive while it waits for memory: several times what a link
+/// carries in a round trip.
+const UNREAD_WINDOW_BYTES: VarInt = VarInt::from_u32(256 << 10);
+
 /// Initial congestion window in bytes: about the bandwidth-delay product of a
 /// 600 Mbit/s path between data centres.
 const INITIAL_WINDOW_BYTES: u64 = 200_000;
@@ -92,6 +96,9 @@
     congestion.initial_window(INITIAL_WINDOW_BYTES);
     transport.congestion_controller_factory(Arc::new(congestion));
     transport.keep_alive_interval(keep_alive);
+    if settings.frame_memory.is_some() {
+        transport.stream_receive_window(UNREAD_WINDOW_BYTES);
+    }
     transport.max_concurrent_bidi_streams(VarInt::from_u32(settings.max_streams));
     let reply_streams = keep_alive.map_or(0, |_| MAX_REPLY_STREAMS);
     transport.max_concurrent_uni_streams(VarInt::from_u32(reply_streams));
--- a/crates/quay_link/src/lib.rs
+++ b/crates/quay_link/src/lib.rs
@@ -33,6 +33,7 @@
 mod endpoint;
 mod error;
 mod frame;
+mod frame_memory;
 mod identity;
 mod keys;
 mod links;
@@ -44,6 +45,7 @@
     calls::IncomingCall,
     error::LinkError,
     frame::{Encoded, Frame, MAX_FRAME_BYTES},
+    frame_memory::{FrameMemory, FramePermit},
     identity::{Identity, LinkRole},
     keys::{DevelopmentKeys, KeyFiles},
     links::{Incoming, LinkSettings, Links},
--- a/crates/quay_link/src/links.rs
+++ b/crates/quay_link/src/links.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Encoded, Frame, Identity, IncomingCall, LinkError, LinkRole, LinkStream,
+        Encoded, Frame, FrameMemory, Identity, IncomingCall, LinkError, LinkRole, LinkStream,
         accept::Acceptor,
         calls::CallStream,
         endpoint::{ALPN_CALLS, bind, client_config, server_config},
@@ -53,6 +53,8 @@
     /// Where calls of peers are queued; `None` if the endpoint takes none. Peers that
     /// have too many calls wait while it is full.
     pub calls: Option<mpsc::Sender<IncomingCall>>,
+    /// Memory for long requests of peers; without a limit if `None`.
+    pub frame_memory: Option<FrameMemory>,
 }
 
 impl LinkSettings {
@@ -68,6 +70,7 @@
             receive_timeout: Duration::from_secs(5),
             max_streams: 1_024,
             calls: None,
+            frame_memory: None,
         }
     }
 }
@@ -391,6 +394,7 @@
             accept: Arc::new(accept),
             calls: settings.calls.clone(),
             receive_timeout: settings.receive_timeout,
+            frame_memory: settings.frame_memory.clone(),
             serving,
         };
         tokio::spawn(acceptor.accept_connections(endpoint.clone()));
--- a/crates/quay_link/src/stream.rs
+++ b/crates/quay_link/src/stream.rs
@@ -1,7 +1,7 @@
 //! Stream of frames with blocking and asynchronous methods.
 
 use {
-    crate::{Encoded, Frame, LinkError, stop::HeldServing},
+    crate::{Encoded, Frame, FramePermit, LinkError, stop::HeldServing},
     bytes::Bytes,
     serde::{Serialize, de::DeserializeOwned},
     tokio::sync::{mpsc, oneshot},
@@ -24,6 +24,8 @@
     pub(crate) rx: mpsc::Receiver<Result<Frame, LinkError>>,
     /// Held by a stream of a peer for as long as the stop of the endpoint waits for it.
     pub(crate) serving: HeldServing,
+    /// Memory of a peer's long request, until it is answered.
+    pub(crate) _memory: Option<FramePermit>,
 }
 
 impl LinkStream {
--- a/crates/quay_link/src/transfer.rs
+++ b/crates/quay_link/src/transfer.rs
@@ -33,6 +33,7 @@
         tx: out_tx,
         rx: in_rx,
         serving,
+        _memory: None,
     }
 }
 
--- a/crates/quay_link/tests/calls.rs
+++ b/crates/quay_link/tests/calls.rs
@@ -3,7 +3,8 @@
 use {
     bytes::Bytes,
     quay_link::{
-        DevelopmentKeys, Encoded, Incoming, IncomingCall, LinkError, LinkRole, LinkSettings, Links,
+        DevelopmentKeys, Encoded, FrameMemory, Incoming, IncomingCall, LinkError, LinkRole,
+        LinkSettings, Links,
     },
     std::{
         net::{Ipv4Addr, SocketAddr},
@@ -32,6 +33,11 @@
 impl Pair {
     /// Starts two hosts. Without `takes_calls` the server is of the previous version.
     fn start(takes_calls: bool) -> Self {
+        Self::start_with(takes_calls, None)
+    }
+
+    /// The same with a bound of the memory for long requests.
+    fn start_with(takes_calls: bool, frame_memory: Option<FrameMemory>) -> Self {
         let keys = DevelopmentKeys::generate().expect("keys");
         let settings = |role| LinkSettings {
             idle_timeout: NEVER,
@@ -43,6 +49,7 @@
         let server = LinkSettings {
             listen: Some((Ipv4Addr::LOCALHOST, 0).into()),
             calls: takes_calls.then_some(calls_tx),
+            frame_memory,
             ..settings(LinkRole::Ledger)
         };
         let server = Links::start_on_runtime(server, move |incoming| {
@@ -124,6 +131,33 @@
     exchanged.await.expect("all calls are answered");
 }
 
+/// Guards against a host that reads all the long requests that its peers send at once, whatever
+/// its memory (review, case 14).
+#[tokio::test]
+async fn long_requests_wait_until_there_is_memory_for_them() {
+    const BYTES: usize = 100_000;
+    let memory = FrameMemory::new(3 * BYTES as u64 / 2);
+    let mut pair = Pair::start_with(true, Some(memory));
+    let mut sent = JoinSet::new();
+    for number in 0..4 {
+        sent.spawn(pair.call(number, BYTES));
+    }
+    for left in (0..4).rev() {
+        let incoming = pair.streams.recv().await.expect("a request");
+        let next = timeout(Duration::from_millis(300), pair.streams.recv()).await;
+        assert!(next.is_err(), "one is served, {left} wait");
+        // What is short passes by.
+        let short = tokio::spawn(pair.call(9, 1));
+        echo(pair.calls.recv().await.expect("call"));
+        assert_eq!(short.await.expect("task").expect("reply"), [9]);
+        let req: Vec<u32> = incoming.first.decode().expect("request");
+        incoming.stream.send_async(&req).await.expect("reply");
+        drop(incoming);
+        let reply = sent.join_next().await.expect("a call").expect("task");
+        assert_eq!(reply.expect("reply").len(), BYTES);
+    }
+}
+
 /// One slow request must not hold up those that follow it.
 #[tokio::test]
 async fn a_slow_reply_does_not_delay_quick_ones() {
--- a/crates/sapphirequayd/src/gateway/incoming_calls.rs
+++ b/crates/sapphirequayd/src/gateway/incoming_calls.rs
@@ -3,7 +3,7 @@
 use {
     crate::wire::LinkRequest,
     futures_util::{StreamExt as _, stream::FuturesUnordered},
-    quay_link::{Incoming, IncomingCall, LinkError},
+    quay_link::{FramePermit, Incoming, IncomingCall, LinkError},
     serde::Serialize,
     std::net::SocketAddr,
     tokio::{sync::mpsc, task::spawn_local},
@@ -54,9 +54,14 @@
 
     /// Sends the reply; the host may have given up.
     pub async fn reply(self, reply: &impl Serialize) {
+        self.reply_holding(reply, None).await;
+    }
+
+    /// Sends the reply as [`reply`](Self::reply) does. `memory` is held until it is sent.
+    pub async fn reply_holding(self, reply: &impl Serialize, memory: Option<FramePermit>) {
         let sent = match self {
             Self::Stream(incoming) => incoming.stream.send_async(reply).await,
-            Self::Call(call) => call.reply(reply),
+            Self::Call(call) => call.reply_holding(reply, memory),
         };
         match sent {
             Ok(()) => {}
--- a/crates/sapphirequayd/src/gateway/run.rs
+++ b/crates/sapphirequayd/src/gateway/run.rs
@@ -20,7 +20,7 @@
         },
         wire::LinkRequest,
     },
-    quay_link::{Identity, LinkError, LinkRole, LinkSettings, Links},
+    quay_link::{FrameMemory, Identity, LinkError, LinkRole, LinkSettings, Links},
     quay_policy::MemoryClass,
     quay_quorum::Member,
     quay_routes::Dialect,
@@ -151,6 +151,9 @@
     let seeds = settings.gateway.clone().unwrap_or_default();
     let (tx, streams) = mpsc::unbounded_channel();
     let (calls_tx, calls) = mpsc::channel(LINK_QUEUED_CALLS);
+    let store = settings.store.as_ref();
+    let frame_memory = store.and_then(StoreSettings::frame_bytes);
+    let frame_memory = frame_memory.map(FrameMemory::new);
     let link_settings = LinkSettings {
         listen: Some(settings.link.listen),
         idle_timeout: LINK_IDLE_TIMEOUT,
@@ -160,6 +163,7 @@
             None => LINK_MAX_STREAMS,
         },
         calls: Some(calls_tx),
+        frame_memory: frame_memory.clone(),
         ..LinkSettings::new(identity)
     };
     let links = Links::start_on_runtime(link_settings, move |incoming| {
@@ -187,7 +191,7 @@
         host.stop(settings.process.grace()).await;
     } else if let Some(store) = &settings.store {
         let links = base.links.clone();
-        start_store(settings, store, &seeds, base)?;
+        start_store(settings, store, &seeds, base, frame_memory)?;
         log::info!("event=started name={name} role=store");
         signals.wait(lifecycle).await;
         let limit = settings.process.grace().min(MAX_STORE_STOP_TIME);
@@ -386,6 +390,7 @@
     store: &StoreSettings,
     seeds: &GatewaySettings,
     base: HostContext,
+    memory: Option<FrameMemory>,
 ) -> Result<(), GatewayError> {
     let announcement = StoreAnnouncement {
         host: settings.process.name.clone(),
@@ -404,7 +409,8 @@
         base.links,
         base.control,
     )
-    .map_err(io("data directory"))?;
+    .map_err(io("data directory"))?
+    .with_memory(memory);
     host.start();
     spawn_local(
         base.incoming
@@ -417,8 +423,9 @@
 async fn serve_store(host: StoreHost, mut asked: Asked) {
     match asked.take_request() {
         Ok(LinkRequest::Gateway(GatewayRequest::Store(req))) => {
+            let memory = host.reserve_reply(&req).await;
             let reply = host.serve(req).await;
-            asked.reply(&reply).await;
+            asked.reply_holding(&reply, memory).await;
         }
         unsupported => log_unsupported(asked.addr(), unsupported),
     }
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -18,11 +18,11 @@
         },
         process::Clock,
     },
-    quay_link::Links,
+    quay_link::{FrameMemory, FramePermit, Links},
     quay_log::IsDiskFull as _,
     quay_turns::{
-        Record, RecordLocation, StoreAnnouncement, StoreIndex, StoreIndexSettings, StoreIndexes,
-        StoreMap, StoreMember, StoreView, TurnRecord,
+        ChainPart, Record, RecordLocation, StoreAnnouncement, StoreIndex, StoreIndexSettings,
+        StoreIndexes, StoreMap, StoreMember, StoreView, TurnRecord,
     },
     quay_types::{GroupId, Time, TurnId},
     std::{
@@ -105,6 +105,8 @@
     pub(super) announce: Rc<Notify>,
     /// Permits for requests for turns, which bound what a copy holds in memory.
     pub(super) fetches: Rc<Semaphore>,
+    /// Memory for requests that are served and turns that are read, if it is limited.
+    memory: Option<FrameMemory>,
 }
 
 impl StoreHost {
@@ -154,9 +156,16 @@
             turns_missing: Rc::default(),
             announce: Rc::default(),
             fetches: Rc::new(Semaphore::new(copy::MAX_FETCHES)),
+            memory: None,
         })
     }
 
+    /// Has the host read turns only as far as there is room in `memory`.
+    #[must_use]
+    pub fn with_memory(self, memory: Option<FrameMemory>) -> Self {
+        Self { memory, ..self }
+    }
+
     /// Starts the host's tasks.
     pub fn start(&self) {
         spawn_local(self.clone().announce_periodically());
@@ -306,19 +315,7 @@
 
     /// Lists a turn and its predecessors, and returns the oldest of them that fit into a page.
     async fn list_chain(&self, group: GroupId, turn: TurnId) -> StoreReply {
-        let (part, locations) = {
-            let held = self.group(group);
-            let part = held.chain_part(turn, MAX_LIST_TURNS);
-            let oldest = part.links.iter().rev();
-            let mut bytes = 0;
-            let locations = oldest.map_while(|link| {
-                bytes += link.bytes;
-                let fits = bytes <= MAX_FETCH_BYTES;
-                fits.then(|| held.location(link.id)).flatten()
-            });
-            let locations: Vec<RecordLocation> = locations.collect();
-            (part, locations)
-        };
+        let (part, locations) = self.chain_page(group, turn);
         match self.read_turns(locations).await {
             Some(turns) => StoreReply::ChainPart(part, turns),
             None => StoreReply::Refused,
@@ -328,23 +325,56 @@
     /// Returns those of `turns` that are held, from the first one on, up to `max_bytes`
     /// but at least one.
     async fn fetch(&self, group: GroupId, turns: &[TurnId], max_bytes: u64) -> StoreReply {
-        let locations: Vec<RecordLocation> = {
-            let held = self.group(group);
-            let mut bytes = 0;
-            let held = turns.iter().filter_map(|id| held.location(*id));
-            held.take_while(|location| {
-                let first = bytes == 0;
-                bytes += u64::from(location.len);
-                first || bytes <= max_bytes
-            })
-            .collect()
-        };
+        let locations = self.turn_page(group, turns, max_bytes);
         match self.read_turns(locations).await {
             Some(turns) => StoreReply::Turns(turns),
             None => StoreReply::Refused,
         }
     }
 
+    /// Those of `turns` that are held, from the first one on, up to `max_bytes` but at least
+    /// one.
+    fn turn_page(&self, group: GroupId, turns: &[TurnId], max_bytes: u64) -> Vec<RecordLocation> {
+        let held = self.group(group);
+        let mut bytes = 0;
+        let held = turns.iter().filter_map(|id| held.location(*id));
+        held.take_while(|location| {
+            let first = bytes == 0;
+            bytes += u64::from(location.len);
+            first || bytes <= max_bytes
+        })
+        .collect()
+    }
+
+    /// Part of a chain, and its oldest turns that fit into a page.
+    fn chain_page(&self, group: GroupId, turn: TurnId) -> (ChainPart, Vec<RecordLocation>) {
+        let held = self.group(group);
+        let part = held.chain_part(turn, MAX_LIST_TURNS);
+        let oldest = part.links.iter().rev();
+        let mut bytes = 0;
+        let locations = oldest.map_while(|link| {
+            bytes += link.bytes;
+            let fits = bytes <= MAX_FETCH_BYTES;
+            fits.then(|| held.location(link.id)).flatten()
+        });
+        let locations = locations.collect();
+        (part, locations)
+    }
+
+    /// Waits until there is memory for the turns that the reply to a request brings, as they
+    /// are read and encoded.
+    pub async fn reserve_reply(&self, req: &StoreRequest) -> Option<FramePermit> {
+        let memory = self.memory.as_ref()?;
+        let locations = match &req.op {
+            StoreOp::Chain(turn) | StoreOp::ListChain(turn) => self.chain_page(req.group, *turn).1,
+            StoreOp::FetchSome(turns) => self.turn_page(req.group, turns, MAX_FETCH_BYTES),
+            StoreOp::Fetch(turns) => self.turn_page(req.group, turns, MAX_REPLY_BYTES),
+            _ => return None,
+        };
+        let bytes = locations.iter().map(|it| 2 * it.len as usize).sum();
+        memory.reserve(bytes).await
+    }
+
     /// Reads turns from the disk on a blocking thread.
     async fn read_turns(&self, locations: Vec<RecordLocation>) -> Option<Vec<TurnRecord>> {
         if locations.is_empty() {
--- a/crates/sapphirequayd/src/settings/check.rs
+++ b/crates/sapphirequayd/src/settings/check.rs
@@ -72,6 +72,7 @@
         }
         problems.extend(self.front.as_ref().and_then(|front| front.check().err()));
         problems.extend(self.control.as_ref().and_then(|it| it.check().err()));
+        problems.extend(self.store.as_ref().and_then(|it| it.check().err()));
         match &self.gateway {
             Some(seeds) => problems.extend(seeds.check().err()),
             None => problems.push(Problem::new("gateway", "seeds", "the table is required")),
--- a/crates/sapphirequayd/src/settings/gateway.rs
+++ b/crates/sapphirequayd/src/settings/gateway.rs
@@ -176,6 +176,30 @@
     /// Size at which a file of the store is closed, in bytes.
     #[serde(default = "segment_bytes")]
     pub segment_bytes: u64,
+    /// Memory above which the process is killed, in MB; 0 for none. By default the memory
+    /// of the machine.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+}
+
+impl StoreSettings {
+    /// Bytes of the requests that may be served at a time, if there is a limit. Each is held
+    /// twice for a while: as it arrives and decoded, or decoded and in a write to the disk.
+    #[must_use]
+    pub fn frame_bytes(&self) -> Option<u64> {
+        memory::limits(self.memory_mb, 0)
+            .budget
+            .map(|budget| budget / 2)
+    }
+
+    /// Checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the problem and its key.
+    pub fn check(&self) -> Result<(), Problem> {
+        memory::check("store", self.memory_mb)
+    }
 }
 
 /// Default of [`StoreSettings::segment_bytes`]: a few seconds of turns, so that
--- a/crates/sapphirequayd/tests/common/gateway.rs
+++ b/crates/sapphirequayd/tests/common/gateway.rs
@@ -56,6 +56,8 @@
     pub front_settings: String,
     /// Lines for `[control]` of the control hosts that are started next.
     pub control_settings: String,
+    /// Settings added to the table of each store that is started next.
+    pub store_settings: String,
     /// Lines for `[process]` of the processes that are started next.
     pub process_settings: String,
     /// Limit of open descriptors of the fronts that are started next.
@@ -100,6 +102,7 @@
             folder,
             front_settings: front_settings.to_owned(),
             control_settings: String::new(),
+            store_settings: String::new(),
             process_settings: String::new(),
             front_descriptors: None,
             fillable_disks: false,
@@ -223,8 +226,9 @@
             Role::Store(slot) => (
                 self.store_links[slot],
                 format!(
-                    "[store]\ndata = \"{}\"\n",
-                    folder.join(format!("store-{slot}")).display()
+                    "[store]\ndata = \"{}\"\n{}\n",
+                    folder.join(format!("store-{slot}")).display(),
+                    self.store_settings
                 ),
             ),
             Role::Front(slot) => (
--- a/crates/sapphirequayd/tests/long_conversations.rs
+++ b/crates/sapphirequayd/tests/long_conversations.rs
@@ -9,10 +9,12 @@
 use {
     gateway::{Gateway, Response, Role, header, send},
     std::{
-        cell::Cell,
         io::{Read as _, Write as _},
         net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -29,6 +31,9 @@
 /// What the upstream's answer adds to a conversation.
 const OUTPUT: &[u8] = b"event\n";
 
+/// Memory of a store, in MB.
+const STORE_MB: u64 = 130;
+
 /// Size of the large inputs, in bytes.
 const LARGE: usize = 4_000_000;
 
@@ -102,8 +107,16 @@
 /// Gateway with one upstream.
 struct Site {
     gateway: Gateway,
+    callers: Callers,
+}
+
+/// Callers of a gateway.
+#[derive(Clone)]
+struct Callers {
+    fronts: Vec<SocketAddr>,
+    control: SocketAddr,
     upstream: Upstream,
-    sent: Cell<u64>,
+    sent: Arc<AtomicU64>,
 }
 
 /// A conversation as the next turn must carry it on.
@@ -116,10 +129,17 @@
 
 impl Site {
     fn start(stores: usize, front_settings: &str) -> Self {
+        let mut gateway = Gateway::prepare(stores, front_settings);
+        gateway.store_settings = format!("memory_mb = {STORE_MB}");
+        gateway.run_all();
         let site = Self {
-            gateway: Gateway::start_with(stores, front_settings),
-            upstream: Upstream::start(),
-            sent: Cell::default(),
+            callers: Callers {
+                fronts: gateway.fronts.clone(),
+                control: gateway.controls[1],
+                upstream: Upstream::start(),
+                sent: Arc::default(),
+            },
+            gateway,
         };
         let put = "POST /sapphirequay/config/put HTTP/1.1\nHost: c";
         wait_for("the table is accepted", || {
@@ -128,10 +148,11 @@
         });
         site
     }
+}
 
+impl Callers {
     fn next(&self) -> u64 {
-        self.sent.set(self.sent.get() + 1);
-        self.sent.get()
+        self.sent.fetch_add(1, Ordering::Relaxed)
     }
 
     fn announce(&self) {
@@ -141,7 +162,7 @@
             self.upstream.addr,
             self.next()
         );
-        let _ = send(self.gateway.controls[1], head, &body);
+        let _ = send(self.control, head, &body);
     }
 
     /// Sends a turn that goes on from `talk` until it is answered whole, and checks that the
@@ -157,7 +178,7 @@
             if let Some(prior) = &talk.prior {
                 head = format!("{head}\nX-Sapphirequay-Previous-Turn: {prior}");
             }
-            let got: Response = send(self.gateway.fronts[front], &head, input)?;
+            let got: Response = send(self.fronts[front], &head, input)?;
             assert_ne!(got.status, 404, "{}", got.body);
             if got.status != 200 || !got.complete {
                 return None;
@@ -199,11 +220,11 @@
     let mut site = Site::start(3, "memory_mb = 110");
     let mut talk = Conversation::default();
     for turn in 0..9 {
-        site.turn(0, "p", &mut talk, &input(turn, LARGE));
+        site.callers.turn(0, "p", &mut talk, &input(turn, LARGE));
     }
     site.gateway.kill(Role::Store(0));
     for front in [1, 0] {
-        site.turn(front, "p", &mut talk, "next");
+        site.callers.turn(front, "p", &mut talk, "next");
     }
     for front in 0..2 {
         let peak = site.gateway.peak_memory(Role::Front(front));
@@ -218,15 +239,15 @@
     let site = Site::start(6, "memory_mb = 110");
     let mut talk = Conversation::default();
     for turn in 0..9 {
-        site.turn(0, "p", &mut talk, &input(turn, LARGE));
+        site.callers.turn(0, "p", &mut talk, &input(turn, LARGE));
     }
     wait_for("a program goes on whose stores are others", || {
-        let program = format!("q{}", site.next());
+        let program = format!("q{}", site.callers.next());
         let mut branch = Conversation {
             prior: talk.prior.clone(),
             ..talk
         };
-        site.turn(1, &program, &mut branch, "next");
+        site.callers.turn(1, &program, &mut branch, "next");
         site.gateway
             .logs()
             .contains("event=turns_adopted")
@@ -240,6 +261,33 @@
     let site = Site::start(3, "chain_cache_bytes = 0");
     let mut talk = Conversation::default();
     for turn in 0..1_100 {
-        site.turn(turn % 2, "p", &mut talk, &input(turn, 100));
+        site.callers
+            .turn(turn % 2, "p", &mut talk, &input(turn, 100));
+    }
+}
+
+/// Guards against stores that take more than their memory while many long turns are stored and
+/// read at a time (review, case 14).
+#[test]
+fn bursts_of_large_turns_leave_the_stores_within_their_memory() {
+    let site = Site::start(3, "");
+    let programs: Vec<_> = (0..24)
+        .map(|program| {
+            let callers = site.callers.clone();
+            thread::spawn(move || {
+                let mut talk = Conversation::default();
+                for turn in 0..4 {
+                    let name = format!("p{program}");
+                    callers.turn(turn % 2, &name, &mut talk, &input(turn, LARGE));
+                }
+            })
+        })
+        .collect();
+    for program in programs {
+        program.join().expect("all turns are answered");
+    }
+    for store in 0..3 {
+        let peak = site.gateway.peak_memory(Role::Store(store));
+        assert!(peak < STORE_MB << 20, "store {store} held {peak} bytes");
     }
 }
--- a/crates/sapphirequayd/tests/settings.rs
+++ b/crates/sapphirequayd/tests/settings.rs
@@ -169,6 +169,15 @@
     assert_eq!(front("memory_mb = 0").limits().budget, None);
     let small = front("memory_mb = 39").check().expect_err("a problem");
     insta::assert_snapshot!(small, @"[front] memory_mb: must be 0 or at least 40");
+    let store = |memory: &str| {
+        let text = format!("[process]\nname = \"s\"\n[store]\ndata = \"d\"\n{memory}");
+        let settings = Settings::parse(&text).expect("settings");
+        settings.store.expect("store")
+    };
+    assert_eq!(store("memory_mb = 60").frame_bytes(), Some(10_000_000));
+    assert_eq!(store("memory_mb = 0").frame_bytes(), None);
+    let small = store("memory_mb = 39").check().expect_err("a problem");
+    insta::assert_snapshot!(small, @"[store] memory_mb: must be 0 or at least 40");
     let entry = EntrySettings {
         memory_mb: Some(60.0),
         ..EntrySettings::default()
