Accounts: without accounts a turn is found whichever key came with it

A caller without accounts that sent a key with one turn and none with the next would have got 404 since: only callers with a key looked the turn up under the id for turns with one. Names are everyone's where there are no accounts, so both ids are looked up. turn_owner had the wrong expectation for this case, which is the one that changed; account_changes now sends such turns.

A single record is written without a task of its own.

--- a/crates/quay_policy/src/guard/turn_owner.rs
+++ b/crates/quay_policy/src/guard/turn_owner.rs
@@ -85,16 +85,22 @@
     #[must_use]
     pub fn own_turns(&self, name: &str) -> Vec<(TurnId, TurnOwner)> {
         let key = self.mark(name);
-        let owner = |account, key| TurnOwner { account, key };
-        let nobodys = owner(None, None);
-        let owners = match self.scope {
-            TurnScope::NoAccounts if key.is_some() => vec![owner(None, key), nobodys],
-            TurnScope::NoAccounts | TurnScope::Public(None) => vec![nobodys],
-            TurnScope::Public(account) => vec![nobodys, owner(account, key)],
-            TurnScope::Account(account) => vec![owner(Some(account), key), nobodys],
+        let nobodys = TurnOwner::default();
+        let of_account = |account| TurnOwner { account, key };
+        let nobodys_turn = (nobodys.turn_id(name), nobodys);
+        // Without accounts names are everyone's, whichever key came with them.
+        let with_key = (TurnId::with_key(name), of_account(None));
+        let turn_of = |account| {
+            let owner = of_account(Some(account));
+            (owner.turn_id(name), owner)
         };
-        let turns = owners.into_iter().map(|it| (it.turn_id(name), it));
-        turns.collect()
+        match self.scope {
+            TurnScope::NoAccounts if key.is_some() => vec![with_key, nobodys_turn],
+            TurnScope::NoAccounts => vec![nobodys_turn, with_key],
+            TurnScope::Public(None) => vec![nobodys_turn],
+            TurnScope::Public(Some(account)) => vec![nobodys_turn, turn_of(account)],
+            TurnScope::Account(account) => vec![turn_of(account), nobodys_turn],
+        }
     }
 
     /// Id of the record that tells who owns the turn `name`, if it is none of
--- a/crates/sapphirequayd/src/gateway/front/call.rs
+++ b/crates/sapphirequayd/src/gateway/front/call.rs
@@ -68,7 +68,7 @@
     caller: Caller<'a>,
     /// Identifiers of the state that the request refers to.
     ids: CallIds<'a>,
-    /// Caller of a turn, who decides which turns the request may go on from.
+    /// The caller as the owner of turns, which decides what the request may go on from.
     turn_caller: TurnCaller,
     /// Revision of the accounts by which the caller was last determined.
     checked: Cell<u64>,
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -432,6 +432,10 @@
     /// Writes and syncs records of a group, so that one sync covers them. Returns
     /// `false` if one of them could not be written.
     pub(super) async fn save_all(&self, group: GroupId, records: Vec<Record>) -> bool {
+        let records = match <[Record; 1]>::try_from(records) {
+            Ok([record]) => return self.save(group, record).await,
+            Err(records) => records,
+        };
         let saves: Vec<_> = records
             .into_iter()
             .map(|record| {
--- a/crates/sapphirequayd/tests/account_changes.rs
+++ b/crates/sapphirequayd/tests/account_changes.rs
@@ -175,6 +175,18 @@
         key: Some("none"),
         ..TURN
     });
+    for (key, prior) in [
+        (None, &with_key),
+        (Some("k2"), &with_key),
+        (Some("k1"), &without_key),
+    ] {
+        site.run(Turn {
+            key,
+            program: "r",
+            prior: Some(prior),
+            ..TURN
+        });
+    }
     site.configure(TWO, false);
     let next = |key, prior| Turn {
         key: Some(key),
