Tests: the upstream of long conversations names the request it answers

Ids that end with 14 had their end replaced by the length of a chunk, so that their answers were taken for those of other requests, and the test sent the turn again.

--- a/crates/sapphirequayd/tests/long_conversations.rs
+++ b/crates/sapphirequayd/tests/long_conversations.rs
@@ -91,14 +91,12 @@
         }
         let run = (id.to_owned(), read, hash);
         self.ran.lock().expect("lock").push(run);
+        let event = "id: 1\ndata: event\n\n";
         let text = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-sapphirequay-request-id: {id}\r\n\
              x-sapphirequay-response-seal: s\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n\
-             14\r\nid: 1\ndata: event\n\n\r\n0\r\n\r\n"
-        );
-        let text = text.replace(
-            "14\r\n",
-            &format!("{:x}\r\n", "id: 1\ndata: event\n\n".len()),
+             {:x}\r\n{event}\r\n0\r\n\r\n",
+            event.len()
         );
         stream.write_all(text.as_bytes()).ok()
     }
