Comments: what needed a second reading in the types of accounts and links

ScopedId tells which id is for which side of a change, FrameMemory what its parts are. One test for two look-ups of a stream that must agree (RecordedOrigin::merge). No code changed.

--- a/crates/quay_link/src/frame_memory.rs
+++ b/crates/quay_link/src/frame_memory.rs
@@ -13,11 +13,11 @@
 #[derive(Debug, Clone)]
 pub struct FrameMemory {
     permits: Arc<Semaphore>,
-    /// Number of all permits.
+    /// Number of permits, free or not.
     all: u32,
 }
 
-/// Memory that is reserved until the permit is dropped; `None` if there is no limit.
+/// Reserved part of a [`FrameMemory`], until it is dropped.
 #[derive(Debug)]
 pub struct FramePermit(#[allow(dead_code)] OwnedSemaphorePermit);
 
--- a/crates/quay_policy/src/guard/resume.rs
+++ b/crates/quay_policy/src/guard/resume.rs
@@ -54,7 +54,8 @@
 }
 
 impl RecordedOrigin {
-    /// What two look-ups of one stream say together, under two ids of its caller.
+    /// What two look-ups of one stream say together: under the ids of its caller with an
+    /// account and without.
     #[must_use]
     pub fn merge(self, other: Self) -> Self {
         match (self, other) {
--- a/crates/quay_policy/src/guard/turn_owner.rs
+++ b/crates/quay_policy/src/guard/turn_owner.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// Accounts by which the caller of a turn is known.
+/// What is known of the caller of a turn.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TurnScope {
     /// There are no accounts.
@@ -66,7 +66,7 @@
 /// Caller of a turn.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TurnCaller {
-    /// Accounts by which the caller is known.
+    /// What is known of the caller by its route and its key.
     pub scope: TurnScope,
     /// Key that the caller presents, valid or not.
     pub key: Option<TurnKey>,
--- a/crates/quay_policy/tests/stream_versions.rs
+++ b/crates/quay_policy/tests/stream_versions.rs
@@ -531,3 +531,32 @@
     assert!(single.is_only_one());
     assert!(!services(&[drawn], true).is_only_one());
 }
+
+/// Guards against a stream that goes on by the record of one account although it began at
+/// another version without.
+#[test]
+fn records_from_both_sides_of_a_change_of_accounts_must_agree() {
+    let at = |name: &str| {
+        RecordedOrigin::Found(StreamOrigin {
+            run: FIRST,
+            service: ServiceId::of(SERVICE),
+            version: version(name),
+            sent: NOW,
+        })
+    };
+    let (absent, unsure) = (RecordedOrigin::Absent, RecordedOrigin::Undetermined);
+    assert_eq!(at("v1").merge(absent), at("v1"));
+    assert_eq!(absent.merge(at("v1")), at("v1"));
+    assert_eq!(at("v1").merge(at("v1")), at("v1"));
+    assert_eq!(absent.merge(absent), absent);
+    assert_eq!(at("v1").merge(unsure), unsure);
+    assert_eq!(unsure.merge(absent), unsure);
+    let other_run = match at("v2") {
+        RecordedOrigin::Found(origin) => RecordedOrigin::Found(StreamOrigin {
+            run: (UpstreamId(2), Incarnation(1)),
+            ..origin
+        }),
+        other => other,
+    };
+    assert_eq!(at("v1").merge(other_run), RecordedOrigin::Conflicting);
+}
--- a/crates/quay_types/src/ids.rs
+++ b/crates/quay_types/src/ids.rs
@@ -107,18 +107,20 @@
     };
 }
 
-/// Ids of one object of a caller that may have been recorded while the caller had another
-/// account or none.
+/// Ids of one object of a caller who may get an account or lose it while the object is kept.
 ///
-/// Records under `own` are found by the same account, and those under `shared` by callers
-/// without an account. Two accounts never see each other's records.
+/// With an account the object is recorded under an id of the account and under one that all
+/// accounts share, and looked up under the first and under its name alone. Without an account
+/// it is recorded under its name alone, and looked up there and under the shared id. So each
+/// side of a change finds the records of the other, and no account those of another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ScopedId<T> {
-    /// Id in the caller's own scope.
+    /// Id of the account, or of the name alone without one.
     pub own: T,
-    /// Second id to record the object under; `None` without an account.
+    /// Id that all accounts share; `None` without an account.
     pub shared: Option<T>,
-    /// Id of records that were made in the other scope.
+    /// Id of records from the other side of a change: of the name alone with an account,
+    /// and the shared one without.
     pub other: T,
 }
 
--- a/crates/sapphirequayd/src/gateway/store/host.rs
+++ b/crates/sapphirequayd/src/gateway/store/host.rs
@@ -361,8 +361,8 @@
         (part, locations)
     }
 
-    /// Waits until there is memory for the turns that the reply to a request brings, as they
-    /// are read and encoded.
+    /// Reserves memory for the turns in the reply to a request, which are held twice: as they
+    /// are read and decoded, and then as they are encoded. `None` without a limit.
     pub async fn reserve_reply(&self, req: &StoreRequest) -> Option<FramePermit> {
         let memory = self.memory.as_ref()?;
         let locations = match &req.op {
